Serve a chat completion from end to end

A caller's request is authenticated with a stored keyed hash, routed to the less loaded of two sampled engines, and relayed as server-sent events. A withdrawn or unknown key is refused as not run.

--- /dev/null
+++ b/shallotmux/authority/__init__.py
@@ -0,0 +1,79 @@
+"""The state that a zone's instances replicate, and the seam through which it is changed."""
+
+from __future__ import annotations
+
+from shallotmux.authority._configuration import (
+    ConfigItem,
+    DeleteObject,
+    PutObject,
+    Versioned,
+    object_kind,
+)
+from shallotmux.authority._keys import (
+    CreateKey,
+    WithdrawKey,
+    create_secret,
+    digest_secret,
+)
+from shallotmux.authority._ledger import (
+    AbandonJob,
+    ClaimFinished,
+    ClaimGranted,
+    ClaimJob,
+    ClaimMismatch,
+    ClaimRunning,
+    ClaimUnknown,
+    FinishJob,
+    Job,
+    JobId,
+    ReleaseJob,
+    StoredAnswer,
+)
+from shallotmux.authority._local import Authority, Leadership, LocalAuthority
+from shallotmux.authority._results import Applied, Conflict, Refused
+from shallotmux.authority._state import (
+    Command,
+    Result,
+    ZoneState,
+    decode_command,
+    decode_result,
+    encode_command,
+    encode_result,
+)
+
+__all__ = (
+    'AbandonJob',
+    'Applied',
+    'Authority',
+    'ClaimFinished',
+    'ClaimGranted',
+    'ClaimJob',
+    'ClaimMismatch',
+    'ClaimRunning',
+    'ClaimUnknown',
+    'Command',
+    'ConfigItem',
+    'Conflict',
+    'CreateKey',
+    'DeleteObject',
+    'FinishJob',
+    'Job',
+    'JobId',
+    'Leadership',
+    'LocalAuthority',
+    'PutObject',
+    'Refused',
+    'ReleaseJob',
+    'Result',
+    'StoredAnswer',
+    'Versioned',
+    'WithdrawKey',
+    'ZoneState',
+    'create_secret',
+    'decode_command',
+    'decode_result',
+    'digest_secret',
+    'encode_command',
+    'encode_result',
+    'object_kind',
+)
--- /dev/null
+++ b/shallotmux/authority/_state.py
@@ -0,0 +1,151 @@
+"""The replicated state of a zone."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+import msgspec
+
+from shallotmux.authority._codec import registry
+from shallotmux.authority._configuration import (
+    ConfigurationState,
+    DeleteObject,
+    PutObject,
+)
+from shallotmux.authority._keys import CreateKey, KeyState, WithdrawKey
+from shallotmux.authority._ledger import (
+    AbandonJob,
+    ClaimJob,
+    FinishJob,
+    JobLedger,
+    LedgerCommand,
+    LedgerResult,
+    ReleaseJob,
+)
+from shallotmux.authority._results import Applied, Conflict, Refused
+from shallotmux.world import Customer, CustomerKey, EndpointPool, Route
+
+Command = PutObject | DeleteObject | CreateKey | WithdrawKey | LedgerCommand
+Result = Applied | Conflict | Refused | LedgerResult
+
+registry.register(Applied, Conflict, Refused)
+
+#: Results kept for repeated operation ids.
+RESULT_MEMORY = 20_000
+
+
+def encode_command(command: Command) -> bytes:
+    """Return the form of a command that is kept in the replicated log."""
+    return registry.encode(command)
+
+
+def decode_command(payload: bytes) -> Command:
+    """Return the command held by a log entry."""
+    return cast(Command, registry.decode(payload))
+
+
+def encode_result(result: Result) -> bytes:
+    """Return the form of a result that is sent to another instance."""
+    return registry.encode(result)
+
+
+def decode_result(payload: bytes) -> Result:
+    """Return the result sent by another instance."""
+    return cast(Result, registry.decode(payload))
+
+
+@dataclass(slots=True)
+class ZoneState:
+    """Configuration, keys and job ledger of one zone.
+
+    Applying the same commands in the same order gives the same state on every replica, so no
+    clock or random source is read here. Each part of the state has its own module.
+    """
+
+    revision: int = 0
+    configuration: ConfigurationState = field(default_factory=ConfigurationState)
+    keys: KeyState = field(default_factory=KeyState)
+    ledger: JobLedger = field(default_factory=JobLedger)
+    results: OrderedDict[str, Result] = field(default_factory=OrderedDict)
+
+    def apply(self, command: Command) -> Result:
+        """Apply a command, or return the first result of a repeated operation.
+
+        :param command: a committed command.
+        :returns: the result that the submitter is told.
+        """
+        earlier = self.results.get(command.operation_id)
+        if earlier is not None:
+            return earlier
+        result = self._dispatch(command, self.revision + 1)
+        if isinstance(result, Applied):
+            self.revision = result.revision
+        self.results[command.operation_id] = result
+        if len(self.results) > RESULT_MEMORY:
+            self.results.popitem(last=False)
+        return result
+
+    def snapshot(self) -> bytes:
+        """Return the whole state in a form that :meth:`restore` reads."""
+        return msgspec.msgpack.encode(
+            {
+                'revision': self.revision,
+                'results': [(name, registry.encode(kept)) for name, kept in self.results.items()],
+                **{name: part.dump() for name, part in self._parts().items()},
+            },
+        )
+
+    @classmethod
+    def restore(cls, payload: bytes) -> ZoneState:
+        """Return the state held by a snapshot."""
+        plain = msgspec.msgpack.decode(payload)
+        state = cls(revision=plain['revision'])
+        for name, part in state._parts().items():  # noqa: SLF001
+            part.restore(plain[name])
+        for name, kept in plain['results']:
+            state.results[name] = registry.decode(kept)
+        return state
+
+    def customer(self, name: str) -> Customer | None:
+        """Return a customer by name."""
+        found = self.configuration.objects.get(('customer', name))
+        return found.item if found and isinstance(found.item, Customer) else None
+
+    def route(self, name: str) -> Route | None:
+        """Return a route by name."""
+        found = self.configuration.objects.get(('route', name))
+        return found.item if found and isinstance(found.item, Route) else None
+
+    def pool(self, name: str) -> EndpointPool | None:
+        """Return an endpoint pool by name."""
+        found = self.configuration.objects.get(('pool', name))
+        return found.item if found and isinstance(found.item, EndpointPool) else None
+
+    def routes(self) -> tuple[Route, ...]:
+        """Return all routes by name."""
+        kept = sorted(self.configuration.objects.items())
+        return tuple(each.item for _, each in kept if isinstance(each.item, Route))
+
+    def key_by_digest(self, digest: str) -> CustomerKey | None:
+        """Return the key with this digest, withdrawn or not."""
+        return self.keys.by_digest(digest)
+
+    def _parts(self) -> dict[str, Any]:
+        return {
+            'configuration': self.configuration,
+            'keys': self.keys,
+            'ledger': self.ledger,
+        }
+
+    def _dispatch(self, command: Command, revision: int) -> Result:
+        match command:
+            case PutObject() | DeleteObject():
+                return self.configuration.apply(command, revision)
+            case CreateKey(key=key) if self.customer(key.customer) is None:
+                return Refused(f'customer {key.customer!r} does not exist')
+            case CreateKey() | WithdrawKey():
+                return self.keys.apply(command, revision)
+            case ClaimJob() | FinishJob() | ReleaseJob() | AbandonJob():
+                return self.ledger.apply(command, revision)
--- /dev/null
+++ b/shallotmux/callers/_models.py
@@ -0,0 +1,73 @@
+"""Validated models of the caller protocol."""
+
+from __future__ import annotations
+
+from typing import Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from shallotmux.errors import CallerError
+
+MAX_TOKENS = 131_072
+
+
+class ChatMessage(BaseModel):
+    """One message of a conversation."""
+
+    model_config = ConfigDict(extra='allow')
+
+    role: Literal['system', 'developer', 'user', 'assistant', 'tool']
+    content: str | list[Any] | None = None
+
+
+class ChatCompletionRequest(BaseModel):
+    """Body of ``POST /v1/chat/completions``."""
+
+    model_config = ConfigDict(extra='allow')
+
+    model: str = Field(min_length=1, max_length=200)
+    messages: list[ChatMessage] = Field(min_length=1, max_length=10_000)
+    stream: bool = False
+    max_tokens: int = Field(default=256, ge=1, le=MAX_TOKENS)
+
+
+class CompletionRequest(BaseModel):
+    """Body of ``POST /v1/completions``."""
+
+    model_config = ConfigDict(extra='allow')
+
+    model: str = Field(min_length=1, max_length=200)
+    prompt: str
+    stream: bool = False
+    max_tokens: int = Field(default=256, ge=1, le=MAX_TOKENS)
+
+
+def parse_chat(body: bytes) -> ChatCompletionRequest:
+    """Validate a chat completion request.
+
+    :raises CallerError: naming the field that is wrong.
+    """
+    try:
+        return ChatCompletionRequest.model_validate_json(body)
+    except ValidationError as error:
+        raise explain_validation(error) from error
+
+
+def parse_completion(body: bytes) -> CompletionRequest:
+    """Validate a completion request.
+
+    :raises CallerError: naming the field that is wrong.
+    """
+    try:
+        return CompletionRequest.model_validate_json(body)
+    except ValidationError as error:
+        raise explain_validation(error) from error
+
+
+def explain_validation(error: ValidationError) -> CallerError:
+    """Return the refusal for an invalid body, without echoing its content."""
+    first = error.errors(include_input=False, include_url=False)[0]
+    place = '.'.join(str(part) for part in first['loc'])
+    return CallerError(
+        f'{place or "body"}: {first["msg"]}', status=400, code='invalid_body', param=place or None
+    )
--- /dev/null
+++ b/shallotmux/http/__init__.py
@@ -0,0 +1,52 @@
+"""HTTP server, client and ASGI helpers shared by all borders."""
+
+from __future__ import annotations
+
+from shallotmux.http._asgi import (
+    EVENT_STREAM_TYPE,
+    JSON_TYPE,
+    AsgiApp,
+    ErrorBody,
+    Receive,
+    Scope,
+    Send,
+    find_header,
+    read_body,
+    send_answer,
+    send_chunk,
+    send_error,
+    send_json,
+    send_start,
+)
+from shallotmux.http._client import (
+    HttpClient,
+    HttpcoreClient,
+    HttpRequest,
+    HttpResponse,
+    fetch,
+)
+from shallotmux.http._server import Listener, serve_app
+
+__all__ = (
+    'EVENT_STREAM_TYPE',
+    'JSON_TYPE',
+    'AsgiApp',
+    'ErrorBody',
+    'HttpClient',
+    'HttpRequest',
+    'HttpResponse',
+    'HttpcoreClient',
+    'Listener',
+    'Receive',
+    'Scope',
+    'Send',
+    'fetch',
+    'find_header',
+    'read_body',
+    'send_answer',
+    'send_chunk',
+    'send_error',
+    'send_json',
+    'send_start',
+    'serve_app',
+)
--- /dev/null
+++ b/shallotmux/http/_client.py
@@ -0,0 +1,156 @@
+"""HTTP client seam and its implementation on httpcore."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Mapping
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import httpcore
+
+from shallotmux.errors import EndpointError, EndpointRefused
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 30.0
+MAX_CONNECTIONS = 4096
+KEEPALIVE_CONNECTIONS = 256
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """An outgoing request.
+
+    :param address: IP address and port.
+    :param path: path and query.
+    """
+
+    method: str
+    address: str
+    path: str
+    body: bytes = b''
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+class HttpResponse(Protocol):
+    """An answer whose body arrives in chunks."""
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status code."""
+
+    @property
+    def headers(self) -> Mapping[str, str]:
+        """Return the headers, with names in lower case."""
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Iterate over the body as it arrives.
+
+        :raises EndpointError: if the connection breaks before the end.
+        """
+
+
+class HttpClient(Protocol):
+    """Sends requests to endpoints, the platform or other instances."""
+
+    def stream(self, request: HttpRequest) -> AbstractAsyncContextManager[HttpResponse]:
+        """Send a request and open its answer.
+
+        :raises EndpointRefused: if no byte of the request was sent.
+        :raises EndpointError: if the connection broke afterwards.
+        """
+
+
+@dataclass(frozen=True, slots=True)
+class _CoreResponse:
+    """Answer read through httpcore."""
+
+    status: int
+    headers: Mapping[str, str]
+    response: httpcore.Response
+    peer: str
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Iterate over the body as it arrives."""
+        try:
+            async for chunk in self.response.aiter_stream():
+                yield chunk
+        except _BROKEN as error:
+            raise EndpointError(
+                f'connection broke: {error!r}', step='stream', peer=self.peer
+            ) from error
+
+
+_BROKEN = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
+
+
+class HttpcoreClient:
+    """Client on an httpcore connection pool."""
+
+    def __init__(self, read_timeout_s: float = READ_TIMEOUT_S) -> None:
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS,
+            max_keepalive_connections=KEEPALIVE_CONNECTIONS,
+        )
+        self._timeouts = {
+            'connect': CONNECT_TIMEOUT_S,
+            'read': read_timeout_s,
+            'write': read_timeout_s,
+            'pool': CONNECT_TIMEOUT_S,
+        }
+
+    @asynccontextmanager
+    async def stream(self, request: HttpRequest) -> AsyncIterator[HttpResponse]:
+        """Send a request and open its answer."""
+        opening = self._pool.stream(
+            request.method,
+            f'http://{request.address}{request.path}',
+            headers=[(name.encode(), text.encode()) for name, text in request.headers.items()],
+            content=request.body or None,
+            extensions={'timeout': self._timeouts},
+        )
+        try:
+            response = await opening.__aenter__()
+        except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
+            raise EndpointRefused(
+                f'cannot connect: {error!r}', step='connect', peer=request.address
+            ) from error
+        except _BROKEN as error:
+            raise EndpointError(
+                f'no answer: {error!r}', step='dispatch', peer=request.address
+            ) from error
+        try:
+            yield _CoreResponse(
+                response.status,
+                {
+                    str(key, 'latin-1').lower(): str(text, 'latin-1')
+                    for key, text in response.headers
+                },
+                response,
+                request.address,
+            )
+        finally:
+            await opening.__aexit__(None, None, None)
+
+    async def close(self) -> None:
+        """Close all pooled connections."""
+        await self._pool.aclose()
+
+
+async def fetch(client: HttpClient, request: HttpRequest, limit_bytes: int) -> tuple[int, bytes]:
+    """Send a request and read its whole answer.
+
+    :param limit_bytes: size beyond which the answer is rejected.
+    :returns: status code and body.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    async with client.stream(request) as response:
+        async for chunk in response.chunks():
+            size += len(chunk)
+            if size > limit_bytes:
+                raise EndpointError(
+                    f'answer exceeds {limit_bytes} bytes', step='stream', peer=request.address
+                )
+            chunks.append(chunk)
+        return response.status, b''.join(chunks)
--- /dev/null
+++ b/shallotmux/observability/_decisions.py
@@ -0,0 +1,52 @@
+"""Log decisions and keep the recent ones for operators."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+from eliot import log_message
+
+#: Decisions kept for ``shallotmux explain``.
+DECISION_MEMORY = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class DecisionRecord:
+    """A decision with the figures it rested on.
+
+    :param kind: ``routing``, ``role``, ``spend`` or ``placement``.
+    :param subject: request, endpoint or zone that was decided on.
+    """
+
+    kind: str
+    subject: str
+    outcome: str
+    reason: str
+    figures: dict[str, Any]
+    time_s: float
+
+
+class DecisionLog:
+    """Writes one log line for each decision and remembers the recent ones."""
+
+    def __init__(self, instance: str) -> None:
+        self._instance = instance
+        self._records: deque[DecisionRecord] = deque(maxlen=DECISION_MEMORY)
+
+    def record(self, record: DecisionRecord) -> None:
+        """Log a decision and keep it."""
+        self._records.append(record)
+        log_message(
+            message_type=f'shallotmux:decision:{record.kind}',
+            instance=self._instance,
+            subject=record.subject,
+            outcome=record.outcome,
+            reason=record.reason,
+            **record.figures,
+        )
+
+    def find(self, subject: str) -> tuple[DecisionRecord, ...]:
+        """Return the kept decisions on a subject, oldest first."""
+        return tuple(record for record in self._records if record.subject == subject)
--- /dev/null
+++ b/tests/callers/test_app.py
@@ -0,0 +1,134 @@
+"""Tests of the caller border, from a caller's request to the engine and back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+import pytest
+
+from shallotmux.authority import CreateKey, PutObject, WithdrawKey, create_secret
+from shallotmux.daemon import DaemonInstance
+from shallotmux.http import HttpRequest, fetch
+from shallotmux.settings import InstanceSettings, SecretSettings, Settings
+from shallotmux.standins import EngineStandin, MemoryNetwork, prompt_key, token_text
+from shallotmux.world import Customer, Endpoint, EndpointPool, Route
+
+ENTRY = '10.0.0.1:80'
+CALLER = '10.9.0.1:0'
+PEPPER = 'pepper-for-tests-only'
+MESSAGES = [{'role': 'user', 'content': 'Sort lot 7.'}]
+TOKENS = 5
+LIMIT = 1_000_000
+
+
+@dataclass
+class Deployment:
+    """One instance with three engines and a customer's secret."""
+
+    network: MemoryNetwork
+    daemon: DaemonInstance
+    engines: list[EngineStandin]
+    secret: str
+    key_id: str
+
+    async def ask(self, secret: str, *, stream: bool = True, **extra: str) -> tuple[int, bytes]:
+        """Send a chat completion and return status and body."""
+        body = msgspec.json.encode(
+            {'model': 'sorter', 'messages': MESSAGES, 'stream': stream, 'max_tokens': TOKENS}
+        )
+        headers = {'authorization': f'Bearer {secret}', **extra}
+        request = HttpRequest('POST', ENTRY, '/v1/chat/completions', body, headers)
+        return await fetch(self.network.client(CALLER), request, LIMIT)
+
+
+@pytest.fixture
+async def deployment(network: MemoryNetwork) -> Deployment:
+    """Return a running instance with configuration applied."""
+    settings = Settings(
+        instance=InstanceSettings(name='entry-1', zone='zone-a'),
+        secrets=SecretSettings(pepper=PEPPER, operator_token='x' * 16),
+    )
+    daemon = DaemonInstance(settings, client=network.client(ENTRY))
+    network.serve(ENTRY, daemon.caller_app)
+    engines = [EngineStandin(f'engine-{number}') for number in range(3)]
+    endpoints = []
+    for number, engine in enumerate(engines):
+        address = f'10.1.0.{number}:80'
+        network.serve(address, engine)
+        endpoints.append(Endpoint(engine.name, 'zone-a', address))
+    items = (
+        Customer('tailors'),
+        EndpointPool('sorting', 'zone-a', tuple(endpoints), 'sorter'),
+        Route('sorter', 'sorting'),
+    )
+    for item in items:
+        await daemon.authority.submit(PutObject(f'test-{item.name}', item, 0))
+    secret, key = create_secret('tailors', PEPPER.encode())
+    await daemon.authority.submit(CreateKey('test-key', key))
+    return Deployment(network, daemon, engines, secret, key.key_id)
+
+
+def expected_text() -> str:
+    """Return the engine's answer to the test prompt."""
+    key = prompt_key({'model': 'sorter', 'messages': MESSAGES})
+    return ''.join(token_text(key, position) for position in range(TOKENS))
+
+
+async def test_stream_relays_whole_answer(deployment: Deployment) -> None:
+    """Guards against events lost or changed between engine and caller."""
+    status, body = await deployment.ask(deployment.secret)
+    assert status == 200
+    events = [part.partition(b'data: ')[2] for part in body.split(b'\n\n') if part]
+    assert events[-1] == b'[DONE]'
+    deltas = [msgspec.json.decode(event)['choices'][0]['delta'] for event in events[:-1]]
+    assert ''.join(delta['content'] for delta in deltas) == expected_text()
+
+
+async def test_collected_answer_equals_stream(deployment: Deployment) -> None:
+    """Guards against a difference between streamed and collected answers."""
+    status, body = await deployment.ask(deployment.secret, stream=False)
+    assert status == 200
+    choice = msgspec.json.decode(body)['choices'][0]
+    assert choice['message']['content'] == expected_text()
+
+
+async def test_unknown_key_is_refused_as_not_run(deployment: Deployment) -> None:
+    """Guards against a request that runs without a valid key."""
+    status, body = await deployment.ask('sk-wrong')
+    assert status == 401
+    assert msgspec.json.decode(body)['error']['not_run'] is True
+    assert not any(engine.history for engine in deployment.engines)
+
+
+async def test_withdrawn_key_is_refused(deployment: Deployment) -> None:
+    """Guards against a key that works after its withdrawal."""
+    await deployment.daemon.authority.submit(WithdrawKey('w', deployment.key_id))
+    status, _ = await deployment.ask(deployment.secret)
+    assert status == 401
+
+
+async def test_key_never_reaches_engine(deployment: Deployment) -> None:
+    """Guards against forwarding the caller's key to an endpoint."""
+    await deployment.ask(deployment.secret)
+    received = [each for engine in deployment.engines for each in engine.history]
+    assert received
+    assert not any(deployment.secret in repr(each) for each in received)
+
+
+async def test_routing_decision_is_recorded(deployment: Deployment) -> None:
+    """Guards against a dispatch without a recorded decision."""
+    _, body = await deployment.ask(deployment.secret, stream=False)
+    response_id = msgspec.json.decode(body)['id']
+    records = deployment.daemon.decisions.find(response_id)
+    assert [record.kind for record in records] == ['routing']
+
+
+async def test_resume_delivers_the_rest(deployment: Deployment) -> None:
+    """Guards against lost or repeated tokens after a reconnect."""
+    _, whole = await deployment.ask(deployment.secret)
+    response_id = msgspec.json.decode(whole.split(b'\n\n')[0].partition(b'data: ')[2])['id']
+    headers = {'shallotmux-response-id': response_id, 'last-event-id': '2'}
+    status, rest = await deployment.ask(deployment.secret, **headers)
+    assert status == 200
+    assert whole.split(b'\n\n')[2:] == rest.split(b'\n\n')
