Send orders and usage reports under a lease

Cause: an engine or the platform could receive orders from a former leader, and a usage window could be reported with different figures after a failover. Change: every order is committed as an intent, each attempt is recorded before it is sent, and a target that ignores fencing gets a different order only after unanswered attempts are proven gone. Commands of earlier terms are refused by the replicated state, since forwarding would otherwise let a former leader commit them. Usage is recorded in numbered batches, frozen before the first report, and repeated with the same bytes. A collision of operation ids between two sources silently returned the first result; ids now carry a prefix for their source.

--- a/shallotmux/authority/_state.py
+++ b/shallotmux/authority/_state.py
@@ -14,6 +14,18 @@
     DeleteObject,
     PutObject,
 )
+from shallotmux.authority._intents import (
+    BeginAttempt,
+    CloseIntent,
+    EndAttempt,
+    ForgetAttempt,
+    IntentCommand,
+    IntentResult,
+    IntentState,
+    OpenIntent,
+    TakeAuthority,
+)
+from shallotmux.authority._inventory import InventoryState, ObserveEndpoints
 from shallotmux.authority._keys import CreateKey, KeyState, WithdrawKey
 from shallotmux.authority._ledger import (
     AbandonJob,
@@ -25,10 +37,26 @@
     ReleaseJob,
 )
 from shallotmux.authority._results import Applied, Conflict, Refused
-from shallotmux.world import Customer, CustomerKey, EndpointPool, Route
-
-Command = PutObject | DeleteObject | CreateKey | WithdrawKey | LedgerCommand
-Result = Applied | Conflict | Refused | LedgerResult
+from shallotmux.authority._usage import (
+    FreezeWindow,
+    MarkReported,
+    RecordUsage,
+    UsageCommand,
+    UsageState,
+)
+from shallotmux.world import Customer, CustomerKey, Endpoint, EndpointPool, Route
+
+Command = (
+    PutObject
+    | DeleteObject
+    | CreateKey
+    | WithdrawKey
+    | LedgerCommand
+    | IntentCommand
+    | UsageCommand
+    | ObserveEndpoints
+)
+Result = Applied | Conflict | Refused | LedgerResult | IntentResult
 
 registry.register(Applied, Conflict, Refused)
 
@@ -58,7 +86,7 @@
 
 @dataclass(slots=True)
 class ZoneState:
-    """Configuration, keys and job ledger of one zone.
+    """Configuration, keys, jobs, orders, usage and endpoints of one zone.
 
     Applying the same commands in the same order gives the same state on every replica, so no
     clock or random source is read here. Each part of the state has its own module.
@@ -68,6 +96,9 @@
     configuration: ConfigurationState = field(default_factory=ConfigurationState)
     keys: KeyState = field(default_factory=KeyState)
     ledger: JobLedger = field(default_factory=JobLedger)
+    intents: IntentState = field(default_factory=IntentState)
+    usage: UsageState = field(default_factory=UsageState)
+    inventory: InventoryState = field(default_factory=InventoryState)
     results: OrderedDict[str, Result] = field(default_factory=OrderedDict)
 
     def apply(self, command: Command) -> Result:
@@ -123,6 +154,38 @@
         found = self.configuration.objects.get(('pool', name))
         return found.item if found and isinstance(found.item, EndpointPool) else None
 
+    def endpoints_of(self, pool: str) -> tuple[Endpoint, ...]:
+        """Return the endpoints of a pool that may get new work.
+
+        Leaving endpoints and engines with an open order are left out.
+        """
+        configured = self.pool(pool)
+        own = configured.endpoints if configured else ()
+        return tuple(
+            endpoint
+            for endpoint in (*own, *self.inventory.of_pool(pool))
+            if not (
+                self.inventory.is_leaving(endpoint.name) or self.intents.is_changing(endpoint.name)
+            )
+        )
+
+    def find_endpoint(self, name: str) -> Endpoint | None:
+        """Return an endpoint by name, from the pools or from the platform's list."""
+        listed = self.inventory.listed.get(name)
+        if listed is not None:
+            return listed.endpoint
+        pools = (kept.item for kept in self.configuration.objects.values())
+        return next(
+            (
+                endpoint
+                for pool in pools
+                if isinstance(pool, EndpointPool)
+                for endpoint in pool.endpoints
+                if endpoint.name == name
+            ),
+            None,
+        )
+
     def routes(self) -> tuple[Route, ...]:
         """Return all routes by name."""
         kept = sorted(self.configuration.objects.items())
@@ -137,6 +200,9 @@
             'configuration': self.configuration,
             'keys': self.keys,
             'ledger': self.ledger,
+            'intents': self.intents,
+            'usage': self.usage,
+            'inventory': self.inventory,
         }
 
     def _dispatch(self, command: Command, revision: int) -> Result:
@@ -149,3 +215,30 @@
                 return self.keys.apply(command, revision)
             case ClaimJob() | FinishJob() | ReleaseJob() | AbandonJob():
                 return self.ledger.apply(command, revision)
+            case RecordUsage():
+                return self.usage.apply(command, revision)
+            case _:
+                return self._apply_led(command, revision)
+
+    def _apply_led(
+        self, command: IntentCommand | FreezeWindow | MarkReported | ObserveEndpoints, revision: int
+    ) -> Result:
+        """Apply a command that only the leader of the current term may give."""
+        match command:
+            case FreezeWindow() | MarkReported() | ObserveEndpoints() if (
+                command.term != self.intents.term
+            ):
+                return Refused(f'term {command.term} has no authority')
+            case FreezeWindow() | MarkReported():
+                return self.usage.apply(command, revision)
+            case ObserveEndpoints():
+                return self.inventory.apply(command, revision)
+            case (
+                TakeAuthority()
+                | OpenIntent()
+                | BeginAttempt()
+                | EndAttempt()
+                | ForgetAttempt()
+                | CloseIntent()
+            ):
+                return self.intents.apply(command, revision)
--- /dev/null
+++ b/shallotmux/orders/_dispatcher.py
@@ -0,0 +1,224 @@
+"""Deliver the open orders of a zone."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import trio
+from eliot import log_message
+
+from shallotmux.authority import (
+    Attempt,
+    AttemptBegun,
+    Authority,
+    BeginAttempt,
+    CloseIntent,
+    EndAttempt,
+    ForgetAttempt,
+    Intent,
+    IntentOpened,
+    OpenIntent,
+    OrderContent,
+    Result,
+)
+from shallotmux.errors import EndpointError, EndpointRefused
+from shallotmux.orders._leading import POLL_S, LeadOptions, Term, commit
+from shallotmux.orders._requests import build_order, order_id
+from shallotmux.orders._sender import OrderSender
+from shallotmux.world import Endpoint
+
+PLATFORM_PREFIX = 'platform/'
+FIRST_RETRY_S = 0.2
+LONGEST_RETRY_S = 5.0
+STATUS_OK = 200
+STATUS_FENCED = 412
+
+#: Waits until an engine may change: it has no running stream or its time is up.
+Drain = Callable[[Endpoint], Awaitable[None]]
+
+
+class Presence(Protocol):
+    """What the platform's lists say of instances and endpoints."""
+
+    def is_instance_gone(self, sender: str) -> bool:
+        """Tell whether the instance of a sender is no longer listed."""
+
+    def is_endpoint_gone(self, name: str) -> bool:
+        """Tell whether an endpoint was listed and no longer is."""
+
+
+@dataclass(frozen=True, slots=True)
+class OrderTools:
+    """Collaborators of the dispatcher.
+
+    :param platform_address: address of the platform's interface.
+    """
+
+    authority: Authority
+    sender: OrderSender
+    drain: Drain
+    presence: Presence
+    platform_address: str
+    options: LeadOptions = field(default_factory=LeadOptions)
+
+
+class OrderDispatcher:
+    """Sends each open order until it is answered, one order per target at a time."""
+
+    def __init__(self, tools: OrderTools) -> None:
+        self._tools = tools
+        self._busy: set[str] = set()
+
+    async def place(
+        self, term: Term, target: str, content: OrderContent, *, checks_fencing: bool
+    ) -> Result:
+        """Commit an order; :meth:`run` delivers it.
+
+        :returns: ``IntentOpened``, or ``Refused`` when the target cannot take an order now.
+        """
+        result = await commit(
+            self._tools.authority,
+            OpenIntent(term.operation_id(), target, content, checks_fencing, term.number),
+        )
+        log_message(
+            message_type='shallotmux:decision:order',
+            target=target,
+            content=repr(content),
+            opened=isinstance(result, IntentOpened),
+            result=repr(result),
+        )
+        return result
+
+    async def run(self, term: Term) -> None:
+        """Deliver open orders for as long as the term lasts."""
+        self._busy.clear()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._forget_attempts, term)
+            while True:
+                for intent in self._waiting():
+                    self._busy.add(intent.target)
+                    nursery.start_soon(self._deliver, term, intent)
+                await trio.sleep(POLL_S)
+
+    def _waiting(self) -> tuple[Intent, ...]:
+        opened = self._tools.authority.read().intents.open_intents()
+        return tuple(intent for intent in opened if intent.target not in self._busy)
+
+    async def _deliver(self, term: Term, intent: Intent) -> None:
+        delay_s = FIRST_RETRY_S
+        try:
+            await self._drain(intent)
+            while self._is_open(intent) and not await self._attempt(term, intent):
+                await trio.sleep(delay_s)
+                delay_s = min(2 * delay_s, LONGEST_RETRY_S)
+        finally:
+            self._busy.discard(intent.target)
+
+    async def _drain(self, intent: Intent) -> None:
+        endpoint = self._tools.authority.read().find_endpoint(intent.target)
+        if endpoint is not None:
+            await self._tools.drain(endpoint)
+
+    async def _attempt(self, term: Term, intent: Intent) -> bool:
+        """Try to deliver an order once and return whether it is closed."""
+        address = self._find_address(intent.target)
+        if address is None or self._tools.presence.is_endpoint_gone(intent.target):
+            await self._close(term, intent, 'target-gone')
+            return True
+        begun = await commit(
+            self._tools.authority,
+            BeginAttempt(
+                term.operation_id(), intent.target, intent.sequence, term.sender, term.number
+            ),
+        )
+        if not isinstance(begun, AttemptBegun):
+            return True
+        return await self._send(term, intent, address, begun.attempt)
+
+    async def _send(self, term: Term, intent: Intent, address: str, attempt: int) -> bool:
+        request = build_order(intent, address, term.number)
+        delivered, outcome, detail = True, '', ''
+        try:
+            status, _ = await self._tools.sender.send(request, term.guard)
+        except EndpointRefused as error:
+            detail = str(error)
+        except EndpointError as error:
+            delivered, detail = False, str(error)
+        else:
+            outcome, detail = _read_outcome(status), f'status {status}'
+        log_message(
+            message_type='shallotmux:order-attempt',
+            order=order_id(intent),
+            attempt=attempt,
+            term=term.number,
+            outcome=outcome or 'retry',
+            detail=detail,
+        )
+        await commit(
+            self._tools.authority,
+            EndAttempt(
+                term.operation_id(), intent.target, attempt, delivered, outcome, term.number
+            ),
+        )
+        return bool(outcome)
+
+    async def _close(self, term: Term, intent: Intent, outcome: str) -> None:
+        await commit(
+            self._tools.authority,
+            CloseIntent(term.operation_id(), intent.target, intent.sequence, outcome, term.number),
+        )
+
+    def _find_address(self, target: str) -> str | None:
+        if target.startswith(PLATFORM_PREFIX):
+            return self._tools.platform_address
+        endpoint = self._tools.authority.read().find_endpoint(target)
+        return endpoint.address if endpoint else None
+
+    def _is_open(self, intent: Intent) -> bool:
+        return self._tools.authority.read().intents.target(intent.target).intent == intent
+
+    async def _forget_attempts(self, term: Term) -> None:
+        """Forget unanswered attempts once there is evidence that they cannot arrive."""
+        first_seen: dict[tuple[str, int], float] = {}
+        while True:
+            for target, attempt in self._unanswered():
+                seen_s = first_seen.setdefault((target, attempt.number), trio.current_time())
+                age_s = trio.current_time() - seen_s
+                await self._forget_attempt(term, target, attempt, age_s)
+            await trio.sleep(1)
+
+    async def _forget_attempt(
+        self, term: Term, target: str, attempt: Attempt, age_s: float
+    ) -> None:
+        evidence = ''
+        if age_s >= self._tools.options.unfenced_guard_s:
+            evidence = 'bound-passed'
+        elif attempt.sender != term.sender and self._tools.presence.is_instance_gone(
+            attempt.sender
+        ):
+            evidence = 'listed-as-gone'
+        if evidence:
+            command = ForgetAttempt(
+                term.operation_id(), target, attempt.number, evidence, term.number
+            )
+            await commit(self._tools.authority, command)
+
+    def _unanswered(self) -> tuple[tuple[str, Attempt], ...]:
+        targets = self._tools.authority.read().intents.targets
+        return tuple(
+            (name, attempt)
+            for name, target in targets.items()
+            if not target.checks_fencing
+            for attempt in target.attempts
+        )
+
+
+def _read_outcome(status: int) -> str:
+    """Return the outcome that an answer closes an order with, or empty to try again."""
+    if status == STATUS_OK:
+        return 'done'
+    if status == STATUS_FENCED or status >= 500:
+        return ''
+    return 'refused'
--- /dev/null
+++ b/shallotmux/platform/_poller.py
@@ -0,0 +1,97 @@
+"""Follow the platform's lists of endpoints and instances."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Iterable
+
+import trio
+from eliot import log_message
+
+from shallotmux.authority import Command, ListedEndpoint, ObserveEndpoints, ZoneState
+from shallotmux.errors import EndpointError
+from shallotmux.platform._client import PlatformClient, PlatformEndpoint
+
+#: Interval between two looks at the lists.
+POLL_S = 1.0
+
+#: Age beyond which the list of instances is no evidence that one is gone.
+LIST_AGE_LIMIT_S = 5.0
+
+
+class PlatformPoller:
+    """Records changes of the endpoint list in the zone's state and keeps the instance list.
+
+    :param zone: availability zone whose endpoints are followed.
+    :param wall_clock: returns the wall-clock time in seconds.
+    """
+
+    def __init__(
+        self, platform: PlatformClient, zone: str, wall_clock: Callable[[], float]
+    ) -> None:
+        self._platform = platform
+        self._zone = zone
+        self._wall_clock = wall_clock
+        self._instances: frozenset[str] = frozenset()
+        self._instances_at = -LIST_AGE_LIMIT_S
+        self._gone: set[str] = set()
+
+    def is_instance_gone(self, sender: str) -> bool:
+        """Tell whether the instance of a sender is missing from a recent list.
+
+        :param sender: instance name, with its incarnation after a slash.
+        """
+        recent = trio.current_time() - self._instances_at < LIST_AGE_LIMIT_S
+        return recent and sender.partition('/')[0] not in self._instances
+
+    def is_endpoint_gone(self, name: str) -> bool:
+        """Tell whether an endpoint was listed and no longer is."""
+        return name in self._gone
+
+    async def run(
+        self,
+        read: Callable[[], ZoneState],
+        commit: Callable[[Command], Awaitable[object]],
+        term: int,
+        operation_id: Callable[[], str],
+    ) -> None:
+        """Poll the lists until cancelled.
+
+        :param read: returns the zone's state.
+        :param commit: commits a command.
+        """
+        while True:
+            try:
+                listed = await self._platform.list_endpoints(self._zone)
+                await self._follow_instances()
+            except EndpointError as error:
+                log_message(message_type='shallotmux:platform-unreachable', detail=str(error))
+            else:
+                changed, removed = self._compare(read(), listed)
+                if changed or removed:
+                    await commit(ObserveEndpoints(operation_id(), changed, removed, term))
+            await trio.sleep(POLL_S)
+
+    async def _follow_instances(self) -> None:
+        instances = await self._platform.list_instances()
+        self._instances = frozenset(each.name for each in instances)
+        self._instances_at = trio.current_time()
+
+    def _compare(
+        self, state: ZoneState, listed: Iterable[PlatformEndpoint]
+    ) -> tuple[tuple[ListedEndpoint, ...], tuple[str, ...]]:
+        known = state.inventory.listed
+        current = {each.endpoint.name: each for each in listed}
+        changed = tuple(
+            self._describe(each)
+            for name, each in current.items()
+            if name not in known
+            or (known[name].endpoint, known[name].leaving) != (each.endpoint, each.leaving)
+        )
+        removed = tuple(name for name in known if name not in current)
+        self._gone.update(removed)
+        self._gone.difference_update(current)
+        return changed, removed
+
+    def _describe(self, listed: PlatformEndpoint) -> ListedEndpoint:
+        deadline_s = self._wall_clock() + listed.remaining_s if listed.leaving else 0
+        return ListedEndpoint(listed.endpoint, listed.pool, listed.leaving, deadline_s)
--- a/shallotmux/standins/__init__.py
+++ b/shallotmux/standins/__init__.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
+from shallotmux.standins._authority import SharedAuthority, SharedGroup
 from shallotmux.standins._engine import EngineBehaviour, EngineStandin, Received
 from shallotmux.standins._network import MemoryClient, MemoryNetwork
+from shallotmux.standins._orders import OrderReceiver, ReceivedOrder
+from shallotmux.standins._platform import (
+    PlatformBehaviour,
+    PlatformOrder,
+    PlatformStandin,
+    ReceivedReport,
+)
 from shallotmux.standins._tokens import encode_event, prompt_key, token_text
 
 __all__ = (
@@ -11,7 +19,15 @@
     'EngineStandin',
     'MemoryClient',
     'MemoryNetwork',
+    'OrderReceiver',
+    'PlatformBehaviour',
+    'PlatformOrder',
+    'PlatformStandin',
     'Received',
+    'ReceivedOrder',
+    'ReceivedReport',
+    'SharedAuthority',
+    'SharedGroup',
     'encode_event',
     'prompt_key',
     'token_text',
--- /dev/null
+++ b/shallotmux/standins/_authority.py
@@ -0,0 +1,87 @@
+"""Group of instances that share one state, with leadership set by the test."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import trio
+
+from shallotmux.authority import Command, Leadership, Result, ZoneState
+from shallotmux.errors import AuthorityUnavailable, OutcomeUnknown
+
+#: Lease that a leader of the fake holds from the moment of its last renewal.
+LEASE_S = 0.7
+
+#: Time that a commit takes.
+COMMIT_S = 0.005
+
+
+@dataclass(slots=True)
+class SharedGroup:
+    """A zone group reduced to one state and one current leader.
+
+    :param former_lease_end: when the lease of the former leader ends.
+    """
+
+    state: ZoneState = field(default_factory=ZoneState)
+    leader: str = ''
+    term: int = 0
+    cut_off: set[str] = field(default_factory=set)
+    lease_ends: dict[str, float] = field(default_factory=dict)
+    views: dict[str, tuple[str, int]] = field(default_factory=dict)
+    #: Number of coming commits whose answers are lost.
+    lose_answers: int = 0
+
+    def elect(self, name: str) -> None:
+        """Make an instance the leader of a new term.
+
+        A former leader that is cut off keeps believing in its term until its lease ends.
+        """
+        if self.leader and self.leader not in self.cut_off:
+            self.lease_ends.pop(self.leader, None)
+        self.term += 1
+        self.leader = name
+
+    def member(self, name: str) -> SharedAuthority:
+        """Return an instance's access to the group."""
+        return SharedAuthority(self, name)
+
+
+@dataclass(slots=True)
+class SharedAuthority:
+    """Access of one instance to a :class:`SharedGroup`."""
+
+    group: SharedGroup
+    name: str
+    incarnation: int = 1
+
+    async def submit(self, command: Command) -> Result:
+        """Commit a command after a short delay."""
+        await trio.sleep(COMMIT_S)
+        if self.name in self.group.cut_off or not self.group.leader:
+            raise AuthorityUnavailable('no quorum', step='commit', peer=self.name)
+        result = self.group.state.apply(command)
+        if self.group.lose_answers:
+            self.group.lose_answers -= 1
+            raise OutcomeUnknown('the answer is lost', step='commit', peer=self.name)
+        return result
+
+    def read(self) -> ZoneState:
+        """Return the shared state."""
+        return self.group.state
+
+    def is_fresh(self) -> bool:
+        """Tell whether the instance is connected to the group."""
+        return self.name not in self.group.cut_off
+
+    def leadership(self) -> Leadership:
+        """Return the leader as this instance sees it."""
+        group = self.group
+        if self.name not in group.cut_off:
+            group.views[self.name] = (group.leader, group.term)
+            if group.leader == self.name:
+                group.lease_ends[self.name] = trio.current_time() + LEASE_S
+        leader, term = group.views.get(self.name, ('', 0))
+        lease_end = group.lease_ends.get(self.name, 0)
+        expired = self.name in group.cut_off and trio.current_time() >= lease_end
+        return Leadership(leader, term, lease_end, leader == self.name and not expired)
--- /dev/null
+++ b/shallotmux/standins/_platform.py
@@ -0,0 +1,173 @@
+"""Stand-in for the platform: endpoints, instances, usage reports, weight store."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+import trio
+
+from shallotmux.http import Receive, Scope, Send, read_body, send_json
+from shallotmux.platform import AcceptedReport, PlatformEndpoint, PlatformInstance
+from shallotmux.world import Endpoint
+
+BODY_LIMIT_BYTES = 1_048_576
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformOrder:
+    """An order that the platform received, as evidence for checks.
+
+    :param source: address of the sender.
+    """
+
+    time_s: float
+    source: str
+    order_id: str
+    term: int
+    body: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedReport:
+    """A usage report that the platform received, repeats included."""
+
+    time_s: float
+    source: str
+    operation_id: str
+    body: bytes
+
+
+@dataclass(slots=True)
+class PlatformBehaviour:
+    """How the stand-in behaves.
+
+    :param start_s: time that an ordered endpoint takes to appear in the list.
+    :param lose_answers: number of coming orders and reports whose answers are lost.
+    :param weight_interval_s: shortest interval between two loads of weights.
+    """
+
+    start_s: float = 30.0
+    lose_answers: int = 0
+    weight_interval_s: float = 1.0
+
+
+@dataclass(slots=True)
+class PlatformStandin:
+    """ASGI application that speaks the platform's protocols."""
+
+    behaviour: PlatformBehaviour = field(default_factory=PlatformBehaviour)
+    endpoints: dict[str, PlatformEndpoint] = field(default_factory=dict)
+    instances: dict[str, PlatformInstance] = field(default_factory=dict)
+    orders: list[PlatformOrder] = field(default_factory=list)
+    reports: list[ReceivedReport] = field(default_factory=list)
+    #: Applied orders and accepted reports by operation id.
+    applied: dict[str, dict[str, Any]] = field(default_factory=dict)
+    accepted: dict[str, bytes] = field(default_factory=dict)
+    ready_at: dict[str, float] = field(default_factory=dict)
+    weights_free_at: float = 0.0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Handle one ASGI connection."""
+        if scope['type'] != 'http':
+            return
+        body = await read_body(receive, BODY_LIMIT_BYTES)
+        source = scope['client'][0]
+        query = {key: texts[0] for key, texts in parse_qs(scope['query_string'].decode()).items()}
+        if scope['method'] == 'GET':
+            await send_json(send, 200, self._list(scope['path'], query.get('zone', '')))
+            return
+        match (scope['method'], scope['path'].strip('/').split('/')):
+            case ('POST', ['endpoints']):
+                await self._order(source, msgspec.json.decode(body), send)
+            case ('DELETE', ['endpoints', name]):
+                order = {**query, 'order_id': query['operation_id'], 'release': name}
+                await self._order(source, order, send)
+            case ('POST', ['usage-reports']):
+                await self._report(source, body, send)
+            case ('POST', ['weights', _]):
+                await self._load_weights(send)
+            case _:
+                await send_json(send, 404, {})
+
+    def reclaim(self, name: str, notice_s: float) -> None:
+        """Announce that an endpoint will be taken away."""
+        known = self.endpoints[name]
+        self.endpoints[name] = PlatformEndpoint(
+            known.endpoint, known.pool, leaving=True, remaining_s=notice_s
+        )
+
+    def withdraw(self, name: str) -> None:
+        """Take an endpoint away."""
+        self.endpoints.pop(name)
+
+    def _list(self, path: str, zone: str) -> list[Any]:
+        match path:
+            case '/endpoints':
+                return self._listed(zone)
+            case '/instances':
+                return list(self.instances.values())
+            case '/usage-reports':
+                return self._accepted_reports(zone)
+            case _:
+                return []
+
+    def _listed(self, zone: str) -> list[PlatformEndpoint]:
+        now = trio.current_time()
+        return [
+            each
+            for name, each in self.endpoints.items()
+            if each.endpoint.zone == zone and self.ready_at.get(name, 0) <= now
+        ]
+
+    def _accepted_reports(self, zone: str) -> list[AcceptedReport]:
+        return [
+            AcceptedReport(name, body.decode())
+            for name, body in self.accepted.items()
+            if msgspec.json.decode(body)['zone'] == zone
+        ]
+
+    async def _order(self, source: str, body: dict[str, Any], send: Send) -> None:
+        order_id = body['order_id']
+        self.orders.append(
+            PlatformOrder(trio.current_time(), source, order_id, int(body['term']), body)
+        )
+        if order_id not in self.applied:
+            self.applied[order_id] = body
+            self._apply(body)
+        await self._answer(send, {'order_id': order_id})
+
+    def _apply(self, body: dict[str, Any]) -> None:
+        if 'release' in body:
+            self.endpoints.pop(body['release'], None)
+            return
+        for number in range(body['count']):
+            name = f'{body["order_id"].replace("/", "-")}-{number}'
+            endpoint = Endpoint(name, body['zone'], f'{name}:80', cheap=body['cheap'])
+            self.endpoints[name] = PlatformEndpoint(endpoint, body['pool'])
+            self.ready_at[name] = trio.current_time() + self.behaviour.start_s
+
+    async def _report(self, source: str, body: bytes, send: Send) -> None:
+        operation_id = msgspec.json.decode(body)['operation_id']
+        self.reports.append(ReceivedReport(trio.current_time(), source, operation_id, body))
+        known = self.accepted.setdefault(operation_id, body)
+        if known != body:
+            await send_json(send, 409, {'error': 'figures differ from the accepted report'})
+            return
+        await self._answer(send, {})
+
+    async def _load_weights(self, send: Send) -> None:
+        now = trio.current_time()
+        if now < self.weights_free_at:
+            await send_json(send, 429, {'retry_after_s': self.weights_free_at - now})
+            return
+        self.weights_free_at = now + self.behaviour.weight_interval_s
+        await send_json(send, 200, {})
+
+    async def _answer(self, send: Send, content: dict[str, Any]) -> None:
+        if self.behaviour.lose_answers:
+            self.behaviour.lose_answers -= 1
+            raise ConnectionResetError('the answer is lost')
+        await send_json(send, 200, content)
--- /dev/null
+++ b/shallotmux/usage/__init__.py
@@ -0,0 +1,24 @@
+"""Usage of customers: counting, reporting, reconciliation."""
+
+from __future__ import annotations
+
+from shallotmux.usage._counter import UsageCounter
+from shallotmux.usage._reconciliation import Discrepancy, reconcile
+from shallotmux.usage._reporter import (
+    ReporterTools,
+    UsageReporter,
+    build_report,
+    encode_report,
+    report_id,
+)
+
+__all__ = (
+    'Discrepancy',
+    'ReporterTools',
+    'UsageCounter',
+    'UsageReporter',
+    'build_report',
+    'encode_report',
+    'reconcile',
+    'report_id',
+)
--- /dev/null
+++ b/shallotmux/usage/_counter.py
@@ -0,0 +1,76 @@
+"""Count what customers use on one instance and record it in the zone's state."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+from eliot import log_message
+
+from shallotmux.authority import WINDOW_S, Authority, Figures, RecordUsage, UsageEntry
+from shallotmux.errors import AuthorityUnavailable, OutcomeUnknown
+
+#: Interval between batches, which bounds what is lost when an instance is killed.
+BATCH_S = 1.0
+
+
+class UsageCounter:
+    """Adds up usage and records it in numbered batches.
+
+    A batch is sent again under its number until it is recorded, and the zone's state ignores a
+    number that it has seen, so each count is recorded once.
+
+    :param source: name and incarnation of this instance.
+    :param wall_clock: returns the wall-clock time in seconds.
+    """
+
+    def __init__(self, source: str, wall_clock: Callable[[], float]) -> None:
+        self._source = source
+        self._wall_clock = wall_clock
+        self._pending: dict[tuple[str, int], Figures] = {}
+        self._unrecorded: RecordUsage | None = None
+        self._batch = 0
+
+    def add(self, customer: str, figures: Figures) -> None:
+        """Count an amount in the current window."""
+        place = (customer, int(self._wall_clock() // WINDOW_S))
+        self._pending[place] = self._pending.get(place, Figures()).plus(figures)
+
+    async def run(self, authority: Authority) -> None:
+        """Record a batch at each interval until cancelled."""
+        while True:
+            await trio.sleep(BATCH_S)
+            await self.flush(authority)
+
+    async def flush(self, authority: Authority) -> bool:
+        """Record what has been counted and return whether nothing is left to record."""
+        batch = self._unrecorded or self._close_batch()
+        if batch is None:
+            return True
+        self._unrecorded = batch
+        try:
+            await authority.submit(batch)
+        except (AuthorityUnavailable, OutcomeUnknown) as error:
+            log_message(
+                message_type='shallotmux:usage-not-recorded', batch=batch.batch, detail=str(error)
+            )
+            return False
+        self._unrecorded = None
+        return not self._pending
+
+    def _close_batch(self) -> RecordUsage | None:
+        if not self._pending:
+            return None
+        self._batch += 1
+        entries = tuple(
+            UsageEntry(customer, window, figures)
+            for (customer, window), figures in sorted(self._pending.items(), key=_place)
+        )
+        self._pending.clear()
+        return RecordUsage(
+            f'usage/{self._source}/{self._batch}', self._source, self._batch, entries
+        )
+
+
+def _place(counted: tuple[tuple[str, int], Figures]) -> tuple[str, int]:
+    return counted[0]
