--- a/shallotmux/errors.py
+++ b/shallotmux/errors.py
@@ -7,9 +7,12 @@
     'CallerError',
     'EndpointError',
     'EndpointRefused',
+    'MembershipRefused',
+    'NotLeader',
     'OutcomeUnknown',
     'SettingsError',
     'ShallotmuxError',
+    'StorageError',
 )
 
 
@@ -43,6 +46,25 @@
     """A command was certainly not committed, for lack of a leader or a quorum."""
 
 
+class NotLeader(AuthorityUnavailable):
+    """A replica that does not lead was asked for something that only a leader can do.
+
+    :param leader: the leader that the replica knows of, if any.
+    """
+
+    def __init__(self, message: str, *, step: str = '', leader: str | None = None) -> None:
+        super().__init__(message, step=step, peer=leader or '')
+        self.leader = leader
+
+
+class MembershipRefused(ShallotmuxError):
+    """A membership change or a leadership transfer is not possible now."""
+
+
+class StorageError(ShallotmuxError):
+    """A file of the data folder cannot be read or made durable; the store stops."""
+
+
 class OutcomeUnknown(ShallotmuxError):
     """It is not known whether an operation took effect."""
 
--- /dev/null
+++ b/shallotmux/replication/_following.py
@@ -0,0 +1,71 @@
+"""What a replica does with the messages of its leader."""
+
+from __future__ import annotations
+
+from shallotmux.errors import ShallotmuxError
+from shallotmux.replication._messages import AppendReply, AppendRequest, SnapshotRequest
+from shallotmux.replication._model import Entry
+from shallotmux.replication._state import ReplicaState
+
+
+def follow_append(state: ReplicaState, leader: str, request: AppendRequest) -> None:
+    """Append the leader's entries if the log matches, and answer."""
+    state.note_leader_contact(leader)
+    if request.previous_index < state.log.first_index - 1:
+        # Entries before the log are committed, hence equal to the leader's.
+        _reply(state, leader, request, state.commit_index)
+        return
+    if state.log.term_at(request.previous_index) != request.previous_term:
+        _refuse(state, leader, request)
+        return
+    for entry in request.entries:
+        _append_if_new(state, entry)
+    match_index = request.previous_index + len(request.entries)
+    state.commit_index = max(state.commit_index, min(request.commit_index, match_index))
+    _reply(state, leader, request, match_index)
+
+
+def follow_snapshot(state: ReplicaState, leader: str, request: SnapshotRequest) -> None:
+    """Take the leader's snapshot unless the log already reaches as far."""
+    state.note_leader_contact(leader)
+    if request.snapshot.index > state.commit_index:
+        state.log.restore(request.snapshot)
+        state.commit_index = request.snapshot.index
+        state.delivered_index = request.snapshot.index
+        state.unsaved_snapshot = request.snapshot
+    _reply(state, leader, request, state.commit_index)
+
+
+def _append_if_new(state: ReplicaState, entry: Entry) -> None:
+    if state.log.term_at(entry.index) == entry.term:
+        return
+    if entry.index <= state.commit_index:
+        raise ShallotmuxError(
+            f'entry {entry.index} of term {entry.term} contradicts a committed entry',
+            step='append',
+            peer=state.leader or '',
+        )
+    state.log.append(entry)
+
+
+def _reply(
+    state: ReplicaState, leader: str, request: AppendRequest | SnapshotRequest, match_index: int
+) -> None:
+    reply = AppendReply(state.term, True, match_index, 0, request.round_number, request.sent_at)
+    state.send(leader, reply)
+
+
+def _refuse(state: ReplicaState, leader: str, request: AppendRequest) -> None:
+    """Refuse an append, naming the last index at which the logs can be equal."""
+    last = state.log.last_index
+    if request.previous_index <= last:
+        last = state.log.first_index_of_term_at(request.previous_index) - 1
+    reply = AppendReply(
+        state.term,
+        False,
+        max(last, state.commit_index),
+        request.previous_index,
+        request.round_number,
+        request.sent_at,
+    )
+    state.send(leader, reply)
--- /dev/null
+++ b/shallotmux/replication/_log.py
@@ -0,0 +1,157 @@
+"""The replica's log in memory: entries after a snapshot, and configurations by index."""
+
+from __future__ import annotations
+
+from shallotmux.replication._model import (
+    Configuration,
+    Entry,
+    EntryKind,
+    Snapshot,
+    StoredGroup,
+    decode_configuration,
+)
+
+#: Configuration of a new member until it receives the log.
+NO_CONFIGURATION = Configuration(frozenset())
+
+
+class ReplicaLog:
+    """Entries by index. Index 0 with term 0 stands before the first entry.
+
+    Entries before the snapshot are retained for a while, so that a follower that lags a little
+    does not need the whole snapshot.
+    """
+
+    def __init__(self, stored: StoredGroup) -> None:
+        #: Snapshot that covers the entries before the log, if any.
+        self.snapshot = stored.snapshot
+        #: Last index that the driver reported as durable.
+        self.persisted_index = 0
+        self._base_index = 0
+        self._base_term = 0
+        self._entries: list[Entry] = []
+        self._configurations: list[tuple[int, Configuration]] = [(0, NO_CONFIGURATION)]
+        if stored.snapshot is not None:
+            self._start_after(stored.snapshot)
+        for entry in stored.entries:
+            self._append(entry)
+        self.persisted_index = self.last_index
+        self._unsaved_from = self.last_index + 1
+        self._durable_limit = self.last_index
+
+    @property
+    def first_index(self) -> int:
+        """Return the lowest index whose entry is held."""
+        return self._base_index + 1
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self._base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self._entries[-1].term if self._entries else self._base_term
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the newest configuration in the log, committed or not."""
+        return self._configurations[-1][1]
+
+    @property
+    def configuration_index(self) -> int:
+        """Return the index of the newest configuration."""
+        return self._configurations[-1][0]
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None if the entry is not held."""
+        offset = index - self._base_index
+        if offset == 0:
+            return self._base_term
+        return self._entries[offset - 1].term if 0 < offset <= len(self._entries) else None
+
+    def slice_from(self, first: int, last: int) -> tuple[Entry, ...]:
+        """Return the entries with indexes from first to last, both included."""
+        return tuple(self._entries[first - self._base_index - 1 : last - self._base_index])
+
+    def is_covered_by(self, last_term: int, last_index: int) -> bool:
+        """Return whether a log that ends as given is at least as up to date as this one."""
+        return (last_term, last_index) >= (self.last_term, self.last_index)
+
+    def first_index_of_term_at(self, index: int) -> int:
+        """Return the first index held that has the same term as the entry at an index."""
+        term = self.term_at(index)
+        while index > self.first_index and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def append(self, entry: Entry) -> None:
+        """Add an entry, dropping the entry at its index and all that follow it."""
+        if entry.index <= self.last_index:
+            self._truncate(entry.index)
+        self._append(entry)
+
+    def compact(self, index: int, payload: bytes, retained: int) -> Snapshot:
+        """Take a snapshot at an index, and drop entries that lie further back than retained."""
+        term = self.term_at(index)
+        if term is None:
+            raise ValueError(f'entry {index} is not held')
+        self.snapshot = Snapshot(index, term, self._configuration_at(index), payload)
+        base = max(self._base_index, min(index - retained, self.persisted_index))
+        self._base_term = self.term_at(base) or 0
+        self._entries = self._entries[base - self._base_index :]
+        self._base_index = base
+        self._forget_configurations(base)
+        return self.snapshot
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Replace the log by a snapshot of the leader, keeping entries that follow it."""
+        following: tuple[Entry, ...] = ()
+        if self.term_at(snapshot.index) == snapshot.term:
+            following = self.slice_from(snapshot.index + 1, self.last_index)
+        self.snapshot = snapshot
+        self._start_after(snapshot)
+        for entry in following:
+            self._append(entry)
+        self._unsaved_from = max(self._unsaved_from, snapshot.index + 1)
+        self._unsaved_from = min(self._unsaved_from, self.last_index + 1)
+        self._durable_limit = min(self._durable_limit, self.last_index)
+        self.persisted_index = max(snapshot.index, min(self.persisted_index, self.last_index))
+
+    def take_unsaved(self) -> tuple[Entry, ...]:
+        """Return the entries appended since the last call."""
+        unsaved = self.slice_from(self._unsaved_from, self.last_index)
+        self._unsaved_from = self.last_index + 1
+        self._durable_limit = self.last_index
+        return unsaved
+
+    def mark_persisted(self, last_index: int) -> None:
+        """Note that entries are durable, except those replaced since they were handed out."""
+        self.persisted_index = max(self.persisted_index, min(last_index, self._durable_limit))
+
+    def _append(self, entry: Entry) -> None:
+        self._entries.append(entry)
+        if entry.kind is EntryKind.CONFIGURATION:
+            self._configurations.append((entry.index, decode_configuration(entry.payload)))
+
+    def _truncate(self, first: int) -> None:
+        self._entries = self._entries[: first - self._base_index - 1]
+        self._unsaved_from = min(self._unsaved_from, first)
+        self._durable_limit = min(self._durable_limit, first - 1)
+        self.persisted_index = min(self.persisted_index, first - 1)
+        while self.configuration_index >= first:
+            self._configurations.pop()
+
+    def _start_after(self, snapshot: Snapshot) -> None:
+        self._base_index = snapshot.index
+        self._base_term = snapshot.term
+        self._entries = []
+        self._configurations = [(snapshot.index, snapshot.configuration)]
+
+    def _configuration_at(self, index: int) -> Configuration:
+        return next(held for first, held in reversed(self._configurations) if first <= index)
+
+    def _forget_configurations(self, base: int) -> None:
+        while len(self._configurations) > 1 and self._configurations[1][0] <= base:
+            self._configurations.pop(0)
--- /dev/null
+++ b/shallotmux/replication/_messages.py
@@ -0,0 +1,109 @@
+"""Messages between replicas and their encoding."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+import msgspec
+
+from shallotmux.replication._model import Entry, Snapshot
+
+
+class VoteRequest(msgspec.Struct, frozen=True, tag=True):
+    """Asks for a vote, or in a pre-vote whether a vote would be granted.
+
+    :param is_transfer: whether the leader of the previous term gave up its lease and asked for
+        this election, so that voters need not wait for the election timeout.
+    """
+
+    term: int
+    last_index: int
+    last_term: int
+    is_pre_vote: bool = False
+    is_transfer: bool = False
+
+
+class VoteReply(msgspec.Struct, frozen=True, tag=True):
+    """Answers a vote request; a refusal carries the voter's own term."""
+
+    term: int
+    granted: bool
+    is_pre_vote: bool = False
+
+
+class AppendRequest(msgspec.Struct, frozen=True, tag=True):
+    """Heartbeat and entries that follow the entry named by index and term.
+
+    :param round_number: heartbeat round of the leader, returned in the reply.
+    :param sent_at: send time on the leader's clock, returned in the reply.
+    """
+
+    term: int
+    previous_index: int
+    previous_term: int
+    entries: tuple[Entry, ...]
+    commit_index: int
+    round_number: int
+    sent_at: float
+
+
+class SnapshotRequest(msgspec.Struct, frozen=True, tag=True):
+    """Replaces the log of a follower that needs entries the leader no longer has."""
+
+    term: int
+    snapshot: Snapshot
+    round_number: int
+    sent_at: float
+
+
+class AppendReply(msgspec.Struct, frozen=True, tag=True):
+    """Answers an append or a snapshot.
+
+    :param accepted: whether the log matched at the previous index.
+    :param match_index: last index known to equal the leader's log, or, in a refusal, the last
+        index at which the logs can still be equal.
+    :param previous_index: previous index of the request, by which stale refusals are told.
+    """
+
+    term: int
+    accepted: bool
+    match_index: int
+    previous_index: int
+    round_number: int
+    sent_at: float
+
+
+class TimeoutNow(msgspec.Struct, frozen=True, tag=True):
+    """Asks the target of a leadership transfer to start an election at once."""
+
+    term: int
+
+
+Message: TypeAlias = (
+    VoteRequest | VoteReply | AppendRequest | SnapshotRequest | AppendReply | TimeoutNow
+)
+
+
+class Envelope(msgspec.Struct, frozen=True):
+    """A message with its sender and recipient."""
+
+    sender: str
+    recipient: str
+    message: Message
+
+
+_encoder = msgspec.msgpack.Encoder(order='deterministic')
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Return the MessagePack form of an envelope."""
+    return _encoder.encode(envelope)
+
+
+def decode_envelope(payload: bytes) -> Envelope:
+    """Return the envelope that :func:`encode_envelope` was given.
+
+    :raises msgspec.ValidationError: if the payload is not an envelope.
+    """
+    return _decoder.decode(payload)
--- /dev/null
+++ b/shallotmux/replication/_replica.py
@@ -0,0 +1,232 @@
+"""The replica: a pure state machine driven by time, messages and proposals."""
+
+from __future__ import annotations
+
+from random import Random
+
+from shallotmux.errors import NotLeader
+from shallotmux.replication._election import Election
+from shallotmux.replication._following import follow_append, follow_snapshot
+from shallotmux.replication._leadership import Leadership
+from shallotmux.replication._messages import (
+    AppendReply,
+    AppendRequest,
+    Envelope,
+    Message,
+    SnapshotRequest,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+)
+from shallotmux.replication._model import (
+    Effects,
+    EntryKind,
+    MembershipChange,
+    ReplicaOptions,
+    ReplicaStatus,
+    Role,
+    StoredGroup,
+)
+from shallotmux.replication._state import NEVER, ReplicaState
+
+
+class Replica:
+    """One member of a replication group.
+
+    The driver calls :meth:`take_effects` after each input, carries the effects out as
+    :class:`Effects` says, and repeats until they are empty. Reads and proposals of a leader that
+    steps down get no answer; the driver sees the change of term in :meth:`status`.
+
+    :param name: identity of the member; a diskless voter that restarts takes a new one.
+    :param stored: what storage loaded, ``bootstrap_group(...)`` for a voter of a new group, or
+        ``StoredGroup()`` for a new member.
+    :param random: source of the election timeouts.
+    :param now: local monotonic time in seconds.
+    """
+
+    def __init__(
+        self, name: str, stored: StoredGroup, options: ReplicaOptions, random: Random, now: float
+    ) -> None:
+        self._state = ReplicaState(name, stored, options, random, now)
+        self._election = Election(self._state)
+        self._leadership: Leadership | None = None
+        self._last_token = 0
+
+    def tick(self, now: float) -> None:
+        """Carry out what is due; called at least every quarter of the heartbeat interval."""
+        state = self._state
+        state.now = now
+        leadership = self._current_leadership()
+        if leadership is not None:
+            leadership.tick()
+        elif now >= state.election_deadline:
+            self._election.start_pre_vote()
+        self._lead_if_elected()
+
+    def receive(self, envelope: Envelope, now: float) -> None:
+        """Take a message of another member."""
+        self._state.now = now
+        if self._accept_term(envelope.message):
+            self._dispatch(envelope.sender, envelope.message)
+        elif envelope.message.term < self._state.term:
+            self._answer_old_term(envelope.sender, envelope.message)
+        self._lead_if_elected()
+
+    def propose(self, payload: bytes, now: float) -> tuple[int, int]:
+        """Append a command and return its index and term.
+
+        The command is committed once ``Effects.committed`` holds an entry with this index and
+        term; an entry with this index and another term means that it is lost.
+
+        :raises NotLeader: if this replica does not lead or is handing leadership over.
+        """
+        leadership = self._require_leadership('propose', now)
+        if leadership.is_transferring:
+            raise NotLeader('leadership is being transferred', step='propose')
+        return leadership.append(EntryKind.COMMAND, payload)
+
+    def read_index(self, now: float) -> int:
+        """Request a linearizable read and return its token.
+
+        :raises NotLeader: if this replica does not lead.
+        """
+        leadership = self._require_leadership('read', now)
+        self._last_token += 1
+        leadership.add_read(self._last_token)
+        return self._last_token
+
+    def transfer(self, target: str, now: float) -> None:
+        """Hand leadership to another voter.
+
+        :raises NotLeader: if this replica does not lead.
+        :raises MembershipRefused: if the target may not lead.
+        """
+        self._require_leadership('transfer', now).transfer(target)
+
+    def change_membership(self, change: MembershipChange, now: float) -> tuple[int, int]:
+        """Propose a membership change and return its index and term.
+
+        :raises NotLeader: if this replica does not lead.
+        :raises MembershipRefused: if the change is not possible now.
+        """
+        return self._require_leadership('change membership', now).change_membership(change)
+
+    def compact(self, index: int, payload: bytes) -> None:
+        """Take a snapshot of the application's state after an applied index.
+
+        :raises ValueError: if the index is not applied yet or lies before the last snapshot.
+        """
+        state = self._state
+        oldest = state.log.snapshot.index if state.log.snapshot else 0
+        if not oldest < index <= state.delivered_index:
+            raise ValueError(f'no snapshot at {index}: {oldest} to {state.delivered_index}')
+        state.unsaved_snapshot = state.log.compact(index, payload, state.options.retained_entries)
+
+    def is_snapshot_due(self) -> bool:
+        """Return whether enough entries were applied since the last snapshot."""
+        state = self._state
+        oldest = state.log.snapshot.index if state.log.snapshot else 0
+        return state.delivered_index - oldest >= state.options.snapshot_after_entries
+
+    def persisted(self, last_index: int) -> None:
+        """Note that the entries up to an index, and what came with them, are durable."""
+        self._state.log.mark_persisted(last_index)
+        leadership = self._current_leadership()
+        if leadership is not None:
+            leadership.advance_commit()
+
+    def take_effects(self) -> Effects:
+        """Return what the driver has to carry out since the last call."""
+        state = self._state
+        leadership = self._current_leadership()
+        if leadership is not None:
+            leadership.send_pending()
+        committed = state.log.slice_from(state.delivered_index + 1, state.commit_index)
+        effects = Effects(
+            state.hard_state if state.is_hard_state_unsaved else None,
+            state.log.take_unsaved(),
+            state.unsaved_snapshot,
+            tuple(state.messages),
+            committed,
+            tuple(state.reads),
+        )
+        state.delivered_index = state.commit_index
+        state.is_hard_state_unsaved = False
+        state.unsaved_snapshot = None
+        state.messages = []
+        state.reads = []
+        return effects
+
+    def status(self) -> ReplicaStatus:
+        """Return what the replica knows as of its last input."""
+        state = self._state
+        leadership = self._current_leadership()
+        return ReplicaStatus(
+            state.role,
+            state.term,
+            state.leader,
+            state.commit_index,
+            state.log.last_index,
+            NEVER if leadership is None else leadership.lease_end(),
+            state.last_contact if leadership is None else leadership.quorum_contact(),
+            state.configuration,
+        )
+
+    def _current_leadership(self) -> Leadership | None:
+        return self._leadership if self._state.role is Role.LEADER else None
+
+    def _require_leadership(self, step: str, now: float) -> Leadership:
+        self._state.now = now
+        leadership = self._current_leadership()
+        if leadership is None:
+            raise NotLeader(
+                f'{self._state.name!r} does not lead', step=step, leader=self._state.leader
+            )
+        return leadership
+
+    def _lead_if_elected(self) -> None:
+        if self._state.role is Role.CANDIDATE and self._election.is_won():
+            self._leadership = Leadership(self._state)
+
+    def _accept_term(self, message: Message) -> bool:
+        """Enter a newer term; return whether the message is to be handled."""
+        state = self._state
+        match message:
+            case VoteRequest(is_pre_vote=True) | VoteReply(is_pre_vote=True, granted=True):
+                return True
+            case VoteRequest() if self._election.is_disruptive(message):
+                return False
+            case _ if message.term > state.term:
+                state.follow(message.term, None)
+            case _ if message.term < state.term:
+                return False
+        return True
+
+    def _dispatch(self, sender: str, message: Message) -> None:
+        match message:
+            case AppendRequest():
+                follow_append(self._state, sender, message)
+            case SnapshotRequest():
+                follow_snapshot(self._state, sender, message)
+            case AppendReply():
+                self._record_reply(sender, message)
+            case VoteRequest():
+                self._election.answer(sender, message)
+            case VoteReply():
+                self._election.count(sender, message)
+            case TimeoutNow():
+                self._election.start_election(is_transfer=True)
+
+    def _record_reply(self, sender: str, reply: AppendReply) -> None:
+        leadership = self._current_leadership()
+        if leadership is not None:
+            leadership.record_reply(sender, reply)
+
+    def _answer_old_term(self, sender: str, message: Message) -> None:
+        """Tell a leader or candidate of an old term of the newer one."""
+        match message:
+            case AppendRequest() | SnapshotRequest():
+                reply = AppendReply(self._state.term, False, 0, 0, 0, NEVER)
+                self._state.send(sender, reply)
+            case VoteRequest():
+                self._state.send(sender, VoteReply(self._state.term, granted=False))
