--- /dev/null
+++ b/shallotmux/storage/__init__.py
@@ -0,0 +1,18 @@
+"""Durable state of a replica: append-only log, snapshots, backups."""
+
+from __future__ import annotations
+
+from shallotmux.storage._backup import export_backup, import_backup
+from shallotmux.storage._filesystem import AppendFile, FileSystem, LocalFileSystem
+from shallotmux.storage._store import GroupStore, Store, VolatileStore
+
+__all__ = (
+    'AppendFile',
+    'FileSystem',
+    'GroupStore',
+    'LocalFileSystem',
+    'Store',
+    'VolatileStore',
+    'export_backup',
+    'import_backup',
+)
--- /dev/null
+++ b/shallotmux/storage/_backup.py
@@ -0,0 +1,66 @@
+"""Backup of a group's durable state in one file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from shallotmux.errors import StorageError
+from shallotmux.replication import StoredGroup
+from shallotmux.storage._filesystem import FileSystem, LocalFileSystem
+from shallotmux.storage._reading import read_group, read_single
+from shallotmux.storage._records import pack_record
+from shallotmux.storage._store import TEMPORARY_SUFFIX, GroupStore
+
+
+def export_backup(folder: Path, path: Path, filesystem: FileSystem | None = None) -> StoredGroup:
+    """Write the state of a group to a file, and return it.
+
+    :param folder: data folder of the group; it is only read, so its process may run.
+    :param path: file to write, which is replaced only by a whole backup.
+    :raises StorageError: if the folder holds no group, or a file fails.
+    """
+    files = filesystem or LocalFileSystem()
+    found = read_group(folder, files)
+    if found is None:
+        raise StorageError(f'{folder}: holds no group', step='export')
+    temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
+    try:
+        _write_backup(files, temporary, path, found.stored)
+    except OSError as error:
+        raise StorageError(f'{path}: {error}', step='export') from error
+    return found.stored
+
+
+def import_backup(path: Path, folder: Path, filesystem: FileSystem | None = None) -> StoredGroup:
+    """Store a backup in an empty folder, and return it.
+
+    A backup holds an old vote and an old end of the log. The voter that it came from must not
+    return to a living group with it; it joins under a new identity instead.
+
+    :raises StorageError: if the backup is damaged, or the folder holds a group.
+    """
+    files = filesystem or LocalFileSystem()
+    stored = read_single(path, files, StoredGroup)
+    if stored is None:
+        raise StorageError(f'{path}: does not exist', step='import')
+    store = GroupStore(folder, files)
+    try:
+        store.load()
+        store.initialize(stored)
+    finally:
+        store.close()
+    return stored
+
+
+def _write_backup(files: FileSystem, temporary: Path, path: Path, stored: StoredGroup) -> None:
+    files.remove(temporary)
+    file = files.append(temporary)
+    try:
+        file.write(pack_record(0, msgspec.msgpack.encode(stored)))
+        file.sync()
+    finally:
+        file.close()
+    files.replace(temporary, path)
+    files.sync_folder(path.parent)
--- /dev/null
+++ b/shallotmux/storage/_filesystem.py
@@ -0,0 +1,132 @@
+"""The few file operations that storage needs, so that tests can inject their failures."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+from pathlib import Path
+from typing import Protocol
+
+
+class AppendFile(Protocol):
+    """A file open for appending."""
+
+    def write(self, content: bytes) -> None:
+        """Append all of the content."""
+
+    def sync(self) -> None:
+        """Make what was written durable."""
+
+    def close(self) -> None:
+        """Close the file without syncing it."""
+
+
+class FileSystem(Protocol):
+    """File operations; each raises OSError when it fails."""
+
+    def read(self, path: Path) -> bytes | None:
+        """Return the content of a file, or None if it does not exist."""
+
+    def make_folder(self, folder: Path) -> None:
+        """Create a folder and its parents unless they exist."""
+
+    def append(self, path: Path) -> AppendFile:
+        """Open a file for appending, creating it if needed."""
+
+    def truncate(self, path: Path, size: int) -> None:
+        """Cut a file to a size in bytes and make that durable."""
+
+    def remove(self, path: Path) -> None:
+        """Remove a file if it exists."""
+
+    def replace(self, source: Path, target: Path) -> None:
+        """Rename a file over another."""
+
+    def sync_folder(self, folder: Path) -> None:
+        """Make creations and renames in a folder durable."""
+
+    def lock(self, path: Path) -> AppendFile:
+        """Lock a file until it is closed; raises BlockingIOError if it is locked already."""
+
+
+class LocalFile:
+    """A file descriptor open for appending."""
+
+    def __init__(self, path: Path, flags: int) -> None:
+        self._descriptor = os.open(path, flags | os.O_CREAT | os.O_CLOEXEC, 0o600)
+
+    def write(self, content: bytes) -> None:
+        """Append all of the content; the system may take it in parts."""
+        view = memoryview(content)
+        while view:
+            view = view[os.write(self._descriptor, view) :]
+
+    def sync(self) -> None:
+        """Make what was written durable."""
+        os.fsync(self._descriptor)
+
+    def close(self) -> None:
+        """Close the descriptor."""
+        os.close(self._descriptor)
+
+    def truncate(self, size: int) -> None:
+        """Cut the file to a size in bytes."""
+        os.ftruncate(self._descriptor, size)
+
+    def lock(self) -> None:
+        """Lock the file against other processes."""
+        fcntl.flock(self._descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+
+
+class LocalFileSystem:
+    """The files of this machine."""
+
+    def read(self, path: Path) -> bytes | None:
+        """Return the content of a file, or None if it does not exist."""
+        try:
+            return path.read_bytes()
+        except FileNotFoundError:
+            return None
+
+    def make_folder(self, folder: Path) -> None:
+        """Create a folder and its parents unless they exist."""
+        folder.mkdir(parents=True, exist_ok=True)
+
+    def append(self, path: Path) -> AppendFile:
+        """Open a file for appending, creating it if needed."""
+        return LocalFile(path, os.O_WRONLY | os.O_APPEND)
+
+    def truncate(self, path: Path, size: int) -> None:
+        """Cut a file to a size in bytes and make that durable."""
+        file = LocalFile(path, os.O_WRONLY)
+        try:
+            file.truncate(size)
+            file.sync()
+        finally:
+            file.close()
+
+    def remove(self, path: Path) -> None:
+        """Remove a file if it exists."""
+        path.unlink(missing_ok=True)
+
+    def replace(self, source: Path, target: Path) -> None:
+        """Rename a file over another."""
+        source.replace(target)
+
+    def sync_folder(self, folder: Path) -> None:
+        """Make creations and renames in a folder durable."""
+        descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def lock(self, path: Path) -> AppendFile:
+        """Lock a file until it is closed; raises BlockingIOError if it is locked already."""
+        file = LocalFile(path, os.O_WRONLY)
+        try:
+            file.lock()
+        except OSError:
+            file.close()
+            raise
+        return file
--- /dev/null
+++ b/shallotmux/storage/_store.py
@@ -0,0 +1,224 @@
+"""Durable state of one group on disk, and its stand-in for diskless instances."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Protocol
+
+import msgspec
+
+from shallotmux.errors import StorageError
+from shallotmux.replication import Effects, Entry, HardState, Snapshot, StoredGroup
+from shallotmux.storage._filesystem import AppendFile, FileSystem, LocalFileSystem
+from shallotmux.storage._reading import (
+    LOG_NAME,
+    SNAPSHOT_NAME,
+    Batch,
+    LogStart,
+    keep_following,
+    read_group,
+)
+from shallotmux.storage._records import pack_record
+
+LOCK_NAME = 'lock'
+TEMPORARY_SUFFIX = '.new'
+
+
+class Store(Protocol):
+    """Keeps the durable state of a replica."""
+
+    def load(self) -> StoredGroup | None:
+        """Return what is stored, or None for a new member."""
+
+    def save(self, effects: Effects) -> None:
+        """Make hard state, snapshot and entries durable."""
+
+    def close(self) -> None:
+        """Release the files."""
+
+
+class VolatileStore:
+    """Stands in for a store on an instance without a disk.
+
+    Such an instance restarts as a new member under a new identity.
+    """
+
+    def load(self) -> StoredGroup | None:
+        """Return None: nothing outlives the process."""
+
+    def save(self, effects: Effects) -> None:
+        """Keep nothing."""
+
+    def close(self) -> None:
+        """Release nothing."""
+
+
+class GroupStore:
+    """Log and snapshot of one group in a folder, for one process.
+
+    A write is durable when :meth:`save` returns. After a failure the state on the disk is unknown
+    (a failed sync may drop dirty pages), so the store refuses all further writes.
+
+    :param folder: folder of the group; it is created if needed.
+    """
+
+    def __init__(self, folder: Path, filesystem: FileSystem | None = None) -> None:
+        self._folder = folder
+        self._files = filesystem or LocalFileSystem()
+        self._lock: AppendFile | None = None
+        self._log: AppendFile | None = None
+        self._failure = ''
+        self._sequence = 0
+        self._start = LogStart(0, 0)
+        self._hard_state = HardState(0)
+        self._entries: list[Entry] = []
+
+    def load(self) -> StoredGroup | None:
+        """Lock the folder and return what it holds, or None if it holds nothing.
+
+        A torn tail is cut off: its write was never acknowledged.
+
+        :raises StorageError: if a file is damaged, or another process uses the folder.
+        """
+        try:
+            return self._open()
+        except OSError as error:
+            raise self._fail(self._folder, 'open', error) from error
+
+    def initialize(self, stored: StoredGroup) -> None:
+        """Store the first state of a group in an empty folder, after :meth:`load`.
+
+        :raises StorageError: if the folder holds a group already.
+        """
+        if self._log is not None:
+            raise StorageError(f'{self._folder}: holds a group already', step='initialize')
+        self.save(Effects(stored.hard_state, stored.entries, stored.snapshot))
+
+    def save(self, effects: Effects) -> None:
+        """Make hard state, snapshot and entries durable.
+
+        :raises StorageError: naming the file and the step that failed.
+        """
+        if self._failure or self._lock is None:
+            raise StorageError(f'{self._folder}: closed {self._failure}'.strip(), step='save')
+        if effects.snapshot is not None:
+            self._save_snapshot(effects.snapshot, effects)
+        elif effects.hard_state is not None or effects.entries:
+            self._save_batch(effects)
+
+    def close(self) -> None:
+        """Release the folder; further writes are refused."""
+        for file in (self._log, self._lock):
+            if file is not None:
+                file.close()
+        self._log = None
+        self._lock = None
+
+    def _open(self) -> StoredGroup | None:
+        self._files.make_folder(self._folder)
+        self._lock = self._files.lock(self._folder / LOCK_NAME)
+        for name in (LOG_NAME, SNAPSHOT_NAME):
+            self._files.remove(self._folder / f'{name}{TEMPORARY_SUFFIX}')
+        path = self._folder / LOG_NAME
+        found = read_group(self._folder, self._files)
+        if found is None:
+            return None
+        if found.is_torn:
+            self._files.truncate(path, found.log_size)
+        self._log = self._files.append(path)
+        self._sequence = found.next_sequence
+        self._take(found.stored)
+        if self._start != found.start:
+            self._rewrite_log()
+        return found.stored
+
+    def _take(self, stored: StoredGroup) -> None:
+        self._start = _start_after(stored.snapshot)
+        self._hard_state = stored.hard_state
+        self._entries = list(stored.entries)
+
+    def _save_snapshot(self, snapshot: Snapshot, effects: Effects) -> None:
+        """Store the snapshot, then the log after it.
+
+        The hard state goes first, so that a term in the snapshot is never ahead of it. After a
+        crash in between, the entries that the snapshot covers are skipped on reading.
+        """
+        if effects.hard_state is not None:
+            self._save_batch(Effects(effects.hard_state))
+        self._write_file(SNAPSHOT_NAME, pack_record(0, msgspec.msgpack.encode(snapshot)))
+        kept = keep_following(tuple(self._entries), self._start, snapshot)
+        self._start = _start_after(snapshot)
+        self._entries = list(kept)
+        self._merge(effects.entries)
+        self._rewrite_log()
+
+    def _save_batch(self, effects: Effects) -> None:
+        self._hard_state = effects.hard_state or self._hard_state
+        self._merge(effects.entries)
+        if self._log is None:
+            self._rewrite_log()
+            return
+        batch = Batch(None, effects.hard_state, effects.entries)
+        record = pack_record(self._sequence, msgspec.msgpack.encode(batch))
+        self._write(self._folder / LOG_NAME, self._log, record)
+        self._sequence += 1
+
+    def _merge(self, entries: tuple[Entry, ...]) -> None:
+        following = [entry for entry in entries if entry.index > self._start.index]
+        if following:
+            kept = following[0].index - self._start.index - 1
+            if kept > len(self._entries):
+                self._failure = 'after a gap in the log'
+                raise StorageError(
+                    f'{self._folder}: entry {following[0].index} does not follow', step='save'
+                )
+            del self._entries[kept:]
+            self._entries.extend(following)
+
+    def _rewrite_log(self) -> None:
+        """Replace the log by one that starts after the snapshot."""
+        batch = Batch(self._start, self._hard_state, tuple(self._entries))
+        self._write_file(LOG_NAME, pack_record(0, msgspec.msgpack.encode(batch)))
+        path = self._folder / LOG_NAME
+        try:
+            if self._log is not None:
+                self._log.close()
+            self._log = self._files.append(path)
+        except OSError as error:
+            raise self._fail(path, 'open', error) from error
+        self._sequence = 1
+
+    def _write_file(self, name: str, content: bytes) -> None:
+        """Replace a file by way of a temporary one, and make that durable."""
+        target = self._folder / name
+        temporary = self._folder / f'{name}{TEMPORARY_SUFFIX}'
+        try:
+            file = self._files.append(temporary)
+        except OSError as error:
+            raise self._fail(temporary, 'create', error) from error
+        try:
+            self._write(temporary, file, content)
+        finally:
+            file.close()
+        try:
+            self._files.replace(temporary, target)
+            self._files.sync_folder(self._folder)
+        except OSError as error:
+            raise self._fail(target, 'rename', error) from error
+
+    def _write(self, path: Path, file: AppendFile, content: bytes) -> None:
+        step = 'write'
+        try:
+            file.write(content)
+            step = 'sync'
+            file.sync()
+        except OSError as error:
+            raise self._fail(path, step, error) from error
+
+    def _fail(self, path: Path, step: str, error: OSError) -> StorageError:
+        self._failure = f'after a failure: {path}: {error}'
+        return StorageError(f'{path}: {error}', step=step)
+
+
+def _start_after(snapshot: Snapshot | None) -> LogStart:
+    return LogStart(0, 0) if snapshot is None else LogStart(snapshot.index, snapshot.term)
--- /dev/null
+++ b/tests/storage/_memory.py
@@ -0,0 +1,107 @@
+"""Files in memory that lose what was not synced."""
+
+from __future__ import annotations
+
+import errno
+from pathlib import Path
+from random import Random
+
+from shallotmux.storage._records import BLOCK_SIZE
+
+
+class MemoryFile:
+    """A file whose unsynced bytes a crash may lose."""
+
+    def __init__(self, files: MemoryFileSystem) -> None:
+        self.content = b''
+        self.synced = 0
+        self._files = files
+
+    def write(self, content: bytes) -> None:
+        """Append content; a failure leaves half of it."""
+        try:
+            self._files.count('write')
+        except OSError:
+            self.content += content[: len(content) // 2]
+            raise
+        self.content += content
+
+    def sync(self) -> None:
+        """Make the content durable."""
+        self._files.count('sync')
+        self.synced = len(self.content)
+
+    def close(self) -> None:
+        """Release the file if it was locked."""
+        self._files.locked = False
+
+
+class MemoryFileSystem:
+    """Files by path; operations are counted, and one of them can be made to fail."""
+
+    def __init__(self) -> None:
+        self.visible: dict[Path, MemoryFile] = {}
+        self.durable: dict[Path, MemoryFile] = {}
+        self.operations = 0
+        self.fail_at = -1
+        self.error = errno.EIO
+        self.locked = False
+
+    def count(self, step: str) -> None:
+        """Count an operation and fail if it is the chosen one."""
+        self.operations += 1
+        if self.operations == self.fail_at:
+            raise OSError(self.error, f'injected {step}')
+
+    def crash(self, random: Random) -> None:
+        """Lose some of what was not synced: the end of it, or a block in it."""
+        self.visible = dict(self.durable)
+        self.locked = False
+        for file in self.visible.values():
+            unsynced = len(file.content) - file.synced
+            kept = file.synced + random.randint(0, unsynced)
+            if unsynced > BLOCK_SIZE and random.randint(0, 1):
+                start = max(file.synced, kept - kept % BLOCK_SIZE)
+                file.content = file.content[:start].ljust(len(file.content), b'\0')
+            else:
+                file.content = file.content[:kept]
+            file.synced = len(file.content)
+
+    def read(self, path: Path) -> bytes | None:
+        """Return the content of a file."""
+        return self.visible[path].content if path in self.visible else None
+
+    def make_folder(self, folder: Path) -> None:
+        """Do nothing: folders are implied."""
+
+    def append(self, path: Path) -> MemoryFile:
+        """Open a file, creating it."""
+        self.count('open')
+        return self.visible.setdefault(path, MemoryFile(self))
+
+    def truncate(self, path: Path, size: int) -> None:
+        """Cut a file."""
+        self.count('truncate')
+        self.visible[path].content = self.visible[path].content[:size]
+        self.visible[path].synced = size
+
+    def remove(self, path: Path) -> None:
+        """Remove a file."""
+        self.visible.pop(path, None)
+
+    def replace(self, source: Path, target: Path) -> None:
+        """Rename a file."""
+        self.count('rename')
+        self.visible[target] = self.visible.pop(source)
+
+    def sync_folder(self, folder: Path) -> None:
+        """Make renames durable."""
+        self.count('sync folder')
+        self.durable = {path: file for path, file in self.visible.items()}
+
+    def lock(self, path: Path) -> MemoryFile:
+        """Lock the folder."""
+        if self.locked:
+            raise BlockingIOError(errno.EAGAIN, 'locked')
+        self.locked = True
+        return MemoryFile(self)
