Extend settings and name what is wrong in them

Cause: a wrong value printed its input, which could be a section that holds secrets, and an unknown key gave no hint of the right one. Change: sections for TLS, operators, limits, timeouts, logging and the platform; secrets inline or from a file beside the settings file; errors name file, path, value and what is allowed, suggest the nearest key, and never show a secret, a section or the value of an unknown key.

--- a/shallotmux/settings/__init__.py
+++ b/shallotmux/settings/__init__.py
@@ -2,18 +2,33 @@
 
 from __future__ import annotations
 
-from shallotmux.settings._loader import load_settings
+from shallotmux.settings._loader import load_settings, read_json
 from shallotmux.settings._models import (
+    CertificateSettings,
     InstanceSettings,
+    LimitSettings,
     ListenerSettings,
+    LoggingSettings,
+    OperatorSettings,
+    PlatformSettings,
     SecretSettings,
     Settings,
+    TimeoutSettings,
+    TlsSettings,
 )
 
 __all__ = (
+    'CertificateSettings',
     'InstanceSettings',
+    'LimitSettings',
     'ListenerSettings',
+    'LoggingSettings',
+    'OperatorSettings',
+    'PlatformSettings',
     'SecretSettings',
     'Settings',
+    'TimeoutSettings',
+    'TlsSettings',
     'load_settings',
+    'read_json',
 )
--- a/shallotmux/settings/_loader.py
+++ b/shallotmux/settings/_loader.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+from difflib import get_close_matches
 from pathlib import Path
 from typing import Any
 
 import json5
-from pydantic import ValidationError
+from pydantic import BaseModel, ValidationError
 
 from shallotmux.errors import SettingsError
-from shallotmux.settings._models import Settings
+from shallotmux.settings._models import FOLDER_KEY, Settings
+
+#: Kinds of problems whose input is left out, because it is absent, or a whole section, or the
+#: value of a misspelt key, which may be a secret.
+_INPUT_NOT_SHOWN = frozenset(('missing', 'extra_forbidden', 'value_error'))
 
 
 def load_settings(path: Path) -> Settings:
@@ -17,21 +22,51 @@
 
     :raises SettingsError: naming the file, the path in it, and what is allowed.
     """
+    raw = read_json(path)
     try:
-        raw: Any = json5.loads(path.read_text(encoding='utf-8'))
+        return Settings.model_validate(raw, context={FOLDER_KEY: path.parent})
+    except ValidationError as error:
+        problems = '\n'.join(_describe(path, each) for each in error.errors(include_url=False))
+        raise SettingsError(problems, step='settings') from error
+
+
+def read_json(path: Path) -> Any:
+    """Read a file of JSON with comments.
+
+    :raises SettingsError: naming the file.
+    """
+    try:
+        return json5.loads(path.read_text(encoding='utf-8'))
     except OSError as error:
         raise SettingsError(f'{path}: {error.strerror}', step='settings') from error
     except ValueError as error:
         raise SettingsError(f'{path}: not valid JSON: {error}', step='settings') from error
-    try:
-        return Settings.model_validate(raw)
-    except ValidationError as error:
-        problems = '\n'.join(_describe(path, each) for each in error.errors(include_url=False))
-        raise SettingsError(problems, step='settings') from error
 
 
 def _describe(path: Path, problem: Any) -> str:
     place = '.'.join(str(part) for part in problem['loc'])
-    secret = place.startswith('secrets')
-    shown = '(hidden)' if secret else repr(problem['input'])
-    return f'{path}: {place}: {problem["msg"]}; found {shown}'
+    message = f'{path}: {place or "(top level)"}: {problem["msg"]}'
+    if problem['type'] == 'extra_forbidden':
+        return f'{path}: {place}: unknown key; {_suggest(problem["loc"])}'
+    if problem['type'] in _INPUT_NOT_SHOWN:
+        return message
+    if problem['loc'][:1] == ('secrets',):
+        return f'{message}; found (hidden)'
+    given = problem['input']
+    shown = type(given).__name__ if isinstance(given, (dict, list)) else repr(given)
+    return f'{message}; found {shown}'
+
+
+def _suggest(place: tuple[str | int, ...]) -> str:
+    """Return which keys are allowed in the section of an unknown key."""
+    section: type[BaseModel] = Settings
+    for part in place[:-1]:
+        found = section.model_fields[str(part)].annotation
+        if not isinstance(found, type) or not issubclass(found, BaseModel):
+            break
+        section = found
+    known = sorted(section.model_fields)
+    close = get_close_matches(str(place[-1]), known, n=1)
+    if close:
+        return f'did you mean {close[0]!r}?'
+    return f'allowed are {", ".join(known)}'
--- a/shallotmux/settings/_models.py
+++ b/shallotmux/settings/_models.py
@@ -2,7 +2,45 @@
 
 from __future__ import annotations
 
-from pydantic import BaseModel, ConfigDict, Field
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationInfo, model_validator
+
+#: IP address and port; host names are not resolved.
+ADDRESS_PATTERN = r'^(\[[0-9a-fA-F:]+\]|[0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}$'
+
+#: Key of the validation context that holds the folder of the settings file.
+FOLDER_KEY = 'folder'
+
+_SECRET_FILE_KEYS = frozenset(('file',))
+
+
+def resolve_path(given: str, info: ValidationInfo) -> Path:
+    """Return a path of the settings file, which is relative to the folder of that file."""
+    folder = (info.context or {}).get(FOLDER_KEY, Path())
+    return Path(folder) / given
+
+
+def _read_secret(given: Any, info: ValidationInfo) -> Any:
+    """Return an inline secret, or the content of the file that ``{"file": path}`` names."""
+    if not isinstance(given, dict) or given.keys() != _SECRET_FILE_KEYS:
+        return given
+    path = resolve_path(str(given['file']), info)
+    try:
+        return path.read_text(encoding='utf-8').strip()
+    except OSError as error:
+        raise ValueError(f'cannot read {path}: {error.strerror}') from error
+
+
+def _complete_path(given: Any, info: ValidationInfo) -> Any:
+    return str(resolve_path(given, info)) if isinstance(given, str) and given else given
+
+
+Address = Annotated[str, Field(pattern=ADDRESS_PATTERN)]
+OptionalAddress = Annotated[str, Field(pattern=f'^$|{ADDRESS_PATTERN}')]
+FilePath = Annotated[str, BeforeValidator(_complete_path)]
+Secret = Annotated[str, Field(min_length=16), BeforeValidator(_read_secret)]
 
 
 class _Strict(BaseModel):
@@ -14,23 +52,129 @@
 class InstanceSettings(_Strict):
     """This instance and where it stands."""
 
-    name: str = Field(min_length=1, max_length=64, pattern=r'^[a-z0-9][a-z0-9-]*$')
-    zone: str = Field(min_length=1, max_length=64)
-    data_folder: str = ''
+    name: str = Field(
+        min_length=1,
+        max_length=64,
+        pattern=r'^[a-z0-9][a-z0-9-]*$',
+        description='Name of the instance, unique in the fleet.',
+    )
+    zone: str = Field(
+        min_length=1, max_length=64, description='Availability zone that the instance stands in.'
+    )
+    data_folder: FilePath = Field(
+        default='', description='Folder for durable state; empty on instances without a disk.'
+    )
 
 
 class ListenerSettings(_Strict):
     """Addresses that the daemon listens on; port 0 lets the system choose."""
 
-    callers: str = '127.0.0.1:8080'
-    operators: str = '127.0.0.1:8081'
+    callers: Address = Field(default='127.0.0.1:8080', description='Listener for callers.')
+    operators: Address = Field(
+        default='127.0.0.1:8081', description='Listener for the operator API.'
+    )
+    metrics: OptionalAddress = Field(
+        default='',
+        description='Listener for `/metrics`, `/healthz` and `/readyz`; empty for none.',
+    )
 
 
-class SecretSettings(_Strict):
-    """Secrets of the fleet."""
+class CertificateSettings(_Strict):
+    """Certificate of one listener; both files are reloaded when they change."""
+
+    certificate: FilePath = Field(default='', description='PEM file with the certificate chain.')
+    private_key: FilePath = Field(default='', description='PEM file with the private key.')
+
+    @model_validator(mode='after')
+    def _check_pair(self) -> CertificateSettings:
+        if bool(self.certificate) != bool(self.private_key):
+            raise ValueError('certificate and private_key must be given together')
+        return self
 
-    pepper: str = Field(min_length=16)
-    operator_token: str = Field(min_length=16)
+
+class TlsSettings(_Strict):
+    """TLS of the listeners; a listener without a certificate serves plain HTTP."""
+
+    callers: CertificateSettings = CertificateSettings()
+    operators: CertificateSettings = CertificateSettings()
+
+
+class SecretSettings(_Strict):
+    """Secrets of the fleet, inline or as `{"file": "path"}`."""
+
+    pepper: Secret = Field(description='Key of the hash under which caller keys are stored.')
+    operator_token: Secret = Field(description='Credential of the operator API.')
+
+
+class OperatorSettings(_Strict):
+    """Operator API."""
+
+    body_bytes: int = Field(
+        default=1_048_576, ge=1024, le=67_108_864, description='Largest request body.'
+    )
+
+
+class LimitSettings(_Strict):
+    """Bounds on what the instance keeps or reads."""
+
+    header_bytes: int = Field(
+        default=32_768, ge=1024, le=1_048_576, description='Largest request head.'
+    )
+    decision_records: int = Field(
+        default=10_000,
+        ge=1,
+        le=1_000_000,
+        description='Recent decisions kept for `shallotmux explain`.',
+    )
+
+
+class TimeoutSettings(_Strict):
+    """Times after which the instance gives up waiting."""
+
+    keep_alive_s: float = Field(
+        default=75.0, gt=0, le=3600, description='Idle time after which a connection is closed.'
+    )
+    drain_s: float = Field(
+        default=600.0, gt=0, le=86_400, description='Longest wait for open requests at shutdown.'
+    )
+    ready_grace_s: float = Field(
+        default=0.0,
+        ge=0,
+        le=600,
+        description='Time between failing readiness and closing the listeners at shutdown.',
+    )
+    certificate_check_s: float = Field(
+        default=5.0, gt=0, le=3600, description='Interval at which certificate files are checked.'
+    )
+    freshness_limit_s: float = Field(
+        default=3.0,
+        gt=0,
+        le=60,
+        description='Time without contact to the leader after which keyed requests are refused.',
+    )
+
+
+class LoggingSettings(_Strict):
+    """Log lines, one JSON object each."""
+
+    destination: FilePath = Field(
+        default='', description='File that lines are appended to; empty for standard output.'
+    )
+    level: Literal['debug', 'info', 'warning', 'error'] = Field(
+        default='info', description='Least severe level that is written.'
+    )
+    sections: dict[str, Literal['debug', 'info', 'warning', 'error', 'off']] = Field(
+        default_factory=dict,
+        description='Levels of sections, such as `decision` or `decision:routing`.',
+    )
+
+
+class PlatformSettings(_Strict):
+    """The platform that endpoints are ordered from and usage is reported to."""
+
+    address: OptionalAddress = Field(
+        default='', description='Address of its interface; empty when there is none.'
+    )
 
 
 class Settings(_Strict):
@@ -38,4 +182,10 @@
 
     instance: InstanceSettings
     listeners: ListenerSettings = ListenerSettings()
+    tls: TlsSettings = TlsSettings()
     secrets: SecretSettings
+    operators: OperatorSettings = OperatorSettings()
+    limits: LimitSettings = LimitSettings()
+    timeouts: TimeoutSettings = TimeoutSettings()
+    logging: LoggingSettings = LoggingSettings()
+    platform: PlatformSettings = PlatformSettings()
