Serve the whole operator API and add its client

Cause: the API could only put objects and create or withdraw keys; a resend of a key creation after a lost answer showed a second secret that was never stored; unknown keys in objects were silently ignored. Change: list, show, put and delete of every kind; keys; views of status, usage, quarantine and decisions over typed providers that other parts replace; answers say where a change is in force and where it is pending, and name the winning revision of a conflict. Keys are derived from a seed of the client, so a resend gets the same secret. The client sends a change whose answer was lost again under the same operation id.

--- a/shallotmux/authority/__init__.py
+++ b/shallotmux/authority/__init__.py
@@ -10,6 +10,7 @@
     object_kind,
 )
 from shallotmux.authority._keys import (
+    SECRET_PREFIX,
     CreateKey,
     WithdrawKey,
     create_secret,
@@ -42,6 +43,7 @@
 )
 
 __all__ = (
+    'SECRET_PREFIX',
     'AbandonJob',
     'Applied',
     'Authority',
--- a/shallotmux/http/_client.py
+++ b/shallotmux/http/_client.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Mapping
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import dataclass, field
+from ssl import SSLContext
 from typing import Protocol
 
 import httpcore
@@ -85,10 +86,17 @@
 
 
 class HttpcoreClient:
-    """Client on an httpcore connection pool."""
+    """Client on an httpcore connection pool.
 
-    def __init__(self, read_timeout_s: float = READ_TIMEOUT_S) -> None:
+    :param ssl_context: trusted certificates; None for plain HTTP.
+    """
+
+    def __init__(
+        self, read_timeout_s: float = READ_TIMEOUT_S, ssl_context: SSLContext | None = None
+    ) -> None:
+        self._scheme = 'https' if ssl_context else 'http'
         self._pool = httpcore.AsyncConnectionPool(
+            ssl_context=ssl_context,
             max_connections=MAX_CONNECTIONS,
             max_keepalive_connections=KEEPALIVE_CONNECTIONS,
         )
@@ -104,7 +112,7 @@
         """Send a request and open its answer."""
         opening = self._pool.stream(
             request.method,
-            f'http://{request.address}{request.path}',
+            f'{self._scheme}://{request.address}{request.path}',
             headers=[(name.encode(), text.encode()) for name, text in request.headers.items()],
             content=request.body or None,
             extensions={'timeout': self._timeouts},
--- a/shallotmux/observability/_decisions.py
+++ b/shallotmux/observability/_decisions.py
@@ -31,9 +31,9 @@
 class DecisionLog:
     """Writes one log line for each decision and remembers the recent ones."""
 
-    def __init__(self, instance: str) -> None:
+    def __init__(self, instance: str, memory: int = DECISION_MEMORY) -> None:
         self._instance = instance
-        self._records: deque[DecisionRecord] = deque(maxlen=DECISION_MEMORY)
+        self._records: deque[DecisionRecord] = deque(maxlen=memory)
 
     def record(self, record: DecisionRecord) -> None:
         """Log a decision and keep it."""
@@ -50,3 +50,7 @@
     def find(self, subject: str) -> tuple[DecisionRecord, ...]:
         """Return the kept decisions on a subject, oldest first."""
         return tuple(record for record in self._records if record.subject == subject)
+
+    def recent(self, limit: int) -> tuple[DecisionRecord, ...]:
+        """Return the latest decisions, oldest first."""
+        return tuple(self._records)[-limit:]
--- a/shallotmux/operators/__init__.py
+++ b/shallotmux/operators/__init__.py
@@ -3,5 +3,50 @@
 from __future__ import annotations
 
 from shallotmux.operators._app import OperatorApp, OperatorTools
+from shallotmux.operators._client import OperatorClient, OperatorError, read_answer
+from shallotmux.operators._objects import (
+    OBJECT_CLASSES,
+    ObjectName,
+    build_object,
+    plain_object,
+)
+from shallotmux.operators._providers import (
+    EndpointStatus,
+    FleetStatus,
+    InstanceStatus,
+    LocalStatus,
+    PendingChange,
+    Providers,
+    QuarantinedRequest,
+    QuarantineProvider,
+    Reach,
+    StatusProvider,
+    UsageProvider,
+    UsageRow,
+    ZoneStatus,
+)
 
-__all__ = ('OperatorApp', 'OperatorTools')
+__all__ = (
+    'OBJECT_CLASSES',
+    'EndpointStatus',
+    'FleetStatus',
+    'InstanceStatus',
+    'LocalStatus',
+    'ObjectName',
+    'OperatorApp',
+    'OperatorClient',
+    'OperatorError',
+    'OperatorTools',
+    'PendingChange',
+    'Providers',
+    'QuarantineProvider',
+    'QuarantinedRequest',
+    'Reach',
+    'StatusProvider',
+    'UsageProvider',
+    'UsageRow',
+    'ZoneStatus',
+    'build_object',
+    'plain_object',
+    'read_answer',
+)
--- /dev/null
+++ b/shallotmux/operators/_client.py
@@ -0,0 +1,190 @@
+"""Client of the operator API."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from shallotmux.errors import EndpointError, EndpointRefused, OutcomeUnknown, ShallotmuxError
+from shallotmux.http import JSON_TYPE, HttpClient, HttpRequest, fetch
+from shallotmux.operators._objects import ObjectName
+
+#: Largest answer that is read.
+ANSWER_LIMIT_BYTES = 67_108_864
+
+#: Sends of one operation, the first included, before its outcome is reported as unknown.
+MAX_SENDS = 3
+
+STATUS_OK = 200
+STATUS_UNAVAILABLE = 503
+STATUS_UNKNOWN = 504
+
+
+class OperatorError(ShallotmuxError):
+    """The operator API answered with an error.
+
+    :param status: HTTP status code.
+    :param code: stable machine-readable code.
+    :param details: the whole error object of the answer.
+    """
+
+    def __init__(self, message: str, *, status: int, code: str, details: Mapping[str, Any]) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.details = details
+
+
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """One operation, with all that a repeated send needs."""
+
+    method: str
+    path: str
+    body: bytes = b''
+    if_match: str | None = None
+    operation_id: str = ''
+
+
+class OperatorClient:
+    """Calls the operator API of one instance.
+
+    A change whose answer is lost is sent again with the same operation id, so it takes effect
+    once.
+
+    :param token: credential of the operator.
+    """
+
+    def __init__(self, client: HttpClient, address: str, token: str) -> None:
+        self._client = client
+        self._address = address
+        self._token = token
+
+    async def view(self, path: str, **query: str) -> dict[str, Any]:
+        """Read a view, for example ``status`` or ``usage``.
+
+        :raises OperatorError: if the instance answers with an error.
+        :raises EndpointError: if it cannot be reached.
+        """
+        suffix = f'?{urlencode(query)}' if query else ''
+        return await self._send(_Call('GET', f'/v1/{quote(path)}{suffix}'))
+
+    async def find(self, place: ObjectName) -> dict[str, Any] | None:
+        """Return an object with its revision, or None when it does not exist."""
+        try:
+            return await self.view(str(place))
+        except OperatorError as error:
+            if error.code == 'not_found':
+                return None
+            raise
+
+    async def put(
+        self, place: ObjectName, plain: Mapping[str, Any], revision: int | None
+    ) -> dict[str, Any]:
+        """Create or replace an object.
+
+        :param revision: revision that is replaced, 0 to create, or None for any.
+        """
+        body = msgspec.json.encode(plain)
+        return await self._change('PUT', f'/v1/{quote(str(place))}', body, revision)
+
+    async def delete(self, place: ObjectName, revision: int | None) -> dict[str, Any]:
+        """Remove an object.
+
+        :param revision: revision that is removed, or None for any.
+        """
+        return await self._change('DELETE', f'/v1/{quote(str(place))}', b'', revision)
+
+    async def create_key(self, customer: str) -> dict[str, Any]:
+        """Create a key; the answer holds the secret."""
+        body = msgspec.json.encode({'seed': secrets.token_hex(32)})
+        return await self._change('POST', f'/v1/customer/{quote(customer)}/keys', body, 0)
+
+    async def withdraw_key(self, key_id: str) -> dict[str, Any]:
+        """Withdraw a key for good."""
+        return await self._change('DELETE', f'/v1/key/{quote(key_id)}', b'', 0)
+
+    async def lift_quarantine(self, fingerprint: str) -> dict[str, Any]:
+        """Accept a quarantined request again."""
+        return await self._change('DELETE', f'/v1/quarantine/{quote(fingerprint)}', b'', 0)
+
+    async def _change(
+        self, method: str, path: str, body: bytes, revision: int | None
+    ) -> dict[str, Any]:
+        seen = '*' if revision is None else f'"{revision}"'
+        call = _Call(method, path, body, seen, f'op-{secrets.token_hex(16)}')
+        failures: list[ShallotmuxError] = []
+        for _ in range(MAX_SENDS):
+            try:
+                return await self._send(call)
+            except (EndpointError, OperatorError) as error:
+                if _is_final(error) or not (failures or _is_open(error)):
+                    raise
+                failures.append(error)
+        raise OutcomeUnknown(
+            f'{failures[-1].message}; operation id {call.operation_id}', peer=self._address
+        )
+
+    async def _send(self, call: _Call) -> dict[str, Any]:
+        headers = {'authorization': f'Bearer {self._token}', 'content-type': JSON_TYPE}
+        if call.if_match is not None:
+            headers['if-match'] = call.if_match
+        if call.operation_id:
+            headers['shallotmux-operation-id'] = call.operation_id
+        request = HttpRequest(call.method, self._address, call.path, call.body, headers)
+        status, body = await fetch(self._client, request, ANSWER_LIMIT_BYTES)
+        return read_answer(status, body)
+
+
+def _is_final(error: ShallotmuxError) -> bool:
+    """Tell whether an error is the result of the operation, whichever send it answers.
+
+    A refusal of one send for lack of a leader says nothing of the sends before it.
+    """
+    return isinstance(error, OperatorError) and error.status not in {
+        STATUS_UNAVAILABLE,
+        STATUS_UNKNOWN,
+    }
+
+
+def _is_open(error: ShallotmuxError) -> bool:
+    """Tell whether an operation may have taken effect in spite of an error."""
+    match error:
+        case EndpointRefused():
+            return False
+        case OperatorError(status=status):
+            return status == STATUS_UNKNOWN
+        case _:
+            return True
+
+
+def read_answer(status: int, body: bytes) -> dict[str, Any]:
+    """Return the JSON object of an answer.
+
+    :raises OperatorError: if it is an error.
+    """
+    try:
+        plain = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        plain = None
+    if not isinstance(plain, dict):
+        raise OperatorError(
+            f'the answer with status {status} is not a JSON object',
+            status=status,
+            code='invalid_answer',
+            details={},
+        )
+    if status == STATUS_OK:
+        return plain
+    error = plain.get('error', {})
+    raise OperatorError(
+        error.get('message', f'status {status}'),
+        status=status,
+        code=error.get('code', ''),
+        details=error,
+    )
--- a/shallotmux/settings/__init__.py
+++ b/shallotmux/settings/__init__.py
@@ -15,6 +15,7 @@
     Settings,
     TimeoutSettings,
     TlsSettings,
+    is_address,
 )
 
 __all__ = (
@@ -29,6 +30,7 @@
     'Settings',
     'TimeoutSettings',
     'TlsSettings',
+    'is_address',
     'load_settings',
     'read_json',
 )
--- a/shallotmux/settings/_models.py
+++ b/shallotmux/settings/_models.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
@@ -16,6 +17,11 @@
 _SECRET_FILE_KEYS = frozenset(('file',))
 
 
+def is_address(text: str) -> bool:
+    """Tell whether a text is an IP address and port."""
+    return re.match(ADDRESS_PATTERN, text) is not None
+
+
 def resolve_path(given: str, info: ValidationInfo) -> Path:
     """Return a path of the settings file, which is relative to the folder of that file."""
     folder = (info.context or {}).get(FOLDER_KEY, Path())
