--- /dev/null
+++ b/shallotmux/cli/_objects.py
@@ -0,0 +1,133 @@
+"""Commands on configuration objects."""
+
+from __future__ import annotations
+
+from typing import Any, TextIO
+
+import click
+import json5
+
+from shallotmux.cli._session import Session, pass_session, with_examples
+from shallotmux.errors import CallerError, SettingsError
+from shallotmux.operators import (
+    OBJECT_CLASSES,
+    ObjectName,
+    OperatorClient,
+    OperatorError,
+    build_object,
+    plain_object,
+)
+
+KIND = click.Choice(tuple(OBJECT_CLASSES))
+REVISION_HELP = 'Revision that you have seen; by default the one that is in force.'
+
+
+@click.command(
+    epilog=with_examples('shallotmux get customer', 'shallotmux --output json get route sorter')
+)
+@click.argument('kind', type=KIND)
+@click.argument('name', required=False)
+@pass_session
+def get(session: Session, kind: str, name: str | None) -> None:
+    """List the objects of a KIND, or show the one called NAME."""
+    path = kind if name is None else f'{kind}/{name}'
+    answer = session.call(lambda client: client.view(path))
+    items = answer['items'] if name is None else [answer]
+    rows = [{'name': each['name'], 'revision': each['revision'], **each['item']} for each in items]
+    session.show(answer, rows)
+
+
+@click.command(
+    epilog=with_examples(
+        'shallotmux put customer tailors customer.json',
+        'shallotmux put route sorter - < route.json',
+    )
+)
+@click.argument('kind', type=KIND)
+@click.argument('name')
+@click.argument('file', type=click.File(encoding='utf-8'))
+@click.option('--revision', type=click.IntRange(0), help=REVISION_HELP)
+@pass_session
+def put(session: Session, kind: str, name: str, file: TextIO, revision: int | None) -> None:
+    """Create or replace the object NAME with the fields in FILE (- for standard input)."""
+    place = ObjectName(kind, name)
+
+    async def act(client: OperatorClient) -> dict[str, Any]:
+        try:
+            plain = json5.loads(file.read())
+        except ValueError as error:
+            raise SettingsError(f'{file.name}: not valid JSON: {error}') from error
+        item = plain_object(build_object(place, plain))
+        return await client.put(place, item, await seen_revision(client, place, revision))
+
+    session.show_change(str(place), session.call(act))
+
+
+@click.command(epilog=with_examples('shallotmux delete route sorter'))
+@click.argument('kind', type=KIND)
+@click.argument('name')
+@click.option('--revision', type=click.IntRange(0), help=REVISION_HELP)
+@pass_session
+def delete(session: Session, kind: str, name: str, revision: int | None) -> None:
+    """Remove the object NAME of a KIND."""
+    place = ObjectName(kind, name)
+
+    async def act(client: OperatorClient) -> dict[str, Any]:
+        seen = await seen_revision(client, place, revision)
+        if seen == 0:
+            raise OperatorError(f'{place} does not exist', status=404, code='absent', details={})
+        return await client.delete(place, seen)
+
+    session.show_change(str(place), session.call(act))
+
+
+@click.group()
+def exception() -> None:
+    """Deviate from the defaults for one object, with a written reason."""
+
+
+@exception.command(
+    'add',
+    epilog=with_examples(
+        'shallotmux exception add night-shift --subject customer/tailors \\',
+        '    --setting cheap_share --amount 0 --reason "cutting machine is supervised at night"',
+    ),
+)
+@click.argument('name')
+@click.option('--subject', required=True, help='For example customer/tailors.')
+@click.option('--setting', required=True, help='Name of the default that is overridden.')
+@click.option('--amount', required=True, type=float, help='Value instead of the default.')
+@click.option('--reason', required=True, help='Why; must not be empty.')
+@pass_session
+def add_exception(session: Session, /, name: str, **fields: Any) -> None:
+    """Add the exception NAME, which must not exist yet."""
+    place = ObjectName('exception', name)
+
+    async def act(client: OperatorClient) -> dict[str, Any]:
+        return await client.put(place, plain_object(build_object(place, fields)), 0)
+
+    session.show_change(str(place), session.call(act))
+
+
+async def seen_revision(client: OperatorClient, place: ObjectName, given: int | None) -> int:
+    """Return the revision to replace: the given one, or the one in force."""
+    if given is not None:
+        return given
+    current = await client.find(place)
+    return 0 if current is None else int(current['revision'])
+
+
+def check_kinds(plain: Any, source: str) -> None:
+    """Refuse a configuration whose top level is not kinds of objects by name.
+
+    :raises CallerError: naming the file and the kind.
+    """
+    if not isinstance(plain, dict):
+        raise SettingsError(f'{source}: a JSON object is expected')
+    for kind, named in plain.items():
+        if kind not in OBJECT_CLASSES:
+            raise SettingsError(f'{source}: {kind}: allowed are {", ".join(OBJECT_CLASSES)}')
+        if not isinstance(named, dict):
+            raise CallerError(
+                f'{source}: {kind}: an object of names is expected', status=400, code='invalid'
+            )
--- /dev/null
+++ b/shallotmux/cli/_session.py
@@ -0,0 +1,105 @@
+"""What every command shares: the connection, the form of the output, running the client."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TypeVar
+
+import click
+import trio
+
+from shallotmux.cli._connection import Connection, check_address, read_connection
+from shallotmux.cli._exits import ToolFailure
+from shallotmux.cli._output import Row, print_json, print_rows
+from shallotmux.errors import ShallotmuxError
+from shallotmux.http import HttpcoreClient
+from shallotmux.operators import OperatorClient
+
+Answer = TypeVar('Answer')
+
+
+@dataclass(frozen=True, slots=True)
+class Session:
+    """One run of the tool.
+
+    :param given: options and environment variables for the connection.
+    :param as_json: whether output is JSON rather than a table.
+    """
+
+    profile: Path | None
+    given: dict[str, str | bool | None]
+    as_json: bool
+
+    def connection(self) -> Connection:
+        """Return addresses and credentials.
+
+        :raises ToolFailure: if the profile file is wrong.
+        """
+        try:
+            return read_connection(self.profile, self.given)
+        except ShallotmuxError as error:
+            raise ToolFailure(error) from error
+
+    def call(self, action: Callable[[OperatorClient], Awaitable[Answer]]) -> Answer:
+        """Run an action with a client of the operator API.
+
+        :raises ToolFailure: with the exit code of the failure.
+        """
+        connection = self.connection()
+
+        async def act(client: HttpcoreClient) -> Answer:
+            address = check_address(connection.address, '--address')
+            return await action(OperatorClient(client, address, connection.credential()))
+
+        return self.run(connection, act)
+
+    def run(
+        self, connection: Connection, action: Callable[[HttpcoreClient], Awaitable[Answer]]
+    ) -> Answer:
+        """Run an action with an HTTP client that is closed afterwards."""
+
+        async def act() -> Answer:
+            client = connection.open()
+            try:
+                return await action(client)
+            finally:
+                with trio.CancelScope(shield=True):
+                    await client.close()
+
+        try:
+            return trio.run(act)
+        except ShallotmuxError as error:
+            raise ToolFailure(error) from error
+
+    def show(self, content: Any, rows: Sequence[Row], *columns: str) -> None:
+        """Print an answer in the form that was asked for."""
+        if self.as_json:
+            print_json(content)
+        else:
+            print_rows(rows, columns)
+
+    def show_change(self, subject: str, answer: dict[str, Any]) -> None:
+        """Print what became of a change."""
+        if self.as_json:
+            print_json({'subject': subject, **answer})
+            return
+        in_force = ', '.join(answer['in_force']) or 'no zone yet'
+        click.echo(f'{subject}: revision {answer["revision"]}, in force in {in_force}')
+        if answer['pending']:
+            click.echo(f'{subject}: pending in {", ".join(answer["pending"])}')
+
+
+pass_session = click.make_pass_decorator(Session)
+
+
+def with_examples(*examples: str) -> str:
+    """Return the examples that end a help text."""
+    return '\n'.join(('\b', 'Examples:', *(f'  {example}' for example in examples)))
+
+
+def render(content: object) -> list[str]:
+    """Return the lines of a value as indented JSON, for a diff."""
+    return json.dumps(content, indent=2, ensure_ascii=False).splitlines()
--- /dev/null
+++ b/shallotmux/cli/_views.py
@@ -0,0 +1,80 @@
+"""Commands that show the state of the fleet."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import click
+import trio
+
+from shallotmux.cli._output import print_json, print_rows
+from shallotmux.cli._session import Session, pass_session, with_examples
+from shallotmux.operators import OperatorClient
+
+SECTIONS = ('zones', 'instances', 'endpoints', 'pending')
+
+
+@click.command(epilog=with_examples('shallotmux status', 'shallotmux --output json status'))
+@pass_session
+def status(session: Session) -> None:
+    """Show zones, leaders, instances, endpoints and pending changes."""
+    answer = session.call(lambda client: client.view('status'))
+    print_status(session, answer)
+
+
+@click.command(epilog=with_examples('shallotmux usage', 'shallotmux usage --customer tailors'))
+@click.option('--customer', help='Only this customer.')
+@pass_session
+def usage(session: Session, customer: str | None) -> None:
+    """Show usage by customer and window."""
+    query = {'customer': customer} if customer else {}
+    answer = session.call(lambda client: client.view('usage', **query))
+    session.show(answer, answer['items'])
+
+
+@click.command(
+    epilog=with_examples('shallotmux explain', 'shallotmux explain chatcmpl-0123456789abcdef-...')
+)
+@click.argument('subject', required=False)
+@pass_session
+def explain(session: Session, subject: str | None) -> None:
+    """Show the recent decisions on SUBJECT (a response id, endpoint or zone) with their figures."""
+    query = {'subject': subject} if subject else {}
+    answer = session.call(lambda client: client.view('decision', **query))
+    columns = ('time_s', 'kind', 'subject', 'outcome', 'reason', 'figures')
+    session.show(answer, answer['items'], *columns)
+
+
+@click.command(epilog=with_examples('shallotmux watch', 'shallotmux watch --interval 5 --count 3'))
+@click.option('--interval', type=click.FloatRange(0.1), default=2.0, help='Seconds between reads.')
+@click.option('--count', type=click.IntRange(1), help='Reads after which to stop.')
+@pass_session
+def watch(session: Session, interval: float, count: int | None) -> None:
+    """Show the status now and whenever it changes, until interrupted."""
+
+    async def act(client: OperatorClient) -> None:
+        shown: dict[str, Any] = {}
+        reads = 0
+        while True:
+            current = await client.view('status')
+            if current != shown:
+                print_status(session, current)
+            shown = current
+            reads += 1
+            if reads == count:
+                return
+            await trio.sleep(interval)
+
+    session.call(act)
+
+
+def print_status(session: Session, answer: dict[str, Any]) -> None:
+    """Print a status, section by section."""
+    if session.as_json:
+        print_json(answer)
+        return
+    ready = 'ready' if answer['ready'] else 'not ready'
+    click.echo(f'seen from {answer["instance"]}, version {answer["version"]}, {ready}')
+    for section in SECTIONS:
+        click.echo(f'\n{section}')
+        print_rows(answer[section])
--- a/shallotmux/daemon/_instance.py
+++ b/shallotmux/daemon/_instance.py
@@ -12,7 +12,7 @@
 from shallotmux.engines import EngineClient
 from shallotmux.http import HttpClient, HttpcoreClient, Listener, serve_app
 from shallotmux.observability import DecisionLog
-from shallotmux.operators import OperatorApp, OperatorTools
+from shallotmux.operators import LocalStatus, OperatorApp, OperatorTools, Providers
 from shallotmux.requests import RequestExecutor, Tools
 from shallotmux.settings import Settings
 
@@ -33,12 +33,13 @@
         settings: Settings,
         client: HttpClient | None = None,
         authority: Authority | None = None,
+        providers: Providers | None = None,
     ) -> None:
         pepper = settings.secrets.pepper.encode()
         self._settings = settings
         self._shutdown = trio.Event()
         self.authority: Authority = authority or LocalAuthority(settings.instance.name)
-        self.decisions = DecisionLog(settings.instance.name)
+        self.decisions = DecisionLog(settings.instance.name, settings.limits.decision_records)
         executor = RequestExecutor(
             Tools(
                 authority=self.authority,
@@ -48,8 +49,18 @@
             ),
         )
         self.caller_app = CallerApp(CallerTools(self.authority, executor, pepper))
+        self.providers = providers or Providers(
+            LocalStatus(self.authority, settings.instance.name, settings.instance.zone)
+        )
         self.operator_app = OperatorApp(
-            OperatorTools(self.authority, pepper, settings.secrets.operator_token)
+            OperatorTools(
+                self.authority,
+                pepper,
+                settings.secrets.operator_token,
+                self.providers,
+                self.decisions,
+                settings.operators.body_bytes,
+            )
         )
 
     async def run(
--- a/shallotmux/operators/_objects.py
+++ b/shallotmux/operators/_objects.py
@@ -89,7 +89,7 @@
 
 def plain_object(item: ConfigItem) -> dict[str, Any]:
     """Return the fields of an object as JSON types."""
-    plain: dict[str, Any] = msgspec.to_builtins(item)
+    plain: dict[str, Any] = msgspec.json.decode(msgspec.json.encode(item))
     return plain
 
 
