Add logs, metrics, TLS and a draining daemon

Cause: log lines went to standard output without levels or a guard against keys; there were no metrics, no readiness and no TLS; a shutdown closed all listeners at once. Change: a log writer with levels by section that removes keys (plain, Base64, percent-encoded) and prompts; a typed set of Prometheus instruments passed to the parts; an application that measures requests at the border; /metrics, /healthz and /readyz on a listener of their own; certificates that are reloaded when their files change or on SIGHUP; at shutdown readiness fails first, callers are drained, then the other listeners close. Stand-ins can be started as processes.

--- a/shallotmux/callers/_app.py
+++ b/shallotmux/callers/_app.py
@@ -28,6 +28,7 @@
     send_json,
     send_start,
 )
+from shallotmux.observability import label_request
 from shallotmux.requests import CallerRequest, RequestExecutor, RequestRefused, hash_body
 from shallotmux.world import RouteKind
 
@@ -122,6 +123,7 @@
                 f'model {model!r} does not exist', status=404, code='model_not_found', param='model'
             )
         caller = authorize(caller, route)
+        label_request(scope, route.name, caller.customer)
         payload: dict[str, Any] = msgspec.json.decode(body)
         body_hash = hash_body(body)
         signature = sign_response(self._tools.pepper, caller.customer, body_hash)
--- a/shallotmux/daemon/__init__.py
+++ b/shallotmux/daemon/__init__.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from shallotmux.daemon._instance import Addresses, DaemonInstance
+from shallotmux.daemon._instance import DaemonInstance
+from shallotmux.daemon._listeners import Addresses
 from shallotmux.daemon._main import main
 
 __all__ = ('Addresses', 'DaemonInstance', 'main')
--- a/shallotmux/daemon/_instance.py
+++ b/shallotmux/daemon/_instance.py
@@ -2,29 +2,27 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from random import Random
 
 import trio
 
 from shallotmux.authority import Authority, LocalAuthority
 from shallotmux.callers import CallerApp, CallerTools
+from shallotmux.daemon._listeners import Addresses, Applications, Listeners
 from shallotmux.engines import EngineClient
-from shallotmux.http import HttpClient, HttpcoreClient, Listener, serve_app
-from shallotmux.observability import DecisionLog
+from shallotmux.http import HttpClient, HttpcoreClient
+from shallotmux.observability import (
+    DecisionLog,
+    MeteredApp,
+    Metrics,
+    MonitoringApp,
+    Readiness,
+)
 from shallotmux.operators import LocalStatus, OperatorApp, OperatorTools, Providers
 from shallotmux.requests import RequestExecutor, Tools
 from shallotmux.settings import Settings
 
 
-@dataclass(frozen=True, slots=True)
-class Addresses:
-    """Addresses that an instance has bound."""
-
-    callers: str
-    operators: str
-
-
 class DaemonInstance:
     """One entry instance: its applications and the tasks that serve them."""
 
@@ -48,7 +46,11 @@
                 random=Random(settings.instance.name),  # noqa: S311
             ),
         )
-        self.caller_app = CallerApp(CallerTools(self.authority, executor, pepper))
+        self.metrics = Metrics()
+        self.readiness = Readiness({'no contact to the leader': self.authority.is_fresh})
+        self.caller_app = MeteredApp(
+            CallerApp(CallerTools(self.authority, executor, pepper)), self.metrics
+        )
         self.providers = providers or Providers(
             LocalStatus(self.authority, settings.instance.name, settings.instance.zone)
         )
@@ -62,21 +64,32 @@
                 settings.operators.body_bytes,
             )
         )
+        self._listeners = Listeners(
+            settings,
+            Applications(
+                self.caller_app, self.operator_app, MonitoringApp(self.metrics, self.readiness)
+            ),
+        )
 
     async def run(
         self, *, task_status: trio.TaskStatus[Addresses] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until :meth:`shut_down`, then finish the open requests."""
-        listeners = self._settings.listeners
         async with trio.open_nursery() as nursery:
-            callers = await nursery.start(
-                serve_app, self.caller_app, Listener(listeners.callers), self._shutdown.wait
-            )
-            operators = await nursery.start(
-                serve_app, self.operator_app, Listener(listeners.operators), self._shutdown.wait
-            )
-            task_status.started(Addresses(callers, operators))
+            nursery.start_soon(self._drain)
+            await self._listeners.serve(task_status=task_status)
+            nursery.cancel_scope.cancel()
 
     def shut_down(self) -> None:
-        """Stop accepting requests and let :meth:`run` return."""
+        """Fail readiness, then stop accepting requests and let :meth:`run` return."""
+        self.readiness.fail('shutting down')
         self._shutdown.set()
+
+    def reload_certificates(self) -> None:
+        """Serve the present certificate files to new connections."""
+        self._listeners.reload_certificates()
+
+    async def _drain(self) -> None:
+        await self._shutdown.wait()
+        await trio.sleep(self._settings.timeouts.ready_grace_s)
+        self._listeners.stop()
--- a/shallotmux/daemon/_main.py
+++ b/shallotmux/daemon/_main.py
@@ -8,14 +8,21 @@
 
 import click
 import trio
-from eliot import log_message, to_file
+from eliot import log_message
 
+from shallotmux import __version__
 from shallotmux.daemon._instance import DaemonInstance
+from shallotmux.daemon._listeners import read_certificates
 from shallotmux.errors import SettingsError
+from shallotmux.observability import write_logs
 from shallotmux.settings import Settings, load_settings
 
+#: Exit code for wrong settings, as for wrong options.
+EXIT_SETTINGS = 2
+
 
 @click.command()
+@click.version_option(__version__)
 @click.option(
     '--settings',
     'path',
@@ -25,34 +32,59 @@
 )
 @click.option('--check', is_flag=True, help='Validate the settings and stop.')
 def main(path: Path, check: bool) -> None:
-    """Run one entry instance of shallotmux."""
+    """Run one entry instance of shallotmux in the foreground.
+
+    SIGTERM or SIGINT: readiness fails, then no request is accepted, open requests are finished,
+    and the exit code is 0. SIGHUP: certificates are reloaded. Wrong settings: exit code 2.
+    """
     try:
-        settings = load_settings(path)
+        _start(path, check=check)
     except SettingsError as error:
         click.echo(error.message, err=True)
-        sys.exit(2)
+        sys.exit(EXIT_SETTINGS)
+
+
+def _start(path: Path, *, check: bool) -> None:
+    settings = load_settings(path)
     if check:
+        read_certificates(settings)
         click.echo(f'{path}: ok')
         return
-    to_file(sys.stdout)
     trio.run(_run, settings)
 
 
 async def _run(settings: Settings) -> None:
     daemon = DaemonInstance(settings)
+    logging = settings.logging
+    on_redaction = daemon.metrics.log_redactions.inc
+    with write_logs(logging.destination, logging.level, logging.sections, on_redaction):
+        await _serve(settings, daemon)
+
+
+async def _serve(settings: Settings, daemon: DaemonInstance) -> None:
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_watch_signals, daemon)
+        await nursery.start(_watch_signals, daemon)
         addresses = await nursery.start(daemon.run)
         log_message(
-            message_type='shallotmux:started',
+            message_type='shallotmux:daemon:started',
             instance=settings.instance.name,
+            zone=settings.instance.zone,
+            version=__version__,
             callers=addresses.callers,
             operators=addresses.operators,
+            metrics=addresses.metrics,
         )
+    log_message(message_type='shallotmux:daemon:stopped', instance=settings.instance.name)
 
 
-async def _watch_signals(daemon: DaemonInstance) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            daemon.shut_down()
-            return
+async def _watch_signals(
+    daemon: DaemonInstance, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        task_status.started()
+        async for received in signals:
+            if received != signal.SIGHUP:
+                log_message(message_type='shallotmux:daemon:draining', signal=int(received))
+                daemon.shut_down()
+                return
+            daemon.reload_certificates()
--- a/shallotmux/http/__init__.py
+++ b/shallotmux/http/__init__.py
@@ -7,6 +7,7 @@
     JSON_TYPE,
     AsgiApp,
     ErrorBody,
+    Message,
     Receive,
     Scope,
     Send,
@@ -26,17 +27,20 @@
     fetch,
 )
 from shallotmux.http._server import Listener, serve_app
+from shallotmux.http._tls import Certificate
 
 __all__ = (
     'EVENT_STREAM_TYPE',
     'JSON_TYPE',
     'AsgiApp',
+    'Certificate',
     'ErrorBody',
     'HttpClient',
     'HttpRequest',
     'HttpResponse',
     'HttpcoreClient',
     'Listener',
+    'Message',
     'Receive',
     'Scope',
     'Send',
--- a/shallotmux/http/_server.py
+++ b/shallotmux/http/_server.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass
 
 import trio
-from hypercorn.config import Config
 from hypercorn.trio import serve
 
 from shallotmux.http._asgi import AsgiApp, Receive, Scope, Send
+from shallotmux.http._tls import Certificate, ServerConfig
 
-#: Seconds that hypercorn itself waits for open requests; longer than any drain of the daemon.
+#: Default of the longest wait for open requests at shutdown, in seconds.
 GRACEFUL_TIMEOUT_S = 600.0
 KEEP_ALIVE_TIMEOUT_S = 75.0
 MAX_HEADER_BYTES = 32_768
@@ -22,13 +22,17 @@
     """Where and how an application is served.
 
     :param bind: IP address and port; port 0 lets the system choose.
-    :param certificate: path of the certificate chain, or empty for plain HTTP.
-    :param private_key: path of the private key.
+    :param certificate: certificate for TLS, or None for plain HTTP.
+    :param header_bytes: largest head of a request.
+    :param keep_alive_s: idle time after which a connection is closed.
+    :param drain_s: longest wait for open requests after ``shutdown``.
     """
 
     bind: str
-    certificate: str = ''
-    private_key: str = ''
+    certificate: Certificate | None = None
+    header_bytes: int = MAX_HEADER_BYTES
+    keep_alive_s: float = KEEP_ALIVE_TIMEOUT_S
+    drain_s: float = GRACEFUL_TIMEOUT_S
 
 
 async def serve_app(
@@ -42,17 +46,19 @@
 
     :param task_status: is given the address and port that were bound.
     """
-    config = Config()
+    config = ServerConfig()
     config.bind = [listener.bind]
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
-    config.graceful_timeout = GRACEFUL_TIMEOUT_S
-    config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
-    config.h11_max_incomplete_size = MAX_HEADER_BYTES
-    if listener.certificate:
-        config.certfile = listener.certificate
-        config.keyfile = listener.private_key
+    config.graceful_timeout = listener.drain_s
+    config.keep_alive_timeout = listener.keep_alive_s
+    config.h11_max_incomplete_size = listener.header_bytes
+    if listener.certificate is not None:
+        listener.certificate.check()
+        config.source = listener.certificate
+        config.certfile = listener.certificate.chain
+        config.keyfile = listener.certificate.private_key
     async with trio.open_nursery() as nursery:
         bound = await nursery.start(_serve, app, config, shutdown)
         task_status.started(bound[0].split('://')[-1])
@@ -60,7 +66,7 @@
 
 async def _serve(
     app: AsgiApp,
-    config: Config,
+    config: ServerConfig,
     shutdown: Callable[[], Awaitable[None]],
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
--- /dev/null
+++ b/shallotmux/observability/_metering.py
@@ -0,0 +1,106 @@
+"""Measure requests at the border, without a part in their execution."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import trio
+from prometheus_client import Histogram
+
+from shallotmux.http import AsgiApp, Message, Receive, Scope, Send
+from shallotmux.observability._metrics import Metrics
+
+#: Key of the ASGI scope under which the labels of a request are kept.
+LABELS_KEY = 'shallotmux.labels'
+
+#: Label value of requests that were refused before their route was known.
+NONE = 'none'
+
+_OUTCOMES = {200: 'ok', 499: 'disconnected', 502: 'unknown', 503: 'not_run', 504: 'unknown'}
+
+
+@dataclass(slots=True)
+class RequestLabels:
+    """Route and customer of a request, once they are known."""
+
+    route: str = NONE
+    customer: str = NONE
+
+
+def label_request(scope: Scope, route: str, customer: str) -> None:
+    """Note the route and the customer of a request for its metrics.
+
+    :param customer: name of the customer, or empty on routes open to all.
+    """
+    labels = scope.get(LABELS_KEY)
+    if isinstance(labels, RequestLabels):
+        labels.route = route
+        labels.customer = customer or NONE
+
+
+@dataclass(slots=True)
+class StreamMeter:
+    """Measures the parts of one answer.
+
+    :param started_s: time of the request's head on the runtime's clock.
+    """
+
+    metrics: Metrics
+    labels: RequestLabels
+    started_s: float
+    status: int = 0
+    complete: bool = False
+    _last_s: float = 0.0
+    _gaps: Histogram | None = field(default=None, repr=False)
+
+    def observe(self, message: Message) -> None:
+        """Take note of a message that is sent to the caller."""
+        if message['type'] == 'http.response.start':
+            self.status = message['status']
+            return
+        more = message.get('more_body', False)
+        if more and message['body']:
+            self._observe_part(trio.current_time())
+        self.complete = not more
+
+    def outcome(self) -> str:
+        """Return the outcome of the request."""
+        if not self.complete:
+            return 'interrupted' if self.status else 'disconnected'
+        return _OUTCOMES.get(self.status, 'refused')
+
+    def _observe_part(self, now_s: float) -> None:
+        if self._gaps is None:
+            self._gaps = self.metrics.token_gap.labels(self.labels.route)
+            self.metrics.first_token.labels(self.labels.route).observe(now_s - self.started_s)
+        else:
+            self._gaps.observe(now_s - self._last_s)
+        self._last_s = now_s
+
+
+@dataclass(frozen=True, slots=True)
+class MeteredApp:
+    """Wraps the caller application and measures its requests."""
+
+    app: AsgiApp
+    metrics: Metrics
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Handle one ASGI connection."""
+        if scope['type'] != 'http':
+            await self.app(scope, receive, send)
+            return
+        labels = RequestLabels()
+        scope[LABELS_KEY] = labels
+        meter = StreamMeter(self.metrics, labels, trio.current_time())
+
+        async def send_metered(message: Message) -> None:
+            await send(message)
+            meter.observe(message)
+
+        self.metrics.in_flight.inc()
+        try:
+            await self.app(scope, receive, send_metered)
+        finally:
+            self.metrics.in_flight.dec()
+            self.metrics.requests.labels(labels.route, labels.customer, meter.outcome()).inc()
--- /dev/null
+++ b/shallotmux/standins/__main__.py
@@ -0,0 +1,72 @@
+"""Run a stand-in as a process of its own: ``python -m shallotmux.standins engine --name e1``."""
+
+from __future__ import annotations
+
+import signal
+from dataclasses import dataclass
+
+import click
+import trio
+
+from shallotmux.http import AsgiApp, Listener, Receive, Scope, Send, read_body, send_json, serve_app
+from shallotmux.standins import EngineBehaviour, EngineStandin
+
+LOOPBACK = '127.0.0.1:0'
+BODY_LIMIT_BYTES = 16_777_216
+
+
+@dataclass(slots=True)
+class EchoService:
+    """Plain service that answers each call with its number and the size of the body."""
+
+    name: str
+    calls: int = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Handle one ASGI connection."""
+        if scope['type'] != 'http':
+            return
+        body = await read_body(receive, BODY_LIMIT_BYTES)
+        self.calls += 1
+        answer = {'service': self.name, 'call': self.calls, 'bytes': len(body)}
+        await send_json(send, 200, {**answer, 'path': scope['path']})
+
+
+@click.group()
+def main() -> None:
+    """Run stand-ins for outside systems; each prints its address on its first line."""
+
+
+@main.command()
+@click.option(
+    '--bind', default=LOOPBACK, help='IP address and port; port 0 lets the system choose.'
+)
+@click.option('--name', default='engine', help='Name in its messages.')
+@click.option('--token-s', type=click.FloatRange(0), default=0.005, help='Seconds between tokens.')
+def engine(bind: str, name: str, token_s: float) -> None:
+    """Run a stand-in engine."""
+    trio.run(_serve, EngineStandin(name, EngineBehaviour(token_s=token_s)), bind)
+
+
+@main.command()
+@click.option(
+    '--bind', default=LOOPBACK, help='IP address and port; port 0 lets the system choose.'
+)
+@click.option('--name', default='service', help='Name in its answers.')
+def service(bind: str, name: str) -> None:
+    """Run a stand-in plain service."""
+    trio.run(_serve, EchoService(name), bind)
+
+
+async def _serve(app: AsgiApp, bind: str) -> None:
+    stop = trio.Event()
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(serve_app, app, Listener(bind, drain_s=1), stop.wait)
+            click.echo(address)
+            await anext(aiter(signals))
+            stop.set()
+
+
+if __name__ == '__main__':
+    main()
