--- a/shallotmux/cli/_apply.py
+++ b/shallotmux/cli/_apply.py
@@ -12,7 +12,7 @@
 
 from shallotmux.cli._objects import check_kinds
 from shallotmux.cli._session import Session, pass_session, render, with_examples
-from shallotmux.errors import ShallotmuxError
+from shallotmux.errors import SettingsError, ShallotmuxError
 from shallotmux.operators import (
     OBJECT_CLASSES,
     ObjectName,
@@ -50,17 +50,25 @@
         )
 
 
-def read_configuration(path: Path) -> list[tuple[ObjectName, dict[str, Any]]]:
+def read_configuration(path: Path, zone: str) -> list[tuple[ObjectName, dict[str, Any]]]:
     """Return the objects of a configuration file, in the order in which they are applied.
 
+    :param zone: zone whose section under ``zones`` is added to the objects for all zones.
     :raises SettingsError: if the file cannot be read.
     :raises CallerError: naming the object and the field that is wrong.
     """
     plain = read_json(path)
+    if not isinstance(plain, dict):
+        raise SettingsError(f'{path}: a JSON object is expected')
+    zones = plain.pop('zones', {})
     check_kinds(plain, str(path))
-    places = [ObjectName(kind, name) for kind in OBJECT_CLASSES for name in plain.get(kind, {})]
+    for zone_name, section in zones.items():
+        check_kinds(section, f'{path}: zones.{zone_name}')
+    own = zones.get(zone, {})
+    merged = {each: {**plain.get(each, {}), **own.get(each, {})} for each in OBJECT_CLASSES}
+    places = [ObjectName(kind, name) for kind, named in merged.items() for name in named]
     return [
-        (place, plain_object(build_object(place, plain[place.kind][place.name])))
+        (place, plain_object(build_object(place, merged[place.kind][place.name])))
         for place in places
     ]
 
@@ -101,6 +109,9 @@
 def apply(session: Session, file: Path, dry_run: bool) -> None:
     """Create and replace the objects in FILE; objects that it does not name are left alone.
 
+    FILE holds objects by kind and name, and under "zones" further objects of single zones; those
+    of the zone of the instance are applied.
+
     Shows the differences to the configuration in force before it sends. Stops at the first change
     that fails; the file can be applied again.
     """
@@ -108,7 +119,8 @@
     planned: list[Change] = []
 
     async def act(client: OperatorClient) -> None:
-        planned.extend(await plan_changes(client, read_configuration(file)))
+        zone = (await client.view('status'))['zone']
+        planned.extend(await plan_changes(client, read_configuration(file, zone)))
         if not session.as_json:
             _print_diff(planned)
         if not dry_run:
--- a/shallotmux/cli/_views.py
+++ b/shallotmux/cli/_views.py
@@ -74,7 +74,9 @@
         print_json(answer)
         return
     ready = 'ready' if answer['ready'] else 'not ready'
-    click.echo(f'seen from {answer["instance"]}, version {answer["version"]}, {ready}')
+    click.echo(
+        f'seen from {answer["instance"]} in {answer["zone"]}, version {answer["version"]}, {ready}'
+    )
     for section in SECTIONS:
         click.echo(f'\n{section}')
         print_rows(answer[section])
--- a/shallotmux/operators/_providers.py
+++ b/shallotmux/operators/_providers.py
@@ -66,9 +66,13 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetStatus:
-    """The state of the fleet as one instance sees it."""
+    """The state of the fleet as one instance sees it.
+
+    :param zone: zone of the instance that answers.
+    """
 
     instance: str
+    zone: str
     version: str
     ready: bool
     zones: tuple[ZoneStatus, ...]
@@ -160,6 +164,7 @@
         pools = [each.item for _, each in kept if isinstance(each.item, EndpointPool)]
         return FleetStatus(
             instance=self.instance,
+            zone=self.zone,
             version=__version__,
             ready=fresh,
             zones=(
--- /dev/null
+++ b/shallotmux/settings/__main__.py
@@ -0,0 +1,9 @@
+"""Print the configuration reference with ``python -m shallotmux.settings``."""
+
+from __future__ import annotations
+
+import sys
+
+from shallotmux.settings._reference import write_reference
+
+sys.stdout.write(write_reference())
