--- a/Makefile
+++ b/Makefile
@@ -35,5 +35,8 @@
 	$(BIN)/flake8 shallotmux tests
 	$(BIN)/mypy
 
+bench: env
+	$(BIN)/python -m shallotmux.bench $(ARGS)
+
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache
--- /dev/null
+++ b/shallotmux/bench/_load.py
@@ -0,0 +1,89 @@
+"""Load of the benchmark: streamed calls over plain sockets, to cost little itself."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from time import perf_counter
+
+import msgspec
+import trio
+
+RECEIVE_BYTES = 65_536
+EVENT_MARK = b'\nid: '
+END_MARK = b'data: [DONE]'
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Where calls are sent and what they hold.
+
+    :param build: returns path, body and headers of a call with so many tokens.
+    """
+
+    address: str
+    build: Callable[[int], bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class CallResult:
+    """One finished call.
+
+    :param first_byte_s: seconds from sending the call to the first event.
+    :param events: token events received.
+    """
+
+    first_byte_s: float
+    events: int
+
+
+def build_http(address: str, path: str, content: object, headers: dict[str, str]) -> bytes:
+    """Return the bytes of a POST request that closes its connection."""
+    body = msgspec.json.encode(content)
+    lines = [
+        f'POST {path} HTTP/1.1',
+        f'host: {address}',
+        f'content-length: {len(body)}',
+        'connection: close',
+        *(f'{name}: {text}' for name, text in headers.items()),
+    ]
+    return '\r\n'.join((*lines, '', '')).encode() + body
+
+
+async def send_call(target: Target, tokens: int) -> CallResult:
+    """Send one call and read its whole stream.
+
+    :raises RuntimeError: if the stream is not complete.
+    """
+    host, _, port = target.address.rpartition(':')
+    payload = target.build(tokens)
+    stream = await trio.open_tcp_stream(host, int(port))
+    async with stream:
+        started = perf_counter()
+        await stream.send_all(payload)
+        received = bytearray()
+        first_byte_s = 0.0
+        while True:
+            part = await stream.receive_some(RECEIVE_BYTES)
+            if not part:
+                break
+            received += part
+            if not first_byte_s and b'data: ' in received:
+                first_byte_s = perf_counter() - started
+    events = received.count(EVENT_MARK)
+    if END_MARK not in received or events != tokens:
+        raise RuntimeError(f'{events} of {tokens} tokens; answer began {bytes(received[:200])!r}')
+    return CallResult(first_byte_s, events)
+
+
+async def send_many(target: Target, streams: int, tokens: int) -> int:
+    """Run concurrent streams and return the number of tokens received."""
+    events: list[int] = []
+
+    async def run_one() -> None:
+        events.append((await send_call(target, tokens)).events)
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(streams):
+            nursery.start_soon(run_one)
+    return sum(events)
