Read streamed answers of engines with a client of our own

Cause: the general HTTP client took a third of the CPU per relayed token: two cancel scopes, a generic parser and several coroutines for each part. Change: RelayClient uses h11 for heads and plain bodies and decodes chunked bodies itself; one task enforces the read timeout for all connections; idle connections are checked before reuse.

--- a/shallotmux/daemon/_instance.py
+++ b/shallotmux/daemon/_instance.py
@@ -10,7 +10,7 @@
 from shallotmux.callers import CallerApp, CallerTools
 from shallotmux.daemon._listeners import Addresses, Applications, Listeners
 from shallotmux.engines import EngineClient
-from shallotmux.http import HttpClient, HttpcoreClient
+from shallotmux.http import HttpClient, RelayClient
 from shallotmux.observability import (
     DecisionLog,
     MeteredApp,
@@ -36,12 +36,13 @@
         pepper = settings.secrets.pepper.encode()
         self._settings = settings
         self._shutdown = trio.Event()
+        self._relay = RelayClient()
         self.authority: Authority = authority or LocalAuthority(settings.instance.name)
         self.decisions = DecisionLog(settings.instance.name, settings.limits.decision_records)
         executor = RequestExecutor(
             Tools(
                 authority=self.authority,
-                engines=EngineClient(client or HttpcoreClient()),
+                engines=EngineClient(client or self._relay),
                 decisions=self.decisions,
                 random=Random(settings.instance.name),  # noqa: S311
             ),
@@ -77,8 +78,10 @@
         """Serve until :meth:`shut_down`, then finish the open requests."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._drain)
+            nursery.start_soon(self._relay.run)
             await self._listeners.serve(task_status=task_status)
             nursery.cancel_scope.cancel()
+        await self._relay.close()
 
     def shut_down(self) -> None:
         """Fail readiness, then stop accepting requests and let :meth:`run` return."""
--- a/shallotmux/http/__init__.py
+++ b/shallotmux/http/__init__.py
@@ -26,6 +26,7 @@
     HttpResponse,
     fetch,
 )
+from shallotmux.http._relay_client import RelayClient
 from shallotmux.http._server import Listener, serve_app
 from shallotmux.http._tls import Certificate
 
@@ -42,6 +43,7 @@
     'Listener',
     'Message',
     'Receive',
+    'RelayClient',
     'Scope',
     'Send',
     'fetch',
