--- a/tests/http/test_relay_client.py
+++ b/tests/http/test_relay_client.py
@@ -24,12 +24,12 @@
 @given(st.lists(st.binary(min_size=1, max_size=40), max_size=6), st.lists(st.integers(1, 25)))
 def test_decoder_is_independent_of_reads(parts: list[bytes], cuts: list[int]) -> None:
     """Guards against bytes lost or added when a chunk is split over reads."""
-    whole = (
-        b''.join(b'%x;x=1\r\n%b\r\n' % (len(part), part) for part in parts) + b'0\r\nt: u\r\n\r\n'
-    )
+    framed = [b'%x;x=1\r\n%b\r\n' % (len(part), part) for part in parts]
+    whole = b''.join((*framed, b'0\r\nt: u\r\n\r\n'))
     decoder = ChunkedDecoder()
     decoded = b''
-    for size in [*cuts, len(whole)]:
+    cuts.append(len(whole))
+    for size in cuts:
         decoded += decoder.feed(whole[:size])
         whole = whole[size:]
     assert decoder.done
@@ -47,7 +47,7 @@
 
 
 @pytest.mark.parametrize(
-    'broken', [b'xyz\r\n', b'+3\r\nabc\r\n', b'3\r\nabcde', b'9' * 9 + b'\r\n', b'1' * 20_000]
+    'broken', [b'xyz\r\n', b'+3\r\nabc\r\n', b'3\r\nabcde', b'999999999\r\n', b'1' * 20_000]
 )
 def test_decoder_rejects_broken_coding(broken: bytes) -> None:
     """Guards against a broken or unbounded coding that is taken for content."""
@@ -71,7 +71,7 @@
         opened.append(0)
         for _ in range(2):
             await stream.receive_some()
-            await stream.send_all(HEAD + b'2\r\nab\r\n')
+            await stream.send_all(b'%b2\r\nab\r\n' % HEAD)
             await stream.send_all(b'0\r\n\r\n')
         await stream.aclose()
 
@@ -85,7 +85,7 @@
     await client.close()
 
 
-@pytest.mark.parametrize('answer', [b'', b'no http\r\n\r\n', HEAD, HEAD + b'5\r\nab'])
+@pytest.mark.parametrize('answer', [b'', b'no http\r\n\r\n', HEAD, b'%b5\r\nab' % HEAD])
 async def test_broken_answer_is_an_error(nursery: trio.Nursery, answer: bytes) -> None:
     """Guards against a truncated answer that is taken for a whole one."""
 
