--- a/shallotmux/authority/__init__.py
+++ b/shallotmux/authority/__init__.py
@@ -30,6 +30,7 @@
 )
 from shallotmux.authority._inventory import ListedEndpoint, ObserveEndpoints
 from shallotmux.authority._keys import (
+    SECRET_PREFIX,
     CreateKey,
     WithdrawKey,
     create_secret,
@@ -71,6 +72,7 @@
 )
 
 __all__ = (
+    'SECRET_PREFIX',
     'AbandonJob',
     'Applied',
     'Attempt',
