Bound the job ledger and add the quarantine of poison requests

Cause: claims of dead senders stayed running for ever, the ledger grew without bound, and nothing recorded which requests crash engines. Change: claims carry a deadline and a retention time; AbandonJob is accepted from anybody after the deadline and AbandonClaims settles former incarnations; answers beyond 16 MiB are reduced to their digests. Authority gains wait_changed. Conclusion: all state changes are commands, so replicas stay equal.

--- a/shallotmux/authority/__init__.py
+++ b/shallotmux/authority/__init__.py
@@ -16,6 +16,7 @@
     digest_secret,
 )
 from shallotmux.authority._ledger import (
+    AbandonClaims,
     AbandonJob,
     ClaimFinished,
     ClaimGranted,
@@ -28,8 +29,17 @@
     JobId,
     ReleaseJob,
     StoredAnswer,
+    shorten_answer,
 )
 from shallotmux.authority._local import Authority, Leadership, LocalAuthority
+from shallotmux.authority._quarantine import (
+    EndTrial,
+    LiftQuarantine,
+    QuarantineState,
+    RecordCrash,
+    StartTrial,
+    Suspicion,
+)
 from shallotmux.authority._results import Applied, Conflict, Refused
 from shallotmux.authority._state import (
     Command,
@@ -42,6 +52,7 @@
 )
 
 __all__ = (
+    'AbandonClaims',
     'AbandonJob',
     'Applied',
     'Authority',
@@ -56,16 +67,22 @@
     'Conflict',
     'CreateKey',
     'DeleteObject',
+    'EndTrial',
     'FinishJob',
     'Job',
     'JobId',
     'Leadership',
+    'LiftQuarantine',
     'LocalAuthority',
     'PutObject',
+    'QuarantineState',
+    'RecordCrash',
     'Refused',
     'ReleaseJob',
     'Result',
+    'StartTrial',
     'StoredAnswer',
+    'Suspicion',
     'Versioned',
     'WithdrawKey',
     'ZoneState',
@@ -76,4 +93,5 @@
     'encode_command',
     'encode_result',
     'object_kind',
+    'shorten_answer',
 )
--- a/shallotmux/authority/_ledger.py
+++ b/shallotmux/authority/_ledger.py
@@ -2,11 +2,22 @@
 
 from __future__ import annotations
 
+import hashlib
+import math
 from dataclasses import dataclass, field, replace
 
 from shallotmux.authority._codec import registry
 from shallotmux.authority._results import Applied, Refused
 
+#: Seconds for which a job is remembered unless the claim says otherwise.
+RETENTION_S = 86_400.0
+
+#: Jobs that the ledger holds. A full ledger refuses claims, since a forgotten job could run again.
+MAX_JOBS = 100_000
+
+#: Bytes of answers that the ledger holds; beyond, the oldest answers are reduced to their digests.
+MAX_ANSWER_BYTES = 16_777_216
+
 
 @dataclass(frozen=True, slots=True)
 class JobId:
@@ -19,11 +30,23 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredAnswer:
-    """The answer of a finished job, returned to every repeat."""
+    """The answer of a finished job, returned to every repeat.
+
+    :param digest: SHA-256 of the body when the body is not kept, otherwise empty.
+    """
 
     status: int
     content_type: str
     body: bytes
+    digest: str = ''
+
+
+def shorten_answer(answer: StoredAnswer) -> StoredAnswer:
+    """Return an answer that keeps the digest in place of the body."""
+    if answer.digest:
+        return answer
+    digest = hashlib.sha256(answer.body).hexdigest()
+    return replace(answer, body=b'', digest=digest)
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +54,11 @@
     """Claims a job before its only dispatch.
 
     :param claimant: instance and request that will dispatch the job.
+    The claimant has the form ``instance/incarnation/request``.
+
     :param time_s: wall-clock time of the claim, in seconds.
+    :param deadline_s: wall-clock time after which anybody may abandon the claim.
+    :param retention_s: seconds for which the job is remembered after its claim.
     """
 
     operation_id: str
@@ -39,6 +66,8 @@
     body_hash: str
     claimant: str
     time_s: float
+    deadline_s: float = math.inf
+    retention_s: float = RETENTION_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,11 +91,24 @@
 
 @dataclass(frozen=True, slots=True)
 class AbandonJob:
-    """Marks a job as unknown: it may have run, and is never dispatched again."""
+    """Marks a job as unknown: it may have run, and is never dispatched again.
+
+    :param time_s: wall-clock time; from the deadline of the claim on, anybody may abandon it.
+    """
 
     operation_id: str
     job: JobId
     claimant: str
+    time_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class AbandonClaims:
+    """Marks the running jobs of earlier incarnations of an instance as unknown."""
+
+    operation_id: str
+    instance: str
+    incarnation: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,9 +120,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimRunning:
-    """Another claimant is running the job."""
+    """Another claimant is running the job, at the latest until its deadline."""
 
     claimant: str
+    deadline_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,28 +153,38 @@
     time_s: float
     answer: StoredAnswer | None = None
     unknown: bool = False
+    deadline_s: float = math.inf
+    retention_s: float = RETENTION_S
 
 
-LedgerCommand = ClaimJob | FinishJob | ReleaseJob | AbandonJob
+LedgerCommand = ClaimJob | FinishJob | ReleaseJob | AbandonJob | AbandonClaims
 LedgerResult = (
     ClaimGranted | ClaimRunning | ClaimFinished | ClaimUnknown | ClaimMismatch | Applied | Refused
 )
 
 registry.register(JobId, StoredAnswer, ClaimJob, FinishJob, ReleaseJob, AbandonJob, Job)
+registry.register(AbandonClaims)
 registry.register(ClaimGranted, ClaimRunning, ClaimFinished, ClaimUnknown, ClaimMismatch)
 
 
 @dataclass(slots=True)
 class JobLedger:
-    """Jobs by identity, in the order of their claims."""
+    """Jobs by identity, in the order of their claims.
+
+    :param answer_bytes: size of the answers that are held in full.
+    """
 
     jobs: dict[JobId, Job] = field(default_factory=dict)
+    answer_bytes: int = 0
 
     def apply(self, command: LedgerCommand, revision: int) -> LedgerResult:
         """Claim a job, or settle a claim that its claimant holds."""
         match command:
             case ClaimJob():
+                self._evict(command.time_s)
                 return self._claim(command)
+            case AbandonClaims():
+                return self._abandon_incarnations(command, revision)
             case _:
                 return self._settle(command, revision)
 
@@ -144,31 +197,90 @@
         for each in dumped:
             job: Job = registry.decode(each)
             self.jobs[job.job] = job
+            self.answer_bytes += _answer_size(job)
 
     def _claim(self, command: ClaimJob) -> LedgerResult:
         job = self.jobs.get(command.job)
         if job is None:
-            self.jobs[command.job] = Job(
-                command.job, command.body_hash, command.claimant, command.time_s
-            )
-            return ClaimGranted(command.claimant)
+            return self._grant(command)
         if job.body_hash != command.body_hash:
             return ClaimMismatch()
         if job.answer is not None:
             return ClaimFinished(job.answer)
-        return ClaimUnknown() if job.unknown else ClaimRunning(job.claimant)
+        return ClaimUnknown() if job.unknown else ClaimRunning(job.claimant, job.deadline_s)
+
+    def _grant(self, command: ClaimJob) -> ClaimGranted | Refused:
+        if len(self.jobs) >= MAX_JOBS:
+            return Refused('the job ledger is full')
+        self.jobs[command.job] = Job(
+            command.job,
+            command.body_hash,
+            command.claimant,
+            command.time_s,
+            deadline_s=command.deadline_s,
+            retention_s=command.retention_s,
+        )
+        return ClaimGranted(command.claimant)
 
     def _settle(
         self, command: FinishJob | ReleaseJob | AbandonJob, revision: int
     ) -> Applied | Refused:
         job = self.jobs.get(command.job)
-        if job is None or job.claimant != command.claimant:
+        if job is None or not _may_settle(job, command):
             return Refused(f'{command.claimant!r} does not hold the claim')
         match command:
             case FinishJob(answer=answer):
-                self.jobs[command.job] = replace(job, answer=answer, unknown=False)
+                self._keep(replace(job, answer=answer, unknown=False))
+            case ReleaseJob() if job.answer is not None or job.unknown:
+                return Refused('the job is settled already')
             case ReleaseJob():
                 self.jobs.pop(command.job)
-            case AbandonJob():
-                self.jobs[command.job] = replace(job, unknown=True)
+            case AbandonJob() if job.answer is None:
+                self._keep(replace(job, unknown=True))
+        return Applied(revision)
+
+    def _keep(self, job: Job) -> None:
+        self.answer_bytes += _answer_size(job) - _answer_size(self.jobs[job.job])
+        self.jobs[job.job] = job
+        if self.answer_bytes > MAX_ANSWER_BYTES:
+            self._shorten_answers()
+
+    def _shorten_answers(self) -> None:
+        for job in list(self.jobs.values()):
+            if self.answer_bytes <= MAX_ANSWER_BYTES:
+                return
+            if job.answer is not None and job.answer.body:
+                self.answer_bytes -= _answer_size(job)
+                self.jobs[job.job] = replace(job, answer=shorten_answer(job.answer))
+
+    def _abandon_incarnations(self, command: AbandonClaims, revision: int) -> Applied:
+        for job in list(self.jobs.values()):
+            instance, _, rest = job.claimant.partition('/')
+            former = instance == command.instance and rest.split('/')[0] != command.incarnation
+            if former and job.answer is None:
+                self.jobs[job.job] = replace(job, unknown=True)
         return Applied(revision)
+
+    def _evict(self, time_s: float) -> None:
+        """Forget the oldest jobs whose retention has passed.
+
+        Jobs are held in the order of their claims, so the scan ends at the first one to keep.
+        """
+        expired = []
+        for job in self.jobs.values():
+            if job.time_s + job.retention_s > time_s:
+                break
+            expired.append(job)
+        for job in expired:
+            self.answer_bytes -= _answer_size(job)
+            self.jobs.pop(job.job)
+
+
+def _answer_size(job: Job) -> int:
+    return 0 if job.answer is None else len(job.answer.body)
+
+
+def _may_settle(job: Job, command: FinishJob | ReleaseJob | AbandonJob) -> bool:
+    if job.claimant == command.claimant:
+        return True
+    return isinstance(command, AbandonJob) and command.time_s >= job.deadline_s
--- a/shallotmux/authority/_local.py
+++ b/shallotmux/authority/_local.py
@@ -5,7 +5,10 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+import trio
+
 from shallotmux.authority._state import Command, Result, ZoneState
+from shallotmux.errors import AuthorityUnavailable
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +44,9 @@
     def leadership(self) -> Leadership:
         """Return who leads the group as far as this instance knows."""
 
+    async def wait_changed(self, revision: int) -> None:
+        """Return when the revision of the local replica is beyond the given one."""
+
 
 class LocalAuthority:
     """Applies commands in memory, for a single instance and for tests."""
@@ -48,12 +54,26 @@
     def __init__(self, name: str = 'local') -> None:
         self._name = name
         self._state = ZoneState()
+        self._changed = trio.Event()
         #: Whether the replica counts as confirmed; tests set it to False.
         self.fresh = True
+        #: Whether commands are committed; tests set it to False.
+        self.available = True
 
     async def submit(self, command: Command) -> Result:
-        """Apply a command at once."""
-        return self._state.apply(command)
+        """Apply a command at once.
+
+        :raises AuthorityUnavailable: if tests have taken the authority away.
+        """
+        await trio.lowlevel.checkpoint()
+        if not self.available:
+            raise AuthorityUnavailable('no leader', step='submit')
+        revision = self._state.revision
+        result = self._state.apply(command)
+        if self._state.revision > revision:
+            self._changed.set()
+            self._changed = trio.Event()
+        return result
 
     def read(self) -> ZoneState:
         """Return the state."""
@@ -66,3 +86,8 @@
     def leadership(self) -> Leadership:
         """Return this instance as the permanent leader."""
         return Leadership(self._name, 1, float('inf'), is_leader=True)
+
+    async def wait_changed(self, revision: int) -> None:
+        """Return when the revision of the state is beyond the given one."""
+        while self._state.revision <= revision:
+            await self._changed.wait()
--- a/shallotmux/authority/_state.py
+++ b/shallotmux/authority/_state.py
@@ -16,6 +16,7 @@
 )
 from shallotmux.authority._keys import CreateKey, KeyState, WithdrawKey
 from shallotmux.authority._ledger import (
+    AbandonClaims,
     AbandonJob,
     ClaimJob,
     FinishJob,
@@ -24,10 +25,18 @@
     LedgerResult,
     ReleaseJob,
 )
+from shallotmux.authority._quarantine import (
+    EndTrial,
+    LiftQuarantine,
+    QuarantineCommand,
+    QuarantineState,
+    RecordCrash,
+    StartTrial,
+)
 from shallotmux.authority._results import Applied, Conflict, Refused
 from shallotmux.world import Customer, CustomerKey, EndpointPool, Route
 
-Command = PutObject | DeleteObject | CreateKey | WithdrawKey | LedgerCommand
+Command = PutObject | DeleteObject | CreateKey | WithdrawKey | LedgerCommand | QuarantineCommand
 Result = Applied | Conflict | Refused | LedgerResult
 
 registry.register(Applied, Conflict, Refused)
@@ -68,6 +77,7 @@
     configuration: ConfigurationState = field(default_factory=ConfigurationState)
     keys: KeyState = field(default_factory=KeyState)
     ledger: JobLedger = field(default_factory=JobLedger)
+    quarantine: QuarantineState = field(default_factory=QuarantineState)
     results: OrderedDict[str, Result] = field(default_factory=OrderedDict)
 
     def apply(self, command: Command) -> Result:
@@ -137,6 +147,7 @@
             'configuration': self.configuration,
             'keys': self.keys,
             'ledger': self.ledger,
+            'quarantine': self.quarantine,
         }
 
     def _dispatch(self, command: Command, revision: int) -> Result:
@@ -147,5 +158,7 @@
                 return Refused(f'customer {key.customer!r} does not exist')
             case CreateKey() | WithdrawKey():
                 return self.keys.apply(command, revision)
-            case ClaimJob() | FinishJob() | ReleaseJob() | AbandonJob():
+            case ClaimJob() | FinishJob() | ReleaseJob() | AbandonJob() | AbandonClaims():
                 return self.ledger.apply(command, revision)
+            case RecordCrash() | StartTrial() | EndTrial() | LiftQuarantine():
+                return self.quarantine.apply(command, revision)
--- /dev/null
+++ b/tests/authority/test_ledger.py
@@ -0,0 +1,107 @@
+"""Tests of the ledger of non-repeatable jobs."""
+
+from __future__ import annotations
+
+import pytest
+
+from shallotmux.authority import (
+    AbandonClaims,
+    AbandonJob,
+    Applied,
+    ClaimFinished,
+    ClaimGranted,
+    ClaimJob,
+    ClaimRunning,
+    ClaimUnknown,
+    FinishJob,
+    JobId,
+    Refused,
+    ReleaseJob,
+    StoredAnswer,
+    ZoneState,
+    _ledger,
+)
+
+JOB = JobId('tailors', 'orders', 'order-1')
+CLAIMANT = 'entry-1/a/r1'
+ANSWER = StoredAnswer(200, 'text/plain', b'booked')
+
+
+def claim(number: int, *, job: JobId = JOB, time_s: float = 0) -> ClaimJob:
+    """Return a claim with a deadline of 60 s and a retention of 100 s."""
+    return ClaimJob(f'claim-{number}', job, 'hash', CLAIMANT, time_s, 60.0, 100.0)
+
+
+def test_claim_past_deadline_is_abandoned_by_anybody() -> None:
+    """Guards against a job that stays running for ever after its sender died."""
+    state = ZoneState()
+    state.apply(claim(1))
+    assert isinstance(state.apply(AbandonJob('a', JOB, 'entry-2/b/r2', 59.0)), Refused)
+    assert state.apply(claim(2, time_s=59)) == ClaimRunning(CLAIMANT, 60.0)
+    assert isinstance(state.apply(AbandonJob('b', JOB, 'entry-2/b/r2', 60.0)), Applied)
+    assert state.apply(claim(3, time_s=61)) == ClaimUnknown()
+
+
+def test_restart_abandons_claims_of_former_incarnation() -> None:
+    """Guards against a restarted instance whose lost jobs look as if they were running."""
+    state = ZoneState()
+    state.apply(claim(1))
+    state.apply(AbandonClaims('a', 'entry-1', 'a'))
+    assert state.apply(claim(2)) == ClaimRunning(CLAIMANT, 60.0)
+    state.apply(AbandonClaims('b', 'entry-1', 'b'))
+    assert state.apply(claim(3)) == ClaimUnknown()
+
+
+def test_unknown_job_is_not_released() -> None:
+    """Guards against a second run after a late release of a job that may have run."""
+    state = ZoneState()
+    state.apply(claim(1))
+    state.apply(AbandonJob('a', JOB, CLAIMANT))
+    assert isinstance(state.apply(ReleaseJob('r', JOB, CLAIMANT)), Refused)
+    assert state.apply(claim(2)) == ClaimUnknown()
+
+
+def test_late_answer_settles_unknown_job() -> None:
+    """Guards against withholding an answer that arrived after the claim was abandoned."""
+    state = ZoneState()
+    state.apply(claim(1))
+    state.apply(AbandonJob('a', JOB, 'entry-2/b/r2', 60.0))
+    state.apply(FinishJob('f', JOB, CLAIMANT, ANSWER))
+    assert state.apply(claim(2)) == ClaimFinished(ANSWER)
+
+
+def test_retention_evicts_oldest_only() -> None:
+    """Guards against a ledger that grows for ever, and one that forgets before its time."""
+    state = ZoneState()
+    later = JobId('tailors', 'orders', 'order-2')
+    state.apply(claim(1))
+    state.apply(claim(2, job=later, time_s=50))
+    state.apply(claim(3, job=JobId('tailors', 'orders', 'order-3'), time_s=100))
+    assert list(state.ledger.jobs)[0] == later
+    assert state.apply(claim(4, time_s=101)) == ClaimGranted(CLAIMANT)
+
+
+def test_full_ledger_refuses_claims(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against forgetting a job that may still be repeated in order to make room."""
+    monkeypatch.setattr(_ledger, 'MAX_JOBS', 1)
+    state = ZoneState()
+    state.apply(claim(1))
+    refused = state.apply(claim(2, job=JobId('tailors', 'orders', 'order-2'), time_s=1))
+    assert isinstance(refused, Refused)
+    assert JOB in state.ledger.jobs
+
+
+def test_answers_over_size_bound_are_shortened(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against unbounded memory for answers, and against a job forgotten with its answer."""
+    monkeypatch.setattr(_ledger, 'MAX_ANSWER_BYTES', 8)
+    state = ZoneState()
+    second = JobId('tailors', 'orders', 'order-2')
+    for number, job in enumerate((JOB, second)):
+        state.apply(claim(number, job=job))
+        state.apply(FinishJob(f'f{number}', job, CLAIMANT, ANSWER))
+    first = state.apply(claim(8))
+    assert isinstance(first, ClaimFinished)
+    assert first.answer.body == b''
+    assert first.answer.digest
+    assert state.apply(claim(9, job=second)) == ClaimFinished(ANSWER)
+    assert ZoneState.restore(state.snapshot()).ledger.answer_bytes == state.ledger.answer_bytes
