Rework the request path around attempts, admission and the job ledger

Cause: a request had one attempt; a broken stream, a full engine or a dead sender left the caller without its answer or without the truth about it. Change: pure lifecycle with one judgement of not run, unknown and done; events are cut and checked without decoding; streams resume on another engine; retry budget, breakers, late binding with early refusal; jobs under claims; suspects run alone; drain; load poller; stand-ins with faults.

--- a/shallotmux/engines/__init__.py
+++ b/shallotmux/engines/__init__.py
@@ -3,5 +3,23 @@
 from __future__ import annotations
 
 from shallotmux.engines._client import EngineClient, EngineRun, LoadReport
+from shallotmux.engines._load import KnownLoad, LoadPoller, LoadTable
+from shallotmux.engines._service import (
+    CALL_HEADER,
+    ServiceCall,
+    ServiceClient,
+    ServiceResult,
+)
 
-__all__ = ('EngineClient', 'EngineRun', 'LoadReport')
+__all__ = (
+    'CALL_HEADER',
+    'EngineClient',
+    'EngineRun',
+    'KnownLoad',
+    'LoadPoller',
+    'LoadReport',
+    'LoadTable',
+    'ServiceCall',
+    'ServiceClient',
+    'ServiceResult',
+)
--- a/shallotmux/engines/_client.py
+++ b/shallotmux/engines/_client.py
@@ -27,6 +27,8 @@
     :param response_id: identifies the response across attempts.
     :param payload: request body of the caller, decoded.
     :param offset: tokens already delivered; the engine resumes after them.
+    :param priority: engines prefer higher ones.
+    :param deadline_s: seconds that are left for the answer.
     :param chat: whether chunks have the chat form rather than the completion form.
     """
 
@@ -36,6 +38,7 @@
     offset: int = 0
     priority: int = 0
     chat: bool = True
+    deadline_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +84,7 @@
                 'offset': run.offset,
                 'priority': run.priority,
                 'chat': run.chat,
+                'deadline_s': run.deadline_s,
             },
         )
         request = HttpRequest('POST', endpoint.address, '/run', body, _JSON_HEADERS)
--- a/shallotmux/requests/__init__.py
+++ b/shallotmux/requests/__init__.py
@@ -2,20 +2,34 @@
 
 from __future__ import annotations
 
-from shallotmux.requests._executor import RequestExecutor, RequestRefused, Tools
+from shallotmux.requests._executor import CallerStalled, Drained, RequestExecutor
+from shallotmux.requests._lifecycle import Lifecycle, Outcome, RequestState, advance, judge
+from shallotmux.requests._outbox import Outbox
+from shallotmux.requests._parts import Tools
 from shallotmux.requests._request import (
-    NOT_RUN_STATES,
     CallerRequest,
-    RequestState,
+    RequestRefused,
+    ServiceAnswer,
+    ServiceRequest,
     hash_body,
 )
+from shallotmux.requests._settings import RequestSettings
 
 __all__ = (
-    'NOT_RUN_STATES',
     'CallerRequest',
+    'CallerStalled',
+    'Drained',
+    'Lifecycle',
+    'Outbox',
+    'Outcome',
     'RequestExecutor',
     'RequestRefused',
+    'RequestSettings',
     'RequestState',
+    'ServiceAnswer',
+    'ServiceRequest',
     'Tools',
+    'advance',
     'hash_body',
+    'judge',
 )
--- /dev/null
+++ b/shallotmux/requests/_admission.py
@@ -0,0 +1,321 @@
+"""Admission of requests, and their late binding to endpoints.
+
+Requests wait here rather than in an engine, so that the choice of the endpoint rests on the newest
+figures and a request that cannot be served in time is refused before it costs anything.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import trio
+
+from shallotmux.authority import Authority
+from shallotmux.decisions import EndpointView, RoutingDecision, route_request
+from shallotmux.engines import LoadTable
+from shallotmux.requests._lifecycle import Lifecycle
+from shallotmux.requests._request import RequestRefused, refuse
+from shallotmux.requests._retries import SMOOTHING, Breakers
+from shallotmux.requests._settings import RequestSettings
+from shallotmux.world import Customer, Endpoint, EndpointKind, EndpointPool, Route
+
+#: Endpoints looked at for one request. A full pool of 1,200 would cost more than the decision may.
+CANDIDATES = 32
+
+#: Seconds for which the set of excluded endpoints of a pool is reused.
+EXCLUSION_AGE_S = 0.1
+
+#: Seconds after which a refused caller may try again when nothing better is known.
+RETRY_AFTER_S = 1.0
+
+
+@dataclass(eq=False, slots=True)
+class Ticket:
+    """A request that waits for an endpoint.
+
+    :param started: whether the request has run before, so that it is never refused for load.
+    :param exclusive: whether it needs an engine without other requests of this instance.
+    :param avoid: endpoints that failed this request.
+    :param deadline_s: time on the runtime's clock at which waiting ends.
+    """
+
+    subject: str
+    customer: str
+    route: Route
+    deadline_s: float
+    priority: int = 0
+    started: bool = False
+    exclusive: bool = False
+    repeatable: bool = True
+    prompt_tokens: int = 0
+    avoid: frozenset[str] = frozenset()
+    endpoint: Endpoint | None = None
+    bound: trio.Event = field(default_factory=trio.Event)
+    bound_s: float = 0.0
+
+
+@dataclass(slots=True)
+class PoolFigures:
+    """Moving averages of a pool: time on an endpoint and time to the first token, in seconds."""
+
+    busy_s: float = 0.0
+    first_token_s: float = 0.0
+
+
+def predict_first_token(
+    waiting: int, slots: int, figures: PoolFigures, prefill_s: float, *, has_room: bool
+) -> float:
+    """Return the expected time to the first token in seconds.
+
+    :param waiting: requests that wait ahead of this one.
+    :param slots: streams that the pool runs at a time.
+    :param prefill_s: time for the prompt on an idle engine.
+    """
+    first_token_s = max(figures.first_token_s, prefill_s)
+    if has_room and not waiting:
+        return first_token_s
+    return (waiting + 1) * figures.busy_s / max(1, slots) + first_token_s
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionTools:
+    """Collaborators of the admission.
+
+    :param record: called with each routing decision.
+    """
+
+    authority: Authority
+    settings: RequestSettings
+    random: Random
+    loads: LoadTable
+    breakers: Breakers
+    record: Callable[[Ticket, RoutingDecision], None]
+
+
+class Admission:
+    """Queues requests and binds them to endpoints with room."""
+
+    def __init__(self, tools: AdmissionTools) -> None:
+        self._tools = tools
+        self._waiting: list[Ticket] = []
+        self._in_flight: Counter[str] = Counter()
+        self._by_customer: Counter[str] = Counter()
+        self._figures: dict[str, PoolFigures] = {}
+        self._excluded: dict[str, tuple[float, frozenset[str]]] = {}
+        #: Endpoints that get no new work because they leave or change their role.
+        self.draining: set[str] = set()
+        self._reserved: dict[str, Ticket] = {}
+
+    def in_flight(self, endpoint: str) -> int:
+        """Return the requests that this instance has in progress on an endpoint."""
+        return self._in_flight[endpoint]
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._waiting)
+
+    async def acquire(self, ticket: Ticket, lifecycle: Lifecycle) -> Endpoint:
+        """Wait for an endpoint; :meth:`release` gives it back.
+
+        :raises RequestRefused: if the request would wait too long.
+        """
+        if not ticket.started:
+            self._check(ticket, lifecycle)
+        self._waiting.append(ticket)
+        self.bind()
+        try:
+            with trio.move_on_at(ticket.deadline_s):
+                await ticket.bound.wait()
+        except BaseException:
+            self._forget(ticket)
+            raise
+        if ticket.endpoint is None:
+            self._forget(ticket)
+            raise refuse(
+                lifecycle,
+                f'no endpoint of route {ticket.route.name!r} became free in time',
+                code='queue_timeout',
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return ticket.endpoint
+
+    def release(self, ticket: Ticket, first_token_s: float | None = None) -> None:
+        """Give an endpoint back and bind waiting requests.
+
+        :param first_token_s: measured time from dispatch to the first token, or None.
+        """
+        if ticket.endpoint is None:
+            return
+        name = ticket.endpoint.name
+        ticket.endpoint = None
+        self._in_flight[name] -= 1
+        self._by_customer[ticket.customer] -= 1
+        self.end_exclusive(ticket)
+        figures = self._figures.setdefault(ticket.route.pool, PoolFigures())
+        if first_token_s is not None:
+            busy_s = trio.current_time() - ticket.bound_s
+            figures.busy_s += (busy_s - figures.busy_s) * (SMOOTHING if figures.busy_s else 1)
+            smoothing = SMOOTHING if figures.first_token_s else 1
+            figures.first_token_s += (first_token_s - figures.first_token_s) * smoothing
+        self.bind()
+
+    def end_exclusive(self, ticket: Ticket) -> None:
+        """Let other requests onto the endpoint of an exclusive one."""
+        for name, holder in list(self._reserved.items()):
+            if holder is ticket:
+                self._reserved.pop(name)
+                self.bind()
+
+    def bind(self) -> None:
+        """Bind waiting requests to endpoints with room, in fair order."""
+        blocked: set[tuple[str, bool, bool]] = set()
+        for ticket in sorted(self._waiting, key=self._order):
+            kind = (ticket.route.pool, ticket.exclusive, ticket.repeatable)
+            if kind in blocked and not ticket.avoid:
+                continue
+            decision = self._choose(ticket)
+            if decision is None:
+                blocked.add(kind)
+            else:
+                self._bind(ticket, decision)
+
+    def _order(self, ticket: Ticket) -> tuple[bool, int, float]:
+        customer = self._tools.authority.read().customer(ticket.customer)
+        weight = customer.contract.weight if customer else 1.0
+        share = self._by_customer[ticket.customer] / max(weight, 1e-6)
+        return (not ticket.started, -ticket.priority, share)
+
+    def _bind(self, ticket: Ticket, decision: RoutingDecision) -> None:
+        name = decision.endpoint.name
+        self._waiting.remove(ticket)
+        self._in_flight[name] += 1
+        self._by_customer[ticket.customer] += 1
+        ticket.endpoint = decision.endpoint
+        ticket.bound_s = trio.current_time()
+        ticket.bound.set()
+        self._tools.record(ticket, decision)
+
+    def _forget(self, ticket: Ticket) -> None:
+        if ticket in self._waiting:
+            self._waiting.remove(ticket)
+        self.release(ticket)
+        self.end_exclusive(ticket)
+
+    def _check(self, ticket: Ticket, lifecycle: Lifecycle) -> None:
+        pool = self._pool(ticket)
+        if pool is None or not pool.endpoints:
+            message = f'route {ticket.route.name!r} has no endpoint'
+            raise refuse(lifecycle, message, code='no_endpoint', retry_after_s=RETRY_AFTER_S)
+        self._check_customer(ticket, lifecycle)
+        limit_s = self._tools.settings.first_token_limit_s
+        predicted_s = self._predict(ticket, pool)
+        if predicted_s > limit_s and ticket.route.repeatable and not ticket.exclusive:
+            raise refuse(
+                lifecycle,
+                f'the first token is expected after {predicted_s:.2f} s',
+                code='overloaded',
+                status=429,
+                retry_after_s=predicted_s - limit_s,
+            )
+
+    def _check_customer(self, ticket: Ticket, lifecycle: Lifecycle) -> None:
+        place = (ticket.customer, ticket.route.name)
+        queued = [each for each in self._waiting if (each.customer, each.route.name) == place]
+        if len(queued) >= self._tools.settings.queue_limit:
+            raise self._refuse_busy(lifecycle, 'too many requests are waiting', 'queue_full')
+        customer = self._tools.authority.read().customer(ticket.customer)
+        limit = (customer or Customer('')).contract.connections
+        mine = sum(1 for each in self._waiting if each.customer == ticket.customer)
+        if self._by_customer[ticket.customer] + mine >= limit:
+            raise self._refuse_busy(lifecycle, 'too many requests in progress', 'too_many_requests')
+
+    def _refuse_busy(self, lifecycle: Lifecycle, message: str, code: str) -> RequestRefused:
+        return refuse(lifecycle, message, code=code, status=429, retry_after_s=RETRY_AFTER_S)
+
+    def _predict(self, ticket: Ticket, pool: EndpointPool) -> float:
+        figures = self._figures.get(pool.name, PoolFigures())
+        ahead = sum(
+            1
+            for each in self._waiting
+            if each.route.pool == pool.name and each.priority >= ticket.priority
+        )
+        usable = [each for each in pool.endpoints if each.name not in self.draining]
+        rate = self._tools.loads.prefill_rate(each.name for each in usable[:CANDIDATES])
+        return predict_first_token(
+            ahead,
+            sum(self._slots(each) for each in usable),
+            figures,
+            ticket.prompt_tokens / rate if rate else 0.0,
+            has_room=bool(self._with_room(ticket, usable)),
+        )
+
+    def _pool(self, ticket: Ticket) -> EndpointPool | None:
+        return self._tools.authority.read().pool(ticket.route.pool)
+
+    def _slots(self, endpoint: Endpoint) -> int:
+        settings = self._tools.settings
+        if endpoint.kind == EndpointKind.SERVICE:
+            return settings.service_slots
+        return settings.engine_slots
+
+    def _choose(self, ticket: Ticket) -> RoutingDecision | None:
+        pool = self._pool(ticket)
+        if pool is None:
+            return None
+        usable = self._usable(ticket, pool)
+        if ticket.exclusive:
+            return self._choose_exclusive(ticket, usable)
+        sample = usable
+        if len(usable) > CANDIDATES:
+            sample = self._tools.random.sample(usable, CANDIDATES)
+        views = self._with_room(ticket, sample)
+        if not views and len(sample) < len(usable):
+            views = self._with_room(ticket, usable)
+        return route_request(views, self._tools.random)
+
+    def _usable(self, ticket: Ticket, pool: EndpointPool) -> list[Endpoint]:
+        """Return the endpoints that may take a request, or all live ones if none is left."""
+        live = [each for each in pool.endpoints if each.name not in self.draining]
+        excluded = self._exclusions(pool) | ticket.avoid
+        if not excluded:
+            return live
+        return [each for each in live if each.name not in excluded] or live
+
+    def _exclusions(self, pool: EndpointPool) -> frozenset[str]:
+        now = trio.current_time()
+        since, excluded = self._excluded.get(pool.name, (-math.inf, frozenset()))
+        if now - since > EXCLUSION_AGE_S:
+            names = [each.name for each in pool.endpoints if each.name not in self.draining]
+            excluded = self._tools.breakers.excluded(names, now) if names else frozenset()
+            self._excluded[pool.name] = (now, excluded)
+        return excluded
+
+    def _with_room(self, ticket: Ticket, endpoints: list[Endpoint]) -> list[EndpointView]:
+        now = trio.current_time()
+        views = []
+        for endpoint in endpoints:
+            if endpoint.name in self._reserved or (endpoint.cheap and not ticket.repeatable):
+                continue
+            own = self._in_flight[endpoint.name]
+            running = self._tools.loads.estimate(endpoint.name, own, now)
+            if max(running, own) < self._slots(endpoint):
+                views.append(EndpointView(endpoint, reported_running=running, own_in_flight=own))
+        return views
+
+    def _choose_exclusive(self, ticket: Ticket, usable: list[Endpoint]) -> RoutingDecision | None:
+        """Reserve a cheap or little used endpoint, and bind to it as soon as it is empty."""
+        mine = [name for name, holder in self._reserved.items() if holder is ticket]
+        free = [each for each in usable if each.name not in self._reserved]
+        if not mine and len(self._reserved) < max(1, len(usable) // 3) and free:
+            best = min(free, key=lambda each: (self._in_flight[each.name], not each.cheap))
+            self._reserved[best.name] = ticket
+            mine = [best.name]
+        for endpoint in usable:
+            if endpoint.name in mine and not self._in_flight[endpoint.name]:
+                return RoutingDecision(endpoint, 'alone on trial', ((endpoint.name, 0),))
+        return None
--- /dev/null
+++ b/shallotmux/requests/_jobs.py
@@ -0,0 +1,228 @@
+"""Jobs that must not be repeated: claim before dispatch, answer committed before it is returned."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from shallotmux.authority import (
+    AbandonClaims,
+    AbandonJob,
+    Authority,
+    ClaimFinished,
+    ClaimGranted,
+    ClaimJob,
+    ClaimMismatch,
+    ClaimRunning,
+    ClaimUnknown,
+    FinishJob,
+    JobId,
+    Refused,
+    ReleaseJob,
+    Result,
+    StoredAnswer,
+    shorten_answer,
+)
+from shallotmux.errors import AuthorityUnavailable, OutcomeUnknown
+from shallotmux.requests._lifecycle import Lifecycle, Outcome, judge
+from shallotmux.requests._request import RequestRefused, ServiceAnswer, ServiceRequest, refuse
+from shallotmux.requests._settings import RequestSettings
+
+#: Resends of a command; the operation id makes them harmless.
+RESENDS = 4
+
+#: Seconds between resends.
+RESEND_PAUSE_S = 0.25
+
+#: Settlements kept for later when the authority is unavailable.
+MAX_PENDING = 10_000
+
+Settlement = FinishJob | ReleaseJob | AbandonJob | AbandonClaims
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """How the only dispatch of a job ended: an answer, or an error and what it proves."""
+
+    lifecycle: Lifecycle
+    answer: ServiceAnswer | None = None
+    error: RequestRefused | None = None
+
+
+@dataclass(slots=True)
+class Jobs:
+    """Runs jobs under claims in the ledger.
+
+    :param clock: wall clock in seconds, which commands carry.
+    :param instance: name of this instance.
+    :param incarnation: differs after each restart, so that claims of a dead process are known.
+    """
+
+    authority: Authority
+    settings: RequestSettings
+    clock: Callable[[], float]
+    instance: str
+    incarnation: str
+    pending: deque[Settlement] = field(default_factory=lambda: deque(maxlen=MAX_PENDING))
+
+    async def run(
+        self, request: ServiceRequest, dispatch: Callable[[], Awaitable[Run]]
+    ) -> ServiceAnswer:
+        """Return the answer of a job, which is dispatched by one claimant only.
+
+        :param dispatch: runs the job once.
+        :raises RequestRefused: with the truth on whether the job ran.
+        """
+        job = JobId(request.customer, request.route.name, request.idempotency_key)
+        claimant = f'{self.instance}/{self.incarnation}/{request.request_id}'
+        deadline_s = trio.current_time() + min(self.settings.job_wait_s, request.timeout_s)
+        number = 0
+        while True:
+            number += 1
+            claim = await self._claim(f'{claimant}/claim-{number}', job, request, claimant)
+            if isinstance(claim, ClaimGranted):
+                return await self._settle(job, claimant, await dispatch())
+            if not isinstance(claim, ClaimRunning):
+                return _answer_repeat(claim)
+            await self._wait_running(claim, job, claimant, deadline_s)
+
+    def abandon_former(self) -> None:
+        """Mark the claims of earlier incarnations of this instance as unknown."""
+        operation_id = f'{self.instance}/{self.incarnation}/start'
+        self.pending.append(AbandonClaims(operation_id, self.instance, self.incarnation))
+
+    async def settle_pending(self) -> None:
+        """Commit settlements that could not be committed at their time, until cancelled."""
+        while True:
+            while self.pending and await self._submit(self.pending[0]) is not None:
+                self.pending.popleft()
+            await trio.sleep(RESEND_PAUSE_S)
+
+    async def _claim(
+        self, operation_id: str, job: JobId, request: ServiceRequest, claimant: str
+    ) -> Result:
+        now = self.clock()
+        command = ClaimJob(
+            operation_id,
+            job,
+            request.body_hash,
+            claimant,
+            now,
+            now + self.settings.job_deadline_s,
+            self.settings.retention_s,
+        )
+        uncertain = False
+        for _ in range(RESENDS):
+            try:
+                return await self.authority.submit(command)
+            except AuthorityUnavailable:
+                break
+            except OutcomeUnknown:
+                uncertain = True
+                await trio.sleep(RESEND_PAUSE_S)
+        if uncertain:
+            # The claim may be in the log; nothing was dispatched under it.
+            self.pending.append(ReleaseJob(f'{operation_id}/release', job, claimant))
+        raise RequestRefused(
+            'the job cannot be claimed now',
+            code='authority_unavailable',
+            not_run=True,
+            retry_after_s=1,
+        )
+
+    async def _wait_running(
+        self, claim: ClaimRunning, job: JobId, claimant: str, deadline_s: float
+    ) -> None:
+        """Wait until the running job may have been settled.
+
+        :raises RequestRefused: if it still runs after the bounded wait.
+        """
+        if self.clock() >= claim.deadline_s:
+            await self._submit(AbandonJob(f'{claimant}/expire', job, claimant, self.clock()))
+            return
+        revision = self.authority.read().revision
+        if trio.current_time() >= deadline_s:
+            raise RequestRefused(
+                'the job is running', code='job_running', not_run=False, status=409, retry_after_s=1
+            )
+        left_s = claim.deadline_s - self.clock()
+        with trio.move_on_at(min(deadline_s, trio.current_time() + left_s)):
+            await self._wait_settled(job, revision)
+
+    async def _wait_settled(self, job: JobId, revision: int) -> None:
+        while True:
+            known = self.authority.read().ledger.jobs.get(job)
+            if known is not None and (known.answer is not None or known.unknown):
+                return
+            await self.authority.wait_changed(revision)
+            revision = self.authority.read().revision
+            if self.authority.read().ledger.jobs.get(job) is None:
+                return
+
+    async def _settle(self, job: JobId, claimant: str, run: Run) -> ServiceAnswer:
+        """Commit what became of a job, then return it."""
+        operation_id = f'{claimant}/settle'
+        if run.answer is not None:
+            stored = StoredAnswer(run.answer.status, run.answer.content_type, run.answer.body)
+            if len(stored.body) > self.settings.stored_answer_bytes:
+                stored = shorten_answer(stored)
+            await self._commit(FinishJob(operation_id, job, claimant, stored), run)
+            # Repeats get no more than what is stored, so the first answer has no other headers.
+            return ServiceAnswer(stored.status, stored.content_type, run.answer.body)
+        if judge(run.lifecycle) == Outcome.NOT_RUN:
+            await self._commit(ReleaseJob(operation_id, job, claimant), run)
+        else:
+            await self._commit(AbandonJob(operation_id, job, claimant), run)
+        raise run.error or refuse(run.lifecycle, 'the job failed', code='outcome_unknown')
+
+    async def _commit(self, command: Settlement, run: Run) -> None:
+        if await self._submit(command) is None:
+            self.pending.append(command)
+            raise refuse(
+                run.lifecycle,
+                'the outcome of the job cannot be committed now',
+                code='outcome_unknown',
+                retry_after_s=1,
+            )
+
+    async def _submit(self, command: Settlement) -> Result | None:
+        for _ in range(RESENDS):
+            try:
+                return await self.authority.submit(command)
+            except (AuthorityUnavailable, OutcomeUnknown):
+                await trio.sleep(RESEND_PAUSE_S)
+        return None
+
+
+def _answer_repeat(claim: Result) -> ServiceAnswer:
+    """Return the stored answer of a job, or refuse truthfully."""
+    match claim:
+        case ClaimFinished(answer=StoredAnswer(digest='') as answer):
+            return ServiceAnswer(answer.status, answer.content_type, answer.body)
+        case ClaimFinished(answer=answer):
+            raise RequestRefused(
+                f'the job is done; its answer with SHA-256 {answer.digest} is not kept',
+                code='answer_not_kept',
+                not_run=False,
+                status=409,
+            )
+        case ClaimUnknown():
+            raise RequestRefused(
+                'the job may have run; it is not run again',
+                code='outcome_unknown',
+                not_run=False,
+                status=409,
+            )
+        case ClaimMismatch():
+            raise RequestRefused(
+                'the idempotency key was used with another body',
+                code='idempotency_mismatch',
+                not_run=True,
+                status=422,
+            )
+        case Refused(reason=reason):
+            raise RequestRefused(reason, code='ledger_full', not_run=True, retry_after_s=60)
+    raise RuntimeError(f'unexpected claim {claim!r}')
--- /dev/null
+++ b/shallotmux/requests/_parts.py
@@ -0,0 +1,63 @@
+"""The parts that the requests of one instance share."""
+
+from __future__ import annotations
+
+import itertools
+import secrets
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from random import Random
+
+from shallotmux.authority import Authority
+from shallotmux.engines import EngineClient, LoadTable, ServiceClient
+from shallotmux.observability import DecisionLog
+from shallotmux.requests._admission import Admission
+from shallotmux.requests._retries import Breakers, RetryBudget
+from shallotmux.requests._settings import RequestSettings
+from shallotmux.requests._suspects import Suspects
+
+
+@dataclass(frozen=True, slots=True)
+class Tools:
+    """Collaborators of the executor.
+
+    :param services: client of plain services, or None when there are none.
+    :param clock: wall clock in seconds, which commands carry.
+    :param instance: name of this instance.
+    """
+
+    authority: Authority
+    engines: EngineClient
+    decisions: DecisionLog
+    random: Random
+    services: ServiceClient | None = None
+    settings: RequestSettings = field(default_factory=RequestSettings)
+    clock: Callable[[], float] = time.time
+    instance: str = 'instance'
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """What the calls of one instance share."""
+
+    settings: RequestSettings
+    engines: EngineClient
+    services: ServiceClient | None
+    admission: Admission
+    suspects: Suspects
+    budget: RetryBudget
+    breakers: Breakers
+    random: Random
+    loads: LoadTable
+    name: str
+    numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+
+    def new_id(self) -> str:
+        """Return an id that no other attempt of any instance has."""
+        return f'{self.name}/{next(self.numbers)}'
+
+
+def draw_incarnation() -> str:
+    """Return a name for this run of the process."""
+    return secrets.token_hex(6)
--- /dev/null
+++ b/shallotmux/requests/_suspects.py
@@ -0,0 +1,183 @@
+"""Find out which request crashed an engine, and run suspects alone."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from shallotmux.authority import (
+    Applied,
+    Authority,
+    EndTrial,
+    RecordCrash,
+    StartTrial,
+    Suspicion,
+)
+from shallotmux.errors import AuthorityUnavailable, OutcomeUnknown
+from shallotmux.requests._lifecycle import Lifecycle
+from shallotmux.requests._request import refuse
+from shallotmux.requests._settings import RequestSettings
+
+#: Seconds after which the state is read again while another trial runs; a trial may end by time.
+TRIAL_POLL_S = 1.0
+
+#: Seconds between resends.
+RESEND_PAUSE_S = 0.1
+
+#: Resends of a command whose outcome is unknown; the operation id makes them harmless.
+RESENDS = 3
+
+
+@dataclass(eq=False, slots=True)
+class Incident:
+    """A broken stream that may turn out to be the crash of its engine.
+
+    :param members: attempts on the engine when the first stream broke.
+    """
+
+    members: dict[str, str]
+    broken: set[str] = field(default_factory=set)
+    decided: trio.Event = field(default_factory=trio.Event)
+    crashed: bool = False
+
+
+class Suspects:
+    """Watches the attempts on each engine and reports crashes to the zone.
+
+    :param clock: wall clock in seconds, which commands carry.
+    :param name: name and incarnation of this instance.
+    """
+
+    def __init__(
+        self,
+        authority: Authority,
+        settings: RequestSettings,
+        clock: Callable[[], float],
+        name: str,
+    ) -> None:
+        self._authority = authority
+        self._settings = settings
+        self._clock = clock
+        self._name = name
+        self._numbers = itertools.count(1)
+        self._running: dict[str, dict[str, str]] = {}
+        self._incidents: dict[str, Incident] = {}
+
+    def enter(self, endpoint: str, attempt_id: str, fingerprint: str) -> None:
+        """Note that an attempt runs on an engine."""
+        self._running.setdefault(endpoint, {})[attempt_id] = fingerprint
+
+    def leave(self, endpoint: str, attempt_id: str) -> None:
+        """Note that an attempt has ended in any way."""
+        self._running.get(endpoint, {}).pop(attempt_id, None)
+        incident = self._incidents.get(endpoint)
+        if incident is not None and attempt_id not in incident.broken:
+            incident.members.pop(attempt_id, None)
+
+    async def report_break(self, endpoint: str, attempt_id: str, *, on_trial: bool) -> bool:
+        """Report a broken stream and tell whether the engine has crashed.
+
+        It has if all streams on it break within the crash window. A single broken stream among
+        others that go on is a fault of its connection.
+
+        :param on_trial: whether the attempt had the engine to itself.
+        """
+        incident = self._incidents.get(endpoint)
+        if incident is None or attempt_id not in incident.members:
+            incident = Incident(dict(self._running.get(endpoint, {})), {attempt_id})
+            self._incidents[endpoint] = incident
+            with trio.CancelScope(shield=True):
+                await self._decide(endpoint, incident, on_trial=on_trial)
+        else:
+            incident.broken.add(attempt_id)
+            await incident.decided.wait()
+        return incident.crashed
+
+    def find(self, fingerprint: str) -> Suspicion | None:
+        """Return what the zone knows against a request."""
+        return self._authority.read().quarantine.find(fingerprint, self._clock())
+
+    async def start_trial(
+        self, fingerprint: str, claimant: str, lifecycle: Lifecycle, deadline_s: float
+    ) -> bool:
+        """Wait until a suspect may run alone in the zone.
+
+        :returns: whether the request is on trial; False if it is not suspect.
+        :raises RequestRefused: if it is quarantined or its turn does not come in time.
+        """
+        with trio.move_on_at(deadline_s):
+            while True:
+                known = self.find(fingerprint)
+                if known is None:
+                    return False
+                if known.quarantined:
+                    raise refuse(
+                        lifecycle,
+                        'this request has crashed several engines and is quarantined',
+                        code='quarantined',
+                        status=422,
+                        retry_after_s=known.until_s - self._clock(),
+                    )
+                revision = self._authority.read().revision
+                if await self._claim(fingerprint, claimant):
+                    return True
+                with trio.move_on_after(TRIAL_POLL_S):
+                    await self._authority.wait_changed(revision)
+        raise refuse(
+            lifecycle,
+            'this request may have crashed an engine and waits to run alone',
+            code='suspect',
+            retry_after_s=self._settings.trial_s,
+        )
+
+    async def end_trial(self, fingerprint: str, claimant: str, *, cleared: bool) -> None:
+        """End the trial of a request that did not crash its engine."""
+        await self._submit(EndTrial(self._operation_id(), fingerprint, claimant, cleared))
+
+    async def _claim(self, fingerprint: str, claimant: str) -> bool:
+        command = StartTrial(
+            self._operation_id(), fingerprint, claimant, self._clock(), self._settings.trial_s
+        )
+        return await self._submit(command)
+
+    async def _decide(self, endpoint: str, incident: Incident, *, on_trial: bool) -> None:
+        await trio.sleep(self._settings.crash_window_s)
+        if self._incidents.get(endpoint) is incident:
+            self._incidents.pop(endpoint)
+        incident.crashed = incident.members.keys() <= incident.broken
+        try:
+            if incident.crashed:
+                await self._record(endpoint, incident, on_trial=on_trial)
+        finally:
+            incident.decided.set()
+
+    async def _record(self, endpoint: str, incident: Incident, *, on_trial: bool) -> None:
+        fingerprints = tuple(sorted(set(incident.members.values())))
+        alone = on_trial and len(fingerprints) == 1
+        now = self._clock()
+        await self._submit(
+            RecordCrash(
+                self._operation_id(),
+                endpoint,
+                fingerprints,
+                alone,
+                now,
+                self._settings.quarantine_s,
+            ),
+        )
+
+    async def _submit(self, command: RecordCrash | StartTrial | EndTrial) -> bool:
+        for _ in range(RESENDS):
+            try:
+                return isinstance(await self._authority.submit(command), Applied)
+            except AuthorityUnavailable:
+                return False
+            except OutcomeUnknown:
+                await trio.sleep(RESEND_PAUSE_S)
+        return False
+
+    def _operation_id(self) -> str:
+        return f'{self._name}/suspect-{next(self._numbers)}'
--- a/shallotmux/standins/__init__.py
+++ b/shallotmux/standins/__init__.py
@@ -2,16 +2,28 @@
 
 from __future__ import annotations
 
-from shallotmux.standins._engine import EngineBehaviour, EngineStandin, Received
+from shallotmux.standins._engine import (
+    EngineBehaviour,
+    EngineFault,
+    EngineRunRecord,
+    EngineStandin,
+    Received,
+)
 from shallotmux.standins._network import MemoryClient, MemoryNetwork
+from shallotmux.standins._service import ServiceBehaviour, ServiceFault, ServiceStandin
 from shallotmux.standins._tokens import encode_event, prompt_key, token_text
 
 __all__ = (
     'EngineBehaviour',
+    'EngineFault',
+    'EngineRunRecord',
     'EngineStandin',
     'MemoryClient',
     'MemoryNetwork',
     'Received',
+    'ServiceBehaviour',
+    'ServiceFault',
+    'ServiceStandin',
     'encode_event',
     'prompt_key',
     'token_text',
--- a/shallotmux/standins/_engine.py
+++ b/shallotmux/standins/_engine.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import math
+from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import Any
 
 import msgspec
@@ -22,6 +26,29 @@
 
 BODY_LIMIT_BYTES = 16_777_216
 
+#: Bytes of a request body that count as a token of the prompt.
+BYTES_PER_TOKEN = 4
+
+#: Tokens after which a fault that breaks a stream takes effect.
+FAULT_POSITION = 2
+
+#: Response id that no request has, for answers that were crossed.
+FOREIGN_ID = 'chatcmpl-of-another-request'
+
+
+class EngineFault(StrEnum):
+    """A fault that the next run suffers once."""
+
+    REFUSE = 'refuse'
+    CRASH = 'crash'
+    PAUSE = 'pause'
+    CUT = 'cut'
+    TRUNCATE = 'truncate'
+    CROSS = 'cross'
+    DUPLICATE = 'duplicate'
+    SKIP = 'skip'
+    OTHER_ATTEMPT = 'other_attempt'
+
 
 @dataclass(slots=True)
 class EngineBehaviour:
@@ -30,11 +57,29 @@
     :param token_s: seconds between tokens.
     :param refuse: answer every run with a truthful refusal.
     :param crash_after: tokens after which each stream breaks, or None.
+    :param batch_limit: streams that run at a time; further ones wait in the engine.
+    :param prefill_tokens_per_s: prompt tokens processed in a second, one prompt at a time.
+    :param lag_s: age of the load reports.
+    :param paused: whether no token is generated at present.
+    :param draining: whether new runs are refused.
+    :param poison: a run whose body contains this text crashes the engine, if not empty.
+    :param poison_after: tokens that such a run generates first.
+    :param pause_s: length of a pause caused by a fault.
+    :param faults: faults of the next runs, one each.
     """
 
     token_s: float = 0.005
     refuse: bool = False
     crash_after: int | None = None
+    batch_limit: int = 64
+    prefill_tokens_per_s: float = math.inf
+    lag_s: float = 0.0
+    paused: bool = False
+    draining: bool = False
+    poison: bytes = b''
+    poison_after: int = 0
+    pause_s: float = 20.0
+    faults: deque[EngineFault] = field(default_factory=deque)
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,16 +91,50 @@
     path: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    query: bytes = b''
+
+
+@dataclass(eq=False, slots=True)
+class EngineRunRecord:
+    """A run, as evidence for checks.
+
+    :param refused: whether the engine said that it did not run.
+    :param cancelled: whether the stream was ended from outside before its last token.
+    """
+
+    payload: dict[str, Any]
+    started_s: float
+    fault: EngineFault | None = None
+    tokens: int = 0
+    refused: bool = False
+    finished: bool = False
+    cancelled: bool = False
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    admitted: trio.Event = field(default_factory=trio.Event)
+
+    @property
+    def attempt_id(self) -> str:
+        """Return the id of the attempt."""
+        return str(self.payload['attempt_id'])
 
 
 @dataclass(slots=True)
 class EngineStandin:
-    """ASGI application that speaks the engine protocol."""
+    """ASGI application that speaks the engine protocol.
+
+    :param on_crash: called after a crash, for example to take the engine off the network.
+    """
 
     name: str
     behaviour: EngineBehaviour = field(default_factory=EngineBehaviour)
     history: list[Received] = field(default_factory=list)
-    running: dict[str, trio.CancelScope] = field(default_factory=dict)
+    running: dict[str, EngineRunRecord] = field(default_factory=dict)
+    waiting: list[EngineRunRecord] = field(default_factory=list)
+    runs: list[EngineRunRecord] = field(default_factory=list)
+    crashes: int = 0
+    on_crash: Callable[[], None] | None = None
+    _reports: deque[dict[str, Any]] = field(default_factory=deque)
+    _prefill: trio.Lock = field(default_factory=trio.Lock)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle one ASGI connection."""
@@ -66,57 +145,158 @@
             (str(key, 'latin-1'), str(text, 'latin-1')) for key, text in scope['headers']
         )
         self.history.append(
-            Received(trio.current_time(), scope['method'], scope['path'], headers, body)
+            Received(
+                trio.current_time(),
+                scope['method'],
+                scope['path'],
+                headers,
+                body,
+                scope.get('query_string', b''),
+            ),
         )
         match scope['path']:
             case '/run':
-                await self._run(msgspec.json.decode(body), send)
+                await self._run(body, send)
             case '/cancel':
-                scope_to_cancel = self.running.get(msgspec.json.decode(body)['attempt_id'])
-                if scope_to_cancel is not None:
-                    scope_to_cancel.cancel()
-                await send_json(send, 200, {'cancelled': scope_to_cancel is not None})
+                cancelled = self._cancel(msgspec.json.decode(body)['attempt_id'])
+                await send_json(send, 200, {'cancelled': cancelled})
             case '/load':
                 await send_json(send, 200, self._load())
             case _:
                 await send_json(send, 404, {'not_run': True})
 
+    def crash(self) -> None:
+        """Break all streams and lose all that runs and waits."""
+        self.crashes += 1
+        lost = [*self.running.values(), *self.waiting]
+        self.running.clear()
+        self.waiting.clear()
+        for record in lost:
+            record.scope.cancel()
+        if self.on_crash is not None:
+            self.on_crash()
+
+    def _cancel(self, attempt_id: str) -> bool:
+        found = [each for each in self.runs if each.attempt_id == attempt_id and not each.finished]
+        for record in found:
+            record.cancelled = True
+            record.scope.cancel()
+        return bool(found)
+
     def _load(self) -> dict[str, Any]:
-        return {
+        now = trio.current_time()
+        report = {
             'role': 'mixed',
             'model': '',
-            'queued_prefill_tokens': 0,
-            'running': len(self.running),
+            'queued_prefill_tokens': sum(_prompt_tokens(each) for each in self.waiting),
+            'running': len(self.running) + len(self.waiting),
             'free_cache_blocks': 64,
-            'prefill_tokens_per_s': 20_000.0,
+            'prefill_tokens_per_s': min(self.behaviour.prefill_tokens_per_s, 1e9),
             'step_s': self.behaviour.token_s,
-            'as_of': trio.current_time(),
+            'as_of': now,
         }
+        self._reports.append(report)
+        while len(self._reports) > 1 and self._reports[1]['as_of'] <= now - self.behaviour.lag_s:
+            self._reports.popleft()
+        return self._reports[0] if self.behaviour.lag_s else report
 
-    async def _run(self, payload: dict[str, Any], send: Send) -> None:
-        if self.behaviour.refuse:
+    async def _run(self, body: bytes, send: Send) -> None:
+        behaviour = self.behaviour
+        fault = behaviour.faults.popleft() if behaviour.faults else None
+        record = EngineRunRecord(msgspec.json.decode(body), trio.current_time(), fault)
+        self.runs.append(record)
+        if behaviour.refuse or behaviour.draining or fault == EngineFault.REFUSE:
+            record.refused = True
             await send_json(send, 409, {'not_run': True})
             return
-        with trio.CancelScope() as cancel:
-            self.running[payload['attempt_id']] = cancel
-            try:
-                await self._generate(payload, send)
-            finally:
-                self.running.pop(payload['attempt_id'], None)
-
-    async def _generate(self, payload: dict[str, Any], send: Send) -> None:
-        await send_start(send, 200, EVENT_STREAM_TYPE)
+        poisoned = bool(behaviour.poison) and behaviour.poison in body
+        try:
+            with record.scope:
+                await self._admit(record)
+                await self._generate(record, send, poisoned=poisoned)
+        finally:
+            self._leave(record)
+        if not record.finished:
+            raise ConnectionResetError(f'stream of engine {self.name} ended early')
+
+    async def _admit(self, record: EngineRunRecord) -> None:
+        self.waiting.append(record)
+        self._fill_batch()
+        await record.admitted.wait()
+
+    def _fill_batch(self) -> None:
+        self.waiting.sort(key=lambda each: -int(each.payload.get('priority', 0)))
+        while self.waiting and len(self.running) < self.behaviour.batch_limit:
+            record = self.waiting.pop(0)
+            self.running[record.attempt_id] = record
+            record.admitted.set()
+
+    def _leave(self, record: EngineRunRecord) -> None:
+        if self.running.get(record.attempt_id) is record:
+            self.running.pop(record.attempt_id)
+        if record in self.waiting:
+            self.waiting.remove(record)
+        self._fill_batch()
+
+    async def _generate(self, record: EngineRunRecord, send: Send, *, poisoned: bool) -> None:
+        behaviour = self.behaviour
+        payload = record.payload
+        if math.isfinite(behaviour.prefill_tokens_per_s):
+            async with self._prefill:
+                await trio.sleep(_prompt_tokens(record) / behaviour.prefill_tokens_per_s)
+        named = 'another' if record.fault == EngineFault.OTHER_ATTEMPT else record.attempt_id
+        headers = ((b'shallotmux-attempt-id', named.encode()),)
+        await send_start(send, 200, EVENT_STREAM_TYPE, headers)
+        last = payload.get('max_tokens', 256)
         key = prompt_key(payload)
-        for position in range(payload['offset'], payload.get('max_tokens', 256)):
-            if self.behaviour.crash_after is not None and position >= self.behaviour.crash_after:
-                raise ConnectionResetError(f'engine {self.name} crashed')
-            await trio.sleep(self.behaviour.token_s)
-            event = encode_event(
-                payload['response_id'],
-                payload['model'],
-                position + 1,
-                token_text(key, position),
-                chat=payload['chat'],
-            )
+        for position in range(payload['offset'], last):
+            if poisoned and record.tokens >= behaviour.poison_after:
+                self.crash()
+            await self._step(record, position)
+            if record.fault == EngineFault.TRUNCATE and record.tokens == FAULT_POSITION:
+                break
+            finish = 'length' if position + 1 == last else None
+            event = self._event(record, key, position, finish)
             await send_chunk(send, event)
+            record.tokens += 1
+        record.finished = True
         await send_chunk(send, b'data: [DONE]\n\n', more=False)
+
+    async def _step(self, record: EngineRunRecord, position: int) -> None:
+        """Spend the time of one decode step, and suffer faults that end or delay the stream."""
+        limit = self.behaviour.crash_after
+        if limit is not None and position >= limit:
+            raise ConnectionResetError(f'engine {self.name} crashed')
+        if record.tokens == FAULT_POSITION:
+            match record.fault:
+                case EngineFault.CRASH:
+                    self.crash()
+                case EngineFault.CUT:
+                    record.scope.cancel()
+                case EngineFault.PAUSE:
+                    await trio.sleep(self.behaviour.pause_s)
+        await trio.sleep(self.behaviour.token_s)
+        while self.behaviour.paused:
+            await trio.sleep(self.behaviour.token_s)
+
+    def _event(
+        self, record: EngineRunRecord, key: bytes, position: int, finish: str | None
+    ) -> bytes:
+        payload = record.payload
+        struck = record.tokens >= FAULT_POSITION
+        skipped = struck and record.fault == EngineFault.SKIP
+        foreign = struck and record.fault == EngineFault.CROSS
+        event = encode_event(
+            FOREIGN_ID if foreign else payload['response_id'],
+            payload['model'],
+            position + 2 if skipped else position + 1,
+            token_text(key, position),
+            chat=payload['chat'],
+            finish=finish,
+        )
+        return event * 2 if record.fault == EngineFault.DUPLICATE else event
+
+
+def _prompt_tokens(record: EngineRunRecord) -> int:
+    prompt = record.payload.get('messages', record.payload.get('prompt', ''))
+    return len(msgspec.json.encode(prompt)) // BYTES_PER_TOKEN
--- a/shallotmux/standins/_tokens.py
+++ b/shallotmux/standins/_tokens.py
@@ -24,12 +24,15 @@
     return hashlib.blake2b(msgspec.json.encode((payload.get('model'), prompt))).digest()
 
 
-def encode_event(response_id: str, model: str, position: int, text: str, *, chat: bool) -> bytes:
+def encode_event(
+    response_id: str, model: str, position: int, text: str, *, chat: bool, finish: str | None = None
+) -> bytes:
     """Return one server-sent event in the caller's chunk format.
 
     :param position: number of tokens delivered including this one.
+    :param finish: reason why the answer ends with this event, or None.
     """
-    choice: dict[str, object] = {'index': 0, 'finish_reason': None}
+    choice: dict[str, object] = {'index': 0, 'finish_reason': finish}
     if chat:
         choice['delta'] = {'content': text}
     else:
