Test the request path under failures, and confirm engine crashes before blame

Cause: a stream cut twice on an engine that went on was taken for a crash, and an innocent request was quarantined; avoiding only the last failed endpoint used up the attempts on engines that were down. Change: an engine counts as crashed only if it does not answer after its streams broke; all failed endpoints of a request are avoided, and a certain failure opens the breaker at once.

--- /dev/null
+++ b/shallotmux/callers/_completions.py
@@ -0,0 +1,116 @@
+"""Model requests: validation, streaming and collected answers."""
+
+from __future__ import annotations
+
+import msgspec
+
+from shallotmux.authority import Authority
+from shallotmux.callers._authentication import authenticate, authorize
+from shallotmux.callers._border import (
+    check_content,
+    check_json_type,
+    read_bounded_body,
+    read_timeout,
+    run_until_disconnect,
+)
+from shallotmux.callers._completion import collect_completion
+from shallotmux.callers._errors import encode_error_event
+from shallotmux.callers._models import (
+    ChatCompletionRequest,
+    CompletionRequest,
+    parse_chat,
+    parse_completion,
+)
+from shallotmux.callers._responses import RESPONSE_ID_HEADER, read_offset, read_response_id
+from shallotmux.errors import CallerError
+from shallotmux.http import (
+    EVENT_STREAM_TYPE,
+    Receive,
+    Scope,
+    Send,
+    send_chunk,
+    send_json,
+    send_start,
+)
+from shallotmux.requests import (
+    CallerRequest,
+    Outbox,
+    RequestExecutor,
+    RequestRefused,
+    hash_body,
+)
+from shallotmux.world import RouteKind
+
+#: Priority of each service tier; unknown tiers count as the default one.
+TIER_PRIORITY = {'priority': 1, 'default': 0, 'auto': 0, 'flex': -1}
+
+Parsed = ChatCompletionRequest | CompletionRequest
+
+
+class Completions:
+    """Handles chat completions and plain completions."""
+
+    def __init__(self, authority: Authority, executor: RequestExecutor, pepper: bytes) -> None:
+        self._authority = authority
+        self._executor = executor
+        self._pepper = pepper
+
+    async def handle(self, scope: Scope, receive: Receive, send: Send, *, chat: bool) -> None:
+        """Run a completion and send its answer."""
+        body = await read_bounded_body(scope, receive)
+        check_json_type(scope)
+        parsed = parse_chat(body) if chat else parse_completion(body)
+        request = self._build_request(scope, body, parsed, chat=chat)
+
+        async def work() -> None:
+            async with self._executor.stream(request) as events:
+                if parsed.stream:
+                    await _send_stream(send, request, events)
+                else:
+                    await send_json(send, 200, await collect_completion(events, request))
+
+        await run_until_disconnect(receive, work)
+
+    def _build_request(
+        self, scope: Scope, body: bytes, parsed: Parsed, *, chat: bool
+    ) -> CallerRequest:
+        found = authenticate(scope, self._authority, self._pepper)
+        route = self._authority.read().route(parsed.model)
+        if route is None or route.kind != RouteKind.MODEL:
+            raise CallerError(
+                f'model {parsed.model!r} does not exist',
+                status=404,
+                code='model_not_found',
+                param='model',
+            )
+        caller = authorize(found, route)
+        check_content(body, self._authority, self._pepper)
+        body_hash = hash_body(body)
+        priority = TIER_PRIORITY.get(parsed.service_tier or '', 0)
+        return CallerRequest(
+            response_id=read_response_id(
+                scope, self._pepper, caller.customer, body_hash, chat=chat
+            ),
+            customer=caller.customer,
+            key_id=caller.key_id,
+            route=route,
+            payload=msgspec.json.decode(body),
+            body_hash=body_hash,
+            offset=read_offset(scope) if parsed.stream else 0,
+            chat=chat,
+            priority=priority if caller.customer else min(0, priority),
+            timeout_s=read_timeout(scope),
+            size_bytes=len(body),
+        )
+
+
+async def _send_stream(send: Send, request: CallerRequest, events: Outbox) -> None:
+    """Send events as they come; an error after the first one becomes an event itself."""
+    headers = ((RESPONSE_ID_HEADER, request.response_id.encode()), (b'cache-control', b'no-cache'))
+    await send_start(send, 200, EVENT_STREAM_TYPE, headers)
+    try:
+        async for block in events:
+            await send_chunk(send, block)
+    except RequestRefused as error:
+        await send_chunk(send, encode_error_event(error))
+    await send_chunk(send, b'', more=False)
--- a/shallotmux/callers/_models.py
+++ b/shallotmux/callers/_models.py
@@ -29,6 +29,7 @@
     messages: list[ChatMessage] = Field(min_length=1, max_length=10_000)
     stream: bool = False
     max_tokens: int = Field(default=256, ge=1, le=MAX_TOKENS)
+    service_tier: str | None = None
 
 
 class CompletionRequest(BaseModel):
@@ -40,6 +41,7 @@
     prompt: str
     stream: bool = False
     max_tokens: int = Field(default=256, ge=1, le=MAX_TOKENS)
+    service_tier: str | None = None
 
 
 def parse_chat(body: bytes) -> ChatCompletionRequest:
--- /dev/null
+++ b/shallotmux/callers/_responses.py
@@ -0,0 +1,65 @@
+"""Response ids, by which any instance recognizes a response that is resumed."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import re
+import secrets
+
+from shallotmux.callers._models import MAX_TOKENS
+from shallotmux.errors import CallerError
+from shallotmux.http import Scope, find_header
+
+RESPONSE_ID_HEADER = b'shallotmux-response-id'
+LAST_EVENT_ID_HEADER = b'last-event-id'
+
+_RESPONSE_ID = re.compile(r'(chatcmpl|cmpl)-[0-9a-f]{16}-([0-9a-f]{32})')
+
+#: Digits of an event id that can be valid.
+MAX_ID_DIGITS = 9
+
+
+def sign_response(pepper: bytes, customer: str, body_hash: str, kind: str) -> str:
+    """Return the signature that binds a response id to its customer, body and kind.
+
+    Any instance can check it, so a stream is resumed without shared state.
+    """
+    signed = f'{kind}\n{customer}\n{body_hash}'.encode()
+    return hmac.new(pepper, signed, hashlib.sha256).hexdigest()[:32]
+
+
+def read_response_id(
+    scope: Scope, pepper: bytes, customer: str, body_hash: str, *, chat: bool
+) -> str:
+    """Return the response id of a resumed request, or a new one.
+
+    :raises CallerError: if the id belongs to another customer, body or kind of completion.
+    """
+    kind = 'chatcmpl' if chat else 'cmpl'
+    signature = sign_response(pepper, customer, body_hash, kind)
+    given = find_header(scope, RESPONSE_ID_HEADER)
+    if given is None:
+        return f'{kind}-{secrets.token_hex(8)}-{signature}'
+    match = _RESPONSE_ID.fullmatch(given)
+    if match is None or match[1] != kind or not hmac.compare_digest(match[2], signature):
+        raise CallerError(
+            'response id belongs to another request', status=409, code='response_mismatch'
+        )
+    return given
+
+
+def read_offset(scope: Scope) -> int:
+    """Return the number of events that the caller already has.
+
+    :raises CallerError: if ``Last-Event-ID`` is not a number that an event can have.
+    """
+    given = find_header(scope, LAST_EVENT_ID_HEADER)
+    if given is None:
+        return 0
+    valid = given.isascii() and given.isdigit() and len(given) <= MAX_ID_DIGITS
+    if not valid or int(given) > MAX_TOKENS:
+        raise CallerError(
+            'Last-Event-ID is not the id of an event', status=400, code='invalid_last_event_id'
+        )
+    return int(given)
--- a/shallotmux/daemon/_instance.py
+++ b/shallotmux/daemon/_instance.py
@@ -9,7 +9,7 @@
 
 from shallotmux.authority import Authority, LocalAuthority
 from shallotmux.callers import CallerApp, CallerTools
-from shallotmux.engines import EngineClient
+from shallotmux.engines import EngineClient, ServiceClient
 from shallotmux.http import HttpClient, HttpcoreClient, Listener, serve_app
 from shallotmux.observability import DecisionLog
 from shallotmux.operators import OperatorApp, OperatorTools
@@ -39,15 +39,18 @@
         self._shutdown = trio.Event()
         self.authority: Authority = authority or LocalAuthority(settings.instance.name)
         self.decisions = DecisionLog(settings.instance.name)
-        executor = RequestExecutor(
+        http = client or HttpcoreClient()
+        self.executor = RequestExecutor(
             Tools(
                 authority=self.authority,
-                engines=EngineClient(client or HttpcoreClient()),
+                engines=EngineClient(http),
+                services=ServiceClient(http),
                 decisions=self.decisions,
                 random=Random(settings.instance.name),  # noqa: S311
+                instance=settings.instance.name,
             ),
         )
-        self.caller_app = CallerApp(CallerTools(self.authority, executor, pepper))
+        self.caller_app = CallerApp(CallerTools(self.authority, self.executor, pepper))
         self.operator_app = OperatorApp(
             OperatorTools(self.authority, pepper, settings.secrets.operator_token)
         )
@@ -57,14 +60,17 @@
     ) -> None:
         """Serve until :meth:`shut_down`, then finish the open requests."""
         listeners = self._settings.listeners
-        async with trio.open_nursery() as nursery:
-            callers = await nursery.start(
-                serve_app, self.caller_app, Listener(listeners.callers), self._shutdown.wait
-            )
-            operators = await nursery.start(
-                serve_app, self.operator_app, Listener(listeners.operators), self._shutdown.wait
-            )
-            task_status.started(Addresses(callers, operators))
+        async with trio.open_nursery() as background:
+            background.start_soon(self.executor.run)
+            async with trio.open_nursery() as nursery:
+                callers = await nursery.start(
+                    serve_app, self.caller_app, Listener(listeners.callers), self._shutdown.wait
+                )
+                operators = await nursery.start(
+                    serve_app, self.operator_app, Listener(listeners.operators), self._shutdown.wait
+                )
+                task_status.started(Addresses(callers, operators))
+            background.cancel_scope.cancel()
 
     def shut_down(self) -> None:
         """Stop accepting requests and let :meth:`run` return."""
--- a/shallotmux/requests/_attempts.py
+++ b/shallotmux/requests/_attempts.py
@@ -206,8 +206,9 @@
         not_run = failure in {Failure.REFUSED, Failure.UNREACHABLE}
         self._advance(AttemptEnded(attempt.attempt_id, not_run=not_run))
         if failure not in {Failure.REFUSED, Failure.MOVED}:
-            breakers.fail(name, trio.current_time())
-        self._avoid = frozenset((name,))
+            certain = failure in {Failure.UNREACHABLE, Failure.CRASHED}
+            breakers.fail(name, trio.current_time(), certain=certain)
+        self._avoid |= {name}
 
     async def _exchange(self, attempt: Attempt, helpers: trio.Nursery) -> Failure | None:
         """Make an attempt and tell how it failed."""
@@ -231,7 +232,7 @@
             return Failure.MOVED
         self._crash_offset = self._cutter.delivered
         crashed = await self._parts.suspects.report_break(
-            name, attempt.attempt_id, on_trial=attempt.on_trial and not attempt.cleared
+            attempt.endpoint, attempt.attempt_id, on_trial=attempt.on_trial and not attempt.cleared
         )
         return Failure.CRASHED if crashed else Failure.BROKEN
 
--- a/shallotmux/requests/_executor.py
+++ b/shallotmux/requests/_executor.py
@@ -72,7 +72,7 @@
             engines=tools.engines,
             services=tools.services,
             admission=admission,
-            suspects=Suspects(tools.authority, settings, tools.clock, name),
+            suspects=Suspects(tools.authority, tools.engines, settings, tools.clock, name),
             budget=RetryBudget(settings),
             breakers=breakers,
             random=tools.random,
--- a/shallotmux/requests/_retries.py
+++ b/shallotmux/requests/_retries.py
@@ -87,11 +87,15 @@
         earlier = breaker.first_token_s or first_token_s
         breaker.first_token_s = earlier + SMOOTHING * (first_token_s - earlier)
 
-    def fail(self, endpoint: str, now: float) -> None:
-        """Count a failure and open the breaker when there were several in a row."""
+    def fail(self, endpoint: str, now: float, *, certain: bool = False) -> None:
+        """Count a failure and open the breaker when there were several in a row.
+
+        :param certain: whether the endpoint is known to be down, so that one failure is enough.
+        """
         breaker = self.known.setdefault(endpoint, Breaker())
         breaker.failures += 1
-        if breaker.failures >= self.settings.breaker_failures and now >= breaker.open_until_s:
+        enough = certain or breaker.failures >= self.settings.breaker_failures
+        if enough and now >= breaker.open_until_s:
             open_s = self.settings.breaker_open_s * 2**breaker.doublings
             breaker.open_until_s = now + open_s
             breaker.doublings = min(MAX_DOUBLINGS, breaker.doublings + 1)
--- a/shallotmux/requests/_services.py
+++ b/shallotmux/requests/_services.py
@@ -134,7 +134,7 @@
         else:
             self._advance(AttemptEnded(attempt_id, outcome.not_run))
             self._parts.breakers.fail(name, now)
-            self._avoid = frozenset((name,))
+            self._avoid |= {name}
 
     def _check_retry(self, failed: Failed, failures: int) -> None:
         """Raise a refusal unless the call may be made again.
--- a/shallotmux/requests/_suspects.py
+++ b/shallotmux/requests/_suspects.py
@@ -16,14 +16,19 @@
     StartTrial,
     Suspicion,
 )
-from shallotmux.errors import AuthorityUnavailable, OutcomeUnknown
+from shallotmux.engines import EngineClient
+from shallotmux.errors import AuthorityUnavailable, EndpointError, OutcomeUnknown
 from shallotmux.requests._lifecycle import Lifecycle
 from shallotmux.requests._request import refuse
 from shallotmux.requests._settings import RequestSettings
+from shallotmux.world import Endpoint
 
 #: Seconds after which the state is read again while another trial runs; a trial may end by time.
 TRIAL_POLL_S = 1.0
 
+#: Seconds in which an engine that has not crashed answers.
+PROBE_TIMEOUT_S = 0.5
+
 #: Seconds between resends.
 RESEND_PAUSE_S = 0.1
 
@@ -54,11 +59,13 @@
     def __init__(
         self,
         authority: Authority,
+        engines: EngineClient,
         settings: RequestSettings,
         clock: Callable[[], float],
         name: str,
     ) -> None:
         self._authority = authority
+        self._engines = engines
         self._settings = settings
         self._clock = clock
         self._name = name
@@ -77,18 +84,19 @@
         if incident is not None and attempt_id not in incident.broken:
             incident.members.pop(attempt_id, None)
 
-    async def report_break(self, endpoint: str, attempt_id: str, *, on_trial: bool) -> bool:
+    async def report_break(self, endpoint: Endpoint, attempt_id: str, *, on_trial: bool) -> bool:
         """Report a broken stream and tell whether the engine has crashed.
 
-        It has if all streams on it break within the crash window. A single broken stream among
-        others that go on is a fault of its connection.
+        It has if all streams on it break within the crash window and it does not answer afterwards.
+        A stream that breaks on an engine which goes on is a fault of its connection. An engine needs
+        seconds to restart, since it loads its model.
 
         :param on_trial: whether the attempt had the engine to itself.
         """
-        incident = self._incidents.get(endpoint)
+        incident = self._incidents.get(endpoint.name)
         if incident is None or attempt_id not in incident.members:
-            incident = Incident(dict(self._running.get(endpoint, {})), {attempt_id})
-            self._incidents[endpoint] = incident
+            incident = Incident(dict(self._running.get(endpoint.name, {})), {attempt_id})
+            self._incidents[endpoint.name] = incident
             with trio.CancelScope(shield=True):
                 await self._decide(endpoint, incident, on_trial=on_trial)
         else:
@@ -143,17 +151,27 @@
         )
         return await self._submit(command)
 
-    async def _decide(self, endpoint: str, incident: Incident, *, on_trial: bool) -> None:
+    async def _decide(self, endpoint: Endpoint, incident: Incident, *, on_trial: bool) -> None:
         await trio.sleep(self._settings.crash_window_s)
-        if self._incidents.get(endpoint) is incident:
-            self._incidents.pop(endpoint)
-        incident.crashed = incident.members.keys() <= incident.broken
+        if self._incidents.get(endpoint.name) is incident:
+            self._incidents.pop(endpoint.name)
         try:
+            if incident.members.keys() <= incident.broken:
+                incident.crashed = not await self._answers(endpoint)
             if incident.crashed:
-                await self._record(endpoint, incident, on_trial=on_trial)
+                await self._record(endpoint.name, incident, on_trial=on_trial)
         finally:
             incident.decided.set()
 
+    async def _answers(self, endpoint: Endpoint) -> bool:
+        with trio.move_on_after(PROBE_TIMEOUT_S):
+            try:
+                await self._engines.load(endpoint)
+            except EndpointError:
+                return False
+            return True
+        return False
+
     async def _record(self, endpoint: str, incident: Incident, *, on_trial: bool) -> None:
         fingerprints = tuple(sorted(set(incident.members.values())))
         alone = on_trial and len(fingerprints) == 1
--- /dev/null
+++ b/tests/requests/test_failures.py
@@ -0,0 +1,231 @@
+"""Failures of engines, instances and the authority, alone, in pairs and in random mixes."""
+
+from __future__ import annotations
+
+import itertools
+import os
+from collections import deque
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import pytest
+import trio
+
+from shallotmux.authority import WithdrawKey
+from shallotmux.standins import EngineFault
+from tests.requests._checker import check_histories
+from tests.requests._zone import Shape, Zone, run_zone
+
+Failure = Callable[[Zone], Awaitable[None]]
+CALLERS = 6
+POISON = 'tailors send poison'
+
+#: Schedules of the random mix; the target ``failure-matrix`` of the Makefile raises it.
+SCHEDULES = int(os.environ.get('SHALLOTMUX_SCHEDULES', '200'))
+
+
+def strike(fault: EngineFault) -> Failure:
+    """Return a failure that the next run on each engine suffers."""
+
+    async def act(zone: Zone) -> None:
+        for engine in zone.engines:
+            engine.behaviour.faults.append(fault)
+
+    return act
+
+
+async def crash(zone: Zone) -> None:
+    """Crash the busiest engine."""
+    max(zone.engines, key=lambda engine: len(engine.running)).crash()
+
+
+async def pause(zone: Zone) -> None:
+    """Pause an engine for longer than the timeouts."""
+    engine = max(zone.engines, key=lambda engine: len(engine.running))
+    engine.behaviour.paused = True
+    await trio.sleep(8)
+    engine.behaviour.paused = False
+
+
+async def kill_entry(zone: Zone) -> None:
+    """Kill an instance, but never the last one."""
+    live = [entry for entry in zone.entries if entry.client.alive]
+    if len(live) > 1:
+        live[0].kill()
+
+
+async def lose_authority(zone: Zone) -> None:
+    """Take the leader away from all instances for a while."""
+    for entry in zone.entries:
+        entry.authority.available = False
+    await trio.sleep(2)
+    for entry in zone.entries:
+        entry.authority.available = True
+
+
+async def isolate(zone: Zone) -> None:
+    """Cut one instance off from the authority for a while."""
+    zone.entries[-1].authority.fresh = False
+    zone.entries[-1].authority.available = False
+    await trio.sleep(4)
+    zone.entries[-1].authority.fresh = True
+    zone.entries[-1].authority.available = True
+
+
+async def withdraw(zone: Zone) -> None:
+    """Withdraw the key of one customer."""
+    await zone.authority.submit(WithdrawKey('withdraw', zone.keys['cutters']))
+
+
+async def drain(zone: Zone) -> None:
+    """Drain an engine for a role change."""
+    engine = zone.engines[0]
+    deadline_s = trio.current_time() + 30
+    live = [entry for entry in zone.entries if entry.client.alive]
+    for entry in live:
+        await entry.executor.drain(engine.name, deadline_s)
+    for entry in live:
+        entry.executor.readmit(engine.name)
+
+
+async def reclaim(zone: Zone) -> None:
+    """Reclaim an engine on a notice that is shorter than its streams."""
+    engine = zone.engines[1]
+    deadline_s = trio.current_time() + 1.2
+    async with trio.open_nursery() as nursery:
+        for entry in zone.entries:
+            if entry.client.alive:
+                nursery.start_soon(entry.executor.drain, engine.name, deadline_s)
+    zone.network.stop(zone.address(engine.name))
+
+
+async def send_poison(zone: Zone) -> None:
+    """Send a request that crashes each engine which runs it."""
+    for engine in zone.engines:
+        engine.behaviour.poison = POISON.encode()
+    await zone.ask('tailors', POISON)
+
+
+async def resend(zone: Zone) -> None:
+    """Let a caller drop its connection and come back."""
+    await zone.ask('tailors', leave_after=3)
+
+
+FAILURES: dict[str, Failure] = {
+    'crash': crash,
+    'pause': pause,
+    'refusal': strike(EngineFault.REFUSE),
+    'late': strike(EngineFault.OTHER_ATTEMPT),
+    'crossed': strike(EngineFault.CROSS),
+    'truncated': strike(EngineFault.TRUNCATE),
+    'cut': strike(EngineFault.CUT),
+    'doubled': strike(EngineFault.DUPLICATE),
+    'skipped': strike(EngineFault.SKIP),
+    'entry-killed': kill_entry,
+    'authority-unavailable': lose_authority,
+    'isolated': isolate,
+    'key-withdrawn': withdraw,
+    'drain': drain,
+    'reclaim': reclaim,
+    'poison': send_poison,
+    'resend': resend,
+}
+
+#: Failures after which some refusals are right; all other ones must go unnoticed by callers.
+REFUSING = {
+    'authority-unavailable': {'suspect', 'outcome_unknown'},
+    'isolated': {'authority_stale'},
+    'key-withdrawn': {'key_withdrawn', 'invalid_api_key'},
+    'poison': {'quarantined'},
+}
+
+
+def run_schedule(failures: list[tuple[float, Failure]], seed: int) -> Zone:
+    """Run callers of two customers while failures happen at their times."""
+
+    async def act(zone: Zone, at_s: float, failure: Failure) -> None:
+        await trio.sleep(at_s)
+        await failure(zone)
+
+    async def call(zone: Zone, number: int) -> None:
+        await trio.sleep(number * 0.03)
+        await zone.ask(('tailors', 'cutters')[number % 2])
+
+    async def work(zone: Zone) -> None:
+        async with trio.open_nursery() as nursery:
+            for at_s, failure in failures:
+                nursery.start_soon(act, zone, at_s, failure)
+            for number in range(CALLERS):
+                nursery.start_soon(call, zone, number)
+
+    zone = run_zone(work, Shape(behaviour={'token_s': 0.02}), seed)
+    check_histories(zone)
+    return zone
+
+
+@pytest.mark.parametrize('name', FAILURES)
+def test_single_failure(name: str) -> None:
+    """Guards against an answer lost or a refusal that is not needed after one failure."""
+    zone = run_schedule([(0.1, FAILURES[name])], seed=7)
+    codes = {answer.code for answer in zone.answers} - {''}
+    assert codes <= REFUSING.get(name, set())
+
+
+@pytest.mark.parametrize('names', list(itertools.combinations(FAILURES, 2)), ids='+'.join)
+def test_pair_of_failures(names: tuple[str, str]) -> None:
+    """Guards against two failures at once that break what each alone does not."""
+    zone = run_schedule([(0.1, FAILURES[names[0]]), (0.15, FAILURES[names[1]])], seed=11)
+    codes = {answer.code for answer in zone.answers} - {''}
+    assert codes <= set().union(*(REFUSING.get(name, set()) for name in names))
+
+
+def test_random_mix() -> None:
+    """Guards against orders and numbers of failures that nobody thought of."""
+    for seed in range(SCHEDULES):
+        random = Random(seed)
+        names = random.choices(list(FAILURES), k=random.randint(2, 5))
+        plan = [(random.uniform(0, 0.6), FAILURES[name]) for name in names]
+        try:
+            run_schedule(plan, seed)
+        except BaseException as error:
+            raise AssertionError(f'schedule {seed}: {names}') from error
+
+
+def test_poison_crashes_two_engines_at_most() -> None:
+    """Guards against a resent poison request that takes down engine after engine."""
+
+    async def work(zone: Zone) -> None:
+        for engine in zone.engines:
+            engine.behaviour.poison = POISON.encode()
+        async with trio.open_nursery() as nursery:
+            for number in range(8):
+                nursery.start_soon(zone.ask, ('tailors', 'cutters')[number % 2])
+            for _ in range(20):
+                await zone.ask('tailors', POISON, connections=1)
+
+    zone = run_zone(work, Shape(engines=6, behaviour={'token_s': 0.02}))
+    check_histories(zone)
+    poison = [answer for answer in zone.answers if answer.prompt == POISON]
+    assert {answer.code for answer in poison} == {'quarantined'}
+    assert [answer.not_run for answer in poison].count(False) == 1
+    assert not poison[0].not_run
+    assert all(answer.done for answer in zone.answers if answer.prompt != POISON)
+    assert sum(engine.crashes for engine in zone.engines) == 2
+
+
+def test_superseded_attempt_is_cancelled_at_engine() -> None:
+    """Guards against an engine that goes on with an attempt whose answer nobody takes."""
+
+    async def work(zone: Zone) -> None:
+        zone.engines[0].behaviour.faults = deque((EngineFault.CROSS,))
+        zone.engines[1].behaviour.faults = deque((EngineFault.CROSS,))
+        await zone.ask('tailors')
+        await trio.sleep(1)
+
+    zone = run_zone(work, Shape(engines=2))
+    struck = [run for engine in zone.engines for run in engine.runs if run.fault]
+    cancels = b''.join(
+        each.body for engine in zone.engines for each in engine.history if each.path == '/cancel'
+    )
+    assert struck
+    assert all(run.attempt_id.encode() in cancels for run in struck)
