--- a/shallotmux/authority/__init__.py
+++ b/shallotmux/authority/__init__.py
@@ -37,6 +37,7 @@
     digest_secret,
 )
 from shallotmux.authority._ledger import (
+    AbandonClaims,
     AbandonJob,
     ClaimFinished,
     ClaimGranted,
@@ -49,8 +50,17 @@
     JobId,
     ReleaseJob,
     StoredAnswer,
+    shorten_answer,
 )
 from shallotmux.authority._local import Authority, Leadership, LocalAuthority
+from shallotmux.authority._quarantine import (
+    EndTrial,
+    LiftQuarantine,
+    QuarantineState,
+    RecordCrash,
+    StartTrial,
+    Suspicion,
+)
 from shallotmux.authority._results import Applied, Conflict, Refused
 from shallotmux.authority._state import (
     Command,
@@ -73,6 +83,7 @@
 
 __all__ = (
     'SECRET_PREFIX',
+    'AbandonClaims',
     'AbandonJob',
     'Applied',
     'Attempt',
@@ -94,6 +105,7 @@
     'DeleteObject',
     'EndAttempt',
     'Figures',
+    'EndTrial',
     'FinishJob',
     'ForgetAttempt',
     'FreezeWindow',
@@ -105,6 +117,7 @@
     'ListedEndpoint',
     'LoadAdapter',
     'LoadModel',
+    'LiftQuarantine',
     'LocalAuthority',
     'MarkReported',
     'ObserveEndpoints',
@@ -113,14 +126,18 @@
     'OrderEndpoints',
     'PutObject',
     'RecordUsage',
+    'QuarantineState',
+    'RecordCrash',
     'Refused',
     'ReleaseEndpoint',
     'ReleaseJob',
     'Result',
+    'StartTrial',
     'StoredAnswer',
     'TakeAuthority',
     'Target',
     'UsageEntry',
+    'Suspicion',
     'Versioned',
     'WINDOW_S',
     'Window',
@@ -133,4 +150,5 @@
     'encode_command',
     'encode_result',
     'object_kind',
+    'shorten_answer',
 )
--- a/shallotmux/authority/_state.py
+++ b/shallotmux/authority/_state.py
@@ -28,6 +28,7 @@
 from shallotmux.authority._inventory import InventoryState, ObserveEndpoints
 from shallotmux.authority._keys import CreateKey, KeyState, WithdrawKey
 from shallotmux.authority._ledger import (
+    AbandonClaims,
     AbandonJob,
     ClaimJob,
     FinishJob,
@@ -36,6 +37,14 @@
     LedgerResult,
     ReleaseJob,
 )
+from shallotmux.authority._quarantine import (
+    EndTrial,
+    LiftQuarantine,
+    QuarantineCommand,
+    QuarantineState,
+    RecordCrash,
+    StartTrial,
+)
 from shallotmux.authority._results import Applied, Conflict, Refused
 from shallotmux.authority._usage import (
     FreezeWindow,
@@ -52,6 +61,7 @@
     | CreateKey
     | WithdrawKey
     | LedgerCommand
+    | QuarantineCommand
     | IntentCommand
     | UsageCommand
     | ObserveEndpoints
@@ -99,6 +109,7 @@
     intents: IntentState = field(default_factory=IntentState)
     usage: UsageState = field(default_factory=UsageState)
     inventory: InventoryState = field(default_factory=InventoryState)
+    quarantine: QuarantineState = field(default_factory=QuarantineState)
     results: OrderedDict[str, Result] = field(default_factory=OrderedDict)
 
     def apply(self, command: Command) -> Result:
@@ -203,6 +214,7 @@
             'intents': self.intents,
             'usage': self.usage,
             'inventory': self.inventory,
+            'quarantine': self.quarantine,
         }
 
     def _dispatch(self, command: Command, revision: int) -> Result:
@@ -213,8 +225,10 @@
                 return Refused(f'customer {key.customer!r} does not exist')
             case CreateKey() | WithdrawKey():
                 return self.keys.apply(command, revision)
-            case ClaimJob() | FinishJob() | ReleaseJob() | AbandonJob():
+            case ClaimJob() | FinishJob() | ReleaseJob() | AbandonJob() | AbandonClaims():
                 return self.ledger.apply(command, revision)
+            case RecordCrash() | StartTrial() | EndTrial() | LiftQuarantine():
+                return self.quarantine.apply(command, revision)
             case RecordUsage():
                 return self.usage.apply(command, revision)
             case _:
--- a/shallotmux/daemon/_instance.py
+++ b/shallotmux/daemon/_instance.py
@@ -9,7 +9,7 @@
 from shallotmux.authority import Authority, LocalAuthority
 from shallotmux.callers import CallerApp, CallerTools
 from shallotmux.daemon._listeners import Addresses, Applications, Listeners
-from shallotmux.engines import EngineClient
+from shallotmux.engines import EngineClient, ServiceClient
 from shallotmux.http import HttpClient, RelayClient
 from shallotmux.observability import (
     DecisionLog,
@@ -39,18 +39,21 @@
         self._relay = RelayClient()
         self.authority: Authority = authority or LocalAuthority(settings.instance.name)
         self.decisions = DecisionLog(settings.instance.name, settings.limits.decision_records)
-        executor = RequestExecutor(
+        http = client or self._relay
+        self.executor = RequestExecutor(
             Tools(
                 authority=self.authority,
-                engines=EngineClient(client or self._relay),
+                engines=EngineClient(http),
+                services=ServiceClient(http),
                 decisions=self.decisions,
                 random=Random(settings.instance.name),  # noqa: S311
+                instance=settings.instance.name,
             ),
         )
         self.metrics = Metrics()
         self.readiness = Readiness({'no contact to the leader': self.authority.is_fresh})
         self.caller_app = MeteredApp(
-            CallerApp(CallerTools(self.authority, executor, pepper)), self.metrics
+            CallerApp(CallerTools(self.authority, self.executor, pepper)), self.metrics
         )
         self.providers = providers or Providers(
             LocalStatus(self.authority, settings.instance.name, settings.instance.zone)
@@ -79,6 +82,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._drain)
             nursery.start_soon(self._relay.run)
+            nursery.start_soon(self.executor.run)
             await self._listeners.serve(task_status=task_status)
             nursery.cancel_scope.cancel()
         await self._relay.close()
