--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 ARGS ?=
 
-.PHONY: help env format lint types test unit demo bench measure explore proto clean
+.PHONY: help env format lint types test unit demo bench measure explore proto clean failure-matrix
 
 help:
 	@echo "make demo     run three zones with stand-in back ends (ARGS=--serve keeps them running)"
@@ -22,6 +22,11 @@
 test: env
 	$(BIN)/python -m pytest $(ARGS)
 
+# 1,000 random schedules of failures and 10,000 non-repeatable jobs take several minutes.
+failure-matrix: env
+	SHALLOTMUX_SCHEDULES=1000 SHALLOTMUX_JOBS=10000 $(BIN)/python -m pytest $(ARGS) \
+		tests/requests/test_failures.py tests/requests/test_jobs.py
+
 demo: env
 	$(BIN)/python -m shallotmux.demo $(ARGS)
 
--- a/shallotmux/requests/_admission.py
+++ b/shallotmux/requests/_admission.py
@@ -29,6 +29,9 @@
 #: Seconds for which the set of excluded endpoints of a pool is reused.
 EXCLUSION_AGE_S = 0.1
 
+#: Least weight of a customer, so that a weight of 0 gives the least share instead of an error.
+MIN_WEIGHT = 1e-6
+
 #: Seconds after which a refused caller may try again when nothing better is known.
 RETRY_AFTER_S = 1.0
 
@@ -67,18 +70,19 @@
 
 
 def predict_first_token(
-    waiting: int, slots: int, figures: PoolFigures, prefill_s: float, *, has_room: bool
+    waiting: int, served: float, figures: PoolFigures, prefill_s: float, *, has_room: bool
 ) -> float:
     """Return the expected time to the first token in seconds.
 
     :param waiting: requests that wait ahead of this one.
-    :param slots: streams that the pool runs at a time.
+    :param served: streams of the customer that this instance gets to run at a time. Other
+        instances use the same endpoints, so the pool's size says little about it.
     :param prefill_s: time for the prompt on an idle engine.
     """
     first_token_s = max(figures.first_token_s, prefill_s)
     if has_room and not waiting:
         return first_token_s
-    return (waiting + 1) * figures.busy_s / max(1, slots) + first_token_s
+    return (waiting + 1) * figures.busy_s / max(1, served) + first_token_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +108,7 @@
         self._waiting: list[Ticket] = []
         self._in_flight: Counter[str] = Counter()
         self._by_customer: Counter[str] = Counter()
+        self._by_pool: Counter[tuple[str, str]] = Counter()
         self._figures: dict[str, PoolFigures] = {}
         self._excluded: dict[str, tuple[float, frozenset[str]]] = {}
         #: Endpoints that get no new work because they leave or change their role.
@@ -155,6 +160,7 @@
         ticket.endpoint = None
         self._in_flight[name] -= 1
         self._by_customer[ticket.customer] -= 1
+        self._by_pool[ticket.route.pool, ticket.customer] -= 1
         self.end_exclusive(ticket)
         figures = self._figures.setdefault(ticket.route.pool, PoolFigures())
         if first_token_s is not None:
@@ -185,16 +191,19 @@
                 self._bind(ticket, decision)
 
     def _order(self, ticket: Ticket) -> tuple[bool, int, float]:
-        customer = self._tools.authority.read().customer(ticket.customer)
-        weight = customer.contract.weight if customer else 1.0
-        share = self._by_customer[ticket.customer] / max(weight, 1e-6)
-        return (not ticket.started, -ticket.priority, share)
+        running = self._by_pool[ticket.route.pool, ticket.customer]
+        return (not ticket.started, -ticket.priority, running / self._weight(ticket.customer))
+
+    def _weight(self, name: str) -> float:
+        customer = self._tools.authority.read().customer(name)
+        return max(customer.contract.weight, MIN_WEIGHT) if customer else 1.0
 
     def _bind(self, ticket: Ticket, decision: RoutingDecision) -> None:
         name = decision.endpoint.name
         self._waiting.remove(ticket)
         self._in_flight[name] += 1
         self._by_customer[ticket.customer] += 1
+        self._by_pool[ticket.route.pool, ticket.customer] += 1
         ticket.endpoint = decision.endpoint
         ticket.bound_s = trio.current_time()
         ticket.bound.set()
@@ -239,21 +248,33 @@
 
     def _predict(self, ticket: Ticket, pool: EndpointPool) -> float:
         figures = self._figures.get(pool.name, PoolFigures())
+        same_pool = [each for each in self._waiting if each.route.pool == pool.name]
         ahead = sum(
-            1
-            for each in self._waiting
-            if each.route.pool == pool.name and each.priority >= ticket.priority
+            each.priority > ticket.priority
+            or (each.customer == ticket.customer and each.priority == ticket.priority)
+            for each in same_pool
         )
         usable = [each for each in pool.endpoints if each.name not in self.draining]
         rate = self._tools.loads.prefill_rate(each.name for each in usable[:CANDIDATES])
         return predict_first_token(
             ahead,
-            sum(self._slots(each) for each in usable),
+            self._count_served(ticket, {each.customer for each in same_pool}),
             figures,
             ticket.prompt_tokens / rate if rate else 0.0,
             has_room=bool(self._with_room(ticket, usable)),
         )
 
+    def _count_served(self, ticket: Ticket, waiting: set[str]) -> float:
+        """Return the streams that the customer runs here at a time, or its fair share of them."""
+        running = {
+            name: count
+            for (pool, name), count in self._by_pool.items()
+            if pool == ticket.route.pool and count
+        }
+        active = running.keys() | waiting | {ticket.customer}
+        share = self._weight(ticket.customer) / sum(self._weight(name) for name in active)
+        return max(running.get(ticket.customer, 0), share * sum(running.values()))
+
     def _pool(self, ticket: Ticket) -> EndpointPool | None:
         return self._tools.authority.read().pool(ticket.route.pool)
 
--- a/shallotmux/requests/_settings.py
+++ b/shallotmux/requests/_settings.py
@@ -21,7 +21,8 @@
     :param ejected_share: largest share of a pool that breakers may exclude.
     :param queue_limit: waiting requests for each customer and route.
     :param queue_wait_s: longest wait for an endpoint.
-    :param first_token_limit_s: predicted first-token time beyond which a request is refused.
+    :param first_token_limit_s: predicted first-token time beyond which a request is refused. Less
+        than the target of 0.74 s, since the prediction is a mean.
     :param engine_slots: streams that count as a full engine.
     :param service_slots: calls that count as a full plain service.
     :param buffer_bytes: bytes held for a caller that reads slowly.
@@ -57,7 +58,7 @@
     ejected_share: float = 0.5
     queue_limit: int = 64
     queue_wait_s: float = 5.0
-    first_token_limit_s: float = 0.7
+    first_token_limit_s: float = 0.5
     engine_slots: int = 16
     service_slots: int = 64
     buffer_bytes: int = 262_144
--- a/shallotmux/standins/_engine.py
+++ b/shallotmux/standins/_engine.py
@@ -249,6 +249,8 @@
         await send_start(send, 200, EVENT_STREAM_TYPE, headers)
         last = payload.get('max_tokens', 256)
         key = prompt_key(payload)
+        if record.fault == EngineFault.OTHER_ATTEMPT:
+            key = key[::-1]  # Sampling gives other tokens in each attempt.
         for position in range(payload['offset'], last):
             if poisoned and record.tokens >= behaviour.poison_after:
                 self.crash()
--- /dev/null
+++ b/tests/callers/test_border.py
@@ -0,0 +1,201 @@
+"""Bad input at the caller border, and what endpoints see of a request."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import pytest
+import trio
+
+from shallotmux.callers._border import JSON_ESCAPE
+from shallotmux.http import HttpRequest, fetch
+from tests.requests._zone import PEPPER, Shape, Zone, run_zone
+
+CHAT = '/v1/chat/completions'
+LIMIT = 10_000_000
+GOOD = {'model': 'sorter', 'messages': [{'role': 'user', 'content': 'Sort lot 7.'}]}
+Send = Callable[..., Awaitable[tuple[int, bytes]]]
+
+
+def send(
+    path: str, body: bytes, method: str = 'POST', **headers: str
+) -> tuple[int, dict[str, object], Zone]:
+    """Send one request with a valid key and return status, error and zone."""
+    answers = []
+
+    async def work(zone: Zone) -> None:
+        named = {name.replace('_', '-'): text for name, text in headers.items()}
+        named = {
+            name: text.replace('SECRET', zone.secrets['tailors']) for name, text in named.items()
+        }
+        secret = zone.secrets['tailors']
+        request = HttpRequest(
+            method,
+            zone.entries[0].address,
+            path.replace('SECRET', secret),
+            body.replace(b'SECRET', secret.encode()).replace(b'ESCAPED', escape(secret)),
+            {'authorization': f'Bearer {secret}', **named},
+        )
+        answers.append(await fetch(zone.network.client('10.9.0.1:0'), request, LIMIT))
+
+    zone = run_zone(work, Shape(engines=1, services=1, entries=1))
+    status, answer = answers[0]
+    return status, msgspec.json.decode(answer).get('error', {}), zone
+
+
+def escape(secret: str) -> bytes:
+    """Return the JSON spelling of a secret with its first character as an escape."""
+    return JSON_ESCAPE + b'%04x' % ord(secret[0]) + secret[1:].encode()
+
+
+def encode(**changes: object) -> bytes:
+    """Return a chat body with changes."""
+    return msgspec.json.encode({**GOOD, **changes})
+
+
+@pytest.mark.parametrize(
+    ('body', 'headers', 'status', 'code'),
+    [
+        (b'{"model"', {}, 400, 'invalid_body'),
+        (b'[]', {}, 400, 'invalid_body'),
+        (b'\xff\xfe', {}, 400, 'invalid_body'),
+        (encode(messages=[{'role': 'user', 'content': 'x'}]).replace(b'x', b'\xc3'), {}, 400, 'invalid_body'),
+        (encode(messages=[]), {}, 400, 'invalid_body'),
+        (encode(max_tokens=0), {}, 400, 'invalid_body'),
+        (encode(model='unknown'), {}, 404, 'model_not_found'),
+        (encode(model='orders'), {}, 404, 'model_not_found'),
+        (encode(), {'content_type': 'text/plain'}, 415, 'wrong_content_type'),
+        (b' ' * 5_000_000, {}, 413, 'body_too_large'),
+        (encode(), {'x_filler': 'x' * 40_000}, 431, 'headers_too_large'),
+        (encode(stream=True), {'last_event_id': 'two'}, 400, 'invalid_last_event_id'),
+        (encode(stream=True), {'last_event_id': '9' * 5000}, 400, 'invalid_last_event_id'),
+        (encode(), {'shallotmux_response_id': 'x"y'}, 409, 'response_mismatch'),
+        (encode(), {'shallotmux_timeout_s': 'nan'}, 400, 'invalid_timeout'),
+        (encode(user='SECRET'), {}, 400, 'key_in_request'),
+        (encode(user='ESCAPED'), {}, 400, 'key_in_request'),
+    ],
+)  # fmt: skip
+def test_bad_completion(
+    body: bytes, headers: dict[str, str], status: int, code: str | None
+) -> None:
+    """Guards against bad input that reaches an engine, or gets an unclear answer."""
+    found, error, zone = send(CHAT, body, **headers)
+    assert (found, error.get('code')) == (status, code)
+    if code is not None:
+        assert error['not_run'] is True
+        assert not zone.engines[0].runs
+
+
+@pytest.mark.parametrize(
+    ('path', 'method', 'headers', 'status', 'code'),
+    [
+        ('/v1/services/nothing/x', 'POST', {}, 404, 'not_found'),
+        ('/v1/services/sorter/x', 'POST', {}, 404, 'not_found'),
+        ('/v1/services/stock/../x', 'POST', {}, 400, 'invalid_path'),
+        ('/v1/services/stock/x', 'TRACE', {}, 405, 'method_not_allowed'),
+        ('/v1/services/stock/x?key=SECRET', 'POST', {}, 400, 'key_in_request'),
+        ('/v1/services/stock/x?key=%2573k%252dshallot', 'POST', {}, 200, None),
+        ('/v1/services/stock/SECRET', 'POST', {}, 400, 'key_in_request'),
+        ('/v1/services/stock/x', 'POST', {'x_request_id': 'SECRET'}, 400, 'key_in_request'),
+        ('/v1/services/orders/x', 'POST', {'idempotency_key': 'a b'}, 400, 'invalid_idempotency_key'),
+        ('/v2/x', 'POST', {}, 404, 'not_found'),
+        ('/v1/chat/completions', 'GET', {}, 405, 'method_not_allowed'),
+    ],
+)  # fmt: skip
+def test_bad_service_call(
+    path: str, method: str, headers: dict[str, str], status: int, code: str | None
+) -> None:
+    """Guards against a service call that leaves its route or carries a key."""
+    found, error, zone = send(path, b'job', method, **headers)
+    assert (found, error.get('code')) == (status, code)
+    assert bool(zone.services[0].history) is (code is None)
+
+
+def test_service_sees_no_key_headers() -> None:
+    """Guards against forwarding the caller's key under another header, or hop-by-hop headers."""
+    spellings = {'x_api_key': 'SECRET', 'Api_Key': 'SECRET', 'cookie': 'k=SECRET', 'te': 'trailers'}
+    status, _, zone = send('/v1/services/stock/a%20b?lot=7', b'job', connection='x', **spellings)
+    received = zone.services[0].history[0]
+    assert status == 200
+    assert (received.path, received.query) == ('/a%2520b', b'lot=7')
+    assert zone.secrets['tailors'] not in repr(received)
+    names = {name for name, _ in received.headers}
+    assert names == {'shallotmux-call-id', 'shallotmux-deadline-s'}
+
+
+def test_open_route_needs_no_key() -> None:
+    """Guards against a key demanded on a route open to all, and against its lack elsewhere."""
+
+    async def work(zone: Zone) -> None:
+        for route, status in (('stock', 200), ('orders', 401)):
+            request = HttpRequest(
+                'POST', zone.entries[0].address, f'/v1/services/{route}/x', route.encode()
+            )
+            found, _ = await fetch(zone.network.client('10.9.0.1:0'), request, LIMIT)
+            assert found == status
+
+    assert run_zone(work, Shape(engines=0)).executions == {'stock': 1}
+
+
+def test_slow_sender_is_cut_off() -> None:
+    """Guards against a caller that holds a connection with a body that never ends."""
+    sent = []
+
+    async def receive() -> dict[str, object]:
+        await trio.sleep(10)
+        return {'type': 'http.request', 'body': b'x', 'more_body': True}
+
+    async def take(message: dict[str, object]) -> None:
+        sent.append(message)
+
+    async def work(zone: Zone) -> None:
+        scope = {'type': 'http', 'method': 'POST', 'path': CHAT, 'headers': []}
+        await zone.entries[0].app(scope, receive, take)  # type: ignore[arg-type]
+
+    run_zone(work, Shape(entries=1))
+    assert sent[0]['status'] == 408
+    assert PEPPER not in repr(sent).encode()
+
+
+def test_response_id_of_chat_is_refused_for_completion() -> None:
+    """Guards against resuming a response of another kind, customer or body."""
+
+    async def work(zone: Zone) -> None:
+        answer = await zone.ask('tailors', 'Sort lot 7.')
+        for customer, path in (('cutters', CHAT), ('tailors', '/v1/completions')):
+            body = {'model': 'sorter', 'prompt': 'x', 'stream': True, 'max_tokens': answer.tokens}
+            body['messages'] = [{'role': 'user', 'content': 'Sort lot 7.'}]
+            headers = {
+                'authorization': f'Bearer {zone.secrets[customer]}',
+                'shallotmux-response-id': answer.response_id,
+            }
+            request = HttpRequest(
+                'POST', zone.entries[0].address, path, msgspec.json.encode(body), headers
+            )
+            status, _ = await fetch(zone.network.client('10.9.0.1:0'), request, LIMIT)
+            assert status == 409
+
+    run_zone(work, Shape())
+
+
+def test_completion_is_resumed() -> None:
+    """Guards against lost or repeated tokens when a plain completion is resumed."""
+
+    async def ask(zone: Zone, **headers: str) -> list[bytes]:
+        body = {'model': 'sorter', 'prompt': 'Sort.', 'stream': True, 'max_tokens': 5}
+        named = {'authorization': f'Bearer {zone.secrets["tailors"]}', **headers}
+        request = HttpRequest(
+            'POST', zone.entries[0].address, '/v1/completions', msgspec.json.encode(body), named
+        )
+        _, answer = await fetch(zone.network.client('10.9.0.1:0'), request, LIMIT)
+        return answer.split(b'\n\n')
+
+    async def work(zone: Zone) -> None:
+        whole = await ask(zone)
+        response_id = msgspec.json.decode(whole[0].partition(b'data: ')[2])['id']
+        for offset in (2, 5):
+            headers = {'shallotmux-response-id': response_id, 'last-event-id': str(offset)}
+            assert await ask(zone, **headers) == whole[offset:]
+
+    run_zone(work, Shape())
--- a/tests/requests/_checker.py
+++ b/tests/requests/_checker.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 import msgspec
 
-from shallotmux.standins import EngineRunRecord, prompt_key, token_text
+from shallotmux.standins import prompt_key, token_text
 from tests.requests._zone import Answer, Zone
 
 
@@ -14,7 +14,7 @@
     """Raise AssertionError if a history breaks an invariant."""
     for answer in zone.answers:
         check_answer(answer)
-        check_refusal(zone, answer)
+    check_refusals(zone)
     check_jobs(zone)
     check_isolation(zone)
     check_keys(zone)
@@ -42,21 +42,21 @@
         assert answer.code, f'{answer.prompt!r} has neither an answer nor a refusal'
 
 
-def find_runs(zone: Zone, prompt: str) -> list[EngineRunRecord]:
-    """Return the runs of a prompt that engines did not refuse."""
-    runs = (run for engine in zone.engines for run in engine.runs if not run.refused)
-    return [run for run in runs if run.payload['messages'][0]['content'] == prompt]
-
-
-def check_refusal(zone: Zone, answer: Answer) -> None:
+def check_refusals(zone: Zone) -> None:
     """not-run-true: a request refused as not run was accepted by no engine.
 
     A caller that came back asks for the rest, of which alone the refusal speaks.
     """
-    if answer.not_run and answer.connections == 1:
-        others = [each for each in zone.answers if each.prompt == answer.prompt]
-        if len(others) == 1:
-            assert not find_runs(zone, answer.prompt), f'{answer.prompt!r} ran: {answer.code}'
+    accepted = {
+        run.payload['messages'][0]['content']
+        for engine in zone.engines
+        for run in engine.runs
+        if not run.refused
+    }
+    sent = Counter(answer.prompt for answer in zone.answers)
+    for answer in zone.answers:
+        if answer.not_run and answer.connections == 1 and sent[answer.prompt] == 1:
+            assert answer.prompt not in accepted, f'{answer.prompt!r} ran: {answer.code}'
 
 
 def check_jobs(zone: Zone) -> None:
@@ -82,10 +82,12 @@
     for engine in zone.engines:
         for run in engine.runs:
             prompts[run.payload['response_id']].add(run.payload['messages'][0]['content'])
+    owners = defaultdict(set)
     for answer in zone.answers:
         assert prompts[answer.response_id] <= {answer.prompt}
-        others = {each.customer for each in zone.answers if each.response_id == answer.response_id}
-        assert not answer.response_id or others == {answer.customer}
+        owners[answer.response_id].add(answer.customer)
+    owners.pop('', None)
+    assert all(len(customers) == 1 for customers in owners.values())
 
 
 def check_keys(zone: Zone) -> None:
--- a/tests/requests/_zone.py
+++ b/tests/requests/_zone.py
@@ -159,6 +159,7 @@
     done: bool = False
     code: str = ''
     not_run: bool = False
+    tier: str = 'default'
     connections: int = 0
     started_s: float = 0.0
     times: list[float] = field(default_factory=list)
@@ -282,13 +283,14 @@
         tokens: int = TOKENS,
         connections: int = 5,
         leave_after: int = 0,
+        tier: str = 'default',
     ) -> Answer:
         """Send a streamed request and come back when the connection breaks.
 
         :param leave_after: events after which the caller itself drops its first connection.
         """
         prompt = prompt or f'{customer} asks {next(self.numbers)}'
-        answer = Answer(customer, prompt, tokens, started_s=trio.current_time())
+        answer = Answer(customer, prompt, tokens, started_s=trio.current_time(), tier=tier)
         self.answers.append(answer)
         while answer.connections < connections and not answer.done and not answer.code:
             answer.connections += 1
@@ -337,6 +339,7 @@
                 'model': 'sorter',
                 'messages': [{'role': 'user', 'content': answer.prompt}],
                 'stream': True,
+                'service_tier': answer.tier,
                 'max_tokens': answer.tokens,
             },
         )
--- /dev/null
+++ b/tests/requests/test_overload.py
@@ -0,0 +1,122 @@
+"""Goodput under overload, against first come first served without admission."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+
+import pytest
+import trio
+
+from shallotmux.requests import RequestSettings
+from tests.requests._checker import check_histories
+from tests.requests._zone import Answer, Shape, Zone, run_zone
+
+FIRST_TOKEN_S = 0.74
+TOKENS = 10
+STEP_S = 0.04
+BATCH = 4
+ENGINES = 2
+DURATION_S = 10.0
+
+#: Requests in a second that the engines can complete.
+CAPACITY = ENGINES * BATCH / (TOKENS * STEP_S)
+
+ADMITTING = RequestSettings(engine_slots=BATCH)
+#: First come first served: nothing is refused, and engines queue what does not fit their batch.
+NAIVE = RequestSettings(
+    engine_slots=10_000, queue_limit=10_000, queue_wait_s=1_000, first_token_limit_s=1_000,
+    first_token_timeout_s=1_000,
+)  # fmt: skip
+
+
+@dataclass(frozen=True)
+class Load:
+    """What became of the requests of one run.
+
+    :param goodput: requests a second whose first token came in time.
+    """
+
+    goodput: float
+    refused: int
+    sent: int
+
+
+def run_load(multiple: float, settings: RequestSettings, entries: int = 1) -> Load:
+    """Send Poisson arrivals at a multiple of the capacity."""
+    random = Random(5)
+
+    async def work(zone: Zone) -> None:
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < DURATION_S:
+                await trio.sleep(random.expovariate(multiple * CAPACITY))
+                customer = random.choice(('tailors', 'cutters'))
+                nursery.start_soon(partial(zone.ask, customer, tokens=TOKENS, connections=1))
+
+    behaviour = {'token_s': STEP_S, 'batch_limit': BATCH}
+    shape = Shape(engines=ENGINES, entries=entries, settings=settings, behaviour=behaviour)
+    zone = run_zone(work, shape)
+    check_histories(zone)
+    good = sum(is_good(answer) for answer in zone.answers)
+    refused = [answer for answer in zone.answers if answer.code]
+    assert all(answer.not_run for answer in refused)
+    return Load(good / DURATION_S, len(refused), len(zone.answers))
+
+
+def is_good(answer: Answer) -> bool:
+    """Tell whether a request counts for goodput."""
+    return answer.done and answer.times[0] - answer.started_s <= FIRST_TOKEN_S
+
+
+def test_goodput_holds_under_overload() -> None:
+    """Guards against a collapse of goodput when more is asked than the engines can do."""
+    at_capacity = run_load(1, ADMITTING)
+    for multiple in (2, 3, 5):
+        assert run_load(multiple, ADMITTING).goodput >= 0.9 * at_capacity.goodput
+    assert run_load(3, NAIVE).goodput < 0.5 * at_capacity.goodput
+
+
+@pytest.mark.parametrize('entries', [3])
+def test_goodput_holds_with_several_instances(entries: int) -> None:
+    """Guards against instances that each fill the engines as if they were alone."""
+    at_capacity = run_load(1, ADMITTING, entries)
+    assert run_load(3, ADMITTING, entries).goodput >= 0.9 * at_capacity.goodput
+
+
+def test_priority_is_served_first() -> None:
+    """Guards against urgent requests that wait behind others in the instance's queue."""
+
+    async def work(zone: Zone) -> None:
+        order = []
+
+        async def ask(tier: str) -> None:
+            await zone.ask('tailors', connections=1, tier=tier)
+            order.append(tier)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(ask, 'flex')
+            await trio.sleep(0.01)
+            nursery.start_soon(ask, 'priority')
+        assert order == ['flex', 'priority', 'flex', 'flex']
+
+    settings = RequestSettings(engine_slots=1, first_token_limit_s=10)
+    run_zone(work, Shape(engines=1, entries=1, settings=settings, behaviour={'token_s': STEP_S}))
+
+
+def test_queue_of_one_customer_is_bounded() -> None:
+    """Guards against one customer's burst that takes all memory and delays the others."""
+    settings = RequestSettings(engine_slots=1, queue_limit=3, first_token_limit_s=100)
+
+    async def work(zone: Zone) -> None:
+        async with trio.open_nursery() as nursery:
+            for _ in range(10):
+                nursery.start_soon(zone.ask, 'tailors')
+            await trio.sleep(0.1)
+            nursery.start_soon(zone.ask, 'cutters')
+
+    zone = run_zone(work, Shape(engines=1, entries=1, settings=settings))
+    check_histories(zone)
+    assert [answer.code for answer in zone.answers].count('queue_full') == 6
+    assert next(answer for answer in zone.answers if answer.customer == 'cutters').done
