--- a/shallotmux/standins/_engine.py
+++ b/shallotmux/standins/_engine.py
@@ -250,7 +250,7 @@
         last = payload.get('max_tokens', 256)
         key = prompt_key(payload)
         if record.fault == EngineFault.OTHER_ATTEMPT:
-            key = key[::-1]  # Sampling gives other tokens in each attempt.
+            key = bytes(reversed(key))  # Sampling gives other tokens in each attempt.
         for position in range(payload['offset'], last):
             if poisoned and record.tokens >= behaviour.poison_after:
                 self.crash()
--- a/tests/requests/test_events.py
+++ b/tests/requests/test_events.py
@@ -21,9 +21,10 @@
 
 def test_any_split_gives_whole_events() -> None:
     """Guards against half an event, a lost or a doubled one at any chunk border."""
-    for size in range(1, len(STREAM)):
+    total = len(STREAM)
+    for size in range(1, total):
         cutter = EventCutter('r', 0)
-        starts = range(0, len(STREAM), size)
+        starts = range(0, total, size)
         blocks = [cutter.feed(STREAM[start : start + size]) for start in starts]
         assert b''.join(blocks) == STREAM
         assert all(not block or block.endswith(b'\n\n') for block in blocks)
