--- a/tests/callers/test_app.py
+++ b/tests/callers/test_app.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import pytest
+from trio.testing import MockClock
 
 from shallotmux.authority import CreateKey, PutObject, WithdrawKey, create_secret
 from shallotmux.daemon import DaemonInstance
@@ -75,7 +76,9 @@
     return ''.join(token_text(key, position) for position in range(TOKENS))
 
 
-async def test_stream_relays_whole_answer(deployment: Deployment) -> None:
+async def test_stream_relays_whole_answer(
+    deployment: Deployment, autojump_clock: MockClock
+) -> None:
     """Guards against events lost or changed between engine and caller."""
     status, body = await deployment.ask(deployment.secret)
     assert status == 200
@@ -85,7 +88,9 @@
     assert ''.join(delta['content'] for delta in deltas) == expected_text()
 
 
-async def test_collected_answer_equals_stream(deployment: Deployment) -> None:
+async def test_collected_answer_equals_stream(
+    deployment: Deployment, autojump_clock: MockClock
+) -> None:
     """Guards against a difference between streamed and collected answers."""
     status, body = await deployment.ask(deployment.secret, stream=False)
     assert status == 200
@@ -93,7 +98,9 @@
     assert choice['message']['content'] == expected_text()
 
 
-async def test_unknown_key_is_refused_as_not_run(deployment: Deployment) -> None:
+async def test_unknown_key_is_refused_as_not_run(
+    deployment: Deployment, autojump_clock: MockClock
+) -> None:
     """Guards against a request that runs without a valid key."""
     status, body = await deployment.ask('sk-wrong')
     assert status == 401
@@ -101,14 +108,14 @@
     assert not any(engine.history for engine in deployment.engines)
 
 
-async def test_withdrawn_key_is_refused(deployment: Deployment) -> None:
+async def test_withdrawn_key_is_refused(deployment: Deployment, autojump_clock: MockClock) -> None:
     """Guards against a key that works after its withdrawal."""
     await deployment.daemon.authority.submit(WithdrawKey('w', deployment.key_id))
     status, _ = await deployment.ask(deployment.secret)
     assert status == 401
 
 
-async def test_key_never_reaches_engine(deployment: Deployment) -> None:
+async def test_key_never_reaches_engine(deployment: Deployment, autojump_clock: MockClock) -> None:
     """Guards against forwarding the caller's key to an endpoint."""
     await deployment.ask(deployment.secret)
     received = [each for engine in deployment.engines for each in engine.history]
@@ -116,7 +123,9 @@
     assert not any(deployment.secret in repr(each) for each in received)
 
 
-async def test_routing_decision_is_recorded(deployment: Deployment) -> None:
+async def test_routing_decision_is_recorded(
+    deployment: Deployment, autojump_clock: MockClock
+) -> None:
     """Guards against a dispatch without a recorded decision."""
     _, body = await deployment.ask(deployment.secret, stream=False)
     response_id = msgspec.json.decode(body)['id']
@@ -124,7 +133,7 @@
     assert [record.kind for record in records] == ['routing']
 
 
-async def test_resume_delivers_the_rest(deployment: Deployment) -> None:
+async def test_resume_delivers_the_rest(deployment: Deployment, autojump_clock: MockClock) -> None:
     """Guards against lost or repeated tokens after a reconnect."""
     _, whole = await deployment.ask(deployment.secret)
     response_id = msgspec.json.decode(whole.split(b'\n\n')[0].partition(b'data: ')[2])['id']
