Show that each guard of an invariant is tested

Seen: two guards, both the lease check before a write, were not noticed at first, because the test's paused sender was cancelled before it went on; a paused process goes on where it stopped.

--- a/tests/orders/test_failover.py
+++ b/tests/orders/test_failover.py
@@ -10,13 +10,17 @@
 import trio
 import trio.testing
 
-from shallotmux.authority import ChangeRole, IntentOpened, PutObject, Refused
-from shallotmux.errors import EndpointError
-from shallotmux.http import HttpRequest, Receive, Scope, Send, read_body, send_json
+from shallotmux.authority import (
+    ChangeRole,
+    IntentOpened,
+    OpenIntent,
+    PutObject,
+    Refused,
+    TakeAuthority,
+)
+from shallotmux.http import Receive, Scope, Send, read_body, send_json
 from shallotmux.orders import (
-    ClientSender,
     LeadOptions,
-    LeaseGuard,
     OrderDispatcher,
     OrderTools,
     Term,
@@ -24,6 +28,7 @@
 )
 from shallotmux.standins import MemoryNetwork, OrderReceiver, SharedGroup
 from shallotmux.world import Endpoint, EndpointPool, EngineRole
+from tests.support.gate import Gate
 
 ENGINE_ADDRESS = '10.1.0.1:80'
 GUARD_S = 90.0
@@ -41,33 +46,6 @@
         await send_json(send, self.receiver.receive(scope['client'][0], body), {})
 
 
-@dataclass
-class Gate:
-    """Sender that stops a chosen instance at a step of its first order."""
-
-    network: MemoryNetwork
-    name: str
-    step: str = ''
-    released: trio.Event = field(default_factory=trio.Event)
-    reached: trio.Event = field(default_factory=trio.Event)
-
-    async def send(self, request: HttpRequest, guard: LeaseGuard) -> tuple[int, bytes]:
-        """Send through the network, stopping before or after the write."""
-        if self.step == 'before-write':
-            await self._stop()
-        sender = ClientSender(self.network.client(self.name))
-        answer = await sender.send(request, guard)
-        if self.step == 'after-write':
-            await self._stop()
-            raise EndpointError('the answer is lost', step='send', peer=request.address)
-        return answer
-
-    async def _stop(self) -> None:
-        self.step = ''
-        self.reached.set()
-        await self.released.wait()
-
-
 @dataclass
 class NothingGone:
     """Platform lists on which everything is present."""
@@ -244,3 +222,26 @@
     await zone.place('entry-1', EngineRole.PREFILL)
     assert len(before) == 1
     assert not zone.group.state.endpoints_of('sorting')
+
+
+async def test_second_order_waits_for_the_first(
+    zone: Zone, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against two open orders to one engine."""
+    zone.network.stop(ENGINE_ADDRESS)
+    zone.start('entry-1')
+    zone.group.elect('entry-1')
+    await trio.sleep(2)
+    await zone.place('entry-1', EngineRole.PREFILL)
+    assert isinstance(await zone.place('entry-1', EngineRole.DECODE), Refused)
+
+
+def test_command_of_former_term_is_refused() -> None:
+    """Guards against a former leader whose commands are forwarded to the new leader."""
+    state = SharedGroup().state
+    state.apply(TakeAuthority('1', 'entry-1', 1))
+    state.apply(TakeAuthority('2', 'entry-2', 2))
+    content = ChangeRole(EngineRole.PREFILL)
+    late = state.apply(OpenIntent('3', 'engine-1', content, checks_fencing=True, term=1))
+    assert isinstance(late, Refused)
+    assert not state.intents.open_intents()
--- a/tests/usage/test_reporting.py
+++ b/tests/usage/test_reporting.py
@@ -9,10 +9,11 @@
 import trio.testing
 
 from shallotmux.authority import WINDOW_S, Figures, MarkReported, RecordUsage, Refused, UsageEntry
-from shallotmux.orders import ClientSender, LeadOptions, run_as_leader
+from shallotmux.orders import LeadOptions, run_as_leader
 from shallotmux.platform import AcceptedReport
 from shallotmux.standins import MemoryNetwork, PlatformStandin, SharedGroup
 from shallotmux.usage import ReporterTools, UsageCounter, UsageReporter, reconcile
+from tests.support.gate import Gate
 
 PLATFORM = '10.2.0.1:80'
 ZONE = 'zone-a'
@@ -26,14 +27,15 @@
     platform: PlatformStandin
     group: SharedGroup
 
-    def start(self, name: str) -> None:
+    def start(self, name: str, step: str = '') -> Gate:
         """Start the reporter of an instance."""
         authority = self.group.member(name)
-        sender = ClientSender(self.network.client(name))
+        sender = Gate(self.network, name, step)
         tools = ReporterTools(authority, sender, PLATFORM, ZONE, trio.current_time)
         self.network.nursery.start_soon(
             run_as_leader, authority, name, LeadOptions(), UsageReporter(tools).run
         )
+        return sender
 
     def bodies(self) -> dict[str, set[bytes]]:
         """Return the distinct bodies received under each operation id."""
@@ -101,6 +103,23 @@
     assert {report.source for report in reporting.platform.reports[before:]} == {'entry-2'}
 
 
+async def test_paused_leader_does_not_report_after_takeover(
+    reporting: Reporting, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a report of a leader that was paused before the write."""
+    gate = reporting.start('entry-1', 'before-write')
+    reporting.group.elect('entry-1')
+    await trio.sleep(2)
+    reporting.group.state.apply(batch(1, int(trio.current_time() // WINDOW_S), 100))
+    await gate.reached.wait()
+    reporting.group.elect('entry-2')
+    reporting.start('entry-2')
+    await trio.sleep(60)
+    gate.released.set()
+    await trio.sleep(WINDOW_S)
+    assert {report.source for report in reporting.platform.reports} == {'entry-2'}
+
+
 async def test_counter_records_each_count_once(
     autojump_clock: trio.testing.MockClock, nursery: trio.Nursery
 ) -> None:
