Explore the replica under faults and check histories

A protocol fault shows only under rare interleavings. A diskless voter that forgets its vote, a lease without margin and commit by counting are each found, with the first seeds recorded in the tests.

--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 	@echo "make demo     run three zones with stand-in back ends (ARGS=--serve keeps them running)"
 	@echo "make test     run the whole test suite"
 	@echo "make lint     check formatting, style and types"
+	@echo "make explore  explore the replication group under faults (ARGS='--seed 1 --steps 200000')"
 	@echo "make format   format the sources"
 
 env: $(VENV)/.stamp
@@ -25,6 +26,9 @@
 demo: env
 	$(BIN)/python -m shallotmux.demo $(ARGS)
 
+explore: env
+	$(BIN)/python -m shallotmux.checking $(ARGS)
+
 format: env
 	$(BIN)/ruff check --fix shallotmux tests
 	$(BIN)/ruff format shallotmux tests
--- /dev/null
+++ b/shallotmux/checking/__init__.py
@@ -0,0 +1,38 @@
+"""Checks of the replicated authority: a seeded explorer and a history checker."""
+
+from __future__ import annotations
+
+from shallotmux.checking._explorer import Failure, Plan, Report, explore, explore_schedule, replay
+from shallotmux.checking._generation import Profile
+from shallotmux.checking._history import History, Operation, is_linearizable
+from shallotmux.checking._shrinking import format_trace, shrink
+from shallotmux.checking._specifications import (
+    claim_ledger,
+    compare_and_set_register,
+    fencing_register,
+)
+from shallotmux.checking._violations import InvariantViolation
+from shallotmux.checking._world import Action, Step, World, WorldOptions
+
+__all__ = (
+    'Action',
+    'Failure',
+    'History',
+    'InvariantViolation',
+    'Operation',
+    'Plan',
+    'Profile',
+    'Report',
+    'Step',
+    'World',
+    'WorldOptions',
+    'claim_ledger',
+    'compare_and_set_register',
+    'explore',
+    'explore_schedule',
+    'fencing_register',
+    'format_trace',
+    'is_linearizable',
+    'replay',
+    'shrink',
+)
--- /dev/null
+++ b/shallotmux/checking/__main__.py
@@ -0,0 +1,7 @@
+"""Run the explorer with ``python -m shallotmux.checking``."""
+
+from __future__ import annotations
+
+from shallotmux.checking._main import main
+
+main()
--- /dev/null
+++ b/shallotmux/checking/_main.py
@@ -0,0 +1,32 @@
+"""Command line of the explorer."""
+
+from __future__ import annotations
+
+import sys
+import time
+
+import click
+
+from shallotmux.checking._explorer import explore
+from shallotmux.checking._shrinking import format_trace, shrink
+
+
+@click.command()
+@click.option('--seed', default=1, show_default=True, help='Seed of the schedules.')
+@click.option('--steps', default=200_000, show_default=True, help='Steps over all schedules.')
+def main(seed: int, steps: int) -> None:
+    """Explore the replication group under faults and check its invariants."""
+    started = time.perf_counter()
+    report = explore(seed, steps)
+    elapsed_s = time.perf_counter() - started
+    click.echo(
+        f'seed {seed}: {report.steps} steps, {len(report.states)} distinct states, '
+        f'{report.schedules} schedules, {report.commits} commits, {elapsed_s:.1f} s'
+    )
+    if report.failure is None:
+        click.echo('no violation')
+        return
+    click.echo(f'violation in the schedule of seed {report.failure.seed}; shrinking')
+    for line in format_trace(shrink(report.failure)):
+        click.echo(line)
+    sys.exit(1)
--- /dev/null
+++ b/shallotmux/checking/_violations.py
@@ -0,0 +1,16 @@
+"""The error that a broken invariant raises."""
+
+from __future__ import annotations
+
+from shallotmux.errors import ShallotmuxError
+
+
+class InvariantViolation(ShallotmuxError):
+    """An invariant does not hold after a step.
+
+    :param invariant: short name of the invariant.
+    """
+
+    def __init__(self, invariant: str, message: str) -> None:
+        super().__init__(f'{invariant}: {message}', step='explore')
+        self.invariant = invariant
--- /dev/null
+++ b/shallotmux/checking/_world.py
@@ -0,0 +1,345 @@
+"""A group of nodes, the network between them and the real time, changed step by step."""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from shallotmux.checking._history import History
+from shallotmux.checking._invariants import Invariants
+from shallotmux.checking._node import COMPARE_AND_SET, ORDER, Node
+from shallotmux.errors import MembershipRefused, NotLeader
+from shallotmux.replication import (
+    AddLearner,
+    Configuration,
+    Effects,
+    Envelope,
+    MembershipChange,
+    PromoteLearner,
+    RemoveMember,
+    Replica,
+    ReplicaOptions,
+    Role,
+    StoredGroup,
+    bootstrap_group,
+)
+
+#: Messages on one link; further ones are lost, as in a full channel.
+LINK_CAPACITY = 12
+#: Operations of one history. The search for an order grows with those that overlap.
+MAX_OPERATIONS = 40
+#: Values of the register, and targets of orders.
+VALUES = 3
+
+
+class Action(enum.Enum):
+    """Kinds of steps."""
+
+    DELIVER = 'deliver'
+    LOSE = 'lose'
+    DUPLICATE = 'duplicate'
+    TICK = 'tick'
+    WAIT = 'wait'
+    CRASH = 'crash'
+    CRASH_BEFORE_SEND = 'crash before send'
+    RESTART = 'restart'
+    PAUSE = 'pause'
+    RESUME = 'resume'
+    CUT = 'cut'
+    HEAL = 'heal'
+    SET = 'set'
+    READ = 'read'
+    ORDER = 'order'
+    TRANSFER = 'transfer'
+    ADD = 'add'
+    PROMOTE = 'promote'
+    REMOVE = 'remove'
+    COMPACT = 'compact'
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One step of a schedule; a step that does not apply changes nothing but the time.
+
+    :param elapsed_s: real time that passes before the step.
+    :param choice: position of a message on its link, or argument of a command.
+    """
+
+    action: Action
+    subject: str = ''
+    peer: str = ''
+    choice: int = 0
+    elapsed_s: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class WorldOptions:
+    """Shape of the explored group.
+
+    :param clock_rate_spread: largest relative difference of two nodes' clock rates.
+    :param voters: number of voters; the first ``disks`` of them have a disk.
+    """
+
+    replica: ReplicaOptions
+    voters: int = 3
+    disks: int = 3
+    witnesses: int = 0
+    clock_rate_spread: float = 0.02
+
+
+class World:
+    """Nodes, links and real time of one schedule."""
+
+    def __init__(self, options: WorldOptions, seed: int) -> None:
+        self.options = options
+        self.now = 0.0
+        self.nodes: dict[str, Node] = {}
+        self.links: dict[tuple[str, str], deque[Envelope]] = {}
+        self.invariants = Invariants()
+        self.history = History()
+        self._seed = seed
+        self._random = Random(f'world/{seed}')
+        self._cut: set[tuple[str, str]] = set()
+        self._proposed: dict[tuple[str, int, int], int] = {}
+        self._reads: dict[tuple[str, int], tuple[int, int]] = {}
+        self._summaries: dict[str, tuple[Any, ...]] = {}
+        self._is_losing_messages = False
+        self._start_group()
+
+    def perform(self, step: Step) -> None:
+        """Carry out one step and check the invariants.
+
+        :raises InvariantViolation: if one is broken.
+        """
+        self.now += step.elapsed_s
+        match step.action:
+            case Action.DELIVER | Action.LOSE | Action.DUPLICATE:
+                self._pass_message(step)
+            case Action.CUT | Action.HEAL:
+                self._change_network(step)
+            case _:
+                self._perform_on_node(step)
+        self.invariants.check_leases(self.now)
+
+    def state_hash(self) -> int:
+        """Return a hash of the protocol state, without times."""
+        return hash(frozenset(self._summaries.items()))
+
+    def describe_roles(self) -> list[tuple[str, str]]:
+        """Return what the trace of a schedule shows of each node."""
+        return [
+            (name, f'is {summary[0] or "stopped"} in term {summary[1]}')
+            for name, summary in self._summaries.items()
+        ]
+
+    def leader(self) -> Node | None:
+        """Return a running node that leads in the highest term."""
+        leading = [
+            (summary[1], name)
+            for name, summary in self._summaries.items()
+            if summary[0] == Role.LEADER.value
+        ]
+        return self.nodes[max(leading)[1]] if leading else None
+
+    def is_safe_to_forget(self, name: str) -> bool:
+        """Return whether a majority of voters outlives the loss of a diskless identity.
+
+        More losses than that end the group, and the rest of the schedule with it.
+        """
+        configurations = {
+            node.replica.status().configuration
+            for node in self.nodes.values()
+            if node.replica is not None
+        }
+        alive = {
+            node.name for node in self.nodes.values() if node.has_disk or node.replica is not None
+        }
+        return all(
+            len(each.voters & alive - {name}) >= each.majority
+            for each in configurations
+            if each.voters
+        )
+
+    def restart(self, node: Node) -> None:
+        """Start a node again: a diskless one as a new member under a new identity."""
+        if node.has_disk:
+            node.start(self.options.replica, self.now)
+            return
+        base, _, number = node.name.partition('.')
+        successor = f'{base}.{int(number or 0) + 1}'
+        if successor not in self.nodes:
+            self._add_node(successor, StoredGroup(), has_disk=False)
+
+    def _start_group(self) -> None:
+        names = [f'n{number}' for number in range(1, self.options.voters + 1)]
+        disks = frozenset(names[: self.options.disks])
+        witnesses = frozenset(names[len(names) - self.options.witnesses :])
+        configuration = Configuration(frozenset(names), frozenset(), disks, witnesses)
+        for name in names:
+            self._add_node(name, bootstrap_group(configuration), has_disk=name in disks)
+        self._add_node('spare', StoredGroup(), has_disk=True)
+
+    def _add_node(self, name: str, stored: StoredGroup, *, has_disk: bool) -> None:
+        rate = 1 + self._random.choice((0, 1)) * self.options.clock_rate_spread
+        node = Node(name, stored, has_disk=has_disk, rate=rate, seed=self._seed)
+        self.nodes[name] = node
+        node.start(self.options.replica, self.now)
+        self._settle(node)
+
+    def _pass_message(self, step: Step) -> None:
+        link = self.links.get((step.subject, step.peer))
+        node = self.nodes.get(step.peer)
+        if not link or node is None:
+            return
+        position = step.choice % len(link)
+        envelope = link[position]
+        if step.action is not Action.DUPLICATE:
+            del link[position]
+        if step.action is Action.LOSE or node.replica is None or node.is_paused:
+            return
+        node.replica.receive(envelope, node.local_time(self.now))
+        self._settle(node)
+
+    def _change_network(self, step: Step) -> None:
+        if step.action is Action.HEAL:
+            self._cut.clear()
+            return
+        self._cut.add((step.subject, step.peer))
+        if step.choice:
+            self._cut.add((step.peer, step.subject))
+
+    def _perform_on_node(self, step: Step) -> None:
+        node = self.nodes.get(step.subject)
+        if node is None:
+            return
+        if node.replica is None:
+            if step.action is Action.RESTART:
+                self.restart(node)
+                self._settle(node)
+            return
+        if node.is_paused and step.action not in {Action.RESUME, Action.CRASH}:
+            return
+        self._perform_on_running(step, node, node.replica)
+
+    def _perform_on_running(self, step: Step, node: Node, replica: Replica) -> None:
+        now = node.local_time(self.now)
+        match step.action:
+            case Action.TICK:
+                replica.tick(now)
+            case Action.CRASH:
+                self._crash(node)
+            case Action.CRASH_BEFORE_SEND:
+                replica.tick(now)
+                self._is_losing_messages = True
+                self._settle(node)
+                self._is_losing_messages = False
+                self._crash(node)
+            case Action.PAUSE | Action.RESUME:
+                node.is_paused = step.action is Action.PAUSE
+            case Action.COMPACT:
+                self._compact(node, replica)
+            case _:
+                self._ask_leader(step, node, replica)
+        self._settle(node)
+
+    def _crash(self, node: Node) -> None:
+        if node.has_disk or self.is_safe_to_forget(node.name):
+            node.replica = None
+
+    def _compact(self, node: Node, replica: Replica) -> None:
+        if node.applied_index > node.log.base:
+            replica.compact(node.applied_index, str(node.value).encode())
+
+    def _ask_leader(self, step: Step, node: Node, replica: Replica) -> None:
+        now = node.local_time(self.now)
+        try:
+            match step.action:
+                case Action.SET:
+                    self._propose_set(step, node, replica)
+                case Action.READ:
+                    self._request_read(node, replica)
+                case Action.ORDER:
+                    replica.propose(f'{ORDER} target{step.choice % VALUES}'.encode(), now)
+                case Action.TRANSFER:
+                    replica.transfer(step.peer, now)
+                case _:
+                    replica.change_membership(self._membership_change(step), now)
+        except (NotLeader, MembershipRefused):
+            return
+
+    def _membership_change(self, step: Step) -> MembershipChange:
+        match step.action:
+            case Action.ADD:
+                member = self.nodes.get(step.peer)
+                return AddLearner(step.peer, member is not None and member.has_disk)
+            case Action.PROMOTE:
+                return PromoteLearner(step.peer)
+            case _:
+                return RemoveMember(step.peer)
+
+    def _propose_set(self, step: Step, node: Node, replica: Replica) -> None:
+        if len(self.history.operations) >= MAX_OPERATIONS:
+            return
+        expected, value = divmod(step.choice, VALUES)
+        command = f'{COMPARE_AND_SET} {expected % VALUES} {value}'
+        index, term = replica.propose(command.encode(), node.local_time(self.now))
+        operation = self.history.begin('set', (expected % VALUES, value))
+        self._proposed[node.name, index, term] = operation
+
+    def _request_read(self, node: Node, replica: Replica) -> None:
+        token = replica.read_index(node.local_time(self.now))
+        operation = -1
+        if len(self.history.operations) < MAX_OPERATIONS:
+            operation = self.history.begin('get', ())
+        self._reads[node.name, token] = (self.invariants.committed_index, operation)
+
+    def _settle(self, node: Node) -> None:
+        """Carry out a node's effects until there are none, and check the invariants."""
+        while node.replica is not None:
+            effects = node.replica.take_effects()
+            before = node.log.last_index
+            node.log.save(effects)
+            self.invariants.check_appended(node, effects.entries)
+            node.replica.persisted(max(before, node.log.last_index))
+            self.invariants.check_role(node)
+            self.invariants.check_committed(node, effects, self.nodes)
+            self.invariants.check_orders(node, effects, self.now)
+            node.apply(effects)
+            self._finish_operations(node, effects)
+            self._send(effects)
+            if not effects.entries and effects.snapshot is None:
+                break
+        self._summaries[node.name] = _summary(node)
+
+    def _finish_operations(self, node: Node, effects: Effects) -> None:
+        for entry in effects.committed:
+            operation = self._proposed.pop((node.name, entry.index, entry.term), None)
+            if operation is not None:
+                self.history.end(operation, node.results[entry.index, entry.term])
+        for ready in effects.reads:
+            committed, operation = self._reads.pop((node.name, ready.token))
+            self.invariants.check_read(node, ready.index, committed)
+            if operation >= 0:
+                self.history.end(operation, node.value)
+
+    def _send(self, effects: Effects) -> None:
+        if self._is_losing_messages:
+            return
+        for envelope in effects.messages:
+            route = (envelope.sender, envelope.recipient)
+            if route in self._cut or envelope.recipient not in self.nodes:
+                continue
+            link = self.links.setdefault(route, deque(maxlen=LINK_CAPACITY))
+            link.append(envelope)
+
+
+def _summary(node: Node) -> tuple[Any, ...]:
+    """Return role and term, and what else tells protocol states apart."""
+    if node.replica is None:
+        return ('', node.log.hard_state.term, node.log.hard_state.vote, node.log.last_index)
+    status = node.replica.status()
+    last = (status.last_index, node.log.term_at(status.last_index), status.commit_index)
+    return (status.role.value, status.term, status.leader, last, node.is_paused)
--- /dev/null
+++ b/tests/checking/test_explorer.py
@@ -0,0 +1,75 @@
+"""Tests of the explorer: it finds known faults, and none in the replica as it is."""
+
+from __future__ import annotations
+
+import pytest
+
+from shallotmux.checking import Plan, Report, explore, explore_schedule, format_trace, shrink
+from shallotmux.replication._leadership import Leadership
+from tests.checking._faults import (
+    DISKLESS,
+    FAILING_LEADERS,
+    FORGETTING,
+    WITH_MARGIN,
+    WITHOUT_MARGIN,
+)
+
+#: First seeds whose schedule shows the fault, found by exploring from seed 0, 1 and so on.
+FORGETTING_SEEDS = (7, 1000002)
+MARGIN_SEEDS = (4, 1000011)
+COUNTING_SEEDS = (2000045, 3000034)
+
+
+def run(plan: Plan, seed: int) -> Report:
+    report = Report()
+    explore_schedule(report, seed, 1000, plan)
+    return report
+
+
+def violated(plan: Plan, seed: int) -> str:
+    failure = run(plan, seed).failure
+    return failure.violation.invariant if failure else ''
+
+
+@pytest.mark.parametrize('seed', range(1, 5))
+def test_no_violation_in_exploration(seed: int) -> None:
+    """Guards against faults of the protocol, over 200,000 steps in all."""
+    report = explore(seed, 50_000)
+    assert report.failure is None
+    assert report.steps == 50_000
+    assert len(report.states) > 5_000
+    assert report.commits > 500
+
+
+@pytest.mark.parametrize('seed', FORGETTING_SEEDS)
+def test_forgotten_vote_is_found(seed: int) -> None:
+    """Guards against an explorer blind to a diskless voter that keeps its identity."""
+    found = {'one-leader-per-term', 'committed-kept', 'log-matching'}
+    assert violated(FORGETTING, seed) in found
+    assert not violated(DISKLESS, seed)
+
+
+@pytest.mark.parametrize('seed', MARGIN_SEEDS)
+def test_lease_without_margin_is_found(seed: int) -> None:
+    """Guards against an explorer blind to two leases at once under differing clock rates."""
+    assert violated(WITHOUT_MARGIN, seed) == 'one-lease-holder'
+    assert not violated(WITH_MARGIN, seed)
+
+
+@pytest.mark.parametrize('seed', COUNTING_SEEDS)
+def test_commit_by_counting_is_found(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an explorer blind to an earlier term's entry committed by counting."""
+    assert not violated(FAILING_LEADERS, seed)
+    monkeypatch.setattr(Leadership, 'may_commit', lambda leadership, index: True)
+    assert violated(FAILING_LEADERS, seed) == 'committed-kept'
+
+
+def test_shrunk_schedule_breaks_same_invariant() -> None:
+    """Guards against a trace that is too long to read or shows another fault."""
+    failure = run(WITHOUT_MARGIN, MARGIN_SEEDS[0]).failure
+    assert failure is not None
+    shrunk = shrink(failure, max_replays=100)
+    assert len(shrunk.steps) < len(failure.steps) / 2
+    lines = list(format_trace(shrunk))
+    assert len(lines) <= len(shrunk.steps) + 2
+    assert lines[-1].startswith('one-lease-holder')
