Decide on routing, fairness, roles and spend, and measure it on a cost model

Cause: routing took the less loaded of two views, and nothing measured a decision. Change: pure decisions with naive counterparts, an event-driven cost model of an engine, and seeded traces of both deployments.

--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,14 @@
 BIN = $(VENV)/bin
 ARGS ?=
 
-.PHONY: help env format lint types test unit demo bench measure explore proto clean
+.PHONY: help env format lint types test unit demo bench measure capacity explore proto clean
 
 help:
 	@echo "make demo     run three zones with stand-in back ends (ARGS=--serve keeps them running)"
 	@echo "make test     run the whole test suite"
 	@echo "make lint     check formatting, style and types"
+	@echo "make measure  measure the decisions on seeded traces (ARGS=--report=DIR draws plots)"
+	@echo "make capacity measure the slopes of docs/CAPACITY.md"
 	@echo "make format   format the sources"
 
 env: $(VENV)/.stamp
@@ -25,6 +27,12 @@
 demo: env
 	$(BIN)/python -m shallotmux.demo $(ARGS)
 
+measure: env
+	$(BIN)/python -m shallotmux.measure $(ARGS)
+
+capacity: env
+	$(BIN)/python -m shallotmux.measure.capacity $(ARGS)
+
 format: env
 	$(BIN)/ruff check --fix shallotmux tests
 	$(BIN)/ruff format shallotmux tests
--- a/shallotmux/decisions/__init__.py
+++ b/shallotmux/decisions/__init__.py
@@ -2,11 +2,122 @@
 
 from __future__ import annotations
 
+from shallotmux.decisions._candidates import CandidateSet
+from shallotmux.decisions._capacity import (
+    EngineRates,
+    RoleCounts,
+    WorkDemand,
+    mixed_utilisation,
+    utilisation,
+)
+from shallotmux.decisions._demand import DemandMeter
+from shallotmux.decisions._dispatch import DispatchQueue, Waiting
+from shallotmux.decisions._estimates import AverageLoad, EndpointState, LoadEstimate, LoadReport
+from shallotmux.decisions._fairness import FairQueue, Flow, TokenCosts
+from shallotmux.decisions._limits import (
+    CustomerBuckets,
+    LimitDecision,
+    TokenBucket,
+    apply_exceptions,
+    check_limits,
+    full_buckets,
+    split_limit,
+)
+from shallotmux.decisions._naive import (
+    FirstComeQueue,
+    RoundRobinRouter,
+    keep_fleet,
+    keep_roles,
+)
+from shallotmux.decisions._prefix import PrefixIndex, hash_blocks
+from shallotmux.decisions._roles import (
+    EngineStatus,
+    RoleDecision,
+    RoleMemory,
+    RoleOrder,
+    RolePolicy,
+    RoleSnapshot,
+    decide_role,
+    forecast_demand,
+)
+from shallotmux.decisions._router import Router, RoutingPolicy
 from shallotmux.decisions._routing import (
     EndpointView,
+    RequestFeatures,
     RoutingDecision,
     estimate_load,
     route_request,
 )
+from shallotmux.decisions._spend import (
+    DemandSample,
+    EndpointOrder,
+    FleetDecision,
+    FleetEndpoint,
+    FleetSnapshot,
+    SpendPolicy,
+    busy_target,
+    cheap_loss,
+    decide_fleet,
+    forecast_engines,
+)
+from shallotmux.decisions._weights import ScheduledLoad, WeightLoad, schedule_loads
 
-__all__ = ('EndpointView', 'RoutingDecision', 'estimate_load', 'route_request')
+__all__ = (
+    'AverageLoad',
+    'CandidateSet',
+    'CustomerBuckets',
+    'DemandMeter',
+    'DemandSample',
+    'DispatchQueue',
+    'EndpointOrder',
+    'EndpointState',
+    'EndpointView',
+    'EngineRates',
+    'EngineStatus',
+    'FairQueue',
+    'FirstComeQueue',
+    'FleetDecision',
+    'FleetEndpoint',
+    'FleetSnapshot',
+    'Flow',
+    'LimitDecision',
+    'LoadEstimate',
+    'LoadReport',
+    'PrefixIndex',
+    'RequestFeatures',
+    'RoleCounts',
+    'RoleDecision',
+    'RoleMemory',
+    'RoleOrder',
+    'RolePolicy',
+    'RoleSnapshot',
+    'RoundRobinRouter',
+    'Router',
+    'RoutingDecision',
+    'RoutingPolicy',
+    'ScheduledLoad',
+    'SpendPolicy',
+    'TokenBucket',
+    'TokenCosts',
+    'Waiting',
+    'WeightLoad',
+    'WorkDemand',
+    'apply_exceptions',
+    'busy_target',
+    'cheap_loss',
+    'check_limits',
+    'decide_fleet',
+    'decide_role',
+    'estimate_load',
+    'forecast_demand',
+    'forecast_engines',
+    'full_buckets',
+    'hash_blocks',
+    'keep_fleet',
+    'keep_roles',
+    'mixed_utilisation',
+    'route_request',
+    'schedule_loads',
+    'split_limit',
+    'utilisation',
+)
--- /dev/null
+++ b/shallotmux/decisions/_candidates.py
@@ -0,0 +1,69 @@
+"""Endpoints that may take work, kept up to date so that a choice needs no scan."""
+
+from __future__ import annotations
+
+from bisect import bisect, insort
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from random import Random
+
+#: Points of each endpoint on the hash ring; more points even out the shares.
+RING_POINTS = 16
+
+
+def _ring_hash(text: str) -> int:
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), 'big')
+
+
+@dataclass(slots=True)
+class CandidateSet:
+    """A set of endpoint names with sampling in constant time and a hash ring.
+
+    Instances agree on the ring without messages, so the first requests with a prefix meet on the
+    same endpoint even before any cache event arrives.
+    """
+
+    names: list[str] = field(default_factory=list)
+    places: dict[str, int] = field(default_factory=dict)
+    ring: list[tuple[int, str]] = field(default_factory=list)
+
+    def add(self, name: str) -> None:
+        """Add an endpoint; adding it twice changes nothing."""
+        if name in self.places:
+            return
+        self.places[name] = len(self.names)
+        self.names.append(name)
+        for point in range(RING_POINTS):
+            insort(self.ring, (_ring_hash(f'{name}/{point}'), name))
+
+    def remove(self, name: str) -> None:
+        """Remove an endpoint if it is there."""
+        place = self.places.pop(name, None)
+        if place is None:
+            return
+        last = self.names.pop()
+        if last != name:
+            self.names[place] = last
+            self.places[last] = place
+        for point in range(RING_POINTS):
+            entry = (_ring_hash(f'{name}/{point}'), name)
+            self.ring.pop(bisect(self.ring, entry) - 1)
+
+    def sample(self, count: int, random: Random) -> list[str]:
+        """Return up to ``count`` different names."""
+        size = len(self.names)
+        if size <= count:
+            return list(self.names)
+        return [self.names[place] for place in random.sample(range(size), count)]
+
+    def homes(self, block: int, count: int) -> list[str]:
+        """Return the first ``count`` endpoints after a block's place on the ring."""
+        found: list[str] = []
+        start = bisect(self.ring, (block, ''))
+        for step in range(min(len(self.ring), count * RING_POINTS)):
+            name = self.ring[(start + step) % len(self.ring)][1]
+            if name not in found:
+                found.append(name)
+            if len(found) >= count:
+                break
+        return found
--- /dev/null
+++ b/shallotmux/decisions/_dispatch.py
@@ -0,0 +1,67 @@
+"""Order of waiting requests on an instance: fair among customers, late ones after the others."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+from shallotmux.decisions._fairness import FairQueue, Flow
+
+ItemT = TypeVar('ItemT')
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting(Generic[ItemT]):
+    """A request that waits for an engine with room.
+
+    :param due_s: time after which the first token can no longer come within the target.
+    """
+
+    item: ItemT
+    flow: Flow
+    cost: float
+    due_s: float
+    weight: float = 1.0
+
+
+@dataclass(slots=True)
+class DispatchQueue(Generic[ItemT]):
+    """Requests bound late to an engine.
+
+    A request that cannot meet its target any more would delay others without gain, so it is
+    served when no request in time waits. The owner refuses what waits beyond its patience.
+    """
+
+    in_time: FairQueue[Waiting[ItemT]] = field(default_factory=FairQueue)
+    overdue: FairQueue[Waiting[ItemT]] = field(default_factory=FairQueue)
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return self.in_time.size + self.overdue.size
+
+    def push(self, waiting: Waiting[ItemT]) -> None:
+        """Add a request."""
+        self.in_time.push(waiting.flow, waiting, waiting.cost, waiting.weight)
+
+    def head(self, now: float) -> Waiting[ItemT] | None:
+        """Return the next request; what became late moves behind those in time."""
+        while True:
+            first = self.in_time.head()
+            if first is None:
+                late = self.overdue.head()
+                return late[1] if late else None
+            waiting = first[1]
+            if waiting.due_s >= now:
+                return waiting
+            self.in_time.withdraw()
+            self.overdue.push(waiting.flow, waiting, waiting.cost, waiting.weight)
+
+    def pop(self, now: float) -> Waiting[ItemT] | None:
+        """Take the request that :meth:`head` returns."""
+        if self.head(now) is None:
+            return None
+        return self.in_time.pop() if self.in_time.size else self.overdue.pop()
+
+    def charge(self, flow: Flow, correction: float) -> None:
+        """Correct a customer's counter by actual minus expected cost."""
+        self.in_time.charge(flow, correction)
--- /dev/null
+++ b/shallotmux/decisions/_naive.py
@@ -0,0 +1,107 @@
+"""Naive counterparts that the decisions are measured against."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from random import Random
+from typing import Generic, TypeVar
+
+from shallotmux.decisions._dispatch import Waiting
+from shallotmux.decisions._estimates import LoadReport
+from shallotmux.decisions._fairness import Flow
+from shallotmux.decisions._roles import RoleDecision, RoleMemory, RolePolicy, RoleSnapshot
+from shallotmux.decisions._routing import RequestFeatures, RoutingDecision
+from shallotmux.decisions._spend import FleetDecision, FleetSnapshot, SpendPolicy
+from shallotmux.world import Endpoint, EngineRole
+
+ItemT = TypeVar('ItemT')
+
+
+@dataclass(slots=True)
+class RoundRobinRouter:
+    """Takes live endpoints in turn, whatever their load, price or cache."""
+
+    endpoints: dict[str, Endpoint] = field(default_factory=dict)
+    excluded: set[str] = field(default_factory=set)
+    turn: int = 0
+
+    def add(self, endpoint: Endpoint, role: EngineRole = EngineRole.MIXED) -> None:
+        """Add an endpoint."""
+        self.endpoints[endpoint.name] = endpoint
+
+    def remove(self, name: str) -> None:
+        """Forget an endpoint."""
+        self.endpoints.pop(name, None)
+
+    def exclude(self, name: str) -> None:
+        """Give an endpoint no new work."""
+        self.excluded.add(name)
+
+    def include(self, name: str) -> None:
+        """Give an endpoint new work again."""
+        self.excluded.discard(name)
+
+    def fail(self, name: str, now: float) -> None:
+        """Ignore a failure; the list of live endpoints decides."""
+
+    def report(self, name: str, report: LoadReport) -> None:
+        """Ignore a load report."""
+
+    def dispatched(self, name: str, features: RequestFeatures, tokens: float, now: float) -> None:
+        """Ignore a dispatch."""
+
+    def prefilled(self, name: str, tokens: float, now: float) -> None:
+        """Ignore a first token."""
+
+    def ended(self, name: str, now: float) -> None:
+        """Ignore an end."""
+
+    def choose(
+        self, features: RequestFeatures, random: Random, now: float
+    ) -> RoutingDecision | None:
+        """Return the next live endpoint."""
+        live = [each for name, each in self.endpoints.items() if name not in self.excluded]
+        if not live:
+            return None
+        self.turn += 1
+        endpoint = live[self.turn % len(live)]
+        return RoutingDecision(endpoint, 'next in turn', (), uncached_tokens=features.prompt_tokens)
+
+
+@dataclass(slots=True)
+class FirstComeQueue(Generic[ItemT]):
+    """Serves requests in the order of their arrival."""
+
+    waiting: deque[Waiting[ItemT]] = field(default_factory=deque)
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self.waiting)
+
+    def push(self, waiting: Waiting[ItemT]) -> None:
+        """Add a request."""
+        self.waiting.append(waiting)
+
+    def head(self, now: float) -> Waiting[ItemT] | None:
+        """Return the request that came first."""
+        return self.waiting[0] if self.waiting else None
+
+    def pop(self, now: float) -> Waiting[ItemT] | None:
+        """Take the request that came first."""
+        return self.waiting.popleft() if self.waiting else None
+
+    def charge(self, flow: Flow, correction: float) -> None:
+        """Ignore actual costs."""
+
+
+def keep_roles(
+    snapshot: RoleSnapshot, memory: RoleMemory, policy: RolePolicy | None = None
+) -> RoleDecision:
+    """Never change a role."""
+    return RoleDecision(None, 'fixed roles', memory)
+
+
+def keep_fleet(snapshot: FleetSnapshot, policy: SpendPolicy | None = None) -> FleetDecision:
+    """Never order or release an endpoint."""
+    return FleetDecision((), '', 'fixed fleet', ())
--- a/shallotmux/decisions/_routing.py
+++ b/shallotmux/decisions/_routing.py
@@ -1,13 +1,17 @@
-"""Choose the endpoint for a request."""
+"""Choose the endpoint for a request from plain views of the endpoints."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
+from typing import TYPE_CHECKING
 
 from shallotmux.world import Endpoint
 
+if TYPE_CHECKING:
+    from shallotmux.decisions._router import Router
+
 #: Candidates compared for each request. Two samples avoid herding on a stale minimum.
 SAMPLE_SIZE = 2
 
@@ -27,11 +31,34 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutingDecision:
-    """The endpoint chosen, and the figures that the choice rested on."""
+    """The endpoint chosen, and the figures that the choice rested on.
+
+    :param sampled: endpoints compared, with their load or their score.
+    :param wait_s: seconds of queued prompts expected before this request.
+    :param uncached_tokens: prompt tokens that the endpoint is expected to process.
+    """
 
     endpoint: Endpoint
     reason: str
-    sampled: tuple[tuple[str, int], ...]
+    sampled: tuple[tuple[str, float], ...]
+    wait_s: float = 0.0
+    uncached_tokens: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFeatures:
+    """What routing needs to know of a request.
+
+    :param blocks: chained hashes of the full blocks of the prompt.
+    :param decode_only: whether the cache of the prompt arrives from another engine.
+    :param excluded: endpoints already tried.
+    """
+
+    blocks: tuple[int, ...] = ()
+    prompt_tokens: int = 0
+    repeatable: bool = True
+    decode_only: bool = False
+    excluded: frozenset[str] = frozenset()
 
 
 def estimate_load(view: EndpointView) -> int:
@@ -39,15 +66,29 @@
     return max(view.reported_running, view.own_in_flight)
 
 
-def route_request(views: Sequence[EndpointView], random: Random) -> RoutingDecision | None:
-    """Choose the less loaded of a few sampled endpoints.
+def route_request(
+    views: Sequence[EndpointView],
+    random: Random,
+    features: RequestFeatures | None = None,
+    router: Router | None = None,
+    now: float = 0.0,
+) -> RoutingDecision | None:
+    """Choose the endpoint for a request.
+
+    With a router, its knowledge replaces the views; without one, the less loaded of a few sampled
+    views is chosen.
 
     :param views: endpoints that may take the request.
+    :param now: time in seconds on the clock of the router's load reports.
     :returns: the decision, or None when there is no candidate.
     """
-    if not views:
+    if router is not None:
+        return router.choose(features or RequestFeatures(), random, now)
+    excluded = features.excluded if features else frozenset()
+    allowed = [view for view in views if view.endpoint.name not in excluded]
+    if not allowed:
         return None
-    sampled = random.sample(list(views), min(SAMPLE_SIZE, len(views)))
+    sampled = random.sample(allowed, min(SAMPLE_SIZE, len(allowed)))
     best = min(sampled, key=lambda view: (estimate_load(view), view.endpoint.name))
     figures = tuple((view.endpoint.name, estimate_load(view)) for view in sampled)
     return RoutingDecision(best.endpoint, 'least loaded of the sample', figures)
--- /dev/null
+++ b/shallotmux/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions with seeded traces."""
--- /dev/null
+++ b/shallotmux/measure/_compare.py
@@ -0,0 +1,51 @@
+"""Run comparisons on several processes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
+from itertools import product
+
+from shallotmux.measure._figures import RunResult, RunSpec, run_spec
+from shallotmux.measure._shapes import KOCKICA, SHAPES, Deployment, Shape
+from shallotmux.measure._tables import Comparison
+from shallotmux.measure._variants import CURRENT, NAIVE, Variant
+
+
+def variant_for(deployment: Deployment, variant: Variant) -> Variant:
+    """Return the variant as a firm runs it: only Kockica lets the planner size its fleet.
+
+    The button division keeps its fleet, since idle cutters cost more than instances.
+    """
+    return replace(variant, steer_fleet=deployment.name == KOCKICA.name and not variant.naive)
+
+
+def run_all(specs: Sequence[RunSpec], processes: int) -> list[RunResult]:
+    """Run traces on a bounded number of processes, in order."""
+    if processes <= 1:
+        return [run_spec(spec) for spec in specs]
+    with ProcessPoolExecutor(processes) as pool:
+        return list(pool.map(run_spec, specs))
+
+
+def compare_shapes(
+    deployments: Sequence[Deployment],
+    seeds: Sequence[int],
+    processes: int,
+    shapes: Iterable[Shape] = SHAPES,
+) -> list[Comparison]:
+    """Run naive and current decisions on the same traces."""
+    cells = list(product(deployments, shapes))
+    specs = [
+        RunSpec(deployment, shape, variant_for(deployment, variant), seed)
+        for (deployment, shape), variant, seed in product(cells, (NAIVE, CURRENT), seeds)
+    ]
+    results = iter(run_all(specs, processes))
+    comparisons = []
+    for deployment, shape in cells:
+        naive = tuple(next(results) for _ in seeds)
+        current = tuple(next(results) for _ in seeds)
+        title = f'{deployment.name}, {shape.name}, load {deployment.load}'
+        comparisons.append(Comparison(title, naive, current))
+    return comparisons
--- /dev/null
+++ b/shallotmux/measure/_variants.py
@@ -0,0 +1,44 @@
+"""Variants of the decisions that are measured against each other."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from enum import StrEnum
+
+from shallotmux.decisions import RolePolicy, RoutingPolicy, SpendPolicy
+
+
+class Binding(StrEnum):
+    """When a request is bound to an engine."""
+
+    EARLY = 'early'
+    LATE = 'late'
+    PULL = 'pull'
+
+
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """Which decisions are used in a run.
+
+    :param room_s: queued prompt work up to which an engine has room, in seconds.
+    :param fixed_roles: prefill and decode engines of a fixed assignment; the rest is mixed.
+    :param steer_roles: whether the role controller runs.
+    :param steer_fleet: whether the fleet planner runs.
+    """
+
+    name: str
+    naive: bool = False
+    fair: bool = True
+    binding: Binding = Binding.LATE
+    room_s: float = 0.25
+    routing: RoutingPolicy = field(default_factory=RoutingPolicy)
+    roles: RolePolicy = field(default_factory=RolePolicy)
+    spend: SpendPolicy = field(default_factory=SpendPolicy)
+    fixed_roles: tuple[int, int] = (0, 0)
+    steer_roles: bool = True
+    steer_fleet: bool = False
+
+
+NAIVE = Variant('naive', naive=True, fair=False, binding=Binding.EARLY, steer_roles=False)
+CURRENT = Variant('current')
+LOAD_ONLY = replace(CURRENT, name='load only', routing=RoutingPolicy(affinity=False))
--- /dev/null
+++ b/tests/decisions/test_fairness.py
@@ -0,0 +1,125 @@
+"""Tests of fair queues, dispatch order and limits."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from shallotmux.decisions import (
+    DispatchQueue,
+    FairQueue,
+    FirstComeQueue,
+    Flow,
+    TokenBucket,
+    Waiting,
+    apply_exceptions,
+    check_limits,
+    full_buckets,
+    split_limit,
+)
+from shallotmux.world import Contract, PolicyException
+
+SMALL, LARGE = Flow('small', 'r'), Flow('large', 'r')
+
+
+def test_fair_queue_shares_cost_by_weight() -> None:
+    """Guards against a customer that gets more because it sends more or larger requests."""
+    queue: FairQueue[str] = FairQueue()
+    for _ in range(100):
+        queue.push(LARGE, 'large', cost=2, weight=2)
+        queue.push(SMALL, 'small', cost=1, weight=1)
+    served = Counter(queue.pop() for _ in range(60))
+    assert abs(served['large'] - served['small']) <= 1
+
+
+def test_fair_queue_conserves_work() -> None:
+    """Guards against idling while only one customer waits, and against lost items."""
+    queue: FairQueue[int] = FairQueue()
+    random = Random(2)
+    for number in range(300):
+        queue.push(Flow(f'c{random.randrange(9)}', 'r'), number, random.random())
+        if not random.randrange(3):
+            queue.charge(Flow(f'c{random.randrange(9)}', 'r'), random.uniform(-1, 1))
+    popped = [queue.pop() for _ in range(300)]
+    assert sorted(each for each in popped if each is not None) == list(range(300))
+    assert queue.pop() is None
+
+
+def test_newly_active_customer_has_no_credit() -> None:
+    """Guards against an idle customer that later blocks the others."""
+    queue: FairQueue[str] = FairQueue()
+    for _ in range(50):
+        queue.push(LARGE, 'large', cost=1)
+    for _ in range(30):
+        queue.pop()
+    for _ in range(20):
+        queue.push(SMALL, 'small', cost=1)
+    served = Counter(queue.pop() for _ in range(20))
+    assert abs(served['large'] - served['small']) <= 1
+
+
+def test_late_requests_wait_behind_those_in_time() -> None:
+    """Guards against overload in which every request is served just too late."""
+    queue: DispatchQueue[str] = DispatchQueue()
+    naive: FirstComeQueue[str] = FirstComeQueue()
+    for item, due in (('late', 1.0), ('in time', 9.0)):
+        queue.push(Waiting(item, SMALL, 1, due))
+        naive.push(Waiting(item, SMALL, 1, due))
+    order = [queue.pop(5), queue.pop(5)]
+    assert [each.item for each in order if each is not None] == ['in time', 'late']
+    first = naive.pop(5)
+    assert first is not None
+    assert first.item == 'late'
+    assert len(queue) == 0
+
+
+def test_dispatch_queue_serves_everything_once() -> None:
+    """Guards against a request that is lost or doubled when it becomes late."""
+    queue: DispatchQueue[int] = DispatchQueue()
+    random = Random(4)
+    popped = []
+    for number in range(400):
+        queue.push(Waiting(number, Flow(f'c{number % 5}', 'r'), 1, number + random.uniform(0, 9)))
+        if random.randrange(5) < 3:
+            popped.append(queue.pop(number))
+    while len(queue):
+        popped.append(queue.pop(500))
+    assert sorted(each.item for each in popped if each is not None) == list(range(400))
+
+
+def test_limits_refuse_with_the_time_to_wait() -> None:
+    """Guards against a refusal whose retry time is wrong, or no refusal at all."""
+    buckets = full_buckets(Contract(requests_per_s=1, tokens_per_s=100), 0)
+    first = check_limits(buckets, 150, 0)
+    assert first.allowed
+    second = check_limits(first.buckets, 100, 0)
+    assert not second.allowed
+    assert second.retry_after_s == pytest.approx(0.5)
+    assert check_limits(second.buckets, 100, 0.51).allowed
+    assert check_limits(full_buckets(Contract(tokens_per_s=10), 0), 999, 0).allowed
+
+
+def test_bucket_does_not_save_more_than_its_burst() -> None:
+    """Guards against a night of silence that pays for a long overload."""
+    assert TokenBucket(10, 0, 0).refill(1000).level == 20
+
+
+def test_zone_limit_is_split_by_demand() -> None:
+    """Guards against shares that exceed the zone's limit or starve an idle instance."""
+    shares = split_limit(100, {'a': 90, 'b': 10, 'c': 0})
+    assert sum(shares.values()) == pytest.approx(100)
+    assert sorted(shares, key=lambda name: -shares[name]) == ['a', 'b', 'c']
+    assert shares['c']
+    assert split_limit(100, {'a': 0, 'b': 0}) == {'a': 50, 'b': 50}
+
+
+def test_exception_applies_to_its_customer_only() -> None:
+    """Guards against an exception that leaks to other customers or settings."""
+    exceptions = (
+        PolicyException('x', 'customer/a', 'tokens_per_s', 7, 'agreed'),
+        PolicyException('y', 'customer/a', 'cheap_share', 1, 'agreed'),
+    )
+    assert apply_exceptions(Contract(), 'a', exceptions) == Contract(tokens_per_s=7)
+    assert apply_exceptions(Contract(), 'b', exceptions) == Contract()
--- /dev/null
+++ b/tests/decisions/test_router.py
@@ -0,0 +1,131 @@
+"""Tests of routing."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from shallotmux.decisions import (
+    EndpointView,
+    LoadReport,
+    RequestFeatures,
+    RoundRobinRouter,
+    Router,
+    RoutingPolicy,
+    route_request,
+)
+from shallotmux.world import Endpoint, EngineRole
+
+PROMPT = RequestFeatures(prompt_tokens=300)
+SHEET = RequestFeatures((11, 12, 13), 3 * 2048)
+
+
+def make_router(count: int = 6, **policy: bool) -> Router:
+    """Return a router that knows some idle engines."""
+    router = Router(RoutingPolicy(**policy))
+    for place in range(count):
+        router.add(Endpoint(f'e{place}', 'z', '', cheap=place == 0))
+        router.report(f'e{place}', LoadReport(0, 0, 0))
+    return router
+
+
+def chosen(router: Router, features: RequestFeatures, seed: int, now: float = 0.1) -> str:
+    """Return the name of the chosen endpoint."""
+    decision = router.choose(features, Random(seed), now)
+    assert decision is not None
+    return decision.endpoint.name
+
+
+def test_views_only_signature_still_works() -> None:
+    """Guards against breaking callers that pass views and a random source."""
+    views = [EndpointView(Endpoint(name, 'z', ''), load) for name, load in (('a', 5), ('b', 1))]
+    decision = route_request(views, Random(1))
+    assert decision is not None
+    assert decision.endpoint.name == 'b'
+    assert route_request([], Random(1)) is None
+
+
+def test_router_replaces_views() -> None:
+    """Guards against a router whose knowledge is ignored."""
+    router = make_router(1)
+    decision = route_request((), Random(1), SHEET, router, 0.1)
+    assert decision is not None
+    assert decision.endpoint.name == 'e0'
+
+
+def test_prefix_is_followed_until_its_holder_is_busy() -> None:
+    """Guards against a hot prefix that piles all its requests on one endpoint."""
+    router = make_router()
+    router.dispatched('e3', SHEET, 0, 0.05)
+    assert {chosen(router, SHEET, seed) for seed in range(20)} == {'e3'}
+    router.report('e3', LoadReport(60_000, 40, 0.09))
+    assert 'e3' not in {chosen(router, SHEET, seed) for seed in range(20)}
+
+
+def test_own_dispatches_correct_a_stale_report() -> None:
+    """Guards against sending everything to the endpoint that a late report shows idle."""
+    router = make_router(2, affinity=False)
+    router.report('e0', LoadReport(0, 0, 0.01))
+    router.report('e1', LoadReport(4000, 2, 0.01))
+    for _ in range(3):
+        router.dispatched('e0', RequestFeatures(), 6000, 0.02)
+    assert chosen(router, RequestFeatures(), 1) == 'e1'
+
+
+def test_report_does_not_count_own_requests_twice() -> None:
+    """Guards against adding own dispatches that the report contains already."""
+    router = make_router(1)
+    router.dispatched('e0', RequestFeatures(), 6000, 0.02)
+    router.report('e0', LoadReport(6000, 1, 0.05))
+    load = router.states['e0'].estimate(0.05, router.average)
+    assert load.queued_tokens == pytest.approx(6000)
+    assert load.running == 1
+
+
+def test_failed_endpoint_returns_after_its_exclusion() -> None:
+    """Guards against an endpoint that is lost for good, or not excluded at all."""
+    router = make_router(2)
+    router.fail('e0', 1)
+    assert {chosen(router, SHEET, seed, 1.5) for seed in range(20)} == {'e1'}
+    assert 'e0' in {chosen(router, RequestFeatures(), seed, 2.5) for seed in range(20)}
+
+
+def test_leaving_endpoint_is_not_readmitted_after_a_failure() -> None:
+    """Guards against new work on an endpoint that left the pool during its exclusion."""
+    router = make_router(2)
+    router.fail('e0', 1)
+    router.remove('e0')
+    assert {chosen(router, SHEET, seed, 9) for seed in range(20)} == {'e1'}
+
+
+def test_cheap_endpoint_gets_repeatable_work_only() -> None:
+    """Guards against losing a non-repeatable call in a reclaim."""
+    router = make_router()
+    order = RequestFeatures(repeatable=False)
+    assert 'e0' not in {chosen(router, order, seed) for seed in range(60)}
+    assert 'e0' in {chosen(router, RequestFeatures(), seed) for seed in range(60)}
+
+
+def test_roles_limit_the_candidates() -> None:
+    """Guards against prompts on decode engines and streams on prefill engines."""
+    router = make_router(3)
+    router.add(Endpoint('e1', 'z', ''), EngineRole.PREFILL)
+    router.add(Endpoint('e2', 'z', ''), EngineRole.DECODE)
+    decoding = RequestFeatures(decode_only=True)
+    assert {chosen(router, PROMPT, seed) for seed in range(60)} <= {'e0', 'e1'}
+    assert {chosen(router, decoding, seed) for seed in range(60)} <= {'e0', 'e2'}
+
+
+def test_routing_against_round_robin_under_uneven_load() -> None:
+    """Guards against a routing decision that is no better than taking turns."""
+    router, naive = make_router(affinity=False), RoundRobinRouter()
+    loads = {f'e{place}': 3000.0 * place for place in range(6)}
+    for name, load in loads.items():
+        router.report(name, LoadReport(load, 0, 0.01))
+        naive.add(Endpoint(name, 'z', ''))
+    random = Random(3)
+    mine = [chosen(router, RequestFeatures(), seed) for seed in range(60)]
+    turns = [naive.choose(RequestFeatures(), random, 0) for _ in range(60)]
+    others = [each.endpoint.name for each in turns if each is not None]
+    assert 2 * sum(loads[name] for name in mine) < sum(loads[name] for name in others)
