Let old load reports hold no requests back

Cause: with reports 5 s old, late binding kept requests from idle engines. Change: beyond 2 s of age, only own dispatches and the faded report count for holding.

--- a/shallotmux/decisions/_estimates.py
+++ b/shallotmux/decisions/_estimates.py
@@ -14,6 +14,9 @@
 #: Age above which a report says nothing and the load counts as the average of others.
 REPORT_LIMIT_S = 10.0
 
+#: Age up to which a report may hold requests back, in seconds; reports arrive each half second.
+FRESH_S = 2.0
+
 #: Weight of a new report in the running average of what other instances send to endpoints.
 AVERAGE_WEIGHT = 0.05
 
@@ -48,9 +51,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadEstimate:
-    """Load expected on an endpoint now."""
+    """Load expected on an endpoint now.
+
+    :param known_tokens: the part that may hold a request back. Under old reports it leaves out
+        the average of others, which would keep requests from idle engines and never fall again.
+    """
 
     queued_tokens: float
+    known_tokens: float
     running: float
     prefill_tokens_per_s: float
 
@@ -59,6 +67,11 @@
         """Seconds until the queued prompts are processed."""
         return self.queued_tokens / self.prefill_tokens_per_s
 
+    @property
+    def known_wait_s(self) -> float:
+        """Seconds until the prompts that certainly queue are processed."""
+        return self.known_tokens / self.prefill_tokens_per_s
+
 
 @dataclass(slots=True)
 class AverageLoad:
@@ -117,8 +130,11 @@
         """Return the load expected now; the reported share fades into the average."""
         age = now - self.as_of
         trust = 0.0 if age > REPORT_LIMIT_S else math.exp(-max(0.0, age) / REPORT_MEMORY_S)
+        known = self.own_tokens + trust * self.others_tokens
+        queued = known + (1 - trust) * average.tokens
         return LoadEstimate(
-            self.own_tokens + trust * self.others_tokens + (1 - trust) * average.tokens,
+            queued,
+            queued if age <= FRESH_S else known,
             self.own_running + trust * self.others_running + (1 - trust) * average.running,
             self.prefill_tokens_per_s,
         )
--- a/shallotmux/decisions/_router.py
+++ b/shallotmux/decisions/_router.py
@@ -162,7 +162,7 @@
         saved_s = cached / load.prefill_tokens_per_s
         queueing_s = load.wait_s + load.running * self.policy.stream_cost_s
         bonus = self.policy.home_bonus_s if home else 0
-        wait_s = 0 if features.decode_only else load.wait_s
+        wait_s = 0 if features.decode_only else load.known_wait_s
         return Scored(state, saved_s + bonus - queueing_s, wait_s, features.prompt_tokens - cached)
 
     def _matches(self, features: RequestFeatures) -> dict[str, float]:
