Give requests a priority at the engine by their customer's recent use

Cause: requests of a bursting customer that were bound to engines delayed all others. Change: priority by recent use against the share; less room for requests over it or overdue.

--- a/shallotmux/decisions/__init__.py
+++ b/shallotmux/decisions/__init__.py
@@ -30,6 +30,7 @@
     keep_roles,
 )
 from shallotmux.decisions._prefix import PrefixIndex, hash_blocks
+from shallotmux.decisions._priority import Priority, ShareMeter
 from shallotmux.decisions._roles import (
     EngineStatus,
     RoleDecision,
@@ -84,6 +85,7 @@
     'LoadEstimate',
     'LoadReport',
     'PrefixIndex',
+    'Priority',
     'RequestFeatures',
     'RoleCounts',
     'RoleDecision',
@@ -96,6 +98,7 @@
     'RoutingDecision',
     'RoutingPolicy',
     'ScheduledLoad',
+    'ShareMeter',
     'SpendPolicy',
     'TokenBucket',
     'TokenCosts',
--- a/shallotmux/measure/_entry.py
+++ b/shallotmux/measure/_entry.py
@@ -13,10 +13,12 @@
     DispatchQueue,
     FirstComeQueue,
     Flow,
+    Priority,
     RequestFeatures,
     RoundRobinRouter,
     Router,
     RoutingDecision,
+    ShareMeter,
     TokenCosts,
     Waiting,
 )
@@ -87,6 +89,7 @@
     weights: dict[str, float]
     lanes: dict[str, Lane] = field(default_factory=dict)
     costs: TokenCosts = field(default_factory=TokenCosts)
+    shares: ShareMeter = field(default_factory=ShareMeter)
 
     def accept(self, run: RequestRun) -> None:
         """Take a request from a caller."""
@@ -104,6 +107,7 @@
             self.weights.get(request.customer, 1),
         )
         lane.queue.push(waiting)
+        self.shares.charge(request.customer, waiting.weight, waiting.cost, self.world.now())
         if self.variant.binding is Binding.PULL:
             self.world.offer(lane)
         else:
@@ -128,9 +132,11 @@
                 self.world.schedule(0.2, partial(self.pump, lane))
                 return
             late = self.variant.binding is Binding.LATE
-            if late and decision.wait_s > self.variant.room_s:
+            priority = self._priority(waiting, now)
+            if late and decision.wait_s > self.variant.room_s[priority]:
                 return
             lane.queue.pop(now)
+            waiting.item.priority = priority
             self.dispatch(lane, waiting.item, features, decision)
 
     def features(self, run: RequestRun) -> RequestFeatures:
@@ -158,6 +164,7 @@
             run.request.blocks,
             features.prompt_tokens,
             max(1, run.request.output_tokens - run.generated),
+            priority=run.priority,
             prefill_only=slot.engine.role is EngineRole.PREFILL,
             owner=run,
         )
@@ -205,6 +212,12 @@
         run.slow_steps += 1
         self.world.schedule(NETWORK_S, lambda: self.accept(run))
 
+    def _priority(self, waiting: Waiting[RequestRun], now: float) -> Priority:
+        if not self.variant.priorities:
+            return Priority.WITHIN_SHARE
+        overdue = waiting.due_s < now
+        return self.shares.priority(waiting.flow.customer, now, overdue=overdue)
+
     def _hand_over(self, lane: Lane, run: RequestRun, job: EngineJob, source: EngineSlot) -> None:
         """Move a stream whose prompt is processed to an engine that decodes."""
         now = self.world.now()
--- a/shallotmux/measure/_runs.py
+++ b/shallotmux/measure/_runs.py
@@ -29,6 +29,7 @@
     number: int
     entry: EntryModel
     attempts: int = 0
+    priority: int = 0
     first_token_s: float = -1.0
     finished_s: float = -1.0
     slow_steps: int = 0
--- a/shallotmux/measure/_variants.py
+++ b/shallotmux/measure/_variants.py
@@ -16,11 +16,17 @@
     PULL = 'pull'
 
 
+#: Room for requests within their customer's share, over it, and overdue (round 2).
+ROOM_S = (0.6, 0.05, 0.02)
+
+
 @dataclass(frozen=True, slots=True)
 class Variant:
     """Which decisions are used in a run.
 
-    :param room_s: queued prompt work up to which an engine has room, in seconds.
+    :param room_s: queued prompt work up to which an engine has room for a request of each
+        priority, in seconds.
+    :param priorities: whether requests carry their customer's priority to the engine.
     :param fixed_roles: prefill and decode engines of a fixed assignment; the rest is mixed.
     :param steer_roles: whether the role controller runs.
     :param steer_fleet: whether the fleet planner runs.
@@ -30,7 +36,8 @@
     naive: bool = False
     fair: bool = True
     binding: Binding = Binding.LATE
-    room_s: float = 0.25
+    room_s: tuple[float, float, float] = ROOM_S
+    priorities: bool = True
     routing: RoutingPolicy = field(default_factory=RoutingPolicy)
     roles: RolePolicy = field(default_factory=RolePolicy)
     spend: SpendPolicy = field(default_factory=SpendPolicy)
@@ -39,6 +46,8 @@
     steer_fleet: bool = False
 
 
-NAIVE = Variant('naive', naive=True, fair=False, binding=Binding.EARLY, steer_roles=False)
+NAIVE = Variant(
+    'naive', naive=True, priorities=False, fair=False, binding=Binding.EARLY, steer_roles=False
+)
 CURRENT = Variant('current')
 LOAD_ONLY = replace(CURRENT, name='load only', routing=RoutingPolicy(affinity=False))
--- a/tests/decisions/test_fairness.py
+++ b/tests/decisions/test_fairness.py
@@ -12,6 +12,8 @@
     FairQueue,
     FirstComeQueue,
     Flow,
+    Priority,
+    ShareMeter,
     TokenBucket,
     Waiting,
     apply_exceptions,
@@ -123,3 +125,23 @@
     )
     assert apply_exceptions(Contract(), 'a', exceptions) == Contract(tokens_per_s=7)
     assert apply_exceptions(Contract(), 'b', exceptions) == Contract()
+
+
+def test_customer_over_its_share_loses_priority_until_it_calms_down() -> None:
+    """Guards against a burst that delays other customers at the engine, or is never forgiven."""
+    meter = ShareMeter()
+    for step in range(100):
+        meter.charge('a', 1, 0.1, step / 10)
+        meter.charge('b', 1, 1.0, step / 10)
+    assert meter.priority('a', 10, overdue=False) is Priority.WITHIN_SHARE
+    assert meter.priority('b', 10, overdue=False) is Priority.OVER_SHARE
+    assert meter.priority('a', 10, overdue=True) is Priority.OVERDUE
+    assert meter.priority('b', 200, overdue=False) is Priority.WITHIN_SHARE
+
+
+def test_lone_customer_is_never_over_its_share() -> None:
+    """Guards against slowing a customer while nobody else wants the engines."""
+    meter = ShareMeter()
+    for step in range(100):
+        meter.charge('a', 0.1, 5, step)
+    assert meter.priority('a', 100, overdue=False) is Priority.WITHIN_SHARE
