--- a/shallotmux/decisions/_prefix.py
+++ b/shallotmux/decisions/_prefix.py
@@ -13,7 +13,7 @@
 #: Endpoints remembered for one block; more holders do not improve the choice.
 HOLDERS_LIMIT = 8
 
-#: Blocks remembered by one instance: about 25 MB (docs/CAPACITY.md), of the 64 MB for control.
+#: Blocks remembered by one instance: 10 MB with one holder each (docs/CAPACITY.md).
 ENTRY_LIMIT = 40_000
 
 #: Probability that an endpoint still holds a block after a gap in its cache events.
--- /dev/null
+++ b/shallotmux/measure/capacity.py
@@ -0,0 +1,255 @@
+"""Slopes behind docs/CAPACITY.md: cost against size, measured on this machine."""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+from typing import TypeVar
+
+import click
+
+from shallotmux.authority import (
+    ClaimJob,
+    Command,
+    CreateKey,
+    FinishJob,
+    JobId,
+    PutObject,
+    StoredAnswer,
+    ZoneState,
+    decode_command,
+    encode_command,
+)
+from shallotmux.decisions import FairQueue, Flow, PrefixIndex
+from shallotmux.measure._latency import routing_times
+from shallotmux.observability import DecisionLog, DecisionRecord
+from shallotmux.world import Customer, CustomerKey
+
+ItemT = TypeVar('ItemT')
+
+#: Units of the printed figures.
+MICRO = 1_000_000
+KILO = 1024
+
+OBJECT_SIZES = (500, 1000, 2000, 4000, 8000)
+KEY_SIZES = (1000, 2000, 4000, 8000, 16_000)
+JOB_SIZES = (500, 1000, 2000, 4000, 8000)
+ENTRY_SIZES = (5000, 10_000, 20_000, 40_000)
+CUSTOMER_SIZES = (8, 40, 310, 2000)
+BODY_SIZES = (100, 1000, 10_000, 100_000)
+LINE_SIZES = (1000, 2000, 4000, 8000)
+ANSWER_BYTES = 400
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """Costs at a size."""
+
+    size: int
+    values: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """A table of costs against size, with the least-squares slope of each column."""
+
+    title: str
+    unit: str
+    columns: tuple[str, ...]
+    points: tuple[Point, ...]
+
+    def table(self) -> str:
+        """Return the table in Markdown."""
+        lines = [
+            f'### {self.title}',
+            '',
+            f'| {self.unit} | {" | ".join(self.columns)} |',
+            f'| --- |{" --- |" * len(self.columns)}',
+        ]
+        for point in self.points:
+            cells = ' | '.join(f'{each:.3g}' for each in point.values)
+            lines.append(f'| {point.size} | {cells} |')
+        slopes = ' | '.join(f'{slope:.3g}' for slope in self.slopes())
+        return '\n'.join([*lines, f'| slope | {slopes} |', ''])
+
+    def slopes(self) -> list[float]:
+        """Return the growth of each column for one more unit."""
+        sizes = [point.size for point in self.points]
+        columns = zip(*(point.values for point in self.points), strict=True)
+        return [_fit(sizes, column) for column in columns]
+
+
+def _fit(sizes: list[int], costs: Iterable[float]) -> float:
+    pairs = list(zip(sizes, costs, strict=True))
+    mean_size = sum(size for size, _ in pairs) / len(pairs)
+    mean_cost = sum(cost for _, cost in pairs) / len(pairs)
+    above = sum((size - mean_size) * (cost - mean_cost) for size, cost in pairs)
+    return above / sum((size - mean_size) ** 2 for size, _ in pairs)
+
+
+def _cpu_s(action: Callable[[], object]) -> float:
+    start = time.process_time()
+    action()
+    return time.process_time() - start
+
+
+def _repeat(action: Callable[[ItemT], object], arguments: Iterable[ItemT]) -> None:
+    for argument in arguments:
+        action(argument)
+
+
+def _put_objects(count: int) -> list[Command]:
+    return [PutObject(f'o{each}', Customer(f'customer-{each}'), 0) for each in range(count)]
+
+
+def _create_keys(count: int) -> list[Command]:
+    owner: list[Command] = [PutObject('owner', Customer('c'), 0)]
+    digest = 'd' * 56
+    return owner + [
+        CreateKey(f'o{each}', CustomerKey(f'key-{each}', 'c', f'{digest}{each:08d}'))
+        for each in range(count)
+    ]
+
+
+def _finish_jobs(count: int) -> list[Command]:
+    commands: list[Command] = []
+    answer = StoredAnswer(200, 'application/json', b'x' * ANSWER_BYTES)
+    for each in range(count):
+        job = JobId('c', 'orders', f'job-{each}')
+        commands.append(ClaimJob(f'c{each}', job, 'h' * 64, 'entry-1', 0))
+        commands.append(FinishJob(f'f{each}', job, 'entry-1', answer))
+    return commands
+
+
+def measure_state(title: str, make: Callable[[int], list[Command]], sizes: Iterable[int]) -> Slope:
+    """Measure applying commands, and the snapshot of the state they leave."""
+    points = []
+    for size in sizes:
+        commands = make(size)
+        state = ZoneState()
+        apply_s = _cpu_s(partial(_apply_all, state, commands))
+        snapshot_s = _cpu_s(state.snapshot)
+        payload = state.snapshot()
+        restore_s = _cpu_s(partial(ZoneState.restore, payload))
+        points.append(
+            Point(
+                size,
+                (
+                    apply_s / len(commands) * MICRO,
+                    snapshot_s * 1000,
+                    restore_s * 1000,
+                    len(payload) / KILO,
+                ),
+            )
+        )
+    columns = ('apply, µs per command', 'snapshot, ms', 'restore, ms', 'snapshot, KB')
+    return Slope(title, 'number', columns, tuple(points))
+
+
+def _apply_all(state: ZoneState, commands: Iterable[Command]) -> None:
+    for command in commands:
+        state.apply(command)
+
+
+def measure_codec() -> Slope:
+    """Measure a command's way through the codec against the size of its body."""
+    points = []
+    repeats = 2000
+    for size in BODY_SIZES:
+        answer = StoredAnswer(200, 'application/json', b'x' * size)
+        command = FinishJob('f', JobId('c', 'orders', 'job'), 'entry-1', answer)
+        payload = encode_command(command)
+        encode_s = _cpu_s(partial(_repeat, encode_command, (command,) * repeats))
+        decode_s = _cpu_s(partial(_repeat, decode_command, (payload,) * repeats))
+        points.append(
+            Point(size, (encode_s / repeats * MICRO, decode_s / repeats * MICRO, len(payload)))
+        )
+    columns = ('encode, µs', 'decode, µs', 'bytes')
+    return Slope('Codec, one command', 'body bytes', columns, tuple(points))
+
+
+def measure_index() -> Slope:
+    """Measure the memory and the time of the prefix index against its entries."""
+    points = []
+    for size in ENTRY_SIZES:
+        random = Random(size)
+        blocks = [random.getrandbits(64) for _ in range(size)]
+        names = [f'engine-{each}' for each in range(1200)]
+        tracemalloc.start()
+        index = PrefixIndex()
+        for entry in blocks:
+            index.add(random.choice(names), (entry,))
+        held = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        match_s = _cpu_s(partial(_repeat, index.matches, [(block,) for block in blocks]))
+        points.append(Point(size, (held / KILO / KILO, match_s / size * MICRO)))
+    columns = ('memory, MB', 'match of one block, µs')
+    return Slope('Prefix index', 'entries', columns, tuple(points))
+
+
+def measure_fairness() -> Slope:
+    """Measure a push and a pop of the fair queue against the number of customers."""
+    points = []
+    repeats = 20_000
+    for size in CUSTOMER_SIZES:
+        queue: FairQueue[int] = FairQueue()
+        flows = [Flow(f'customer-{each}', 'route') for each in range(size)]
+        for place, flow in enumerate(flows):
+            queue.push(flow, place, 1)
+        spent = _cpu_s(partial(_turn_over, queue, flows, repeats))
+        points.append(Point(size, (spent / repeats * MICRO,)))
+    return Slope('Fair queue', 'customers', ('push and pop, µs',), tuple(points))
+
+
+def _turn_over(queue: FairQueue[int], flows: list[Flow], repeats: int) -> None:
+    for number in range(repeats):
+        place = queue.pop()
+        queue.push(flows[place or 0], place or 0, 1 + number % 3)
+
+
+def measure_log() -> Slope:
+    """Measure decision records with no destination for log lines."""
+    points = []
+    for size in LINE_SIZES:
+        log = DecisionLog('entry-1')
+        spent = _cpu_s(partial(_record, log, size))
+        points.append(Point(size, (spent * 1000, spent / size * MICRO)))
+    columns = ('all lines, ms', 'a line, µs')
+    return Slope('Decision log', 'lines', columns, tuple(points))
+
+
+def _record(log: DecisionLog, count: int) -> None:
+    figures = {'customer': 'c', 'route': 'r', 'sampled': [('e1', 0.1), ('e2', 0.2), ('e3', 0.3)]}
+    for number in range(count):
+        log.record(DecisionRecord('routing', f'r{number}', 'e1', 'best score', figures, number))
+
+
+def measure_routing() -> Slope:
+    """Measure a routing decision against the number of endpoints."""
+    points = [Point(size, (cost * MICRO,)) for size, cost in routing_times().items()]
+    return Slope('Routing decision', 'endpoints', ('decision, µs',), tuple(points))
+
+
+@click.command()
+def main() -> None:
+    """Print the tables of docs/CAPACITY.md."""
+    slopes = (
+        measure_routing(),
+        measure_index(),
+        measure_state('ZoneState, configuration objects', _put_objects, OBJECT_SIZES),
+        measure_state('ZoneState, keys', _create_keys, KEY_SIZES),
+        measure_state('ZoneState, finished jobs', _finish_jobs, JOB_SIZES),
+        measure_codec(),
+        measure_fairness(),
+        measure_log(),
+    )
+    for slope in slopes:
+        click.echo(slope.table())
+
+
+if __name__ == '__main__':
+    main()
