Count decode engines only as far as prefill engines feed them

Cause: the controller ordered decode engines that took no streams, and lost their caches. Change: capacity estimate follows the hand-over; the gain must be 2.5 times the loss.

--- a/shallotmux/decisions/_capacity.py
+++ b/shallotmux/decisions/_capacity.py
@@ -52,14 +52,16 @@
     """Return the busy share of mixed engines.
 
     A step costs its base once: as many steps are needed as chunks of prompts, or as full batches,
-    whichever is more.
+    whichever is more. Without streams, prompts need no such steps.
     """
     if engines <= 0:
         return HIGHEST
-    steps = max(
-        demand.prefill_tokens_per_s / rates.chunk_tokens,
-        demand.decode_tokens_per_s / rates.batch,
-    )
+    steps = 0.0
+    if demand.decode_tokens_per_s:
+        steps = max(
+            demand.prefill_tokens_per_s / rates.chunk_tokens,
+            demand.decode_tokens_per_s / rates.batch,
+        )
     busy = demand.prefill_tokens_per_s / rates.prefill_tokens_per_s
     busy += steps * rates.step_base_s + demand.decode_tokens_per_s * rates.step_stream_s
     return busy / engines
@@ -69,7 +71,8 @@
     """Return the smallest busy share at which the engines carry a demand.
 
     Engines with a role of their own take work up to the same share as the mixed ones, which take
-    the rest.
+    the rest. Only streams whose prompt was processed by a prefill engine move to another engine,
+    so decode engines help no further than prefill engines feed them.
     """
     low, high = 0.0, HIGHEST
     while high - low > PRECISION:
@@ -83,12 +86,11 @@
 
 def _carries(counts: RoleCounts, demand: WorkDemand, rates: EngineRates, share: float) -> bool:
     decode_s = rates.step_stream_s + rates.step_base_s / rates.batch
-    prefilled = share * counts.prefill * rates.prefill_tokens_per_s
-    decoded = share * counts.decode / decode_s
-    rest = WorkDemand(
-        max(0.0, demand.prefill_tokens_per_s - prefilled),
-        max(0.0, demand.decode_tokens_per_s - decoded),
-    )
+    offered = demand.prefill_tokens_per_s
+    prefilled = min(offered, share * counts.prefill * rates.prefill_tokens_per_s)
+    handed = demand.decode_tokens_per_s * (prefilled / offered if offered else 0.0)
+    decoded = min(handed, share * counts.decode / decode_s)
+    rest = WorkDemand(offered - prefilled, demand.decode_tokens_per_s - decoded)
     if rest == WorkDemand():
         return True
     return mixed_utilisation(rest, rates, counts.mixed) <= share
--- a/shallotmux/decisions/_roles.py
+++ b/shallotmux/decisions/_roles.py
@@ -30,7 +30,7 @@
 
     dwell_s: float = 45.0
     change_s: float = 16.0
-    margin: float = 1.5
+    margin: float = 2.5
     pressed: float = 0.6
     rested: float = 0.45
     floor: int = 1
