--- a/shallotmux/decisions/__init__.py
+++ b/shallotmux/decisions/__init__.py
@@ -41,7 +41,7 @@
     decide_role,
     forecast_demand,
 )
-from shallotmux.decisions._router import Router, RoutingPolicy
+from shallotmux.decisions._router import Router, RoutingPolicy, weighted_policy
 from shallotmux.decisions._routing import (
     EndpointView,
     RequestFeatures,
@@ -123,4 +123,5 @@
     'schedule_loads',
     'split_limit',
     'utilisation',
+    'weighted_policy',
 )
--- a/shallotmux/decisions/_router.py
+++ b/shallotmux/decisions/_router.py
@@ -4,19 +4,22 @@
 
 import heapq
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from shallotmux.decisions._candidates import CandidateSet
 from shallotmux.decisions._estimates import AverageLoad, EndpointState, LoadReport
 from shallotmux.decisions._prefix import BLOCK_TOKENS, PrefixIndex
 from shallotmux.decisions._routing import RequestFeatures, RoutingDecision
-from shallotmux.world import Endpoint, EngineRole
+from shallotmux.world import Defaults, Endpoint, EngineRole
 
 #: First and longest exclusion of an endpoint after consecutive failures, in seconds.
 FIRST_EXCLUSION_S = 1.0
 LONGEST_EXCLUSION_S = 30.0
 
+#: Preference for cheap endpoints when only spend has weight, in seconds.
+CHEAP_BONUS_S = 0.2
+
 
 @dataclass(frozen=True, slots=True)
 class RoutingPolicy:
@@ -27,6 +30,7 @@
     :param holders: endpoints compared because they hold a part of the prefix.
     :param stream_cost_s: cost of a running stream, in seconds of delay to others.
     :param home_bonus_s: preference for the endpoint on which a prefix is expected to meet.
+    :param cheap_bonus_s: preference for cheap endpoints among those that may take the request.
     :param affinity: whether prefixes are considered at all.
     """
 
@@ -35,9 +39,17 @@
     holders: int = 4
     stream_cost_s: float = 0.004
     home_bonus_s: float = 0.4
+    cheap_bonus_s: float = 0.0
     affinity: bool = True
 
 
+def weighted_policy(policy: RoutingPolicy, defaults: Defaults) -> RoutingPolicy:
+    """Return the policy with the preference for cheap endpoints that a firm's weights ask for."""
+    service = defaults.weight_goodput + defaults.weight_worst_customer
+    share = defaults.weight_spend / max(service + defaults.weight_spend, 1e-9)
+    return replace(policy, cheap_bonus_s=CHEAP_BONUS_S * share)
+
+
 @dataclass(frozen=True, slots=True)
 class Scored:
     """An endpoint with the figures of its score, in seconds."""
@@ -54,6 +66,9 @@
 
     The owner passes the time in; nothing here reads a clock. All updates and choices take time
     that does not grow with the number of endpoints, but for the ring (logarithmic).
+
+    :param leaving: endpoints excluded by their owner; the end of a failure's pause does not bring
+        them back.
     """
 
     policy: RoutingPolicy = field(default_factory=RoutingPolicy)
@@ -63,6 +78,7 @@
     sets: dict[tuple[bool, bool], CandidateSet] = field(default_factory=dict)
     failures: dict[str, int] = field(default_factory=dict)
     returns: list[tuple[float, str]] = field(default_factory=list)
+    leaving: set[str] = field(default_factory=set)
 
     def add(self, endpoint: Endpoint, role: EngineRole = EngineRole.MIXED) -> None:
         """Add an endpoint, or take its new role."""
@@ -74,21 +90,25 @@
             self.states[endpoint.name] = EndpointState(endpoint, role)
         else:
             known.role = role
-        self._offer(endpoint.name)
+        if endpoint.name not in self.leaving:
+            self._offer(endpoint.name)
 
     def remove(self, name: str) -> None:
         """Forget an endpoint that left the pool."""
         self.exclude(name)
         self.states.pop(name, None)
         self.failures.pop(name, None)
+        self.leaving.discard(name)
 
     def exclude(self, name: str) -> None:
         """Give an endpoint no new work: it leaves, is reclaimed or changes its role."""
+        self.leaving.add(name)
         self._withdraw(name)
         self.index.forget(name)
 
     def include(self, name: str) -> None:
         """Give an endpoint new work again."""
+        self.leaving.discard(name)
         if name in self.states:
             self._offer(name)
 
@@ -97,7 +117,8 @@
         count = self.failures.get(name, 0)
         self.failures[name] = count + 1
         pause = min(LONGEST_EXCLUSION_S, FIRST_EXCLUSION_S * 2 ** min(count, 8))
-        self.exclude(name)
+        self._withdraw(name)
+        self.index.forget(name)
         heapq.heappush(self.returns, (now + pause, name))
 
     def report(self, name: str, report: LoadReport) -> None:
@@ -162,6 +183,7 @@
         saved_s = cached / load.prefill_tokens_per_s
         queueing_s = load.wait_s + load.running * self.policy.stream_cost_s
         bonus = self.policy.home_bonus_s if home else 0
+        bonus += self.policy.cheap_bonus_s if state.endpoint.cheap else 0
         wait_s = 0 if features.decode_only else load.known_wait_s
         return Scored(state, saved_s + bonus - queueing_s, wait_s, features.prompt_tokens - cached)
 
@@ -198,7 +220,9 @@
 
     def _readmit(self, now: float) -> None:
         while self.returns and self.returns[0][0] <= now:
-            self.include(heapq.heappop(self.returns)[1])
+            name = heapq.heappop(self.returns)[1]
+            if name in self.states and name not in self.leaving:
+                self._offer(name)
 
 
 def _describe(best: Scored, scored: Sequence[Scored]) -> RoutingDecision:
--- a/shallotmux/measure/_compare.py
+++ b/shallotmux/measure/_compare.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from itertools import product
 
+from shallotmux.decisions import weighted_policy
 from shallotmux.measure._figures import RunResult, RunSpec, run_spec
 from shallotmux.measure._shapes import KOCKICA, SHAPES, Deployment, Shape
 from shallotmux.measure._tables import Comparison
@@ -18,7 +19,13 @@
 
     The button division keeps its fleet, since idle cutters cost more than instances.
     """
-    return replace(variant, steer_fleet=deployment.name == KOCKICA.name and not variant.naive)
+    if variant.naive:
+        return variant
+    return replace(
+        variant,
+        steer_fleet=deployment.name == KOCKICA.name,
+        routing=weighted_policy(variant.routing, deployment.defaults),
+    )
 
 
 def run_all(specs: Sequence[RunSpec], processes: int) -> list[RunResult]:
--- a/shallotmux/measure/_shapes.py
+++ b/shallotmux/measure/_shapes.py
@@ -100,7 +100,7 @@
     cheap_language: int
     cheap_orders: int
     defaults: Defaults
-    load: float = 0.8
+    load: float = 1.0
 
 
 BUTTONS = Deployment(
--- a/shallotmux/measure/capacity.py
+++ b/shallotmux/measure/capacity.py
@@ -24,10 +24,10 @@
     decode_command,
     encode_command,
 )
-from shallotmux.decisions import FairQueue, Flow, PrefixIndex
-from shallotmux.measure._latency import routing_times
+from shallotmux.decisions import FairQueue, Flow, LoadReport, PrefixIndex, Router
+from shallotmux.measure._latency import filled_router, routing_times
 from shallotmux.observability import DecisionLog, DecisionRecord
-from shallotmux.world import Customer, CustomerKey
+from shallotmux.world import Customer, CustomerKey, Endpoint, EndpointPool
 
 ItemT = TypeVar('ItemT')
 
@@ -41,6 +41,8 @@
 ENTRY_SIZES = (5000, 10_000, 20_000, 40_000)
 CUSTOMER_SIZES = (8, 40, 310, 2000)
 BODY_SIZES = (100, 1000, 10_000, 100_000)
+POOL_SIZES = (10, 100, 400, 1200)
+REPORT_SIZES = (10, 100, 1200, 12_000)
 LINE_SIZES = (1000, 2000, 4000, 8000)
 ANSWER_BYTES = 400
 
@@ -172,6 +174,48 @@
     return Slope('Codec, one command', 'body bytes', columns, tuple(points))
 
 
+def measure_pool() -> Slope:
+    """Measure the change of a pool, which names all its endpoints, against their number."""
+    points = []
+    repeats = 20
+    for size in POOL_SIZES:
+        endpoints = tuple(
+            Endpoint(f'engine-{each}', 'jylland-1', f'10.0.0.{each % 250}:8000')
+            for each in range(size)
+        )
+        command = PutObject('o', EndpointPool('sorting', 'jylland-1', endpoints), 0)
+        payload = encode_command(command)
+        encode_s = _cpu_s(partial(_repeat, encode_command, (command,) * repeats))
+        decode_s = _cpu_s(partial(_repeat, decode_command, (payload,) * repeats))
+        costs = (encode_s / repeats * 1000, decode_s / repeats * 1000, len(payload) / KILO)
+        points.append(Point(size, costs))
+    columns = ('encode, ms', 'decode, ms', 'KB')
+    return Slope('Codec, change of a pool', 'endpoints', columns, tuple(points))
+
+
+def measure_reports() -> Slope:
+    """Measure taking a load report and a cache event against the number of endpoints."""
+    points = []
+    repeats = 20_000
+    for size in REPORT_SIZES:
+        router = filled_router(size, Random(size))
+        report_s = _cpu_s(partial(_take_reports, router, size, repeats))
+        event_s = _cpu_s(partial(_take_events, router, size, repeats))
+        points.append(Point(size, (report_s / repeats * MICRO, event_s / repeats * MICRO)))
+    columns = ('load report, µs', 'cache event, µs')
+    return Slope('What a router takes in', 'endpoints', columns, tuple(points))
+
+
+def _take_reports(router: Router, size: int, repeats: int) -> None:
+    for number in range(repeats):
+        router.report(f'engine-{number % size}', LoadReport(number, 5, number))
+
+
+def _take_events(router: Router, size: int, repeats: int) -> None:
+    for number in range(repeats):
+        router.index.follow(f'engine-{number % size}', number // size + 1, number, stored=True)
+
+
 def measure_index() -> Slope:
     """Measure the memory and the time of the prefix index against its entries."""
     points = []
@@ -244,6 +288,8 @@
         measure_state('ZoneState, keys', _create_keys, KEY_SIZES),
         measure_state('ZoneState, finished jobs', _finish_jobs, JOB_SIZES),
         measure_codec(),
+        measure_pool(),
+        measure_reports(),
         measure_fairness(),
         measure_log(),
     )
--- a/tests/decisions/test_router.py
+++ b/tests/decisions/test_router.py
@@ -14,8 +14,9 @@
     Router,
     RoutingPolicy,
     route_request,
+    weighted_policy,
 )
-from shallotmux.world import Endpoint, EngineRole
+from shallotmux.world import Defaults, Endpoint, EngineRole
 
 PROMPT = RequestFeatures(prompt_tokens=300)
 SHEET = RequestFeatures((11, 12, 13, 14, 15), 5 * 2048)
@@ -99,6 +100,16 @@
     assert {chosen(router, SHEET, seed, 9) for seed in range(20)} == {'e1'}
 
 
+def test_failure_does_not_bring_a_leaving_endpoint_back() -> None:
+    """Guards against new work on a reclaimed endpoint after the pause for its broken streams."""
+    router = make_router(2)
+    router.exclude('e0')
+    router.fail('e0', 1)
+    assert {chosen(router, PROMPT, seed, 9) for seed in range(20)} == {'e1'}
+    router.include('e0')
+    assert 'e0' in {chosen(router, PROMPT, seed, 9) for seed in range(20)}
+
+
 def test_cheap_endpoint_gets_repeatable_work_only() -> None:
     """Guards against losing a non-repeatable call in a reclaim."""
     router = make_router()
@@ -129,3 +140,15 @@
     turns = [naive.choose(RequestFeatures(), random, 0) for _ in range(60)]
     others = [each.endpoint.name for each in turns if each is not None]
     assert 2 * sum(loads[name] for name in mine) < sum(loads[name] for name in others)
+
+
+def test_weight_of_spend_prefers_cheap_endpoints() -> None:
+    """Guards against cheap endpoints that idle beside equally loaded regular ones."""
+    spending = weighted_policy(RoutingPolicy(), Defaults(weight_spend=5))
+    router = Router(spending)
+    for name, cheap in (('e0', True), ('e1', False)):
+        router.add(Endpoint(name, 'z', '', cheap=cheap))
+        router.report(name, LoadReport(500, 2, 0.05))
+    assert {chosen(router, PROMPT, seed) for seed in range(20)} == {'e0'}
+    router.report('e0', LoadReport(9000, 2, 0.06))
+    assert {chosen(router, PROMPT, seed) for seed in range(20)} == {'e1'}
