Keep nothing of endpoints that left the prefix index

Cause: generations and sequence numbers of removed endpoints stayed for ever, and an endpoint that returned under its name got full trust in its old entries. Change: removal drops both; generations are never used twice. The log's slope includes JSON lines. Conclusion: memory is bounded by the endpoints in the pool and the entry limit.

--- a/shallotmux/decisions/_prefix.py
+++ b/shallotmux/decisions/_prefix.py
@@ -40,18 +40,20 @@
 class PrefixIndex:
     """Which endpoints probably hold a block, as generations seen for each endpoint.
 
-    A gap in the cache events of an endpoint raises its generation; entries of an older
-    generation are doubtful until they are seen again. No scan is needed for it.
+    A gap in the cache events of an endpoint gives it a new generation; entries of another
+    generation are doubtful until they are seen again. No scan is needed for it. Generations are
+    never used twice, so that an endpoint that returns under its name does not revive old entries.
     """
 
     limit: int = ENTRY_LIMIT
     holders: OrderedDict[int, dict[str, int]] = field(default_factory=OrderedDict)
     generations: dict[str, int] = field(default_factory=dict)
     sequences: dict[str, int] = field(default_factory=dict)
+    last_generation: int = 0
 
     def add(self, endpoint: str, blocks: Sequence[int]) -> None:
         """Note that an endpoint holds blocks, from a dispatch or an event."""
-        generation = self.generations.get(endpoint, 0)
+        generation = self.generations.get(endpoint) or self.forget(endpoint)
         for block in blocks:
             known = self.holders.setdefault(block, {})
             self.holders.move_to_end(block)
@@ -83,9 +85,16 @@
         else:
             self.discard(endpoint, block)
 
-    def forget(self, endpoint: str) -> None:
-        """Make the entries of an endpoint doubtful."""
-        self.generations[endpoint] = self.generations.get(endpoint, 0) + 1
+    def forget(self, endpoint: str) -> int:
+        """Make the entries of an endpoint doubtful and return its new generation."""
+        self.last_generation += 1
+        self.generations[endpoint] = self.last_generation
+        return self.last_generation
+
+    def remove(self, endpoint: str) -> None:
+        """Drop what is kept for an endpoint that left; its entries age out of the index."""
+        self.generations.pop(endpoint, None)
+        self.sequences.pop(endpoint, None)
 
     def matches(self, blocks: Sequence[int]) -> dict[str, float]:
         """Return the blocks that endpoints are expected to hold of a prefix.
@@ -105,4 +114,4 @@
         return found
 
     def _trust(self, endpoint: str, generation: int) -> float:
-        return 1.0 if generation == self.generations.get(endpoint, 0) else DOUBTFUL_TRUST
+        return 1.0 if generation == self.generations.get(endpoint) else DOUBTFUL_TRUST
--- a/shallotmux/decisions/_router.py
+++ b/shallotmux/decisions/_router.py
@@ -99,6 +99,7 @@
         self.states.pop(name, None)
         self.failures.pop(name, None)
         self.leaving.discard(name)
+        self.index.remove(name)
 
     def exclude(self, name: str) -> None:
         """Give an endpoint no new work: it leaves, is reclaimed or changes its role."""
--- a/shallotmux/measure/capacity.py
+++ b/shallotmux/measure/capacity.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import os
 import time
 import tracemalloc
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
+from pathlib import Path
 from random import Random
 from typing import TypeVar
 
 import click
+from eliot import FileDestination, add_destinations, remove_destination
 
 from shallotmux.authority import (
     ClaimJob,
@@ -256,12 +259,16 @@
 
 
 def measure_log() -> Slope:
-    """Measure decision records with no destination for log lines."""
+    """Measure decision records with their lines as JSON, written to the null device."""
     points = []
-    for size in LINE_SIZES:
-        log = DecisionLog('entry-1')
-        spent = _cpu_s(partial(_record, log, size))
-        points.append(Point(size, (spent * 1000, spent / size * MICRO)))
+    with Path(os.devnull).open('w', encoding='utf-8') as sink:
+        destination = FileDestination(file=sink)
+        add_destinations(destination)
+        for size in LINE_SIZES:
+            log = DecisionLog('entry-1')
+            spent = _cpu_s(partial(_record, log, size))
+            points.append(Point(size, (spent * 1000, spent / size * MICRO)))
+        remove_destination(destination)
     columns = ('all lines, ms', 'a line, µs')
     return Slope('Decision log', 'lines', columns, tuple(points))
 
--- a/tests/decisions/test_fairness.py
+++ b/tests/decisions/test_fairness.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from random import Random
 
 import pytest
@@ -145,3 +145,26 @@
     for step in range(100):
         meter.charge('a', 0.1, 5, step)
     assert meter.priority('a', 100, overdue=False) is Priority.WITHIN_SHARE
+
+
+def test_fair_queue_agrees_with_a_plain_search() -> None:
+    """Guards against a heap whose stale entries change the order of service."""
+    queue: FairQueue[int] = FairQueue()
+    random, counters, waiting = Random(6), Counter[Flow](), defaultdict[Flow, list[int]](list)
+    for number in range(2000):
+        flow = Flow(f'c{random.randrange(7)}', 'r')
+        if random.randrange(3):
+            if not waiting[flow]:
+                counters[flow] = max(counters[flow], counters[LARGE])
+            waiting[flow].append(number)
+            queue.push(flow, number, 1 + number % 4)
+            continue
+        active = [each for each in waiting if waiting[each]]
+        taken = queue.pop()
+        if taken is None:
+            assert not active
+            continue
+        served = next(each for each in active if waiting[each][0] == taken)
+        assert counters[served] == min(counters[each] for each in active)
+        counters[LARGE] = max(counters[LARGE], counters[served])
+        counters[served] += 1 + waiting[served].pop(0) % 4
--- a/tests/decisions/test_prefix.py
+++ b/tests/decisions/test_prefix.py
@@ -45,6 +45,17 @@
     assert index.matches((7, 8)) == {'e0': 2}
 
 
+def test_endpoint_that_returns_does_not_revive_old_entries() -> None:
+    """Guards against trust in the cache of a replaced endpoint, and memory for removed ones."""
+    index = PrefixIndex()
+    index.add('e0', (7,))
+    index.remove('e0')
+    assert not index.generations
+    index.add('e0', (8,))
+    assert index.matches((7,)) == {'e0': 0.5}
+    assert index.matches((8,)) == {'e0': 1}
+
+
 def test_late_event_does_not_undo_a_newer_one() -> None:
     """Guards against a repeated or reordered event that brings back an evicted block."""
     index = PrefixIndex()
