--- a/shallotmux/standins/__init__.py
+++ b/shallotmux/standins/__init__.py
@@ -3,6 +3,16 @@
 from __future__ import annotations
 
 from shallotmux.standins._authority import SharedAuthority, SharedGroup
+from shallotmux.standins._cost_model import (
+    BLOCK_TOKENS,
+    BlockCache,
+    CacheChange,
+    EngineCosts,
+    EngineJob,
+    EngineLoad,
+    EngineModel,
+    JobListener,
+)
 from shallotmux.standins._engine import (
     EngineBehaviour,
     EngineFault,
@@ -22,6 +32,14 @@
 from shallotmux.standins._tokens import encode_event, prompt_key, token_text
 
 __all__ = (
+    'BLOCK_TOKENS',
+    'BlockCache',
+    'CacheChange',
+    'EngineCosts',
+    'EngineJob',
+    'EngineLoad',
+    'EngineModel',
+    'JobListener',
     'EngineBehaviour',
     'EngineFault',
     'EngineRunRecord',
