--- a/shallotmux/http/_connection.py
+++ b/shallotmux/http/_connection.py
@@ -9,6 +9,7 @@
 
 import trio
 from eliot import log_message
+from hypercorn.events import Event, Updated
 from hypercorn.trio.tcp_server import TCPServer
 
 from shallotmux.http._asgi import AsgiApp, Message, Receive, Scope, Send
@@ -25,10 +26,24 @@
     100 µs of CPU for each part.
     """
 
+    def __init__(self, *parts: Any) -> None:
+        super().__init__(*parts)
+        #: Whether the caller has ended its sending side, after which nothing more is read.
+        self._ended = False
+
     def __await__(self) -> Generator[Any]:
         """Run until the connection is closed."""
         return self._run_guarded().__await__()
 
+    async def protocol_send(self, event: Event) -> None:
+        """Send what the server's protocol asks for.
+
+        The wait for a further request is skipped once the caller has closed its side; otherwise
+        every connection that a caller closes would stay open until the keep-alive timeout.
+        """
+        if not (self._ended and isinstance(event, Updated)):
+            await super().protocol_send(event)
+
     async def write_part(self, part: bytes) -> bool:
         """Write a part of a chunked body.
 
@@ -46,6 +61,11 @@
             return False
         return True
 
+    async def _read_data(self) -> None:
+        await super()._read_data()
+        self._ended = True
+        await self.idle_task.stop()
+
     async def _write_waiting(self, framed: bytes) -> None:
         async with self.send_lock:
             await self.stream.send_all(framed)
@@ -72,6 +92,10 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle one ASGI connection."""
+        if scope['type'] == 'websocket':
+            # Refused with 403; without an answer the server would report a fault of its own.
+            await send({'type': 'websocket.close'})
+            return
         connection = _current.get()
         if (
             connection is not None
