Read configuration files in the operators package

Cause: the demonstration applies the same files as the tool; another part brings its own setting for the freshness limit. Change: reading, comparing and sending configuration files moves to operators; the duplicate timeouts.freshness_limit_s is gone; the reference also takes meanings from doc comments.

--- a/shallotmux/cli/_objects.py
+++ b/shallotmux/cli/_objects.py
@@ -8,7 +8,7 @@
 import json5
 
 from shallotmux.cli._session import Session, pass_session, with_examples
-from shallotmux.errors import CallerError, SettingsError
+from shallotmux.errors import SettingsError
 from shallotmux.operators import (
     OBJECT_CLASSES,
     ObjectName,
@@ -115,19 +115,3 @@
         return given
     current = await client.find(place)
     return 0 if current is None else int(current['revision'])
-
-
-def check_kinds(plain: Any, source: str) -> None:
-    """Refuse a configuration whose top level is not kinds of objects by name.
-
-    :raises CallerError: naming the file and the kind.
-    """
-    if not isinstance(plain, dict):
-        raise SettingsError(f'{source}: a JSON object is expected')
-    for kind, named in plain.items():
-        if kind not in OBJECT_CLASSES:
-            raise SettingsError(f'{source}: {kind}: allowed are {", ".join(OBJECT_CLASSES)}')
-        if not isinstance(named, dict):
-            raise CallerError(
-                f'{source}: {kind}: an object of names is expected', status=400, code='invalid'
-            )
--- a/shallotmux/cli/_session.py
+++ b/shallotmux/cli/_session.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -98,8 +97,3 @@
 def with_examples(*examples: str) -> str:
     """Return the examples that end a help text."""
     return '\n'.join(('\b', 'Examples:', *(f'  {example}' for example in examples)))
-
-
-def render(content: object) -> list[str]:
-    """Return the lines of a value as indented JSON, for a diff."""
-    return json.dumps(content, indent=2, ensure_ascii=False).splitlines()
--- a/shallotmux/operators/__init__.py
+++ b/shallotmux/operators/__init__.py
@@ -4,6 +4,12 @@
 
 from shallotmux.operators._app import OperatorApp, OperatorTools
 from shallotmux.operators._client import OperatorClient, OperatorError, read_answer
+from shallotmux.operators._files import (
+    Change,
+    plan_changes,
+    read_configuration,
+    send_changes,
+)
 from shallotmux.operators._objects import (
     OBJECT_CLASSES,
     ObjectName,
@@ -28,6 +34,7 @@
 
 __all__ = (
     'OBJECT_CLASSES',
+    'Change',
     'EndpointStatus',
     'FleetStatus',
     'InstanceStatus',
@@ -48,5 +55,8 @@
     'ZoneStatus',
     'build_object',
     'plain_object',
+    'plan_changes',
     'read_answer',
+    'read_configuration',
+    'send_changes',
 )
--- a/shallotmux/settings/_models.py
+++ b/shallotmux/settings/_models.py
@@ -152,12 +152,6 @@
     certificate_check_s: float = Field(
         default=5.0, gt=0, le=3600, description='Interval at which certificate files are checked.'
     )
-    freshness_limit_s: float = Field(
-        default=3.0,
-        gt=0,
-        le=60,
-        description='Time without contact to the leader after which keyed requests are refused.',
-    )
 
 
 class LoggingSettings(_Strict):
--- a/shallotmux/settings/_reference.py
+++ b/shallotmux/settings/_reference.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import inspect
 from collections.abc import Iterator
-from typing import Any, get_args
+from typing import Any, get_args, get_origin
 
 from pydantic import BaseModel
 from pydantic_core import PydanticUndefined
@@ -32,19 +33,22 @@
 
 def _write_section(path: str, section: type[BaseModel]) -> Iterator[str]:
     """Yield the lines of a section and of the sections in it."""
+    summary, meanings = _read_docs(section)
     inner: list[tuple[str, type[BaseModel]]] = []
     rows: list[str] = []
     for key, found in section.model_json_schema(mode='validation')['properties'].items():
         annotation = section.model_fields[key].annotation
         nested = _find_model(annotation)
         if nested is not None:
-            inner.append((f'{path}{key}' if nested is annotation else f'{path}{key}[]', nested))
+            listed = get_origin(annotation) in {list, tuple}
+            inner.append((f'{path}{key}[]' if listed else f'{path}{key}', nested))
         if nested is not annotation:
             default = section.model_fields[key].get_default(call_default_factory=True)
-            rows.append(_write_row(key, found, default))
+            described = {'description': meanings.get(key, ''), **found}
+            rows.append(_write_row(key, described, default))
     if rows:
         yield f'## {path.rstrip(".")}\n'
-        yield f'{(section.__doc__ or "").strip()}\n'
+        yield f'{summary}\n'
         yield '| key | type | unit | default | allowed | meaning |'
         yield '| --- | --- | --- | --- | --- | --- |'
         yield from rows
@@ -53,6 +57,13 @@
         yield from _write_section(f'{place}.', nested_section)
 
 
+def _read_docs(section: type[BaseModel]) -> tuple[str, dict[str, str]]:
+    """Return the summary of a section, and the meanings of keys that its doc comment gives."""
+    summary, *params = inspect.cleandoc(section.__doc__ or '').split('\n:param ')
+    pairs = (each.partition(':') for each in params)
+    return summary.strip(), {name: ' '.join(text.split()) for name, _, text in pairs}
+
+
 def _find_model(annotation: Any) -> type[BaseModel] | None:
     """Return the model of a section, or of the items of a list of sections."""
     for each in (annotation, *get_args(annotation)):
@@ -65,8 +76,7 @@
     unit = next((name for ending, name in _UNITS if key.endswith(ending)), '')
     shown = 'required' if default is PydanticUndefined else f'`{_write_value(default)}`'
     kind = schema.get('type', 'see its section')
-    meaning = schema.get('description', '')
-    cells = (f'`{key}`', kind, unit, shown, _write_bounds(schema), meaning)
+    cells = (f'`{key}`', kind, unit, shown, _write_bounds(schema), schema['description'])
     return f'| {" | ".join(cells)} |'
 
 
