--- a/shallotmux/demo/__init__.py
+++ b/shallotmux/demo/__init__.py
@@ -1,7 +1,9 @@
-"""Demonstration with stand-in back ends."""
+"""Demonstration with three zones of instances and stand-in back ends."""
 
 from __future__ import annotations
 
-from shallotmux.demo._run import run_demo
+from shallotmux.demo._fleet import DemoFleet, DemoZone
+from shallotmux.demo._load import LoadPlan, run_load
+from shallotmux.demo._run import DemoReport, run_demo
 
-__all__ = ('run_demo',)
+__all__ = ('DemoFleet', 'DemoReport', 'DemoZone', 'LoadPlan', 'run_demo', 'run_load')
--- a/shallotmux/demo/__main__.py
+++ b/shallotmux/demo/__main__.py
@@ -2,12 +2,28 @@
 
 from __future__ import annotations
 
+import os
 import sys
 
+import click
 import trio
-from eliot import to_file
 
 from shallotmux.demo import run_demo
+from shallotmux.observability import write_logs
 
-to_file(sys.stdout)
-trio.run(run_demo)
+
+@click.command()
+@click.option('--serve', is_flag=True, help='Leave everything running until interrupted.')
+@click.option('--log', default=os.devnull, help='File for the log lines of all instances.')
+def main(serve: bool, log: str) -> None:
+    """Run three zones of instances with stand-in back ends under a mixed load."""
+    with write_logs(log, 'info', {}):
+        try:
+            report = trio.run(run_demo, serve)
+        except KeyboardInterrupt:
+            click.echo('stopped')
+            return
+    sys.exit(0 if report.passed else 1)
+
+
+main()
--- a/shallotmux/demo/_run.py
+++ b/shallotmux/demo/_run.py
@@ -1,80 +1,130 @@
-"""Run an instance with stand-in engines and show a request from end to end."""
+"""Run the demonstration and print what happened."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
+from pathlib import Path
+
 import click
-import msgspec
 import trio
 
-from shallotmux.authority import CreateKey, PutObject, WithdrawKey, create_secret
-from shallotmux.daemon import DaemonInstance
-from shallotmux.http import HttpcoreClient, HttpRequest, Listener, fetch, serve_app
-from shallotmux.settings import InstanceSettings, ListenerSettings, SecretSettings, Settings
-from shallotmux.standins import EngineStandin
-from shallotmux.world import Customer, Endpoint, EndpointPool, Route
-
-LOOPBACK = '127.0.0.1:0'
-PEPPER = 'demonstration-pepper'
-ENGINES = 3
-LIMIT_BYTES = 1_000_000
-
-
-def demo_settings() -> Settings:
-    """Return the settings of the demonstration instance."""
-    return Settings(
-        instance=InstanceSettings(name='entry-1', zone='zone-a'),
-        listeners=ListenerSettings(callers=LOOPBACK, operators=LOOPBACK),
-        secrets=SecretSettings(pepper=PEPPER, operator_token='demonstration-token'),  # noqa: S106
-    )
+from shallotmux.demo._fleet import TOKEN, DemoFleet, DemoZone
+from shallotmux.demo._load import DemoCall, LoadPlan, LoadResult, run_load, send_call
+from shallotmux.http import HttpClient, HttpcoreClient
+
+CONFIGURATION = Path(__file__).parents[2] / 'examples' / 'kockica' / 'configuration.json'
+ZONES = ('varazdin', 'cakovec', 'koprivnica')
+MODEL = 'block-sorter'
+STATUS_UNAUTHORIZED = 401
+
+#: Outcomes of a request that was answered completely.
+COMPLETE = frozenset(('streamed', 'collected'))
+
+
+@dataclass(slots=True)
+class DemoReport:
+    """What the demonstration showed.
 
+    :param withdrawn_status: answer to a request with a key that was withdrawn before.
+    """
 
-async def run_demo() -> None:
-    """Start everything, send one streamed request and one with a withdrawn key."""
-    stop = trio.Event()
+    results: dict[str, LoadResult] = field(default_factory=dict)
+    withdrawn_status: int = 0
+    passed: bool = False
+
+    def judge(self) -> None:
+        """Decide whether everything went as it should."""
+        complete = all(result.outcomes.keys() <= COMPLETE for result in self.results.values())
+        self.passed = complete and self.withdrawn_status == STATUS_UNAUTHORIZED
+
+
+async def run_demo(serve: bool = False, plan: LoadPlan | None = None) -> DemoReport:
+    """Start three zones, configure them, send a mixed load, and withdraw a key.
+
+    :param serve: leave everything running until the task is cancelled.
+    """
+    report = DemoReport()
     async with trio.open_nursery() as nursery:
-        engines = []
-        for number in range(ENGINES):
-            name = f'engine-{number + 1}'
-            address = await nursery.start(
-                serve_app, EngineStandin(name), Listener(LOOPBACK), stop.wait
-            )
-            engines.append(Endpoint(name, 'zone-a', address))
-        daemon = DaemonInstance(demo_settings())
-        addresses = await nursery.start(daemon.run)
-        secret, key_id = await _configure(daemon, tuple(engines))
         client = HttpcoreClient()
-        await _ask(client, addresses.callers, secret)
-        await daemon.authority.submit(WithdrawKey('demo-withdraw', key_id))
-        await _ask(client, addresses.callers, secret)
+        fleet = DemoFleet(nursery, CONFIGURATION)
+        secrets = await _start(fleet, client)
+        await _send_load(fleet, client, secrets, plan or LoadPlan(), report)
+        await _withdraw_key(fleet.zones[ZONES[0]], client, report)
+        report.judge()
+        click.echo('passed' if report.passed else 'FAILED')
+        if serve:
+            _print_commands(fleet.zones[ZONES[0]], secrets[ZONES[0]][0])
+            await trio.sleep_forever()
         await client.close()
-        daemon.shut_down()
-        stop.set()
+        fleet.stop()
+    return report
 
 
-async def _configure(daemon: DaemonInstance, engines: tuple[Endpoint, ...]) -> tuple[str, str]:
-    items = (
-        Customer('tailors'),
-        EndpointPool('sorting', 'zone-a', engines, 'sorter'),
-        Route('sorter', 'sorting'),
-    )
-    for item in items:
-        await daemon.authority.submit(PutObject(f'demo-{item.name}', item, 0))
-    secret, key = create_secret('tailors', PEPPER.encode())
-    await daemon.authority.submit(CreateKey('demo-key', key))
-    return secret, key.key_id
-
-
-async def _ask(client: HttpcoreClient, address: str, secret: str) -> None:
-    body = msgspec.json.encode(
-        {
-            'model': 'sorter',
-            'messages': [{'role': 'user', 'content': 'Sort lot 7.'}],
-            'stream': True,
-            'max_tokens': 8,
-        },
+async def _start(fleet: DemoFleet, client: HttpClient) -> dict[str, list[str]]:
+    """Start and configure all zones and return the secrets of each."""
+    secrets: dict[str, list[str]] = {}
+    for name in ZONES:
+        zone = await fleet.start_zone(name)
+        count = await fleet.configure(zone, client)
+        keys = await fleet.create_keys(zone, client)
+        secrets[name] = [secret for _, secret in keys.values()]
+        click.echo(
+            f'{name}: {len(zone.instances)} instance, {len(zone.engines)} engines, '
+            f'{len(zone.services)} service, {count} objects, {len(keys)} keys'
+        )
+    return secrets
+
+
+async def _send_load(
+    fleet: DemoFleet,
+    client: HttpClient,
+    secrets: dict[str, list[str]],
+    plan: LoadPlan,
+    report: DemoReport,
+) -> None:
+    click.echo(f'\nload: {plan.workers} callers in each zone, {plan.rounds} requests each')
+
+    async def load(name: str) -> None:
+        zone = fleet.zones[name]
+        report.results[name] = await run_load(zone, client, secrets[name], MODEL, plan)
+
+    async with trio.open_nursery() as nursery:
+        for name in ZONES:
+            nursery.start_soon(load, name)
+    for name in ZONES:
+        click.echo(f'{name}: {report.results[name].summary()}')
+
+
+async def _withdraw_key(zone: DemoZone, client: HttpClient, report: DemoReport) -> None:
+    """Create a key, use it, withdraw it, and use it again."""
+    operator = zone.operator(client)
+    customer = (await operator.view('customer'))['items'][0]['name']
+    created = await operator.create_key(customer)
+    call = DemoCall(zone.entry(0), created['secret'], MODEL, 'Sort lot 8.', 4)
+    before = await send_call(client, call, LoadResult())
+    await operator.withdraw_key(created['key_id'])
+    report.withdrawn_status = await send_call(client, call, LoadResult())
+    click.echo(f'\nkey of {customer}: status {before}, withdrawn, status {report.withdrawn_status}')
+
+
+def _print_commands(zone: DemoZone, secret: str) -> None:
+    addresses = zone.instances[0].addresses
+    body = f'{{"model": "{MODEL}", "stream": true, "max_tokens": 8, "messages": '
+    body = f'{body}[{{"role": "user", "content": "Sort lot 7."}}]}}'
+    click.echo(
+        '\n'.join(
+            (
+                f'\n{zone.name} is being served; stop with Ctrl-C.',
+                '\nA request as a caller:\n',
+                f'curl -N http://{addresses.callers}/v1/chat/completions \\',
+                f"  -H 'Authorization: Bearer {secret}' -H 'Content-Type: application/json' \\",
+                f"  -d '{body}'",
+                "\nThe operators' tool:\n",
+                f'export SHALLOTMUX_ADDRESS={addresses.operators} SHALLOTMUX_TOKEN={TOKEN}',
+                f'export SHALLOTMUX_CALLER_ADDRESS={addresses.callers} SHALLOTMUX_KEY={secret}',
+                'python -m shallotmux.cli status',
+                f'python -m shallotmux.cli complete {MODEL} "Sort lot 7."',
+                f'\nMetrics: http://{addresses.metrics}/metrics',
+            )
+        )
     )
-    headers = {'authorization': f'Bearer {secret}', 'content-type': 'application/json'}
-    request = HttpRequest('POST', address, '/v1/chat/completions', body, headers)
-    status, answer = await fetch(client, request, LIMIT_BYTES)
-    click.echo(f'status {status}')
-    click.echo(answer.decode())
