--- a/shallotmux/demo/__main__.py
+++ b/shallotmux/demo/__main__.py
@@ -18,11 +18,7 @@
 def main(serve: bool, log: str) -> None:
     """Run three zones of instances with stand-in back ends under a mixed load."""
     with write_logs(log, 'info', {}):
-        try:
-            report = trio.run(run_demo, serve)
-        except KeyboardInterrupt:
-            click.echo('stopped')
-            return
+        report = trio.run(run_demo, serve)
     sys.exit(0 if report.passed else 1)
 
 
--- a/shallotmux/demo/_run.py
+++ b/shallotmux/demo/_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -41,7 +42,7 @@
 async def run_demo(serve: bool = False, plan: LoadPlan | None = None) -> DemoReport:
     """Start three zones, configure them, send a mixed load, and withdraw a key.
 
-    :param serve: leave everything running until the task is cancelled.
+    :param serve: leave everything running until SIGINT or SIGTERM.
     """
     report = DemoReport()
     async with trio.open_nursery() as nursery:
@@ -54,7 +55,8 @@
         click.echo('passed' if report.passed else 'FAILED')
         if serve:
             _print_commands(fleet.zones[ZONES[0]], secrets[ZONES[0]][0])
-            await trio.sleep_forever()
+            with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+                await anext(aiter(signals))
         await client.close()
         fleet.stop()
     return report
