--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 help:
 	@echo "make demo     run three zones with stand-in back ends (ARGS=--serve keeps them running)"
 	@echo "make test     run the whole test suite"
+	@echo "make bench    measure the relay against direct calls"
 	@echo "make lint     check formatting, style and types"
 	@echo "make format   format the sources"
 
--- a/shallotmux/bench/_figures.py
+++ b/shallotmux/bench/_figures.py
@@ -51,11 +51,13 @@
     """Results of all repetitions.
 
     :param token_cpu_us: CPU time of the instance per relayed token, in microseconds.
+    :param pipe_cpu_us: the same for a process that only copies the bytes.
     :param request_cpu_ms: CPU time of the instance per request of one token, in milliseconds.
     :param tokens: tokens relayed in each repetition.
     """
 
     token_cpu_us: tuple[float, ...]
+    pipe_cpu_us: tuple[float, ...]
     request_cpu_ms: tuple[float, ...]
     latency: tuple[Latency, ...]
     tokens: int
@@ -81,6 +83,9 @@
         relayed = spread_of([_median_ms(each.relayed) for each in self.latency])
         lines = ['| figure | median (least to greatest) | target |', '| --- | --- | --- |']
         lines.extend(f'| {name} | {spread} | {target:g} |' for name, spread, target in self.rows())
+        lines.append(
+            f'| CPU per token, copying bytes only (µs) | {spread_of(self.pipe_cpu_us)} | |'
+        )
         lines.append(f'| first byte, direct (ms) | {direct} | |')
         lines.append(f'| first byte, relayed (ms) | {relayed} | |')
         lines.append(f'\n{len(self.latency)} repetitions, {self.tokens} tokens relayed in each')
--- a/shallotmux/bench/_run.py
+++ b/shallotmux/bench/_run.py
@@ -44,13 +44,17 @@
 class Setup:
     """The processes that are measured.
 
+    :param pipe: copies bytes to the paced engine, as a lower bound.
     :param paced: instance route to the paced engine, for the cost of tokens.
+    :param piped: the paced engine through the pipe.
     :param prompt: the same route of an engine that answers at once, for fixed costs.
     :param direct: the engine that answers at once, without an instance.
     """
 
     daemon: Child
+    pipe: Child
     paced: Target
+    piped: Target
     prompt: Target
     direct: Target
 
@@ -76,6 +80,10 @@
         words = ('engine', '--name', name, '--token-s', str(token_s))
         engine = await stack.enter_async_context(start_child('shallotmux.standins', *words))
         engines[name] = (await engine.line()).decode().strip()
+    pipe = await stack.enter_async_context(
+        start_child('shallotmux.bench._pipe', '--to', engines['paced'])
+    )
+    pipe_address = (await pipe.line()).decode().strip()
     settings = folder / 'settings.json'
     settings.write_text(json.dumps(_settings()), encoding='utf-8')
     daemon = await stack.enter_async_context(
@@ -85,7 +93,9 @@
     secret = await _configure(started['operators'], engines)
     return Setup(
         daemon,
+        pipe,
         _relayed(started['callers'], secret, 'paced'),
+        Target(pipe_address, _direct_builder(pipe_address)),
         _relayed(started['callers'], secret, 'prompt'),
         Target(engines['prompt'], _direct_builder(engines['prompt'])),
     )
@@ -93,6 +103,7 @@
 
 async def _measure(setup: Setup, size: BenchSize) -> Figures:
     token_cpu: list[float] = []
+    pipe_cpu: list[float] = []
     request_cpu: list[float] = []
     latency: list[Latency] = []
     tokens = 0
@@ -103,9 +114,17 @@
         spent = setup.daemon.cpu_s() - before
         # The fixed cost of the requests is counted apart from that of their tokens.
         token_cpu.append((spent - request_s * size.streams) / tokens * US)
+        pipe_cpu.append(await _cpu_of_pipe(setup, size))
         request_cpu.append(request_s * MS)
         latency.append(await _compare(setup, size.calls))
-    return Figures(tuple(token_cpu), tuple(request_cpu), tuple(latency), tokens)
+    return Figures(tuple(token_cpu), tuple(pipe_cpu), tuple(request_cpu), tuple(latency), tokens)
+
+
+async def _cpu_of_pipe(setup: Setup, size: BenchSize) -> float:
+    """Return the CPU microseconds of the pipe per token of the same streams."""
+    before = setup.pipe.cpu_s()
+    tokens = await send_many(setup.piped, size.streams, size.tokens)
+    return (setup.pipe.cpu_s() - before) / tokens * US
 
 
 async def _cpu_per_call(setup: Setup, size: BenchSize) -> float:
--- a/shallotmux/cli/_exits.py
+++ b/shallotmux/cli/_exits.py
@@ -61,7 +61,7 @@
     """Prints an error and ends the tool with the exit code of its kind."""
 
     def __init__(self, error: ShallotmuxError) -> None:
-        super().__init__(str(error))
+        super().__init__(str(error) if error.peer else error.message)
         # click declares the code per class; one class serves all kinds here.
         self.exit_code = choose_exit(error)  # type: ignore[misc]
 
--- a/tests/bench/test_figures.py
+++ b/tests/bench/test_figures.py
@@ -21,7 +21,7 @@
 def test_targets_are_compared(token_us: float, met: bool) -> None:
     """Guards against a missed target that is reported as met."""
     latency = Latency((1.0, 1.0), (2.0, 6.0))
-    figures = Figures((token_us,), (1.0,), (latency,), 10)
+    figures = Figures((token_us,), (9.0,), (1.0,), (latency,), 10)
     assert latency.added_ms() == 3
     assert figures.meets_targets() is met
     assert '3.00 (3.00 to 3.00)' in figures.render()
