--- a/shallotmux/daemon/_instance.py
+++ b/shallotmux/daemon/_instance.py
@@ -38,7 +38,10 @@
         self._shutdown = trio.Event()
         self._relay = RelayClient()
         self.authority: Authority = authority or LocalAuthority(settings.instance.name)
-        self.decisions = DecisionLog(settings.instance.name, settings.limits.decision_records)
+        self.metrics = Metrics()
+        self.decisions = DecisionLog(
+            settings.instance.name, settings.limits.decision_records, self.metrics
+        )
         executor = RequestExecutor(
             Tools(
                 authority=self.authority,
@@ -47,7 +50,6 @@
                 random=Random(settings.instance.name),  # noqa: S311
             ),
         )
-        self.metrics = Metrics()
         self.readiness = Readiness({'no contact to the leader': self.authority.is_fresh})
         self.caller_app = MeteredApp(
             CallerApp(CallerTools(self.authority, executor, pepper)), self.metrics
--- a/shallotmux/http/_connection.py
+++ b/shallotmux/http/_connection.py
@@ -120,13 +120,14 @@
 
     async def __call__(self, message: Message) -> None:
         """Send a message of the application."""
-        part = message.get('body', b'')
-        if self._direct and part:
-            self._direct = await self._connection.write_part(part)
+        if self._direct:
+            part = message.get('body', b'')
+            self._direct = not part or await self._connection.write_part(part)
             if self._direct:
+                if message.get('more_body', False):
+                    return
                 message = {**message, 'body': b''}
-        if not self._direct or not message.get('more_body', False):
-            await self._send(message)
+        await self._send(message)
         if message['type'] == 'http.response.start':
             self._direct = _is_chunked(message)
 
--- a/shallotmux/observability/_decisions.py
+++ b/shallotmux/observability/_decisions.py
@@ -8,9 +8,14 @@
 
 from eliot import log_message
 
+from shallotmux.observability._metrics import Metrics
+
 #: Decisions kept for ``shallotmux explain``.
 DECISION_MEMORY = 10_000
 
+#: Reasons that are counted by themselves.
+MAX_REASONS = 32
+
 
 @dataclass(frozen=True, slots=True)
 class DecisionRecord:
@@ -31,13 +36,19 @@
 class DecisionLog:
     """Writes one log line for each decision and remembers the recent ones."""
 
-    def __init__(self, instance: str, memory: int = DECISION_MEMORY) -> None:
+    def __init__(
+        self, instance: str, memory: int = DECISION_MEMORY, metrics: Metrics | None = None
+    ) -> None:
         self._instance = instance
+        self._metrics = metrics
+        self._reasons: set[str] = set()
         self._records: deque[DecisionRecord] = deque(maxlen=memory)
 
     def record(self, record: DecisionRecord) -> None:
         """Log a decision and keep it."""
         self._records.append(record)
+        if self._metrics is not None and record.kind == 'routing':
+            self._metrics.routing_decisions.labels(self._label(record.reason)).inc()
         log_message(
             message_type=f'shallotmux:decision:{record.kind}',
             instance=self._instance,
@@ -54,3 +65,10 @@
     def recent(self, limit: int) -> tuple[DecisionRecord, ...]:
         """Return the latest decisions, oldest first."""
         return tuple(self._records)[-limit:]
+
+    def _label(self, reason: str) -> str:
+        """Return a reason as a label; reasons that hold figures must not grow the metrics."""
+        if reason not in self._reasons and len(self._reasons) >= MAX_REASONS:
+            return 'other'
+        self._reasons.add(reason)
+        return reason
--- a/tests/observability/test_metrics.py
+++ b/tests/observability/test_metrics.py
@@ -9,7 +9,13 @@
 from trio.testing import MockClock
 
 from shallotmux.http import ErrorBody, Receive, Scope, Send, send_chunk, send_error, send_start
-from shallotmux.observability import MeteredApp, Metrics, label_request
+from shallotmux.observability import (
+    DecisionLog,
+    DecisionRecord,
+    MeteredApp,
+    Metrics,
+    label_request,
+)
 
 
 async def run_app(app: Any, metrics: Metrics) -> None:
@@ -73,3 +79,16 @@
         await run_app(fail, metrics)
     labels = {'route': 'none', 'customer': 'none', 'outcome': 'interrupted'}
     assert metrics.registry.get_sample_value('shallotmux_requests_total', labels) == 1
+
+
+def test_routing_reasons_are_bounded() -> None:
+    """Guards against metrics that grow with reasons that hold figures."""
+    metrics = Metrics()
+    log = DecisionLog('entry-1', 10, metrics)
+    for number in range(40):
+        log.record(DecisionRecord('routing', 's', 'e', f'load {number}', {}, 0))
+    log.record(DecisionRecord('role', 's', 'e', 'load', {}, 0))
+    value = metrics.registry.get_sample_value
+    assert value('shallotmux_routing_decisions_total', {'reason': 'load 0'}) == 1
+    assert value('shallotmux_routing_decisions_total', {'reason': 'other'}) == 8
+    assert len(log.recent(100)) == 10
