--- a/shallotmux/daemon/_instance.py
+++ b/shallotmux/daemon/_instance.py
@@ -38,7 +38,10 @@
         self._shutdown = trio.Event()
         self._relay = RelayClient()
         self.authority: Authority = authority or LocalAuthority(settings.instance.name)
-        self.decisions = DecisionLog(settings.instance.name, settings.limits.decision_records)
+        self.metrics = Metrics()
+        self.decisions = DecisionLog(
+            settings.instance.name, settings.limits.decision_records, self.metrics
+        )
         http = client or self._relay
         self.executor = RequestExecutor(
             Tools(
@@ -50,7 +53,6 @@
                 instance=settings.instance.name,
             ),
         )
-        self.metrics = Metrics()
         self.readiness = Readiness({'no contact to the leader': self.authority.is_fresh})
         self.caller_app = MeteredApp(
             CallerApp(CallerTools(self.authority, self.executor, pepper)), self.metrics
