--- a/shallotmux/callers/_completions.py
+++ b/shallotmux/callers/_completions.py
@@ -32,6 +32,7 @@
     send_json,
     send_start,
 )
+from shallotmux.observability import label_request
 from shallotmux.requests import (
     CallerRequest,
     Outbox,
@@ -84,6 +85,7 @@
                 param='model',
             )
         caller = authorize(found, route)
+        label_request(scope, route.name, caller.customer)
         check_content(body, self._authority, self._pepper)
         body_hash = hash_body(body)
         priority = TIER_PRIORITY.get(parsed.service_tier or '', 0)
--- a/shallotmux/http/__init__.py
+++ b/shallotmux/http/__init__.py
@@ -7,6 +7,7 @@
     JSON_TYPE,
     AsgiApp,
     ErrorBody,
+    Message,
     Receive,
     Scope,
     Send,
@@ -25,19 +26,24 @@
     HttpResponse,
     fetch,
 )
+from shallotmux.http._relay_client import RelayClient
 from shallotmux.http._server import Listener, serve_app
+from shallotmux.http._tls import Certificate
 
 __all__ = (
     'EVENT_STREAM_TYPE',
     'JSON_TYPE',
     'AsgiApp',
+    'Certificate',
     'ErrorBody',
     'HttpClient',
     'HttpRequest',
     'HttpResponse',
     'HttpcoreClient',
     'Listener',
+    'Message',
     'Receive',
+    'RelayClient',
     'Scope',
     'Send',
     'fetch',
--- a/shallotmux/requests/_executor.py
+++ b/shallotmux/requests/_executor.py
@@ -83,7 +83,6 @@
 
     async def run(self) -> None:
         """Poll loads, watch keys and settle jobs until cancelled."""
-        self._jobs.abandon_former()
         poller = LoadPoller(
             self._tools.engines,
             self._parts.loads,
--- a/shallotmux/settings/__init__.py
+++ b/shallotmux/settings/__init__.py
@@ -2,18 +2,35 @@
 
 from __future__ import annotations
 
-from shallotmux.settings._loader import load_settings
+from shallotmux.settings._loader import load_settings, read_json
 from shallotmux.settings._models import (
+    CertificateSettings,
     InstanceSettings,
+    LimitSettings,
     ListenerSettings,
+    LoggingSettings,
+    OperatorSettings,
+    PlatformSettings,
     SecretSettings,
     Settings,
+    TimeoutSettings,
+    TlsSettings,
+    is_address,
 )
 
 __all__ = (
+    'CertificateSettings',
     'InstanceSettings',
+    'LimitSettings',
     'ListenerSettings',
+    'LoggingSettings',
+    'OperatorSettings',
+    'PlatformSettings',
     'SecretSettings',
     'Settings',
+    'TimeoutSettings',
+    'TlsSettings',
+    'is_address',
     'load_settings',
+    'read_json',
 )
--- a/shallotmux/standins/__init__.py
+++ b/shallotmux/standins/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from shallotmux.standins._authority import SharedAuthority, SharedGroup
 from shallotmux.standins._engine import (
     EngineBehaviour,
     EngineFault,
@@ -10,6 +11,13 @@
     Received,
 )
 from shallotmux.standins._network import MemoryClient, MemoryNetwork
+from shallotmux.standins._orders import OrderReceiver, ReceivedOrder
+from shallotmux.standins._platform import (
+    PlatformBehaviour,
+    PlatformOrder,
+    PlatformStandin,
+    ReceivedReport,
+)
 from shallotmux.standins._service import ServiceBehaviour, ServiceFault, ServiceStandin
 from shallotmux.standins._tokens import encode_event, prompt_key, token_text
 
@@ -20,10 +28,18 @@
     'EngineStandin',
     'MemoryClient',
     'MemoryNetwork',
+    'OrderReceiver',
+    'PlatformBehaviour',
+    'PlatformOrder',
+    'PlatformStandin',
     'Received',
     'ServiceBehaviour',
     'ServiceFault',
     'ServiceStandin',
+    'ReceivedOrder',
+    'ReceivedReport',
+    'SharedAuthority',
+    'SharedGroup',
     'encode_event',
     'prompt_key',
     'token_text',
