--- a/shallotmux/requests/_jobs.py
+++ b/shallotmux/requests/_jobs.py
@@ -89,13 +89,22 @@
                 return _answer_repeat(claim)
             await self._wait_running(claim, job, claimant, deadline_s)
 
-    def abandon_former(self) -> None:
-        """Mark the claims of earlier incarnations of this instance as unknown."""
-        operation_id = f'{self.instance}/{self.incarnation}/start'
-        self.pending.append(AbandonClaims(operation_id, self.instance, self.incarnation))
+    async def abandon_former(self) -> None:
+        """Mark the claims of earlier incarnations of this instance as unknown.
+
+        Waits until the state is known, and submits nothing when there is no such claim.
+        """
+        while not self.authority.is_fresh():
+            await trio.sleep(RESEND_PAUSE_S)
+        jobs = self.authority.read().ledger.jobs.values()
+        held = (job.claimant for job in jobs if job.answer is None and not job.unknown)
+        if any(claimant.startswith(f'{self.instance}/') for claimant in held):
+            operation_id = f'{self.instance}/{self.incarnation}/start'
+            self.pending.append(AbandonClaims(operation_id, self.instance, self.incarnation))
 
     async def settle_pending(self) -> None:
         """Commit settlements that could not be committed at their time, until cancelled."""
+        await self.abandon_former()
         while True:
             while self.pending and await self._submit(self.pending[0]) is not None:
                 self.pending.popleft()
--- a/shallotmux/requests/_settings.py
+++ b/shallotmux/requests/_settings.py
@@ -47,7 +47,7 @@
     request_deadline_s: float = 300.0
     first_token_timeout_s: float = 5.0
     token_gap_timeout_s: float = 5.0
-    attempts: int = 5
+    attempts: int = 8
     backoff_s: float = 0.02
     backoff_limit_s: float = 1.0
     retry_share: float = 0.2
--- a/shallotmux/standins/__init__.py
+++ b/shallotmux/standins/__init__.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from shallotmux.standins._authority import SharedAuthority, SharedGroup
+from shallotmux.standins._authority import (
+    SharedAuthority,
+    SharedGroup,
+)
 from shallotmux.standins._cost_model import (
     BLOCK_TOKENS,
     BlockCache,
@@ -20,30 +23,44 @@
     EngineStandin,
     Received,
 )
-from shallotmux.standins._network import MemoryClient, MemoryNetwork
-from shallotmux.standins._orders import OrderReceiver, ReceivedOrder
+from shallotmux.standins._network import (
+    MemoryClient,
+    MemoryNetwork,
+)
+from shallotmux.standins._orders import (
+    OrderReceiver,
+    ReceivedOrder,
+)
 from shallotmux.standins._platform import (
     PlatformBehaviour,
     PlatformOrder,
     PlatformStandin,
     ReceivedReport,
 )
-from shallotmux.standins._service import ServiceBehaviour, ServiceFault, ServiceStandin
-from shallotmux.standins._tokens import encode_event, prompt_key, token_text
+from shallotmux.standins._service import (
+    ServiceBehaviour,
+    ServiceFault,
+    ServiceStandin,
+)
+from shallotmux.standins._tokens import (
+    encode_event,
+    prompt_key,
+    token_text,
+)
 
 __all__ = (
     'BLOCK_TOKENS',
     'BlockCache',
     'CacheChange',
+    'EngineBehaviour',
     'EngineCosts',
+    'EngineFault',
     'EngineJob',
     'EngineLoad',
     'EngineModel',
-    'JobListener',
-    'EngineBehaviour',
-    'EngineFault',
     'EngineRunRecord',
     'EngineStandin',
+    'JobListener',
     'MemoryClient',
     'MemoryNetwork',
     'OrderReceiver',
@@ -53,11 +70,11 @@
     'Received',
     'ReceivedOrder',
     'ReceivedReport',
-    'SharedAuthority',
-    'SharedGroup',
     'ServiceBehaviour',
     'ServiceFault',
     'ServiceStandin',
+    'SharedAuthority',
+    'SharedGroup',
     'encode_event',
     'prompt_key',
     'token_text',
--- a/tests/requests/_zone.py
+++ b/tests/requests/_zone.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 import itertools
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -378,6 +379,10 @@
             nursery.cancel_scope.cancel()
         return zone
 
+    # The order in which trio runs tasks is part of a schedule, so it follows the seed.
+    run_module = importlib.import_module('trio._core._run')
+    run_module._ALLOW_DETERMINISTIC_SCHEDULING = True
+    run_module._r.seed(seed)
     return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
