Do not cancel the last part of an answer when the caller is gone

Cause: the server reports a disconnect while it sends the last part of an answer; the request was cancelled in it, and the connection stayed open. With 'connection: close' the caller waited for ever. Change: a disconnect cancels a request only before the last part is being sent.

--- a/shallotmux/callers/_border.py
+++ b/shallotmux/callers/_border.py
@@ -12,7 +12,7 @@
 
 from shallotmux.authority import Authority, digest_secret
 from shallotmux.errors import CallerError
-from shallotmux.http import Receive, Scope, find_header, read_body
+from shallotmux.http import Message, Receive, Scope, Send, find_header, read_body
 
 MAX_BODY_BYTES = 4_194_304
 MAX_HEADER_BYTES = 32_768
@@ -117,28 +117,44 @@
         return b''
 
 
-async def run_until_disconnect(receive: Receive, work: Callable[[], Awaitable[None]]) -> None:
-    """Run a task and cancel it when the caller disconnects."""
+async def run_until_disconnect(
+    receive: Receive, send: Send, work: Callable[[Send], Awaitable[None]]
+) -> None:
+    """Run a task and cancel it when the caller disconnects before the end of its answer.
+
+    The server reports a disconnect also while it sends the last part of an answer; cancelling it
+    then would leave the connection open.
+
+    :param work: is given the function to send with.
+    """
     error: Exception | None = None
+    ending = trio.Event()
+
+    async def send_part(message: Message) -> None:
+        if message['type'] == 'http.response.body' and not message.get('more_body', False):
+            ending.set()
+        await send(message)
+
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_watch_disconnect, receive, nursery.cancel_scope)
-        error = await _capture(work)
+        nursery.start_soon(_watch_disconnect, receive, nursery.cancel_scope, ending)
+        error = await _capture(work, send_part)
         nursery.cancel_scope.cancel()
     if error is not None:
         raise error
 
 
-async def _capture(work: Callable[[], Awaitable[None]]) -> Exception | None:
+async def _capture(work: Callable[[Send], Awaitable[None]], send: Send) -> Exception | None:
     """Return an error instead of raising it, since a nursery would wrap it in a group."""
     try:
-        await work()
+        await work(send)
     except Exception as error:
         return error
     return None
 
 
-async def _watch_disconnect(receive: Receive, scope: trio.CancelScope) -> None:
+async def _watch_disconnect(receive: Receive, scope: trio.CancelScope, ending: trio.Event) -> None:
     message = await receive()
     while message['type'] != 'http.disconnect':
         message = await receive()
-    scope.cancel()
+    if not ending.is_set():
+        scope.cancel()
--- a/shallotmux/callers/_completions.py
+++ b/shallotmux/callers/_completions.py
@@ -63,14 +63,14 @@
         parsed = parse_chat(body) if chat else parse_completion(body)
         request = self._build_request(scope, body, parsed, chat=chat)
 
-        async def work() -> None:
+        async def work(send: Send) -> None:
             async with self._executor.stream(request) as events:
                 if parsed.stream:
                     await _send_stream(send, request, events)
                 else:
                     await send_json(send, 200, await collect_completion(events, request))
 
-        await run_until_disconnect(receive, work)
+        await run_until_disconnect(receive, send, work)
 
     def _build_request(
         self, scope: Scope, body: bytes, parsed: Parsed, *, chat: bool
--- a/shallotmux/callers/_services.py
+++ b/shallotmux/callers/_services.py
@@ -61,15 +61,15 @@
         body = await read_bounded_body(scope, receive)
         request = self._build_request(scope, body)
 
-        async def work() -> None:
+        async def work(send: Send) -> None:
             answer = await self._executor.call_service(request)
             await _send(send, answer)
 
         if request.idempotency_key and not request.route.repeatable:
             # The job goes on without its caller, who can fetch the stored answer later.
-            await work()
+            await work(send)
         else:
-            await run_until_disconnect(receive, work)
+            await run_until_disconnect(receive, send, work)
 
     def _build_request(self, scope: Scope, body: bytes) -> ServiceRequest:
         name, _, rest = scope['path'].removeprefix(SERVICE_PREFIX).partition('/')
--- a/tests/callers/test_border.py
+++ b/tests/callers/test_border.py
@@ -2,20 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, MutableMapping
 
 import msgspec
 import pytest
 import trio
+import trio.testing
 
-from shallotmux.callers._border import JSON_ESCAPE
+from shallotmux.callers._border import JSON_ESCAPE, run_until_disconnect
 from shallotmux.http import HttpRequest, fetch
 from tests.requests._zone import PEPPER, Shape, Zone, run_zone
 
 CHAT = '/v1/chat/completions'
 LIMIT = 10_000_000
 GOOD = {'model': 'sorter', 'messages': [{'role': 'user', 'content': 'Sort lot 7.'}]}
-Send = Callable[..., Awaitable[tuple[int, bytes]]]
 
 
 def send(
@@ -199,3 +199,24 @@
             assert await ask(zone, **headers) == whole[offset:]
 
     run_zone(work, Shape())
+
+
+async def test_disconnect_does_not_cut_the_last_part() -> None:
+    """Guards against a connection left open, since the server reports a disconnect while sending."""
+    gone = trio.Event()
+    sent = []
+
+    async def receive() -> dict[str, object]:
+        await gone.wait()
+        return {'type': 'http.disconnect'}
+
+    async def take(message: MutableMapping[str, object]) -> None:
+        gone.set()
+        await trio.testing.wait_all_tasks_blocked()
+        sent.append(message)
+
+    async def work(send_part: Callable[..., Awaitable[None]]) -> None:
+        await send_part({'type': 'http.response.body', 'body': b'', 'more_body': False})
+
+    await run_until_disconnect(receive, take, work)
+    assert sent
