--- a/shallotmux/authority/_state.py
+++ b/shallotmux/authority/_state.py
@@ -30,6 +30,7 @@
 from shallotmux.authority._ledger import (
     AbandonClaims,
     AbandonJob,
+    ClaimFinished,
     ClaimJob,
     FinishJob,
     JobLedger,
@@ -124,7 +125,9 @@
         result = self._dispatch(command, self.revision + 1)
         if isinstance(result, Applied):
             self.revision = result.revision
-        self.results[command.operation_id] = result
+        if not isinstance(result, ClaimFinished):
+            # A repeated claim finds the answer in the ledger, which bounds the size of answers.
+            self.results[command.operation_id] = result
         if len(self.results) > RESULT_MEMORY:
             self.results.popitem(last=False)
         return result
--- a/shallotmux/requests/_settings.py
+++ b/shallotmux/requests/_settings.py
@@ -28,8 +28,6 @@
     :param buffer_bytes: bytes held for a caller that reads slowly.
     :param stalled_caller_s: time with a full buffer after which the engine is cancelled.
     :param coalesce_s: time for which events are gathered into one write.
-    :param hedge_percentile: percentile of the first-token wait after which a second attempt
-        starts, or None for no hedging.
     :param job_wait_s: wait of a repeat for the answer of a running job.
     :param job_deadline_s: longest run of a job; later its claim may be abandoned.
     :param retention_s: time for which a job is remembered.
@@ -64,7 +62,6 @@
     buffer_bytes: int = 262_144
     stalled_caller_s: float = 10.0
     coalesce_s: float = 0.005
-    hedge_percentile: float | None = None
     job_wait_s: float = 5.0
     job_deadline_s: float = 60.0
     retention_s: float = 86_400.0
--- a/tests/authority/test_ledger.py
+++ b/tests/authority/test_ledger.py
@@ -105,3 +105,14 @@
     assert first.answer.digest
     assert state.apply(claim(9, job=second)) == ClaimFinished(ANSWER)
     assert ZoneState.restore(state.snapshot()).ledger.answer_bytes == state.ledger.answer_bytes
+
+
+def test_answers_are_not_kept_as_results() -> None:
+    """Guards against answers that stay in memory and snapshots through the results of repeats."""
+    state = ZoneState()
+    state.apply(claim(1))
+    state.apply(FinishJob('f', JOB, CLAIMANT, ANSWER))
+    size = len(state.snapshot())
+    for number in range(2, 50):
+        assert state.apply(claim(number)) == ClaimFinished(ANSWER)
+    assert len(state.snapshot()) == size
