--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 	@echo "make test     run the whole test suite"
 	@echo "make lint     check formatting, style and types"
 	@echo "make format   format the sources"
+	@echo "make failure-matrix   run 1,000 random schedules of failures and 10,000 jobs"
 
 env: $(VENV)/.stamp
 
--- a/tests/requests/test_jobs.py
+++ b/tests/requests/test_jobs.py
@@ -49,7 +49,7 @@
 
 def test_refusal_releases_the_claim() -> None:
     """Guards against a job that can never run because a service once refused it."""
-    calls = run_jobs(*(ServiceFault.REFUSE for _ in range(5)))
+    calls = run_jobs(*(ServiceFault.REFUSE for _ in range(SHORT.attempts)))
     assert [(call.code, call.not_run) for call in calls] == [('not_run', True), ('done', False)]
 
 
