--- a/Makefile
+++ b/Makefile
@@ -4,13 +4,14 @@
 BIN = $(VENV)/bin
 ARGS ?=
 
-.PHONY: help env format lint types test unit demo bench measure explore proto clean
+.PHONY: help env format lint types test unit demo bench measure explore proto clean failure-matrix
 
 help:
 	@echo "make demo     run three zones with stand-in back ends (ARGS=--serve keeps them running)"
 	@echo "make test     run the whole test suite"
 	@echo "make bench    measure the relay against direct calls"
 	@echo "make lint     check formatting, style and types"
+	@echo "make explore  explore the replication group under faults (ARGS='--seed 1 --steps 200000')"
 	@echo "make format   format the sources"
 
 env: $(VENV)/.stamp
@@ -23,9 +24,17 @@
 test: env
 	$(BIN)/python -m pytest $(ARGS)
 
+# 1,000 random schedules of failures and 10,000 non-repeatable jobs take several minutes.
+failure-matrix: env
+	SHALLOTMUX_SCHEDULES=1000 SHALLOTMUX_JOBS=10000 $(BIN)/python -m pytest $(ARGS) \
+		tests/requests/test_failures.py tests/requests/test_jobs.py
+
 demo: env
 	$(BIN)/python -m shallotmux.demo $(ARGS)
 
+explore: env
+	$(BIN)/python -m shallotmux.checking $(ARGS)
+
 format: env
 	$(BIN)/ruff check --fix shallotmux tests
 	$(BIN)/ruff format shallotmux tests
--- /dev/null
+++ b/shallotmux/replication/__init__.py
@@ -0,0 +1,73 @@
+"""Replication of a group's log: a pure replica state machine."""
+
+from __future__ import annotations
+
+from shallotmux.replication._messages import (
+    AppendReply,
+    AppendRequest,
+    Envelope,
+    LogOffer,
+    Message,
+    SnapshotRequest,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+    decode_envelope,
+    encode_envelope,
+)
+from shallotmux.replication._model import (
+    AddLearner,
+    Configuration,
+    Effects,
+    Entry,
+    EntryKind,
+    HardState,
+    MembershipChange,
+    PromoteLearner,
+    ReadReady,
+    RemoveMember,
+    ReplicaOptions,
+    ReplicaStatus,
+    Role,
+    Snapshot,
+    StoredGroup,
+    bootstrap_group,
+    decode_configuration,
+    encode_configuration,
+)
+from shallotmux.replication._recovery import recover_group
+from shallotmux.replication._replica import Replica
+
+__all__ = (
+    'AddLearner',
+    'AppendReply',
+    'AppendRequest',
+    'Configuration',
+    'Effects',
+    'Entry',
+    'EntryKind',
+    'Envelope',
+    'HardState',
+    'LogOffer',
+    'MembershipChange',
+    'Message',
+    'PromoteLearner',
+    'ReadReady',
+    'RemoveMember',
+    'Replica',
+    'ReplicaOptions',
+    'ReplicaStatus',
+    'Role',
+    'Snapshot',
+    'SnapshotRequest',
+    'StoredGroup',
+    'TimeoutNow',
+    'VoteReply',
+    'VoteRequest',
+    'bootstrap_group',
+    'decode_configuration',
+    'decode_envelope',
+    'encode_configuration',
+    'encode_envelope',
+    'recover_group',
+)
