--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 ARGS ?=
 
-.PHONY: help env format lint types test unit demo bench measure explore proto clean failure-matrix
+.PHONY: guards bench capacity clean demo env explore failure-matrix format help lint measure proto test
 
 help:
 	@echo "make demo     run three zones with stand-in back ends (ARGS=--serve keeps them running)"
@@ -12,6 +12,8 @@
 	@echo "make bench    measure the relay against direct calls"
 	@echo "make lint     check formatting, style and types"
 	@echo "make explore  explore the replication group under faults (ARGS='--seed 1 --steps 200000')"
+	@echo "make measure  measure the decisions on seeded traces (ARGS=--report=DIR draws plots)"
+	@echo "make capacity measure the slopes of docs/CAPACITY.md"
 	@echo "make format   format the sources"
 
 env: $(VENV)/.stamp
@@ -24,6 +26,9 @@
 test: env
 	$(BIN)/python -m pytest $(ARGS)
 
+guards: env
+	$(BIN)/python -m tests.guards $(ARGS)
+
 # 1,000 random schedules of failures and 10,000 non-repeatable jobs take several minutes.
 failure-matrix: env
 	SHALLOTMUX_SCHEDULES=1000 SHALLOTMUX_JOBS=10000 $(BIN)/python -m pytest $(ARGS) \
@@ -35,6 +40,12 @@
 explore: env
 	$(BIN)/python -m shallotmux.checking $(ARGS)
 
+measure: env
+	$(BIN)/python -m shallotmux.measure $(ARGS)
+
+capacity: env
+	$(BIN)/python -m shallotmux.measure.capacity $(ARGS)
+
 format: env
 	$(BIN)/ruff check --fix shallotmux tests
 	$(BIN)/ruff format shallotmux tests
