Fit the product parts to the new request path

Cause: the request path now limits the streams of an engine, serves plain services and quarantines requests. Change: the demonstration sends jobs twice to a service whose calls must not be repeated and fails unless each ran once; the benchmark spreads its streams over engines; the operator API lists and lifts quarantined requests; names of service routes hold no slash; service calls are labelled.

--- a/shallotmux/bench/_run.py
+++ b/shallotmux/bench/_run.py
@@ -22,6 +22,9 @@
 ZONE = 'zone-a'
 MESSAGES = ({'role': 'user', 'content': 'Sort lot 7.'},)
 MS = 1000.0
+
+#: Fewer than the streams that count as a full engine, so that no request waits for a place.
+STREAMS_PER_ENGINE = 8
 US = 1_000_000.0
 
 
@@ -75,14 +78,13 @@
 
 
 async def _start(stack: AsyncExitStack, size: BenchSize, folder: Path) -> Setup:
-    engines: dict[str, str] = {}
-    for name, token_s in (('paced', size.token_s), ('prompt', 0.0)):
-        words = ('engine', '--name', name, '--token-s', str(token_s))
-        engine = await stack.enter_async_context(start_child('shallotmux.standins', *words))
-        engines[name] = (await engine.line()).decode().strip()
-    pipe = await stack.enter_async_context(
-        start_child('shallotmux.bench._pipe', '--to', engines['paced'])
-    )
+    paced = [
+        await _start_engine(stack, f'paced-{number}', size.token_s)
+        for number in range(-(-size.streams // STREAMS_PER_ENGINE))
+    ]
+    prompt = await _start_engine(stack, 'prompt', 0.0)
+    engines = {'paced': paced, 'prompt': [prompt]}
+    pipe = await stack.enter_async_context(start_child('shallotmux.bench._pipe', '--to', paced[0]))
     pipe_address = (await pipe.line()).decode().strip()
     settings = folder / 'settings.json'
     settings.write_text(json.dumps(_settings()), encoding='utf-8')
@@ -97,10 +99,17 @@
         _relayed(started['callers'], secret, 'paced'),
         Target(pipe_address, _direct_builder(pipe_address)),
         _relayed(started['callers'], secret, 'prompt'),
-        Target(engines['prompt'], _direct_builder(engines['prompt'])),
+        Target(prompt, _direct_builder(prompt)),
     )
 
 
+async def _start_engine(stack: AsyncExitStack, name: str, token_s: float) -> str:
+    """Start a stand-in engine and return its address."""
+    words = ('engine', '--name', name, '--token-s', str(token_s))
+    engine = await stack.enter_async_context(start_child('shallotmux.standins', *words))
+    return (await engine.line()).decode().strip()
+
+
 async def _measure(setup: Setup, size: BenchSize) -> Figures:
     token_cpu: list[float] = []
     pipe_cpu: list[float] = []
@@ -150,13 +159,16 @@
         await send_many(target, 8, 4)
 
 
-async def _configure(address: str, engines: dict[str, str]) -> str:
+async def _configure(address: str, engines: dict[str, list[str]]) -> str:
     client = HttpcoreClient()
     operator = OperatorClient(client, address, TOKEN)
     await operator.put(ObjectName('customer', 'bench'), {'contract': {'connections': 4096}}, 0)
-    for name, engine in engines.items():
-        endpoint = {'name': name, 'zone': ZONE, 'address': engine}
-        pool = {'zone': ZONE, 'model': MODEL, 'endpoints': [endpoint]}
+    for name, addresses in engines.items():
+        endpoints = [
+            {'name': f'{name}-{number}', 'zone': ZONE, 'address': each}
+            for number, each in enumerate(addresses)
+        ]
+        pool = {'zone': ZONE, 'model': MODEL, 'endpoints': endpoints}
         await operator.put(ObjectName('pool', name), pool, 0)
         await operator.put(ObjectName('route', name), {'pool': name}, 0)
     secret: str = (await operator.create_key('bench'))['secret']
--- a/shallotmux/callers/_services.py
+++ b/shallotmux/callers/_services.py
@@ -18,6 +18,7 @@
 )
 from shallotmux.errors import CallerError
 from shallotmux.http import Receive, Scope, Send, find_header, send_answer
+from shallotmux.observability import label_request
 from shallotmux.requests import RequestExecutor, ServiceAnswer, ServiceRequest, hash_body
 from shallotmux.world import Route, RouteKind
 
@@ -75,6 +76,7 @@
         found = authenticate(scope, self._authority, self._pepper)
         route = self._find_route(name)
         caller = authorize(found, route)
+        label_request(scope, route.name, caller.customer)
         path = build_path(rest, scope.get('query_string', b''))
         for content in (path.encode(), body):
             check_content(content, self._authority, self._pepper)
--- a/shallotmux/daemon/_instance.py
+++ b/shallotmux/daemon/_instance.py
@@ -18,7 +18,7 @@
     MonitoringApp,
     Readiness,
 )
-from shallotmux.operators import LocalStatus, OperatorApp, OperatorTools, Providers
+from shallotmux.operators import LocalStatus, OperatorApp, OperatorTools, Providers, ZoneQuarantine
 from shallotmux.requests import RequestExecutor, Tools
 from shallotmux.settings import Settings
 
@@ -58,7 +58,8 @@
             CallerApp(CallerTools(self.authority, self.executor, pepper)), self.metrics
         )
         self.providers = providers or Providers(
-            LocalStatus(self.authority, settings.instance.name, settings.instance.zone)
+            LocalStatus(self.authority, settings.instance.name, settings.instance.zone),
+            quarantine=ZoneQuarantine(self.authority),
         )
         self.operator_app = OperatorApp(
             OperatorTools(
--- a/shallotmux/demo/_fleet.py
+++ b/shallotmux/demo/_fleet.py
@@ -22,8 +22,7 @@
     SecretSettings,
     Settings,
 )
-from shallotmux.standins import EngineBehaviour, EngineStandin
-from shallotmux.standins.__main__ import EchoService
+from shallotmux.standins import EngineBehaviour, EngineStandin, ServiceStandin
 from shallotmux.world import Endpoint, EndpointKind, EndpointPool
 
 LOOPBACK = '127.0.0.1:0'
@@ -50,7 +49,7 @@
     name: str
     instances: list[RunningInstance] = field(default_factory=list)
     engines: dict[str, EngineStandin] = field(default_factory=dict)
-    services: dict[str, EchoService] = field(default_factory=dict)
+    services: dict[str, ServiceStandin] = field(default_factory=dict)
 
     def entry(self, turn: int) -> str:
         """Return the caller address of the instance whose turn it is."""
@@ -130,7 +129,7 @@
 
     def _build_standin(self, zone: DemoZone, endpoint: Endpoint) -> AsgiApp:
         if endpoint.kind == EndpointKind.SERVICE:
-            zone.services[endpoint.name] = EchoService(endpoint.name)
+            zone.services[endpoint.name] = ServiceStandin(endpoint.name)
             return zone.services[endpoint.name]
         zone.engines[endpoint.name] = EngineStandin(endpoint.name, EngineBehaviour(token_s=TOKEN_S))
         return zone.engines[endpoint.name]
--- a/shallotmux/demo/_load.py
+++ b/shallotmux/demo/_load.py
@@ -12,12 +12,13 @@
 
 from shallotmux.demo._fleet import DemoZone
 from shallotmux.errors import EndpointError
-from shallotmux.http import JSON_TYPE, HttpClient, HttpRequest
+from shallotmux.http import JSON_TYPE, HttpClient, HttpRequest, fetch
 
 CHAT_PATH = '/v1/chat/completions'
 STATUS_OK = 200
 EVENT_MARK = b'id: '
 MS = 1000
+ANSWER_LIMIT_BYTES = 1_048_576
 
 #: Prompts of language workers, by the length of the answer they ask for.
 PROMPTS: Sequence[tuple[str, int]] = (
@@ -132,6 +133,24 @@
     return status
 
 
+async def send_jobs(
+    zone: DemoZone, client: HttpClient, secret: str, route: str, jobs: int
+) -> Counter[str]:
+    """Send jobs that must not be repeated, each twice, and return how often each ran."""
+
+    async def send(job: str) -> None:
+        headers = {'authorization': f'Bearer {secret}', 'idempotency-key': job}
+        path = f'/v1/services/{route}/book'
+        request = HttpRequest('POST', zone.entry(0), path, job.encode(), headers)
+        await fetch(client, request, ANSWER_LIMIT_BYTES)
+
+    async with trio.open_nursery() as nursery:
+        for number in range(jobs):
+            for _ in range(2):
+                nursery.start_soon(send, f'job-{number}')
+    return sum((each.executions for each in zone.services.values()), Counter())
+
+
 def _judge(call: DemoCall, status: int, body: bytes) -> str:
     if status != STATUS_OK:
         return f'refused ({status})'
--- a/shallotmux/demo/_run.py
+++ b/shallotmux/demo/_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -10,12 +11,21 @@
 import trio
 
 from shallotmux.demo._fleet import TOKEN, DemoFleet, DemoZone
-from shallotmux.demo._load import DemoCall, LoadPlan, LoadResult, run_load, send_call
+from shallotmux.demo._load import (
+    DemoCall,
+    LoadPlan,
+    LoadResult,
+    run_load,
+    send_call,
+    send_jobs,
+)
 from shallotmux.http import HttpClient, HttpcoreClient
 
 CONFIGURATION = Path(__file__).parents[2] / 'examples' / 'kockica' / 'configuration.json'
 ZONES = ('varazdin', 'cakovec', 'koprivnica')
 MODEL = 'block-sorter'
+SERVICE = 'stock'
+JOBS = 8
 STATUS_UNAUTHORIZED = 401
 
 #: Outcomes of a request that was answered completely.
@@ -26,17 +36,20 @@
 class DemoReport:
     """What the demonstration showed.
 
+    :param job_runs: how often each job ran that was sent twice.
     :param withdrawn_status: answer to a request with a key that was withdrawn before.
     """
 
     results: dict[str, LoadResult] = field(default_factory=dict)
     withdrawn_status: int = 0
+    job_runs: Counter[str] = field(default_factory=Counter)
     passed: bool = False
 
     def judge(self) -> None:
         """Decide whether everything went as it should."""
         complete = all(result.outcomes.keys() <= COMPLETE for result in self.results.values())
-        self.passed = complete and self.withdrawn_status == STATUS_UNAUTHORIZED
+        once = len(self.job_runs) == JOBS and set(self.job_runs.values()) == {1}
+        self.passed = complete and once and self.withdrawn_status == STATUS_UNAUTHORIZED
 
 
 async def run_demo(serve: bool = False, plan: LoadPlan | None = None) -> DemoReport:
@@ -50,6 +63,7 @@
         fleet = DemoFleet(nursery, CONFIGURATION)
         secrets = await _start(fleet, client)
         await _send_load(fleet, client, secrets, plan or LoadPlan(), report)
+        await _send_jobs(fleet.zones[ZONES[0]], client, secrets[ZONES[0]][0], report)
         await _withdraw_key(fleet.zones[ZONES[0]], client, report)
         report.judge()
         click.echo('passed' if report.passed else 'FAILED')
@@ -97,6 +111,13 @@
         click.echo(f'{name}: {report.results[name].summary()}')
 
 
+async def _send_jobs(zone: DemoZone, client: HttpClient, secret: str, report: DemoReport) -> None:
+    """Send each job twice to a service whose calls must not be repeated."""
+    report.job_runs = await send_jobs(zone, client, secret, SERVICE, JOBS)
+    runs = sum(report.job_runs.values())
+    click.echo(f'\n{zone.name}: {JOBS} jobs sent twice each, {runs} runs')
+
+
 async def _withdraw_key(zone: DemoZone, client: HttpClient, report: DemoReport) -> None:
     """Create a key, use it, withdraw it, and use it again."""
     operator = zone.operator(client)
--- a/shallotmux/operators/__init__.py
+++ b/shallotmux/operators/__init__.py
@@ -29,6 +29,7 @@
     StatusProvider,
     UsageProvider,
     UsageRow,
+    ZoneQuarantine,
     ZoneStatus,
 )
 
@@ -52,6 +53,7 @@
     'StatusProvider',
     'UsageProvider',
     'UsageRow',
+    'ZoneQuarantine',
     'ZoneStatus',
     'build_object',
     'plain_object',
--- a/shallotmux/operators/_providers.py
+++ b/shallotmux/operators/_providers.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from shallotmux import __version__
-from shallotmux.authority import Authority, Refused, Result
+from shallotmux.authority import Authority, LiftQuarantine, Refused, Result
 from shallotmux.world import EndpointPool
 
 
@@ -114,8 +115,6 @@
     """
 
     fingerprint: str
-    customer: str
-    route: str
     crashes: int
     remaining_s: float
 
@@ -205,6 +204,26 @@
         return Refused(f'{fingerprint!r} is not quarantined')
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneQuarantine:
+    """Quarantined requests in the state of the zone."""
+
+    authority: Authority
+
+    def quarantined(self) -> Sequence[QuarantinedRequest]:
+        """Return the requests that are refused at present."""
+        now = time.time()
+        return [
+            QuarantinedRequest(each.fingerprint, each.crashes, each.until_s - now)
+            for each in self.authority.read().quarantine.suspicions.values()
+            if each.quarantined and now < each.until_s
+        ]
+
+    async def lift(self, operation_id: str, fingerprint: str) -> Result:
+        """Accept a request again."""
+        return await self.authority.submit(LiftQuarantine(operation_id, fingerprint))
+
+
 @dataclass(frozen=True, slots=True)
 class Providers:
     """Parts that the operator API asks; other parts replace the defaults."""
--- a/shallotmux/operators/_rules.py
+++ b/shallotmux/operators/_rules.py
@@ -17,6 +17,7 @@
     EndpointPool,
     PolicyException,
     Route,
+    RouteKind,
 )
 
 #: A field and what is wrong with it.
@@ -34,7 +35,8 @@
 
 def check_item(item: ConfigItem) -> Iterator[Problem]:
     """Yield what is wrong with an object, field by field."""
-    pattern = _ROUTE_NAME if isinstance(item, Route) else _NAME
+    is_model = isinstance(item, Route) and item.kind == RouteKind.MODEL
+    pattern = _ROUTE_NAME if is_model else _NAME
     if not pattern.fullmatch(item.name):
         yield 'name', _NAME_HELP
     match item:
--- a/shallotmux/standins/__main__.py
+++ b/shallotmux/standins/__main__.py
@@ -3,33 +3,14 @@
 from __future__ import annotations
 
 import signal
-from dataclasses import dataclass
 
 import click
 import trio
 
-from shallotmux.http import AsgiApp, Listener, Receive, Scope, Send, read_body, send_json, serve_app
-from shallotmux.standins import EngineBehaviour, EngineStandin
+from shallotmux.http import AsgiApp, Listener, serve_app
+from shallotmux.standins import EngineBehaviour, EngineStandin, ServiceStandin
 
 LOOPBACK = '127.0.0.1:0'
-BODY_LIMIT_BYTES = 16_777_216
-
-
-@dataclass(slots=True)
-class EchoService:
-    """Plain service that answers each call with its number and the size of the body."""
-
-    name: str
-    calls: int = 0
-
-    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Handle one ASGI connection."""
-        if scope['type'] != 'http':
-            return
-        body = await read_body(receive, BODY_LIMIT_BYTES)
-        self.calls += 1
-        answer = {'service': self.name, 'call': self.calls, 'bytes': len(body)}
-        await send_json(send, 200, {**answer, 'path': scope['path']})
 
 
 @click.group()
@@ -55,7 +36,7 @@
 @click.option('--name', default='service', help='Name in its answers.')
 def service(bind: str, name: str) -> None:
     """Run a stand-in plain service."""
-    trio.run(_serve, EchoService(name), bind)
+    trio.run(_serve, ServiceStandin(name), bind)
 
 
 async def _serve(app: AsgiApp, bind: str) -> None:
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -123,8 +123,8 @@
     with start_process('shallotmux.standins', 'service', '--name', 'orders') as service:
         address = (await service.line()).strip()
         client = HttpcoreClient()
-        status, body = await fetch(client, HttpRequest('POST', address, '/book', b'{}'), LIMIT)
+        status, body = await fetch(client, HttpRequest('POST', address, '/book', b'job-1'), LIMIT)
         await client.close()
-        assert (status, msgspec.json.decode(body)['call']) == (200, 1)
+        assert (status, msgspec.json.decode(body)['run']) == (200, 1)
         service.signal(signal.SIGTERM)
         assert await service.exit_code() == 0
--- a/tests/operators/test_app.py
+++ b/tests/operators/test_app.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass, field
 from typing import Any
 
 import pytest
 
-from shallotmux.authority import LocalAuthority, digest_secret
+from shallotmux.authority import LocalAuthority, RecordCrash, digest_secret
 from shallotmux.errors import AuthorityUnavailable, EndpointError, OutcomeUnknown
 from shallotmux.http import HttpRequest, fetch
 from shallotmux.operators import (
@@ -18,6 +19,7 @@
     OperatorError,
     OperatorTools,
     Providers,
+    ZoneQuarantine,
 )
 from shallotmux.standins import MemoryClient, MemoryNetwork
 
@@ -271,3 +273,15 @@
         assert (await bench.client.view(path))['items'] == []
     with pytest.raises(OperatorError, match='not quarantined'):
         await bench.client.lift_quarantine('f')
+
+
+async def test_quarantine_is_listed_and_lifted(bench: Bench) -> None:
+    """Guards against a quarantine that operators cannot see or lift."""
+    provider = ZoneQuarantine(bench.authority)
+    now = time.time()
+    for number in range(2):
+        crash = RecordCrash(f'c{number}', 'e1', ('f',), alone=True, time_s=now, quarantine_s=600)
+        await bench.authority.submit(crash)
+    assert [each.fingerprint for each in provider.quarantined()] == ['f']
+    await provider.lift('lift', 'f')
+    assert provider.quarantined() == []
