Let an engine take 64 streams before requests wait

Change: 64 slots, which the design size needs (458 tokens/s per worker at 65 ms are 30 streams); the limit on the predicted first-token time holds requests back when an engine is slower.

--- a/shallotmux/requests/_settings.py
+++ b/shallotmux/requests/_settings.py
@@ -57,7 +57,7 @@
     queue_limit: int = 64
     queue_wait_s: float = 5.0
     first_token_limit_s: float = 0.5
-    engine_slots: int = 16
+    engine_slots: int = 64
     service_slots: int = 64
     buffer_bytes: int = 262_144
     stalled_caller_s: float = 10.0
