Add the controllers of a zone's leader

Roles and fleet decisions are taken by the leader from load reports and from the demand that instances send along with their usage batches. An order is sent only after the engine has reported no stream; endpoints that leave or change are drained on each instance.

--- a/shallotmux/authority/__init__.py
+++ b/shallotmux/authority/__init__.py
@@ -76,8 +76,10 @@
     Figures,
     FreezeWindow,
     MarkReported,
+    PoolDemand,
     RecordUsage,
     UsageEntry,
+    UsageState,
     Window,
 )
 
@@ -124,6 +126,7 @@
     'OpenIntent',
     'OrderContent',
     'OrderEndpoints',
+    'PoolDemand',
     'PutObject',
     'RecordUsage',
     'QuarantineState',
@@ -137,6 +140,7 @@
     'TakeAuthority',
     'Target',
     'UsageEntry',
+    'UsageState',
     'Suspicion',
     'Versioned',
     'WINDOW_S',
--- a/shallotmux/authority/_intents.py
+++ b/shallotmux/authority/_intents.py
@@ -225,7 +225,12 @@
 
     def is_changing(self, endpoint: str) -> bool:
         """Tell whether an engine has an open order and must not get new work."""
-        return self.target(endpoint).intent is not None
+        return self.target(endpoint).intent is not None or endpoint in self.releasing()
+
+    def releasing(self) -> frozenset[str]:
+        """Return the endpoints that an open order gives back to the platform."""
+        contents = (intent.content for intent in self.open_intents())
+        return frozenset(each.endpoint for each in contents if isinstance(each, ReleaseEndpoint))
 
     def dump(self) -> list[bytes]:
         """Return the term and the targets for a snapshot."""
--- a/shallotmux/authority/_usage.py
+++ b/shallotmux/authority/_usage.py
@@ -50,18 +50,34 @@
     figures: Figures
 
 
+@dataclass(frozen=True, slots=True)
+class PoolDemand:
+    """Demand for a pool as one instance measures it, in tokens per second.
+
+    It travels with the usage batches, so that it costs no message of its own.
+    """
+
+    pool: str
+    short_prefill_tokens_per_s: float = 0.0
+    short_decode_tokens_per_s: float = 0.0
+    long_prefill_tokens_per_s: float = 0.0
+    long_decode_tokens_per_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class RecordUsage:
     """Adds a batch of counts.
 
     :param source: instance and incarnation that counted.
     :param batch: number of the batch at its source, counted from 1.
+    :param demand: demand for each pool at the end of the batch.
     """
 
     operation_id: str
     source: str
     batch: int
     entries: tuple[UsageEntry, ...]
+    demand: tuple[PoolDemand, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,7 +112,7 @@
 
 UsageCommand = RecordUsage | FreezeWindow | MarkReported
 
-registry.register(Figures, UsageEntry, RecordUsage, FreezeWindow, MarkReported, Window)
+registry.register(PoolDemand, Figures, UsageEntry, RecordUsage, FreezeWindow, MarkReported, Window)
 
 
 @dataclass(slots=True)
@@ -107,6 +123,8 @@
     frozen_through: int = -1
     windows: dict[tuple[str, int], Window] = field(default_factory=dict)
     batches: dict[str, int] = field(default_factory=dict)
+    #: Last demand of each source; not part of a snapshot, since it is old within seconds.
+    demand: dict[str, tuple[PoolDemand, ...]] = field(default_factory=dict, compare=False)
 
     def apply(self, command: UsageCommand, revision: int) -> Applied | Refused:
         """Apply a command; a batch that was recorded before is ignored."""
@@ -150,8 +168,11 @@
             return Refused(f'batch {command.batch} of {command.source} is recorded already')
         self.batches.pop(command.source, None)
         self.batches[command.source] = command.batch
+        self.demand[command.source] = command.demand
         if len(self.batches) > SOURCE_MEMORY:
-            self.batches.pop(next(iter(self.batches)))
+            oldest = next(iter(self.batches))
+            self.batches.pop(oldest)
+            self.demand.pop(oldest, None)
         for entry in command.entries:
             self._add(entry)
         return Applied(revision)
--- /dev/null
+++ b/shallotmux/controllers/__init__.py
@@ -0,0 +1,23 @@
+"""Controllers of a zone: roles, fleet, drains."""
+
+from __future__ import annotations
+
+from shallotmux.controllers._demand import DemandTable, ZoneDemand
+from shallotmux.controllers._drains import Drainable, DrainWatcher, find_draining, wait_idle
+from shallotmux.controllers._fleet import FleetController
+from shallotmux.controllers._roles import RoleController
+from shallotmux.controllers._tools import ControllerTools
+from shallotmux.controllers._zone import ZoneLeader
+
+__all__ = (
+    'ControllerTools',
+    'DemandTable',
+    'DrainWatcher',
+    'Drainable',
+    'FleetController',
+    'RoleController',
+    'ZoneDemand',
+    'ZoneLeader',
+    'find_draining',
+    'wait_idle',
+)
--- /dev/null
+++ b/shallotmux/controllers/_fleet.py
@@ -0,0 +1,130 @@
+"""Order and release endpoints as the demand changes."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, deque
+from dataclasses import dataclass, field
+
+import trio
+
+from shallotmux.authority import OrderEndpoints, ReleaseEndpoint
+from shallotmux.controllers._demand import DemandTable
+from shallotmux.controllers._tools import ControllerTools
+from shallotmux.decisions import (
+    DemandSample,
+    EngineRates,
+    FleetDecision,
+    FleetEndpoint,
+    FleetSnapshot,
+    RoleCounts,
+    SpendPolicy,
+    decide_fleet,
+    utilisation,
+)
+from shallotmux.orders import Term
+from shallotmux.world import Defaults, Endpoint, EndpointPool
+
+#: Interval between two decisions.
+DECIDE_S = 5.0
+
+#: Samples of the demand that are kept: ten minutes.
+SAMPLES = 120
+
+
+@dataclass(slots=True)
+class PoolHistory:
+    """Demand and last release of a pool."""
+
+    samples: deque[DemandSample] = field(default_factory=lambda: deque(maxlen=SAMPLES))
+    last_release_s: float = -math.inf
+
+
+class FleetController:
+    """Orders and releases endpoints of each pool through the platform.
+
+    Endpoints that an operator lists in a pool are kept; only ordered ones are released.
+
+    :param limit: endpoints that a pool may have at most.
+    """
+
+    def __init__(
+        self, tools: ControllerTools, limit: int, policy: SpendPolicy | None = None
+    ) -> None:
+        self._tools = tools
+        self._limit = limit
+        self._policy = policy or SpendPolicy()
+        self._demand = DemandTable()
+        self._histories: dict[str, PoolHistory] = {}
+
+    async def run(self, term: Term) -> None:
+        """Decide for as long as the term lasts."""
+        self._histories.clear()
+        while True:
+            usage = self._tools.authority.read().usage
+            self._demand.observe(usage, trio.current_time())
+            for pool, engines in self._tools.engine_pools():
+                await self._decide(term, pool, engines)
+            await trio.sleep(DECIDE_S)
+
+    async def _decide(self, term: Term, pool: EndpointPool, engines: list[Endpoint]) -> None:
+        history = self._histories.setdefault(pool.name, PoolHistory())
+        snapshot = self._snapshot(pool, engines, history)
+        decision = decide_fleet(snapshot, self._policy)
+        if not decision.orders and not decision.release:
+            return
+        self._record(pool, decision)
+        if decision.release:
+            await self._release(term, decision.release, history)
+        counts = Counter(order.cheap for order in decision.orders)
+        # The platform takes one order at a time; the rest is decided again at the next look.
+        for cheap, count in counts.items():
+            content = OrderEndpoints(pool.name, count, cheap)
+            if await self._place(term, content):
+                return
+
+    async def _release(self, term: Term, name: str, history: PoolHistory) -> None:
+        if name not in self._tools.authority.read().inventory.listed:
+            return
+        if await self._place(term, ReleaseEndpoint(name)):
+            history.last_release_s = trio.current_time()
+
+    async def _place(self, term: Term, content: OrderEndpoints | ReleaseEndpoint) -> bool:
+        target = f'platform/{self._tools.zone}'
+        return await self._tools.place(term, target, content, checks_fencing=False)
+
+    def _snapshot(
+        self, pool: EndpointPool, engines: list[Endpoint], history: PoolHistory
+    ) -> FleetSnapshot:
+        state = self._tools.authority.read()
+        now = trio.current_time()
+        demand = self._demand.total(state.usage, pool.name, now)
+        busy = utilisation(RoleCounts(mixed=1), demand.short, EngineRates())
+        history.samples.append(DemandSample(now, busy))
+        fleet = tuple(
+            FleetEndpoint(
+                each.name,
+                each.zone,
+                each.cheap,
+                leaving=state.inventory.is_leaving(each.name)
+                or state.intents.is_changing(each.name),
+            )
+            for each in engines
+        )
+        return FleetSnapshot(
+            now=now,
+            zones=(self._tools.zone,),
+            endpoints=fleet,
+            demand=tuple(history.samples),
+            limit=self._limit,
+            defaults=self._defaults(),
+            last_release_s=history.last_release_s,
+        )
+
+    def _defaults(self) -> Defaults:
+        kept = self._tools.authority.read().configuration.objects.get(('defaults', 'fleet'))
+        return kept.item if kept and isinstance(kept.item, Defaults) else Defaults()
+
+    def _record(self, pool: EndpointPool, decision: FleetDecision) -> None:
+        outcome = f'order {len(decision.orders)}' if decision.orders else decision.release
+        self._tools.record('spend', pool.name, outcome, decision.reason, dict(decision.figures))
--- /dev/null
+++ b/shallotmux/controllers/_roles.py
@@ -0,0 +1,109 @@
+"""Change roles of engines as the mix of prompts and answers shifts."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import trio
+
+from shallotmux.authority import ChangeRole
+from shallotmux.controllers._demand import DemandTable
+from shallotmux.controllers._tools import ControllerTools
+from shallotmux.decisions import (
+    EngineRates,
+    EngineStatus,
+    RoleDecision,
+    RoleMemory,
+    RoleOrder,
+    RolePolicy,
+    RoleSnapshot,
+    decide_role,
+)
+from shallotmux.orders import Term
+from shallotmux.world import Endpoint, EndpointPool, EngineRole
+
+#: Interval between two decisions.
+DECIDE_S = 2.0
+
+
+class RoleController:
+    """Decides on role changes for each pool, one open change at a time."""
+
+    def __init__(self, tools: ControllerTools, policy: RolePolicy | None = None) -> None:
+        self._tools = tools
+        self._policy = policy or RolePolicy()
+        self._demand = DemandTable()
+        self._memories: dict[str, RoleMemory] = {}
+
+    async def run(self, term: Term) -> None:
+        """Decide for as long as the term lasts."""
+        # A new leader does not know when the last change was, so it first waits out the dwell.
+        self._memories.clear()
+        started_s = trio.current_time()
+        while True:
+            now = trio.current_time()
+            self._demand.observe(self._tools.authority.read().usage, now)
+            for pool, engines in self._tools.engine_pools():
+                memory = self._memories.setdefault(pool.name, RoleMemory(started_s))
+                await self._decide(term, pool, engines, memory)
+            await trio.sleep(DECIDE_S)
+
+    async def _decide(
+        self, term: Term, pool: EndpointPool, engines: list[Endpoint], memory: RoleMemory
+    ) -> None:
+        snapshot = self._snapshot(pool, engines)
+        memory = self._follow_intent(memory, snapshot.now)
+        decision = decide_role(snapshot, memory, self._policy)
+        self._memories[pool.name] = decision.memory
+        order = decision.order
+        if order is None or self._tools.authority.read().intents.is_changing(order.endpoint):
+            return
+        self._record(pool, decision, order)
+        chosen = next(each for each in engines if each.name == order.endpoint)
+        opened = await self._tools.place(
+            term, chosen.name, ChangeRole(order.role), checks_fencing=chosen.checks_fencing
+        )
+        if not opened:
+            until_s = snapshot.now + self._policy.refusal_s
+            self._memories[pool.name] = decision.memory.refuse(chosen.name, until_s)
+
+    def _follow_intent(self, memory: RoleMemory, now: float) -> RoleMemory:
+        """Return the memory after the outcome of the pending order, if it has one."""
+        if memory.pending is None:
+            return memory
+        target = self._tools.authority.read().intents.target(memory.pending.endpoint)
+        if target.intent is not None:
+            # The dispatcher sends an open order again by itself.
+            return replace(memory, pending=replace(memory.pending, sent_s=now))
+        if target.last_outcome == 'refused':
+            return memory.refuse(memory.pending.endpoint, now + self._policy.refusal_s)
+        return memory
+
+    def _snapshot(self, pool: EndpointPool, engines: list[Endpoint]) -> RoleSnapshot:
+        now = trio.current_time()
+        usage = self._tools.authority.read().usage
+        demand = self._demand.total(usage, pool.name, now)
+        known = [(each, self._tools.loads.known.get(each.name)) for each in engines]
+        reports = [(each.name, load.report) for each, load in known if load is not None]
+        statuses = tuple(
+            EngineStatus(
+                name,
+                EngineRole(report.role),
+                report.queued_prefill_tokens / max(1.0, report.prefill_tokens_per_s),
+            )
+            for name, report in reports
+        )
+        rates = EngineRates()
+        if reports:
+            mean = sum(report.prefill_tokens_per_s for _, report in reports) / len(reports)
+            rates = EngineRates(prefill_tokens_per_s=max(1.0, mean))
+        return RoleSnapshot(now, statuses, demand.short, demand.long, rates)
+
+    def _record(self, pool: EndpointPool, decision: RoleDecision, order: RoleOrder) -> None:
+        self._tools.record(
+            'role',
+            order.endpoint,
+            str(order.role),
+            f'{pool.name}: {decision.reason}',
+            dict(decision.figures),
+        )
--- /dev/null
+++ b/shallotmux/controllers/_tools.py
@@ -0,0 +1,56 @@
+"""Collaborators that the controllers share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import trio
+
+from shallotmux.authority import Authority, IntentOpened, OrderContent
+from shallotmux.engines import LoadTable
+from shallotmux.observability import DecisionLog, DecisionRecord
+from shallotmux.orders import OrderDispatcher, Term
+from shallotmux.world import Endpoint, EndpointKind, EndpointPool
+
+
+@dataclass(frozen=True, slots=True)
+class ControllerTools:
+    """Collaborators of the controllers.
+
+    :param loads: load reports of the engines, as this instance has polled them.
+    """
+
+    authority: Authority
+    dispatcher: OrderDispatcher
+    loads: LoadTable
+    decisions: DecisionLog
+    zone: str
+
+    def engine_pools(self) -> list[tuple[EndpointPool, list[Endpoint]]]:
+        """Return the pools with engines, and all their engines, idle or changing."""
+        state = self.authority.read()
+        pools = [
+            kept.item
+            for _, kept in sorted(state.configuration.objects.items())
+            if isinstance(kept.item, EndpointPool)
+        ]
+        return [(pool, engines) for pool in pools if (engines := self._engines(pool))]
+
+    def record(
+        self, kind: str, subject: str, outcome: str, reason: str, figures: dict[str, float]
+    ) -> None:
+        """Log a decision."""
+        self.decisions.record(
+            DecisionRecord(kind, subject, outcome, reason, figures, trio.current_time())
+        )
+
+    async def place(
+        self, term: Term, target: str, content: OrderContent, *, checks_fencing: bool
+    ) -> bool:
+        """Commit an order and return whether it was opened."""
+        result = await self.dispatcher.place(term, target, content, checks_fencing=checks_fencing)
+        return isinstance(result, IntentOpened)
+
+    def _engines(self, pool: EndpointPool) -> list[Endpoint]:
+        ordered = self.authority.read().inventory.of_pool(pool.name)
+        return [each for each in (*pool.endpoints, *ordered) if each.kind == EndpointKind.ENGINE]
--- a/shallotmux/orders/_dispatcher.py
+++ b/shallotmux/orders/_dispatcher.py
@@ -21,6 +21,7 @@
     IntentOpened,
     OpenIntent,
     OrderContent,
+    ReleaseEndpoint,
     Result,
 )
 from shallotmux.errors import EndpointError, EndpointRefused
@@ -35,8 +36,8 @@
 STATUS_OK = 200
 STATUS_FENCED = 412
 
-#: Waits until an engine may change: it has no running stream or its time is up.
-Drain = Callable[[Endpoint], Awaitable[None]]
+#: Waits until an engine has no running stream and returns whether that is known.
+Drain = Callable[[Endpoint], Awaitable[bool]]
 
 
 class Presence(Protocol):
@@ -108,25 +109,37 @@
 
     async def _deliver(self, term: Term, intent: Intent) -> None:
         delay_s = FIRST_RETRY_S
+        drained = False
         try:
-            await self._drain(intent)
-            while self._is_open(intent) and not await self._attempt(term, intent):
+            while self._is_open(intent):
+                if self._is_gone(intent.target):
+                    await self._close(term, intent, 'target-gone')
+                    return
+                drained = drained or await self._drain(intent)
+                if drained and await self._attempt(term, intent):
+                    return
                 await trio.sleep(delay_s)
                 delay_s = min(2 * delay_s, LONGEST_RETRY_S)
         finally:
             self._busy.discard(intent.target)
 
-    async def _drain(self, intent: Intent) -> None:
-        endpoint = self._tools.authority.read().find_endpoint(intent.target)
-        if endpoint is not None:
-            await self._tools.drain(endpoint)
+    async def _drain(self, intent: Intent) -> bool:
+        match intent.content:
+            case ReleaseEndpoint(endpoint=name):
+                endpoint = self._tools.authority.read().find_endpoint(name)
+            case _:
+                endpoint = self._tools.authority.read().find_endpoint(intent.target)
+        return endpoint is None or await self._tools.drain(endpoint)
+
+    def _is_gone(self, target: str) -> bool:
+        address = self._find_address(target)
+        return address is None or self._tools.presence.is_endpoint_gone(target)
 
     async def _attempt(self, term: Term, intent: Intent) -> bool:
         """Try to deliver an order once and return whether it is closed."""
         address = self._find_address(intent.target)
-        if address is None or self._tools.presence.is_endpoint_gone(intent.target):
-            await self._close(term, intent, 'target-gone')
-            return True
+        if address is None:
+            return False
         begun = await commit(
             self._tools.authority,
             BeginAttempt(
--- a/shallotmux/standins/_engine.py
+++ b/shallotmux/standins/_engine.py
@@ -22,6 +22,7 @@
     send_json,
     send_start,
 )
+from shallotmux.standins._orders import OrderReceiver
 from shallotmux.standins._tokens import encode_event, prompt_key, token_text
 
 BODY_LIMIT_BYTES = 16_777_216
@@ -131,6 +132,7 @@
     running: dict[str, EngineRunRecord] = field(default_factory=dict)
     waiting: list[EngineRunRecord] = field(default_factory=list)
     runs: list[EngineRunRecord] = field(default_factory=list)
+    orders: OrderReceiver = field(default_factory=OrderReceiver)
     crashes: int = 0
     on_crash: Callable[[], None] | None = None
     _reports: deque[dict[str, Any]] = field(default_factory=deque)
@@ -162,6 +164,10 @@
                 await send_json(send, 200, {'cancelled': cancelled})
             case '/load':
                 await send_json(send, 200, self._load())
+            case '/orders':
+                source = str(scope['client'][0])
+                status = self.orders.receive(source, msgspec.json.decode(body))
+                await send_json(send, status, {})
             case _:
                 await send_json(send, 404, {'not_run': True})
 
@@ -186,7 +192,7 @@
     def _load(self) -> dict[str, Any]:
         now = trio.current_time()
         report = {
-            'role': 'mixed',
+            'role': self.orders.role,
             'model': '',
             'queued_prefill_tokens': sum(_prompt_tokens(each) for each in self.waiting),
             'running': len(self.running) + len(self.waiting),
@@ -205,7 +211,8 @@
         fault = behaviour.faults.popleft() if behaviour.faults else None
         record = EngineRunRecord(msgspec.json.decode(body), trio.current_time(), fault)
         self.runs.append(record)
-        if behaviour.refuse or behaviour.draining or fault == EngineFault.REFUSE:
+        unavailable = behaviour.refuse or behaviour.draining or self.orders.is_changing()
+        if unavailable or fault == EngineFault.REFUSE:
             record.refused = True
             await send_json(send, 409, {'not_run': True})
             return
--- a/shallotmux/standins/_orders.py
+++ b/shallotmux/standins/_orders.py
@@ -32,12 +32,15 @@
     """Takes orders, with or without a check of the fencing number.
 
     :param lose_answers: number of coming orders that are applied and not answered.
+    :param change_s: seconds for which a role change removes the engine.
     """
 
     checks_fencing: bool = True
     lose_answers: int = 0
+    change_s: float = 0.0
+    role: str = 'mixed'
+    busy_until_s: float = 0.0
     highest: tuple[int, int] = (0, 0)
-    setting: tuple[str, str] = ('role', 'mixed')
     history: list[ReceivedOrder] = field(default_factory=list)
 
     def receive(self, source: str, body: dict[str, Any]) -> int:
@@ -57,8 +60,14 @@
         if stale:
             return STATUS_FENCED
         self.highest = max(self.highest, fencing)
-        self.setting = content
+        if applied and body['kind'] == 'role':
+            self.role = body['content']['role']
+            self.busy_until_s = trio.current_time() + self.change_s
         if self.lose_answers:
             self.lose_answers -= 1
             raise ConnectionResetError('the answer is lost')
         return STATUS_OK
+
+    def is_changing(self) -> bool:
+        """Tell whether a role change has removed the engine."""
+        return trio.current_time() < self.busy_until_s
--- a/shallotmux/usage/_counter.py
+++ b/shallotmux/usage/_counter.py
@@ -7,7 +7,14 @@
 import trio
 from eliot import log_message
 
-from shallotmux.authority import WINDOW_S, Authority, Figures, RecordUsage, UsageEntry
+from shallotmux.authority import (
+    WINDOW_S,
+    Authority,
+    Figures,
+    PoolDemand,
+    RecordUsage,
+    UsageEntry,
+)
 from shallotmux.errors import AuthorityUnavailable, OutcomeUnknown
 
 #: Interval between batches, which bounds what is lost when an instance is killed.
@@ -22,11 +29,18 @@
 
     :param source: name and incarnation of this instance.
     :param wall_clock: returns the wall-clock time in seconds.
+    :param demand: returns the present demand for each pool, which batches carry along.
     """
 
-    def __init__(self, source: str, wall_clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        source: str,
+        wall_clock: Callable[[], float],
+        demand: Callable[[], tuple[PoolDemand, ...]] = tuple,
+    ) -> None:
         self._source = source
         self._wall_clock = wall_clock
+        self._demand = demand
         self._pending: dict[tuple[str, int], Figures] = {}
         self._unrecorded: RecordUsage | None = None
         self._batch = 0
@@ -59,7 +73,8 @@
         return not self._pending
 
     def _close_batch(self) -> RecordUsage | None:
-        if not self._pending:
+        demand = self._demand()
+        if not self._pending and not demand:
             return None
         self._batch += 1
         entries = tuple(
@@ -68,7 +83,7 @@
         )
         self._pending.clear()
         return RecordUsage(
-            f'usage/{self._source}/{self._batch}', self._source, self._batch, entries
+            f'usage/{self._source}/{self._batch}', self._source, self._batch, entries, demand
         )
 
 
--- a/tests/orders/test_failover.py
+++ b/tests/orders/test_failover.py
@@ -102,8 +102,9 @@
         applied = [each.content[1] for each in self.receiver.history if each.applied]
         return [text for place, text in enumerate(applied) if applied[place - 1 : place] != [text]]
 
-    async def _drain(self, endpoint: Endpoint) -> None:
+    async def _drain(self, endpoint: Endpoint) -> bool:
         await trio.sleep(0.1)
+        return True
 
 
 def make_zone(network: MemoryNetwork, *, checks_fencing: bool) -> Zone:
