Add the transport between instances

Instances need to exchange replication messages and forward commands. One long-lived bidirectional gRPC stream per peer carries batched envelopes from a bounded queue; when the queue is full, envelopes are dropped, since the replication protocol resends them. Both sides present a certificate of the fleet's authority, and a peer is accepted only under the name that its certificate carries. TCP_USER_TIMEOUT of 3 s closes connections that a partition has silenced.

An in-memory fabric with delay, loss, cuts and pauses serves tests on the test clock.

--- a/Makefile
+++ b/Makefile
@@ -35,5 +35,10 @@
 	$(BIN)/flake8 shallotmux tests
 	$(BIN)/mypy
 
+# Needs grpcio-tools and mypy-protobuf, which are not requirements: the generated modules are committed.
+proto:
+	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --mypy_out=. --grpclib_python_out=. \
+		shallotmux/transport/_peer.proto
+
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache
--- /dev/null
+++ b/shallotmux/transport/__init__.py
@@ -0,0 +1,33 @@
+"""Messages between the instances of a fleet."""
+
+from __future__ import annotations
+
+from shallotmux.transport._grpc import GrpcPeerNetwork, PeerAddresses
+from shallotmux.transport._memory import MemoryPeerFabric, MemoryPeerNetwork
+from shallotmux.transport._messages import (
+    Channel,
+    ForwardAnswer,
+    PeerEnvelope,
+    PeerHandler,
+    PeerNetwork,
+    Refusal,
+    instance_name,
+    new_identity,
+)
+from shallotmux.transport._tls import PeerTls
+
+__all__ = (
+    'Channel',
+    'ForwardAnswer',
+    'GrpcPeerNetwork',
+    'MemoryPeerFabric',
+    'MemoryPeerNetwork',
+    'PeerAddresses',
+    'PeerEnvelope',
+    'PeerHandler',
+    'PeerNetwork',
+    'PeerTls',
+    'Refusal',
+    'instance_name',
+    'new_identity',
+)
--- /dev/null
+++ b/shallotmux/transport/_grpc.py
@@ -0,0 +1,195 @@
+"""Network between instances on grpclib, which runs through trio-asyncio."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Mapping
+from typing import Any
+
+import trio
+import trio_asyncio
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server
+
+from shallotmux.errors import AuthorityUnavailable, OutcomeUnknown
+from shallotmux.transport import _peer_pb2 as wire
+from shallotmux.transport._link import (
+    NAME_HEADER,
+    PeerChannel,
+    PeerLink,
+    channel_to,
+    limit_unacknowledged,
+)
+from shallotmux.transport._messages import (
+    Channel,
+    ForwardAnswer,
+    PeerEnvelope,
+    PeerHandler,
+    Refusal,
+    instance_name,
+)
+from shallotmux.transport._peer_grpc import PeerBase
+from shallotmux.transport._tls import PeerTls, certified_names
+
+#: Instances by name, with the IP address and port that peers connect to. Shared and read at every
+#: first connection, so that tests can add addresses once the system has chosen the ports.
+PeerAddresses = Mapping[str, str]
+
+#: Time for telling peers that their streams end.
+CLOSE_TIMEOUT_S = 1.0
+
+
+class GrpcPeerNetwork:
+    """Connects an instance to its peers over TCP, with TLS unless ``tls`` is None.
+
+    :param bind: IP address and port to listen on; port 0 lets the system choose.
+    """
+
+    def __init__(
+        self, name: str, bind: str, addresses: PeerAddresses, tls: PeerTls | None
+    ) -> None:
+        self._name = name
+        self._bind = bind
+        self._addresses = addresses
+        self._tls = tls
+        self._client_context = tls.client_context() if tls else None
+        self._links: dict[str, PeerLink] = {}
+        self._nursery: trio.Nursery | None = None
+        self._handler: PeerHandler | None = None
+        self._loop: Any = None
+
+    async def run(
+        self, handler: PeerHandler, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Exchange messages until cancelled."""
+        self._handler = handler
+        host, _, port = self._bind.rpartition(':')
+        sock = socket.create_server((host, int(port)))
+        limit_unacknowledged(sock)
+        context = self._tls.server_context() if self._tls else None
+        async with trio_asyncio.open_loop() as self._loop:
+            server = Server([_PeerService(self)])
+            await trio_asyncio.aio_as_trio(server.start)(sock=sock, ssl=context)
+            try:
+                async with trio.open_nursery() as nursery:
+                    self._nursery = nursery
+                    bound_host, bound_port = sock.getsockname()[:2]
+                    task_status.started(f'{bound_host}:{bound_port}')
+                    await trio.sleep_forever()
+            finally:
+                self._nursery = None
+                await _close(server)
+
+    def send(self, envelope: PeerEnvelope) -> None:
+        """Send an envelope, or drop it when the peer's queue is full or its address unknown."""
+        peer = instance_name(envelope.recipient)
+        if self._nursery is None or peer not in self._addresses:
+            return
+        link = self.link(peer)
+        link.queue.put(envelope)
+        if link.needs_stream():
+            self._nursery.start_soon(trio_asyncio.aio_as_trio(link.connect, loop=self._loop))
+
+    async def forward(
+        self, peer: str, group: str, command: bytes, timeout_s: float
+    ) -> ForwardAnswer:
+        """Let a peer commit a command."""
+        if self._nursery is None or peer not in self._addresses:
+            raise AuthorityUnavailable('peer is not known', step='forward', peer=peer)
+        request = wire.ForwardRequest(group=group, command=command)
+        answer = await trio_asyncio.aio_as_trio(self._call, loop=self._loop)(peer, request, timeout_s)
+        return ForwardAnswer(answer.result, Refusal(answer.refusal), answer.detail)
+
+    def link(self, peer: str) -> PeerLink:
+        """Return the link to a peer of the fleet."""
+        found = self._links.get(peer)
+        if found is None:
+            found = PeerLink(self._name, peer, self._open_channel, self.deliver)
+            self._links[peer] = found
+        return found
+
+    def deliver(self, peer: str, batch: Any) -> None:
+        """Hand a peer's envelopes on; a peer may only send in its own name."""
+        if self._handler is None:
+            return
+        for each in batch.envelopes:
+            if instance_name(each.sender) == peer and instance_name(each.recipient) == self._name:
+                channel = Channel(each.channel)
+                self._handler.receive(
+                    PeerEnvelope(each.group, each.sender, each.recipient, channel, each.payload)
+                )
+
+    def identify(self, stream: Any) -> str:
+        """Return the name of the peer behind an accepted stream.
+
+        :raises GRPCError: if the peer does not show that it is an instance of the fleet.
+        """
+        name = str(stream.metadata.get(NAME_HEADER, ''))
+        if name not in self._addresses:
+            raise GRPCError(Status.PERMISSION_DENIED, f'{name!r} is not an instance of the fleet')
+        if self._tls and name not in certified_names(stream.peer.cert()):
+            raise GRPCError(Status.PERMISSION_DENIED, f'certificate does not name {name!r}')
+        return name
+
+    async def answer_forward(self, request: Any) -> Any:
+        """Return the answer to a forwarded command."""
+        if self._handler is None:
+            return wire.ForwardAnswer(refusal=wire.NOT_COMMITTED, detail='not started')
+        handle = trio_asyncio.trio_as_aio(self._handler.handle_forward)
+        answer = await handle(request.group, request.command)
+        return wire.ForwardAnswer(
+            result=answer.result,
+            refusal=int(answer.refusal),  # type: ignore[arg-type]
+            detail=answer.detail,
+        )
+
+    def _open_channel(self, peer: str) -> PeerChannel:
+        return channel_to(self._addresses[peer], peer, self._client_context)
+
+    async def _call(self, peer: str, request: Any, timeout_s: float) -> Any:
+        link = self.link(peer)
+        headers = {NAME_HEADER: self._name}
+        try:
+            stub = await asyncio.wait_for(link.connected_stub(), timeout_s)
+        except (OSError, asyncio.TimeoutError) as error:
+            raise AuthorityUnavailable(
+                f'cannot connect: {error!r}', step='forward', peer=peer
+            ) from error
+        try:
+            return await stub.Forward(request, timeout=timeout_s, metadata=headers)
+        except (OSError, GRPCError, StreamTerminatedError, asyncio.TimeoutError) as error:
+            raise OutcomeUnknown(f'no answer: {error!r}', step='forward', peer=peer) from error
+
+
+async def _close(server: Server) -> None:
+    """End the accepted streams, so that peers see the end at once instead of a silent socket."""
+    server.close()
+    with trio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
+        await trio_asyncio.aio_as_trio(server.wait_closed)()
+        await trio.sleep(0)
+
+
+class _PeerService(PeerBase):
+    """Accepts streams and forwarded commands."""
+
+    def __init__(self, network: GrpcPeerNetwork) -> None:
+        self._network = network
+
+    async def Exchange(self, stream: Any) -> None:  # noqa: N802
+        """Use a peer's stream in both directions."""
+        name = self._network.identify(stream)
+        await stream.send_initial_metadata()
+        try:
+            await self._network.link(name).use(stream)
+        finally:
+            # A cancelled handler sends no trailers; the peer sees the end by the connection's.
+            stream.peer._transport.close()  # noqa: SLF001
+
+    async def Forward(self, stream: Any) -> None:  # noqa: N802
+        """Answer a forwarded command."""
+        self._network.identify(stream)
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(await self._network.answer_forward(request))
--- /dev/null
+++ b/shallotmux/transport/_link.py
@@ -0,0 +1,187 @@
+"""The connection to one peer: a bounded queue and the stream that empties it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import ssl
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from eliot import log_message
+from grpclib.client import Channel
+from grpclib.config import Configuration
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from shallotmux.transport import _peer_pb2 as wire
+from shallotmux.transport._messages import PeerEnvelope
+from shallotmux.transport._peer_grpc import PeerStub
+
+#: Envelopes that wait for a slow or absent peer; the replication protocol resends lost ones.
+QUEUE_ENVELOPES = 1024
+
+#: Envelopes sent in one message.
+BATCH_ENVELOPES = 128
+
+FIRST_BACKOFF_S = 0.1
+LONGEST_BACKOFF_S = 1.0
+
+#: A connection whose data stays unacknowledged for this long is closed by the kernel. Without it,
+#: retransmission backs off to minutes and delays the stream after a partition heals.
+USER_TIMEOUT_MS = 3000
+
+#: Header that names the sender where connections carry no certificate.
+NAME_HEADER = 'shallotmux-instance'
+
+#: What may end a stream or keep it from opening.
+BROKEN_STREAM = (OSError, GRPCError, StreamTerminatedError, ssl.SSLError)
+
+Deliver = Callable[[str, Any], None]
+
+
+class EnvelopeQueue:
+    """Bounded queue of envelopes, read by the tasks that own streams to the peer."""
+
+    def __init__(self) -> None:
+        self._waiting: deque[PeerEnvelope] = deque()
+        self._filled = asyncio.Event()
+        #: Envelopes dropped because the queue was full.
+        self.dropped = 0
+
+    def put(self, envelope: PeerEnvelope) -> None:
+        """Add an envelope, or drop it when the queue is full."""
+        if len(self._waiting) >= QUEUE_ENVELOPES:
+            self.dropped += 1
+            return
+        self._waiting.append(envelope)
+        self._filled.set()
+
+    async def next_batch(self) -> Any:
+        """Wait for envelopes and return them as one message."""
+        while not self._waiting:
+            self._filled.clear()
+            await self._filled.wait()
+        count = min(len(self._waiting), BATCH_ENVELOPES)
+        return wire.Batch(
+            envelopes=[_to_wire(self._waiting.popleft()) for _ in range(count)],
+        )
+
+
+class PeerChannel(Channel):
+    """gRPC channel whose connection gives up on an unresponsive peer early."""
+
+    async def _create_connection(self) -> Any:
+        protocol = await super()._create_connection()
+        sock = protocol.connection.get_peer()._transport.get_extra_info('socket')  # noqa: SLF001
+        limit_unacknowledged(sock)
+        return protocol
+
+
+def limit_unacknowledged(sock: socket.socket) -> None:
+    """Let the kernel close a connection whose peer no longer acknowledges data."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+class PeerLink:
+    """Everything between this instance and one peer.
+
+    The link connects when there is something to send and the peer has not connected already, and
+    keeps the stream. Both directions use whichever stream exists.
+    """
+
+    def __init__(
+        self, own: str, peer: str, open_channel: Callable[[str], PeerChannel], deliver: Deliver
+    ) -> None:
+        self._own = own
+        self._peer = peer
+        self._open_channel = open_channel
+        # Channels belong to the event loop, so the first one is made by a task that runs in it.
+        self._channel: PeerChannel | None = None
+        self._deliver = deliver
+        self._random = Random(f'{own}/{peer}')  # noqa: S311
+        self._streams = 0
+        self._connecting = False
+        self.queue = EnvelopeQueue()
+
+    def needs_stream(self) -> bool:
+        """Tell whether the link must connect, and expect the caller to run it if so."""
+        needed = not self._streams and not self._connecting
+        self._connecting = self._connecting or needed
+        return needed
+
+    async def connect(self) -> None:
+        """Open a stream and use it until it breaks, with backoff before every retry."""
+        backoff = FIRST_BACKOFF_S
+        try:
+            while True:
+                try:
+                    await self._exchange()
+                    backoff = FIRST_BACKOFF_S
+                except BROKEN_STREAM as error:
+                    log_message(
+                        message_type='shallotmux:peer-stream-broken',
+                        peer=self._peer,
+                        error=repr(error),
+                    )
+                self._close_channel()
+                # Jitter keeps instances that lost the same peer from reconnecting at once.
+                await asyncio.sleep(backoff * self._random.uniform(0.5, 1))
+                backoff = min(2 * backoff, LONGEST_BACKOFF_S)
+        finally:
+            self._connecting = False
+            self._close_channel()
+
+    async def connected_stub(self) -> PeerStub:
+        """Connect to the peer unless a connection exists, and return the stub for calls."""
+        if self._channel is None:
+            self._channel = self._open_channel(self._peer)
+        channel = self._channel
+        await channel.__connect__()
+        return PeerStub(channel)
+
+    async def use(self, stream: Any) -> None:
+        """Send and receive on an open stream until it ends."""
+        self._streams += 1
+        sending = asyncio.ensure_future(self._send_all(stream))
+        try:
+            async for batch in stream:
+                self._deliver(self._peer, batch)
+        finally:
+            self._streams -= 1
+            sending.cancel()
+            await asyncio.gather(sending, return_exceptions=True)
+
+    async def _exchange(self) -> None:
+        headers = {NAME_HEADER: self._own}
+        stub = await self.connected_stub()
+        async with stub.Exchange.open(metadata=headers) as stream:
+            await stream.send_request()
+            await self.use(stream)
+
+    def _close_channel(self) -> None:
+        if self._channel is not None:
+            self._channel.close()
+            self._channel = None
+
+    async def _send_all(self, stream: Any) -> None:
+        while True:
+            await stream.send_message(await self.queue.next_batch())
+
+
+def channel_to(address: str, peer: str, context: ssl.SSLContext | None) -> PeerChannel:
+    """Return a channel that connects on first use and checks the peer's name."""
+    host, _, port = address.rpartition(':')
+    config = Configuration(ssl_target_name_override=peer if context else None)
+    return PeerChannel(host, int(port), ssl=context, config=config)
+
+
+def _to_wire(envelope: PeerEnvelope) -> Any:
+    return wire.Envelope(
+        group=envelope.group,
+        sender=envelope.sender,
+        recipient=envelope.recipient,
+        channel=int(envelope.channel),  # type: ignore[arg-type]
+        payload=envelope.payload,
+    )
