Let the instances of a zone act as one group

ReplicatedAuthority forwards commands to the leader and retries under their operation id; it says "not committed" only if no attempt can still commit.

Instances other than the leader poll one other instance: voters the leader, the others one of the voters, shared evenly. The answer brings the log and the age of the sender's own confirmation, from which freshness follows; the poll takes reports of all followers along to the leader, which probes silent members before it counts them as down. The leader replaces voters one at a time.

A removed learner never received the entry that removed it and stayed a member for itself, so it followed nobody; updates now say whether the recipient is a member.

--- a/shallotmux/authority/__init__.py
+++ b/shallotmux/authority/__init__.py
@@ -9,6 +9,14 @@
     Versioned,
     object_kind,
 )
+from shallotmux.authority._driver import (
+    GroupDriver,
+    GroupStorage,
+    RunBlocking,
+    run_in_thread,
+    run_inline,
+)
+from shallotmux.authority._group_state import GroupState
 from shallotmux.authority._keys import (
     CreateKey,
     WithdrawKey,
@@ -30,6 +38,7 @@
     StoredAnswer,
 )
 from shallotmux.authority._local import Authority, Leadership, LocalAuthority
+from shallotmux.authority._replicated import AuthorityLimits, ReplicatedAuthority
 from shallotmux.authority._results import Applied, Conflict, Refused
 from shallotmux.authority._state import (
     Command,
@@ -45,6 +54,7 @@
     'AbandonJob',
     'Applied',
     'Authority',
+    'AuthorityLimits',
     'ClaimFinished',
     'ClaimGranted',
     'ClaimJob',
@@ -57,6 +67,9 @@
     'CreateKey',
     'DeleteObject',
     'FinishJob',
+    'GroupDriver',
+    'GroupState',
+    'GroupStorage',
     'Job',
     'JobId',
     'Leadership',
@@ -64,7 +77,9 @@
     'PutObject',
     'Refused',
     'ReleaseJob',
+    'ReplicatedAuthority',
     'Result',
+    'RunBlocking',
     'StoredAnswer',
     'Versioned',
     'WithdrawKey',
@@ -76,4 +91,6 @@
     'encode_command',
     'encode_result',
     'object_kind',
+    'run_in_thread',
+    'run_inline',
 )
--- /dev/null
+++ b/shallotmux/authority/_group_state.py
@@ -0,0 +1,111 @@
+"""What an instance has applied of a group's log, and waiting for it to change."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import trio
+
+from shallotmux.authority._state import Result, ZoneState, decode_command
+from shallotmux.replication import Entry, EntryKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+#: Applied entries kept for instances that follow this one; a follower further behind gets the
+#: whole state.
+RECENT_ENTRIES = 1024
+
+#: Confirmations that wait for entries to be applied. The newest one suffices once its entries
+#: are there, so the oldest are dropped.
+PENDING_CONFIRMATIONS = 64
+
+
+class GroupState:
+    """The applied state of one group on one instance.
+
+    Entries may arrive through the replica and from a followed instance at the same time; each
+    index is applied once, in order.
+    """
+
+    def __init__(self) -> None:
+        self.zone = ZoneState()
+        self.applied_index = 0
+        self.applied_term = 0
+        #: Local time at which the state was certainly complete; minus infinity before the first.
+        self.confirmed_at = float('-inf')
+        self._recent: deque[Entry] = deque(maxlen=RECENT_ENTRIES)
+        self._pending: deque[tuple[int, float]] = deque(maxlen=PENDING_CONFIRMATIONS)
+        self._changed = trio.Event()
+
+    def apply(self, entry: Entry) -> Result | None:
+        """Apply the next committed entry; entries applied before or out of order are ignored.
+
+        :returns: the result of a command that was applied now.
+        """
+        if entry.index != self.applied_index + 1:
+            return None
+        result = None
+        if entry.kind is EntryKind.COMMAND:
+            result = self.zone.apply(decode_command(entry.payload))
+        self.applied_index = entry.index
+        self.applied_term = entry.term
+        self._recent.append(entry)
+        return result
+
+    def restore(self, index: int, term: int, payload: bytes) -> None:
+        """Take a snapshot of the state unless this one is as recent."""
+        if index <= self.applied_index:
+            return
+        self.zone = ZoneState.restore(payload) if payload else ZoneState()
+        self.applied_index = index
+        self.applied_term = term
+        self._recent.clear()
+
+    def entries_after(self, index: int) -> tuple[Entry, ...] | None:
+        """Return the entries applied after an index, or None if they are not held any more."""
+        if index > self.applied_index:
+            return ()
+        missing = self.applied_index - index
+        if missing > len(self._recent):
+            return None
+        return tuple(self._recent)[len(self._recent) - missing :]
+
+    def confirm(self, index: int, at: float) -> None:
+        """Note that the state was complete at a local time if it holds entries up to an index."""
+        self._pending.append((index, at))
+        self.settle()
+
+    def settle(self) -> None:
+        """Take over confirmations whose entries are applied, and wake those who wait."""
+        for index, at in tuple(self._pending):
+            if index <= self.applied_index:
+                self._pending.remove((index, at))
+                self.confirmed_at = max(self.confirmed_at, at)
+
+    def notify(self) -> None:
+        """Wake the tasks that wait for a change."""
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def wait_changed(self, revision: int) -> int:
+        """Wait for a revision higher than the given one, and return it."""
+        while self.zone.revision <= revision:
+            await self._changed.wait()
+        return self.zone.revision
+
+    async def wait_applied(self, index: int) -> int:
+        """Wait for an entry beyond the given index, and return the last index applied."""
+        while self.applied_index <= index:
+            await self._changed.wait()
+        return self.applied_index
+
+    def apply_all(self, entries: Iterable[Entry]) -> None:
+        """Apply entries received from a followed instance."""
+        before = self.applied_index
+        for entry in entries:
+            self.apply(entry)
+        if self.applied_index != before:
+            self.settle()
+            self.notify()
--- /dev/null
+++ b/shallotmux/authority/_replicated.py
@@ -0,0 +1,109 @@
+"""Access to a group's replicated state from any of its instances."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import trio
+
+from shallotmux.authority._driver import GroupDriver
+from shallotmux.authority._local import Leadership
+from shallotmux.authority._state import Command, Result, ZoneState, decode_result, encode_command
+from shallotmux.errors import AuthorityUnavailable, OutcomeUnknown
+from shallotmux.transport import ForwardAnswer, PeerNetwork, Refusal, instance_name
+
+#: Time after which one attempt counts as lost and another instance is asked. It exceeds a round
+#: trip with a sync by far and lets two attempts fit into the longest election.
+ATTEMPT_S = 1.0
+
+#: Pause before the next attempt, so that an election is not awaited in a busy loop.
+RETRY_PAUSE_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class AuthorityLimits:
+    """Times after which an instance gives up.
+
+    :param freshness_s: age of the last confirmation from which the state counts as stale.
+    :param submit_s: time in which a command must commit.
+    """
+
+    freshness_s: float = 3.0
+    submit_s: float = 6.0
+
+
+class ReplicatedAuthority:
+    """Implements ``Authority`` on a replication group.
+
+    :param leader: returns the identity of the leader as far as this instance knows.
+    """
+
+    def __init__(
+        self,
+        driver: GroupDriver,
+        network: PeerNetwork,
+        leader: Callable[[], str | None],
+        limits: AuthorityLimits,
+        random: Random,
+    ) -> None:
+        self._driver = driver
+        self._network = network
+        self._leader = leader
+        self._limits = limits
+        self._random = random
+
+    async def submit(self, command: Command) -> Result:
+        """Commit a command, retrying under its operation id until the time limit."""
+        payload = encode_command(command)
+        deadline = trio.current_time() + self._limits.submit_s
+        is_certain, detail = True, 'no leader'
+        while trio.current_time() < deadline:
+            answer = await self._attempt(payload, deadline)
+            if answer.refusal is Refusal.NONE:
+                return decode_result(answer.result)
+            detail = answer.detail
+            is_certain = is_certain and answer.refusal is not Refusal.UNKNOWN
+            if answer.refusal is Refusal.INVALID:
+                break
+            await trio.sleep(RETRY_PAUSE_S * self._random.uniform(0.5, 1.5))
+        message = f'operation {command.operation_id!r}: {detail}'
+        if is_certain:
+            raise AuthorityUnavailable(message, step='commit', peer=self._leader() or '')
+        raise OutcomeUnknown(message, step='commit', peer=self._leader() or '')
+
+    def read(self) -> ZoneState:
+        """Return the local state, which callers must not change."""
+        return self._driver.state.zone
+
+    def is_fresh(self) -> bool:
+        """Tell whether the local state was complete within the freshness limit."""
+        age = trio.current_time() - self._driver.state.confirmed_at
+        return age < self._limits.freshness_s
+
+    def leadership(self) -> Leadership:
+        """Return who leads the group as far as this instance knows."""
+        status = self._driver.status()
+        leader = instance_name(self._leader() or '')
+        return Leadership(leader, status.term, status.lease_end, self._driver.is_leader())
+
+    async def wait_changed(self, revision: int) -> int:
+        """Wait for a revision higher than the given one, and return it."""
+        return await self._driver.state.wait_changed(revision)
+
+    async def _attempt(self, payload: bytes, deadline: float) -> ForwardAnswer:
+        timeout_s = min(ATTEMPT_S, deadline - trio.current_time())
+        leader = self._leader()
+        if leader is None:
+            return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail='no leader is known')
+        if leader == self._driver.identity:
+            return await self._driver.commit(payload, timeout_s)
+        try:
+            return await self._network.forward(
+                instance_name(leader), self._driver.group, payload, timeout_s
+            )
+        except AuthorityUnavailable as error:
+            return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail=str(error))
+        except OutcomeUnknown as error:
+            return ForwardAnswer(refusal=Refusal.UNKNOWN, detail=str(error))
--- /dev/null
+++ b/shallotmux/membership/__init__.py
@@ -0,0 +1,43 @@
+"""Which instances make up a group, which of them vote, and how the others follow."""
+
+from __future__ import annotations
+
+from shallotmux.membership._group import GroupMember, GroupOptions, Seat
+from shallotmux.membership._messages import Report
+from shallotmux.membership._policy import (
+    GroupPlan,
+    GroupView,
+    desired_voters,
+    next_change,
+)
+from shallotmux.membership._propagation import (
+    Propagation,
+    find_propagation,
+    lowest_revisions,
+)
+from shallotmux.membership._table import (
+    Member,
+    MemberState,
+    MemberTable,
+    Patience,
+    PlatformList,
+)
+
+__all__ = (
+    'GroupMember',
+    'GroupOptions',
+    'GroupPlan',
+    'GroupView',
+    'Member',
+    'MemberState',
+    'MemberTable',
+    'Patience',
+    'PlatformList',
+    'Propagation',
+    'Report',
+    'Seat',
+    'desired_voters',
+    'find_propagation',
+    'lowest_revisions',
+    'next_change',
+)
--- /dev/null
+++ b/shallotmux/membership/_group.py
@@ -0,0 +1,267 @@
+"""One instance's part in one replication group."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from operator import attrgetter
+from random import Random
+
+import msgspec
+import trio
+from eliot import log_message
+
+from shallotmux.authority import (
+    AuthorityLimits,
+    GroupDriver,
+    GroupState,
+    GroupStorage,
+    ReplicatedAuthority,
+    RunBlocking,
+    run_in_thread,
+)
+from shallotmux.membership._messages import (
+    MembershipMessage,
+    Poll,
+    Probe,
+    Report,
+    Update,
+    decode_message,
+    encode_message,
+)
+from shallotmux.membership._policy import GroupPlan, GroupView, next_change
+from shallotmux.membership._position import GroupPosition
+from shallotmux.membership._propagation import lowest_revisions
+from shallotmux.membership._table import MemberState, MemberTable, Patience
+from shallotmux.membership._tree import ReportTree
+from shallotmux.replication import (
+    Configuration,
+    Effects,
+    Replica,
+    ReplicaOptions,
+    Role,
+    StoredGroup,
+    bootstrap_group,
+)
+from shallotmux.transport import Channel, ForwardAnswer, PeerEnvelope, PeerNetwork
+
+#: Members probed directly in one interval; the others are probed in the next ones.
+PROBES_PER_INTERVAL = 3
+
+#: Entries that a learner may lack to count as caught up.
+CAUGHT_UP_ENTRIES = 64
+
+#: Time for handing leadership over at shutdown; afterwards an election finds the next leader.
+TRANSFER_S = 2.0
+
+#: Ticks of the replica in one heartbeat interval, as the replica requires.
+TICKS_PER_HEARTBEAT = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Seat:
+    """Which instance takes part in which group.
+
+    :param identity: name, with an incarnation if the instance has no disk.
+    :param bootstrap: whether to start the group when nothing is stored; set on one instance.
+    """
+
+    group: str
+    identity: str
+    zone: str
+    has_disk: bool
+    plan: GroupPlan
+    bootstrap: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class GroupOptions:
+    """Times of a group.
+
+    :param poll_s: interval of polls and reports.
+    :param replace_after_s: silence after which a voter is replaced.
+    """
+
+    replica: ReplicaOptions = ReplicaOptions()
+    limits: AuthorityLimits = AuthorityLimits()
+    patience: Patience = Patience()
+    poll_s: float = 0.5
+    replace_after_s: float = 30.0
+    run_blocking: RunBlocking = run_in_thread
+
+
+class GroupMember:
+    """Driver, place in the tree and, on the leader, care for the voters."""
+
+    def __init__(
+        self,
+        seat: Seat,
+        network: PeerNetwork,
+        store: GroupStorage,
+        options: GroupOptions,
+        random: Random,
+        preferred: tuple[str, ...] = (),
+    ) -> None:
+        now = trio.current_time()
+        self.seat = seat
+        self._network = network
+        self._options = options
+        self._random = random
+        self.state = GroupState()
+        stored = _load(seat, store)
+        if stored.snapshot is not None:
+            kept = stored.snapshot
+            self.state.restore(kept.index, kept.term, kept.payload)
+        replica = Replica(seat.identity, stored, options.replica, random, now)
+        self.driver = GroupDriver(
+            seat.group,
+            seat.identity,
+            replica,
+            self.state,
+            store,
+            network.send,
+            tick_s=options.replica.heartbeat_s / TICKS_PER_HEARTBEAT,
+            run_blocking=options.run_blocking,
+        )
+        self.table = MemberTable(options.patience, now)
+        self.position = GroupPosition(
+            seat.identity, seat.zone, seat.has_disk, self.driver, seat.plan
+        )
+        self.tree = ReportTree(
+            self.position,
+            self.state,
+            self.table,
+            self._send,
+            interval_s=options.poll_s,
+            random=random,
+        )
+        self.authority = ReplicatedAuthority(
+            self.driver, network, self.tree.leader, options.limits, random
+        )
+        self._led_term = 0
+
+    async def run(self) -> None:
+        """Take part until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.driver.run)
+            nursery.start_soon(self.tree.run)
+            while True:
+                await trio.sleep(self._options.poll_s)
+                if self.driver.is_leader():
+                    self._care(trio.current_time())
+
+    def receive(self, envelope: PeerEnvelope) -> None:
+        """Take an envelope addressed to this instance."""
+        if envelope.channel is Channel.REPLICATION:
+            self.driver.receive(envelope)
+            return
+        try:
+            message = decode_message(envelope.payload)
+        except msgspec.DecodeError:
+            return
+        self._take(envelope.sender, message)
+
+    async def handle_forward(self, command: bytes) -> ForwardAnswer:
+        """Commit a command forwarded by a peer."""
+        return await self.driver.commit(command, self._options.limits.submit_s)
+
+    async def leave(self) -> None:
+        """Report that this instance leaves, and hand leadership to the most advanced voter."""
+        self.position.is_leaving = True
+        with trio.move_on_after(TRANSFER_S):
+            while self.driver.status().role is Role.LEADER and self._hand_over():
+                await trio.sleep(self._options.replica.heartbeat_s)
+
+    def _hand_over(self) -> bool:
+        now = trio.current_time()
+        configuration = self.driver.status().configuration
+        others = configuration.voters - configuration.witnesses - {self.seat.identity}
+        reports = [
+            member.report
+            for identity, member in self.table.members(now).items()
+            if identity in others and member.state is MemberState.LIVE
+        ]
+        for report in sorted(reports, key=lambda each: -each.applied_index)[:1]:
+            self.driver.transfer(report.identity)
+        return bool(reports)
+
+    def _take(self, sender: str, message: MembershipMessage) -> None:
+        match message:
+            case Poll():
+                self.tree.take_poll(sender, message)
+            case Update():
+                self.tree.take_update(message)
+            case Report():
+                self.table.record((message,), trio.current_time())
+            case Probe():
+                self._send(sender, self.position.own_report())
+
+    def _send(self, recipient: str, message: MembershipMessage) -> None:
+        seat = self.seat
+        payload = encode_message(message)
+        self._network.send(
+            PeerEnvelope(seat.group, seat.identity, recipient, Channel.MEMBERSHIP, payload)
+        )
+
+    def _care(self, now: float) -> None:
+        """Probe suspected members, note which revisions are in force, change one voter."""
+        status = self.driver.status()
+        if status.term != self._led_term:
+            self._led_term = status.term
+            self.table.restart(now)
+        members = self.table.members(now)
+        self._probe(now)
+        ordered = sorted(members.values(), key=attrgetter('heard_at'))
+        reports = [member.report for member in ordered]
+        self.tree.zone_revisions = lowest_revisions(
+            self.seat.plan, (*reports, self.position.own_report())
+        )
+        change = next_change(self.seat.plan, self._view(status.configuration, now))
+        if change is not None and self.driver.change_membership(change):
+            log_message(
+                message_type='shallotmux:membership-change',
+                group=self.seat.group,
+                change=repr(change),
+            )
+
+    def _probe(self, now: float) -> None:
+        configuration = self.driver.status().configuration
+        others = configuration.members - {self.seat.identity}
+        silent = [
+            each
+            for each in sorted(others)
+            if self.table.state_of(each, now) in {MemberState.SUSPECTED, MemberState.DOWN}
+        ]
+        probed = self._random.sample(silent, min(len(silent), PROBES_PER_INTERVAL))
+        for each in probed:
+            self._send(each, Probe())
+
+    def _view(self, configuration: Configuration, now: float) -> GroupView:
+        table, wait_s = self.table, self._options.replace_after_s
+        live = {
+            identity: member.report
+            for identity, member in table.members(now).items()
+            if member.state is MemberState.LIVE
+        }
+        lost = {
+            each
+            for each in configuration.members - {self.seat.identity}
+            if table.silent_for(each, now) >= wait_s or (each not in live and table.is_gone(each))
+        }
+        near = self.state.applied_index - CAUGHT_UP_ENTRIES
+        caught_up = {identity for identity, report in live.items() if report.applied_index >= near}
+        return GroupView(
+            self.seat.identity, configuration, live, frozenset(lost), frozenset(caught_up)
+        )
+
+
+def _load(seat: Seat, store: GroupStorage) -> StoredGroup:
+    """Return the stored group; a new one only if that was asked for."""
+    stored = store.load()
+    if stored is not None:
+        return stored
+    if not seat.bootstrap:
+        return StoredGroup()
+    own = frozenset((seat.identity,))
+    started = bootstrap_group(Configuration(own, disks=own if seat.has_disk else frozenset()))
+    store.save(Effects(started.hard_state, started.entries))
+    return started
--- /dev/null
+++ b/tests/membership/conftest.py
@@ -0,0 +1,159 @@
+"""A zone of instances on the in-memory network and the test clock."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+import trio
+import trio.testing
+
+from shallotmux.authority import run_inline
+from shallotmux.membership import GroupMember, GroupOptions, GroupPlan, Seat
+from shallotmux.replication import Effects, HardState, ReplicaOptions, StoredGroup
+from shallotmux.storage import VolatileStore
+from shallotmux.transport import ForwardAnswer, MemoryPeerFabric, PeerEnvelope, new_identity
+
+SEED = 11
+ZONE = 'zone-a'
+
+
+class MemoryDisk:
+    """Storage that outlives an instance's process."""
+
+    def __init__(self) -> None:
+        self._stored: StoredGroup | None = None
+
+    def load(self) -> StoredGroup | None:
+        """Return what was saved."""
+        return self._stored
+
+    def save(self, effects: Effects) -> None:
+        """Keep term, vote, entries and snapshot."""
+        known = self._stored or StoredGroup(HardState(0))
+        entries = known.entries
+        if effects.entries:
+            first = effects.entries[0].index
+            entries = (*(each for each in entries if each.index < first), *effects.entries)
+        snapshot = effects.snapshot or known.snapshot
+        if snapshot:
+            entries = tuple(each for each in entries if each.index > snapshot.index)
+        self._stored = StoredGroup(effects.hard_state or known.hard_state, entries, snapshot)
+
+
+@dataclass
+class Zone:
+    """Instances of one zone, which tests start, kill, cut off and pause."""
+
+    nursery: trio.Nursery
+    plan: GroupPlan
+    options: GroupOptions
+    fabric: MemoryPeerFabric
+    random: Random = field(default_factory=lambda: Random(SEED))
+    disks: dict[str, MemoryDisk] = field(default_factory=dict)
+    members: dict[str, GroupMember] = field(default_factory=dict)
+    scopes: dict[str, trio.CancelScope] = field(default_factory=dict)
+
+    async def start(self, *names: str, bootstrap: str = '') -> None:
+        """Start instances."""
+        for name in names:
+            await self.nursery.start(self._run, name, name == bootstrap)
+
+    def kill(self, *names: str) -> None:
+        """End instances at once."""
+        for name in names:
+            self.scopes.pop(name).cancel()
+            self.members.pop(name)
+
+    def leader(self) -> GroupMember | None:
+        """Return the instance that holds the lease."""
+        leading = [each for each in self.members.values() if each.driver.is_leader()]
+        assert len(leading) <= 1, 'two instances hold the lease'
+        return leading[0] if leading else None
+
+    async def until(self, condition: Callable[[], object], limit_s: float) -> float:
+        """Wait until a condition holds, and return the time that took."""
+        start = trio.current_time()
+        while not condition():
+            assert trio.current_time() - start <= limit_s, 'condition did not hold in time'
+            await trio.sleep(0.01)
+        return trio.current_time() - start
+
+    async def settle(self, voters: int, limit_s: float = 30) -> GroupMember:
+        """Wait for a leader with so many voters and for all instances to be fresh."""
+        await self.until(lambda: self.is_settled(voters), limit_s)
+        leader = self.leader()
+        assert leader is not None
+        return leader
+
+    def is_settled(self, voters: int) -> bool:
+        """Tell whether the group has its voters and every instance is fresh."""
+        leader = self.leader()
+        if leader is None or not all(each.authority.is_fresh() for each in self.members.values()):
+            return False
+        configuration = leader.driver.status().configuration
+        held = {
+            each.driver.status().configuration
+            for each in self.members.values()
+            if each.seat.identity in configuration.voters
+        }
+        return len(configuration.voters) == voters and held == {configuration}
+
+    async def _run(self, name: str, bootstrap: bool, task_status: trio.TaskStatus[None]) -> None:
+        has_disk = name in self.plan.disks
+        identity = name if has_disk else new_identity(name, self.random)
+        store = self.disks.setdefault(name, MemoryDisk()) if has_disk else VolatileStore()
+        network = self.fabric.network(name)
+        random = Random(self.random.getrandbits(32))
+        seat = Seat(ZONE, identity, ZONE, has_disk, self.plan, bootstrap)
+        member = GroupMember(seat, network, store, self.options, random)
+        self.members[name] = member
+        with trio.CancelScope() as scope:
+            self.scopes[name] = scope
+            async with trio.open_nursery() as nursery:
+                await nursery.start(network.run, Receiver(member))
+                nursery.start_soon(member.run)
+                task_status.started()
+
+
+@dataclass(frozen=True)
+class Receiver:
+    """Hands a peer's messages to the only group of an instance."""
+
+    member: GroupMember
+
+    def receive(self, envelope: PeerEnvelope) -> None:
+        """Take an envelope for this incarnation."""
+        if envelope.recipient in {
+            self.member.seat.identity,
+            self.member.seat.identity.split('~')[0],
+        }:
+            self.member.receive(envelope)
+
+    async def handle_forward(self, group: str, command: bytes) -> ForwardAnswer:
+        """Commit a forwarded command."""
+        return await self.member.handle_forward(command)
+
+
+MakeZone = Callable[..., Zone]
+
+
+@pytest.fixture
+def make_zone(nursery: trio.Nursery, autojump_clock: trio.testing.MockClock) -> MakeZone:
+    """Return a function that makes a zone of so many instances, some with disks.
+
+    The test itself must take the clock too: pytest-trio looks for it in the test's parameters only.
+    """
+
+    def make(count: int, disks: int = 0, **options: object) -> Zone:
+        assert trio.lowlevel.current_clock() is autojump_clock
+        names = tuple(f'entry-{number + 1:02}' for number in range(count))
+        plan = GroupPlan({ZONE: names}, frozenset(names[:disks]))
+        fabric = MemoryPeerFabric(Random(SEED))
+        nursery.start_soon(fabric.run)
+        settings = {'run_blocking': run_inline, 'replica': ReplicaOptions(), **options}
+        return Zone(nursery, plan, GroupOptions(**settings), fabric)
+
+    return make
