Let daemons form zone groups and a fleet group

Settings name the instances of the fleet, their zones, addresses and disks, the certificates between them and the times of the groups. Each instance takes part in its zone's group and in the fleet group, which has one voter per zone and holds defaults and exceptions; the operator's view of where a change is in force comes from the revisions that instances report.

Two tests run three daemons over loopback: a key created at one works at the others, and a change commits after the leader is killed.

--- a/shallotmux/authority/__init__.py
+++ b/shallotmux/authority/__init__.py
@@ -16,6 +16,7 @@
     run_in_thread,
     run_inline,
 )
+from shallotmux.authority._fleet import FleetAuthority, is_fleet_command
 from shallotmux.authority._group_state import GroupState
 from shallotmux.authority._keys import (
     CreateKey,
@@ -67,6 +68,7 @@
     'CreateKey',
     'DeleteObject',
     'FinishJob',
+    'FleetAuthority',
     'GroupDriver',
     'GroupState',
     'GroupStorage',
@@ -90,6 +92,7 @@
     'digest_secret',
     'encode_command',
     'encode_result',
+    'is_fleet_command',
     'object_kind',
     'run_in_thread',
     'run_inline',
--- a/shallotmux/daemon/__init__.py
+++ b/shallotmux/daemon/__init__.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
+from shallotmux.daemon._groups import FLEET_GROUP, ZONE_PREFIX, InstanceGroups
 from shallotmux.daemon._instance import Addresses, DaemonInstance
 from shallotmux.daemon._main import main
 
-__all__ = ('Addresses', 'DaemonInstance', 'main')
+__all__ = (
+    'FLEET_GROUP',
+    'ZONE_PREFIX',
+    'Addresses',
+    'DaemonInstance',
+    'InstanceGroups',
+    'main',
+)
--- /dev/null
+++ b/shallotmux/daemon/_groups.py
@@ -0,0 +1,170 @@
+"""The replication groups in which an instance takes part."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Collection
+from pathlib import Path
+from random import Random, SystemRandom
+
+import trio
+
+from shallotmux.authority import (
+    Authority,
+    AuthorityLimits,
+    FleetAuthority,
+    LocalAuthority,
+    RunBlocking,
+    run_in_thread,
+)
+from shallotmux.errors import SettingsError
+from shallotmux.membership import (
+    GroupMember,
+    GroupOptions,
+    GroupPlan,
+    PropagationTracker,
+    Seat,
+)
+from shallotmux.replication import ReplicaOptions
+from shallotmux.settings import GroupSettings, Settings
+from shallotmux.storage import GroupStore, VolatileStore
+from shallotmux.transport import (
+    ForwardAnswer,
+    GrpcPeerNetwork,
+    PeerEnvelope,
+    PeerNetwork,
+    PeerTls,
+    Refusal,
+    instance_name,
+    new_identity,
+)
+
+#: Name of the group that all zones share. Zone groups have the name of their zone with a prefix,
+#: so that no zone's name can be taken for this one.
+FLEET_GROUP = 'fleet'
+ZONE_PREFIX = 'zone/'
+
+
+class InstanceGroups:
+    """An instance's zone group, the fleet group, and the groups that it is a witness of.
+
+    :param bootstrap: names of the groups to start when nothing is stored.
+    :param network: replaces the network that the settings describe.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        bootstrap: Collection[str] = (),
+        network: PeerNetwork | None = None,
+        run_blocking: RunBlocking = run_in_thread,
+    ) -> None:
+        own = settings.instance
+        self._settings = settings
+        self._bootstrap = frozenset(bootstrap)
+        self._has_disk = any(each.has_disk for each in settings.peers if each.name == own.name)
+        self.identity = own.name if self._has_disk else new_identity(own.name, SystemRandom())
+        self._network = network or make_network(settings)
+        self._options = group_options(settings.groups, run_blocking)
+        plans = group_plans(settings)
+        unknown = self._bootstrap - frozenset(plans)
+        if unknown or (self._bootstrap and not self._has_disk):
+            raise SettingsError(
+                f'bootstrap {sorted(self._bootstrap)}: needs a disk and one of {sorted(plans)}',
+                step='bootstrap',
+            )
+        self.members = {name: self._join(name, plan) for name, plan in plans.items()}
+        zone = self.members[ZONE_PREFIX + own.zone]
+        fleet = self.members[FLEET_GROUP]
+        self.authority = FleetAuthority(zone.authority, fleet.authority)
+        self.propagation = PropagationTracker(zone, fleet, fleet.seat.plan.zones)
+
+    async def run(self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
+        """Take part in all groups until cancelled; gives the address to ``task_status``."""
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(self._network.run, self)
+            for member in self.members.values():
+                nursery.start_soon(member.run)
+            task_status.started(address)
+
+    async def leave(self) -> None:
+        """Hand over leadership in all groups."""
+        async with trio.open_nursery() as nursery:
+            for member in self.members.values():
+                nursery.start_soon(member.leave)
+
+    def receive(self, envelope: PeerEnvelope) -> None:
+        """Hand an envelope for this incarnation to its group."""
+        member = self.members.get(envelope.group)
+        names = {self.identity, instance_name(self.identity)}
+        if member is not None and envelope.recipient in names:
+            member.receive(envelope)
+
+    async def handle_forward(self, group: str, command: bytes) -> ForwardAnswer:
+        """Commit a command that a peer forwarded."""
+        member = self.members.get(group)
+        if member is None:
+            return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail=f'no group {group!r}')
+        return await member.handle_forward(command)
+
+    def _join(self, name: str, plan: GroupPlan) -> GroupMember:
+        own = self._settings.instance
+        seat = Seat(name, self.identity, own.zone, self._has_disk, plan, name in self._bootstrap)
+        store: GroupStore | VolatileStore = VolatileStore()
+        if self._has_disk:
+            folder = Path(own.data_folder) / 'groups' / name.replace('/', '-')
+            store = GroupStore(folder)
+        random = Random(SystemRandom().getrandbits(64))  # noqa: S311
+        return GroupMember(seat, self._network, store, self._options, random)
+
+
+def choose_authority(settings: Settings, groups: InstanceGroups | None) -> Authority:
+    """Return the authority that an instance works with.
+
+    :raises SettingsError: if the settings name no peers and do not say that there are none.
+    """
+    if groups is not None:
+        return groups.authority
+    if settings.groups.standalone:
+        return LocalAuthority(settings.instance.name)
+    raise SettingsError('peers: empty, but groups.standalone is not set', step='settings')
+
+
+def make_network(settings: Settings) -> GrpcPeerNetwork:
+    """Return the network that the settings describe."""
+    addresses = {each.name: each.address for each in settings.peers}
+    files = settings.peer_tls
+    tls = PeerTls(files.authority, files.certificate, files.private_key) if files else None
+    name = settings.instance.name
+    return GrpcPeerNetwork(name, addresses[name], addresses, tls)
+
+
+def group_plans(settings: Settings) -> dict[str, GroupPlan]:
+    """Return the groups in which the instance takes part."""
+    zones: dict[str, tuple[str, ...]] = defaultdict(tuple)
+    for peer in sorted(settings.peers, key=lambda each: each.name):
+        zones[peer.zone] += (peer.name,)
+    disks = frozenset(each.name for each in settings.peers if each.has_disk)
+    witnesses = settings.groups.witnesses
+    own = settings.instance
+    plans = {FLEET_GROUP: GroupPlan(dict(zones), disks, one_per_zone=True)}
+    for zone, names in zones.items():
+        if zone == own.zone or witnesses.get(zone) == own.name:
+            plans[ZONE_PREFIX + zone] = GroupPlan({zone: names}, disks, witnesses.get(zone, ''))
+    return plans
+
+
+def group_options(groups: GroupSettings, run_blocking: RunBlocking) -> GroupOptions:
+    """Return the options that the settings describe."""
+    return GroupOptions(
+        replica=ReplicaOptions(
+            heartbeat_s=groups.heartbeat_s,
+            election_min_s=groups.election_min_s,
+            election_max_s=groups.election_max_s,
+            lease_s=groups.lease_s,
+        ),
+        limits=AuthorityLimits(groups.freshness_limit_s, groups.submit_limit_s),
+        poll_s=groups.poll_s,
+        replace_after_s=groups.replace_after_s,
+        run_blocking=run_blocking,
+    )
--- a/shallotmux/daemon/_main.py
+++ b/shallotmux/daemon/_main.py
@@ -10,6 +10,7 @@
 import trio
 from eliot import log_message, to_file
 
+from shallotmux.daemon._groups import InstanceGroups
 from shallotmux.daemon._instance import DaemonInstance
 from shallotmux.errors import SettingsError
 from shallotmux.settings import Settings, load_settings
@@ -24,7 +25,13 @@
     help='Settings file, JSON with comments.',
 )
 @click.option('--check', is_flag=True, help='Validate the settings and stop.')
-def main(path: Path, check: bool) -> None:
+@click.option(
+    '--bootstrap',
+    multiple=True,
+    metavar='GROUP',
+    help='Start an empty group: fleet or zone/NAME. On one instance, at the first start only.',
+)
+def main(path: Path, check: bool, bootstrap: tuple[str, ...]) -> None:
     """Run one entry instance of shallotmux."""
     try:
         settings = load_settings(path)
@@ -35,11 +42,16 @@
         click.echo(f'{path}: ok')
         return
     to_file(sys.stdout)
-    trio.run(_run, settings)
+    try:
+        trio.run(_run, settings, bootstrap)
+    except SettingsError as error:
+        click.echo(error.message, err=True)
+        sys.exit(2)
 
 
-async def _run(settings: Settings) -> None:
-    daemon = DaemonInstance(settings)
+async def _run(settings: Settings, bootstrap: tuple[str, ...]) -> None:
+    groups = InstanceGroups(settings, bootstrap) if settings.peers else None
+    daemon = DaemonInstance(settings, groups=groups)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_watch_signals, daemon)
         addresses = await nursery.start(daemon.run)
--- a/shallotmux/demo/_run.py
+++ b/shallotmux/demo/_run.py
@@ -9,7 +9,13 @@
 from shallotmux.authority import CreateKey, PutObject, WithdrawKey, create_secret
 from shallotmux.daemon import DaemonInstance
 from shallotmux.http import HttpcoreClient, HttpRequest, Listener, fetch, serve_app
-from shallotmux.settings import InstanceSettings, ListenerSettings, SecretSettings, Settings
+from shallotmux.settings import (
+    GroupSettings,
+    InstanceSettings,
+    ListenerSettings,
+    SecretSettings,
+    Settings,
+)
 from shallotmux.standins import EngineStandin
 from shallotmux.world import Customer, Endpoint, EndpointPool, Route
 
@@ -25,6 +31,7 @@
         instance=InstanceSettings(name='entry-1', zone='zone-a'),
         listeners=ListenerSettings(callers=LOOPBACK, operators=LOOPBACK),
         secrets=SecretSettings(pepper=PEPPER, operator_token='demonstration-token'),  # noqa: S106
+        groups=GroupSettings(standalone=True),
     )
 
 
--- a/shallotmux/membership/__init__.py
+++ b/shallotmux/membership/__init__.py
@@ -12,6 +12,7 @@
 )
 from shallotmux.membership._propagation import (
     Propagation,
+    PropagationTracker,
     find_propagation,
     lowest_revisions,
 )
@@ -34,6 +35,7 @@
     'Patience',
     'PlatformList',
     'Propagation',
+    'PropagationTracker',
     'Report',
     'Seat',
     'desired_voters',
--- a/shallotmux/membership/_group.py
+++ b/shallotmux/membership/_group.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from operator import attrgetter
 from random import Random
@@ -99,7 +100,6 @@
         store: GroupStorage,
         options: GroupOptions,
         random: Random,
-        preferred: tuple[str, ...] = (),
     ) -> None:
         now = trio.current_time()
         self.seat = seat
@@ -160,6 +160,10 @@
             return
         self._take(envelope.sender, message)
 
+    def zone_revisions(self) -> Mapping[str, int]:
+        """Return the lowest revision in force in each zone, as the leader last published it."""
+        return self.tree.zone_revisions
+
     async def handle_forward(self, command: bytes) -> ForwardAnswer:
         """Commit a command forwarded by a peer."""
         return await self.driver.commit(command, self._options.limits.submit_s)
--- a/shallotmux/membership/_propagation.py
+++ b/shallotmux/membership/_propagation.py
@@ -4,7 +4,9 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from typing import Protocol
 
+from shallotmux.authority import Command, is_fleet_command
 from shallotmux.membership._messages import Report
 from shallotmux.membership._policy import GroupPlan
 from shallotmux.transport import instance_name
@@ -39,6 +41,36 @@
     }
 
 
+class RevisionSource(Protocol):
+    """Knows the lowest revision of a group in force in each zone."""
+
+    def zone_revisions(self) -> Mapping[str, int]:
+        """Return the revisions by zone, as the leader last published them."""
+
+
+class PropagationTracker:
+    """Tells operators in which zones an accepted change is in force.
+
+    A change is in force in a zone once all its instances have reported it; until then it is
+    pending there. The figures lag behind by a few poll intervals, never the other way round.
+
+    :param zone: the zone group of this instance.
+    :param fleet: the fleet group.
+    """
+
+    def __init__(self, zone: RevisionSource, fleet: RevisionSource, zones: Iterable[str]) -> None:
+        self._zone = zone
+        self._fleet = fleet
+        self._zones = tuple(zones)
+
+    def find(self, command: Command, revision: int) -> Propagation:
+        """Return where the revision that a command was applied at is in force."""
+        if is_fleet_command(command):
+            return find_propagation(revision, self._zones, self._fleet.zone_revisions())
+        own = self._zone.zone_revisions()
+        return find_propagation(revision, own, own)
+
+
 def find_propagation(
     revision: int, zones: Iterable[str], zone_revisions: Mapping[str, int]
 ) -> Propagation:
--- a/shallotmux/settings/__init__.py
+++ b/shallotmux/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from shallotmux.settings._fleet import GroupSettings, PeerSettings, PeerTlsSettings
 from shallotmux.settings._loader import load_settings
 from shallotmux.settings._models import (
     InstanceSettings,
@@ -11,8 +12,11 @@
 )
 
 __all__ = (
+    'GroupSettings',
     'InstanceSettings',
     'ListenerSettings',
+    'PeerSettings',
+    'PeerTlsSettings',
     'SecretSettings',
     'Settings',
     'load_settings',
--- a/shallotmux/settings/_models.py
+++ b/shallotmux/settings/_models.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from shallotmux.settings._fleet import (
+    GroupSettings,
+    PeerSettings,
+    PeerTlsSettings,
+    check_fleet,
+)
 
 
 class _Strict(BaseModel):
@@ -39,3 +46,12 @@
     instance: InstanceSettings
     listeners: ListenerSettings = ListenerSettings()
     secrets: SecretSettings
+    peers: tuple[PeerSettings, ...] = ()
+    peer_tls: PeerTlsSettings | None = None
+    groups: GroupSettings = GroupSettings()
+
+    @model_validator(mode='after')
+    def check_fleet(self) -> Settings:
+        """Check that the instances of the fleet and this one agree."""
+        check_fleet(self.instance.name, self.instance.zone, self.peers, self.groups, self.peer_tls)
+        return self
--- a/tests/callers/test_app.py
+++ b/tests/callers/test_app.py
@@ -10,7 +10,7 @@
 from shallotmux.authority import CreateKey, PutObject, WithdrawKey, create_secret
 from shallotmux.daemon import DaemonInstance
 from shallotmux.http import HttpRequest, fetch
-from shallotmux.settings import InstanceSettings, SecretSettings, Settings
+from shallotmux.settings import GroupSettings, InstanceSettings, SecretSettings, Settings
 from shallotmux.standins import EngineStandin, MemoryNetwork, prompt_key, token_text
 from shallotmux.world import Customer, Endpoint, EndpointPool, Route
 
@@ -48,6 +48,7 @@
     settings = Settings(
         instance=InstanceSettings(name='entry-1', zone='zone-a'),
         secrets=SecretSettings(pepper=PEPPER, operator_token='x' * 16),
+        groups=GroupSettings(standalone=True),
     )
     daemon = DaemonInstance(settings, client=network.client(ENTRY))
     network.serve(ENTRY, daemon.caller_app)
--- /dev/null
+++ b/tests/daemon/test_groups.py
@@ -0,0 +1,179 @@
+"""Tests of daemons that form a fleet over loopback sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+import pytest
+import trio
+
+from shallotmux.daemon import FLEET_GROUP, ZONE_PREFIX, Addresses, DaemonInstance, InstanceGroups
+from shallotmux.errors import SettingsError
+from shallotmux.http import HttpcoreClient, HttpRequest, fetch
+from shallotmux.settings import (
+    InstanceSettings,
+    ListenerSettings,
+    PeerSettings,
+    SecretSettings,
+    Settings,
+)
+from shallotmux.transport import GrpcPeerNetwork
+
+LOOPBACK = '127.0.0.1:0'
+TOKEN = 'operators-of-the-fleet'
+DEADLINE_S = 40
+LIMIT_BYTES = 100_000
+ZONE = 'zone-a'
+NAMES = ('entry-1', 'entry-2', 'entry-3')
+
+
+def fleet_settings(name: str, folder: Path) -> Settings:
+    """Return the settings of one instance of a zone of three."""
+    peers = tuple(
+        PeerSettings(name=each, zone=ZONE, address=LOOPBACK, has_disk=True) for each in NAMES
+    )
+    return Settings(
+        instance=InstanceSettings(name=name, zone=ZONE, data_folder=str(folder / name)),
+        listeners=ListenerSettings(callers=LOOPBACK, operators=LOOPBACK),
+        secrets=SecretSettings(pepper='p' * 16, operator_token=TOKEN),
+        peers=peers,
+    )
+
+
+@dataclass
+class Fleet:
+    """Daemons in one process; addresses are known once the system has chosen the ports."""
+
+    nursery: trio.Nursery
+    folder: Path
+    ports: dict[str, str] = field(default_factory=lambda: dict.fromkeys(NAMES, '127.0.0.1:1'))
+    daemons: dict[str, DaemonInstance] = field(default_factory=dict)
+    addresses: dict[str, Addresses] = field(default_factory=dict)
+    scopes: dict[str, trio.CancelScope] = field(default_factory=dict)
+    client: HttpcoreClient = field(default_factory=HttpcoreClient)
+
+    async def start(self, name: str, *bootstrap: str) -> None:
+        """Start a daemon."""
+        await self.nursery.start(self._run, name, bootstrap)
+
+    def leader(self) -> str:
+        """Return the name of the zone group's leader, or an empty text."""
+        for name, daemon in self.daemons.items():
+            if daemon.authority.leadership().is_leader:
+                return name
+        return ''
+
+    def has_voters(self, count: int) -> bool:
+        """Tell whether all instances of the zone group know so many voters."""
+        members = [each.groups.members[ZONE_PREFIX + ZONE] for each in self.daemons.values()]
+        held = {each.driver.status().configuration for each in members}
+        return bool(self.leader()) and len(held) == 1 and len(held.pop().voters) == count
+
+    async def until(self, condition: Callable[[], object]) -> None:
+        """Wait for a condition."""
+        while not condition():
+            await trio.sleep(0.02)
+
+    async def call(self, name: str, method: str, path: str, content: object = None) -> object:
+        """Send a request to an instance's operator interface."""
+        headers = {
+            'authorization': f'Bearer {TOKEN}',
+            'shallotmux-operation-id': f'{method}{path}',
+            'if-match': '0',
+        }
+        body = msgspec.json.encode(content)
+        request = HttpRequest(method, self.addresses[name].operators, path, body, headers)
+        status, answer = await fetch(self.client, request, LIMIT_BYTES)
+        assert status == 200, answer
+        return msgspec.json.decode(answer)
+
+    async def ask(self, name: str, secret: str) -> int:
+        """Send a caller's request, and return the status of the answer."""
+        headers = {'authorization': f'Bearer {secret}'}
+        body = msgspec.json.encode(
+            {'model': 'none', 'messages': [{'role': 'user', 'content': 'x'}]}
+        )
+        path = '/v1/chat/completions'
+        request = HttpRequest('POST', self.addresses[name].callers, path, body, headers)
+        return (await fetch(self.client, request, LIMIT_BYTES))[0]
+
+    async def _run(
+        self, name: str, bootstrap: tuple[str, ...], task_status: trio.TaskStatus[None]
+    ) -> None:
+        settings = fleet_settings(name, self.folder)
+        network = GrpcPeerNetwork(name, LOOPBACK, self.ports, None)
+        groups = InstanceGroups(settings, bootstrap, network)
+        daemon = DaemonInstance(settings, groups=groups)
+        with trio.CancelScope() as scope:
+            self.scopes[name] = scope
+            async with trio.open_nursery() as nursery:
+                self.addresses[name] = await nursery.start(daemon.run)
+                self.ports[name] = self.addresses[name].peers
+                self.daemons[name] = daemon
+                task_status.started()
+        self.daemons.pop(name)
+
+
+async def test_three_daemons_share_keys_and_survive_their_leader(tmp_path: Path) -> None:
+    """Guards against daemons that do not form one zone over real sockets."""
+    with trio.fail_after(DEADLINE_S):
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, tmp_path)
+            await fleet.start('entry-1', FLEET_GROUP, ZONE_PREFIX + ZONE)
+            await fleet.start('entry-2')
+            await fleet.start('entry-3')
+            await fleet.until(lambda: fleet.has_voters(3))
+            await fleet.call('entry-2', 'PUT', '/v1/customer/tailors', {'name': 'tailors'})
+            created = await fleet.call('entry-3', 'POST', '/v1/customer/tailors/keys')
+            revision = created['revision']
+            await fleet.until(
+                lambda: all(
+                    each.authority.read().revision >= revision for each in fleet.daemons.values()
+                )
+            )
+            # A valid key gets as far as the missing route; an invalid one is refused with 401.
+            assert [await fleet.ask(name, created['secret']) for name in NAMES] == [404, 404, 404]
+            fleet.scopes[fleet.leader()].cancel()
+            await fleet.until(lambda: len(fleet.daemons) == 2)
+            survivor = min(fleet.daemons)
+            await fleet.call(survivor, 'DELETE', f'/v1/key/{created["key_id"]}')
+            assert await fleet.ask(survivor, created['secret']) == 401
+            await fleet.client.close()
+            nursery.cancel_scope.cancel()
+
+
+async def test_shutdown_hands_leadership_over(tmp_path: Path) -> None:
+    """Guards against a planned restart of the leader that stops changes for an election."""
+    with trio.fail_after(DEADLINE_S):
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, tmp_path)
+            await fleet.start('entry-1', FLEET_GROUP, ZONE_PREFIX + ZONE)
+            await fleet.start('entry-2')
+            await fleet.start('entry-3')
+            await fleet.until(lambda: fleet.has_voters(3))
+            leader = fleet.leader()
+            zone = fleet.daemons[leader].groups.members[ZONE_PREFIX + ZONE]
+            await fleet.until(lambda: len(zone.table.members(trio.current_time())) == 2)
+            fleet.daemons[leader].shut_down()
+            await fleet.until(lambda: leader not in fleet.daemons)
+            assert fleet.leader()
+            nursery.cancel_scope.cancel()
+
+
+async def test_settings_without_peers_must_say_standalone() -> None:
+    """Guards against an instance that silently starts a fleet of its own."""
+    settings = Settings(
+        instance=InstanceSettings(name='entry-1', zone=ZONE),
+        secrets=SecretSettings(pepper='p' * 16, operator_token=TOKEN),
+    )
+    with pytest.raises(SettingsError, match='standalone'):
+        DaemonInstance(settings)
+
+
+async def test_bootstrap_of_unknown_group_is_refused(tmp_path: Path) -> None:
+    """Guards against a misspelt group that leaves the right one without a start."""
+    with pytest.raises(SettingsError, match='zone/zone-b'):
+        InstanceGroups(fleet_settings('entry-1', tmp_path), ('zone/zone-b',))
