Keep the steady cost of control below its target

Almost all of it was spent per message and per wake-up. Voters now poll when they answer a heartbeat, and the answers wait for the next one, so both go in one gRPC message; the fleet group's polls go along with those of the zone; heartbeats are 0.6 s apart under a lease of 1.4 s; status is computed once per round; instances outside a group tick once a second; reports carry no field names; the leader answers voters only, the other instances follow the other voters.

An instance that got an answer without news stayed with the instance that gave it, and two could follow each other for good; one now looks further until it finds news.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 ARGS ?=
 
-.PHONY: help env format lint types test unit demo bench measure explore proto clean
+.PHONY: control-cost help env format lint types test unit demo bench measure explore proto clean
 
 help:
 	@echo "make demo     run three zones with stand-in back ends (ARGS=--serve keeps them running)"
@@ -39,6 +39,9 @@
 	$(BIN)/flake8 shallotmux tests
 	$(BIN)/mypy
 
+control-cost: env
+	$(BIN)/python -m shallotmux.membership.cost $(ARGS)
+
 # Needs grpcio-tools and mypy-protobuf, which are not requirements: the generated modules are committed.
 proto:
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --mypy_out=. --grpclib_python_out=. \
--- a/shallotmux/authority/_driver.py
+++ b/shallotmux/authority/_driver.py
@@ -15,6 +15,7 @@
 from shallotmux.authority._state import Result, decode_command, encode_result
 from shallotmux.errors import MembershipRefused, NotLeader
 from shallotmux.replication import (
+    AppendReply,
     Effects,
     Entry,
     Envelope,
@@ -31,6 +32,9 @@
 #: Inputs that wait for the driver. Beyond this, envelopes are dropped and commands are refused.
 INBOX_LENGTH = 4096
 
+#: Interval of time inputs of an instance that is no member; they only bound its start-up.
+OUTSIDER_TICK_S = 1.0
+
 #: What decoding a command from another program version may raise.
 UNDECODABLE = (msgspec.MsgspecError, KeyError, TypeError, ValueError)
 
@@ -117,13 +121,19 @@
         self._outgoing = channels[0]
         self._inbox = channels[1]
         self._waiting: dict[int, Proposal] = {}
+        self._status = replica.status()
+        #: Called before a reply to the leader is sent, so that other messages can go with it.
+        self.before_reply: Callable[[], None] = _do_nothing
         #: Last index that the replica handed out; the state may be ahead of it when it also
         #: follows another instance.
         self._delivered_index = state.applied_index
 
     def status(self) -> ReplicaStatus:
-        """Return what the replica knows."""
-        return self._replica.status()
+        """Return what the replica knew after its last input.
+
+        The lease in it can only have been prolonged since.
+        """
+        return self._status
 
     def is_leader(self) -> bool:
         """Tell whether this instance holds the lease and has applied all earlier entries."""
@@ -169,6 +179,7 @@
             self._replica.change_membership(change, trio.current_time())
         except (NotLeader, MembershipRefused):
             return False
+        self._status = self._replica.status()
         return True
 
     def transfer(self, target: str) -> bool:
@@ -177,6 +188,7 @@
             self._replica.transfer(target, trio.current_time())
         except (NotLeader, MembershipRefused):
             return False
+        self._status = self._replica.status()
         return True
 
     async def run(self) -> None:
@@ -189,11 +201,19 @@
             now = trio.current_time()
             if now >= next_tick:
                 self._replica.tick(now)
-                next_tick = now + self._tick_s
+                next_tick = now + self._next_tick_s()
+            # Before messages go out: one of them may let another leader be elected.
+            self._status = self._replica.status()
             await self._carry_out()
+            self._status = self._replica.status()
             self._confirm_as_leader()
             self._release_waiting()
 
+    def _next_tick_s(self) -> float:
+        """Return the time to the next time input; an instance that is no member has no timers."""
+        is_member = self.identity in self._status.configuration.members
+        return self._tick_s if is_member else max(self._tick_s, OUTSIDER_TICK_S)
+
     def _drain(self) -> None:
         for _ in range(INPUTS_PER_ROUND):
             try:
@@ -223,8 +243,7 @@
         effects = self._replica.take_effects()
         while effects != Effects():
             await self._persist(effects)
-            for message in effects.messages:
-                self._send_message(message)
+            self._send_messages(effects)
             self._apply(effects)
             self._take_snapshot()
             effects = self._replica.take_effects()
@@ -236,16 +255,16 @@
         if effects.entries:
             self._replica.persisted(effects.entries[-1].index)
 
-    def _send_message(self, message: Envelope) -> None:
-        self._send(
-            PeerEnvelope(
-                self.group,
-                message.sender,
-                message.recipient,
-                Channel.REPLICATION,
-                encode_envelope(message),
+    def _send_messages(self, effects: Effects) -> None:
+        if any(isinstance(each.message, AppendReply) for each in effects.messages):
+            self.before_reply()
+        for message in effects.messages:
+            payload = encode_envelope(message)
+            self._send(
+                PeerEnvelope(
+                    self.group, message.sender, message.recipient, Channel.REPLICATION, payload
+                )
             )
-        )
 
     def _apply(self, effects: Effects) -> None:
         before = self.state.applied_index
@@ -294,6 +313,10 @@
         self._waiting.clear()
 
 
+def _do_nothing() -> None:
+    """Stand in for a hook that is not set."""
+
+
 def _check_command(payload: bytes) -> ForwardAnswer | None:
     """Refuse what could not be applied, since every replica would stop at such an entry."""
     try:
--- a/shallotmux/daemon/_groups.py
+++ b/shallotmux/daemon/_groups.py
@@ -4,6 +4,7 @@
 
 from collections import defaultdict
 from collections.abc import Collection
+from dataclasses import replace
 from pathlib import Path
 from random import Random, SystemRandom
 
@@ -26,7 +27,7 @@
     Seat,
 )
 from shallotmux.replication import ReplicaOptions
-from shallotmux.settings import GroupSettings, Settings
+from shallotmux.settings import Settings
 from shallotmux.storage import GroupStore, VolatileStore
 from shallotmux.transport import (
     ForwardAnswer,
@@ -44,6 +45,9 @@
 FLEET_GROUP = 'fleet'
 ZONE_PREFIX = 'zone/'
 
+#: Factor on the fleet group's heartbeats and election times.
+FLEET_STRETCH = 2
+
 
 class InstanceGroups:
     """An instance's zone group, the fleet group, and the groups that it is a witness of.
@@ -65,7 +69,7 @@
         self._has_disk = any(each.has_disk for each in settings.peers if each.name == own.name)
         self.identity = own.name if self._has_disk else new_identity(own.name, SystemRandom())
         self._network = network or make_network(settings)
-        self._options = group_options(settings.groups, run_blocking)
+        self._options = group_options(settings, run_blocking)
         plans = group_plans(settings)
         unknown = self._bootstrap - frozenset(plans)
         if unknown or (self._bootstrap and not self._has_disk):
@@ -76,6 +80,8 @@
         self.members = {name: self._join(name, plan) for name, plan in plans.items()}
         zone = self.members[ZONE_PREFIX + own.zone]
         fleet = self.members[FLEET_GROUP]
+        fleet.tree.is_companion = True
+        zone.tree.companions.append(fleet.tree)
         self.authority = FleetAuthority(zone.authority, fleet.authority)
         self.propagation = PropagationTracker(zone, fleet, fleet.seat.plan.zones)
 
@@ -115,7 +121,10 @@
             folder = Path(own.data_folder) / 'groups' / name.replace('/', '-')
             store = GroupStore(folder)
         random = Random(SystemRandom().getrandbits(64))  # noqa: S311
-        return GroupMember(seat, self._network, store, self._options, random)
+        options = self._options
+        if name == FLEET_GROUP:
+            options = replace(options, replica=stretch_times(options.replica))
+        return GroupMember(seat, self._network, store, options, random)
 
 
 def choose_authority(settings: Settings, groups: InstanceGroups | None) -> Authority:
@@ -154,8 +163,9 @@
     return plans
 
 
-def group_options(groups: GroupSettings, run_blocking: RunBlocking) -> GroupOptions:
+def group_options(settings: Settings, run_blocking: RunBlocking) -> GroupOptions:
     """Return the options that the settings describe."""
+    groups = settings.groups
     return GroupOptions(
         replica=ReplicaOptions(
             heartbeat_s=groups.heartbeat_s,
@@ -168,3 +178,14 @@
         replace_after_s=groups.replace_after_s,
         run_blocking=run_blocking,
     )
+
+
+def stretch_times(options: ReplicaOptions) -> ReplicaOptions:
+    """Return the options of the fleet group, which changes rarely and orders nothing."""
+    return replace(
+        options,
+        heartbeat_s=FLEET_STRETCH * options.heartbeat_s,
+        election_min_s=FLEET_STRETCH * options.election_min_s,
+        election_max_s=FLEET_STRETCH * options.election_max_s,
+        lease_s=FLEET_STRETCH * options.lease_s,
+    )
--- a/shallotmux/membership/_group.py
+++ b/shallotmux/membership/_group.py
@@ -79,13 +79,15 @@
     """Times of a group.
 
     :param poll_s: interval of polls and reports.
+    :param care_s: interval at which the leader looks after the members.
     :param replace_after_s: silence after which a voter is replaced.
     """
 
-    replica: ReplicaOptions = ReplicaOptions()
+    replica: ReplicaOptions = ReplicaOptions(0.6, 1.5, 2.3, 1.4)
     limits: AuthorityLimits = AuthorityLimits()
     patience: Patience = Patience()
-    poll_s: float = 0.5
+    poll_s: float = 1.0
+    care_s: float = 0.5
     replace_after_s: float = 30.0
     run_blocking: RunBlocking = run_in_thread
 
@@ -137,6 +139,7 @@
         self.authority = ReplicatedAuthority(
             self.driver, network, self.tree.leader, options.limits, random
         )
+        self.driver.before_reply = self.tree.poll_with_reply
         self._led_term = 0
 
     async def run(self) -> None:
@@ -145,7 +148,7 @@
             nursery.start_soon(self.driver.run)
             nursery.start_soon(self.tree.run)
             while True:
-                await trio.sleep(self._options.poll_s)
+                await trio.sleep(self._options.care_s)
                 if self.driver.is_leader():
                     self._care(trio.current_time())
 
@@ -199,11 +202,13 @@
             case Probe():
                 self._send(sender, self.position.own_report())
 
-    def _send(self, recipient: str, message: MembershipMessage) -> None:
+    def _send(self, recipient: str, message: MembershipMessage, may_wait: bool = False) -> None:
         seat = self.seat
         payload = encode_message(message)
         self._network.send(
-            PeerEnvelope(seat.group, seat.identity, recipient, Channel.MEMBERSHIP, payload)
+            PeerEnvelope(
+                seat.group, seat.identity, recipient, Channel.MEMBERSHIP, payload, may_wait
+            )
         )
 
     def _care(self, now: float) -> None:
--- a/shallotmux/membership/_messages.py
+++ b/shallotmux/membership/_messages.py
@@ -8,8 +8,11 @@
 
 from shallotmux.replication import Entry
 
+# Messages are encoded as arrays without field names: reports make up most of the traffic of a
+# large zone, and names would double them.
 
-class Report(msgspec.Struct, frozen=True, tag=True):
+
+class Report(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """What an instance says of itself.
 
     :param identity: name, with the incarnation of an instance without a disk.
@@ -27,21 +30,23 @@
     is_leaving: bool = False
 
 
-class Poll(msgspec.Struct, frozen=True, tag=True):
+class Poll(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Asks a followed instance for news, and passes reports on to the leader.
 
     :param number: rises with every poll of the sender, whichever instance it asks.
     :param wants_entries: whether the sender gets the log from here and not as a member.
+    :param may_wait: whether the answer may wait for the next message to the sender.
     :param reports: the sender's own and those of the instances that follow it.
     """
 
     number: int
     applied_index: int
     wants_entries: bool
+    may_wait: bool
     reports: tuple[Report, ...]
 
 
-class StateCopy(msgspec.Struct, frozen=True):
+class StateCopy(msgspec.Struct, frozen=True, array_like=True):
     """The whole applied state, for followers that need entries no longer held."""
 
     index: int
@@ -49,14 +54,15 @@
     payload: bytes
 
 
-class Update(msgspec.Struct, frozen=True, tag=True):
+class Update(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """News for an instance that follows the sender.
 
     :param number: newest poll received from the recipient.
     :param leader: identity of the leader, if known.
     :param voters: identities of the voters that may be followed.
     :param applied_index: last index that the sender has applied.
-    :param age_s: time since the sender's state was certainly complete, or None if it never was.
+    :param age_s: time from when the sender's state was certainly complete until the arrival of the
+        poll, negative if it was so later; None if it never was.
     :param is_member: whether the recipient is a member; None if the sender does not know. A
         removed member gets no more of the log, and so not the entry that removed it.
     :param zone_revisions: per zone, the lowest revision in force on its instances.
@@ -74,7 +80,7 @@
     zone_revisions: dict[str, int] = {}
 
 
-class Probe(msgspec.Struct, frozen=True, tag=True):
+class Probe(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Asks an instance that is suspected to be down for its report."""
 
 
--- a/shallotmux/membership/_position.py
+++ b/shallotmux/membership/_position.py
@@ -71,18 +71,17 @@
         configuration = self._driver.status().configuration
         return tuple(sorted(configuration.voters - configuration.witnesses))
 
-    def followable(self, voters: tuple[str, ...]) -> tuple[str, ...]:
+    def followable(self, voters: tuple[str, ...], leader: str | None) -> tuple[str, ...]:
         """Return instances to follow, in order of preference."""
         if self.leads():
             return ()
         if self.is_member():
-            leader = self.leader()
             return (leader,) if leader else ()
         if self._plan.one_per_zone:
             return self._order_by_zone(voters)
-        return self._spread(voters)
+        return self._spread(voters, leader)
 
-    def _spread(self, voters: tuple[str, ...]) -> tuple[str, ...]:
+    def _spread(self, voters: tuple[str, ...], leader: str | None) -> tuple[str, ...]:
         """Share the instances evenly between the voters, each starting with another one."""
         own = instance_name(self._identity)
         names = sorted(self._plan.names())
@@ -90,6 +89,9 @@
         others = [each for each in names if each not in taken]
         rank = others.index(own) if own in others else 0
         targets = voters or tuple(each for each in names if each != own)
+        if len(voters) > 1:
+            # The leader has the other voters to care for already.
+            targets = tuple(each for each in voters if each != leader)
         return _rotate(targets, rank)
 
     def _order_by_zone(self, voters: tuple[str, ...]) -> tuple[str, ...]:
--- a/shallotmux/membership/_tree.py
+++ b/shallotmux/membership/_tree.py
@@ -42,10 +42,24 @@
 #: Polls remembered, to know when the one that an update answers was sent.
 POLLS_REMEMBERED = 32
 
-#: Intervals without an answer after which another instance is followed, and without a poll after
-#: which a follower is forgotten.
+#: Intervals without a poll after which a follower is forgotten.
 SILENT_INTERVALS = 3
 
+#: Time after which an unanswered poll is sent to another instance. Followers of an instance that
+#: died must find another one well before their own state counts as stale.
+ANSWER_S = 0.4
+
+#: Share of the interval from which on a member's poll goes along with a reply; every commit causes
+#: a reply, and not every one needs a poll.
+REPLY_SHARE = 0.5
+
+#: Intervals after which a tree polls by itself although others set its pace.
+PACED_INTERVALS = 2
+
+
+#: Sends a message to an identity; the last argument tells whether it may wait for others.
+Send = Callable[[str, MembershipMessage, bool], None]
+
 
 class Position(Protocol):
     """Where an instance stands in its group at present."""
@@ -74,7 +88,7 @@
     def voters(self) -> tuple[str, ...]:
         """Return the voters that may be followed, if the replica of a member knows them."""
 
-    def followable(self, voters: tuple[str, ...]) -> tuple[str, ...]:
+    def followable(self, voters: tuple[str, ...], leader: str | None) -> tuple[str, ...]:
         """Return instances to follow, in order of preference; empty on the leader.
 
         :param voters: the voters as far as this instance knows them.
@@ -103,7 +117,9 @@
 class ReportTree:
     """One instance's place in the tree of a group.
 
-    :param send: sends a message to an identity.
+    A member polls whenever it answers the leader, so that its poll and the answer to it go along
+    with messages of the replicas. The others poll at intervals.
+
     :param interval_s: time between polls.
     """
 
@@ -112,7 +128,7 @@
         position: Position,
         state: GroupState,
         table: MemberTable,
-        send: Callable[[str, MembershipMessage], None],
+        send: Callable[[str, MembershipMessage, bool], None],
         *,
         interval_s: float,
         random: Random,
@@ -125,10 +141,16 @@
         self._random = random
         self._number = 0
         self._offset = 0
+        self._targets: tuple[str, ...] = ()
         self._answered_at = float('-inf')
         self._sent_at: OrderedDict[int, float] = OrderedDict()
         self._news = GroupNews()
         self.followers: dict[str, Follower] = {}
+        #: Trees of other groups, which poll when this one does, so that both go in one message.
+        self.companions: list[ReportTree] = []
+        #: Whether another group's tree polls on behalf of this one.
+        self.is_companion = False
+        self._polled_at = float('-inf')
         #: Per zone, the lowest revision in force, as the leader last computed it.
         self.zone_revisions: dict[str, int] = {}
 
@@ -146,10 +168,42 @@
             nursery.start_soon(self._push)
             # Instances of a zone start together; without jitter they would poll together.
             await trio.sleep(self._random.uniform(0, self._interval_s))
-            self._answered_at = trio.current_time()
             while True:
-                self._poll()
-                await trio.sleep(self._interval_s)
+                self._forget_silent(trio.current_time())
+                if self._is_due():
+                    self.poll()
+                await trio.sleep(min(ANSWER_S, self._interval_s))
+                if self._is_unanswered():
+                    self._offset += 1
+                else:
+                    await trio.sleep(max(0, self._interval_s - ANSWER_S))
+
+    def poll(self) -> None:
+        """Ask the followed instance for news, and let other groups' trees do so along with it."""
+        target = self._choose()
+        is_member = self._position.is_member()
+        self._polled_at = trio.current_time()
+        if target is not None:
+            self._send_poll(target, may_wait=is_member)
+        for companion in self.companions:
+            companion.poll_along(target, may_wait=is_member)
+
+    def poll_with_reply(self) -> None:
+        """Poll along with a reply to the leader, at about the usual interval."""
+        if trio.current_time() - self._polled_at >= REPLY_SHARE * self._interval_s:
+            self.poll()
+
+    def poll_along(self, target: str | None, *, may_wait: bool) -> None:
+        """Poll the instance that another group's tree polls, unless the own replica sets the pace.
+
+        :param target: None if the other tree polls nobody; then this tree chooses.
+        """
+        if self._position.is_member():
+            return
+        self._polled_at = trio.current_time()
+        chosen = target or self._choose()
+        if chosen is not None:
+            self._send_poll(chosen, may_wait=may_wait and target is not None)
 
     def take_poll(self, sender: str, poll: Poll) -> None:
         """Answer an instance that follows this one."""
@@ -165,7 +219,9 @@
         asked_at = self._sent_at.get(update.number)
         if asked_at is None:
             return
-        self._answered_at = trio.current_time()
+        if update.age_s is not None and update.age_s < SILENT_INTERVALS * self._interval_s:
+            # An instance without recent news is no better than one that does not answer.
+            self._answered_at = trio.current_time()
         if update.is_member is False:
             self._position.note_removed(update.applied_index)
         if update.term >= self._news.term:
@@ -177,35 +233,42 @@
             self._state.restore(copy.index, copy.term, copy.payload)
         self._state.apply_all(update.entries)
         if update.age_s is not None:
-            # The answer left after the poll did, so the confirmation is no older than this.
+            # The poll arrived after it was sent, so the confirmation is no older than this.
             self._state.confirm(update.applied_index, asked_at - update.age_s)
 
-    def _poll(self) -> None:
+    def _send_poll(self, target: str, *, may_wait: bool) -> None:
         now = trio.current_time()
-        self._forget_silent(now)
-        target = self._choose(now)
-        if target is None:
-            return
         self._number += 1
         self._sent_at[self._number] = now
         if len(self._sent_at) > POLLS_REMEMBERED:
             self._sent_at.popitem(last=False)
         own = self._position.own_report()
         others = tuple(each for each in self._table.recent(now) if each.identity != own.identity)
-        is_member = self._position.is_member()
-        poll = Poll(self._number, self._state.applied_index, not is_member, (own, *others))
-        self._send(target, poll)
-
-    def _choose(self, now: float) -> str | None:
-        """Return the instance to poll; the next one if the last did not answer."""
-        targets = self._position.followable(self.voters())
-        if not targets:
-            self._answered_at = now
-            return None
-        if now - self._answered_at > SILENT_INTERVALS * self._interval_s:
-            self._offset += 1
-            self._answered_at = now
-        return targets[self._offset % len(targets)]
+        wants_entries = not self._position.is_member()
+        poll = Poll(
+            self._number, self._state.applied_index, wants_entries, may_wait, (own, *others)
+        )
+        self._send(target, poll, may_wait)
+
+    def _is_due(self) -> bool:
+        """Tell whether to poll now; others set the pace of members and of companions."""
+        paced = self.is_companion or self._position.is_member()
+        wait_s = PACED_INTERVALS * self._interval_s if paced else 0
+        return trio.current_time() - self._polled_at >= wait_s
+
+    def _is_unanswered(self) -> bool:
+        """Tell whether a poll that must be answered at once was not."""
+        paced = self.is_companion or self._position.is_member()
+        return not paced and self._answered_at < self._polled_at
+
+    def _choose(self) -> str | None:
+        """Return the instance to poll, if any."""
+        targets = self._position.followable(self.voters(), self.leader())
+        if targets != self._targets:
+            # The first target is the one at which instances are shared evenly.
+            self._targets = targets
+            self._offset = 0
+        return targets[self._offset % len(targets)] if targets else None
 
     def _forget_silent(self, now: float) -> None:
         limit = now - SILENT_INTERVALS * self._interval_s
@@ -223,24 +286,23 @@
             await trio.sleep(PUSH_PAUSE_S)
 
     def _update(self, name: str, follower: Follower) -> None:
-        now = trio.current_time()
-        entries, copy = self._next_entries(follower, now)
+        entries, copy = self._next_entries(follower, trio.current_time())
         confirmed_at = self._state.confirmed_at
-        self._send(
-            name,
-            Update(
-                follower.poll.number,
-                max(self._position.term(), self._news.term),
-                self.leader(),
-                self.voters(),
-                self._state.applied_index,
-                now - confirmed_at if confirmed_at > float('-inf') else None,
-                entries,
-                copy,
-                self._position.knows_member(name),
-                self.zone_revisions,
-            ),
+        age_s = follower.heard_at - confirmed_at if confirmed_at > float('-inf') else None
+        update = Update(
+            follower.poll.number,
+            max(self._position.term(), self._news.term),
+            self.leader(),
+            self.voters(),
+            self._state.applied_index,
+            age_s,
+            entries,
+            copy,
+            self._position.knows_member(name),
+            self.zone_revisions,
         )
+        may_wait = follower.poll.may_wait and not entries and copy is None
+        self._send(name, update, may_wait)
 
     def _next_entries(
         self, follower: Follower, now: float
--- a/shallotmux/settings/_fleet.py
+++ b/shallotmux/settings/_fleet.py
@@ -57,11 +57,11 @@
     witnesses: dict[str, str] = Field(default_factory=dict)
     freshness_limit_s: float = Field(default=3.0, gt=0)
     submit_limit_s: float = Field(default=6.0, gt=0)
-    heartbeat_s: float = Field(default=0.25, gt=0)
-    election_min_s: float = Field(default=0.8, gt=0)
-    election_max_s: float = Field(default=1.6, gt=0)
-    lease_s: float = Field(default=0.7, gt=0)
-    poll_s: float = Field(default=0.5, gt=0)
+    heartbeat_s: float = Field(default=0.6, gt=0)
+    election_min_s: float = Field(default=1.5, gt=0)
+    election_max_s: float = Field(default=2.3, gt=0)
+    lease_s: float = Field(default=1.4, gt=0)
+    poll_s: float = Field(default=1.0, gt=0)
     replace_after_s: float = Field(default=30.0, gt=0)
 
     @model_validator(mode='after')
@@ -73,8 +73,10 @@
             raise ValueError('heartbeat_s must be less than half of lease_s')
         if self.election_max_s <= self.election_min_s:
             raise ValueError('election_max_s must exceed election_min_s')
-        if 4 * self.poll_s > self.freshness_limit_s:
-            raise ValueError('poll_s must be at most a quarter of freshness_limit_s')
+        if 2 * self.heartbeat_s + 1.5 * self.poll_s >= self.freshness_limit_s:
+            raise ValueError(
+                'freshness_limit_s must exceed two heartbeats and one and a half polls'
+            )
         return self
 
 
--- a/shallotmux/transport/_grpc.py
+++ b/shallotmux/transport/_grpc.py
@@ -16,6 +16,7 @@
 from shallotmux.errors import AuthorityUnavailable, OutcomeUnknown
 from shallotmux.transport import _peer_pb2 as wire
 from shallotmux.transport._link import (
+    LINGER_S,
     NAME_HEADER,
     PeerChannel,
     PeerLink,
@@ -77,7 +78,10 @@
                     self._nursery = nursery
                     bound_host, bound_port = sock.getsockname()[:2]
                     task_status.started(f'{bound_host}:{bound_port}')
-                    await trio.sleep_forever()
+                    while True:
+                        await trio.sleep(LINGER_S)
+                        for link in self._links.values():
+                            link.queue.flush_old()
             finally:
                 self._nursery = None
                 await _close(server)
--- a/shallotmux/transport/_link.py
+++ b/shallotmux/transport/_link.py
@@ -25,6 +25,10 @@
 #: Envelopes sent in one message.
 BATCH_ENVELOPES = 128
 
+#: Interval at which envelopes that may wait are looked for; they wait for one to two of these. It
+#: exceeds the interval of heartbeats, with which such envelopes usually go.
+LINGER_S = 0.7
+
 FIRST_BACKOFF_S = 0.1
 LONGEST_BACKOFF_S = 1.0
 
@@ -46,7 +50,8 @@
 
     def __init__(self) -> None:
         self._waiting: deque[PeerEnvelope] = deque()
-        self._filled = asyncio.Event()
+        self._ready = asyncio.Event()
+        self._is_old = False
         #: Envelopes dropped because the queue was full.
         self.dropped = 0
 
@@ -56,17 +61,26 @@
             self.dropped += 1
             return
         self._waiting.append(envelope)
-        self._filled.set()
+        if not envelope.may_wait:
+            self._ready.set()
+
+    def flush_old(self) -> None:
+        """Send what has waited since the last call for an envelope to go along with."""
+        if self._waiting and self._is_old:
+            self._ready.set()
+        self._is_old = bool(self._waiting)
 
     async def next_batch(self) -> Any:
         """Wait for envelopes and return them as one message."""
-        while not self._waiting:
-            self._filled.clear()
-            await self._filled.wait()
+        while not self._waiting or not self._ready.is_set():
+            self._ready.clear()
+            await self._ready.wait()
         count = min(len(self._waiting), BATCH_ENVELOPES)
-        return wire.Batch(
-            envelopes=[_to_wire(self._waiting.popleft()) for _ in range(count)],
-        )
+        batch = wire.Batch(envelopes=[_to_wire(self._waiting.popleft()) for _ in range(count)])
+        self._is_old = False
+        if not self._waiting:
+            self._ready.clear()
+        return batch
 
 
 class PeerChannel(Channel):
--- a/shallotmux/transport/_messages.py
+++ b/shallotmux/transport/_messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import TYPE_CHECKING, Protocol
 
@@ -41,6 +41,8 @@
     :param group: replication group that the message belongs to.
     :param sender: identity of the sender, which may carry an incarnation.
     :param recipient: identity of the recipient; without an incarnation, any incarnation is meant.
+    :param may_wait: whether the envelope may wait a little for the next one to the same peer. Not
+        sent.
     """
 
     group: str
@@ -48,6 +50,7 @@
     recipient: str
     channel: Channel
     payload: bytes
+    may_wait: bool = field(default=False, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/membership/test_group.py
+++ b/tests/membership/test_group.py
@@ -35,6 +35,17 @@
     return zone
 
 
+async def test_instances_that_started_early_find_the_leader(
+    make_zone: MakeZone, autojump_clock: MockClock
+) -> None:
+    """Guards against instances that follow each other although none has news."""
+    zone = make_zone(3, disks=3)
+    await zone.start('entry-02', 'entry-03')
+    await trio.sleep(10)
+    await zone.start('entry-01', bootstrap='entry-01')
+    await zone.settle(3)
+
+
 async def test_command_at_any_instance_is_applied_at_all(
     make_zone: MakeZone, autojump_clock: MockClock
 ) -> None:
@@ -242,8 +253,9 @@
     zone = make_zone(38, disks=5)
     await zone.start(*sorted(zone.plan.names()), bootstrap='entry-01')
     leader = await zone.settle(5, limit_s=60)
-    await trio.sleep(5)
-    assert max(len(each.tree.followers) for each in zone.members.values()) <= 4 + 7
+    await trio.sleep(10)
+    assert len(leader.tree.followers) == 4
+    assert max(len(each.tree.followers) for each in zone.members.values()) == 9
     assert len(leader.table.members(trio.current_time())) == 37
     await zone.members['entry-38'].authority.submit(PutObject('c', Customer('tailors'), 0))
     await zone.until(
