Let a removed member find out that it was removed

A voter that was removed hears no leader any more, and as a member it polled only the leader, so it stayed stale for good. A member without a leader now asks the other voters.

--- a/shallotmux/membership/_position.py
+++ b/shallotmux/membership/_position.py
@@ -76,7 +76,8 @@
         if self.leads():
             return ()
         if self.is_member():
-            return (leader,) if leader else ()
+            others = tuple(each for each in voters if each != self._identity)
+            return (leader,) if leader else others
         if self._plan.one_per_zone:
             return self._order_by_zone(voters)
         return self._spread(voters, leader)
--- a/shallotmux/membership/_tree.py
+++ b/shallotmux/membership/_tree.py
@@ -181,12 +181,12 @@
     def poll(self) -> None:
         """Ask the followed instance for news, and let other groups' trees do so along with it."""
         target = self._choose()
-        is_member = self._position.is_member()
+        may_wait = target is not None and self._position.is_member() and target == self.leader()
         self._polled_at = trio.current_time()
         if target is not None:
-            self._send_poll(target, may_wait=is_member)
+            self._send_poll(target, may_wait=may_wait)
         for companion in self.companions:
-            companion.poll_along(target, may_wait=is_member)
+            companion.poll_along(target, may_wait=may_wait)
 
     def poll_with_reply(self) -> None:
         """Poll along with a reply to the leader, at about the usual interval."""
@@ -252,14 +252,19 @@
 
     def _is_due(self) -> bool:
         """Tell whether to poll now; others set the pace of members and of companions."""
-        paced = self.is_companion or self._position.is_member()
-        wait_s = PACED_INTERVALS * self._interval_s if paced else 0
+        wait_s = PACED_INTERVALS * self._interval_s if self._is_paced() else 0
         return trio.current_time() - self._polled_at >= wait_s
 
     def _is_unanswered(self) -> bool:
         """Tell whether a poll that must be answered at once was not."""
-        paced = self.is_companion or self._position.is_member()
-        return not paced and self._answered_at < self._polled_at
+        return not self._is_paced() and self._answered_at < self._polled_at
+
+    def _is_paced(self) -> bool:
+        """Tell whether replies to the leader or another tree set the pace.
+
+        A member that hears of no leader may have been removed, and asks other voters about it.
+        """
+        return self.is_companion or (self._position.is_member() and self.leader() is not None)
 
     def _choose(self) -> str | None:
         """Return the instance to poll, if any."""
--- a/tests/membership/test_group.py
+++ b/tests/membership/test_group.py
@@ -256,6 +256,7 @@
     await trio.sleep(10)
     assert len(leader.tree.followers) == 4
     assert max(len(each.tree.followers) for each in zone.members.values()) == 9
+    assert sum(len(each.tree.followers) for each in zone.members.values()) == 37
     assert len(leader.table.members(trio.current_time())) == 37
     await zone.members['entry-38'].authority.submit(PutObject('c', Customer('tailors'), 0))
     await zone.until(
