--- a/shallotmux/authority/_fleet.py
+++ b/shallotmux/authority/_fleet.py
@@ -66,9 +66,9 @@
         """Return who leads the zone group."""
         return self.zone.leadership()
 
-    async def wait_changed(self, revision: int) -> int:
-        """Wait for a revision of the zone's state higher than the given one, and return it."""
-        return await self.zone.wait_changed(revision)
+    async def wait_changed(self, revision: int) -> None:
+        """Return when the revision of the zone's state is beyond the given one."""
+        await self.zone.wait_changed(revision)
 
 
 def _is_same(
--- a/shallotmux/authority/_group_state.py
+++ b/shallotmux/authority/_group_state.py
@@ -89,11 +89,10 @@
         self._changed.set()
         self._changed = trio.Event()
 
-    async def wait_changed(self, revision: int) -> int:
-        """Wait for a revision higher than the given one, and return it."""
+    async def wait_changed(self, revision: int) -> None:
+        """Return when the revision of the local state is beyond the given one."""
         while self.zone.revision <= revision:
             await self._changed.wait()
-        return self.zone.revision
 
     async def wait_applied(self, index: int) -> int:
         """Wait for an entry beyond the given index, and return the last index applied."""
--- a/shallotmux/authority/_replicated.py
+++ b/shallotmux/authority/_replicated.py
@@ -88,9 +88,9 @@
         leader = instance_name(self._leader() or '')
         return Leadership(leader, status.term, status.lease_end, self._driver.is_leader())
 
-    async def wait_changed(self, revision: int) -> int:
-        """Wait for a revision higher than the given one, and return it."""
-        return await self._driver.state.wait_changed(revision)
+    async def wait_changed(self, revision: int) -> None:
+        """Return when the revision of the local state is beyond the given one."""
+        await self._driver.state.wait_changed(revision)
 
     async def _attempt(self, payload: bytes, deadline: float) -> ForwardAnswer:
         timeout_s = min(ATTEMPT_S, deadline - trio.current_time())
--- a/shallotmux/daemon/_groups.py
+++ b/shallotmux/daemon/_groups.py
@@ -53,6 +53,7 @@
     """An instance's zone group, the fleet group, and the groups that it is a witness of.
 
     :param bootstrap: names of the groups to start when nothing is stored.
+    :param recover: names of the groups to start again from this instance's disk alone.
     :param network: replaces the network that the settings describe.
     """
 
@@ -61,20 +62,22 @@
         settings: Settings,
         bootstrap: Collection[str] = (),
         network: PeerNetwork | None = None,
+        recover: Collection[str] = (),
         run_blocking: RunBlocking = run_in_thread,
     ) -> None:
         own = settings.instance
         self._settings = settings
         self._bootstrap = frozenset(bootstrap)
+        self._recover = frozenset(recover)
         self._has_disk = any(each.has_disk for each in settings.peers if each.name == own.name)
         self.identity = own.name if self._has_disk else new_identity(own.name, SystemRandom())
         self._network = network or make_network(settings)
         self._options = group_options(settings, run_blocking)
         plans = group_plans(settings)
-        unknown = self._bootstrap - frozenset(plans)
-        if unknown or (self._bootstrap and not self._has_disk):
+        named = self._bootstrap | self._recover
+        if named - frozenset(plans) or (named and not self._has_disk):
             raise SettingsError(
-                f'bootstrap {sorted(self._bootstrap)}: needs a disk and one of {sorted(plans)}',
+                f'groups {sorted(named)}: starting one needs a disk and one of {sorted(plans)}',
                 step='bootstrap',
             )
         self.members = {name: self._join(name, plan) for name, plan in plans.items()}
@@ -115,7 +118,15 @@
 
     def _join(self, name: str, plan: GroupPlan) -> GroupMember:
         own = self._settings.instance
-        seat = Seat(name, self.identity, own.zone, self._has_disk, plan, name in self._bootstrap)
+        seat = Seat(
+            name,
+            self.identity,
+            own.zone,
+            self._has_disk,
+            plan,
+            bootstrap=name in self._bootstrap,
+            recover=name in self._recover,
+        )
         store: GroupStore | VolatileStore = VolatileStore()
         if self._has_disk:
             folder = Path(own.data_folder) / 'groups' / name.replace('/', '-')
--- a/shallotmux/daemon/_main.py
+++ b/shallotmux/daemon/_main.py
@@ -31,7 +31,13 @@
     metavar='GROUP',
     help='Start an empty group: fleet or zone/NAME. On one instance, at the first start only.',
 )
-def main(path: Path, check: bool, bootstrap: tuple[str, ...]) -> None:
+@click.option(
+    '--recover',
+    multiple=True,
+    metavar='GROUP',
+    help='Start a group again from this disk alone, after its other voters have lost the log.',
+)
+def main(path: Path, check: bool, bootstrap: tuple[str, ...], recover: tuple[str, ...]) -> None:
     """Run one entry instance of shallotmux."""
     try:
         settings = load_settings(path)
@@ -43,14 +49,14 @@
         return
     to_file(sys.stdout)
     try:
-        trio.run(_run, settings, bootstrap)
+        trio.run(_run, settings, bootstrap, recover)
     except SettingsError as error:
         click.echo(error.message, err=True)
         sys.exit(2)
 
 
-async def _run(settings: Settings, bootstrap: tuple[str, ...]) -> None:
-    groups = InstanceGroups(settings, bootstrap) if settings.peers else None
+async def _run(settings: Settings, bootstrap: tuple[str, ...], recover: tuple[str, ...]) -> None:
+    groups = InstanceGroups(settings, bootstrap, recover=recover) if settings.peers else None
     daemon = DaemonInstance(settings, groups=groups)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_watch_signals, daemon)
--- a/shallotmux/membership/_group.py
+++ b/shallotmux/membership/_group.py
@@ -42,6 +42,7 @@
     Role,
     StoredGroup,
     bootstrap_group,
+    recover_group,
 )
 from shallotmux.transport import Channel, ForwardAnswer, PeerEnvelope, PeerNetwork
 
@@ -64,6 +65,8 @@
 
     :param identity: name, with an incarnation if the instance has no disk.
     :param bootstrap: whether to start the group when nothing is stored; set on one instance.
+    :param recover: whether to start the group again from this disk alone, after its other voters
+        have lost the log; set on one instance.
     """
 
     group: str
@@ -72,6 +75,7 @@
     has_disk: bool
     plan: GroupPlan
     bootstrap: bool = False
+    recover: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -264,8 +268,12 @@
 
 
 def _load(seat: Seat, store: GroupStorage) -> StoredGroup:
-    """Return the stored group; a new one only if that was asked for."""
+    """Return the stored group; a new or recovered one only if that was asked for."""
     stored = store.load()
+    if stored is not None and seat.recover:
+        recovered = recover_group({seat.identity: stored})[1]
+        store.save(Effects(recovered.hard_state, recovered.entries[-1:]))
+        return recovered
     if stored is not None:
         return stored
     if not seat.bootstrap:
--- a/tests/membership/conftest.py
+++ b/tests/membership/conftest.py
@@ -56,10 +56,10 @@
     members: dict[str, GroupMember] = field(default_factory=dict)
     scopes: dict[str, trio.CancelScope] = field(default_factory=dict)
 
-    async def start(self, *names: str, bootstrap: str = '') -> None:
+    async def start(self, *names: str, bootstrap: str = '', recover: str = '') -> None:
         """Start instances."""
         for name in names:
-            await self.nursery.start(self._run, name, name == bootstrap)
+            await self.nursery.start(self._run, name, name == bootstrap, name == recover)
 
     def kill(self, *names: str) -> None:
         """End instances at once."""
@@ -101,13 +101,15 @@
         }
         return len(configuration.voters) == voters and held == {configuration}
 
-    async def _run(self, name: str, bootstrap: bool, task_status: trio.TaskStatus[None]) -> None:
+    async def _run(
+        self, name: str, bootstrap: bool, recover: bool, task_status: trio.TaskStatus[None]
+    ) -> None:
         has_disk = name in self.plan.disks
         identity = name if has_disk else new_identity(name, self.random)
         store = self.disks.setdefault(name, MemoryDisk()) if has_disk else VolatileStore()
         network = self.fabric.network(name)
         random = Random(self.random.getrandbits(32))
-        seat = Seat(ZONE, identity, ZONE, has_disk, self.plan, bootstrap)
+        seat = Seat(ZONE, identity, ZONE, has_disk, self.plan, bootstrap, recover)
         member = GroupMember(seat, network, store, self.options, random)
         self.members[name] = member
         with trio.CancelScope() as scope:
--- a/tests/membership/test_group.py
+++ b/tests/membership/test_group.py
@@ -151,6 +151,20 @@
     assert await zone.members['entry-02'].authority.submit(resent) == Applied(500)
 
 
+async def test_zone_recovers_from_its_only_disk(
+    make_zone: MakeZone, autojump_clock: MockClock
+) -> None:
+    """Guards against a zone that is lost although a disk holds all it committed."""
+    zone = make_zone(3, disks=1)
+    await zone.start(*THREE, bootstrap='entry-01')
+    await zone.settle(3)
+    await zone.members['entry-02'].authority.submit(PutObject('a', Customer('tailors'), 0))
+    zone.kill(*THREE)
+    await zone.start(*THREE, recover='entry-01')
+    await zone.settle(3)
+    assert all(each.state.zone.revision == 1 for each in zone.members.values())
+
+
 async def test_equal_revisions_have_one_winner(
     make_zone: MakeZone, autojump_clock: MockClock
 ) -> None:
