--- a/Makefile
+++ b/Makefile
@@ -4,13 +4,16 @@
 BIN = $(VENV)/bin
 ARGS ?=
 
-.PHONY: control-cost help env format lint types test unit demo bench measure explore proto clean
+.PHONY: guards bench capacity clean control-cost demo env explore failure-matrix format help lint measure proto test
 
 help:
 	@echo "make demo     run three zones with stand-in back ends (ARGS=--serve keeps them running)"
 	@echo "make test     run the whole test suite"
+	@echo "make bench    measure the relay against direct calls"
 	@echo "make lint     check formatting, style and types"
 	@echo "make explore  explore the replication group under faults (ARGS='--seed 1 --steps 200000')"
+	@echo "make measure  measure the decisions on seeded traces (ARGS=--report=DIR draws plots)"
+	@echo "make capacity measure the slopes of docs/CAPACITY.md"
 	@echo "make format   format the sources"
 
 env: $(VENV)/.stamp
@@ -23,12 +26,26 @@
 test: env
 	$(BIN)/python -m pytest $(ARGS)
 
+guards: env
+	$(BIN)/python -m tests.guards $(ARGS)
+
+# 1,000 random schedules of failures and 10,000 non-repeatable jobs take several minutes.
+failure-matrix: env
+	SHALLOTMUX_SCHEDULES=1000 SHALLOTMUX_JOBS=10000 $(BIN)/python -m pytest $(ARGS) \
+		tests/requests/test_failures.py tests/requests/test_jobs.py
+
 demo: env
 	$(BIN)/python -m shallotmux.demo $(ARGS)
 
 explore: env
 	$(BIN)/python -m shallotmux.checking $(ARGS)
 
+measure: env
+	$(BIN)/python -m shallotmux.measure $(ARGS)
+
+capacity: env
+	$(BIN)/python -m shallotmux.measure.capacity $(ARGS)
+
 format: env
 	$(BIN)/ruff check --fix shallotmux tests
 	$(BIN)/ruff format shallotmux tests
@@ -46,6 +63,8 @@
 proto:
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --mypy_out=. --grpclib_python_out=. \
 		shallotmux/transport/_peer.proto
+bench: env
+	$(BIN)/python -m shallotmux.bench $(ARGS)
 
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache
--- /dev/null
+++ b/shallotmux/cli/_apply.py
@@ -0,0 +1,74 @@
+"""Bring the configuration in line with a file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import click
+
+from shallotmux.cli._session import Session, pass_session, with_examples
+from shallotmux.errors import ShallotmuxError
+from shallotmux.operators import (
+    Change,
+    OperatorClient,
+    plan_changes,
+    read_configuration,
+    send_changes,
+)
+
+
+@click.command(
+    epilog=with_examples(
+        'shallotmux apply --dry-run configuration.json', 'shallotmux apply configuration.json'
+    )
+)
+@click.argument('file', type=click.Path(path_type=Path))
+@click.option('--dry-run', is_flag=True, help='Show the differences and send nothing.')
+@pass_session
+def apply(session: Session, file: Path, dry_run: bool) -> None:
+    """Create and replace the objects in FILE; objects that it does not name are left alone.
+
+    FILE holds objects by kind and name, and under "zones" further objects of single zones; those
+    of the zone of the instance are applied.
+
+    Shows the differences to the configuration in force before it sends. Stops at the first change
+    that fails; the file can be applied again.
+    """
+    done: list[dict[str, Any]] = []
+    planned: list[Change] = []
+
+    async def act(client: OperatorClient) -> None:
+        zone = (await client.view('status'))['zone']
+        planned.extend(await plan_changes(client, read_configuration(file, zone)))
+        if not session.as_json:
+            _print_diff(planned)
+        if not dry_run:
+            await _send(client, planned, done)
+
+    session.call(act)
+    _summarize(session, planned, done)
+
+
+async def _send(client: OperatorClient, planned: list[Change], done: list[dict[str, Any]]) -> None:
+    try:
+        await send_changes(client, planned, done)
+    except ShallotmuxError:
+        failed = planned[len(done)].place
+        click.echo(f'{len(done)} of {len(planned)} changes made; failed at {failed}', err=True)
+        raise
+
+
+def _print_diff(planned: list[Change]) -> None:
+    for change in planned:
+        click.echo('\n'.join(change.diff()))
+
+
+def _summarize(session: Session, planned: list[Change], done: list[dict[str, Any]]) -> None:
+    if session.as_json:
+        names = [str(change.place) for change in planned]
+        session.show({'planned': names, 'done': done}, [])
+        return
+    for answer in done:
+        session.show_change(answer['subject'], answer)
+    click.echo(f'{len(planned)} differences, {len(done)} changes made')
--- a/shallotmux/settings/_fleet.py
+++ b/shallotmux/settings/_fleet.py
@@ -98,7 +98,8 @@
         raise ValueError('peers: a name occurs twice')
     if peers and (name, zone) not in {(each.name, each.zone) for each in peers}:
         raise ValueError(f'peers: instance {name!r} of zone {zone!r} is missing')
-    if peers and tls is None and not all(_is_loopback(each.address) for each in peers):
+    local = [_is_loopback(each.address) for each in peers]
+    if tls is None and not all(local):
         raise ValueError('peer_tls: required unless all peers are on loopback addresses')
     zones = {each.name: each.zone for each in peers}
     for guarded, witness in groups.witnesses.items():
--- a/tests/daemon/test_groups.py
+++ b/tests/daemon/test_groups.py
@@ -84,7 +84,7 @@
             'shallotmux-operation-id': f'{method}{path}',
             'if-match': '0',
         }
-        body = msgspec.json.encode(content)
+        body = b'' if content is None else msgspec.json.encode(content)
         request = HttpRequest(method, self.addresses[name].operators, path, body, headers)
         status, answer = await fetch(self.client, request, LIMIT_BYTES)
         assert status == 200, answer
@@ -111,7 +111,7 @@
             self.scopes[name] = scope
             async with trio.open_nursery() as nursery:
                 self.addresses[name] = await nursery.start(daemon.run)
-                self.ports[name] = self.addresses[name].peers
+                self.ports[name] = daemon.peer_address
                 self.daemons[name] = daemon
                 task_status.started()
         self.daemons.pop(name)
