--- a/shallotmux/callers/_services.py
+++ b/shallotmux/callers/_services.py
@@ -18,6 +18,7 @@
 )
 from shallotmux.errors import CallerError
 from shallotmux.http import Receive, Scope, Send, find_header, send_answer
+from shallotmux.observability import label_request
 from shallotmux.requests import RequestExecutor, ServiceAnswer, ServiceRequest, hash_body
 from shallotmux.world import Route, RouteKind
 
@@ -60,21 +61,22 @@
         body = await read_bounded_body(scope, receive)
         request = self._build_request(scope, body)
 
-        async def work() -> None:
+        async def work(send: Send) -> None:
             answer = await self._executor.call_service(request)
             await _send(send, answer)
 
         if request.idempotency_key and not request.route.repeatable:
             # The job goes on without its caller, who can fetch the stored answer later.
-            await work()
+            await work(send)
         else:
-            await run_until_disconnect(receive, work)
+            await run_until_disconnect(receive, send, work)
 
     def _build_request(self, scope: Scope, body: bytes) -> ServiceRequest:
         name, _, rest = scope['path'].removeprefix(SERVICE_PREFIX).partition('/')
         found = authenticate(scope, self._authority, self._pepper)
         route = self._find_route(name)
         caller = authorize(found, route)
+        label_request(scope, route.name, caller.customer)
         path = build_path(rest, scope.get('query_string', b''))
         for content in (path.encode(), body):
             check_content(content, self._authority, self._pepper)
