--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 ARGS ?=
 
-.PHONY: guards bench capacity clean demo env explore failure-matrix format help lint measure proto test
+.PHONY: guards bench capacity clean control-cost demo env explore failure-matrix format help lint measure proto test
 
 help:
 	@echo "make demo     run three zones with stand-in back ends (ARGS=--serve keeps them running)"
@@ -57,6 +57,13 @@
 	$(BIN)/flake8 shallotmux tests
 	$(BIN)/mypy
 
+control-cost: env
+	$(BIN)/python -m shallotmux.membership.cost $(ARGS)
+
+# Needs grpcio-tools and mypy-protobuf, which are not requirements: the generated modules are committed.
+proto:
+	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --mypy_out=. --grpclib_python_out=. \
+		shallotmux/transport/_peer.proto
 bench: env
 	$(BIN)/python -m shallotmux.bench $(ARGS)
 
--- a/shallotmux/authority/__init__.py
+++ b/shallotmux/authority/__init__.py
@@ -9,6 +9,15 @@
     Versioned,
     object_kind,
 )
+from shallotmux.authority._driver import (
+    GroupDriver,
+    GroupStorage,
+    RunBlocking,
+    run_in_thread,
+    run_inline,
+)
+from shallotmux.authority._fleet import FleetAuthority, is_fleet_command
+from shallotmux.authority._group_state import GroupState
 from shallotmux.authority._intents import (
     Attempt,
     AttemptBegun,
@@ -61,6 +70,7 @@
     StartTrial,
     Suspicion,
 )
+from shallotmux.authority._replicated import AuthorityLimits, ReplicatedAuthority
 from shallotmux.authority._results import Applied, Conflict, Refused
 from shallotmux.authority._state import (
     Command,
@@ -91,6 +101,7 @@
     'Attempt',
     'AttemptBegun',
     'Authority',
+    'AuthorityLimits',
     'BeginAttempt',
     'ChangeRole',
     'ClaimFinished',
@@ -109,6 +120,10 @@
     'Figures',
     'EndTrial',
     'FinishJob',
+    'FleetAuthority',
+    'GroupDriver',
+    'GroupState',
+    'GroupStorage',
     'ForgetAttempt',
     'FreezeWindow',
     'Intent',
@@ -134,7 +149,9 @@
     'Refused',
     'ReleaseEndpoint',
     'ReleaseJob',
+    'ReplicatedAuthority',
     'Result',
+    'RunBlocking',
     'StartTrial',
     'StoredAnswer',
     'TakeAuthority',
@@ -153,6 +170,9 @@
     'digest_secret',
     'encode_command',
     'encode_result',
+    'is_fleet_command',
     'object_kind',
+    'run_in_thread',
+    'run_inline',
     'shorten_answer',
 )
--- a/shallotmux/bench/_run.py
+++ b/shallotmux/bench/_run.py
@@ -181,6 +181,7 @@
         'instance': {'name': 'bench', 'zone': ZONE},
         'listeners': {'callers': LOOPBACK, 'operators': LOOPBACK},
         'secrets': {'pepper': 'benchmark-pepper', 'operator_token': TOKEN},
+        'groups': {'standalone': True},
     }
 
 
--- a/shallotmux/daemon/_instance.py
+++ b/shallotmux/daemon/_instance.py
@@ -6,8 +6,9 @@
 
 import trio
 
-from shallotmux.authority import Authority, LocalAuthority
+from shallotmux.authority import Authority
 from shallotmux.callers import CallerApp, CallerTools
+from shallotmux.daemon._groups import InstanceGroups, choose_authority
 from shallotmux.daemon._listeners import Addresses, Applications, Listeners
 from shallotmux.engines import EngineClient, ServiceClient
 from shallotmux.http import HttpClient, RelayClient
@@ -32,12 +33,16 @@
         client: HttpClient | None = None,
         authority: Authority | None = None,
         providers: Providers | None = None,
+        groups: InstanceGroups | None = None,
     ) -> None:
         pepper = settings.secrets.pepper.encode()
         self._settings = settings
         self._shutdown = trio.Event()
         self._relay = RelayClient()
-        self.authority: Authority = authority or LocalAuthority(settings.instance.name)
+        self.groups = groups
+        #: Address for other instances; empty on a standalone instance.
+        self.peer_address = ''
+        self.authority: Authority = authority or choose_authority(settings, groups)
         self.metrics = Metrics()
         self.decisions = DecisionLog(
             settings.instance.name, settings.limits.decision_records, self.metrics
@@ -81,14 +86,14 @@
     async def run(
         self, *, task_status: trio.TaskStatus[Addresses] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Serve until :meth:`shut_down`, then finish the open requests."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._drain)
-            nursery.start_soon(self._relay.run)
-            nursery.start_soon(self.executor.run)
-            await self._listeners.serve(task_status=task_status)
-            nursery.cancel_scope.cancel()
-        await self._relay.close()
+        """Serve until :meth:`shut_down`, finish the open requests, hand over leadership."""
+        async with trio.open_nursery() as background:
+            if self.groups is not None:
+                self.peer_address = await background.start(self.groups.run)
+            await self._serve(task_status)
+            if self.groups is not None:
+                await self.groups.leave()
+            background.cancel_scope.cancel()
 
     def shut_down(self) -> None:
         """Fail readiness, then stop accepting requests and let :meth:`run` return."""
@@ -99,6 +104,15 @@
         """Serve the present certificate files to new connections."""
         self._listeners.reload_certificates()
 
+    async def _serve(self, task_status: trio.TaskStatus[Addresses]) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._drain)
+            nursery.start_soon(self._relay.run)
+            nursery.start_soon(self.executor.run)
+            await self._listeners.serve(task_status=task_status)
+            nursery.cancel_scope.cancel()
+        await self._relay.close()
+
     async def _drain(self) -> None:
         await self._shutdown.wait()
         await trio.sleep(self._settings.timeouts.ready_grace_s)
--- a/shallotmux/daemon/_main.py
+++ b/shallotmux/daemon/_main.py
@@ -11,6 +11,7 @@
 from eliot import log_message
 
 from shallotmux import __version__
+from shallotmux.daemon._groups import InstanceGroups
 from shallotmux.daemon._instance import DaemonInstance
 from shallotmux.daemon._listeners import read_certificates
 from shallotmux.errors import SettingsError
@@ -31,30 +32,44 @@
     help='Settings file, JSON with comments.',
 )
 @click.option('--check', is_flag=True, help='Validate the settings and stop.')
-def main(path: Path, check: bool) -> None:
+@click.option(
+    '--bootstrap',
+    multiple=True,
+    metavar='GROUP',
+    help='Start an empty group: fleet or zone/NAME. On one instance, at the first start only.',
+)
+@click.option(
+    '--recover',
+    multiple=True,
+    metavar='GROUP',
+    help='Start a group again from this disk alone, after its other voters have lost the log.',
+)
+def main(path: Path, check: bool, bootstrap: tuple[str, ...], recover: tuple[str, ...]) -> None:
     """Run one entry instance of shallotmux in the foreground.
 
     SIGTERM or SIGINT: readiness fails, then no request is accepted, open requests are finished,
-    and the exit code is 0. SIGHUP: certificates are reloaded. Wrong settings: exit code 2.
+    leadership is handed over, and the exit code is 0. SIGHUP: certificates are reloaded. Wrong
+    settings: exit code 2.
     """
     try:
-        _start(path, check=check)
+        _start(path, check, bootstrap, recover)
     except SettingsError as error:
         click.echo(error.message, err=True)
         sys.exit(EXIT_SETTINGS)
 
 
-def _start(path: Path, *, check: bool) -> None:
+def _start(path: Path, check: bool, bootstrap: tuple[str, ...], recover: tuple[str, ...]) -> None:
     settings = load_settings(path)
     if check:
         read_certificates(settings)
         click.echo(f'{path}: ok')
         return
-    trio.run(_run, settings)
+    trio.run(_run, settings, bootstrap, recover)
 
 
-async def _run(settings: Settings) -> None:
-    daemon = DaemonInstance(settings)
+async def _run(settings: Settings, bootstrap: tuple[str, ...], recover: tuple[str, ...]) -> None:
+    groups = InstanceGroups(settings, bootstrap, recover=recover) if settings.peers else None
+    daemon = DaemonInstance(settings, groups=groups)
     logging = settings.logging
     on_redaction = daemon.metrics.log_redactions.inc
     with write_logs(logging.destination, logging.level, logging.sections, on_redaction):
@@ -71,6 +86,7 @@
             zone=settings.instance.zone,
             version=__version__,
             callers=addresses.callers,
+            peers=daemon.peer_address,
             operators=addresses.operators,
             metrics=addresses.metrics,
         )
--- a/shallotmux/demo/_fleet.py
+++ b/shallotmux/demo/_fleet.py
@@ -17,6 +17,7 @@
     read_configuration,
 )
 from shallotmux.settings import (
+    GroupSettings,
     InstanceSettings,
     ListenerSettings,
     SecretSettings,
@@ -140,4 +141,5 @@
         instance=InstanceSettings(name=name, zone=zone),
         listeners=ListenerSettings(callers=LOOPBACK, operators=LOOPBACK, metrics=LOOPBACK),
         secrets=SecretSettings(pepper=PEPPER, operator_token=TOKEN),
+        groups=GroupSettings(standalone=True),
     )
--- /dev/null
+++ b/shallotmux/membership/_propagation.py
@@ -0,0 +1,81 @@
+"""In which zones a change is in force."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from shallotmux.authority import Command, is_fleet_command
+from shallotmux.membership._messages import Report
+from shallotmux.membership._policy import GroupPlan
+from shallotmux.transport import instance_name
+
+
+@dataclass(frozen=True, slots=True)
+class Propagation:
+    """Where a revision is in force.
+
+    :param in_force: zones in which every instance has reported the revision or a later one.
+    :param pending: all other zones of the group.
+    """
+
+    revision: int
+    in_force: tuple[str, ...]
+    pending: tuple[str, ...]
+
+
+def lowest_revisions(plan: GroupPlan, reports: Iterable[Report]) -> dict[str, int]:
+    """Return per zone the lowest revision in force on its instances.
+
+    An instance that never reported counts as revision 0, and one that fell silent as its last
+    report: a cut-off instance may go on serving with what it had.
+
+    :param reports: in the order of their times; the last one of an instance counts, whichever
+        incarnation it is from.
+    """
+    newest = {instance_name(report.identity): report.revision for report in reports}
+    return {
+        zone: min((newest.get(name, 0) for name in names), default=0)
+        for zone, names in plan.zones.items()
+    }
+
+
+class RevisionSource(Protocol):
+    """Knows the lowest revision of a group in force in each zone."""
+
+    def zone_revisions(self) -> Mapping[str, int]:
+        """Return the revisions by zone, as the leader last published them."""
+
+
+class PropagationTracker:
+    """Tells operators in which zones an accepted change is in force.
+
+    A change is in force in a zone once all its instances have reported it; until then it is
+    pending there. The figures lag behind by a few poll intervals, never the other way round.
+
+    :param zone: the zone group of this instance.
+    :param fleet: the fleet group.
+    """
+
+    def __init__(self, zone: RevisionSource, fleet: RevisionSource, zones: Iterable[str]) -> None:
+        self._zone = zone
+        self._fleet = fleet
+        self._zones = tuple(zones)
+
+    def find(self, command: Command, revision: int) -> Propagation:
+        """Return where the revision that a command was applied at is in force."""
+        if is_fleet_command(command):
+            return find_propagation(revision, self._zones, self._fleet.zone_revisions())
+        own = self._zone.zone_revisions()
+        return find_propagation(revision, own, own)
+
+
+def find_propagation(
+    revision: int, zones: Iterable[str], zone_revisions: Mapping[str, int]
+) -> Propagation:
+    """Return the zones in which a revision is in force, and those where it is pending."""
+    ordered = sorted(zones)
+    in_force = tuple(each for each in ordered if zone_revisions.get(each, 0) >= revision)
+    pending = tuple(each for each in ordered if each not in in_force)
+    return Propagation(revision, in_force, pending)
--- a/shallotmux/settings/__init__.py
+++ b/shallotmux/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from shallotmux.settings._fleet import GroupSettings, PeerSettings, PeerTlsSettings
 from shallotmux.settings._loader import load_settings, read_json
 from shallotmux.settings._models import (
     CertificateSettings,
@@ -20,12 +21,15 @@
 
 __all__ = (
     'CertificateSettings',
+    'GroupSettings',
     'InstanceSettings',
     'LimitSettings',
     'ListenerSettings',
     'LoggingSettings',
     'OperatorSettings',
     'PlatformSettings',
+    'PeerSettings',
+    'PeerTlsSettings',
     'SecretSettings',
     'Settings',
     'TimeoutSettings',
--- a/shallotmux/settings/_models.py
+++ b/shallotmux/settings/_models.py
@@ -8,6 +8,13 @@
 
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationInfo, model_validator
 
+from shallotmux.settings._fleet import (
+    GroupSettings,
+    PeerSettings,
+    PeerTlsSettings,
+    check_fleet,
+)
+
 #: IP address and port; host names are not resolved.
 ADDRESS_PATTERN = r'^(\[[0-9a-fA-F:]+\]|[0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}$'
 
@@ -189,3 +196,12 @@
     timeouts: TimeoutSettings = TimeoutSettings()
     logging: LoggingSettings = LoggingSettings()
     platform: PlatformSettings = PlatformSettings()
+    peers: tuple[PeerSettings, ...] = ()
+    peer_tls: PeerTlsSettings | None = None
+    groups: GroupSettings = GroupSettings()
+
+    @model_validator(mode='after')
+    def check_fleet(self) -> Settings:
+        """Check that the instances of the fleet and this one agree."""
+        check_fleet(self.instance.name, self.instance.zone, self.peers, self.groups, self.peer_tls)
+        return self
--- a/tests/callers/test_openai.py
+++ b/tests/callers/test_openai.py
@@ -10,7 +10,13 @@
 from shallotmux.authority import CreateKey, PutObject, WithdrawKey, create_secret
 from shallotmux.daemon import DaemonInstance
 from shallotmux.http import Listener, serve_app
-from shallotmux.settings import InstanceSettings, ListenerSettings, SecretSettings, Settings
+from shallotmux.settings import (
+    GroupSettings,
+    InstanceSettings,
+    ListenerSettings,
+    SecretSettings,
+    Settings,
+)
 from shallotmux.standins import EngineStandin
 from shallotmux.world import Customer, Endpoint, EndpointPool, Route
 
@@ -85,6 +91,7 @@
         instance=InstanceSettings(name='entry-1', zone='zone-a'),
         listeners=ListenerSettings(callers=LOOPBACK, operators=LOOPBACK),
         secrets=SecretSettings(pepper=PEPPER, operator_token='x' * 16),
+        groups=GroupSettings(standalone=True),
     )
     daemon = DaemonInstance(settings)
     addresses = await nursery.start(daemon.run)
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -17,7 +17,13 @@
 from shallotmux.cli import main
 from shallotmux.daemon import DaemonInstance
 from shallotmux.http import Listener, serve_app
-from shallotmux.settings import InstanceSettings, ListenerSettings, SecretSettings, Settings
+from shallotmux.settings import (
+    GroupSettings,
+    InstanceSettings,
+    ListenerSettings,
+    SecretSettings,
+    Settings,
+)
 from shallotmux.standins import EngineStandin
 
 TOKEN = 'operator-token-1'
@@ -53,6 +59,7 @@
         instance=InstanceSettings(name='entry-1', zone='zone-a'),
         listeners=ListenerSettings(callers=LOOPBACK, operators=LOOPBACK),
         secrets=SecretSettings(pepper='p' * 16, operator_token=TOKEN),
+        groups=GroupSettings(standalone=True),
     )
     daemon = DaemonInstance(settings)
     addresses = await nursery.start(daemon.run)
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -26,6 +26,7 @@
         'instance': {'name': 'entry-1', 'zone': 'zone-a'},
         'listeners': {'callers': LOOPBACK, 'operators': LOOPBACK, 'metrics': LOOPBACK},
         'secrets': {'pepper': 'p' * 16, 'operator_token': TOKEN},
+        'groups': {'standalone': True},
     }
     path.write_text(json.dumps(settings))
     return str(path)
--- a/tests/daemon/test_tls_process.py
+++ b/tests/daemon/test_tls_process.py
@@ -42,6 +42,7 @@
         'listeners': {'callers': LOOPBACK, 'operators': LOOPBACK},
         'tls': {'operators': {'certificate': 'chain.pem', 'private_key': 'key.pem'}},
         'secrets': {'pepper': 'p' * 16, 'operator_token': TOKEN},
+        'groups': {'standalone': True},
         'timeouts': {'certificate_check_s': 3600},
     }
     path = tmp_path / 'settings.json'
--- a/tests/settings/test_examples.py
+++ b/tests/settings/test_examples.py
@@ -11,7 +11,7 @@
 
 from shallotmux.cli import main
 from shallotmux.daemon import DaemonInstance
-from shallotmux.settings import InstanceSettings, ListenerSettings, load_settings
+from shallotmux.settings import GroupSettings, InstanceSettings, ListenerSettings, load_settings
 
 FOLDER = Path(__file__).parents[2] / 'examples'
 ZONES = {
@@ -37,6 +37,7 @@
     settings = load_settings(FOLDER / deployment / f'{kind}.json')
     assert settings.instance.zone in ZONES[deployment]
     assert bool(settings.instance.data_folder) is (kind == 'entry-with-disk')
+    assert {each.zone for each in settings.peers} == set(ZONES[deployment])
 
 
 @pytest.mark.parametrize('deployment', list(ZONES))
@@ -49,6 +50,8 @@
             update={
                 'instance': InstanceSettings(name='entry-1', zone=zone),
                 'listeners': ListenerSettings(callers=LOOPBACK, operators=LOOPBACK),
+                'peers': (),
+                'groups': GroupSettings(standalone=True),
             }
         )
         daemon = DaemonInstance(settings)
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -11,7 +11,13 @@
 from shallotmux.daemon import Addresses, DaemonInstance
 from shallotmux.http import HttpcoreClient, HttpRequest, Listener, fetch, serve_app
 from shallotmux.operators import ObjectName, OperatorClient
-from shallotmux.settings import InstanceSettings, ListenerSettings, SecretSettings, Settings
+from shallotmux.settings import (
+    GroupSettings,
+    InstanceSettings,
+    ListenerSettings,
+    SecretSettings,
+    Settings,
+)
 from shallotmux.standins import EngineBehaviour, EngineStandin
 
 TOKEN = 'operator-token-1'
@@ -61,6 +67,7 @@
         instance=InstanceSettings(name='entry-1', zone='zone-a'),
         listeners=ListenerSettings(callers=LOOPBACK, operators=LOOPBACK, metrics=LOOPBACK),
         secrets=SecretSettings(pepper='p' * 16, operator_token=TOKEN),
+        groups=GroupSettings(standalone=True),
     )
     daemon = DaemonInstance(settings)
     deployment = Deployment(daemon, await nursery.start(daemon.run), engine, HttpcoreClient())
