--- a/shallotmux/requests/_outbox.py
+++ b/shallotmux/requests/_outbox.py
@@ -70,7 +70,8 @@
 
         :raises RequestRefused: if the request was given up.
         """
-        await self._filled.wait()
+        if not self._filled.is_set():
+            await self._filled.wait()
         pause_s = self._next_s - trio.current_time()
         if pause_s > 0 and not self._ended:
             await trio.sleep(pause_s)
@@ -87,6 +88,7 @@
         self._next_s = trio.current_time() + self._coalesce_s
         if not self._ended:
             self._filled = trio.Event()
-        self._emptied.set()
-        self._emptied = trio.Event()
+        if self._emptied.statistics().tasks_waiting:
+            self._emptied.set()
+            self._emptied = trio.Event()
         return block
--- a/shallotmux/standins/_engine.py
+++ b/shallotmux/standins/_engine.py
@@ -44,12 +44,17 @@
     PAUSE = 'pause'
     CUT = 'cut'
     TRUNCATE = 'truncate'
+    END = 'end'
     CROSS = 'cross'
     DUPLICATE = 'duplicate'
     SKIP = 'skip'
     OTHER_ATTEMPT = 'other_attempt'
 
 
+#: Faults after which the stream ends properly but too early, with and without its end marker.
+SHORTENING = frozenset((EngineFault.TRUNCATE, EngineFault.END))
+
+
 @dataclass(slots=True)
 class EngineBehaviour:
     """How the stand-in behaves.
@@ -251,18 +256,20 @@
         key = prompt_key(payload)
         if record.fault == EngineFault.OTHER_ATTEMPT:
             key = bytes(reversed(key))  # Sampling gives other tokens in each attempt.
+        end_marker = b'data: [DONE]\n\n'
         for position in range(payload['offset'], last):
             if poisoned and record.tokens >= behaviour.poison_after:
                 self.crash()
             await self._step(record, position)
-            if record.fault == EngineFault.TRUNCATE and record.tokens == FAULT_POSITION:
+            if record.tokens == FAULT_POSITION and record.fault in SHORTENING:
+                end_marker = end_marker if record.fault == EngineFault.TRUNCATE else b''
                 break
             finish = 'length' if position + 1 == last else None
             event = self._event(record, key, position, finish)
             await send_chunk(send, event)
             record.tokens += 1
         record.finished = True
-        await send_chunk(send, b'data: [DONE]\n\n', more=False)
+        await send_chunk(send, end_marker, more=False)
 
     async def _step(self, record: EngineRunRecord, position: int) -> None:
         """Spend the time of one decode step, and suffer faults that end or delay the stream."""
--- a/tests/requests/test_failures.py
+++ b/tests/requests/test_failures.py
@@ -118,6 +118,7 @@
     'late': strike(EngineFault.OTHER_ATTEMPT),
     'crossed': strike(EngineFault.CROSS),
     'truncated': strike(EngineFault.TRUNCATE),
+    'ended': strike(EngineFault.END),
     'cut': strike(EngineFault.CUT),
     'doubled': strike(EngineFault.DUPLICATE),
     'skipped': strike(EngineFault.SKIP),
@@ -223,6 +224,8 @@
         await trio.sleep(1)
 
     zone = run_zone(work, Shape(engines=2))
+    resumed = [run for engine in zone.engines for run in engine.runs if not run.fault]
+    assert [run.payload['offset'] for run in resumed] == [4]
     struck = [run for engine in zone.engines for run in engine.runs if run.fault]
     cancels = b''.join(
         each.body for engine in zone.engines for each in engine.history if each.path == '/cancel'
--- a/tests/requests/test_jobs.py
+++ b/tests/requests/test_jobs.py
@@ -122,6 +122,23 @@
     check_histories(run_zone(work, Shape(services=1, settings=SHORT)))
 
 
+def test_restarted_instance_settles_its_former_claims() -> None:
+    """Guards against repeats that wait for the deadline of a claim whose sender has restarted."""
+
+    async def work(zone: Zone) -> None:
+        zone.services[0].behaviour.run_s = 0.5
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(zone.call_job, 'tailors', 'job-1', zone.entries[0])
+            await trio.sleep(0.1)
+            await zone.replace_entry(0)
+        await trio.sleep(0.5)
+        repeat = await zone.call_job('tailors', 'job-1', zone.entries[1])
+        assert (repeat.code, repeat.not_run) == ('outcome_unknown', False)
+        assert trio.current_time() < SHORT.job_deadline_s
+
+    check_histories(run_zone(work, Shape(services=1, settings=SHORT)))
+
+
 def test_job_is_refused_as_not_run_without_authority() -> None:
     """Guards against a dispatch without a committed claim."""
 
