--- a/tests/requests/test_failures.py
+++ b/tests/requests/test_failures.py
@@ -118,6 +118,7 @@
     'late': strike(EngineFault.OTHER_ATTEMPT),
     'crossed': strike(EngineFault.CROSS),
     'truncated': strike(EngineFault.TRUNCATE),
+    'ended': strike(EngineFault.END),
     'cut': strike(EngineFault.CUT),
     'doubled': strike(EngineFault.DUPLICATE),
     'skipped': strike(EngineFault.SKIP),
@@ -139,6 +140,9 @@
     'poison': {'quarantined'},
 }
 
+#: Failures after which a caller has to come back; all other ones are hidden from it.
+COMING_BACK = ('entry-killed', 'resend')
+
 
 def run_schedule(failures: list[tuple[float, Failure]], seed: int) -> Zone:
     """Run callers of two customers while failures happen at their times."""
@@ -169,6 +173,8 @@
     zone = run_schedule([(0.1, FAILURES[name])], seed=7)
     codes = {answer.code for answer in zone.answers} - {''}
     assert codes <= REFUSING.get(name, set())
+    if name not in COMING_BACK:
+        assert all(answer.connections == 1 for answer in zone.answers)
 
 
 @pytest.mark.parametrize('names', list(itertools.combinations(FAILURES, 2)), ids='+'.join)
@@ -223,6 +229,8 @@
         await trio.sleep(1)
 
     zone = run_zone(work, Shape(engines=2))
+    resumed = [run for engine in zone.engines for run in engine.runs if not run.fault]
+    assert [run.payload['offset'] for run in resumed] == [4]
     struck = [run for engine in zone.engines for run in engine.runs if run.fault]
     cancels = b''.join(
         each.body for engine in zone.engines for each in engine.history if each.path == '/cancel'
