--- a/shallotmux/decisions/_estimates.py
+++ b/shallotmux/decisions/_estimates.py
@@ -61,6 +61,7 @@
     known_tokens: float
     running: float
     prefill_tokens_per_s: float
+    fresh: bool = True
 
     @property
     def wait_s(self) -> float:
@@ -132,9 +133,11 @@
         trust = 0.0 if age > REPORT_LIMIT_S else math.exp(-max(0.0, age) / REPORT_MEMORY_S)
         known = self.own_tokens + trust * self.others_tokens
         queued = known + (1 - trust) * average.tokens
+        fresh = age <= FRESH_S
         return LoadEstimate(
             queued,
-            queued if age <= FRESH_S else known,
+            queued if fresh else known,
             self.own_running + trust * self.others_running + (1 - trust) * average.running,
             self.prefill_tokens_per_s,
+            fresh,
         )
--- a/shallotmux/decisions/_router.py
+++ b/shallotmux/decisions/_router.py
@@ -184,7 +184,9 @@
         saved_s = cached / load.prefill_tokens_per_s
         queueing_s = load.wait_s + load.running * self.policy.stream_cost_s
         bonus = self.policy.home_bonus_s if home else 0
-        bonus += self.policy.cheap_bonus_s if state.endpoint.cheap else 0
+        if state.endpoint.cheap and load.fresh:
+            # Under old reports, all instances would prefer the same endpoints and overload them.
+            bonus += self.policy.cheap_bonus_s
         wait_s = 0 if features.decode_only else load.known_wait_s
         return Scored(state, saved_s + bonus - queueing_s, wait_s, features.prompt_tokens - cached)
 
--- a/shallotmux/measure/_shapes.py
+++ b/shallotmux/measure/_shapes.py
@@ -30,7 +30,7 @@
 
     :param report_lag_s: age of load reports when they arrive.
     :param reclaim_at_s: when the cheap endpoints of a zone get notice, or 0.
-    :param crash_in_change: whether an engine crashes in the middle of each first role change.
+    :param crash_in_change: whether an engine crashes in the middle of an ordered role change.
     :param wave: whether the level follows a slow wave from a quarter to the peak and back.
     """
 
--- a/shallotmux/measure/_steering.py
+++ b/shallotmux/measure/_steering.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from shallotmux.decisions import (
     DemandSample,
@@ -22,6 +22,7 @@
 from shallotmux.measure._entry import LANGUAGE
 from shallotmux.measure._runs import EngineSlot
 from shallotmux.measure._simulation import LIST_LAG_S, Simulation
+from shallotmux.world import EngineRole
 
 #: Intervals of the decisions, in seconds.
 ROLE_INTERVAL_S = 2.0
@@ -41,7 +42,9 @@
 #: Time after a reclaim for which the zone has no cheap endpoints, in seconds.
 RECLAIM_PAUSE_S = 300.0
 
+#: Restart after a crash, and time of the change in which an engine crashes, in seconds.
 RESTART_S = 20.0
+CRASH_AT_S = 200.0
 
 
 @dataclass(slots=True)
@@ -66,9 +69,8 @@
             self.world.every(FLEET_INTERVAL_S, self.steer_fleet)
         if self.world.shape.reclaim_at_s:
             self.world.schedule(self.world.shape.reclaim_at_s, self.reclaim_zone)
-        if self.world.shape.crash_in_change and not self.world.variant.steer_roles:
-            # Without role changes, the same number of crashes comes at fixed times.
-            self.world.schedule(RESTART_S * 10, self.crash_any)
+        if self.world.shape.crash_in_change:
+            self.world.schedule(CRASH_AT_S, self.order_and_crash)
 
     def steer_roles(self) -> None:
         """Take one decision on roles."""
@@ -162,12 +164,16 @@
             if slot.endpoint.zone == zone:
                 self._give_notice(slot)
 
-    def crash_any(self) -> None:
-        """Crash the first engine."""
+    def order_and_crash(self) -> None:
+        """Order a role change of the first engine, which crashes in its middle.
+
+        The order is the same for all variants, since few of them change roles by themselves. The
+        controller, where it runs, has to settle the order.
+        """
         slot = self.world.serving(LANGUAGE)[0]
-        slot.engine.crash(RESTART_S)
-        self.world.exclude(slot)
-        self._when_back(slot)
+        order = RoleOrder(slot.endpoint.name, EngineRole.PREFILL, self.world.now())
+        self.memory = replace(self.memory, pending=order)
+        self.change_role(slot, order)
 
     def _give_notice(self, slot: EngineSlot) -> None:
         slot.leaving = True
@@ -179,7 +185,7 @@
         slot.gone_s = self.world.now()
 
     def _crash_in_change(self, slot: EngineSlot) -> None:
-        """Crash once, in the middle of the first change; the engine comes back mixed."""
+        """Crash once, in the middle of the first change; the engine keeps its old role."""
         if not self.world.shape.crash_in_change or self.crashed:
             return
         self.crashed = True
--- a/shallotmux/standins/_cost_model.py
+++ b/shallotmux/standins/_cost_model.py
@@ -196,6 +196,7 @@
         self._run = (0.0, 0.0, 0)
         self._chunk: list[EngineJob] = []
         self._busy = False
+        self._absence = 0
 
     def submit(self, job: EngineJob) -> None:
         """Queue a job; a job that arrives while the engine is gone is lost."""
@@ -237,15 +238,13 @@
     def change_role(self, role: EngineRole) -> None:
         """Take the engine out of service for the change; unfinished jobs are lost."""
         self.lose_jobs()
-        self.available = False
-        self._schedule(self.costs.role_change_s, lambda: self._return(role))
+        self._go_away(self.costs.role_change_s, role)
 
     def crash(self, restart_s: float) -> None:
         """Lose all jobs and the cache; come back after a restart unless the engine is gone."""
         self.lose_jobs()
         self.cache = BlockCache(self.costs.cache_blocks)
-        self.available = False
-        self._schedule(restart_s, lambda: self._return(self.role))
+        self._go_away(restart_s, self.role)
 
     def leave(self) -> None:
         """Go for good."""
@@ -268,9 +267,17 @@
         for job in jobs:
             self._listener.lost(job)
 
-    def _return(self, role: EngineRole) -> None:
-        self.role = role
-        self.available = not self.gone
+    def _go_away(self, absent_s: float, role: EngineRole) -> None:
+        """Come back later; a crash in mid change ends the change without effect."""
+        self.available = False
+        self._absence += 1
+        absence = self._absence
+        self._schedule(absent_s, lambda: self._return(absence, role))
+
+    def _return(self, absence: int, role: EngineRole) -> None:
+        if absence == self._absence:
+            self.role = role
+            self.available = not self.gone
 
     def _insert(self, job: EngineJob) -> None:
         """Queue a job behind those of the same or a smaller priority number."""
--- a/tests/decisions/test_router.py
+++ b/tests/decisions/test_router.py
@@ -149,6 +149,9 @@
     for name, cheap in (('e0', True), ('e1', False)):
         router.add(Endpoint(name, 'z', '', cheap=cheap))
         router.report(name, LoadReport(500, 2, 0.05))
+    router.dispatched('e0', PROMPT, 300, 0.06)
     assert {chosen(router, PROMPT, seed) for seed in range(20)} == {'e0'}
+    # Under old reports, all instances would prefer the same endpoints and overload them.
+    assert {chosen(router, PROMPT, seed, 5) for seed in range(20)} == {'e1'}
     router.report('e0', LoadReport(9000, 2, 0.06))
     assert {chosen(router, PROMPT, seed) for seed in range(20)} == {'e1'}
--- a/tests/standins/test_cost_model.py
+++ b/tests/standins/test_cost_model.py
@@ -102,6 +102,18 @@
     assert listener.first[3] - 30 == pytest.approx(0.15)
 
 
+def test_crash_in_mid_change_ends_the_change() -> None:
+    """Guards against an engine that serves with the new role while it restarts."""
+    heap, _, engine = make_engine()
+    engine.change_role(EngineRole.PREFILL)
+    heap.schedule(3, lambda: engine.crash(20))
+    heap.run(10)
+    assert not engine.available
+    heap.run(30)
+    assert engine.available
+    assert engine.role is EngineRole.MIXED
+
+
 def test_role_change_takes_the_engine_away_for_seconds() -> None:
     """Guards against role changes that cost nothing."""
     heap, listener, engine = make_engine()
