Test that a draining endpoint gets no new work while it still answers

Cause: the test took the endpoint off the network, so it passed also without the guard. Change: requests are sent before the endpoint vanishes; without the guard the test fails.

--- a/tests/requests/test_planned.py
+++ b/tests/requests/test_planned.py
@@ -33,10 +33,10 @@
             started = len(leaving.runs)
             assert started
             drained = await zone.entries[0].executor.drain(leaving.name, trio.current_time() + 3)
-            zone.network.stop(zone.address(leaving.name))
-            nursery.start_soon(zone.ask, 'tailors')
-            await trio.sleep(1)
+            for _ in range(6):
+                assert (await zone.ask('tailors')).done
             assert len(leaving.runs) == started
+            zone.network.stop(zone.address(leaving.name))
             assert drained.remaining == 0
 
     zone = run_zone(work, Shape(engines=2, entries=1, behaviour=SLOW))
