Run a zone's control tasks in the daemon

Each instance drains the endpoints that leave or change, and the leader delivers orders, follows the platform's lists, reports usage and decides on roles and endpoints. Operators see usage, members, and where a change is in force.

--- a/shallotmux/authority/__init__.py
+++ b/shallotmux/authority/__init__.py
@@ -16,7 +16,7 @@
     run_in_thread,
     run_inline,
 )
-from shallotmux.authority._fleet import FleetAuthority, is_fleet_command
+from shallotmux.authority._fleet import FLEET_KINDS, FleetAuthority, is_fleet_command
 from shallotmux.authority._group_state import GroupState
 from shallotmux.authority._intents import (
     Attempt,
@@ -120,6 +120,7 @@
     'Figures',
     'EndTrial',
     'FinishJob',
+    'FLEET_KINDS',
     'FleetAuthority',
     'GroupDriver',
     'GroupState',
--- a/shallotmux/daemon/_instance.py
+++ b/shallotmux/daemon/_instance.py
@@ -8,8 +8,10 @@
 
 from shallotmux.authority import Authority
 from shallotmux.callers import CallerApp, CallerTools
+from shallotmux.daemon._control import ControlTools, build_control
 from shallotmux.daemon._groups import InstanceGroups, choose_authority
 from shallotmux.daemon._listeners import Addresses, Applications, Listeners
+from shallotmux.daemon._status import GroupStatus, ZoneUsage
 from shallotmux.engines import EngineClient, ServiceClient
 from shallotmux.http import HttpClient, RelayClient
 from shallotmux.observability import (
@@ -20,6 +22,7 @@
     Readiness,
 )
 from shallotmux.operators import LocalStatus, OperatorApp, OperatorTools, Providers, ZoneQuarantine
+from shallotmux.orders import OrderSender
 from shallotmux.requests import RequestExecutor, Tools
 from shallotmux.settings import Settings
 
@@ -34,6 +37,7 @@
         authority: Authority | None = None,
         providers: Providers | None = None,
         groups: InstanceGroups | None = None,
+        orders: OrderSender | None = None,
     ) -> None:
         pepper = settings.secrets.pepper.encode()
         self._settings = settings
@@ -62,10 +66,18 @@
         self.caller_app = MeteredApp(
             CallerApp(CallerTools(self.authority, self.executor, pepper)), self.metrics
         )
-        self.providers = providers or Providers(
-            LocalStatus(self.authority, settings.instance.name, settings.instance.zone),
-            quarantine=ZoneQuarantine(self.authority),
+        self.control = build_control(
+            ControlTools(
+                settings,
+                self.authority,
+                self.executor,
+                http,
+                self.decisions,
+                groups.identity if groups else self.executor.name,
+                orders,
+            ),
         )
+        self.providers = providers or self._build_providers()
         self.operator_app = OperatorApp(
             OperatorTools(
                 self.authority,
@@ -91,6 +103,7 @@
             if self.groups is not None:
                 self.peer_address = await background.start(self.groups.run)
             await self._serve(task_status)
+            self.control.stop_leading()
             if self.groups is not None:
                 await self.groups.leave()
             background.cancel_scope.cancel()
@@ -104,11 +117,21 @@
         """Serve the present certificate files to new connections."""
         self._listeners.reload_certificates()
 
+    def _build_providers(self) -> Providers:
+        own = self._settings.instance
+        local = LocalStatus(self.authority, own.name, own.zone)
+        return Providers(
+            GroupStatus(self.groups, local) if self.groups else local,
+            ZoneUsage(self.authority, own.zone),
+            ZoneQuarantine(self.authority),
+        )
+
     async def _serve(self, task_status: trio.TaskStatus[Addresses]) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._drain)
             nursery.start_soon(self._relay.run)
             nursery.start_soon(self.executor.run)
+            nursery.start_soon(self.control.run)
             await self._listeners.serve(task_status=task_status)
             nursery.cancel_scope.cancel()
         await self._relay.close()
--- a/shallotmux/membership/_propagation.py
+++ b/shallotmux/membership/_propagation.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from shallotmux.authority import Command, is_fleet_command
+from shallotmux.authority import FLEET_KINDS, Command, is_fleet_command
 from shallotmux.membership._messages import Report
 from shallotmux.membership._policy import GroupPlan
 from shallotmux.transport import instance_name
@@ -65,7 +65,18 @@
 
     def find(self, command: Command, revision: int) -> Propagation:
         """Return where the revision that a command was applied at is in force."""
-        if is_fleet_command(command):
+        return self._find(revision, is_fleet=is_fleet_command(command))
+
+    def find_kind(self, kind: str, revision: int) -> Propagation:
+        """Return where a revision of an object of a kind is in force."""
+        return self._find(revision, is_fleet=kind in FLEET_KINDS)
+
+    def fleet_zones(self) -> Mapping[str, int]:
+        """Return the lowest fleet revision in force in each zone."""
+        return self._fleet.zone_revisions()
+
+    def _find(self, revision: int, *, is_fleet: bool) -> Propagation:
+        if is_fleet:
             return find_propagation(revision, self._zones, self._fleet.zone_revisions())
         own = self._zone.zone_revisions()
         return find_propagation(revision, own, own)
--- a/shallotmux/operators/_app.py
+++ b/shallotmux/operators/_app.py
@@ -250,7 +250,8 @@
     ) -> None:
         reach = Reach(())
         if isinstance(result, Applied):
-            reach = self._providers.status.reach(result.revision)
+            kind = subject.partition('/')[0]
+            reach = self._providers.status.reach(kind, result.revision)
         log_message(
             message_type='shallotmux:operator:change',
             method=call.scope['method'],
--- a/shallotmux/operators/_providers.py
+++ b/shallotmux/operators/_providers.py
@@ -125,8 +125,11 @@
     def status(self) -> FleetStatus:
         """Return the state of the fleet."""
 
-    def reach(self, revision: int) -> Reach:
-        """Return where a revision of the configuration is in force."""
+    def reach(self, kind: str, revision: int) -> Reach:
+        """Return where a revision is in force.
+
+        :param kind: kind of the object that was changed; some kinds apply to the whole fleet.
+        """
 
 
 class UsageProvider(Protocol):
@@ -177,7 +180,7 @@
             ),
         )
 
-    def reach(self, revision: int) -> Reach:
+    def reach(self, kind: str, revision: int) -> Reach:
         """Return this zone, as in force when the replica has applied the revision."""
         if self.authority.read().revision >= revision:
             return Reach((self.zone,))
--- a/shallotmux/requests/_executor.py
+++ b/shallotmux/requests/_executor.py
@@ -81,6 +81,16 @@
         )
         self._jobs = Jobs(tools.authority, settings, tools.clock, tools.instance, incarnation)
 
+    @property
+    def loads(self) -> LoadTable:
+        """Return the load reports of the engines as this instance has polled them."""
+        return self._parts.loads
+
+    @property
+    def name(self) -> str:
+        """Return the name and incarnation of this instance."""
+        return self._parts.name
+
     async def run(self) -> None:
         """Poll loads, watch keys and settle jobs until cancelled."""
         poller = LoadPoller(
--- a/shallotmux/settings/_models.py
+++ b/shallotmux/settings/_models.py
@@ -182,6 +182,12 @@
     address: OptionalAddress = Field(
         default='', description='Address of its interface; empty when there is none.'
     )
+    endpoint_limit: int = Field(
+        default=0,
+        ge=0,
+        le=12_000,
+        description='Most endpoints of a pool, ordered ones included; 0 orders none.',
+    )
 
 
 class Settings(_Strict):
--- a/shallotmux/standins/_authority.py
+++ b/shallotmux/standins/_authority.py
@@ -74,6 +74,11 @@
         """Tell whether the instance is connected to the group."""
         return self.name not in self.group.cut_off
 
+    async def wait_changed(self, revision: int) -> None:
+        """Return when the shared state's revision is beyond the given one."""
+        while self.group.state.revision <= revision:
+            await trio.sleep(COMMIT_S)
+
     def leadership(self) -> Leadership:
         """Return the leader as this instance sees it."""
         group = self.group
