--- a/tests/replication/test_failover.py
+++ b/tests/replication/test_failover.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from shallotmux.replication import Role
+from shallotmux.replication import ReplicaOptions, Role
+from shallotmux.settings import GroupSettings
 from tests.replication._group import Group, voters
 
 RUNS = 100
@@ -14,8 +15,19 @@
 P99_TARGET_S = 3
 
 
-def measure_failover(count: int, seed: int) -> float:
-    group = Group(voters(count), seed)
+def daemon_options() -> ReplicaOptions:
+    """Return the times of a daemon whose settings do not say otherwise."""
+    groups = GroupSettings()
+    return ReplicaOptions(
+        heartbeat_s=groups.heartbeat_s,
+        election_min_s=groups.election_min_s,
+        election_max_s=groups.election_max_s,
+        lease_s=groups.lease_s,
+    )
+
+
+def measure_failover(count: int, seed: int, options: ReplicaOptions) -> float:
+    group = Group(voters(count), seed, options)
     group.run(3 + group.random.random())
     group.kill(group.leader())
     killed_at = group.now
@@ -29,10 +41,11 @@
     return group.now - killed_at
 
 
+@pytest.mark.parametrize('options', [ReplicaOptions(), daemon_options()], ids=['short', 'daemon'])
 @pytest.mark.parametrize('count', [3, 5])
-def test_failover_stays_within_target(count: int) -> None:
+def test_failover_stays_within_target(count: int, options: ReplicaOptions) -> None:
     """Guards against elections that fail again and again after the leader is killed."""
-    times = [measure_failover(count, seed) for seed in range(RUNS)]
+    times = [measure_failover(count, seed, options) for seed in range(RUNS)]
     p99 = quantiles(times, n=100)[-1]
     print(f'{count} voters: median {median(times):.2f} s, p99 {p99:.2f} s')  # noqa: WPS421
     assert p99 <= P99_TARGET_S
