Refuse an operation id that comes with another command

Cause: a repeated operation id returned the first result whatever the command was, so a collision of ids between two sources was answered as applied. This happened once between usage batches and orders.

--- a/shallotmux/authority/_state.py
+++ b/shallotmux/authority/_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from typing import Any, cast
@@ -71,6 +72,9 @@
 
 registry.register(Applied, Conflict, Refused)
 
+#: Size of the digests that tell a repeated command from another one under its id.
+DIGEST_BYTES = 8
+
 #: Results kept for repeated operation ids.
 RESULT_MEMORY = 20_000
 
@@ -112,6 +116,8 @@
     inventory: InventoryState = field(default_factory=InventoryState)
     quarantine: QuarantineState = field(default_factory=QuarantineState)
     results: OrderedDict[str, Result] = field(default_factory=OrderedDict)
+    #: Digests of the commands that gave the results.
+    digests: dict[str, bytes] = field(default_factory=dict)
 
     def apply(self, command: Command) -> Result:
         """Apply a command, or return the first result of a repeated operation.
@@ -119,17 +125,22 @@
         :param command: a committed command.
         :returns: the result that the submitter is told.
         """
+        digest = hashlib.blake2b(registry.encode(command), digest_size=DIGEST_BYTES).digest()
         earlier = self.results.get(command.operation_id)
-        if earlier is not None:
+        if earlier is not None and self.digests.get(command.operation_id) == digest:
             return earlier
+        if earlier is not None:
+            return Refused(f'operation id {command.operation_id!r} was used for another command')
         result = self._dispatch(command, self.revision + 1)
         if isinstance(result, Applied):
             self.revision = result.revision
         if not isinstance(result, ClaimFinished):
             # A repeated claim finds the answer in the ledger, which bounds the size of answers.
             self.results[command.operation_id] = result
+            self.digests[command.operation_id] = digest
         if len(self.results) > RESULT_MEMORY:
-            self.results.popitem(last=False)
+            oldest, _ = self.results.popitem(last=False)
+            self.digests.pop(oldest)
         return result
 
     def snapshot(self) -> bytes:
@@ -137,7 +148,10 @@
         return msgspec.msgpack.encode(
             {
                 'revision': self.revision,
-                'results': [(name, registry.encode(kept)) for name, kept in self.results.items()],
+                'results': [
+                    (name, registry.encode(kept), self.digests[name])
+                    for name, kept in self.results.items()
+                ],
                 **{name: part.dump() for name, part in self._parts().items()},
             },
         )
@@ -149,8 +163,9 @@
         state = cls(revision=plain['revision'])
         for name, part in state._parts().items():  # noqa: SLF001
             part.restore(plain[name])
-        for name, kept in plain['results']:
+        for name, kept, digest in plain['results']:
             state.results[name] = registry.decode(kept)
+            state.digests[name] = digest
         return state
 
     def customer(self, name: str) -> Customer | None:
--- a/tests/authority/test_state.py
+++ b/tests/authority/test_state.py
@@ -14,6 +14,7 @@
     FinishJob,
     JobId,
     PutObject,
+    Refused,
     StoredAnswer,
     ZoneState,
     decode_command,
@@ -41,6 +42,14 @@
     assert state.revision == 1
 
 
+def test_operation_id_of_another_command_is_refused() -> None:
+    """Guards against the result of one command given as the answer to another."""
+    state = ZoneState()
+    state.apply(PutObject('a', Customer('tailors'), 0))
+    assert isinstance(state.apply(PutObject('a', Customer('cutters'), 0)), Refused)
+    assert state.customer('cutters') is None
+
+
 def test_claim_is_granted_once() -> None:
     """Guards against dispatching a non-repeatable job twice."""
     state = ZoneState()
