Find the fleet group's leader wherever the group was started

Cause: the fleet group's tree polls along with the zone's tree. Where the zone's leader polls nobody, the fleet's tree chose the first instance in order and never another one, so instances of other zones did not find a fleet group that was started elsewhere than in the first zone by name. Change: a choice that was not answered by the next poll is given up for the next instance. The new test fails without it.

--- a/shallotmux/membership/_tree.py
+++ b/shallotmux/membership/_tree.py
@@ -200,6 +200,10 @@
         """
         if self._position.is_member():
             return
+        if target is None and self._answered_at < self._polled_at:
+            # The other tree's pace leaves time for an answer; without one, another instance is
+            # asked, since the first choice may not follow the group itself.
+            self._offset += 1
         self._polled_at = trio.current_time()
         chosen = target or self._choose()
         if chosen is not None:
--- a/tests/daemon/test_fleet.py
+++ b/tests/daemon/test_fleet.py
@@ -39,7 +39,7 @@
 
 
 async def start_fleet(
-    nursery: trio.Nursery, folder: Path
+    nursery: trio.Nursery, folder: Path, first: str = 'zone-a-1'
 ) -> tuple[dict[str, InstanceGroups], MemoryPeerFabric]:
     """Start three zones, and wait until every group has its voters."""
     fabric = MemoryPeerFabric(Random(SEED))
@@ -49,7 +49,7 @@
         for number in (1, 2, 3):
             name = f'{zone}-{number}'
             bootstrap = [ZONE_PREFIX + zone] if number == 1 else []
-            if name == 'zone-a-1':
+            if name == first:
                 bootstrap.append(FLEET_GROUP)
             settings = make_settings(name, zone, folder)
             fleet[name] = InstanceGroups(
@@ -111,3 +111,11 @@
     assert await fleet['zone-c-2'].authority.submit(own) == Applied(1)
     fabric.heal()
     await wait(lambda: author.propagation.find(command, 1).in_force == ZONES, REPORT_S)
+
+
+async def test_fleet_group_may_start_in_any_zone(
+    nursery: trio.Nursery, autojump_clock: MockClock, tmp_path: Path
+) -> None:
+    """Guards against instances that ask only one instance, which knows no leader either."""
+    fleet, _ = await start_fleet(nursery, tmp_path, 'zone-c-1')
+    assert all(has_voters(each) for each in fleet.values())
