Route requests by load estimates and cached prefixes

The admission keeps a router for each pool. It follows the zone's endpoints by revision, and learns from load reports, dispatches, first tokens, ends and crashes. Endpoints without room are paused in the router, so a request no longer looks at all endpoints of a full pool.

--- a/shallotmux/decisions/__init__.py
+++ b/shallotmux/decisions/__init__.py
@@ -29,7 +29,7 @@
     keep_fleet,
     keep_roles,
 )
-from shallotmux.decisions._prefix import PrefixIndex, hash_blocks
+from shallotmux.decisions._prefix import BLOCK_TOKENS, PrefixIndex, hash_blocks
 from shallotmux.decisions._priority import Priority, ShareMeter
 from shallotmux.decisions._roles import (
     EngineStatus,
@@ -64,6 +64,7 @@
 from shallotmux.decisions._weights import ScheduledLoad, WeightLoad, schedule_loads
 
 __all__ = (
+    'BLOCK_TOKENS',
     'AverageLoad',
     'CandidateSet',
     'CustomerBuckets',
--- a/shallotmux/decisions/_candidates.py
+++ b/shallotmux/decisions/_candidates.py
@@ -7,6 +7,9 @@
 from hashlib import blake2b
 from random import Random
 
+#: No endpoint is excluded.
+NONE_EXCLUDED: frozenset[str] = frozenset()
+
 #: Points of each endpoint on the hash ring; more points even out the shares.
 RING_POINTS = 16
 
@@ -21,15 +24,18 @@
 
     Instances agree on the ring without messages, so the first requests with a prefix meet on the
     same endpoint even before any cache event arrives.
+
+    :param paused: endpoints kept on the ring that may not be chosen at present.
     """
 
     names: list[str] = field(default_factory=list)
     places: dict[str, int] = field(default_factory=dict)
     ring: list[tuple[int, str]] = field(default_factory=list)
+    paused: set[str] = field(default_factory=set)
 
     def add(self, name: str) -> None:
         """Add an endpoint; adding it twice changes nothing."""
-        if name in self.places:
+        if name in self.places or name in self.paused:
             return
         self.places[name] = len(self.names)
         self.names.append(name)
@@ -38,23 +44,42 @@
 
     def remove(self, name: str) -> None:
         """Remove an endpoint if it is there."""
-        place = self.places.pop(name, None)
-        if place is None:
+        if name in self.paused:
+            self.paused.discard(name)
+        elif not self._drop(name):
             return
-        last = self.names.pop()
-        if last != name:
-            self.names[place] = last
-            self.places[last] = place
         for point in range(RING_POINTS):
             entry = (_ring_hash(f'{name}/{point}'), name)
             self.ring.pop(bisect(self.ring, entry) - 1)
 
-    def sample(self, count: int, random: Random) -> list[str]:
-        """Return up to ``count`` different names."""
+    def pause(self, name: str) -> None:
+        """Keep an endpoint from being chosen without the cost of a change of the ring."""
+        if self._drop(name):
+            self.paused.add(name)
+
+    def resume(self, name: str) -> None:
+        """Let a paused endpoint be chosen again."""
+        if name in self.paused:
+            self.paused.discard(name)
+            self.places[name] = len(self.names)
+            self.names.append(name)
+
+    def sample(
+        self, count: int, random: Random, excluded: frozenset[str] = NONE_EXCLUDED
+    ) -> list[str]:
+        """Return up to ``count`` different names that are not excluded."""
         size = len(self.names)
-        if size <= count:
-            return list(self.names)
-        return [self.names[place] for place in random.sample(range(size), count)]
+        if size <= count + len(excluded):
+            left = [name for name in self.names if name not in excluded]
+            return left if len(left) <= count else random.sample(left, count)
+        if not excluded:
+            return [self.names[place] for place in random.sample(range(size), count)]
+        found: set[str] = set()
+        while len(found) < count:
+            name = random.choice(self.names)
+            if name not in excluded:
+                found.add(name)
+        return sorted(found)
 
     def homes(self, block: int, count: int) -> list[str]:
         """Return the first ``count`` endpoints after a block's place on the ring."""
@@ -62,8 +87,18 @@
         start = bisect(self.ring, (block, ''))
         for step in range(min(len(self.ring), count * RING_POINTS)):
             name = self.ring[(start + step) % len(self.ring)][1]
-            if name not in found:
+            if name in self.places and name not in found:
                 found.append(name)
             if len(found) >= count:
                 break
         return found
+
+    def _drop(self, name: str) -> bool:
+        place = self.places.pop(name, None)
+        if place is None:
+            return False
+        last = self.names.pop()
+        if last != name:
+            self.names[place] = last
+            self.places[last] = place
+        return True
--- a/shallotmux/decisions/_router.py
+++ b/shallotmux/decisions/_router.py
@@ -69,6 +69,7 @@
 
     :param leaving: endpoints excluded by their owner; the end of a failure's pause does not bring
         them back.
+    :param full: endpoints without room, which keep their place on the ring and their prefixes.
     """
 
     policy: RoutingPolicy = field(default_factory=RoutingPolicy)
@@ -79,6 +80,7 @@
     failures: dict[str, int] = field(default_factory=dict)
     returns: list[tuple[float, str]] = field(default_factory=list)
     leaving: set[str] = field(default_factory=set)
+    full: set[str] = field(default_factory=set)
 
     def add(self, endpoint: Endpoint, role: EngineRole = EngineRole.MIXED) -> None:
         """Add an endpoint, or take its new role."""
@@ -99,6 +101,7 @@
         self.states.pop(name, None)
         self.failures.pop(name, None)
         self.leaving.discard(name)
+        self.full.discard(name)
         self.index.remove(name)
 
     def exclude(self, name: str) -> None:
@@ -113,6 +116,19 @@
         if name in self.states:
             self._offer(name)
 
+    def pause(self, name: str) -> None:
+        """Choose an endpoint no more until it has room again."""
+        self.full.add(name)
+        for group in self.sets.values():
+            group.pause(name)
+
+    def resume(self, name: str) -> None:
+        """Let an endpoint with room be chosen again."""
+        if name in self.full:
+            self.full.discard(name)
+            for group in self.sets.values():
+                group.resume(name)
+
     def fail(self, name: str, now: float) -> None:
         """Exclude an endpoint after a failure, longer after each in a row."""
         count = self.failures.get(name, 0)
@@ -163,7 +179,7 @@
         group = self._group(features)
         matches = self._matches(features)
         homes = self._homes(features, group)
-        names = {*group.sample(self.policy.sample_size, random), *homes}
+        names = {*group.sample(self.policy.sample_size, random, features.excluded), *homes}
         names.update(self._holders(matches, group))
         names -= features.excluded
         if not names:
@@ -175,6 +191,10 @@
         best = max(scored, key=lambda each: each.score_s)
         return _describe(best, scored)
 
+    def has_candidates(self, features: RequestFeatures) -> bool:
+        """Tell whether any endpoint may take a request at present."""
+        return bool(self._group(features).names)
+
     def _score(  # noqa: WPS211
         self, name: str, features: RequestFeatures, held: float, now: float, *, home: bool
     ) -> Scored:
@@ -214,6 +234,8 @@
                 self.sets.setdefault((decoding, True), CandidateSet()).add(name)
                 if not state.endpoint.cheap:
                     self.sets.setdefault((decoding, False), CandidateSet()).add(name)
+        if name in self.full:
+            self.pause(name)
 
     def _withdraw(self, name: str) -> None:
         for group in self.sets.values():
--- a/shallotmux/engines/__init__.py
+++ b/shallotmux/engines/__init__.py
@@ -4,6 +4,7 @@
 
 from shallotmux.engines._client import EngineClient, EngineRun, LoadReport
 from shallotmux.engines._load import KnownLoad, LoadPoller, LoadTable
+from shallotmux.engines._prompts import BLOCK_BYTES, BYTES_PER_TOKEN, hash_prompt
 from shallotmux.engines._service import (
     CALL_HEADER,
     ServiceCall,
@@ -12,6 +13,8 @@
 )
 
 __all__ = (
+    'BLOCK_BYTES',
+    'BYTES_PER_TOKEN',
     'CALL_HEADER',
     'EngineClient',
     'EngineRun',
@@ -22,4 +25,5 @@
     'ServiceCall',
     'ServiceClient',
     'ServiceResult',
+    'hash_prompt',
 )
--- a/shallotmux/engines/_load.py
+++ b/shallotmux/engines/_load.py
@@ -62,7 +62,7 @@
 
     :param endpoints: returns the endpoints at present.
     :param in_flight: returns this instance's requests in progress on an endpoint.
-    :param updated: called after each report.
+    :param updated: called with each report.
     :param poll_per_s: reports fetched in a second over all endpoints.
     """
 
@@ -70,7 +70,7 @@
     table: LoadTable
     endpoints: Callable[[], Sequence[Endpoint]]
     in_flight: Callable[[str], int]
-    updated: Callable[[], None]
+    updated: Callable[[Endpoint, KnownLoad], None]
     poll_per_s: float
 
     async def run(self) -> None:
@@ -92,10 +92,9 @@
         try:
             with trio.move_on_after(REPORT_TIMEOUT_S):
                 report = await self.client.load(endpoint)
-                self.table.known[endpoint.name] = KnownLoad(
-                    report, trio.current_time(), self.in_flight(endpoint.name)
-                )
-                self.updated()
+                known = KnownLoad(report, trio.current_time(), self.in_flight(endpoint.name))
+                self.table.known[endpoint.name] = known
+                self.updated(endpoint, known)
         except EndpointError:
             self.table.known.pop(endpoint.name, None)
         finally:
--- a/shallotmux/requests/_admission.py
+++ b/shallotmux/requests/_admission.py
@@ -10,21 +10,23 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import islice
 from random import Random
 
 import trio
 
 from shallotmux.authority import Authority
-from shallotmux.decisions import EndpointView, RoutingDecision, route_request
-from shallotmux.engines import LoadTable
+from shallotmux.decisions import RequestFeatures, RoutingDecision, route_request
+from shallotmux.engines import KnownLoad, LoadTable
+from shallotmux.requests._lanes import Lane, Lanes
 from shallotmux.requests._lifecycle import Lifecycle
 from shallotmux.requests._request import RequestRefused, refuse
 from shallotmux.requests._retries import SMOOTHING, Breakers
 from shallotmux.requests._settings import RequestSettings
-from shallotmux.world import Customer, Endpoint, EndpointKind, EndpointPool, Route
+from shallotmux.world import Customer, Endpoint, EndpointKind, Route
 
-#: Endpoints looked at for one request. A full pool of 1,200 would cost more than the decision may.
-CANDIDATES = 32
+#: Endpoints whose prefill rates are averaged; those of a pool differ little.
+RATE_SAMPLE = 32
 
 #: Seconds for which the set of excluded endpoints of a pool is reused.
 EXCLUSION_AGE_S = 0.1
@@ -43,6 +45,8 @@
     :param started: whether the request has run before, so that it is never refused for load.
     :param exclusive: whether it needs an engine without other requests of this instance.
     :param avoid: endpoints that failed this request.
+    :param blocks: chained hashes of the blocks of the prompt.
+    :param uncached: prompt tokens that the endpoint is expected to process before the first token.
     :param deadline_s: time on the runtime's clock at which waiting ends.
     """
 
@@ -55,6 +59,8 @@
     exclusive: bool = False
     repeatable: bool = True
     prompt_tokens: int = 0
+    blocks: tuple[int, ...] = ()
+    uncached: float = 0.0
     avoid: frozenset[str] = frozenset()
     endpoint: Endpoint | None = None
     bound: trio.Event = field(default_factory=trio.Event)
@@ -111,8 +117,7 @@
         self._by_pool: Counter[tuple[str, str]] = Counter()
         self._figures: dict[str, PoolFigures] = {}
         self._excluded: dict[str, tuple[float, frozenset[str]]] = {}
-        #: Endpoints that get no new work because they leave or change their role.
-        self.draining: set[str] = set()
+        self._lanes = Lanes(lambda name: bool(self._in_flight[name]), self._has_room)
         self._reserved: dict[str, Ticket] = {}
 
     def in_flight(self, endpoint: str) -> int:
@@ -124,6 +129,43 @@
         """Return the number of waiting requests."""
         return len(self._waiting)
 
+    def exclude(self, endpoint: str) -> None:
+        """Give an endpoint no new work because it leaves or changes its role."""
+        self._lanes.exclude(endpoint)
+        self.bind()
+
+    def include(self, endpoint: str) -> None:
+        """Give an excluded endpoint work again."""
+        self._lanes.include(endpoint)
+        self.bind()
+
+    def is_draining(self, endpoint: str) -> bool:
+        """Tell whether an endpoint is excluded."""
+        return endpoint in self._lanes.draining
+
+    def endpoints(self, pool: str) -> tuple[Endpoint, ...]:
+        """Return the endpoints of a pool that may get new work by the zone's state."""
+        return tuple(self._lane(pool).live.values())
+
+    def take_report(self, endpoint: Endpoint, known: KnownLoad) -> None:
+        """Take a load report and bind waiting requests."""
+        for lane in self._lanes.holding(endpoint.name):
+            lane.take_report(endpoint.name, known)
+        self._lanes.update_room(endpoint.name)
+        self.bind()
+
+    def forget_cache(self, endpoint: str) -> None:
+        """Note that an engine crashed, so that its cache is probably lost."""
+        for lane in self._lanes.holding(endpoint):
+            lane.router.index.forget(endpoint)
+
+    def first_token(self, ticket: Ticket) -> None:
+        """Note that the prompt of a bound request is processed."""
+        if ticket.endpoint is not None and ticket.uncached:
+            router = self._lane(ticket.route.pool).router
+            router.prefilled(ticket.endpoint.name, ticket.uncached, trio.current_time())
+            ticket.uncached = 0.0
+
     async def acquire(self, ticket: Ticket, lifecycle: Lifecycle) -> Endpoint:
         """Wait for an endpoint; :meth:`release` gives it back.
 
@@ -157,8 +199,11 @@
         if ticket.endpoint is None:
             return
         name = ticket.endpoint.name
+        self.first_token(ticket)
+        self._lane(ticket.route.pool).router.ended(name, trio.current_time())
         ticket.endpoint = None
         self._in_flight[name] -= 1
+        self._lanes.update_room(name)
         self._by_customer[ticket.customer] -= 1
         self._by_pool[ticket.route.pool, ticket.customer] -= 1
         self.end_exclusive(ticket)
@@ -175,6 +220,7 @@
         for name, holder in list(self._reserved.items()):
             if holder is ticket:
                 self._reserved.pop(name)
+                self._lanes.update_room(name)
                 self.bind()
 
     def bind(self) -> None:
@@ -206,6 +252,10 @@
         self._by_pool[ticket.route.pool, ticket.customer] += 1
         ticket.endpoint = decision.endpoint
         ticket.bound_s = trio.current_time()
+        ticket.uncached = decision.uncached_tokens
+        router = self._lane(ticket.route.pool).router
+        router.dispatched(name, _features(ticket), ticket.uncached, ticket.bound_s)
+        self._lanes.update_room(name)
         ticket.bound.set()
         self._tools.record(ticket, decision)
 
@@ -216,13 +266,13 @@
         self.end_exclusive(ticket)
 
     def _check(self, ticket: Ticket, lifecycle: Lifecycle) -> None:
-        pool = self._pool(ticket)
-        if pool is None or not pool.endpoints:
+        lane = self._lane(ticket.route.pool)
+        if not lane.live:
             message = f'route {ticket.route.name!r} has no endpoint'
             raise refuse(lifecycle, message, code='no_endpoint', retry_after_s=RETRY_AFTER_S)
         self._check_customer(ticket, lifecycle)
         limit_s = self._tools.settings.first_token_limit_s
-        predicted_s = self._predict(ticket, pool)
+        predicted_s = self._predict(ticket, lane)
         if predicted_s > limit_s and ticket.route.repeatable and not ticket.exclusive:
             raise refuse(
                 lifecycle,
@@ -246,22 +296,21 @@
     def _refuse_busy(self, lifecycle: Lifecycle, message: str, code: str) -> RequestRefused:
         return refuse(lifecycle, message, code=code, status=429, retry_after_s=RETRY_AFTER_S)
 
-    def _predict(self, ticket: Ticket, pool: EndpointPool) -> float:
-        figures = self._figures.get(pool.name, PoolFigures())
-        same_pool = [each for each in self._waiting if each.route.pool == pool.name]
+    def _predict(self, ticket: Ticket, lane: Lane) -> float:
+        figures = self._figures.get(lane.pool, PoolFigures())
+        same_pool = [each for each in self._waiting if each.route.pool == lane.pool]
         ahead = sum(
             each.priority > ticket.priority
             or (each.customer == ticket.customer and each.priority == ticket.priority)
             for each in same_pool
         )
-        usable = [each for each in pool.endpoints if each.name not in self.draining]
-        rate = self._tools.loads.prefill_rate(each.name for each in usable[:CANDIDATES])
+        rate = self._tools.loads.prefill_rate(islice(lane.live, RATE_SAMPLE))
         return predict_first_token(
             ahead,
             self._count_served(ticket, {each.customer for each in same_pool}),
             figures,
             ticket.prompt_tokens / rate if rate else 0.0,
-            has_room=bool(self._with_room(ticket, usable)),
+            has_room=lane.router.has_candidates(_features(ticket)),
         )
 
     def _count_served(self, ticket: Ticket, waiting: set[str]) -> float:
@@ -275,8 +324,8 @@
         share = self._weight(ticket.customer) / sum(self._weight(name) for name in active)
         return max(running.get(ticket.customer, 0), share * sum(running.values()))
 
-    def _pool(self, ticket: Ticket) -> EndpointPool | None:
-        return self._tools.authority.read().pool(ticket.route.pool)
+    def _lane(self, pool: str) -> Lane:
+        return self._lanes.get(pool, self._tools.authority.read(), trio.current_time())
 
     def _slots(self, endpoint: Endpoint) -> int:
         settings = self._tools.settings
@@ -284,50 +333,38 @@
             return settings.service_slots
         return settings.engine_slots
 
+    def _has_room(self, endpoint: Endpoint) -> bool:
+        if endpoint.name in self._reserved:
+            return False
+        own = self._in_flight[endpoint.name]
+        running = self._tools.loads.estimate(endpoint.name, own, trio.current_time())
+        return max(running, own) < self._slots(endpoint)
+
     def _choose(self, ticket: Ticket) -> RoutingDecision | None:
-        pool = self._pool(ticket)
-        if pool is None:
-            return None
-        usable = self._usable(ticket, pool)
+        lane = self._lane(ticket.route.pool)
+        excluded = self._exclusions(lane) | ticket.avoid
+        if lane.live.keys() <= excluded | self._lanes.draining:
+            # Every endpoint has failed; any of them is better than none.
+            excluded = frozenset()
         if ticket.exclusive:
+            usable = [
+                each
+                for name, each in lane.live.items()
+                if name not in excluded and name not in self._lanes.draining
+            ]
             return self._choose_exclusive(ticket, usable)
-        sample = usable
-        if len(usable) > CANDIDATES:
-            sample = self._tools.random.sample(usable, CANDIDATES)
-        views = self._with_room(ticket, sample)
-        if not views and len(sample) < len(usable):
-            views = self._with_room(ticket, usable)
-        return route_request(views, self._tools.random)
-
-    def _usable(self, ticket: Ticket, pool: EndpointPool) -> list[Endpoint]:
-        """Return the endpoints that may take a request, or all live ones if none is left."""
-        live = [each for each in pool.endpoints if each.name not in self.draining]
-        excluded = self._exclusions(pool) | ticket.avoid
-        if not excluded:
-            return live
-        return [each for each in live if each.name not in excluded] or live
-
-    def _exclusions(self, pool: EndpointPool) -> frozenset[str]:
+        features = _features(ticket, excluded)
+        return route_request((), self._tools.random, features, lane.router, trio.current_time())
+
+    def _exclusions(self, lane: Lane) -> frozenset[str]:
         now = trio.current_time()
-        since, excluded = self._excluded.get(pool.name, (-math.inf, frozenset()))
+        since, excluded = self._excluded.get(lane.pool, (-math.inf, frozenset()))
         if now - since > EXCLUSION_AGE_S:
-            names = [each.name for each in pool.endpoints if each.name not in self.draining]
+            names = [name for name in lane.live if name not in self._lanes.draining]
             excluded = self._tools.breakers.excluded(names, now) if names else frozenset()
-            self._excluded[pool.name] = (now, excluded)
+            self._excluded[lane.pool] = (now, excluded)
         return excluded
 
-    def _with_room(self, ticket: Ticket, endpoints: list[Endpoint]) -> list[EndpointView]:
-        now = trio.current_time()
-        views = []
-        for endpoint in endpoints:
-            if endpoint.name in self._reserved or (endpoint.cheap and not ticket.repeatable):
-                continue
-            own = self._in_flight[endpoint.name]
-            running = self._tools.loads.estimate(endpoint.name, own, now)
-            if max(running, own) < self._slots(endpoint):
-                views.append(EndpointView(endpoint, reported_running=running, own_in_flight=own))
-        return views
-
     def _choose_exclusive(self, ticket: Ticket, usable: list[Endpoint]) -> RoutingDecision | None:
         """Reserve a cheap or little used endpoint, and bind to it as soon as it is empty."""
         mine = [name for name, holder in self._reserved.items() if holder is ticket]
@@ -335,8 +372,18 @@
         if not mine and len(self._reserved) < max(1, len(usable) // 3) and free:
             best = min(free, key=lambda each: (self._in_flight[each.name], not each.cheap))
             self._reserved[best.name] = ticket
+            self._lanes.update_room(best.name)
             mine = [best.name]
         for endpoint in usable:
             if endpoint.name in mine and not self._in_flight[endpoint.name]:
                 return RoutingDecision(endpoint, 'alone on trial', ((endpoint.name, 0),))
         return None
+
+
+def _features(ticket: Ticket, excluded: frozenset[str] | None = None) -> RequestFeatures:
+    return RequestFeatures(
+        ticket.blocks,
+        ticket.prompt_tokens,
+        repeatable=ticket.repeatable,
+        excluded=excluded or frozenset(),
+    )
--- a/shallotmux/requests/_attempts.py
+++ b/shallotmux/requests/_attempts.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from shallotmux.engines import EngineRun
+from shallotmux.engines import BLOCK_BYTES, BYTES_PER_TOKEN, EngineRun, hash_prompt
 from shallotmux.errors import EndpointError, EndpointRefused
 from shallotmux.requests._admission import Ticket
 from shallotmux.requests._events import EventCutter, StreamFault
@@ -42,9 +42,6 @@
 #: Header in which an engine names the attempt that it answers.
 ATTEMPT_HEADER = 'shallotmux-attempt-id'
 
-#: Bytes of the request body that count as a token in predictions.
-BYTES_PER_TOKEN = 4
-
 
 class Failure(StrEnum):
     """How an attempt ended without the whole answer."""
@@ -100,6 +97,8 @@
         self._crash_offset = math.inf
         self._avoid: frozenset[str] = frozenset()
         self._failures = 0
+        has_blocks = request.size_bytes >= BLOCK_BYTES
+        self._blocks = hash_prompt(request.payload) if has_blocks else ()
         self._stop: RequestRefused | None = None
         self._scope = trio.CancelScope(deadline=self._deadline_s)
 
@@ -174,6 +173,7 @@
             exclusive=on_trial,
             repeatable=self.request.route.repeatable,
             prompt_tokens=self.request.size_bytes // BYTES_PER_TOKEN,
+            blocks=self._blocks,
             avoid=self._avoid,
         )
 
@@ -205,6 +205,8 @@
             return
         not_run = failure in {Failure.REFUSED, Failure.UNREACHABLE}
         self._advance(AttemptEnded(attempt.attempt_id, not_run=not_run))
+        if failure == Failure.CRASHED:
+            self._parts.admission.forget_cache(name)
         if failure not in {Failure.REFUSED, Failure.MOVED}:
             certain = failure in {Failure.UNREACHABLE, Failure.CRASHED}
             breakers.fail(name, trio.current_time(), certain=certain)
@@ -228,7 +230,7 @@
 
     async def _explain_break(self, attempt: Attempt) -> Failure:
         name = attempt.endpoint.name
-        if name in self._parts.admission.draining:
+        if self._parts.admission.is_draining(name):
             return Failure.MOVED
         self._crash_offset = self._cutter.delivered
         crashed = await self._parts.suspects.report_break(
@@ -271,6 +273,7 @@
         if attempt.first_token_s is None:
             attempt.first_token_s = now - attempt.ticket.bound_s
             self._advance(FirstByte(attempt.attempt_id))
+            self._parts.admission.first_token(attempt.ticket)
         if self.outbox.is_full:
             attempt.scope.deadline = math.inf
             await self._wait_caller()
--- a/shallotmux/requests/_executor.py
+++ b/shallotmux/requests/_executor.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from itertools import chain
 
 import trio
 
@@ -88,7 +89,7 @@
             self._parts.loads,
             self._endpoints,
             self._parts.admission.in_flight,
-            self._parts.admission.bind,
+            self._parts.admission.take_report,
             self._parts.settings.poll_per_s,
         )
         async with trio.open_nursery() as nursery:
@@ -153,8 +154,7 @@
         :param deadline_s: time on the runtime's clock at which the endpoint may vanish.
         """
         admission = self._parts.admission
-        admission.draining.add(endpoint)
-        admission.bind()
+        admission.exclude(endpoint)
         moved = 0
         move_at_s = deadline_s - self._parts.settings.move_margin_s
         while admission.in_flight(endpoint) and trio.current_time() < deadline_s:
@@ -165,8 +165,7 @@
 
     def readmit(self, endpoint: str) -> None:
         """Let a drained endpoint take work again."""
-        self._parts.admission.draining.discard(endpoint)
-        self._parts.admission.bind()
+        self._parts.admission.include(endpoint)
 
     async def finish(self) -> None:
         """Refuse new requests as not run and wait until the open ones have ended."""
@@ -217,8 +216,8 @@
     def _endpoints(self) -> list[Endpoint]:
         state = self._tools.authority.read()
         pools = {route.pool for route in state.routes()}
-        found = (state.pool(name) for name in sorted(pools))
-        return [endpoint for pool in found if pool is not None for endpoint in pool.endpoints]
+        found = (self._parts.admission.endpoints(name) for name in sorted(pools))
+        return list(chain.from_iterable(found))
 
     def _record(self, ticket: Ticket, decision: RoutingDecision) -> None:
         self._tools.decisions.record(
@@ -231,6 +230,10 @@
                     'customer': ticket.customer,
                     'route': ticket.route.name,
                     'sampled': list(decision.sampled),
+                    'wait_s': round(decision.wait_s, 4),
+                    'prompt_tokens': ticket.prompt_tokens,
+                    'uncached_tokens': round(decision.uncached_tokens),
+                    'excluded': sorted(ticket.avoid),
                 },
                 time_s=trio.current_time(),
             ),
--- /dev/null
+++ b/tests/requests/test_routing.py
@@ -0,0 +1,131 @@
+"""Routing through the admission: the zone's state, load reports, prefixes, endpoints with room."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import trio
+
+from shallotmux.authority import ObserveEndpoints, PutObject, ZoneState
+from shallotmux.authority._inventory import ListedEndpoint
+from shallotmux.decisions import RequestFeatures
+from shallotmux.engines import KnownLoad, LoadReport
+from shallotmux.requests._lanes import SYNC_S, EngineClock, Lanes
+from shallotmux.world import Endpoint, EndpointPool
+from tests.requests._checker import check_histories
+from tests.requests._zone import Shape, Zone, run_zone
+
+SHEET = 'fold along the dotted line; ' * 1000
+NAMES = tuple(f'e{number}' for number in range(6))
+ENDPOINTS = tuple(Endpoint(name, 'z', name) for name in NAMES)
+
+
+def make_state(endpoints: tuple[Endpoint, ...] = ENDPOINTS) -> ZoneState:
+    """Return a state with one pool."""
+    state = ZoneState()
+    state.apply(PutObject('put', EndpointPool('p', 'z', endpoints), 0))
+    return state
+
+
+def considered(lanes: Lanes, state: ZoneState, now: float) -> set[str]:
+    """Return the endpoints that requests may get."""
+    router = lanes.get('p', state, now).router
+    decisions = [router.choose(RequestFeatures(), Random(seed), now) for seed in range(40)]
+    return {name for each in decisions if each is not None for name, _ in each.sampled}
+
+
+def test_prefixes_meet_on_one_engine() -> None:
+    """Guards against requests with one pattern sheet that each fill another engine's cache."""
+
+    async def work(zone: Zone) -> None:
+        for number in range(12):
+            await zone.ask('tailors', f'{SHEET} question {number}')
+
+    zone = run_zone(work, Shape(engines=6, entries=2))
+    check_histories(zone)
+    runs = Counter({engine.name: len(engine.runs) for engine in zone.engines})
+    assert runs.most_common(1)[0][1] == 12
+
+
+def test_leaving_endpoint_gets_no_work() -> None:
+    """Guards against a router that keeps endpoints which the zone's state has excluded."""
+    state = make_state()
+    lanes = Lanes(lambda name: False, lambda endpoint: True)
+    assert considered(lanes, state, 0) == set(NAMES)
+    leaving = ListedEndpoint(ENDPOINTS[0], leaving=True)
+    state.apply(ObserveEndpoints('leave', (leaving,), (), state.intents.term))
+    assert considered(lanes, state, SYNC_S) == set(NAMES[1:])
+    state.apply(ObserveEndpoints('stay', (), (NAMES[0],), state.intents.term))
+    assert considered(lanes, state, 2 * SYNC_S) == set(NAMES)
+
+
+def test_new_configuration_takes_effect_at_once() -> None:
+    """Guards against requests sent to the former address of an endpoint."""
+    state = make_state()
+    lanes = Lanes(lambda name: False, lambda endpoint: True)
+    lanes.get('p', state, 0)
+    moved = Endpoint(NAMES[0], 'z', 'new')
+    state.apply(PutObject('move', EndpointPool('p', 'z', (moved,)), state.revision))
+    lane = lanes.get('p', state, 0)
+    assert considered(lanes, state, 0) == {NAMES[0]}
+    assert lane.router.states[NAMES[0]].endpoint is moved
+
+
+def test_full_and_drained_endpoints_are_passed_over() -> None:
+    """Guards against bindings to an endpoint without room or under a planned change."""
+    full = {NAMES[1]}
+    state = make_state()
+    lanes = Lanes(lambda name: False, lambda endpoint: endpoint.name not in full)
+    lanes.get('p', state, 0)
+    lanes.exclude(NAMES[0])
+    assert considered(lanes, state, 0) == set(NAMES[2:])
+    lanes.include(NAMES[0])
+    full.clear()
+    # No event tells that a report has expired.
+    assert considered(lanes, state, SYNC_S) == set(NAMES)
+
+
+def test_excluded_endpoints_do_not_use_up_the_sample() -> None:
+    """Guards against a request that finds no endpoint because its sample had failed it."""
+    state = make_state()
+    router = Lanes(lambda name: False, lambda endpoint: True).get('p', state, 0).router
+    features = RequestFeatures(excluded=frozenset(NAMES[:5]))
+    for seed in range(40):
+        decision = router.choose(features, Random(seed), 0)
+        assert decision is not None
+        assert decision.endpoint.name == NAMES[5]
+
+
+def test_reports_are_read_in_the_time_of_the_instance() -> None:
+    """Guards against reports that count as old or new because the engine's clock differs."""
+    clock = EngineClock()
+    assert round(clock.translate(as_of=1000.0, received_s=10.0), 2) == 10
+    assert round(clock.translate(as_of=1001.0, received_s=12.0), 2) == 11
+    # A restarted engine begins at 0 again.
+    assert round(clock.translate(as_of=0.5, received_s=33.0), 2) == 33
+
+
+def test_report_changes_role() -> None:
+    """Guards against new requests on an engine that only decodes."""
+    state = make_state()
+    lanes = Lanes(lambda name: False, lambda endpoint: True)
+    report = LoadReport('decode', '', 0, 0, 1, 1000.0, 0.01, as_of=5.0)
+    lanes.get('p', state, 0).take_report(NAMES[0], KnownLoad(report, 1.0, 0))
+    assert considered(lanes, state, 1.0) == set(NAMES[1:])
+
+
+def test_routing_log_line_keeps_the_figures() -> None:
+    """Guards against a decision that cannot be explained afterwards."""
+    lines = []
+
+    async def work(zone: Zone) -> None:
+        await zone.ask('tailors', SHEET)
+        for entry in zone.entries:
+            lines.extend(entry.executor._tools.decisions.recent(1))
+        await trio.lowlevel.checkpoint()
+
+    run_zone(work, Shape(entries=1))
+    figures = lines[0].figures
+    assert {'sampled', 'wait_s', 'prompt_tokens', 'uncached_tokens'} <= figures.keys()
+    assert figures['uncached_tokens'] > 0
