Order waiting requests fairly by virtual token counters

Requests wait by tier, and within a tier in a DispatchQueue with the weights of contracts and their exceptions. Resumed requests and suspects come first. The priority at the engine is the tier, and within it whether the customer is within its share. Counts of waiting requests are kept instead of searched.

--- a/shallotmux/decisions/_dispatch.py
+++ b/shallotmux/decisions/_dispatch.py
@@ -62,6 +62,11 @@
             return None
         return self.in_time.pop() if self.in_time.size else self.overdue.pop()
 
+    def discard(self, waiting: Waiting[ItemT]) -> None:
+        """Remove a request whose caller gave up."""
+        if not self.in_time.discard(waiting.flow, waiting):
+            self.overdue.discard(waiting.flow, waiting)
+
     def charge(self, flow: Flow, correction: float) -> None:
         """Correct a customer's counter by actual minus expected cost."""
         self.in_time.charge(flow, correction)
--- a/shallotmux/decisions/_fairness.py
+++ b/shallotmux/decisions/_fairness.py
@@ -107,6 +107,16 @@
         self.size -= 1
         return head[1]
 
+    def discard(self, flow: Flow, item: ItemT) -> bool:
+        """Remove an item that gave up, without a charge, and tell whether it was there."""
+        state = self.flows.get(flow)
+        for place, entry in enumerate(state.waiting if state else ()):
+            if state and entry[1] is item:
+                del state.waiting[place]  # noqa: WPS420
+                self.size -= 1
+                return True
+        return False
+
     def charge(self, flow: Flow, correction: float) -> None:
         """Correct the counter by the difference between actual and expected cost."""
         state = self.flows.get(flow)
--- a/shallotmux/requests/_admission.py
+++ b/shallotmux/requests/_admission.py
@@ -9,21 +9,36 @@
 import math
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from itertools import islice
 from random import Random
 
 import trio
 
 from shallotmux.authority import Authority
-from shallotmux.decisions import RequestFeatures, RoutingDecision, route_request
+from shallotmux.decisions import (
+    RequestFeatures,
+    RoutingDecision,
+    ShareMeter,
+    route_request,
+)
 from shallotmux.engines import KnownLoad, LoadTable
 from shallotmux.requests._lanes import Lane, Lanes
 from shallotmux.requests._lifecycle import Lifecycle
+from shallotmux.requests._prediction import PoolFigures, predict_first_token
 from shallotmux.requests._request import RequestRefused, refuse
-from shallotmux.requests._retries import SMOOTHING, Breakers
+from shallotmux.requests._retries import Breakers
 from shallotmux.requests._settings import RequestSettings
-from shallotmux.world import Customer, Endpoint, EndpointKind, Route
+from shallotmux.requests._waiting import (
+    COSTS,
+    MIN_WEIGHT,
+    ROOM_S,
+    Contracts,
+    Station,
+    Ticket,
+    WaitingRoom,
+)
+from shallotmux.world import Contract, Endpoint, EndpointKind, RouteKind
 
 #: Endpoints whose prefill rates are averaged; those of a pool differ little.
 RATE_SAMPLE = 32
@@ -31,66 +46,10 @@
 #: Seconds for which the set of excluded endpoints of a pool is reused.
 EXCLUSION_AGE_S = 0.1
 
-#: Least weight of a customer, so that a weight of 0 gives the least share instead of an error.
-MIN_WEIGHT = 1e-6
-
 #: Seconds after which a refused caller may try again when nothing better is known.
 RETRY_AFTER_S = 1.0
 
 
-@dataclass(eq=False, slots=True)
-class Ticket:
-    """A request that waits for an endpoint.
-
-    :param started: whether the request has run before, so that it is never refused for load.
-    :param exclusive: whether it needs an engine without other requests of this instance.
-    :param avoid: endpoints that failed this request.
-    :param blocks: chained hashes of the blocks of the prompt.
-    :param uncached: prompt tokens that the endpoint is expected to process before the first token.
-    :param deadline_s: time on the runtime's clock at which waiting ends.
-    """
-
-    subject: str
-    customer: str
-    route: Route
-    deadline_s: float
-    priority: int = 0
-    started: bool = False
-    exclusive: bool = False
-    repeatable: bool = True
-    prompt_tokens: int = 0
-    blocks: tuple[int, ...] = ()
-    uncached: float = 0.0
-    avoid: frozenset[str] = frozenset()
-    endpoint: Endpoint | None = None
-    bound: trio.Event = field(default_factory=trio.Event)
-    bound_s: float = 0.0
-
-
-@dataclass(slots=True)
-class PoolFigures:
-    """Moving averages of a pool: time on an endpoint and time to the first token, in seconds."""
-
-    busy_s: float = 0.0
-    first_token_s: float = 0.0
-
-
-def predict_first_token(
-    waiting: int, served: float, figures: PoolFigures, prefill_s: float, *, has_room: bool
-) -> float:
-    """Return the expected time to the first token in seconds.
-
-    :param waiting: requests that wait ahead of this one.
-    :param served: streams of the customer that this instance gets to run at a time. Other
-        instances use the same endpoints, so the pool's size says little about it.
-    :param prefill_s: time for the prompt on an idle engine.
-    """
-    first_token_s = max(figures.first_token_s, prefill_s)
-    if has_room and not waiting:
-        return first_token_s
-    return (waiting + 1) * figures.busy_s / max(1, served) + first_token_s
-
-
 @dataclass(frozen=True, slots=True)
 class AdmissionTools:
     """Collaborators of the admission.
@@ -111,7 +70,9 @@
 
     def __init__(self, tools: AdmissionTools) -> None:
         self._tools = tools
-        self._waiting: list[Ticket] = []
+        self._waiting = WaitingRoom()
+        self._contracts = Contracts()
+        self._shares = ShareMeter()
         self._in_flight: Counter[str] = Counter()
         self._by_customer: Counter[str] = Counter()
         self._by_pool: Counter[tuple[str, str]] = Counter()
@@ -161,10 +122,11 @@
 
     def first_token(self, ticket: Ticket) -> None:
         """Note that the prompt of a bound request is processed."""
-        if ticket.endpoint is not None and ticket.uncached:
+        if ticket.endpoint is not None and not ticket.first_token:
             router = self._lane(ticket.route.pool).router
             router.prefilled(ticket.endpoint.name, ticket.uncached, trio.current_time())
-            ticket.uncached = 0.0
+            ticket.first_token = True
+            self.bind()
 
     async def acquire(self, ticket: Ticket, lifecycle: Lifecycle) -> Endpoint:
         """Wait for an endpoint; :meth:`release` gives it back.
@@ -173,7 +135,7 @@
         """
         if not ticket.started:
             self._check(ticket, lifecycle)
-        self._waiting.append(ticket)
+        self._arrive(ticket)
         self.bind()
         try:
             with trio.move_on_at(ticket.deadline_s):
@@ -208,11 +170,10 @@
         self._by_pool[ticket.route.pool, ticket.customer] -= 1
         self.end_exclusive(ticket)
         figures = self._figures.setdefault(ticket.route.pool, PoolFigures())
+        self._waiting.correct(ticket)
         if first_token_s is not None:
-            busy_s = trio.current_time() - ticket.bound_s
-            figures.busy_s += (busy_s - figures.busy_s) * (SMOOTHING if figures.busy_s else 1)
-            smoothing = SMOOTHING if figures.first_token_s else 1
-            figures.first_token_s += (first_token_s - figures.first_token_s) * smoothing
+            figures.meter.finish(ticket.output_tokens)
+            figures.follow(trio.current_time() - ticket.bound_s, first_token_s)
         self.bind()
 
     def end_exclusive(self, ticket: Ticket) -> None:
@@ -225,34 +186,67 @@
 
     def bind(self) -> None:
         """Bind waiting requests to endpoints with room, in fair order."""
-        blocked: set[tuple[str, bool, bool]] = set()
-        for ticket in sorted(self._waiting, key=self._order):
-            kind = (ticket.route.pool, ticket.exclusive, ticket.repeatable)
-            if kind in blocked and not ticket.avoid:
+        for station in self._waiting.stations.values():
+            self._bind_first(station)
+            has_bound = True
+            while has_bound:
+                has_bound = self._bind_next(station)
+
+    def _bind_first(self, station: Station) -> None:
+        blocked = False
+        for ticket in tuple(station.first):
+            ordinary = not ticket.exclusive and not ticket.avoid
+            if blocked and ordinary:
                 continue
             decision = self._choose(ticket)
             if decision is None:
-                blocked.add(kind)
+                blocked = blocked or ordinary
             else:
                 self._bind(ticket, decision)
 
-    def _order(self, ticket: Ticket) -> tuple[bool, int, float]:
-        running = self._by_pool[ticket.route.pool, ticket.customer]
-        return (not ticket.started, -ticket.priority, running / self._weight(ticket.customer))
+    def _bind_next(self, station: Station) -> bool:
+        now = trio.current_time()
+        ticket = station.head(now)
+        decision = self._choose(ticket) if ticket else None
+        if ticket is None or decision is None:
+            return False
+        overdue = ticket.waiting is not None and ticket.waiting.due_s < now
+        ticket.share = self._shares.priority(ticket.customer, now, overdue=overdue)
+        if decision.wait_s > ROOM_S[ticket.share]:
+            return False
+        self._bind(ticket, decision)
+        return True
+
+    def _arrive(self, ticket: Ticket) -> None:
+        now = trio.current_time()
+        weight = self._weight(ticket.customer)
+        if not ticket.started:
+            meter = self._figures.setdefault(ticket.route.pool, PoolFigures()).meter
+            meter.arrive(now, ticket.prompt_tokens)
+            if ticket.route.kind == RouteKind.MODEL:
+                ticket.expected_tokens = meter.output
+            prefill_tokens = ticket.prompt_tokens * meter.uncached
+            ticket.cost_s = COSTS.cost(prefill_tokens, ticket.expected_tokens)
+            self._shares.charge(ticket.customer, weight, ticket.cost_s, now)
+        self._waiting.add(ticket, weight, now + self._tools.settings.first_token_target_s)
+
+    def _contract(self, name: str) -> Contract:
+        return self._contracts.find(name, self._tools.authority.read(), trio.current_time())
 
     def _weight(self, name: str) -> float:
-        customer = self._tools.authority.read().customer(name)
-        return max(customer.contract.weight, MIN_WEIGHT) if customer else 1.0
+        return max(self._contract(name).weight, MIN_WEIGHT)
 
     def _bind(self, ticket: Ticket, decision: RoutingDecision) -> None:
         name = decision.endpoint.name
-        self._waiting.remove(ticket)
+        self._waiting.take(ticket, trio.current_time())
         self._in_flight[name] += 1
         self._by_customer[ticket.customer] += 1
         self._by_pool[ticket.route.pool, ticket.customer] += 1
         ticket.endpoint = decision.endpoint
         ticket.bound_s = trio.current_time()
         ticket.uncached = decision.uncached_tokens
+        meter = self._figures.setdefault(ticket.route.pool, PoolFigures()).meter
+        meter.dispatch(ticket.prompt_tokens, ticket.uncached)
         router = self._lane(ticket.route.pool).router
         router.dispatched(name, _features(ticket), ticket.uncached, ticket.bound_s)
         self._lanes.update_room(name)
@@ -260,8 +254,7 @@
         self._tools.record(ticket, decision)
 
     def _forget(self, ticket: Ticket) -> None:
-        if ticket in self._waiting:
-            self._waiting.remove(ticket)
+        self._waiting.discard(ticket)
         self.release(ticket)
         self.end_exclusive(ticket)
 
@@ -283,13 +276,11 @@
             )
 
     def _check_customer(self, ticket: Ticket, lifecycle: Lifecycle) -> None:
-        place = (ticket.customer, ticket.route.name)
-        queued = [each for each in self._waiting if (each.customer, each.route.name) == place]
-        if len(queued) >= self._tools.settings.queue_limit:
+        queued = self._waiting.count(ticket.customer, ticket.route.name)
+        if queued >= self._tools.settings.queue_limit:
             raise self._refuse_busy(lifecycle, 'too many requests are waiting', 'queue_full')
-        customer = self._tools.authority.read().customer(ticket.customer)
-        limit = (customer or Customer('')).contract.connections
-        mine = sum(1 for each in self._waiting if each.customer == ticket.customer)
+        limit = self._contract(ticket.customer).connections
+        mine = self._waiting.count(ticket.customer)
         if self._by_customer[ticket.customer] + mine >= limit:
             raise self._refuse_busy(lifecycle, 'too many requests in progress', 'too_many_requests')
 
@@ -298,11 +289,12 @@
 
     def _predict(self, ticket: Ticket, lane: Lane) -> float:
         figures = self._figures.get(lane.pool, PoolFigures())
-        same_pool = [each for each in self._waiting if each.route.pool == lane.pool]
+        same_pool = dict(self._waiting.of_pool(lane.pool))
         ahead = sum(
-            each.priority > ticket.priority
-            or (each.customer == ticket.customer and each.priority == ticket.priority)
-            for each in same_pool
+            number
+            for each, number in same_pool.items()
+            if each.tier > ticket.priority
+            or (each.customer == ticket.customer and each.tier == ticket.priority)
         )
         rate = self._tools.loads.prefill_rate(islice(lane.live, RATE_SAMPLE))
         return predict_first_token(
--- a/shallotmux/requests/_attempts.py
+++ b/shallotmux/requests/_attempts.py
@@ -12,7 +12,6 @@
 
 from shallotmux.engines import BLOCK_BYTES, BYTES_PER_TOKEN, EngineRun, hash_prompt
 from shallotmux.errors import EndpointError, EndpointRefused
-from shallotmux.requests._admission import Ticket
 from shallotmux.requests._events import EventCutter, StreamFault
 from shallotmux.requests._lifecycle import (
     Admit,
@@ -31,6 +30,7 @@
 from shallotmux.requests._outbox import Outbox
 from shallotmux.requests._request import CallerRequest, RequestRefused, refuse
 from shallotmux.requests._retries import draw_backoff
+from shallotmux.requests._waiting import Ticket
 
 if TYPE_CHECKING:
     from shallotmux.requests._parts import Parts
@@ -152,10 +152,12 @@
         )
         ticket = self._ticket(on_trial=on_trial)
         attempt = Attempt(attempt_id, ticket, on_trial)
+        before = self._cutter.delivered
         try:
             await self._parts.admission.acquire(ticket, self.lifecycle)
             return await self._try(attempt, helpers)
         finally:
+            ticket.output_tokens = self._cutter.delivered - before
             self._parts.admission.release(ticket, attempt.first_token_s)
             if on_trial and not attempt.cleared:
                 helpers.start_soon(self._end_trial, attempt_id, False)
@@ -261,7 +263,7 @@
             response_id=request.response_id,
             payload=request.payload,
             offset=self._cutter.delivered,
-            priority=request.priority,
+            priority=attempt.ticket.engine_priority,
             chat=request.chat,
             deadline_s=max(0.0, self._deadline_s - trio.current_time()),
         )
--- a/shallotmux/requests/_executor.py
+++ b/shallotmux/requests/_executor.py
@@ -12,7 +12,7 @@
 from shallotmux.decisions import RoutingDecision
 from shallotmux.engines import LoadPoller, LoadTable
 from shallotmux.observability import DecisionRecord
-from shallotmux.requests._admission import Admission, AdmissionTools, Ticket
+from shallotmux.requests._admission import Admission, AdmissionTools
 from shallotmux.requests._attempts import ModelCall
 from shallotmux.requests._jobs import Jobs
 from shallotmux.requests._outbox import Outbox
@@ -26,6 +26,7 @@
 from shallotmux.requests._retries import Breakers, RetryBudget
 from shallotmux.requests._services import PlainCall
 from shallotmux.requests._suspects import Suspects
+from shallotmux.requests._waiting import Ticket
 from shallotmux.world import Endpoint
 
 #: Seconds between two checks of the keys of open streams. A withdrawn key and a lost authority
@@ -233,6 +234,8 @@
                     'wait_s': round(decision.wait_s, 4),
                     'prompt_tokens': ticket.prompt_tokens,
                     'uncached_tokens': round(decision.uncached_tokens),
+                    'tier': ticket.priority,
+                    'share': ticket.share.name.lower(),
                     'excluded': sorted(ticket.avoid),
                 },
                 time_s=trio.current_time(),
--- /dev/null
+++ b/shallotmux/requests/_prediction.py
@@ -0,0 +1,39 @@
+"""Predict the time to the first token of a request that arrives."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from shallotmux.decisions import DemandMeter
+from shallotmux.requests._retries import SMOOTHING
+
+
+@dataclass(slots=True)
+class PoolFigures:
+    """Demand of a pool, and moving averages of times on an endpoint in seconds."""
+
+    meter: DemandMeter = field(default_factory=DemandMeter)
+    busy_s: float = 0.0
+    first_token_s: float = 0.0
+
+    def follow(self, busy_s: float, first_token_s: float) -> None:
+        """Include the times of a request that has ended."""
+        self.busy_s += (busy_s - self.busy_s) * (SMOOTHING if self.busy_s else 1)
+        smoothing = SMOOTHING if self.first_token_s else 1
+        self.first_token_s += (first_token_s - self.first_token_s) * smoothing
+
+
+def predict_first_token(
+    waiting: int, served: float, figures: PoolFigures, prefill_s: float, *, has_room: bool
+) -> float:
+    """Return the expected time to the first token in seconds.
+
+    :param waiting: requests that wait ahead of this one.
+    :param served: streams of the customer that this instance gets to run at a time. Other
+        instances use the same endpoints, so the pool's size says little about it.
+    :param prefill_s: time for the prompt on an idle engine.
+    """
+    first_token_s = max(figures.first_token_s, prefill_s)
+    if has_room and not waiting:
+        return first_token_s
+    return (waiting + 1) * figures.busy_s / max(1, served) + first_token_s
--- a/shallotmux/requests/_services.py
+++ b/shallotmux/requests/_services.py
@@ -9,7 +9,6 @@
 
 from shallotmux.engines import ServiceCall, ServiceClient, ServiceResult
 from shallotmux.errors import EndpointError, EndpointRefused
-from shallotmux.requests._admission import Ticket
 from shallotmux.requests._jobs import Run
 from shallotmux.requests._lifecycle import (
     Admit,
@@ -26,6 +25,7 @@
 )
 from shallotmux.requests._request import RequestRefused, ServiceAnswer, ServiceRequest, refuse
 from shallotmux.requests._retries import draw_backoff
+from shallotmux.requests._waiting import Ticket
 
 if TYPE_CHECKING:
     from shallotmux.requests._parts import Parts
--- a/shallotmux/requests/_settings.py
+++ b/shallotmux/requests/_settings.py
@@ -23,6 +23,7 @@
     :param queue_wait_s: longest wait for an endpoint.
     :param first_token_limit_s: predicted first-token time beyond which a request is refused. Less
         than the target of 0.74 s, since the prediction is a mean.
+    :param first_token_target_s: time after which a waiting request lets those in time go first.
     :param engine_slots: streams that count as a full engine.
     :param service_slots: calls that count as a full plain service.
     :param buffer_bytes: bytes held for a caller that reads slowly.
@@ -57,6 +58,7 @@
     queue_limit: int = 64
     queue_wait_s: float = 5.0
     first_token_limit_s: float = 0.5
+    first_token_target_s: float = 0.74
     engine_slots: int = 64
     service_slots: int = 64
     buffer_bytes: int = 262_144
