Limit the requests and tokens of customers on each instance

Requests over a customer's rate limits are refused as not run with Retry-After. The executor takes the instance's share of the limits, and tells the demand of pools and customers.

--- a/shallotmux/requests/__init__.py
+++ b/shallotmux/requests/__init__.py
@@ -4,6 +4,7 @@
 
 from shallotmux.requests._executor import CallerStalled, Drained, RequestExecutor
 from shallotmux.requests._lifecycle import Lifecycle, Outcome, RequestState, advance, judge
+from shallotmux.requests._limits import CustomerDemand, InstanceDemand, PoolDemand
 from shallotmux.requests._outbox import Outbox
 from shallotmux.requests._parts import Tools
 from shallotmux.requests._request import (
@@ -18,7 +19,10 @@
 __all__ = (
     'CallerRequest',
     'CallerStalled',
+    'CustomerDemand',
     'Drained',
+    'InstanceDemand',
+    'PoolDemand',
     'Lifecycle',
     'Outbox',
     'Outcome',
--- a/shallotmux/requests/_admission.py
+++ b/shallotmux/requests/_admission.py
@@ -17,7 +17,6 @@
 
 from shallotmux.authority import Authority
 from shallotmux.decisions import (
-    RequestFeatures,
     RoutingDecision,
     ShareMeter,
     route_request,
@@ -25,6 +24,7 @@
 from shallotmux.engines import KnownLoad, LoadTable
 from shallotmux.requests._lanes import Lane, Lanes
 from shallotmux.requests._lifecycle import Lifecycle
+from shallotmux.requests._limits import InstanceDemand, Limits
 from shallotmux.requests._prediction import PoolFigures, predict_first_token
 from shallotmux.requests._request import RequestRefused, refuse
 from shallotmux.requests._retries import Breakers
@@ -73,6 +73,8 @@
         self._waiting = WaitingRoom()
         self._contracts = Contracts()
         self._shares = ShareMeter()
+        #: Rate limits of the customers on this instance.
+        self.limits = Limits()
         self._in_flight: Counter[str] = Counter()
         self._by_customer: Counter[str] = Counter()
         self._by_pool: Counter[tuple[str, str]] = Counter()
@@ -128,6 +130,12 @@
             ticket.first_token = True
             self.bind()
 
+    def demand(self) -> InstanceDemand:
+        """Return the recent demand of pools and customers on this instance."""
+        now = trio.current_time()
+        pools = {name: each.demand(now) for name, each in self._figures.items()}
+        return InstanceDemand(pools, self.limits.demand(now))
+
     async def acquire(self, ticket: Ticket, lifecycle: Lifecycle) -> Endpoint:
         """Wait for an endpoint; :meth:`release` gives it back.
 
@@ -169,8 +177,10 @@
         self._by_customer[ticket.customer] -= 1
         self._by_pool[ticket.route.pool, ticket.customer] -= 1
         self.end_exclusive(ticket)
-        figures = self._figures.setdefault(ticket.route.pool, PoolFigures())
+        figures = self._pool_figures(ticket)
         self._waiting.correct(ticket)
+        used_tokens = ticket.output_tokens - ticket.charged_tokens
+        self.limits.correct(ticket.customer, used_tokens)
         if first_token_s is not None:
             figures.meter.finish(ticket.output_tokens)
             figures.follow(trio.current_time() - ticket.bound_s, first_token_s)
@@ -221,7 +231,7 @@
         now = trio.current_time()
         weight = self._weight(ticket.customer)
         if not ticket.started:
-            meter = self._figures.setdefault(ticket.route.pool, PoolFigures()).meter
+            meter = self._pool_figures(ticket).meter
             meter.arrive(now, ticket.prompt_tokens)
             if ticket.route.kind == RouteKind.MODEL:
                 ticket.expected_tokens = meter.output
@@ -245,10 +255,10 @@
         ticket.endpoint = decision.endpoint
         ticket.bound_s = trio.current_time()
         ticket.uncached = decision.uncached_tokens
-        meter = self._figures.setdefault(ticket.route.pool, PoolFigures()).meter
+        meter = self._pool_figures(ticket).meter
         meter.dispatch(ticket.prompt_tokens, ticket.uncached)
         router = self._lane(ticket.route.pool).router
-        router.dispatched(name, _features(ticket), ticket.uncached, ticket.bound_s)
+        router.dispatched(name, ticket.features(), ticket.uncached, ticket.bound_s)
         self._lanes.update_room(name)
         ticket.bound.set()
         self._tools.record(ticket, decision)
@@ -274,35 +284,49 @@
                 status=429,
                 retry_after_s=predicted_s - limit_s,
             )
+        self._check_limits(ticket, lifecycle)
+
+    def _check_limits(self, ticket: Ticket, lifecycle: Lifecycle) -> None:
+        """Check the rate limits last, so that other refusals use up none of them."""
+        if ticket.route.kind == RouteKind.MODEL:
+            ticket.charged_tokens = self._pool_figures(ticket).meter.output
+        wait_s = self.limits.check(
+            ticket.customer,
+            self._contract(ticket.customer),
+            ticket.prompt_tokens + ticket.charged_tokens,
+            trio.current_time(),
+        )
+        if wait_s:
+            raise refuse(
+                lifecycle,
+                'the rate limit of the customer is reached',
+                code='rate_limited',
+                status=429,
+                retry_after_s=wait_s,
+            )
+
+    def _pool_figures(self, ticket: Ticket) -> PoolFigures:
+        return self._figures.setdefault(ticket.route.pool, PoolFigures())
 
     def _check_customer(self, ticket: Ticket, lifecycle: Lifecycle) -> None:
         queued = self._waiting.count(ticket.customer, ticket.route.name)
         if queued >= self._tools.settings.queue_limit:
-            raise self._refuse_busy(lifecycle, 'too many requests are waiting', 'queue_full')
+            raise _refuse_busy(lifecycle, 'too many requests are waiting', 'queue_full')
         limit = self._contract(ticket.customer).connections
         mine = self._waiting.count(ticket.customer)
         if self._by_customer[ticket.customer] + mine >= limit:
-            raise self._refuse_busy(lifecycle, 'too many requests in progress', 'too_many_requests')
-
-    def _refuse_busy(self, lifecycle: Lifecycle, message: str, code: str) -> RequestRefused:
-        return refuse(lifecycle, message, code=code, status=429, retry_after_s=RETRY_AFTER_S)
+            raise _refuse_busy(lifecycle, 'too many requests in progress', 'too_many_requests')
 
     def _predict(self, ticket: Ticket, lane: Lane) -> float:
         figures = self._figures.get(lane.pool, PoolFigures())
-        same_pool = dict(self._waiting.of_pool(lane.pool))
-        ahead = sum(
-            number
-            for each, number in same_pool.items()
-            if each.tier > ticket.priority
-            or (each.customer == ticket.customer and each.tier == ticket.priority)
-        )
+        ahead, waiting = self._waiting.look_ahead(ticket)
         rate = self._tools.loads.prefill_rate(islice(lane.live, RATE_SAMPLE))
         return predict_first_token(
             ahead,
-            self._count_served(ticket, {each.customer for each in same_pool}),
+            self._count_served(ticket, waiting),
             figures,
             ticket.prompt_tokens / rate if rate else 0.0,
-            has_room=lane.router.has_candidates(_features(ticket)),
+            has_room=lane.router.has_candidates(ticket.features()),
         )
 
     def _count_served(self, ticket: Ticket, waiting: set[str]) -> float:
@@ -339,13 +363,10 @@
             # Every endpoint has failed; any of them is better than none.
             excluded = frozenset()
         if ticket.exclusive:
-            usable = [
-                each
-                for name, each in lane.live.items()
-                if name not in excluded and name not in self._lanes.draining
-            ]
+            barred = excluded | self._lanes.draining
+            usable = [each for name, each in lane.live.items() if name not in barred]
             return self._choose_exclusive(ticket, usable)
-        features = _features(ticket, excluded)
+        features = ticket.features(excluded)
         return route_request((), self._tools.random, features, lane.router, trio.current_time())
 
     def _exclusions(self, lane: Lane) -> frozenset[str]:
@@ -372,10 +393,5 @@
         return None
 
 
-def _features(ticket: Ticket, excluded: frozenset[str] | None = None) -> RequestFeatures:
-    return RequestFeatures(
-        ticket.blocks,
-        ticket.prompt_tokens,
-        repeatable=ticket.repeatable,
-        excluded=excluded or frozenset(),
-    )
+def _refuse_busy(lifecycle: Lifecycle, message: str, code: str) -> RequestRefused:
+    return refuse(lifecycle, message, code=code, status=429, retry_after_s=RETRY_AFTER_S)
--- a/shallotmux/requests/_executor.py
+++ b/shallotmux/requests/_executor.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from itertools import chain
@@ -15,6 +15,7 @@
 from shallotmux.requests._admission import Admission, AdmissionTools
 from shallotmux.requests._attempts import ModelCall
 from shallotmux.requests._jobs import Jobs
+from shallotmux.requests._limits import InstanceDemand
 from shallotmux.requests._outbox import Outbox
 from shallotmux.requests._parts import Parts, Tools, draw_incarnation
 from shallotmux.requests._request import (
@@ -146,6 +147,17 @@
             raise run.error or RuntimeError('a call ended without answer and error')
         return run.answer
 
+    def set_shares(self, shares: Mapping[str, float]) -> None:
+        """Set the part of each customer's rate limits that this instance may use.
+
+        :param shares: parts from 0 to 1 by customer; customers that are not named get the whole.
+        """
+        self._parts.admission.limits.shares = dict(shares)
+
+    def demand(self) -> InstanceDemand:
+        """Return the recent demand, from which the leader derives shares, roles and fleet."""
+        return self._parts.admission.demand()
+
     async def drain(self, endpoint: str, deadline_s: float) -> Drained:
         """Take an endpoint out of service without interrupting a request.
 
--- a/shallotmux/requests/_prediction.py
+++ b/shallotmux/requests/_prediction.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from shallotmux.decisions import DemandMeter
+from shallotmux.requests._limits import LONG_WINDOW_S, SHORT_WINDOW_S, PoolDemand
 from shallotmux.requests._retries import SMOOTHING
 
 
@@ -16,6 +17,11 @@
     busy_s: float = 0.0
     first_token_s: float = 0.0
 
+    def demand(self, now: float) -> PoolDemand:
+        """Return the recent demand."""
+        meter = self.meter
+        return PoolDemand(meter.window(now, SHORT_WINDOW_S), meter.window(now, LONG_WINDOW_S))
+
     def follow(self, busy_s: float, first_token_s: float) -> None:
         """Include the times of a request that has ended."""
         self.busy_s += (busy_s - self.busy_s) * (SMOOTHING if self.busy_s else 1)
--- a/shallotmux/requests/_waiting.py
+++ b/shallotmux/requests/_waiting.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -14,6 +13,7 @@
     DispatchQueue,
     Flow,
     Priority,
+    RequestFeatures,
     TokenCosts,
     Waiting,
     apply_exceptions,
@@ -43,6 +43,7 @@
     :param uncached: prompt tokens that the endpoint is expected to process before the first token.
     :param expected_tokens: tokens of the answer that its cost was estimated with.
     :param output_tokens: tokens that the endpoint has sent.
+    :param charged_tokens: tokens of the answer that count against the rate limit so far.
     :param cost_s: engine seconds that its customer was charged so far.
     :param first_token: whether its prompt counts as processed.
     :param share: whether the customer is within its share, as of the binding.
@@ -62,6 +63,7 @@
     uncached: float = 0.0
     expected_tokens: float = 1.0
     output_tokens: int = 0
+    charged_tokens: float = 0.0
     cost_s: float = 0.0
     first_token: bool = False
     share: Priority = Priority.WITHIN_SHARE
@@ -76,6 +78,15 @@
         """Return the customer and route, among which the order is fair."""
         return Flow(self.customer, self.route.name)
 
+    def features(self, excluded: frozenset[str] | None = None) -> RequestFeatures:
+        """Return what routing needs to know."""
+        return RequestFeatures(
+            self.blocks,
+            self.prompt_tokens,
+            repeatable=self.repeatable,
+            excluded=excluded or frozenset(),
+        )
+
     @property
     def engine_priority(self) -> int:
         """Return the priority at the engine: by tier, and within a tier by the share."""
@@ -173,9 +184,18 @@
             if standing.customer == customer and route in {None, standing.route}
         )
 
-    def of_pool(self, pool: str) -> Iterator[tuple[Standing, int]]:
-        """Return the numbers of requests that wait for a pool."""
-        return ((place, number) for place, number in self.counts.items() if place.pool == pool)
+    def look_ahead(self, ticket: Ticket) -> tuple[int, set[str]]:
+        """Return how many requests wait ahead of one, and the customers that wait for its pool."""
+        ahead = 0
+        customers = set()
+        for standing, number in self.counts.items():
+            if standing.pool != ticket.route.pool:
+                continue
+            customers.add(standing.customer)
+            same = standing.customer == ticket.customer and standing.tier == ticket.priority
+            if same or standing.tier > ticket.priority:
+                ahead += number
+        return ahead, customers
 
     def _station(self, ticket: Ticket) -> Station:
         return self.stations.setdefault((ticket.route.pool, ticket.repeatable), Station())
