Count usage as callers' connections take the answer

Tokens count once a block was sent, so resumed attempts and instances count no token twice. The instance that sends the first token counts the request and its prompt; plain services count answered calls.

--- a/shallotmux/requests/_attempts.py
+++ b/shallotmux/requests/_attempts.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from shallotmux.authority import Figures
 from shallotmux.engines import BLOCK_BYTES, BYTES_PER_TOKEN, EngineRun, hash_prompt
 from shallotmux.errors import EndpointError, EndpointRefused
 from shallotmux.requests._events import EventCutter, StreamFault
@@ -88,7 +89,7 @@
     def __init__(self, parts: Parts, request: CallerRequest) -> None:
         settings = parts.settings
         self.request = request
-        self.outbox = Outbox(settings.buffer_bytes, settings.coalesce_s)
+        self.outbox = Outbox(settings.buffer_bytes, settings.coalesce_s, self._count_usage)
         self.lifecycle = Lifecycle()
         self.attempt: Attempt | None = None
         #: Whether the caller stopped reading for longer than the limit.
@@ -101,6 +102,8 @@
         self._avoid: frozenset[str] = frozenset()
         self._failures = 0
         has_blocks = request.size_bytes >= BLOCK_BYTES
+        self._put_tokens = request.offset
+        self._is_counted = bool(request.offset)
         self._blocks = hash_prompt(request.payload) if has_blocks else ()
         self._stop: RequestRefused | None = None
         self._scope = trio.CancelScope(deadline=self._deadline_s)
@@ -273,7 +276,9 @@
 
     async def _deliver(self, attempt: Attempt, block: bytes, helpers: trio.Nursery) -> None:
         settings = self._parts.settings
-        self.outbox.put(block)
+        tokens = self._cutter.delivered - self._put_tokens
+        self._put_tokens = self._cutter.delivered
+        self.outbox.put(block, tokens, tokens if attempt.endpoint.cheap else 0)
         now = trio.current_time()
         if attempt.first_token_s is None:
             attempt.first_token_s = now - attempt.ticket.bound_s
@@ -289,6 +294,17 @@
         if attempt.on_trial and not attempt.cleared:
             self._clear(attempt, helpers)
 
+    def _count_usage(self, tokens: int, cheap_tokens: int) -> None:
+        """Count tokens that the caller got; the instance that began counts request and prompt."""
+        figures = Figures(output_tokens=tokens, cheap_tokens=cheap_tokens)
+        if not self._is_counted:
+            self._is_counted = True
+            prompt_tokens = self.request.size_bytes // BYTES_PER_TOKEN
+            cheap_prompt = prompt_tokens if cheap_tokens else 0
+            begun = Figures(1, prompt_tokens, cheap_tokens=cheap_prompt)
+            figures = figures.plus(begun)
+        self._parts.count_usage(self.request.customer, figures)
+
     async def _wait_caller(self) -> None:
         with trio.move_on_after(self._parts.settings.stalled_caller_s):
             await self.outbox.wait_room()
--- a/shallotmux/requests/_executor.py
+++ b/shallotmux/requests/_executor.py
@@ -81,6 +81,7 @@
             random=tools.random,
             loads=loads,
             name=name,
+            usage=tools.usage,
         )
         self._jobs = Jobs(tools.authority, settings, tools.clock, tools.instance, incarnation)
 
@@ -116,6 +117,7 @@
                 try:
                     await call.outbox.wait_started()
                     yield call.outbox
+                    call.outbox.count_sent()
                 except Exception as error:
                     # Raised after the nursery has ended, which would wrap it in a group.
                     body_error = error
--- a/shallotmux/requests/_outbox.py
+++ b/shallotmux/requests/_outbox.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import trio
 
 from shallotmux.requests._request import RequestRefused
@@ -13,12 +15,19 @@
     One task puts events in, another iterates over the blocks.
 
     :param limit_bytes: size from which :meth:`wait_room` waits.
+    :param sent: called with the tokens of a block that the caller's connection took, and how many
+        of them came from cheap endpoints.
     :param coalesce_s: least time between two blocks, except before the first and the last.
     """
 
-    def __init__(self, limit_bytes: int, coalesce_s: float) -> None:
+    def __init__(
+        self, limit_bytes: int, coalesce_s: float, sent: Callable[[int, int], None] | None = None
+    ) -> None:
         self._limit = limit_bytes
         self._coalesce_s = coalesce_s
+        self._sent = sent
+        self._held = (0, 0)
+        self._given = (0, 0)
         self._parts: list[bytes] = []
         self._size = 0
         self._ended = False
@@ -32,10 +41,14 @@
         """Tell whether the caller should read before more is put in."""
         return self._size >= self._limit
 
-    def put(self, block: bytes) -> None:
-        """Add complete events."""
+    def put(self, block: bytes, tokens: int = 0, cheap_tokens: int = 0) -> None:
+        """Add complete events.
+
+        :param cheap_tokens: those of the tokens that came from a cheap endpoint.
+        """
         if self._ended:
             return
+        self._held = (self._held[0] + tokens, self._held[1] + cheap_tokens)
         self._parts.append(block)
         self._size += len(block)
         self._filled.set()
@@ -61,15 +74,22 @@
         if self._error is not None and not self._parts:
             raise self._error
 
+    def count_sent(self) -> None:
+        """Count the last block as sent, which taking the next one does as well."""
+        if self._sent is not None and self._given[0]:
+            self._sent(*self._given)
+        self._given = (0, 0)
+
     def __aiter__(self) -> Outbox:
         """Return the iterator over the blocks."""
         return self
 
     async def __anext__(self) -> bytes:
-        """Return the next block.
+        """Return the next block; the one before counts as sent.
 
         :raises RequestRefused: if the request was given up.
         """
+        self.count_sent()
         if not self._filled.is_set():
             await self._filled.wait()
         pause_s = self._next_s - trio.current_time()
@@ -85,6 +105,8 @@
         block = self._parts[0] if len(self._parts) == 1 else b''.join(self._parts)
         self._parts.clear()
         self._size = 0
+        self._given = self._held
+        self._held = (0, 0)
         self._next_s = trio.current_time() + self._coalesce_s
         if not self._ended:
             self._filled = trio.Event()
--- a/shallotmux/requests/_parts.py
+++ b/shallotmux/requests/_parts.py
@@ -9,13 +9,14 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from shallotmux.authority import Authority
+from shallotmux.authority import Authority, Figures
 from shallotmux.engines import EngineClient, LoadTable, ServiceClient
 from shallotmux.observability import DecisionLog
 from shallotmux.requests._admission import Admission
 from shallotmux.requests._retries import Breakers, RetryBudget
 from shallotmux.requests._settings import RequestSettings
 from shallotmux.requests._suspects import Suspects
+from shallotmux.usage import UsageCounter
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +26,7 @@
     :param services: client of plain services, or None when there are none.
     :param clock: wall clock in seconds, which commands carry.
     :param instance: name of this instance.
+    :param usage: counts what customers use; its owner runs it. None counts nothing.
     """
 
     authority: Authority
@@ -35,6 +37,7 @@
     settings: RequestSettings = field(default_factory=RequestSettings)
     clock: Callable[[], float] = time.time
     instance: str = 'instance'
+    usage: UsageCounter | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,8 +54,14 @@
     random: Random
     loads: LoadTable
     name: str
+    usage: UsageCounter | None = None
     numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
 
+    def count_usage(self, customer: str, figures: Figures) -> None:
+        """Count what a customer has used; requests without a key have no customer."""
+        if self.usage is not None and customer:
+            self.usage.add(customer, figures)
+
     def new_id(self) -> str:
         """Return an id that no other attempt of any instance has."""
         return f'{self.name}/{next(self.numbers)}'
--- a/shallotmux/requests/_services.py
+++ b/shallotmux/requests/_services.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from shallotmux.authority import Figures
 from shallotmux.engines import ServiceCall, ServiceClient, ServiceResult
 from shallotmux.errors import EndpointError, EndpointRefused
 from shallotmux.requests._jobs import Run
@@ -65,6 +66,7 @@
         except RequestRefused as error:
             self._advance(Refuse())
             return Run(self._lifecycle, error=error)
+        self._parts.count_usage(self._request.customer, Figures(requests=1))
         return Run(self._lifecycle, answer=answer)
 
     async def _attempt_until_done(self) -> ServiceAnswer:
--- a/tests/requests/_zone.py
+++ b/tests/requests/_zone.py
@@ -32,6 +32,7 @@
 from shallotmux.observability import DecisionLog
 from shallotmux.requests import RequestExecutor, RequestSettings, Tools
 from shallotmux.standins import EngineBehaviour, EngineStandin, MemoryNetwork, ServiceStandin
+from shallotmux.usage import UsageCounter
 from shallotmux.world import Customer, Endpoint, EndpointKind, EndpointPool, Route, RouteKind
 
 PEPPER = b'pepper-for-tests-only'
@@ -224,6 +225,7 @@
     keys: dict[str, str] = field(default_factory=dict)
     answers: list[Answer] = field(default_factory=list)
     jobs: list[JobCall] = field(default_factory=list)
+    counters: list[UsageCounter] = field(default_factory=list)
     numbers: itertools.count[int] = field(default_factory=itertools.count)
     #: Jobs that an instance held a claim of when it was killed.
     orphaned: set[str] = field(default_factory=set)
@@ -248,6 +250,7 @@
         name = f'entry-{number}'
         client = ProcessClient(self.network, f'10.0.0.{number}:80')
         authority = EntryAuthority(self.authority)
+        self.counters.append(UsageCounter(f'{name}/{len(self.counters)}', trio.current_time))
         executor = RequestExecutor(
             Tools(
                 authority=authority,
@@ -258,6 +261,7 @@
                 settings=self.shape.settings,
                 clock=trio.current_time,
                 instance=name,
+                usage=self.counters[-1],
             ),
         )
         app = CallerApp(CallerTools(authority, executor, PEPPER))
--- /dev/null
+++ b/tests/usage/test_counting.py
@@ -0,0 +1,109 @@
+"""Usage counted by the request path, against what callers received."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+import trio
+
+from shallotmux.authority import Figures, PutObject
+from shallotmux.http import HttpRequest
+from shallotmux.requests import Outbox
+from shallotmux.world import Endpoint, EndpointPool
+from tests.requests._zone import Shape, Zone, run_zone
+from tests.requests.test_failures import FAILURES, run_schedule
+
+
+def read_usage(zone: Zone) -> dict[str, Figures]:
+    """Record what all instances counted, and return the sums by customer."""
+    for counter in zone.counters:
+        trio.run(counter.flush, zone.authority)
+    sums: dict[str, Figures] = {}
+    for window in zone.authority.read().usage.windows.values():
+        sums[window.customer] = sums.get(window.customer, Figures()).plus(window.figures)
+    return sums
+
+
+@pytest.mark.parametrize('names', [*((name, 'resend') for name in FAILURES), ('crash', 'cut')])
+@pytest.mark.parametrize('seed', [3, 7])
+def test_usage_is_what_callers_received(names: tuple[str, str], seed: int) -> None:
+    """Guards against tokens billed twice after a resumption, or not at all."""
+    zone = run_schedule([(0.1, FAILURES[names[0]]), (0.15, FAILURES[names[1]])], seed)
+    received: Counter[str] = Counter()
+    begun: Counter[str] = Counter()
+    for answer in zone.answers:
+        received[answer.customer] += len(answer.events)
+        begun[answer.customer] += bool(answer.events)
+    usage = read_usage(zone)
+    assert {name: each.output_tokens for name, each in usage.items()} == +received
+    assert {name: each.requests for name, each in usage.items()} == +begun
+
+
+def test_cheap_tokens_and_prompts_are_counted() -> None:
+    """Guards against a share of cheap work that cannot be told from the reports."""
+
+    async def work(zone: Zone) -> None:
+        state = zone.authority.read()
+        pool = state.pool('sorting')
+        assert pool is not None
+        cheap = Endpoint('engine-0', 'z', zone.address('engine-0'), cheap=True)
+        revision = state.configuration.objects['pool', 'sorting'].revision
+        changed = EndpointPool(pool.name, 'z', (cheap,), pool.model)
+        await zone.authority.submit(PutObject('cheap', changed, revision))
+        await zone.ask('tailors', 'sheet ' * 1000)
+
+    usage = read_usage(run_zone(work, Shape()))['tailors']
+    assert usage.output_tokens == 20
+    assert 1500 <= usage.prompt_tokens <= 1600
+    assert usage.cheap_tokens == usage.output_tokens + usage.prompt_tokens
+
+
+def test_jobs_count_once() -> None:
+    """Guards against a repeat of a job that counts although it did not run."""
+
+    async def work(zone: Zone) -> None:
+        for entry in (*zone.entries, *zone.entries):
+            await zone.call_job('tailors', 'dispatch-1', entry)
+
+    assert read_usage(run_zone(work, Shape()))['tailors'] == Figures(requests=1)
+
+
+def test_block_that_the_connection_refused_is_not_counted() -> None:
+    """Guards against tokens billed to a caller that was gone."""
+    counted = []
+
+    async def main() -> None:
+        outbox = Outbox(100, 0, lambda tokens, cheap: counted.append((tokens, cheap)))
+        outbox.put(b'a', 2, 1)
+        await anext(outbox)
+        outbox.put(b'b', 3)
+        await anext(outbox)
+
+    trio.run(main)
+    assert counted == [(2, 1)]
+
+
+@pytest.mark.parametrize('stream', [b'true', b'false'])
+def test_whole_answers_are_counted(stream: bytes) -> None:
+    """Guards against answers that are returned in one piece and not billed."""
+
+    async def work(zone: Zone) -> None:
+        body = b'{"model":"sorter","messages":[{"role":"user","content":"a"}],"stream":%s}'
+        request = HttpRequest(
+            'POST',
+            zone.entries[0].address,
+            '/v1/chat/completions',
+            body % stream,
+            {
+                'authorization': f'Bearer {zone.secrets["tailors"]}',
+                'content-type': 'application/json',
+            },
+        )
+        async with zone.network.client('10.9.0.3:0').stream(request) as response:
+            body = b''.join([chunk async for chunk in response.chunks()])
+            assert response.status == 200, body
+
+    usage = read_usage(run_zone(work, Shape()))['tailors']
+    assert usage.requests == 1
+    assert usage.output_tokens > 1
