Follow the cache events of engines

A poller feeds the routers' prefix indexes. Gaps and engines that number their events anew make earlier entries doubtful. The engine stand-in keeps a prefix cache and publishes its events.

--- a/shallotmux/engines/__init__.py
+++ b/shallotmux/engines/__init__.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from shallotmux.engines._client import EngineClient, EngineRun, LoadReport
+from shallotmux.engines._cache import CachePoller
+from shallotmux.engines._client import CacheEvent, CachePage, EngineClient, EngineRun, LoadReport
 from shallotmux.engines._load import KnownLoad, LoadPoller, LoadTable
 from shallotmux.engines._prompts import BLOCK_BYTES, BYTES_PER_TOKEN, hash_prompt
 from shallotmux.engines._service import (
@@ -16,6 +17,9 @@
     'BLOCK_BYTES',
     'BYTES_PER_TOKEN',
     'CALL_HEADER',
+    'CacheEvent',
+    'CachePage',
+    'CachePoller',
     'EngineClient',
     'EngineRun',
     'KnownLoad',
--- a/shallotmux/engines/_client.py
+++ b/shallotmux/engines/_client.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -16,6 +16,8 @@
 #: Largest load report or cache event page that is read.
 REPORT_LIMIT_BYTES = 1_048_576
 
+ReportT = TypeVar('ReportT')
+
 _JSON_HEADERS = {'content-type': JSON_TYPE}
 
 
@@ -63,6 +65,23 @@
     as_of: float
 
 
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A block that an engine stored or evicted; see :func:`hash_prompt`."""
+
+    sequence: int
+    block: int
+    stored: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CachePage:
+    """Cache events in order, and the number of the engine's latest event."""
+
+    events: tuple[CacheEvent, ...]
+    last: int
+
+
 class EngineClient:
     """Speaks the engine protocol over an HTTP client."""
 
@@ -107,16 +126,28 @@
 
         :raises EndpointError: if there is no valid report.
         """
-        status, body = await fetch(
-            self._client, HttpRequest('GET', endpoint.address, '/load'), REPORT_LIMIT_BYTES
-        )
+        return await self._fetch(endpoint, '/load', 'load', LoadReport)
+
+    async def cache_events(self, endpoint: Endpoint, since: int) -> CachePage:
+        """Fetch the engine's cache events after the one with the number ``since``.
+
+        :raises EndpointError: if there is no valid page.
+        """
+        path = f'/cache-events?since={since}'
+        return await self._fetch(endpoint, path, 'cache events', CachePage)
+
+    async def _fetch(
+        self, endpoint: Endpoint, path: str, step: str, expected: type[ReportT]
+    ) -> ReportT:
+        request = HttpRequest('GET', endpoint.address, path)
+        status, body = await fetch(self._client, request, REPORT_LIMIT_BYTES)
         if status != 200:
-            raise EndpointError(f'load report: status {status}', step='load', peer=endpoint.name)
+            raise EndpointError(f'{step}: status {status}', step=step, peer=endpoint.name)
         try:
-            return msgspec.json.decode(body, type=LoadReport)
+            return msgspec.json.decode(body, type=expected)
         except msgspec.MsgspecError as error:
             raise EndpointError(
-                f'invalid load report: {error}', step='load', peer=endpoint.name
+                f'{step}: invalid answer: {error}', step=step, peer=endpoint.name
             ) from error
 
 
--- a/shallotmux/requests/_admission.py
+++ b/shallotmux/requests/_admission.py
@@ -80,7 +80,8 @@
         self._by_pool: Counter[tuple[str, str]] = Counter()
         self._figures: dict[str, PoolFigures] = {}
         self._excluded: dict[str, tuple[float, frozenset[str]]] = {}
-        self._lanes = Lanes(lambda name: bool(self._in_flight[name]), self._has_room)
+        #: What is known of the endpoints of each pool.
+        self.lanes = Lanes(lambda name: bool(self._in_flight[name]), self._has_room)
         self._reserved: dict[str, Ticket] = {}
 
     def in_flight(self, endpoint: str) -> int:
@@ -94,17 +95,17 @@
 
     def exclude(self, endpoint: str) -> None:
         """Give an endpoint no new work because it leaves or changes its role."""
-        self._lanes.exclude(endpoint)
+        self.lanes.exclude(endpoint)
         self.bind()
 
     def include(self, endpoint: str) -> None:
         """Give an excluded endpoint work again."""
-        self._lanes.include(endpoint)
+        self.lanes.include(endpoint)
         self.bind()
 
     def is_draining(self, endpoint: str) -> bool:
         """Tell whether an endpoint is excluded."""
-        return endpoint in self._lanes.draining
+        return endpoint in self.lanes.draining
 
     def endpoints(self, pool: str) -> tuple[Endpoint, ...]:
         """Return the endpoints of a pool that may get new work by the zone's state."""
@@ -112,16 +113,11 @@
 
     def take_report(self, endpoint: Endpoint, known: KnownLoad) -> None:
         """Take a load report and bind waiting requests."""
-        for lane in self._lanes.holding(endpoint.name):
+        for lane in self.lanes.holding(endpoint.name):
             lane.take_report(endpoint.name, known)
-        self._lanes.update_room(endpoint.name)
+        self.lanes.update_room(endpoint.name)
         self.bind()
 
-    def forget_cache(self, endpoint: str) -> None:
-        """Note that an engine crashed, so that its cache is probably lost."""
-        for lane in self._lanes.holding(endpoint):
-            lane.router.index.forget(endpoint)
-
     def first_token(self, ticket: Ticket) -> None:
         """Note that the prompt of a bound request is processed."""
         if ticket.endpoint is not None and not ticket.first_token:
@@ -173,7 +169,7 @@
         self._lane(ticket.route.pool).router.ended(name, trio.current_time())
         ticket.endpoint = None
         self._in_flight[name] -= 1
-        self._lanes.update_room(name)
+        self.lanes.update_room(name)
         self._by_customer[ticket.customer] -= 1
         self._by_pool[ticket.route.pool, ticket.customer] -= 1
         self.end_exclusive(ticket)
@@ -191,7 +187,7 @@
         for name, holder in list(self._reserved.items()):
             if holder is ticket:
                 self._reserved.pop(name)
-                self._lanes.update_room(name)
+                self.lanes.update_room(name)
                 self.bind()
 
     def bind(self) -> None:
@@ -259,7 +255,7 @@
         meter.dispatch(ticket.prompt_tokens, ticket.uncached)
         router = self._lane(ticket.route.pool).router
         router.dispatched(name, ticket.features(), ticket.uncached, ticket.bound_s)
-        self._lanes.update_room(name)
+        self.lanes.update_room(name)
         ticket.bound.set()
         self._tools.record(ticket, decision)
 
@@ -341,7 +337,7 @@
         return max(running.get(ticket.customer, 0), share * sum(running.values()))
 
     def _lane(self, pool: str) -> Lane:
-        return self._lanes.get(pool, self._tools.authority.read(), trio.current_time())
+        return self.lanes.get(pool, self._tools.authority.read(), trio.current_time())
 
     def _slots(self, endpoint: Endpoint) -> int:
         settings = self._tools.settings
@@ -359,11 +355,11 @@
     def _choose(self, ticket: Ticket) -> RoutingDecision | None:
         lane = self._lane(ticket.route.pool)
         excluded = self._exclusions(lane) | ticket.avoid
-        if lane.live.keys() <= excluded | self._lanes.draining:
+        if lane.live.keys() <= excluded | self.lanes.draining:
             # Every endpoint has failed; any of them is better than none.
             excluded = frozenset()
         if ticket.exclusive:
-            barred = excluded | self._lanes.draining
+            barred = excluded | self.lanes.draining
             usable = [each for name, each in lane.live.items() if name not in barred]
             return self._choose_exclusive(ticket, usable)
         features = ticket.features(excluded)
@@ -373,7 +369,7 @@
         now = trio.current_time()
         since, excluded = self._excluded.get(lane.pool, (-math.inf, frozenset()))
         if now - since > EXCLUSION_AGE_S:
-            names = [name for name in lane.live if name not in self._lanes.draining]
+            names = [name for name in lane.live if name not in self.lanes.draining]
             excluded = self._tools.breakers.excluded(names, now) if names else frozenset()
             self._excluded[lane.pool] = (now, excluded)
         return excluded
@@ -385,7 +381,7 @@
         if not mine and len(self._reserved) < max(1, len(usable) // 3) and free:
             best = min(free, key=lambda each: (self._in_flight[each.name], not each.cheap))
             self._reserved[best.name] = ticket
-            self._lanes.update_room(best.name)
+            self.lanes.update_room(best.name)
             mine = [best.name]
         for endpoint in usable:
             if endpoint.name in mine and not self._in_flight[endpoint.name]:
--- a/shallotmux/requests/_attempts.py
+++ b/shallotmux/requests/_attempts.py
@@ -214,7 +214,7 @@
         not_run = failure in {Failure.REFUSED, Failure.UNREACHABLE}
         self._advance(AttemptEnded(attempt.attempt_id, not_run=not_run))
         if failure == Failure.CRASHED:
-            self._parts.admission.forget_cache(name)
+            self._parts.admission.lanes.doubt_cache(name)
         if failure not in {Failure.REFUSED, Failure.MOVED}:
             certain = failure in {Failure.UNREACHABLE, Failure.CRASHED}
             breakers.fail(name, trio.current_time(), certain=certain)
--- a/shallotmux/requests/_executor.py
+++ b/shallotmux/requests/_executor.py
@@ -10,7 +10,7 @@
 import trio
 
 from shallotmux.decisions import RoutingDecision
-from shallotmux.engines import LoadPoller, LoadTable
+from shallotmux.engines import CachePoller, LoadPoller, LoadTable
 from shallotmux.observability import DecisionRecord
 from shallotmux.requests._admission import Admission, AdmissionTools
 from shallotmux.requests._attempts import ModelCall
@@ -95,8 +95,17 @@
             self._parts.admission.take_report,
             self._parts.settings.poll_per_s,
         )
+        lanes = self._parts.admission.lanes
+        cache_poller = CachePoller(
+            self._tools.engines,
+            self._endpoints,
+            lanes.follow_cache,
+            lanes.restart_cache,
+            self._parts.settings.cache_poll_per_s,
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(poller.run)
+            nursery.start_soon(cache_poller.run)
             nursery.start_soon(self._jobs.settle_pending)
             nursery.start_soon(self._watch_keys)
 
--- a/shallotmux/requests/_lanes.py
+++ b/shallotmux/requests/_lanes.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from shallotmux.authority import ZoneState
 from shallotmux.decisions import LoadReport, Router
-from shallotmux.engines import KnownLoad
+from shallotmux.engines import CacheEvent, KnownLoad
 from shallotmux.world import Endpoint, EndpointPool, EngineRole
 
 #: Seconds between two comparisons with the zone's state while only its revision changes. Usage
@@ -158,6 +158,23 @@
             if endpoint in lane.live:
                 lane.router.include(endpoint)
 
+    def doubt_cache(self, endpoint: str) -> None:
+        """Note that an engine crashed, so that its cache is probably lost."""
+        for lane in self.holding(endpoint):
+            lane.router.index.forget(endpoint)
+
+    def follow_cache(self, endpoint: str, events: Sequence[CacheEvent]) -> None:
+        """Take the cache events of an engine."""
+        for lane in self.holding(endpoint):
+            for event in events:
+                index = lane.router.index
+                index.follow(endpoint, event.sequence, event.block, stored=event.stored)
+
+    def restart_cache(self, endpoint: str) -> None:
+        """Take the events of an engine from the beginning again, since it lost its cache."""
+        for lane in self.holding(endpoint):
+            lane.router.index.remove(endpoint)
+
     def update_room(self, endpoint: str) -> None:
         """Offer an endpoint or withhold it, after its load has changed."""
         for lane in self.holding(endpoint):
--- a/shallotmux/requests/_settings.py
+++ b/shallotmux/requests/_settings.py
@@ -40,6 +40,7 @@
     :param crash_window_s: time in which the streams of a crashed engine break.
     :param move_margin_s: time before a drain's deadline at which streams are moved.
     :param poll_per_s: load reports fetched in a second.
+    :param cache_poll_per_s: pages of cache events fetched in a second.
     :param report_age_limit_s: age beyond which a load report is ignored.
     """
 
@@ -75,4 +76,5 @@
     crash_window_s: float = 0.02
     move_margin_s: float = 1.0
     poll_per_s: float = 20.0
+    cache_poll_per_s: float = 5.0
     report_age_limit_s: float = 3.0
--- a/shallotmux/standins/_engine.py
+++ b/shallotmux/standins/_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from bisect import bisect_right
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -12,6 +13,7 @@
 import msgspec
 import trio
 
+from shallotmux.engines import hash_prompt
 from shallotmux.http import (
     EVENT_STREAM_TYPE,
     Receive,
@@ -22,6 +24,7 @@
     send_json,
     send_start,
 )
+from shallotmux.standins._cost_model import BLOCK_TOKENS, BlockCache
 from shallotmux.standins._tokens import encode_event, prompt_key, token_text
 
 BODY_LIMIT_BYTES = 16_777_216
@@ -29,6 +32,9 @@
 #: Bytes of a request body that count as a token of the prompt.
 BYTES_PER_TOKEN = 4
 
+#: Cache events in one answer.
+EVENT_PAGE = 1000
+
 #: Tokens after which a fault that breaks a stream takes effect.
 FAULT_POSITION = 2
 
@@ -64,7 +70,9 @@
     :param crash_after: tokens after which each stream breaks, or None.
     :param batch_limit: streams that run at a time; further ones wait in the engine.
     :param prefill_tokens_per_s: prompt tokens processed in a second, one prompt at a time.
-    :param lag_s: age of the load reports.
+    :param lag_s: age of the load reports and of the newest cache event.
+    :param cache_blocks: blocks of the prefix cache, or 0 for an engine without one.
+    :param event_gap: number of cache events after which one is left out, or 0.
     :param paused: whether no token is generated at present.
     :param draining: whether new runs are refused.
     :param poison: a run whose body contains this text crashes the engine, if not empty.
@@ -79,6 +87,8 @@
     batch_limit: int = 64
     prefill_tokens_per_s: float = math.inf
     lag_s: float = 0.0
+    cache_blocks: int = 0
+    event_gap: int = 0
     paused: bool = False
     draining: bool = False
     poison: bytes = b''
@@ -104,6 +114,7 @@
     """A run, as evidence for checks.
 
     :param refused: whether the engine said that it did not run.
+    :param cached_tokens: prompt tokens that were in the cache.
     :param cancelled: whether the stream was ended from outside before its last token.
     """
 
@@ -111,6 +122,7 @@
     started_s: float
     fault: EngineFault | None = None
     tokens: int = 0
+    cached_tokens: int = 0
     refused: bool = False
     finished: bool = False
     cancelled: bool = False
@@ -139,6 +151,8 @@
     crashes: int = 0
     on_crash: Callable[[], None] | None = None
     _reports: deque[dict[str, Any]] = field(default_factory=deque)
+    _cache: BlockCache = field(default_factory=lambda: BlockCache(0))
+    _cache_times: list[float] = field(default_factory=list)
     _prefill: trio.Lock = field(default_factory=trio.Lock)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -167,6 +181,9 @@
                 await send_json(send, 200, {'cancelled': cancelled})
             case '/load':
                 await send_json(send, 200, self._load())
+            case '/cache-events' if self.behaviour.cache_blocks:
+                since = int(scope['query_string'].partition(b'=')[2])
+                await send_json(send, 200, self._cache_page(since))
             case _:
                 await send_json(send, 404, {'not_run': True})
 
@@ -176,6 +193,8 @@
         lost = [*self.running.values(), *self.waiting]
         self.running.clear()
         self.waiting.clear()
+        self._cache = BlockCache(0)
+        self._cache_times.clear()
         for record in lost:
             record.scope.cancel()
         if self.on_crash is not None:
@@ -205,6 +224,30 @@
             self._reports.popleft()
         return self._reports[0] if self.behaviour.lag_s else report
 
+    def _use_cache(self, record: EngineRunRecord) -> None:
+        """Find the prompt in the cache and store what is missing."""
+        if not self.behaviour.cache_blocks:
+            return
+        cache = self._cache
+        cache.capacity = self.behaviour.cache_blocks
+        blocks = hash_prompt(record.payload)
+        record.cached_tokens = cache.cached_prefix(blocks) * BLOCK_TOKENS
+        if cache.pin(blocks):
+            cache.unpin(blocks)
+        now = trio.current_time()
+        self._cache_times.extend(now for _ in cache.changes[len(self._cache_times) :])
+
+    def _cache_page(self, since: int) -> dict[str, Any]:
+        until_s = trio.current_time() - self.behaviour.lag_s
+        last = bisect_right(self._cache_times, until_s)
+        gap = self.behaviour.event_gap
+        events = [
+            {'sequence': each.sequence, 'block': each.block, 'stored': each.stored}
+            for each in self._cache.changes[since : min(last, since + EVENT_PAGE)]
+            if not gap or each.sequence % gap
+        ]
+        return {'events': events, 'last': last}
+
     async def _run(self, body: bytes, send: Send) -> None:
         behaviour = self.behaviour
         fault = behaviour.faults.popleft() if behaviour.faults else None
@@ -248,7 +291,11 @@
         payload = record.payload
         if math.isfinite(behaviour.prefill_tokens_per_s):
             async with self._prefill:
-                await trio.sleep(_prompt_tokens(record) / behaviour.prefill_tokens_per_s)
+                self._use_cache(record)
+                left = _prompt_tokens(record) - record.cached_tokens
+                await trio.sleep(left / behaviour.prefill_tokens_per_s)
+        else:
+            self._use_cache(record)
         named = 'another' if record.fault == EngineFault.OTHER_ATTEMPT else record.attempt_id
         headers = ((b'shallotmux-attempt-id', named.encode()),)
         await send_start(send, 200, EVENT_STREAM_TYPE, headers)
