--- a/shallotmux/requests/_admission.py
+++ b/shallotmux/requests/_admission.py
@@ -179,7 +179,8 @@
         self.limits.correct(ticket.customer, used_tokens)
         if first_token_s is not None:
             figures.meter.finish(ticket.output_tokens)
-            figures.follow(trio.current_time() - ticket.bound_s, first_token_s)
+            now = trio.current_time()
+            figures.follow(now - ticket.bound_s, first_token_s, now)
         self.bind()
 
     def end_exclusive(self, ticket: Ticket) -> None:
@@ -314,7 +315,9 @@
             raise _refuse_busy(lifecycle, 'too many requests in progress', 'too_many_requests')
 
     def _predict(self, ticket: Ticket, lane: Lane) -> float:
-        figures = self._figures.get(lane.pool, PoolFigures())
+        figures = self._pool_figures(ticket)
+        if not any(count for place, count in self._by_pool.items() if place[0] == lane.pool):
+            figures.fade(trio.current_time())
         ahead, waiting = self._waiting.look_ahead(ticket)
         rate = self._tools.loads.prefill_rate(islice(lane.live, RATE_SAMPLE))
         return predict_first_token(
--- a/tests/requests/test_overload.py
+++ b/tests/requests/test_overload.py
@@ -120,3 +120,22 @@
     check_histories(zone)
     assert [answer.code for answer in zone.answers].count('queue_full') == 6
     assert next(answer for answer in zone.answers if answer.customer == 'cutters').done
+
+
+def test_slow_spell_does_not_refuse_for_ever() -> None:
+    """Guards against an instance that refuses all requests, so that its averages never change."""
+
+    async def work(zone: Zone) -> None:
+        for engine in zone.engines:
+            engine.behaviour.token_s = 0.6
+        await zone.ask('tailors', tokens=2)
+        for engine in zone.engines:
+            engine.behaviour.token_s = STEP_S
+        for _ in range(10):
+            await zone.ask('tailors', tokens=2)
+            await trio.sleep(1)
+
+    zone = run_zone(work, Shape(entries=1, settings=ADMITTING))
+    check_histories(zone)
+    assert zone.answers[1].code == 'overloaded'
+    assert all(answer.done for answer in zone.answers[5:])
