Let the test of restarted engines fail without its guard

Cause: the engine had published as many events after its restart as before, so the test passed with the check of the event numbers removed. The second prompt is shorter now.

--- a/tests/engines/test_cache.py
+++ b/tests/engines/test_cache.py
@@ -32,8 +32,8 @@
         index = PrefixIndex()
         poller = poller_of(zone, index)
         endpoint = Endpoint('engine-0', 'z', zone.address('engine-0'))
-        for _ in range(2):
-            await zone.ask('tailors', SHEET)
+        for prompt in (SHEET, SHEET[: len(SHEET) // 2]):
+            await zone.ask('tailors', prompt)
             await poller.fetch(endpoint)
             await poller.fetch(endpoint)
             seen.append(index.matches(blocks))
@@ -54,7 +54,8 @@
 def test_restarted_engine_is_followed_again() -> None:
     """Guards against an index that ignores an engine whose numbers began anew."""
     seen, _ = run_with({'cache_blocks': 100})
-    assert seen[1] == {'engine-0': 3}
+    # One block is known to be stored, the two others were lost or not.
+    assert seen[1] == {'engine-0': 1 + 2 * 0.5}
 
 
 def test_gap_makes_earlier_events_doubtful() -> None:
