--- a/shallotmux/measure/capacity.py
+++ b/shallotmux/measure/capacity.py
@@ -28,7 +28,7 @@
     encode_command,
 )
 from shallotmux.decisions import FairQueue, Flow, LoadReport, PrefixIndex, Router
-from shallotmux.measure._latency import filled_router, routing_times
+from shallotmux.measure._latency import admission_times, filled_router, routing_times
 from shallotmux.observability import DecisionLog, DecisionRecord
 from shallotmux.world import Customer, CustomerKey, Endpoint, EndpointPool
 
@@ -285,11 +285,18 @@
     return Slope('Routing decision', 'endpoints', ('decision, µs',), tuple(points))
 
 
+def measure_admission() -> Slope:
+    """Measure the way of a request through the admission against the size of its pool."""
+    points = [Point(size, (cost * MICRO,)) for size, cost in admission_times().items()]
+    return Slope('Admission', 'endpoints', ('request, µs',), tuple(points))
+
+
 @click.command()
 def main() -> None:
     """Print the tables of docs/CAPACITY.md."""
     slopes = (
         measure_routing(),
+        measure_admission(),
         measure_index(),
         measure_state('ZoneState, configuration objects', _put_objects, OBJECT_SIZES),
         measure_state('ZoneState, keys', _create_keys, KEY_SIZES),
--- /dev/null
+++ b/shallotmux/measure/sheets.py
@@ -0,0 +1,139 @@
+"""First tokens and prefix hits of pattern sheets through the request path, on a test clock."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from dataclasses import dataclass, field
+from random import Random
+
+import click
+import trio
+import trio.testing
+
+from shallotmux.authority import LocalAuthority, PutObject
+from shallotmux.decisions import RoutingPolicy
+from shallotmux.engines import EngineClient
+from shallotmux.observability import DecisionLog
+from shallotmux.requests import CallerRequest, RequestExecutor, RequestRefused, Tools
+from shallotmux.standins import EngineBehaviour, EngineStandin, MemoryNetwork
+from shallotmux.world import Endpoint, EndpointPool, Route
+
+#: Two samples by load alone, as the request path decided before it knew prefixes.
+LOAD_ONLY = RoutingPolicy(sample_size=2, homes=0, holders=0, affinity=False)
+
+BEHAVIOUR = {'prefill_tokens_per_s': 20_000.0, 'cache_blocks': 24, 'token_s': 0.01}
+SHEET_BYTES = 35_000
+OUTPUT_TOKENS = 10
+TARGET_S = 0.74
+PERCENTILE = 0.95
+
+
+@dataclass(frozen=True, slots=True)
+class SheetLoad:
+    """A workload of questions about sheets.
+
+    :param rate: questions in a second over all instances.
+    """
+
+    seed: int = 1
+    engines: int = 6
+    entries: int = 2
+    sheets: int = 12
+    rate: float = 10.0
+    duration_s: float = 60.0
+
+
+@dataclass(slots=True)
+class SheetRun:
+    """What became of a workload."""
+
+    random: Random
+    engines: list[EngineStandin]
+    executors: list[RequestExecutor] = field(default_factory=list)
+    first_tokens: list[float] = field(default_factory=list)
+    sent: int = 0
+
+    async def ask(self, sheet: int) -> None:
+        """Ask one question and note the time to the first token."""
+        self.sent += 1
+        text = f'sheet {sheet:04d} '.ljust(SHEET_BYTES, '.')
+        prompt = f'{text} question {self.sent}'
+        payload = {
+            'model': 'sorter',
+            'max_tokens': OUTPUT_TOKENS,
+            'messages': [{'role': 'user', 'content': prompt}],
+        }
+        request = CallerRequest(
+            f'r-{self.sent}', '', '', Route('sorter', 'p'), payload, str(self.sent),
+            size_bytes=len(prompt),
+        )  # fmt: skip
+        started_s = trio.current_time()
+        with suppress(RequestRefused):
+            async with self.random.choice(self.executors).stream(request) as events:
+                self.first_tokens.append(trio.current_time() - started_s)
+                async for _ in events:
+                    """Read the answer to its end."""
+
+    def hit_share(self) -> float:
+        """Return the share of the prompts' tokens that the engines had in their caches."""
+        runs = [run for engine in self.engines for run in engine.runs if not run.refused]
+        return sum(run.cached_tokens for run in runs) / (len(runs) * SHEET_BYTES / 4)
+
+    def figures(self) -> tuple[float, float, float, float]:
+        """Return p95 to the first token, the hit share, goodput and the share refused."""
+        times = sorted(self.first_tokens)
+        late = times[int(PERCENTILE * len(times))]
+        good = sum(each <= TARGET_S for each in times) / self.sent
+        return late, self.hit_share(), good, 1 - len(times) / self.sent
+
+
+def run_sheets(load: SheetLoad, routing: RoutingPolicy) -> SheetRun:
+    """Run a workload on a test clock."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(_run, load, routing, clock=clock)
+
+
+async def _run(load: SheetLoad, routing: RoutingPolicy) -> SheetRun:
+    random = Random(load.seed)
+    engines = [
+        EngineStandin(f'engine-{number}', EngineBehaviour(**BEHAVIOUR))  # type: ignore[arg-type]
+        for number in range(load.engines)
+    ]
+    run = SheetRun(random, engines)
+    async with trio.open_nursery() as nursery:
+        network = MemoryNetwork(nursery)
+        authority = LocalAuthority()
+        for engine in engines:
+            network.serve(f'{engine.name}:80', engine)
+        endpoints = tuple(Endpoint(each.name, 'z', f'{each.name}:80') for each in engines)
+        await authority.submit(PutObject('pool', EndpointPool('p', 'z', endpoints), 0))
+        await authority.submit(PutObject('route', Route('sorter', 'p'), 0))
+        for number in range(load.entries):
+            client = EngineClient(network.client(f'10.0.0.{number}:80'))
+            tools = Tools(
+                authority, client, DecisionLog('entry'), Random(load.seed), routing=routing
+            )
+            run.executors.append(RequestExecutor(tools))
+            nursery.start_soon(run.executors[-1].run)
+        async with trio.open_nursery() as callers:
+            while trio.current_time() < load.duration_s:
+                await trio.sleep(random.expovariate(load.rate))
+                callers.start_soon(run.ask, random.randrange(load.sheets))
+        nursery.cancel_scope.cancel()
+    return run
+
+
+@click.command()
+@click.option('--seeds', default=3, help='Number of seeds.')
+@click.option('--rate', default=10.0, help='Questions in a second.')
+def main(seeds: int, rate: float) -> None:
+    """Compare routing by prefixes with routing by load alone."""
+    click.echo('seed routing p95-first-token-s hit-share goodput refused')
+    for seed in range(1, seeds + 1):
+        for name, routing in (('load', LOAD_ONLY), ('prefixes', RoutingPolicy())):
+            figures = run_sheets(SheetLoad(seed, rate=rate), routing).figures()
+            click.echo(f'{seed} {name} {" ".join(f"{each:.3f}" for each in figures)}')
+
+
+if __name__ == '__main__':
+    main()
--- a/shallotmux/requests/_admission.py
+++ b/shallotmux/requests/_admission.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from itertools import islice
 from random import Random
 
@@ -18,6 +18,7 @@
 from shallotmux.authority import Authority
 from shallotmux.decisions import (
     RoutingDecision,
+    RoutingPolicy,
     ShareMeter,
     route_request,
 )
@@ -63,6 +64,7 @@
     loads: LoadTable
     breakers: Breakers
     record: Callable[[Ticket, RoutingDecision], None]
+    routing: RoutingPolicy = field(default_factory=RoutingPolicy)
 
 
 class Admission:
@@ -78,10 +80,10 @@
         self._in_flight: Counter[str] = Counter()
         self._by_customer: Counter[str] = Counter()
         self._by_pool: Counter[tuple[str, str]] = Counter()
-        self._figures: dict[str, PoolFigures] = {}
+        self._figures: defaultdict[str, PoolFigures] = defaultdict(PoolFigures)
         self._excluded: dict[str, tuple[float, frozenset[str]]] = {}
         #: What is known of the endpoints of each pool.
-        self.lanes = Lanes(lambda name: bool(self._in_flight[name]), self._has_room)
+        self.lanes = Lanes(lambda name: bool(self._in_flight[name]), self._has_room, tools.routing)
         self._reserved: dict[str, Ticket] = {}
 
     def in_flight(self, endpoint: str) -> int:
@@ -303,7 +305,7 @@
             )
 
     def _pool_figures(self, ticket: Ticket) -> PoolFigures:
-        return self._figures.setdefault(ticket.route.pool, PoolFigures())
+        return self._figures[ticket.route.pool]
 
     def _check_customer(self, ticket: Ticket, lifecycle: Lifecycle) -> None:
         queued = self._waiting.count(ticket.customer, ticket.route.name)
--- a/shallotmux/requests/_executor.py
+++ b/shallotmux/requests/_executor.py
@@ -68,7 +68,15 @@
         incarnation = draw_incarnation()
         name = f'{tools.instance}/{incarnation}'
         admission = Admission(
-            AdmissionTools(tools.authority, settings, tools.random, loads, breakers, self._record),
+            AdmissionTools(
+                tools.authority,
+                settings,
+                tools.random,
+                loads,
+                breakers,
+                self._record,
+                tools.routing,
+            ),
         )
         self._parts = Parts(
             settings=settings,
--- a/shallotmux/requests/_lanes.py
+++ b/shallotmux/requests/_lanes.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from shallotmux.authority import ZoneState
-from shallotmux.decisions import LoadReport, Router
+from shallotmux.decisions import LoadReport, Router, RoutingPolicy
 from shallotmux.engines import CacheEvent, KnownLoad
 from shallotmux.world import Endpoint, EndpointPool, EngineRole
 
@@ -116,11 +116,13 @@
     """The lanes of the pools in use.
 
     :param is_busy: tells whether this instance has requests on an endpoint.
+    :param policy: figures by which the routers compare endpoints.
     :param has_room: tells whether an endpoint may take one more.
     """
 
     is_busy: Callable[[str], bool]
     has_room: Callable[[Endpoint], bool]
+    policy: RoutingPolicy = field(default_factory=RoutingPolicy)
     known: dict[str, Lane] = field(default_factory=dict)
     draining: set[str] = field(default_factory=set)
 
@@ -128,7 +130,7 @@
         """Return the lane of a pool as the zone's state has it."""
         lane = self.known.get(pool)
         if lane is None:
-            lane = Lane(pool)
+            lane = Lane(pool, Router(self.policy))
             self.known[pool] = lane
         if not lane.is_current(state, now):
             changed = lane.follow(state, self.is_busy)
--- a/shallotmux/requests/_parts.py
+++ b/shallotmux/requests/_parts.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from shallotmux.authority import Authority, Figures
+from shallotmux.decisions import RoutingPolicy
 from shallotmux.engines import EngineClient, LoadTable, ServiceClient
 from shallotmux.observability import DecisionLog
 from shallotmux.requests._admission import Admission
@@ -26,6 +27,7 @@
     :param services: client of plain services, or None when there are none.
     :param clock: wall clock in seconds, which commands carry.
     :param instance: name of this instance.
+    :param routing: figures by which endpoints are compared.
     :param usage: counts what customers use; its owner runs it. None counts nothing.
     """
 
@@ -38,6 +40,7 @@
     clock: Callable[[], float] = time.time
     instance: str = 'instance'
     usage: UsageCounter | None = None
+    routing: RoutingPolicy = field(default_factory=RoutingPolicy)
 
 
 @dataclass(frozen=True, slots=True)
