--- a/shallotmux/engines/__init__.py
+++ b/shallotmux/engines/__init__.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-from shallotmux.engines._client import EngineClient, EngineRun, LoadReport
+from shallotmux.engines._cache import CachePoller
+from shallotmux.engines._client import CacheEvent, CachePage, EngineClient, EngineRun, LoadReport
 from shallotmux.engines._load import KnownLoad, LoadPoller, LoadTable
+from shallotmux.engines._prompts import BLOCK_BYTES, BYTES_PER_TOKEN, hash_prompt
 from shallotmux.engines._service import (
     CALL_HEADER,
     ServiceCall,
@@ -12,7 +14,12 @@
 )
 
 __all__ = (
+    'BLOCK_BYTES',
+    'BYTES_PER_TOKEN',
     'CALL_HEADER',
+    'CacheEvent',
+    'CachePage',
+    'CachePoller',
     'EngineClient',
     'EngineRun',
     'KnownLoad',
@@ -22,4 +29,5 @@
     'ServiceCall',
     'ServiceClient',
     'ServiceResult',
+    'hash_prompt',
 )
--- a/shallotmux/requests/_admission.py
+++ b/shallotmux/requests/_admission.py
@@ -7,84 +7,50 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import islice
 from random import Random
 
 import trio
 
 from shallotmux.authority import Authority
-from shallotmux.decisions import EndpointView, RoutingDecision, route_request
-from shallotmux.engines import LoadTable
+from shallotmux.decisions import (
+    RoutingDecision,
+    RoutingPolicy,
+    ShareMeter,
+    route_request,
+)
+from shallotmux.engines import KnownLoad, LoadTable
+from shallotmux.requests._lanes import Lane, Lanes
 from shallotmux.requests._lifecycle import Lifecycle
+from shallotmux.requests._limits import InstanceDemand, Limits
+from shallotmux.requests._prediction import PoolFigures, predict_first_token
 from shallotmux.requests._request import RequestRefused, refuse
-from shallotmux.requests._retries import SMOOTHING, Breakers
+from shallotmux.requests._retries import Breakers
 from shallotmux.requests._settings import RequestSettings
-from shallotmux.world import Customer, Endpoint, EndpointKind, EndpointPool, Route
-
-#: Endpoints looked at for one request. A full pool of 1,200 would cost more than the decision may.
-CANDIDATES = 32
+from shallotmux.requests._waiting import (
+    COSTS,
+    MIN_WEIGHT,
+    ROOM_S,
+    Contracts,
+    Station,
+    Ticket,
+    WaitingRoom,
+)
+from shallotmux.world import Contract, Endpoint, EndpointKind, RouteKind
+
+#: Endpoints whose prefill rates are averaged; those of a pool differ little.
+RATE_SAMPLE = 32
 
 #: Seconds for which the set of excluded endpoints of a pool is reused.
 EXCLUSION_AGE_S = 0.1
 
-#: Least weight of a customer, so that a weight of 0 gives the least share instead of an error.
-MIN_WEIGHT = 1e-6
-
 #: Seconds after which a refused caller may try again when nothing better is known.
 RETRY_AFTER_S = 1.0
 
 
-@dataclass(eq=False, slots=True)
-class Ticket:
-    """A request that waits for an endpoint.
-
-    :param started: whether the request has run before, so that it is never refused for load.
-    :param exclusive: whether it needs an engine without other requests of this instance.
-    :param avoid: endpoints that failed this request.
-    :param deadline_s: time on the runtime's clock at which waiting ends.
-    """
-
-    subject: str
-    customer: str
-    route: Route
-    deadline_s: float
-    priority: int = 0
-    started: bool = False
-    exclusive: bool = False
-    repeatable: bool = True
-    prompt_tokens: int = 0
-    avoid: frozenset[str] = frozenset()
-    endpoint: Endpoint | None = None
-    bound: trio.Event = field(default_factory=trio.Event)
-    bound_s: float = 0.0
-
-
-@dataclass(slots=True)
-class PoolFigures:
-    """Moving averages of a pool: time on an endpoint and time to the first token, in seconds."""
-
-    busy_s: float = 0.0
-    first_token_s: float = 0.0
-
-
-def predict_first_token(
-    waiting: int, served: float, figures: PoolFigures, prefill_s: float, *, has_room: bool
-) -> float:
-    """Return the expected time to the first token in seconds.
-
-    :param waiting: requests that wait ahead of this one.
-    :param served: streams of the customer that this instance gets to run at a time. Other
-        instances use the same endpoints, so the pool's size says little about it.
-    :param prefill_s: time for the prompt on an idle engine.
-    """
-    first_token_s = max(figures.first_token_s, prefill_s)
-    if has_room and not waiting:
-        return first_token_s
-    return (waiting + 1) * figures.busy_s / max(1, served) + first_token_s
-
-
 @dataclass(frozen=True, slots=True)
 class AdmissionTools:
     """Collaborators of the admission.
@@ -98,6 +64,7 @@
     loads: LoadTable
     breakers: Breakers
     record: Callable[[Ticket, RoutingDecision], None]
+    routing: RoutingPolicy = field(default_factory=RoutingPolicy)
 
 
 class Admission:
@@ -105,14 +72,18 @@
 
     def __init__(self, tools: AdmissionTools) -> None:
         self._tools = tools
-        self._waiting: list[Ticket] = []
+        self._waiting = WaitingRoom()
+        self._contracts = Contracts()
+        self._shares = ShareMeter()
+        #: Rate limits of the customers on this instance.
+        self.limits = Limits()
         self._in_flight: Counter[str] = Counter()
         self._by_customer: Counter[str] = Counter()
         self._by_pool: Counter[tuple[str, str]] = Counter()
-        self._figures: dict[str, PoolFigures] = {}
+        self._figures: defaultdict[str, PoolFigures] = defaultdict(PoolFigures)
         self._excluded: dict[str, tuple[float, frozenset[str]]] = {}
-        #: Endpoints that get no new work because they leave or change their role.
-        self.draining: set[str] = set()
+        #: What is known of the endpoints of each pool.
+        self.lanes = Lanes(lambda name: bool(self._in_flight[name]), self._has_room, tools.routing)
         self._reserved: dict[str, Ticket] = {}
 
     def in_flight(self, endpoint: str) -> int:
@@ -124,6 +95,45 @@
         """Return the number of waiting requests."""
         return len(self._waiting)
 
+    def exclude(self, endpoint: str) -> None:
+        """Give an endpoint no new work because it leaves or changes its role."""
+        self.lanes.exclude(endpoint)
+        self.bind()
+
+    def include(self, endpoint: str) -> None:
+        """Give an excluded endpoint work again."""
+        self.lanes.include(endpoint)
+        self.bind()
+
+    def is_draining(self, endpoint: str) -> bool:
+        """Tell whether an endpoint is excluded."""
+        return endpoint in self.lanes.draining
+
+    def endpoints(self, pool: str) -> tuple[Endpoint, ...]:
+        """Return the endpoints of a pool that may get new work by the zone's state."""
+        return tuple(self._lane(pool).live.values())
+
+    def take_report(self, endpoint: Endpoint, known: KnownLoad) -> None:
+        """Take a load report and bind waiting requests."""
+        for lane in self.lanes.holding(endpoint.name):
+            lane.take_report(endpoint.name, known)
+        self.lanes.update_room(endpoint.name)
+        self.bind()
+
+    def first_token(self, ticket: Ticket) -> None:
+        """Note that the prompt of a bound request is processed."""
+        if ticket.endpoint is not None and not ticket.first_token:
+            router = self._lane(ticket.route.pool).router
+            router.prefilled(ticket.endpoint.name, ticket.uncached, trio.current_time())
+            ticket.first_token = True
+            self.bind()
+
+    def demand(self) -> InstanceDemand:
+        """Return the recent demand of pools and customers on this instance."""
+        now = trio.current_time()
+        pools = {name: each.demand(now) for name, each in self._figures.items()}
+        return InstanceDemand(pools, self.limits.demand(now))
+
     async def acquire(self, ticket: Ticket, lifecycle: Lifecycle) -> Endpoint:
         """Wait for an endpoint; :meth:`release` gives it back.
 
@@ -131,7 +141,7 @@
         """
         if not ticket.started:
             self._check(ticket, lifecycle)
-        self._waiting.append(ticket)
+        self._arrive(ticket)
         self.bind()
         try:
             with trio.move_on_at(ticket.deadline_s):
@@ -157,17 +167,22 @@
         if ticket.endpoint is None:
             return
         name = ticket.endpoint.name
+        self.first_token(ticket)
+        self._lane(ticket.route.pool).router.ended(name, trio.current_time())
         ticket.endpoint = None
         self._in_flight[name] -= 1
+        self.lanes.update_room(name)
         self._by_customer[ticket.customer] -= 1
         self._by_pool[ticket.route.pool, ticket.customer] -= 1
         self.end_exclusive(ticket)
-        figures = self._figures.setdefault(ticket.route.pool, PoolFigures())
+        figures = self._pool_figures(ticket)
+        self._waiting.correct(ticket)
+        used_tokens = ticket.output_tokens - ticket.charged_tokens
+        self.limits.correct(ticket.customer, used_tokens)
         if first_token_s is not None:
-            busy_s = trio.current_time() - ticket.bound_s
-            figures.busy_s += (busy_s - figures.busy_s) * (SMOOTHING if figures.busy_s else 1)
-            smoothing = SMOOTHING if figures.first_token_s else 1
-            figures.first_token_s += (first_token_s - figures.first_token_s) * smoothing
+            figures.meter.finish(ticket.output_tokens)
+            now = trio.current_time()
+            figures.follow(now - ticket.bound_s, first_token_s, now)
         self.bind()
 
     def end_exclusive(self, ticket: Ticket) -> None:
@@ -175,54 +190,91 @@
         for name, holder in list(self._reserved.items()):
             if holder is ticket:
                 self._reserved.pop(name)
+                self.lanes.update_room(name)
                 self.bind()
 
     def bind(self) -> None:
         """Bind waiting requests to endpoints with room, in fair order."""
-        blocked: set[tuple[str, bool, bool]] = set()
-        for ticket in sorted(self._waiting, key=self._order):
-            kind = (ticket.route.pool, ticket.exclusive, ticket.repeatable)
-            if kind in blocked and not ticket.avoid:
+        for station in self._waiting.stations.values():
+            self._bind_first(station)
+            has_bound = True
+            while has_bound:
+                has_bound = self._bind_next(station)
+
+    def _bind_first(self, station: Station) -> None:
+        blocked = False
+        for ticket in tuple(station.first):
+            ordinary = not ticket.exclusive and not ticket.avoid
+            if blocked and ordinary:
                 continue
             decision = self._choose(ticket)
             if decision is None:
-                blocked.add(kind)
+                blocked = blocked or ordinary
             else:
                 self._bind(ticket, decision)
 
-    def _order(self, ticket: Ticket) -> tuple[bool, int, float]:
-        running = self._by_pool[ticket.route.pool, ticket.customer]
-        return (not ticket.started, -ticket.priority, running / self._weight(ticket.customer))
+    def _bind_next(self, station: Station) -> bool:
+        now = trio.current_time()
+        ticket = station.head(now)
+        decision = self._choose(ticket) if ticket else None
+        if ticket is None or decision is None:
+            return False
+        overdue = ticket.waiting is not None and ticket.waiting.due_s < now
+        ticket.share = self._shares.priority(ticket.customer, now, overdue=overdue)
+        if decision.wait_s > ROOM_S[ticket.share]:
+            return False
+        self._bind(ticket, decision)
+        return True
+
+    def _arrive(self, ticket: Ticket) -> None:
+        now = trio.current_time()
+        weight = self._weight(ticket.customer)
+        if not ticket.started:
+            meter = self._pool_figures(ticket).meter
+            meter.arrive(now, ticket.prompt_tokens)
+            if ticket.route.kind == RouteKind.MODEL:
+                ticket.expected_tokens = meter.output
+            prefill_tokens = ticket.prompt_tokens * meter.uncached
+            ticket.cost_s = COSTS.cost(prefill_tokens, ticket.expected_tokens)
+            self._shares.charge(ticket.customer, weight, ticket.cost_s, now)
+        self._waiting.add(ticket, weight, now + self._tools.settings.first_token_target_s)
+
+    def _contract(self, name: str) -> Contract:
+        return self._contracts.find(name, self._tools.authority.read(), trio.current_time())
 
     def _weight(self, name: str) -> float:
-        customer = self._tools.authority.read().customer(name)
-        return max(customer.contract.weight, MIN_WEIGHT) if customer else 1.0
+        return max(self._contract(name).weight, MIN_WEIGHT)
 
     def _bind(self, ticket: Ticket, decision: RoutingDecision) -> None:
         name = decision.endpoint.name
-        self._waiting.remove(ticket)
+        self._waiting.take(ticket, trio.current_time())
         self._in_flight[name] += 1
         self._by_customer[ticket.customer] += 1
         self._by_pool[ticket.route.pool, ticket.customer] += 1
         ticket.endpoint = decision.endpoint
         ticket.bound_s = trio.current_time()
+        ticket.uncached = decision.uncached_tokens
+        meter = self._pool_figures(ticket).meter
+        meter.dispatch(ticket.prompt_tokens, ticket.uncached)
+        router = self._lane(ticket.route.pool).router
+        router.dispatched(name, ticket.features(), ticket.uncached, ticket.bound_s)
+        self.lanes.update_room(name)
         ticket.bound.set()
         self._tools.record(ticket, decision)
 
     def _forget(self, ticket: Ticket) -> None:
-        if ticket in self._waiting:
-            self._waiting.remove(ticket)
+        self._waiting.discard(ticket)
         self.release(ticket)
         self.end_exclusive(ticket)
 
     def _check(self, ticket: Ticket, lifecycle: Lifecycle) -> None:
-        pool = self._pool(ticket)
-        if pool is None or not pool.endpoints:
+        lane = self._lane(ticket.route.pool)
+        if not lane.live:
             message = f'route {ticket.route.name!r} has no endpoint'
             raise refuse(lifecycle, message, code='no_endpoint', retry_after_s=RETRY_AFTER_S)
         self._check_customer(ticket, lifecycle)
         limit_s = self._tools.settings.first_token_limit_s
-        predicted_s = self._predict(ticket, pool)
+        predicted_s = self._predict(ticket, lane)
         if predicted_s > limit_s and ticket.route.repeatable and not ticket.exclusive:
             raise refuse(
                 lifecycle,
@@ -231,37 +283,51 @@
                 status=429,
                 retry_after_s=predicted_s - limit_s,
             )
+        self._check_limits(ticket, lifecycle)
+
+    def _check_limits(self, ticket: Ticket, lifecycle: Lifecycle) -> None:
+        """Check the rate limits last, so that other refusals use up none of them."""
+        if ticket.route.kind == RouteKind.MODEL:
+            ticket.charged_tokens = self._pool_figures(ticket).meter.output
+        wait_s = self.limits.check(
+            ticket.customer,
+            self._contract(ticket.customer),
+            ticket.prompt_tokens + ticket.charged_tokens,
+            trio.current_time(),
+        )
+        if wait_s:
+            raise refuse(
+                lifecycle,
+                'the rate limit of the customer is reached',
+                code='rate_limited',
+                status=429,
+                retry_after_s=wait_s,
+            )
+
+    def _pool_figures(self, ticket: Ticket) -> PoolFigures:
+        return self._figures[ticket.route.pool]
 
     def _check_customer(self, ticket: Ticket, lifecycle: Lifecycle) -> None:
-        place = (ticket.customer, ticket.route.name)
-        queued = [each for each in self._waiting if (each.customer, each.route.name) == place]
-        if len(queued) >= self._tools.settings.queue_limit:
-            raise self._refuse_busy(lifecycle, 'too many requests are waiting', 'queue_full')
-        customer = self._tools.authority.read().customer(ticket.customer)
-        limit = (customer or Customer('')).contract.connections
-        mine = sum(1 for each in self._waiting if each.customer == ticket.customer)
+        queued = self._waiting.count(ticket.customer, ticket.route.name)
+        if queued >= self._tools.settings.queue_limit:
+            raise _refuse_busy(lifecycle, 'too many requests are waiting', 'queue_full')
+        limit = self._contract(ticket.customer).connections
+        mine = self._waiting.count(ticket.customer)
         if self._by_customer[ticket.customer] + mine >= limit:
-            raise self._refuse_busy(lifecycle, 'too many requests in progress', 'too_many_requests')
-
-    def _refuse_busy(self, lifecycle: Lifecycle, message: str, code: str) -> RequestRefused:
-        return refuse(lifecycle, message, code=code, status=429, retry_after_s=RETRY_AFTER_S)
-
-    def _predict(self, ticket: Ticket, pool: EndpointPool) -> float:
-        figures = self._figures.get(pool.name, PoolFigures())
-        same_pool = [each for each in self._waiting if each.route.pool == pool.name]
-        ahead = sum(
-            each.priority > ticket.priority
-            or (each.customer == ticket.customer and each.priority == ticket.priority)
-            for each in same_pool
-        )
-        usable = [each for each in pool.endpoints if each.name not in self.draining]
-        rate = self._tools.loads.prefill_rate(each.name for each in usable[:CANDIDATES])
+            raise _refuse_busy(lifecycle, 'too many requests in progress', 'too_many_requests')
+
+    def _predict(self, ticket: Ticket, lane: Lane) -> float:
+        figures = self._pool_figures(ticket)
+        if not any(count for place, count in self._by_pool.items() if place[0] == lane.pool):
+            figures.fade(trio.current_time())
+        ahead, waiting = self._waiting.look_ahead(ticket)
+        rate = self._tools.loads.prefill_rate(islice(lane.live, RATE_SAMPLE))
         return predict_first_token(
             ahead,
-            self._count_served(ticket, {each.customer for each in same_pool}),
+            self._count_served(ticket, waiting),
             figures,
             ticket.prompt_tokens / rate if rate else 0.0,
-            has_room=bool(self._with_room(ticket, usable)),
+            has_room=lane.router.has_candidates(ticket.features()),
         )
 
     def _count_served(self, ticket: Ticket, waiting: set[str]) -> float:
@@ -275,8 +341,8 @@
         share = self._weight(ticket.customer) / sum(self._weight(name) for name in active)
         return max(running.get(ticket.customer, 0), share * sum(running.values()))
 
-    def _pool(self, ticket: Ticket) -> EndpointPool | None:
-        return self._tools.authority.read().pool(ticket.route.pool)
+    def _lane(self, pool: str) -> Lane:
+        return self.lanes.get(pool, self._tools.authority.read(), trio.current_time())
 
     def _slots(self, endpoint: Endpoint) -> int:
         settings = self._tools.settings
@@ -284,50 +350,35 @@
             return settings.service_slots
         return settings.engine_slots
 
+    def _has_room(self, endpoint: Endpoint) -> bool:
+        if endpoint.name in self._reserved:
+            return False
+        own = self._in_flight[endpoint.name]
+        running = self._tools.loads.estimate(endpoint.name, own, trio.current_time())
+        return max(running, own) < self._slots(endpoint)
+
     def _choose(self, ticket: Ticket) -> RoutingDecision | None:
-        pool = self._pool(ticket)
-        if pool is None:
-            return None
-        usable = self._usable(ticket, pool)
+        lane = self._lane(ticket.route.pool)
+        excluded = self._exclusions(lane) | ticket.avoid
+        if lane.live.keys() <= excluded | self.lanes.draining:
+            # Every endpoint has failed; any of them is better than none.
+            excluded = frozenset()
         if ticket.exclusive:
+            barred = excluded | self.lanes.draining
+            usable = [each for name, each in lane.live.items() if name not in barred]
             return self._choose_exclusive(ticket, usable)
-        sample = usable
-        if len(usable) > CANDIDATES:
-            sample = self._tools.random.sample(usable, CANDIDATES)
-        views = self._with_room(ticket, sample)
-        if not views and len(sample) < len(usable):
-            views = self._with_room(ticket, usable)
-        return route_request(views, self._tools.random)
-
-    def _usable(self, ticket: Ticket, pool: EndpointPool) -> list[Endpoint]:
-        """Return the endpoints that may take a request, or all live ones if none is left."""
-        live = [each for each in pool.endpoints if each.name not in self.draining]
-        excluded = self._exclusions(pool) | ticket.avoid
-        if not excluded:
-            return live
-        return [each for each in live if each.name not in excluded] or live
-
-    def _exclusions(self, pool: EndpointPool) -> frozenset[str]:
+        features = ticket.features(excluded)
+        return route_request((), self._tools.random, features, lane.router, trio.current_time())
+
+    def _exclusions(self, lane: Lane) -> frozenset[str]:
         now = trio.current_time()
-        since, excluded = self._excluded.get(pool.name, (-math.inf, frozenset()))
+        since, excluded = self._excluded.get(lane.pool, (-math.inf, frozenset()))
         if now - since > EXCLUSION_AGE_S:
-            names = [each.name for each in pool.endpoints if each.name not in self.draining]
+            names = [name for name in lane.live if name not in self.lanes.draining]
             excluded = self._tools.breakers.excluded(names, now) if names else frozenset()
-            self._excluded[pool.name] = (now, excluded)
+            self._excluded[lane.pool] = (now, excluded)
         return excluded
 
-    def _with_room(self, ticket: Ticket, endpoints: list[Endpoint]) -> list[EndpointView]:
-        now = trio.current_time()
-        views = []
-        for endpoint in endpoints:
-            if endpoint.name in self._reserved or (endpoint.cheap and not ticket.repeatable):
-                continue
-            own = self._in_flight[endpoint.name]
-            running = self._tools.loads.estimate(endpoint.name, own, now)
-            if max(running, own) < self._slots(endpoint):
-                views.append(EndpointView(endpoint, reported_running=running, own_in_flight=own))
-        return views
-
     def _choose_exclusive(self, ticket: Ticket, usable: list[Endpoint]) -> RoutingDecision | None:
         """Reserve a cheap or little used endpoint, and bind to it as soon as it is empty."""
         mine = [name for name, holder in self._reserved.items() if holder is ticket]
@@ -335,8 +386,13 @@
         if not mine and len(self._reserved) < max(1, len(usable) // 3) and free:
             best = min(free, key=lambda each: (self._in_flight[each.name], not each.cheap))
             self._reserved[best.name] = ticket
+            self.lanes.update_room(best.name)
             mine = [best.name]
         for endpoint in usable:
             if endpoint.name in mine and not self._in_flight[endpoint.name]:
                 return RoutingDecision(endpoint, 'alone on trial', ((endpoint.name, 0),))
         return None
+
+
+def _refuse_busy(lifecycle: Lifecycle, message: str, code: str) -> RequestRefused:
+    return refuse(lifecycle, message, code=code, status=429, retry_after_s=RETRY_AFTER_S)
--- a/shallotmux/requests/_attempts.py
+++ b/shallotmux/requests/_attempts.py
@@ -10,9 +10,9 @@
 
 import trio
 
-from shallotmux.engines import EngineRun
+from shallotmux.authority import Figures
+from shallotmux.engines import BLOCK_BYTES, BYTES_PER_TOKEN, EngineRun, hash_prompt
 from shallotmux.errors import EndpointError, EndpointRefused
-from shallotmux.requests._admission import Ticket
 from shallotmux.requests._events import EventCutter, StreamFault
 from shallotmux.requests._lifecycle import (
     Admit,
@@ -31,6 +31,7 @@
 from shallotmux.requests._outbox import Outbox
 from shallotmux.requests._request import CallerRequest, RequestRefused, refuse
 from shallotmux.requests._retries import draw_backoff
+from shallotmux.requests._waiting import Ticket
 
 if TYPE_CHECKING:
     from shallotmux.requests._parts import Parts
@@ -45,9 +46,6 @@
 #: Header in which an engine names the attempt that it answers.
 ATTEMPT_HEADER = 'shallotmux-attempt-id'
 
-#: Bytes of the request body that count as a token in predictions.
-BYTES_PER_TOKEN = 4
-
 
 class Failure(StrEnum):
     """How an attempt ended without the whole answer."""
@@ -91,7 +89,7 @@
     def __init__(self, parts: Parts, request: CallerRequest) -> None:
         settings = parts.settings
         self.request = request
-        self.outbox = Outbox(settings.buffer_bytes, settings.coalesce_s)
+        self.outbox = Outbox(settings.buffer_bytes, settings.coalesce_s, self._count_usage)
         self.lifecycle = Lifecycle()
         self.attempt: Attempt | None = None
         #: Whether the caller stopped reading for longer than the limit.
@@ -103,6 +101,10 @@
         self._crash_offset = math.inf
         self._avoid: frozenset[str] = frozenset()
         self._failures = 0
+        has_blocks = request.size_bytes >= BLOCK_BYTES
+        self._put_tokens = request.offset
+        self._is_counted = bool(request.offset)
+        self._blocks = hash_prompt(request.payload) if has_blocks else ()
         self._stop: RequestRefused | None = None
         self._scope = trio.CancelScope(deadline=self._deadline_s)
 
@@ -156,10 +158,12 @@
         )
         ticket = self._ticket(on_trial=on_trial)
         attempt = Attempt(attempt_id, ticket, on_trial)
+        before = self._cutter.delivered
         try:
             await self._parts.admission.acquire(ticket, self.lifecycle)
             return await self._try(attempt, helpers)
         finally:
+            ticket.output_tokens = self._cutter.delivered - before
             self._parts.admission.release(ticket, attempt.first_token_s)
             if on_trial and not attempt.cleared:
                 helpers.start_soon(self._end_trial, attempt_id, False)
@@ -177,6 +181,7 @@
             exclusive=on_trial,
             repeatable=self.request.route.repeatable,
             prompt_tokens=self.request.size_bytes // BYTES_PER_TOKEN,
+            blocks=self._blocks,
             avoid=self._avoid,
         )
 
@@ -208,6 +213,8 @@
             return
         not_run = failure in {Failure.REFUSED, Failure.UNREACHABLE}
         self._advance(AttemptEnded(attempt.attempt_id, not_run=not_run))
+        if failure == Failure.CRASHED:
+            self._parts.admission.lanes.doubt_cache(name)
         if failure not in {Failure.REFUSED, Failure.MOVED}:
             certain = failure in {Failure.UNREACHABLE, Failure.CRASHED}
             breakers.fail(name, trio.current_time(), certain=certain)
@@ -231,7 +238,7 @@
 
     async def _explain_break(self, attempt: Attempt) -> Failure:
         name = attempt.endpoint.name
-        if name in self._parts.admission.draining:
+        if self._parts.admission.is_draining(name):
             return Failure.MOVED
         self._crash_offset = self._cutter.delivered
         crashed = await self._parts.suspects.report_break(
@@ -262,18 +269,21 @@
             response_id=request.response_id,
             payload=request.payload,
             offset=self._cutter.delivered,
-            priority=request.priority,
+            priority=attempt.ticket.engine_priority,
             chat=request.chat,
             deadline_s=max(0.0, self._deadline_s - trio.current_time()),
         )
 
     async def _deliver(self, attempt: Attempt, block: bytes, helpers: trio.Nursery) -> None:
         settings = self._parts.settings
-        self.outbox.put(block)
+        tokens = self._cutter.delivered - self._put_tokens
+        self._put_tokens = self._cutter.delivered
+        self.outbox.put(block, tokens, tokens if attempt.endpoint.cheap else 0)
         now = trio.current_time()
         if attempt.first_token_s is None:
             attempt.first_token_s = now - attempt.ticket.bound_s
             self._advance(FirstByte(attempt.attempt_id))
+            self._parts.admission.first_token(attempt.ticket)
         if self.outbox.is_full:
             attempt.scope.deadline = math.inf
             await self._wait_caller()
@@ -284,6 +294,17 @@
         if attempt.on_trial and not attempt.cleared:
             self._clear(attempt, helpers)
 
+    def _count_usage(self, tokens: int, cheap_tokens: int) -> None:
+        """Count tokens that the caller got; the instance that began counts request and prompt."""
+        figures = Figures(output_tokens=tokens, cheap_tokens=cheap_tokens)
+        if not self._is_counted:
+            self._is_counted = True
+            prompt_tokens = self.request.size_bytes // BYTES_PER_TOKEN
+            cheap_prompt = prompt_tokens if cheap_tokens else 0
+            begun = Figures(1, prompt_tokens, cheap_tokens=cheap_prompt)
+            figures = figures.plus(begun)
+        self._parts.count_usage(self.request.customer, figures)
+
     async def _wait_caller(self) -> None:
         with trio.move_on_after(self._parts.settings.stalled_caller_s):
             await self.outbox.wait_room()
--- a/shallotmux/requests/_executor.py
+++ b/shallotmux/requests/_executor.py
@@ -2,18 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from itertools import chain
 
 import trio
 
 from shallotmux.decisions import RoutingDecision
-from shallotmux.engines import LoadPoller, LoadTable
+from shallotmux.engines import CachePoller, LoadPoller, LoadTable
 from shallotmux.observability import DecisionRecord
-from shallotmux.requests._admission import Admission, AdmissionTools, Ticket
+from shallotmux.requests._admission import Admission, AdmissionTools
 from shallotmux.requests._attempts import ModelCall
 from shallotmux.requests._jobs import Jobs
+from shallotmux.requests._limits import InstanceDemand
 from shallotmux.requests._outbox import Outbox
 from shallotmux.requests._parts import Parts, Tools, draw_incarnation
 from shallotmux.requests._request import (
@@ -25,6 +27,7 @@
 from shallotmux.requests._retries import Breakers, RetryBudget
 from shallotmux.requests._services import PlainCall
 from shallotmux.requests._suspects import Suspects
+from shallotmux.requests._waiting import Ticket
 from shallotmux.world import Endpoint
 
 #: Seconds between two checks of the keys of open streams. A withdrawn key and a lost authority
@@ -65,7 +68,15 @@
         incarnation = draw_incarnation()
         name = f'{tools.instance}/{incarnation}'
         admission = Admission(
-            AdmissionTools(tools.authority, settings, tools.random, loads, breakers, self._record),
+            AdmissionTools(
+                tools.authority,
+                settings,
+                tools.random,
+                loads,
+                breakers,
+                self._record,
+                tools.routing,
+            ),
         )
         self._parts = Parts(
             settings=settings,
@@ -78,6 +89,7 @@
             random=tools.random,
             loads=loads,
             name=name,
+            usage=tools.usage,
         )
         self._jobs = Jobs(tools.authority, settings, tools.clock, tools.instance, incarnation)
 
@@ -98,11 +110,20 @@
             self._parts.loads,
             self._endpoints,
             self._parts.admission.in_flight,
-            self._parts.admission.bind,
+            self._parts.admission.take_report,
             self._parts.settings.poll_per_s,
         )
+        lanes = self._parts.admission.lanes
+        cache_poller = CachePoller(
+            self._tools.engines,
+            self._endpoints,
+            lanes.follow_cache,
+            lanes.restart_cache,
+            self._parts.settings.cache_poll_per_s,
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(poller.run)
+            nursery.start_soon(cache_poller.run)
             nursery.start_soon(self._jobs.settle_pending)
             nursery.start_soon(self._watch_keys)
 
@@ -123,6 +144,7 @@
                 try:
                     await call.outbox.wait_started()
                     yield call.outbox
+                    call.outbox.count_sent()
                 except Exception as error:
                     # Raised after the nursery has ended, which would wrap it in a group.
                     body_error = error
@@ -154,6 +176,17 @@
             raise run.error or RuntimeError('a call ended without answer and error')
         return run.answer
 
+    def set_shares(self, shares: Mapping[str, float]) -> None:
+        """Set the part of each customer's rate limits that this instance may use.
+
+        :param shares: parts from 0 to 1 by customer; customers that are not named get the whole.
+        """
+        self._parts.admission.limits.shares = dict(shares)
+
+    def demand(self) -> InstanceDemand:
+        """Return the recent demand, from which the leader derives shares, roles and fleet."""
+        return self._parts.admission.demand()
+
     async def drain(self, endpoint: str, deadline_s: float) -> Drained:
         """Take an endpoint out of service without interrupting a request.
 
@@ -163,8 +196,7 @@
         :param deadline_s: time on the runtime's clock at which the endpoint may vanish.
         """
         admission = self._parts.admission
-        admission.draining.add(endpoint)
-        admission.bind()
+        admission.exclude(endpoint)
         moved = 0
         move_at_s = deadline_s - self._parts.settings.move_margin_s
         while admission.in_flight(endpoint) and trio.current_time() < deadline_s:
@@ -175,8 +207,7 @@
 
     def readmit(self, endpoint: str) -> None:
         """Let a drained endpoint take work again."""
-        self._parts.admission.draining.discard(endpoint)
-        self._parts.admission.bind()
+        self._parts.admission.include(endpoint)
 
     async def finish(self) -> None:
         """Refuse new requests as not run and wait until the open ones have ended."""
@@ -227,8 +258,8 @@
     def _endpoints(self) -> list[Endpoint]:
         state = self._tools.authority.read()
         pools = {route.pool for route in state.routes()}
-        found = (state.pool(name) for name in sorted(pools))
-        return [endpoint for pool in found if pool is not None for endpoint in pool.endpoints]
+        found = (self._parts.admission.endpoints(name) for name in sorted(pools))
+        return list(chain.from_iterable(found))
 
     def _record(self, ticket: Ticket, decision: RoutingDecision) -> None:
         self._tools.decisions.record(
@@ -241,6 +272,12 @@
                     'customer': ticket.customer,
                     'route': ticket.route.name,
                     'sampled': list(decision.sampled),
+                    'wait_s': round(decision.wait_s, 4),
+                    'prompt_tokens': ticket.prompt_tokens,
+                    'uncached_tokens': round(decision.uncached_tokens),
+                    'tier': ticket.priority,
+                    'share': ticket.share.name.lower(),
+                    'excluded': sorted(ticket.avoid),
                 },
                 time_s=trio.current_time(),
             ),
--- a/shallotmux/requests/_services.py
+++ b/shallotmux/requests/_services.py
@@ -7,9 +7,9 @@
 
 import trio
 
+from shallotmux.authority import Figures
 from shallotmux.engines import ServiceCall, ServiceClient, ServiceResult
 from shallotmux.errors import EndpointError, EndpointRefused
-from shallotmux.requests._admission import Ticket
 from shallotmux.requests._jobs import Run
 from shallotmux.requests._lifecycle import (
     Admit,
@@ -26,6 +26,7 @@
 )
 from shallotmux.requests._request import RequestRefused, ServiceAnswer, ServiceRequest, refuse
 from shallotmux.requests._retries import draw_backoff
+from shallotmux.requests._waiting import Ticket
 
 if TYPE_CHECKING:
     from shallotmux.requests._parts import Parts
@@ -65,6 +66,7 @@
         except RequestRefused as error:
             self._advance(Refuse())
             return Run(self._lifecycle, error=error)
+        self._parts.count_usage(self._request.customer, Figures(requests=1))
         return Run(self._lifecycle, answer=answer)
 
     async def _attempt_until_done(self) -> ServiceAnswer:
