Write events to the caller from the attempt's task while nothing is held

Each token woke the caller's task, which wrote it. The connection now takes parts from any task while its socket has room, and the deadline of the token gap is moved once a second instead of four times.

--- a/shallotmux/callers/_completions.py
+++ b/shallotmux/callers/_completions.py
@@ -25,6 +25,8 @@
 from shallotmux.errors import CallerError
 from shallotmux.http import (
     EVENT_STREAM_TYPE,
+    WRITER_KEY,
+    PartWriter,
     Receive,
     Scope,
     Send,
@@ -66,7 +68,7 @@
         async def work(send: Send) -> None:
             async with self._executor.stream(request) as events:
                 if parsed.stream:
-                    await _send_stream(send, request, events)
+                    await _send_stream(send, request, events, scope.get(WRITER_KEY))
                 else:
                     await send_json(send, 200, await collect_completion(events, request))
 
@@ -106,10 +108,14 @@
         )
 
 
-async def _send_stream(send: Send, request: CallerRequest, events: Outbox) -> None:
+async def _send_stream(
+    send: Send, request: CallerRequest, events: Outbox, writer: PartWriter | None
+) -> None:
     """Send events as they come; an error after the first one becomes an event itself."""
     headers = ((RESPONSE_ID_HEADER, request.response_id.encode()), (b'cache-control', b'no-cache'))
     await send_start(send, 200, EVENT_STREAM_TYPE, headers)
+    if writer is not None:
+        events.attach(writer)
     try:
         async for block in events:
             await send_chunk(send, block)
--- a/shallotmux/http/__init__.py
+++ b/shallotmux/http/__init__.py
@@ -5,9 +5,11 @@
 from shallotmux.http._asgi import (
     EVENT_STREAM_TYPE,
     JSON_TYPE,
+    WRITER_KEY,
     AsgiApp,
     ErrorBody,
     Message,
+    PartWriter,
     Receive,
     Scope,
     Send,
@@ -33,6 +35,7 @@
 __all__ = (
     'EVENT_STREAM_TYPE',
     'JSON_TYPE',
+    'WRITER_KEY',
     'AsgiApp',
     'Certificate',
     'ErrorBody',
@@ -42,6 +45,7 @@
     'HttpcoreClient',
     'Listener',
     'Message',
+    'PartWriter',
     'Receive',
     'RelayClient',
     'Scope',
--- a/shallotmux/http/_asgi.py
+++ b/shallotmux/http/_asgi.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Awaitable, Callable, Iterable, MutableMapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
@@ -17,10 +17,24 @@
 AsgiApp = Callable[[Scope, Receive, Send], Awaitable[None]]
 Headers = Iterable[tuple[bytes, bytes]]
 
+#: Key of the ASGI scope under which the writer of the answer is kept, if there is one.
+WRITER_KEY = 'shallotmux.writer'
+
 JSON_TYPE = 'application/json'
 EVENT_STREAM_TYPE = 'text/event-stream; charset=utf-8'
 
 
+class PartWriter(Protocol):
+    """Writes parts of a streamed answer from any task, without waiting."""
+
+    @property
+    def blocked(self) -> bool:
+        """Tell whether the rest of a part waits to be sent with the next message."""
+
+    def write_now(self, part: bytes) -> bool:
+        """Write a part, and tell whether it was taken; it is then sent before any message."""
+
+
 @dataclass(frozen=True, slots=True)
 class ErrorBody:
     """An error in the shape that client libraries of the caller protocol expect.
--- a/shallotmux/http/_connection.py
+++ b/shallotmux/http/_connection.py
@@ -12,7 +12,7 @@
 from hypercorn.events import Event, Updated
 from hypercorn.trio.tcp_server import TCPServer
 
-from shallotmux.http._asgi import AsgiApp, Message, Receive, Scope, Send
+from shallotmux.http._asgi import WRITER_KEY, AsgiApp, Message, Receive, Scope, Send
 
 #: Connection in whose task the current code runs.
 _current: ContextVar[ServerConnection | None] = ContextVar('connection', default=None)
@@ -30,11 +30,18 @@
         super().__init__(*parts)
         #: Whether the caller has ended its sending side, after which nothing more is read.
         self._ended = False
+        #: Framed bytes that the socket did not take from :meth:`write_now`.
+        self._rest = b''
 
     def __await__(self) -> Generator[Any]:
         """Run until the connection is closed."""
         return self._run_guarded().__await__()
 
+    @property
+    def blocked(self) -> bool:
+        """Tell whether a part was taken that is not yet written to its end."""
+        return bool(self._rest)
+
     async def protocol_send(self, event: Event) -> None:
         """Send what the server's protocol asks for.
 
@@ -49,7 +56,8 @@
 
         :returns: False if the connection is broken and nothing may follow.
         """
-        framed = b'%x\r\n%b\r\n' % (len(part), part)
+        framed = self._rest + (_frame(part) if part else b'')
+        self._rest = b''
         try:
             if self.send_lock.locked() or not isinstance(self.stream, trio.SocketStream):
                 await self._write_waiting(framed)
@@ -61,6 +69,24 @@
             return False
         return True
 
+    def write_now(self, part: bytes) -> bool:
+        """Write a part of a chunked body without waiting.
+
+        :returns: False if nothing was taken. Otherwise the caller sees to it that
+            :meth:`write_part` is called when ``blocked`` is true.
+        """
+        stream = self.stream
+        if self._rest or self.send_lock.locked() or not isinstance(stream, trio.SocketStream):
+            return False
+        framed = _frame(part)
+        try:
+            written = _write_now(stream, framed)
+        except (OSError, trio.ClosedResourceError):
+            return False
+        if written < len(framed):
+            self._rest = framed[written:]
+        return True
+
     async def _read_data(self) -> None:
         await super()._read_data()
         self._ended = True
@@ -104,6 +130,7 @@
             and scope['method'] != 'HEAD'
         ):
             send = DirectSend(connection, send)
+            scope[WRITER_KEY] = send
         await self._app(scope, receive, send)
 
 
@@ -122,7 +149,8 @@
         """Send a message of the application."""
         if self._direct:
             part = message.get('body', b'')
-            self._direct = not part or await self._connection.write_part(part)
+            if part or self._connection.blocked:
+                self._direct = await self._connection.write_part(part)
             if self._direct:
                 if message.get('more_body', False):
                     return
@@ -131,12 +159,25 @@
         if message['type'] == 'http.response.start':
             self._direct = _is_chunked(message)
 
+    @property
+    def blocked(self) -> bool:
+        """Tell whether the rest of a part waits to be sent with the next message."""
+        return self._connection.blocked
+
+    def write_now(self, part: bytes) -> bool:
+        """Write a part, and tell whether it was taken."""
+        return self._direct and self._connection.write_now(part)
+
 
 def _is_chunked(start: Message) -> bool:
     names = {bytes(name).lower() for name, _ in start.get('headers', ())}
     return start['status'] == 200 and not names & {b'content-length', b'transfer-encoding'}
 
 
+def _frame(part: bytes) -> bytes:
+    return b'%x\r\n%b\r\n' % (len(part), part)
+
+
 def _write_now(stream: trio.SocketStream, framed: bytes) -> int:
     """Return how many bytes the socket took without waiting."""
     try:
--- a/shallotmux/observability/_metering.py
+++ b/shallotmux/observability/_metering.py
@@ -7,7 +7,7 @@
 import trio
 from prometheus_client import Histogram
 
-from shallotmux.http import AsgiApp, Message, Receive, Scope, Send
+from shallotmux.http import WRITER_KEY, AsgiApp, Message, PartWriter, Receive, Scope, Send
 from shallotmux.observability._metrics import Metrics
 
 #: Key of the ASGI scope under which the labels of a request are kept.
@@ -60,7 +60,7 @@
             return
         more = message.get('more_body', False)
         if more and message['body']:
-            self._observe_part(trio.current_time())
+            self.observe_part(trio.current_time())
         self.complete = not more
 
     def outcome(self) -> str:
@@ -69,7 +69,8 @@
             return 'interrupted' if self.status else 'disconnected'
         return _OUTCOMES.get(self.status, 'refused')
 
-    def _observe_part(self, now_s: float) -> None:
+    def observe_part(self, now_s: float) -> None:
+        """Take note of a part of the stream."""
         if self._gaps is None:
             self._gaps = self.metrics.token_gap.labels(self.labels.route)
             self.metrics.first_token.labels(self.labels.route).observe(now_s - self.started_s)
@@ -78,6 +79,26 @@
         self._last_s = now_s
 
 
+@dataclass(frozen=True, slots=True)
+class _MeteredWriter:
+    """Measures the parts that are written without a message."""
+
+    writer: PartWriter
+    meter: StreamMeter
+
+    @property
+    def blocked(self) -> bool:
+        """Tell whether the rest of a part waits to be sent with the next message."""
+        return self.writer.blocked
+
+    def write_now(self, part: bytes) -> bool:
+        """Write a part, and tell whether it was taken."""
+        taken = self.writer.write_now(part)
+        if taken:
+            self.meter.observe_part(trio.current_time())
+        return taken
+
+
 @dataclass(frozen=True, slots=True)
 class MeteredApp:
     """Wraps the caller application and measures its requests."""
@@ -93,6 +114,8 @@
         labels = RequestLabels()
         scope[LABELS_KEY] = labels
         meter = StreamMeter(self.metrics, labels, trio.current_time())
+        if WRITER_KEY in scope:
+            scope[WRITER_KEY] = _MeteredWriter(scope[WRITER_KEY], meter)
 
         async def send_metered(message: Message) -> None:
             await send(message)
--- a/shallotmux/requests/_attempts.py
+++ b/shallotmux/requests/_attempts.py
@@ -39,8 +39,9 @@
 #: Seconds for which the cancellation of an attempt is waited for.
 CANCEL_TIMEOUT_S = 0.5
 
-#: Seconds by which the deadline of a token may be early; setting it for each token costs CPU time.
-DEADLINE_STEP_S = 0.25
+#: Share of the token gap's limit by which its deadline may be early: with the default limit it is
+#: moved once a second, since setting it for each token costs CPU time.
+DEADLINE_SLACK = 0.2
 
 #: Header in which an engine names the attempt that it answers.
 ATTEMPT_HEADER = 'shallotmux-attempt-id'
@@ -278,9 +279,9 @@
             attempt.scope.deadline = math.inf
             await self._wait_caller()
             now = trio.current_time()
-        deadline_s = now + settings.token_gap_timeout_s
-        if abs(deadline_s - attempt.scope.deadline) > DEADLINE_STEP_S:
-            attempt.scope.deadline = deadline_s
+        gap_s = settings.token_gap_timeout_s
+        if abs(now + gap_s - attempt.scope.deadline) > gap_s * DEADLINE_SLACK:
+            attempt.scope.deadline = now + gap_s
         if attempt.on_trial and not attempt.cleared:
             self._clear(attempt, helpers)
 
--- a/shallotmux/requests/_outbox.py
+++ b/shallotmux/requests/_outbox.py
@@ -4,13 +4,15 @@
 
 import trio
 
+from shallotmux.http import PartWriter
 from shallotmux.requests._request import RequestRefused
 
 
 class Outbox:
     """Holds events until the caller takes them, and gathers small writes into larger ones.
 
-    One task puts events in, another iterates over the blocks.
+    One task puts events in, another iterates over the blocks. With a writer, events go to the
+    caller from the first task while nothing is held, which saves waking the second one.
 
     :param limit_bytes: size from which :meth:`wait_room` waits.
     :param coalesce_s: least time between two blocks, except before the first and the last.
@@ -24,6 +26,7 @@
         self._ended = False
         self._error: RequestRefused | None = None
         self._next_s = 0.0
+        self._writer: PartWriter | None = None
         self._filled = trio.Event()
         self._emptied = trio.Event()
 
@@ -32,10 +35,20 @@
         """Tell whether the caller should read before more is put in."""
         return self._size >= self._limit
 
+    def attach(self, writer: PartWriter) -> None:
+        """Write events directly from now on where possible; the stream's head must be sent."""
+        self._writer = writer
+
     def put(self, block: bytes) -> None:
         """Add complete events."""
         if self._ended:
             return
+        writer = self._writer
+        if writer is not None and not self._parts and writer.write_now(block):
+            if writer.blocked:
+                # The empty block that follows lets the caller's task send the rest.
+                self._filled.set()
+            return
         self._parts.append(block)
         self._size += len(block)
         self._filled.set()
@@ -66,7 +79,7 @@
         return self
 
     async def __anext__(self) -> bytes:
-        """Return the next block.
+        """Return the next block; an empty one means that the writer has a rest to send.
 
         :raises RequestRefused: if the request was given up.
         """
@@ -75,7 +88,7 @@
         pause_s = self._next_s - trio.current_time()
         if pause_s > 0 and not self._ended:
             await trio.sleep(pause_s)
-        if not self._parts:
+        if self._ended and not self._parts:
             if self._error is not None:
                 raise self._error
             raise StopAsyncIteration
--- /dev/null
+++ b/tests/requests/test_outbox.py
@@ -0,0 +1,64 @@
+"""Tests of the buffer between the engine's stream and the caller."""
+
+from __future__ import annotations
+
+import pytest
+
+from shallotmux.requests import Outbox
+
+
+class Socket:
+    """Takes parts until it is full; the last one that it takes is left unfinished."""
+
+    def __init__(self, room: int) -> None:
+        self.room = room
+        self.taken: list[bytes] = []
+
+    @property
+    def blocked(self) -> bool:
+        """Tell whether a part is unfinished."""
+        return not self.room
+
+    def write_now(self, part: bytes) -> bool:
+        """Take a part while there is room."""
+        if not self.room:
+            return False
+        self.room -= 1
+        self.taken.append(part)
+        return True
+
+
+async def test_events_stay_in_order_when_the_socket_fills(autojump_clock: object) -> None:
+    """Guards against lost, doubled or overtaking events when direct writing stops and resumes."""
+    socket = Socket(2)
+    outbox = Outbox(100, 0.005)
+    outbox.attach(socket)
+    for block in (b'a', b'b', b'c'):
+        outbox.put(block)
+    assert socket.taken == [b'a', b'b']
+    # With room again, what is held must still go first.
+    socket.room = 3
+    outbox.put(b'd')
+    assert await anext(outbox) == b'cd'
+    outbox.put(b'e')
+    assert socket.taken == [b'a', b'b', b'e']
+
+
+async def test_rest_of_a_part_wakes_the_caller(autojump_clock: object) -> None:
+    """Guards against the end of a part that waits for an event that never comes."""
+    outbox = Outbox(100, 0.005)
+    outbox.attach(Socket(1))
+    outbox.put(b'a')
+    assert await anext(outbox) == b''
+    outbox.end()
+    with pytest.raises(StopAsyncIteration):
+        await anext(outbox)
+
+
+async def test_buffer_is_bounded_behind_a_full_socket(autojump_clock: object) -> None:
+    """Guards against an unbounded buffer for a caller that stops reading."""
+    outbox = Outbox(2, 0.005)
+    outbox.attach(Socket(1))
+    for block in (b'a', b'b', b'c'):
+        outbox.put(block)
+    assert outbox.is_full
