Spend less on each event of the relay

A chunk that is one whole event is passed on without cutting it, the deadline is not read for each event, and the kind of socket is looked up once.

--- a/shallotmux/http/_connection.py
+++ b/shallotmux/http/_connection.py
@@ -32,6 +32,8 @@
         self._ended = False
         #: Framed bytes that the socket did not take from :meth:`write_now`.
         self._rest = b''
+        # The check of the type costs more than a look-up, and is needed for each part.
+        self._is_plain = isinstance(self.stream, trio.SocketStream)
 
     def __await__(self) -> Generator[Any]:
         """Run until the connection is closed."""
@@ -59,7 +61,7 @@
         framed = self._rest + (_frame(part) if part else b'')
         self._rest = b''
         try:
-            if self.send_lock.locked() or not isinstance(self.stream, trio.SocketStream):
+            if self.send_lock.locked() or not self._is_plain:
                 await self._write_waiting(framed)
                 return True
             written = _write_now(self.stream, framed)
@@ -75,12 +77,11 @@
         :returns: False if nothing was taken. Otherwise the caller sees to it that
             :meth:`write_part` is called when ``blocked`` is true.
         """
-        stream = self.stream
-        if self._rest or self.send_lock.locked() or not isinstance(stream, trio.SocketStream):
+        if self._rest or not self._is_plain or self.send_lock.locked():
             return False
         framed = _frame(part)
         try:
-            written = _write_now(stream, framed)
+            written = _write_now(self.stream, framed)
         except (OSError, trio.ClosedResourceError):
             return False
         if written < len(framed):
@@ -178,7 +179,7 @@
     return b'%x\r\n%b\r\n' % (len(part), part)
 
 
-def _write_now(stream: trio.SocketStream, framed: bytes) -> int:
+def _write_now(stream: Any, framed: bytes) -> int:
     """Return how many bytes the socket took without waiting."""
     try:
         return os.write(stream.socket.fileno(), framed)
--- a/shallotmux/http/_relay_client.py
+++ b/shallotmux/http/_relay_client.py
@@ -50,12 +50,12 @@
             await trio.lowlevel.wait_readable(self.stream.socket.fileno())
         except (OSError, trio.ClosedResourceError) as error:
             raise self._broken(error) from error
-        return self.read_now()
+        return self.read_now(self.stream.socket.fileno())
 
-    def read_now(self) -> bytes:
+    def read_now(self, descriptor: int) -> bytes:
         """Return the next bytes of a readable connection."""
         try:
-            received = os.read(self.stream.socket.fileno(), READ_BYTES)
+            received = os.read(descriptor, READ_BYTES)
         except OSError as error:
             raise self._broken(error) from error
         if self.timed_out:
@@ -126,13 +126,15 @@
         """Pass on what arrives next, and tell whether to go on."""
         if gather and self.pump.running:
             going = True
+            connection = self.connection
+            descriptor = connection.stream.socket.fileno()
 
             def step() -> bool:
                 nonlocal going
-                going = self._pass(accept, self._check(self.connection.read_now()))
+                going = self._pass(accept, self._check(connection.read_now(descriptor)))
                 return going and not self.complete
 
-            await self.pump.watch(self.connection.stream.socket.fileno(), step)
+            await self.pump.watch(descriptor, step)
             return going
         return self._pass(accept, self._check(await self.connection.read()))
 
--- a/shallotmux/requests/_attempts.py
+++ b/shallotmux/requests/_attempts.py
@@ -70,6 +70,7 @@
 
     :param cleared: whether a suspect request has got past its crash.
     :param first_token_s: time from dispatch to the first event, or None.
+    :param renew_s: time from which an event moves the deadline of the token gap.
     """
 
     attempt_id: str
@@ -78,6 +79,7 @@
     first_token_s: float | None = None
     moving: bool = False
     cleared: bool = False
+    renew_s: float = -math.inf
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     @property
@@ -286,9 +288,10 @@
             attempt.first_token_s = now - attempt.ticket.bound_s
             self._advance(FirstByte(attempt.attempt_id))
             going = False
-        gap_s = self._parts.settings.token_gap_timeout_s
-        if abs(now + gap_s - attempt.scope.deadline) > gap_s * DEADLINE_SLACK:
+        if now >= attempt.renew_s:
+            gap_s = self._parts.settings.token_gap_timeout_s
             attempt.scope.deadline = now + gap_s
+            attempt.renew_s = now + gap_s * DEADLINE_SLACK
         on_trial = attempt.on_trial and not attempt.cleared
         return going and not on_trial and not self.outbox.is_full
 
--- a/shallotmux/requests/_events.py
+++ b/shallotmux/requests/_events.py
@@ -61,6 +61,10 @@
         If an event is missing, belongs to another response or is too long, ``fault`` is set and
         the events before it are returned, since they count as delivered.
         """
+        if not self._rest and chunk.find(EVENT_END) == len(chunk) - len(EVENT_END):
+            # Nearly every chunk is one whole event.
+            if self._continues(chunk):
+                return chunk
         events = (self._rest + chunk).split(EVENT_END)
         self._rest = events.pop()
         if len(self._rest) > MAX_EVENT_BYTES:
@@ -77,11 +81,17 @@
     def _accept(self, event: bytes) -> bool:
         if self._done:
             return False
-        if event.startswith(b'id: %d\n' % (self._delivered + 1)) and self._marker in event:
-            self._delivered += 1
-            self._last = event
-            return True
-        return self._accept_other(event)
+        return self._continues(event) or self._accept_other(event)
+
+    def _continues(self, event: bytes) -> bool:
+        """Tell whether this is the event after the last one, which it then is itself."""
+        if self._done or self._marker not in event:
+            return False
+        if not event.startswith(b'id: %d\n' % (self._delivered + 1)):
+            return False
+        self._delivered += 1
+        self._last = event
+        return True
 
     def _accept_other(self, event: bytes) -> bool:
         if event == DONE_EVENT:
