--- a/tests/http/test_relay_client.py
+++ b/tests/http/test_relay_client.py
@@ -218,13 +218,14 @@
     client = RelayClient()
     address = await serve_raw(nursery, talk)
     parts: list[bytes] = []
-    async with trio.open_nursery() as calls:
-        async with trio.open_nursery() as gathering:
+    # The limit is reached only when the answer is never read.
+    with trio.fail_after(5):
+        async with trio.open_nursery() as calls, trio.open_nursery() as gathering:
             gathering.start_soon(client.run)
             calls.start_soon(relay_all, client, HttpRequest('POST', address, '/run'), parts)
             while not parts:
                 await trio.sleep(0)
             await trio.testing.wait_all_tasks_blocked()
             gathering.cancel_scope.cancel()
-        stopped.set()
+            stopped.set()
     assert b''.join(parts) == b'ab'
--- a/tests/requests/test_outbox.py
+++ b/tests/requests/test_outbox.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+import trio
 
 from shallotmux.requests import Outbox
 
@@ -49,7 +50,8 @@
     outbox = Outbox(100, 0.005)
     outbox.attach(Socket(1))
     outbox.put(b'a')
-    assert await anext(outbox) == b''
+    with trio.fail_after(1):
+        assert await anext(outbox) == b''
     outbox.end()
     with pytest.raises(StopAsyncIteration):
         await anext(outbox)
