--- a/shallotmux/http/__init__.py
+++ b/shallotmux/http/__init__.py
@@ -5,9 +5,11 @@
 from shallotmux.http._asgi import (
     EVENT_STREAM_TYPE,
     JSON_TYPE,
+    WRITER_KEY,
     AsgiApp,
     ErrorBody,
     Message,
+    PartWriter,
     Receive,
     Scope,
     Send,
@@ -26,6 +28,7 @@
     HttpResponse,
     fetch,
 )
+from shallotmux.http._pump import BodyRelay, open_relay
 from shallotmux.http._relay_client import RelayClient
 from shallotmux.http._server import Listener, serve_app
 from shallotmux.http._tls import Certificate
@@ -33,7 +36,9 @@
 __all__ = (
     'EVENT_STREAM_TYPE',
     'JSON_TYPE',
+    'WRITER_KEY',
     'AsgiApp',
+    'BodyRelay',
     'Certificate',
     'ErrorBody',
     'HttpClient',
@@ -42,12 +47,14 @@
     'HttpcoreClient',
     'Listener',
     'Message',
+    'PartWriter',
     'Receive',
     'RelayClient',
     'Scope',
     'Send',
     'fetch',
     'find_header',
+    'open_relay',
     'read_body',
     'send_answer',
     'send_chunk',
--- a/shallotmux/requests/_attempts.py
+++ b/shallotmux/requests/_attempts.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
@@ -13,6 +14,7 @@
 from shallotmux.authority import Figures
 from shallotmux.engines import BLOCK_BYTES, BYTES_PER_TOKEN, EngineRun, hash_prompt
 from shallotmux.errors import EndpointError, EndpointRefused
+from shallotmux.http import open_relay
 from shallotmux.requests._events import EventCutter, StreamFault
 from shallotmux.requests._lifecycle import (
     Admit,
@@ -40,8 +42,9 @@
 #: Seconds for which the cancellation of an attempt is waited for.
 CANCEL_TIMEOUT_S = 0.5
 
-#: Seconds by which the deadline of a token may be early; setting it for each token costs CPU time.
-DEADLINE_STEP_S = 0.25
+#: Share of the token gap's limit by which its deadline may be early: with the default limit it is
+#: moved once a second, since setting it for each token costs CPU time.
+DEADLINE_SLACK = 0.2
 
 #: Header in which an engine names the attempt that it answers.
 ATTEMPT_HEADER = 'shallotmux-attempt-id'
@@ -65,6 +68,7 @@
 
     :param cleared: whether a suspect request has got past its crash.
     :param first_token_s: time from dispatch to the first event, or None.
+    :param renew_s: time from which an event moves the deadline of the token gap.
     """
 
     attempt_id: str
@@ -73,6 +77,7 @@
     first_token_s: float | None = None
     moving: bool = False
     cleared: bool = False
+    renew_s: float = -math.inf
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     @property
@@ -253,10 +258,14 @@
             named = response.headers.get(ATTEMPT_HEADER, attempt.attempt_id)
             if named != attempt.attempt_id:
                 raise StreamFault('answer of another attempt', step='stream')
-            async for chunk in response.chunks():
-                block = cutter.feed(chunk)
-                if block:
-                    await self._deliver(attempt, block, helpers)
+            body = open_relay(response)
+            accept = partial(self._accept, attempt)
+            going = True
+            while going:
+                # The first event is not delayed to gather others.
+                gather = attempt.first_token_s is not None
+                going = await body.relay(accept, gather=gather)
+                await self._follow(attempt, helpers)
                 if cutter.fault is not None:
                     raise cutter.fault
             if not cutter.done:
@@ -274,8 +283,12 @@
             deadline_s=max(0.0, self._deadline_s - trio.current_time()),
         )
 
-    async def _deliver(self, attempt: Attempt, block: bytes, helpers: trio.Nursery) -> None:
-        settings = self._parts.settings
+    def _accept(self, attempt: Attempt, chunk: bytes) -> bool:
+        """Deliver the events in a chunk, and tell whether nothing else is to be done for them."""
+        block = self._cutter.feed(chunk)
+        going = self._cutter.fault is None
+        if not block:
+            return going
         tokens = self._cutter.delivered - self._put_tokens
         self._put_tokens = self._cutter.delivered
         self.outbox.put(block, tokens, tokens if attempt.endpoint.cheap else 0)
@@ -284,14 +297,22 @@
             attempt.first_token_s = now - attempt.ticket.bound_s
             self._advance(FirstByte(attempt.attempt_id))
             self._parts.admission.first_token(attempt.ticket)
+            going = False
+        if now >= attempt.renew_s:
+            gap_s = self._parts.settings.token_gap_timeout_s
+            attempt.scope.deadline = now + gap_s
+            attempt.renew_s = now + gap_s * DEADLINE_SLACK
+        on_trial = attempt.on_trial and not attempt.cleared
+        return going and not on_trial and not self.outbox.is_full
+
+    async def _follow(self, attempt: Attempt, helpers: trio.Nursery) -> None:
+        """Wait for room in the outbox, and clear a suspect."""
         if self.outbox.is_full:
             attempt.scope.deadline = math.inf
             await self._wait_caller()
-            now = trio.current_time()
-        deadline_s = now + settings.token_gap_timeout_s
-        if abs(deadline_s - attempt.scope.deadline) > DEADLINE_STEP_S:
-            attempt.scope.deadline = deadline_s
-        if attempt.on_trial and not attempt.cleared:
+            gap_s = self._parts.settings.token_gap_timeout_s
+            attempt.scope.deadline = trio.current_time() + gap_s
+        if attempt.on_trial and not attempt.cleared and attempt.first_token_s is not None:
             self._clear(attempt, helpers)
 
     def _count_usage(self, tokens: int, cheap_tokens: int) -> None:
--- a/shallotmux/requests/_outbox.py
+++ b/shallotmux/requests/_outbox.py
@@ -6,13 +6,15 @@
 
 import trio
 
+from shallotmux.http import PartWriter
 from shallotmux.requests._request import RequestRefused
 
 
 class Outbox:
     """Holds events until the caller takes them, and gathers small writes into larger ones.
 
-    One task puts events in, another iterates over the blocks.
+    One task puts events in, another iterates over the blocks. With a writer, events go to the
+    caller from the first task while nothing is held, which saves waking the second one.
 
     :param limit_bytes: size from which :meth:`wait_room` waits.
     :param sent: called with the tokens of a block that the caller's connection took, and how many
@@ -33,6 +35,7 @@
         self._ended = False
         self._error: RequestRefused | None = None
         self._next_s = 0.0
+        self._writer: PartWriter | None = None
         self._filled = trio.Event()
         self._emptied = trio.Event()
 
@@ -41,6 +44,10 @@
         """Tell whether the caller should read before more is put in."""
         return self._size >= self._limit
 
+    def attach(self, writer: PartWriter) -> None:
+        """Write events directly from now on where possible; the stream's head must be sent."""
+        self._writer = writer
+
     def put(self, block: bytes, tokens: int = 0, cheap_tokens: int = 0) -> None:
         """Add complete events.
 
@@ -48,6 +55,15 @@
         """
         if self._ended:
             return
+        writer = self._writer
+        if writer is not None and not self._parts and writer.write_now(block):
+            self._given = (self._given[0] + tokens, self._given[1] + cheap_tokens)
+            if writer.blocked:
+                # The empty block that follows lets the caller's task send the rest.
+                self._filled.set()
+            else:
+                self.count_sent()
+            return
         self._held = (self._held[0] + tokens, self._held[1] + cheap_tokens)
         self._parts.append(block)
         self._size += len(block)
@@ -87,6 +103,8 @@
     async def __anext__(self) -> bytes:
         """Return the next block; the one before counts as sent.
 
+        An empty block means that the writer has a rest to send.
+
         :raises RequestRefused: if the request was given up.
         """
         self.count_sent()
@@ -95,7 +113,7 @@
         pause_s = self._next_s - trio.current_time()
         if pause_s > 0 and not self._ended:
             await trio.sleep(pause_s)
-        if not self._parts:
+        if self._ended and not self._parts:
             if self._error is not None:
                 raise self._error
             raise StopAsyncIteration
