Refuse keys and routes that an incomplete state lacks as stale

A restarted instance answered 401 invalid_api_key to valid keys, and 404 to existing routes, until its state was complete. Callers do not send such requests again. It now answers 503 authority_stale, which is true and not final.

--- a/shallotmux/callers/_completions.py
+++ b/shallotmux/callers/_completions.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from shallotmux.authority import Authority
-from shallotmux.callers._authentication import authenticate, authorize
+from shallotmux.callers._authentication import authenticate, authorize, require_fresh
 from shallotmux.callers._border import (
     check_content,
     check_json_type,
@@ -77,6 +77,8 @@
     ) -> CallerRequest:
         found = authenticate(scope, self._authority, self._pepper)
         route = self._authority.read().route(parsed.model)
+        if route is None:
+            require_fresh(self._authority)
         if route is None or route.kind != RouteKind.MODEL:
             raise CallerError(
                 f'model {parsed.model!r} does not exist',
--- a/shallotmux/callers/_services.py
+++ b/shallotmux/callers/_services.py
@@ -8,7 +8,7 @@
 from urllib.parse import quote
 
 from shallotmux.authority import Authority
-from shallotmux.callers._authentication import authenticate, authorize
+from shallotmux.callers._authentication import authenticate, authorize, require_fresh
 from shallotmux.callers._border import (
     check_content,
     holds_key,
@@ -97,6 +97,8 @@
 
     def _find_route(self, name: str) -> Route:
         route = self._authority.read().route(name)
+        if route is None:
+            require_fresh(self._authority)
         if route is None or route.kind != RouteKind.SERVICE:
             raise CallerError(f'service {name!r} does not exist', status=404, code='not_found')
         return route
--- a/tests/callers/test_app.py
+++ b/tests/callers/test_app.py
@@ -12,7 +12,7 @@
 from shallotmux.daemon import DaemonInstance
 from shallotmux.http import HttpRequest, fetch
 from shallotmux.settings import GroupSettings, InstanceSettings, SecretSettings, Settings
-from shallotmux.standins import EngineStandin, MemoryNetwork, prompt_key, token_text
+from shallotmux.standins import EngineStandin, MemoryNetwork, SharedGroup, prompt_key, token_text
 from shallotmux.world import Customer, Endpoint, EndpointPool, Route
 
 ENTRY = '10.0.0.1:80'
@@ -109,6 +109,34 @@
     assert not any(engine.history for engine in deployment.engines)
 
 
+@pytest.mark.parametrize(
+    ('path', 'key'),
+    [
+        ('/v1/chat/completions', 'sk-of-a-customer'),
+        ('/v1/chat/completions', ''),
+        ('/v1/services/booking/run', ''),
+    ],
+)
+async def test_incomplete_state_does_not_refuse_for_good(
+    network: MemoryNetwork, path: str, key: str, autojump_clock: MockClock
+) -> None:
+    """Guards against a restarted instance that calls valid keys and routes unknown."""
+    settings = Settings(
+        instance=InstanceSettings(name='entry-1', zone='zone-a'),
+        secrets=SecretSettings(pepper=PEPPER, operator_token='x' * 16),
+    )
+    group = SharedGroup(cut_off={'entry-1'})
+    client = network.client(ENTRY)
+    daemon = DaemonInstance(settings, client=client, authority=group.member('entry-1'))
+    network.serve(ENTRY, daemon.caller_app)
+    headers = {'authorization': f'Bearer {key}'} if key else {}
+    body = msgspec.json.encode({'model': 'sorter', 'messages': MESSAGES})
+    request = HttpRequest('POST', ENTRY, path, body, headers)
+    status, answer = await fetch(network.client(CALLER), request, LIMIT)
+    error = msgspec.json.decode(answer)['error']
+    assert (status, error['code'], error['not_run']) == (503, 'authority_stale', True)
+
+
 async def test_withdrawn_key_is_refused(deployment: Deployment, autojump_clock: MockClock) -> None:
     """Guards against a key that works after its withdrawal."""
     await deployment.daemon.authority.submit(WithdrawKey('w', deployment.key_id))
