--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 BIN = $(VENV)/bin
 ARGS ?=
 
-.PHONY: guards bench capacity clean control-cost demo env explore failure-matrix format help lint measure proto test
+.PHONY: guards bench capacity clean control-cost demo env explore failure-matrix format help lint measure \
+	process-check proto test
 
 help:
 	@echo "make demo     run three zones with stand-in back ends (ARGS=--serve keeps them running)"
@@ -15,6 +16,7 @@
 	@echo "make measure  measure the decisions on seeded traces (ARGS=--report=DIR draws plots)"
 	@echo "make capacity measure the slopes of docs/CAPACITY.md"
 	@echo "make format   format the sources"
+	@echo "make process-check    end real processes under load (ARGS='kill --rounds 3' runs one check)"
 	@echo "make failure-matrix   run 1,000 random schedules of failures and 10,000 jobs"
 
 env: $(VENV)/.stamp
@@ -41,6 +43,9 @@
 explore: env
 	$(BIN)/python -m shallotmux.checking $(ARGS)
 
+process-check: env
+	$(BIN)/python -m shallotmux.checking.processes $(ARGS)
+
 measure: env
 	$(BIN)/python -m shallotmux.measure $(ARGS)
 
