--- a/tests/controllers/test_zone.py
+++ b/tests/controllers/test_zone.py
@@ -16,7 +16,7 @@
 from shallotmux.http import HttpRequest, fetch
 from shallotmux.orders import ClientSender, Term
 from shallotmux.orders import LeaseGuard as Guard
-from shallotmux.platform import PlatformInstance
+from shallotmux.platform import PlatformEndpoint, PlatformInstance
 from shallotmux.settings import (
     GroupSettings,
     InstanceSettings,
@@ -142,6 +142,28 @@
     assert not any(run.cancelled for run in runs)
 
 
+async def test_reclaimed_endpoint_is_left_within_its_notice(
+    zone: Zone, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against streams lost when the platform takes a cheap endpoint away."""
+    await trio.sleep(3)
+    endpoint = zone.add_engine('engine-9')
+    zone.platform.endpoints['engine-9'] = PlatformEndpoint(endpoint, 'sorting')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(zone.load, 20)
+        await trio.sleep(6)
+        zone.platform.reclaim('engine-9', 5)
+        await trio.sleep(2)
+        noticed_s = trio.current_time()
+        await trio.sleep(3)
+        zone.network.stop(endpoint.address)
+        zone.platform.withdraw('engine-9')
+    runs = zone.engines['engine-9'].runs
+    assert runs
+    assert max(run.started_s for run in runs) <= noticed_s
+    assert Counter(zone.answers) == {(200, TOKENS): 50}
+
+
 async def test_failover_in_mid_change_finishes_the_same_order(
     zone: Zone, autojump_clock: trio.testing.MockClock
 ) -> None:
