--- a/shallotmux/http/_server.py
+++ b/shallotmux/http/_server.py
@@ -12,7 +12,7 @@
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ConnectionState
 
-from shallotmux.http._asgi import AsgiApp
+from shallotmux.http._asgi import AsgiApp, Receive, Scope, Send
 from shallotmux.http._connection import DirectApp, ServerConnection
 from shallotmux.http._tls import Certificate, ServerConfig
 
@@ -21,6 +21,10 @@
 KEEP_ALIVE_TIMEOUT_S = 75.0
 MAX_HEADER_BYTES = 32_768
 
+#: Seconds without an open request after which a server that stops ends its connections.
+IDLE_END_S = 1.0
+IDLE_CHECK_S = 0.1
+
 
 @dataclass(frozen=True, slots=True)
 class Listener:
@@ -73,7 +77,8 @@
     """
     config = listener.config()
     context = WorkerContext(None)
-    wrapped = ASGIWrapper(DirectApp(app))  # type: ignore[arg-type]
+    requests = OpenRequests(DirectApp(app))
+    wrapped = ASGIWrapper(requests)  # type: ignore[arg-type]
     handler: Any = partial(ServerConnection, wrapped, config, context, ConnectionState({}))
     opened, address = _open_listeners(config)
     async with trio.open_nursery() as connections:
@@ -86,6 +91,36 @@
             accepting.cancel_scope.cancel()
         await context.terminated.set()
         connections.cancel_scope.deadline = trio.current_time() + listener.drain_s
+        connections.start_soon(_end_connections, requests, connections.cancel_scope)
+
+
+class OpenRequests:
+    """Counts the requests that an application has in progress."""
+
+    def __init__(self, app: AsgiApp) -> None:
+        self._app = app
+        self.count = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Handle one ASGI connection."""
+        self.count += 1
+        try:
+            await self._app(scope, receive, send)
+        finally:
+            self.count -= 1
+
+
+async def _end_connections(requests: OpenRequests, scope: trio.CancelScope) -> None:
+    """End the connections once no request has been open for a while.
+
+    The server closes idle connections by itself, but now and then the task of one that its caller
+    had closed stayed for ever and held up the shutdown.
+    """
+    idle_s = 0.0
+    while idle_s < IDLE_END_S:
+        await trio.sleep(IDLE_CHECK_S)
+        idle_s = 0.0 if requests.count else idle_s + IDLE_CHECK_S
+    scope.cancel()
 
 
 def _open_listeners(config: ServerConfig) -> tuple[list[trio.abc.Listener[Any]], str]:
