Count usage on each instance and carry the demand along

Cause: nothing was counted in a running daemon, so nothing was reported and the controllers saw no demand. Change: the daemon runs a usage counter whose batches also carry the demand for each pool. Test: 50 streams through two instances with a change of leader give reports that add up to 50 requests and 12,500 tokens.

--- a/shallotmux/daemon/_control.py
+++ b/shallotmux/daemon/_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -42,6 +43,7 @@
 
     :param sender: name and incarnation of this instance.
     :param orders: sends orders and reports; None for guarded connections of their own.
+    :param wall_clock: returns the wall-clock time in seconds.
     """
 
     settings: Settings
@@ -51,6 +53,7 @@
     decisions: DecisionLog
     sender: str
     orders: OrderSender | None = None
+    wall_clock: Callable[[], float] = time.time
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,8 +102,10 @@
     poller: PlatformPoller | None = None
     reporter: UsageReporter | None = None
     if address:
-        poller = PlatformPoller(PlatformClient(tools.client, address), zone, time.time)
-        reporter = UsageReporter(ReporterTools(tools.authority, orders, address, zone, time.time))
+        poller = PlatformPoller(PlatformClient(tools.client, address), zone, tools.wall_clock)
+        reporter = UsageReporter(
+            ReporterTools(tools.authority, orders, address, zone, tools.wall_clock)
+        )
     engines = EngineClient(tools.client)
 
     async def drain(endpoint: Endpoint) -> bool:
@@ -121,7 +126,7 @@
         reporter,
         _build_fleet(settings, controllers),
     )
-    return ControlTasks(leader, DrainWatcher(tools.authority, tools.executor, time.time))
+    return ControlTasks(leader, DrainWatcher(tools.authority, tools.executor, tools.wall_clock))
 
 
 def _build_fleet(settings: Settings, tools: ControllerTools) -> FleetController | None:
--- a/shallotmux/daemon/_instance.py
+++ b/shallotmux/daemon/_instance.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Callable
 from random import Random
 
 import trio
 
-from shallotmux.authority import Authority
+from shallotmux.authority import Authority, PoolDemand
 from shallotmux.callers import CallerApp, CallerTools
 from shallotmux.daemon._control import ControlTools, build_control
 from shallotmux.daemon._groups import InstanceGroups, choose_authority
@@ -23,8 +25,9 @@
 )
 from shallotmux.operators import LocalStatus, OperatorApp, OperatorTools, Providers, ZoneQuarantine
 from shallotmux.orders import OrderSender
-from shallotmux.requests import RequestExecutor, Tools
+from shallotmux.requests import RequestExecutor, Tools, draw_incarnation
 from shallotmux.settings import Settings
+from shallotmux.usage import UsageCounter
 
 
 class DaemonInstance:
@@ -38,6 +41,7 @@
         providers: Providers | None = None,
         groups: InstanceGroups | None = None,
         orders: OrderSender | None = None,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
         pepper = settings.secrets.pepper.encode()
         self._settings = settings
@@ -52,6 +56,8 @@
             settings.instance.name, settings.limits.decision_records, self.metrics
         )
         http = client or self._relay
+        source = f'{settings.instance.name}/{draw_incarnation()}'
+        self.usage = UsageCounter(source, wall_clock, self._read_demand)
         self.executor = RequestExecutor(
             Tools(
                 authority=self.authority,
@@ -60,6 +66,8 @@
                 decisions=self.decisions,
                 random=Random(settings.instance.name),  # noqa: S311
                 instance=settings.instance.name,
+                clock=wall_clock,
+                usage=self.usage,
             ),
         )
         self.readiness = Readiness({'no contact to the leader': self.authority.is_fresh})
@@ -75,6 +83,7 @@
                 self.decisions,
                 groups.identity if groups else self.executor.name,
                 orders,
+                wall_clock,
             ),
         )
         self.providers = providers or self._build_providers()
@@ -103,6 +112,7 @@
             if self.groups is not None:
                 self.peer_address = await background.start(self.groups.run)
             await self._serve(task_status)
+            await self.usage.flush(self.authority)
             self.control.stop_leading()
             if self.groups is not None:
                 await self.groups.leave()
@@ -126,12 +136,27 @@
             ZoneQuarantine(self.authority),
         )
 
+    def _read_demand(self) -> tuple[PoolDemand, ...]:
+        """Return the demand for each pool, which travels with the usage batches."""
+        return tuple(
+            PoolDemand(
+                pool,
+                each.short.prefill_tokens_per_s,
+                each.short.decode_tokens_per_s,
+                each.long.prefill_tokens_per_s,
+                each.long.decode_tokens_per_s,
+            )
+            for pool, each in sorted(self.executor.demand().pools.items())
+            if each.long.prefill_tokens_per_s or each.long.decode_tokens_per_s
+        )
+
     async def _serve(self, task_status: trio.TaskStatus[Addresses]) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._drain)
             nursery.start_soon(self._relay.run)
             nursery.start_soon(self.executor.run)
             nursery.start_soon(self.control.run)
+            nursery.start_soon(self.usage.run, self.authority)
             await self._listeners.serve(task_status=task_status)
             nursery.cancel_scope.cancel()
         await self._relay.close()
--- a/shallotmux/requests/__init__.py
+++ b/shallotmux/requests/__init__.py
@@ -6,7 +6,7 @@
 from shallotmux.requests._lifecycle import Lifecycle, Outcome, RequestState, advance, judge
 from shallotmux.requests._limits import CustomerDemand, InstanceDemand, PoolDemand
 from shallotmux.requests._outbox import Outbox
-from shallotmux.requests._parts import Tools
+from shallotmux.requests._parts import Tools, draw_incarnation
 from shallotmux.requests._request import (
     CallerRequest,
     RequestRefused,
@@ -34,6 +34,7 @@
     'ServiceRequest',
     'Tools',
     'advance',
+    'draw_incarnation',
     'hash_body',
     'judge',
 )
--- a/tests/controllers/test_zone.py
+++ b/tests/controllers/test_zone.py
@@ -105,12 +105,17 @@
         client = self.network.client(name)
         authority = self.group.member(name)
         daemon = DaemonInstance(
-            settings, client=client, authority=authority, orders=ClientSender(client)
+            settings,
+            client=client,
+            authority=authority,
+            orders=ClientSender(client),
+            wall_clock=trio.current_time,
         )
         self.daemons[name] = daemon
         self.network.serve(name, daemon.caller_app)
         self.network.nursery.start_soon(daemon.executor.run)
         self.network.nursery.start_soon(daemon.control.run)
+        self.network.nursery.start_soon(daemon.usage.run, authority)
 
 
 @pytest.fixture
@@ -182,3 +187,19 @@
     assert len({each.order_id for each in history}) == 1
     assert sum(each.applied for each in history) == 1
     assert not zone.group.state.intents.open_intents()
+
+
+async def test_usage_reports_add_up_to_what_callers_received(
+    zone: Zone, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against usage that is lost, or reported twice, when the leader changes."""
+    await trio.sleep(3)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(zone.load, 20)
+        await trio.sleep(10)
+        zone.group.elect('entry-2')
+    await trio.sleep(200)
+    reports = [msgspec.json.decode(each) for each in zone.platform.accepted.values()]
+    assert sum(each['figures']['requests'] for each in reports) == 50
+    assert sum(each['figures']['output_tokens'] for each in reports) == 50 * TOKENS
+    assert Counter(zone.answers) == {(200, TOKENS): 50}
