Give the endpoint pools of a zone in one place

Cause: four places picked the pools out of the configuration objects, and the drain watcher listed every endpoint of the zone ten times a second to tell engine orders from platform orders. Change: ZoneState.pools serves all of them, and the watcher looks up only the targets of open orders. Behaviour is the same; the tests of controllers, operators, orders, authority, platform and usage pass, mypy and flake8 are clean. The whole suite was not run again.

--- a/shallotmux/authority/_state.py
+++ b/shallotmux/authority/_state.py
@@ -203,17 +203,13 @@
         listed = self.inventory.listed.get(name)
         if listed is not None:
             return listed.endpoint
-        pools = (kept.item for kept in self.configuration.objects.values())
-        return next(
-            (
-                endpoint
-                for pool in pools
-                if isinstance(pool, EndpointPool)
-                for endpoint in pool.endpoints
-                if endpoint.name == name
-            ),
-            None,
-        )
+        configured = (endpoint for pool in self.pools() for endpoint in pool.endpoints)
+        return next((endpoint for endpoint in configured if endpoint.name == name), None)
+
+    def pools(self) -> tuple[EndpointPool, ...]:
+        """Return all endpoint pools by name."""
+        kept = sorted(self.configuration.objects.items())
+        return tuple(each.item for _, each in kept if isinstance(each.item, EndpointPool))
 
     def routes(self) -> tuple[Route, ...]:
         """Return all routes by name."""
--- a/shallotmux/controllers/_drains.py
+++ b/shallotmux/controllers/_drains.py
@@ -11,7 +11,7 @@
 from shallotmux.authority import Authority, ZoneState
 from shallotmux.engines import EngineClient
 from shallotmux.errors import EndpointError
-from shallotmux.world import Endpoint, EndpointKind, EndpointPool
+from shallotmux.world import Endpoint, EndpointKind
 
 #: Interval at which the zone's state is looked at.
 WATCH_S = 0.1
@@ -77,8 +77,9 @@
 def find_draining(state: ZoneState) -> set[str]:
     """Return the endpoints that must not get new work."""
     leaving = {name for name, each in state.inventory.listed.items() if each.leaving}
-    changing = {intent.target for intent in state.intents.open_intents()}
-    return leaving | state.intents.releasing() | (changing & _endpoint_names(state))
+    targets = {intent.target for intent in state.intents.open_intents()}
+    changing = {name for name in targets if state.find_endpoint(name) is not None}
+    return leaving | state.intents.releasing() | changing
 
 
 async def wait_idle(engines: EngineClient, endpoint: Endpoint) -> bool:
@@ -103,14 +104,3 @@
         idle = 0 if report.running else idle + 1
         await trio.sleep(IDLE_CHECK_S)
     return True
-
-
-def _endpoint_names(state: ZoneState) -> set[str]:
-    items = (kept.item for kept in state.configuration.objects.values())
-    configured = {
-        endpoint.name
-        for pool in items
-        if isinstance(pool, EndpointPool)
-        for endpoint in pool.endpoints
-    }
-    return configured | state.inventory.listed.keys()
--- a/shallotmux/controllers/_tools.py
+++ b/shallotmux/controllers/_tools.py
@@ -28,12 +28,7 @@
 
     def engine_pools(self) -> list[tuple[EndpointPool, list[Endpoint]]]:
         """Return the pools with engines, and all their engines, idle or changing."""
-        state = self.authority.read()
-        pools = [
-            kept.item
-            for _, kept in sorted(state.configuration.objects.items())
-            if isinstance(kept.item, EndpointPool)
-        ]
+        pools = self.authority.read().pools()
         return [(pool, engines) for pool in pools if (engines := self._engines(pool))]
 
     def record(
--- a/shallotmux/operators/_providers.py
+++ b/shallotmux/operators/_providers.py
@@ -9,7 +9,6 @@
 
 from shallotmux import __version__
 from shallotmux.authority import Authority, LiftQuarantine, Refused, Result
-from shallotmux.world import EndpointPool
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,8 +161,6 @@
         state = self.authority.read()
         leadership = self.authority.leadership()
         fresh = self.authority.is_fresh()
-        kept = sorted(state.configuration.objects.items())
-        pools = [each.item for _, each in kept if isinstance(each.item, EndpointPool)]
         return FleetStatus(
             instance=self.instance,
             zone=self.zone,
@@ -175,7 +172,7 @@
             instances=(InstanceStatus(self.instance, self.zone, 'live'),),
             endpoints=tuple(
                 EndpointStatus(each.name, each.zone, pool.name, each.address, each.cheap)
-                for pool in pools
+                for pool in state.pools()
                 for each in pool.endpoints
             ),
         )
