Move the client of the product's platform interface to shallotmux.provisioning

shallotmux.platform is to hold the adapter to the users' platform. The client of the product's own platform interface keeps its names and tests and moves to a package named for what it does.

--- a/shallotmux/controllers/_zone.py
+++ b/shallotmux/controllers/_zone.py
@@ -11,7 +11,7 @@
 from shallotmux.controllers._roles import RoleController
 from shallotmux.controllers._tools import ControllerTools
 from shallotmux.orders import LeadOptions, Term, commit, run_as_leader
-from shallotmux.platform import PlatformPoller
+from shallotmux.provisioning import PlatformPoller
 from shallotmux.usage import UsageReporter
 
 
--- a/shallotmux/daemon/_control.py
+++ b/shallotmux/daemon/_control.py
@@ -27,7 +27,7 @@
     OrderSender,
     OrderTools,
 )
-from shallotmux.platform import PlatformClient, PlatformPoller
+from shallotmux.provisioning import PlatformClient, PlatformPoller
 from shallotmux.requests import RequestExecutor
 from shallotmux.settings import Settings
 from shallotmux.usage import ReporterTools, UsageReporter
--- a/shallotmux/platform/__init__.py
+++ b/shallotmux/provisioning/__init__.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from shallotmux.platform._client import (
+from shallotmux.provisioning._client import (
     AcceptedReport,
     PlatformClient,
     PlatformEndpoint,
     PlatformInstance,
 )
-from shallotmux.platform._poller import PlatformPoller
+from shallotmux.provisioning._poller import PlatformPoller
 
 __all__ = (
     'AcceptedReport',
--- a/shallotmux/platform/_poller.py
+++ b/shallotmux/provisioning/_poller.py
@@ -9,7 +9,7 @@
 
 from shallotmux.authority import Command, ListedEndpoint, ObserveEndpoints, ZoneState
 from shallotmux.errors import EndpointError
-from shallotmux.platform._client import PlatformClient, PlatformEndpoint
+from shallotmux.provisioning._client import PlatformClient, PlatformEndpoint
 
 #: Interval between two looks at the lists.
 POLL_S = 1.0
--- a/shallotmux/standins/_platform.py
+++ b/shallotmux/standins/_platform.py
@@ -10,7 +10,7 @@
 import trio
 
 from shallotmux.http import Receive, Scope, Send, read_body, send_json
-from shallotmux.platform import AcceptedReport, PlatformEndpoint, PlatformInstance
+from shallotmux.provisioning import AcceptedReport, PlatformEndpoint, PlatformInstance
 from shallotmux.world import Endpoint
 
 BODY_LIMIT_BYTES = 1_048_576
--- a/shallotmux/usage/_reconciliation.py
+++ b/shallotmux/usage/_reconciliation.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from shallotmux.authority import Window
-from shallotmux.platform import AcceptedReport
+from shallotmux.provisioning import AcceptedReport
 from shallotmux.usage._reporter import encode_report, report_id
 
 
--- a/tests/controllers/test_zone.py
+++ b/tests/controllers/test_zone.py
@@ -16,7 +16,7 @@
 from shallotmux.http import HttpRequest, fetch
 from shallotmux.orders import ClientSender, Term
 from shallotmux.orders import LeaseGuard as Guard
-from shallotmux.platform import PlatformEndpoint, PlatformInstance
+from shallotmux.provisioning import PlatformEndpoint, PlatformInstance
 from shallotmux.settings import (
     GroupSettings,
     InstanceSettings,
--- a/tests/platform/test_poller.py
+++ b/tests/provisioning/test_poller.py
@@ -6,7 +6,12 @@
 import trio.testing
 
 from shallotmux.authority import PutObject, TakeAuthority
-from shallotmux.platform import PlatformClient, PlatformEndpoint, PlatformInstance, PlatformPoller
+from shallotmux.provisioning import (
+    PlatformClient,
+    PlatformEndpoint,
+    PlatformInstance,
+    PlatformPoller,
+)
 from shallotmux.standins import MemoryNetwork, PlatformStandin, SharedGroup
 from shallotmux.world import Endpoint, EndpointPool
 
--- a/tests/usage/test_reporting.py
+++ b/tests/usage/test_reporting.py
@@ -10,7 +10,7 @@
 
 from shallotmux.authority import WINDOW_S, Figures, MarkReported, RecordUsage, Refused, UsageEntry
 from shallotmux.orders import LeadOptions, run_as_leader
-from shallotmux.platform import AcceptedReport
+from shallotmux.provisioning import AcceptedReport
 from shallotmux.standins import MemoryNetwork, PlatformStandin, SharedGroup
 from shallotmux.usage import ReporterTools, UsageCounter, UsageReporter, reconcile
 from tests.support.gate import Gate
