--- a/shallotmux/authority/__init__.py
+++ b/shallotmux/authority/__init__.py
@@ -9,6 +9,12 @@
     Versioned,
     object_kind,
 )
+from shallotmux.authority._document import (
+    DocumentRead,
+    DocumentState,
+    PutDocument,
+    ReadDocument,
+)
 from shallotmux.authority._driver import (
     GroupDriver,
     GroupStorage,
@@ -71,6 +77,13 @@
     Suspicion,
 )
 from shallotmux.authority._replicated import AuthorityLimits, ReplicatedAuthority
+from shallotmux.authority._reports import (
+    AcceptReport,
+    FixedReport,
+    FixReport,
+    ReportCount,
+    ReportState,
+)
 from shallotmux.authority._results import Applied, Conflict, Refused
 from shallotmux.authority._state import (
     Command,
@@ -94,6 +107,15 @@
 )
 
 __all__ = (
+    'AcceptReport',
+    'FixedReport',
+    'FixReport',
+    'ReportCount',
+    'ReportState',
+    'DocumentRead',
+    'DocumentState',
+    'PutDocument',
+    'ReadDocument',
     'SECRET_PREFIX',
     'AbandonClaims',
     'AbandonJob',
--- a/shallotmux/authority/_driver.py
+++ b/shallotmux/authority/_driver.py
@@ -19,6 +19,7 @@
     Effects,
     Entry,
     Envelope,
+    FollowerStatus,
     MembershipChange,
     Replica,
     ReplicaStatus,
@@ -135,6 +136,10 @@
         """
         return self._status
 
+    def followers(self) -> dict[str, FollowerStatus]:
+        """Return what this instance knows of each follower; empty unless it leads."""
+        return self._replica.followers()
+
     def is_leader(self) -> bool:
         """Tell whether this instance holds the lease and has applied all earlier entries."""
         status = self.status()
--- a/shallotmux/authority/_state.py
+++ b/shallotmux/authority/_state.py
@@ -15,6 +15,12 @@
     DeleteObject,
     PutObject,
 )
+from shallotmux.authority._document import (
+    DocumentRead,
+    DocumentState,
+    PutDocument,
+    ReadDocument,
+)
 from shallotmux.authority._intents import (
     BeginAttempt,
     CloseIntent,
@@ -47,6 +53,7 @@
     RecordCrash,
     StartTrial,
 )
+from shallotmux.authority._reports import AcceptReport, FixReport, ReportState
 from shallotmux.authority._results import Applied, Conflict, Refused
 from shallotmux.authority._usage import (
     FreezeWindow,
@@ -67,8 +74,14 @@
     | IntentCommand
     | UsageCommand
     | ObserveEndpoints
+    | PutDocument
+    | ReadDocument
+    | FixReport
+    | AcceptReport
 )
-Result = Applied | Conflict | Refused | LedgerResult | IntentResult
+#: Commands that only the leader of the current term may give.
+LedCommand = IntentCommand | FreezeWindow | MarkReported | ObserveEndpoints
+Result = Applied | Conflict | Refused | LedgerResult | IntentResult | DocumentRead
 
 registry.register(Applied, Conflict, Refused)
 
@@ -115,6 +128,8 @@
     usage: UsageState = field(default_factory=UsageState)
     inventory: InventoryState = field(default_factory=InventoryState)
     quarantine: QuarantineState = field(default_factory=QuarantineState)
+    document: DocumentState = field(default_factory=DocumentState)
+    reports: ReportState = field(default_factory=ReportState)
     results: OrderedDict[str, Result] = field(default_factory=OrderedDict)
     #: Digests of the commands that gave the results.
     digests: dict[str, bytes] = field(default_factory=dict)
@@ -125,6 +140,9 @@
         :param command: a committed command.
         :returns: the result that the submitter is told.
         """
+        if isinstance(command, ReadDocument):
+            # A read has no effect that a repeat could double, and its result is large.
+            return self._dispatch(command, self.revision)
         digest = hashlib.blake2b(registry.encode(command), digest_size=DIGEST_BYTES).digest()
         earlier = self.results.get(command.operation_id)
         if earlier is not None and self.digests.get(command.operation_id) == digest:
@@ -162,7 +180,9 @@
         plain = msgspec.msgpack.decode(payload)
         state = cls(revision=plain['revision'])
         for name, part in state._parts().items():  # noqa: SLF001
-            part.restore(plain[name])
+            # A snapshot of an earlier release lacks the parts that came later.
+            if name in plain:
+                part.restore(plain[name])
         for name, kept, digest in plain['results']:
             state.results[name] = registry.decode(kept)
             state.digests[name] = digest
@@ -229,28 +249,45 @@
             'usage': self.usage,
             'inventory': self.inventory,
             'quarantine': self.quarantine,
+            'document': self.document,
+            'reports': self.reports,
         }
 
     def _dispatch(self, command: Command, revision: int) -> Result:
         match command:
             case PutObject() | DeleteObject():
                 return self.configuration.apply(command, revision)
-            case CreateKey(key=key) if self.customer(key.customer) is None:
-                return Refused(f'customer {key.customer!r} does not exist')
             case CreateKey() | WithdrawKey():
-                return self.keys.apply(command, revision)
+                return self._apply_key(command, revision)
             case ClaimJob() | FinishJob() | ReleaseJob() | AbandonJob() | AbandonClaims():
                 return self.ledger.apply(command, revision)
             case RecordCrash() | StartTrial() | EndTrial() | LiftQuarantine():
                 return self.quarantine.apply(command, revision)
-            case RecordUsage():
-                return self.usage.apply(command, revision)
+            case PutDocument() | FixReport() | AcceptReport() | RecordUsage():
+                return self._apply_counted(command, revision)
+            case ReadDocument():
+                return DocumentRead(self.document.version, self.document.content)
             case _:
                 return self._apply_led(command, revision)
 
-    def _apply_led(
-        self, command: IntentCommand | FreezeWindow | MarkReported | ObserveEndpoints, revision: int
+    def _apply_key(self, command: CreateKey | WithdrawKey, revision: int) -> Result:
+        if isinstance(command, CreateKey) and self.customer(command.key.customer) is None:
+            return Refused(f'customer {command.key.customer!r} does not exist')
+        return self.keys.apply(command, revision)
+
+    def _apply_counted(
+        self, command: PutDocument | FixReport | AcceptReport | RecordUsage, revision: int
     ) -> Result:
+        """Apply a command that any instance may give, to the document or to the counts."""
+        match command:
+            case PutDocument():
+                return self.document.apply(command, revision)
+            case RecordUsage():
+                return self.usage.apply(command, revision)
+            case _:
+                return self.reports.apply(command, revision)
+
+    def _apply_led(self, command: LedCommand, revision: int) -> Result:
         """Apply a command that only the leader of the current term may give."""
         match command:
             case FreezeWindow() | MarkReported() | ObserveEndpoints() if (
--- /dev/null
+++ b/shallotmux/control/__init__.py
@@ -0,0 +1,36 @@
+"""Control instances: the fleet's log, knowledge for entry instances, duties at the platform."""
+
+from __future__ import annotations
+
+from shallotmux.control._border import (
+    DutyHolder,
+    DutyOutcome,
+    FleetOrder,
+    PlatformBorder,
+    UsageReport,
+)
+from shallotmux.control._documents import DocumentDesk
+from shallotmux.control._duties import LeaderTerm, ListingPoller, UsageDuty
+from shallotmux.control._knowledge import KnowledgeDesk, UsageLedger
+from shallotmux.control._member import CONTROL_GROUP, ControlMember, MemberSettings
+from shallotmux.control._seats import SeatTimes, SeatView, next_seat_change
+
+__all__ = (
+    'CONTROL_GROUP',
+    'ControlMember',
+    'DocumentDesk',
+    'DutyHolder',
+    'DutyOutcome',
+    'FleetOrder',
+    'KnowledgeDesk',
+    'LeaderTerm',
+    'ListingPoller',
+    'MemberSettings',
+    'PlatformBorder',
+    'SeatTimes',
+    'SeatView',
+    'UsageDuty',
+    'UsageLedger',
+    'UsageReport',
+    'next_seat_change',
+)
--- /dev/null
+++ b/shallotmux/control/_duties.py
@@ -0,0 +1,163 @@
+"""Calls to the platform that only the leader makes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from uuid import uuid4
+
+import trio
+from eliot import log_message
+
+from shallotmux.authority import AcceptReport, FixedReport, FixReport, ReportCount
+from shallotmux.control._border import DutyHolder, DutyOutcome, PlatformBorder, UsageReport
+from shallotmux.control._knowledge import KnowledgeDesk
+from shallotmux.control._member import ControlMember
+from shallotmux.errors import ShallotmuxError
+from shallotmux.fleet import TrueClock
+
+#: Interval at which due reports are looked for.
+CHECK_S = 0.5
+
+#: Time after the end of a window at which its counts are fixed. Entry instances send their counts
+#: to each control instance about once a second.
+SETTLE_S = 3.0
+
+#: Time for which a new leader collects counts before it fixes any.
+COLLECT_S = 2.0
+
+
+class LeaderTerm:
+    """Tells whether this instance may act for the fleet, and under which token."""
+
+    def __init__(self, member: ControlMember, name: str) -> None:
+        self._member = member
+        self._name = name
+        self._fenced_token = 0
+
+    def holder(self) -> DutyHolder | None:
+        """Return the holder while this instance has the lease and was not fenced off."""
+        token = self._member.driver.status().term
+        if not self._member.driver.is_leader() or token <= self._fenced_token:
+            return None
+        return DutyHolder(self._name, token)
+
+    def note(self, holder: DutyHolder, outcome: DutyOutcome) -> None:
+        """Give up a token once a higher one was used elsewhere."""
+        if outcome is DutyOutcome.FENCED:
+            self._fenced_token = max(self._fenced_token, holder.token)
+            log_message(message_type='shallotmux:fenced', token=holder.token)
+
+
+class UsageDuty:
+    """Fixes the counts of each window in the log and reports them.
+
+    :param window_s: length of a window.
+    """
+
+    def __init__(
+        self,
+        member: ControlMember,
+        desk: KnowledgeDesk,
+        border: PlatformBorder,
+        clock: TrueClock,
+        term: LeaderTerm,
+        window_s: float,
+    ) -> None:
+        self._member = member
+        self._desk = desk
+        self._border = border
+        self._clock = clock
+        self._term = term
+        self._window_s = window_s
+        self._leading_since = float('inf')
+
+    async def run(self) -> None:
+        """Report while this instance leads, until cancelled."""
+        while True:
+            await trio.sleep(CHECK_S)
+            if self._term.holder() is None:
+                self._leading_since = float('inf')
+                continue
+            now = trio.current_time()
+            self._leading_since = min(self._leading_since, now)
+            if now - self._leading_since < COLLECT_S:
+                continue
+            try:
+                await self._fix_due_window()
+                await self._report_fixed()
+            except ShallotmuxError as error:
+                log_message(message_type='shallotmux:usage-delayed', reason=str(error))
+
+    async def _fix_due_window(self) -> None:
+        reports = self._member.state.zone.reports
+        first = self._desk.usage.first_window()
+        if first is None:
+            return
+        window = max(first, reports.last_window + 1)
+        due_at = (window + 1) * self._window_s + SETTLE_S
+        if self._clock.now() < due_at:
+            return
+        totals = self._desk.usage.totals(window)
+        counts = tuple(ReportCount(name, number) for name, number in sorted(totals.items()))
+        await self._member.authority.submit(FixReport(uuid4().hex, window, counts))
+
+    async def _report_fixed(self) -> None:
+        for report in self._member.state.zone.reports.waiting():
+            holder = self._term.holder()
+            if holder is None:
+                return
+            outcome = await self._border.report_usage(_plain_report(report), holder)
+            self._term.note(holder, outcome)
+            log_message(
+                message_type='shallotmux:usage-report',
+                window=report.window,
+                outcome=outcome.value,
+                token=holder.token,
+                requests=sum(each.requests for each in report.counts),
+            )
+            if outcome is not DutyOutcome.ACCEPTED:
+                return
+            await self._member.authority.submit(AcceptReport(uuid4().hex, report.window))
+
+
+def _plain_report(report: FixedReport) -> UsageReport:
+    return UsageReport(report.window, {each.customer: each.requests for each in report.counts})
+
+
+class ListingPoller:
+    """Reads the platform's list repeatedly.
+
+    :param take: is given each list and the local time at which its reading began.
+    """
+
+    def __init__(
+        self,
+        border: PlatformBorder,
+        take: Callable[..., None],
+        interval_s: float,
+    ) -> None:
+        self._border = border
+        self._take = take
+        self._interval_s = interval_s
+        self._is_lost = False
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await self.poll()
+            await trio.sleep(self._interval_s)
+
+    async def poll(self) -> None:
+        """Read the list once."""
+        began_at = trio.current_time()
+        try:
+            listing = await self._border.list_endpoints()
+        except ShallotmuxError as error:
+            if not self._is_lost:
+                log_message(message_type='shallotmux:platform-lost', reason=str(error))
+            self._is_lost = True
+            return
+        if self._is_lost:
+            log_message(message_type='shallotmux:platform-regained')
+        self._is_lost = False
+        self._take(listing, began_at)
--- a/shallotmux/errors.py
+++ b/shallotmux/errors.py
@@ -5,6 +5,8 @@
 __all__ = (
     'AuthorityUnavailable',
     'CallerError',
+    'CallerGone',
+    'DocumentInvalid',
     'EndpointError',
     'EndpointRefused',
     'MembershipRefused',
@@ -69,6 +71,14 @@
     """It is not known whether an operation took effect."""
 
 
+class CallerGone(ShallotmuxError):
+    """The caller closed its connection before it had the whole answer."""
+
+
+class DocumentInvalid(ShallotmuxError):
+    """A configuration document cannot be read or breaks a rule."""
+
+
 class EndpointError(ShallotmuxError):
     """An endpoint failed after the request may have reached it."""
 
--- /dev/null
+++ b/shallotmux/fleet/__init__.py
@@ -0,0 +1,44 @@
+"""Knowledge of the fleet on instances that hold no log: configuration, endpoints, true time."""
+
+from __future__ import annotations
+
+from shallotmux.fleet._clock import TrueClock, read_boot_time
+from shallotmux.fleet._learner import DecodeDocument, FleetLearner, FleetView
+from shallotmux.fleet._listing import EngineRole, ListedEndpoint, Listing
+from shallotmux.fleet._messages import (
+    JOIN_GROUP,
+    KNOWLEDGE_GROUP,
+    CustomerCount,
+    Join,
+    JoinAnswer,
+    Knowledge,
+    Poll,
+    decode_answer,
+    decode_join,
+    decode_join_answer,
+    decode_poll,
+    encode_knowledge,
+)
+
+__all__ = (
+    'JOIN_GROUP',
+    'KNOWLEDGE_GROUP',
+    'CustomerCount',
+    'DecodeDocument',
+    'EngineRole',
+    'FleetLearner',
+    'FleetView',
+    'Join',
+    'JoinAnswer',
+    'Knowledge',
+    'ListedEndpoint',
+    'Listing',
+    'Poll',
+    'TrueClock',
+    'decode_answer',
+    'decode_join',
+    'decode_join_answer',
+    'decode_poll',
+    'encode_knowledge',
+    'read_boot_time',
+)
--- /dev/null
+++ b/shallotmux/fleet/_messages.py
@@ -0,0 +1,86 @@
+"""What instances without a log ask of the control instances, and the answers."""
+
+from __future__ import annotations
+
+import msgspec
+
+from shallotmux.fleet._listing import Listing
+
+#: Group name under which polls are sent to a peer.
+KNOWLEDGE_GROUP = 'knowledge'
+
+#: Group name under which control instances ask to be taken into the group.
+JOIN_GROUP = 'join'
+
+
+class CustomerCount(msgspec.Struct, frozen=True):
+    """Requests of one customer that began to run in one window, as one instance counted them."""
+
+    customer: str
+    window: int
+    requests: int
+
+
+class Poll(msgspec.Struct, frozen=True):
+    """Asks for what is newer than the sender knows.
+
+    :param sender: name and incarnation of the instance.
+    :param version: version of the document that the sender holds; 0 for none.
+    :param counts: all counts of the sender for the windows that are still open.
+    """
+
+    sender: str
+    version: int
+    counts: tuple[CustomerCount, ...] = ()
+
+
+class Knowledge(msgspec.Struct, frozen=True):
+    """Answers a poll.
+
+    :param version: version of the document that the answering instance holds; 0 for none.
+    :param document: that document, empty if the sender holds it already.
+    :param peers: names of the control instances.
+    :param listing: the platform's list; None if it was never read.
+    :param listing_age_s: time since that list was read.
+    :param instances: entry instances that were heard lately.
+    :param true_time_s: estimate of the time since 1970 in seconds.
+    """
+
+    version: int
+    document: bytes
+    peers: tuple[str, ...]
+    listing: Listing | None
+    listing_age_s: float
+    instances: int
+    true_time_s: float
+
+
+class Join(msgspec.Struct, frozen=True):
+    """Asks the leader to take a control instance into the group.
+
+    :param identity: name with the incarnation of its disk.
+    """
+
+    identity: str
+
+
+class JoinAnswer(msgspec.Struct, frozen=True):
+    """Answers a request to join.
+
+    :param leader: name of the leader, empty if it is not known.
+    :param peers: names of the control instances.
+    """
+
+    leader: str
+    peers: tuple[str, ...]
+
+
+def encode_knowledge(message: Poll | Knowledge | Join | JoinAnswer) -> bytes:
+    """Return the MessagePack form of a message."""
+    return msgspec.msgpack.encode(message)
+
+
+decode_poll = msgspec.msgpack.Decoder(Poll).decode
+decode_answer = msgspec.msgpack.Decoder(Knowledge).decode
+decode_join = msgspec.msgpack.Decoder(Join).decode
+decode_join_answer = msgspec.msgpack.Decoder(JoinAnswer).decode
--- /dev/null
+++ b/shallotmux/forwarding/__init__.py
@@ -0,0 +1,45 @@
+"""Forward requests to endpoints without changing what passes through."""
+
+from __future__ import annotations
+
+from shallotmux.forwarding._admission import Admitted, Dialect, admit_request
+from shallotmux.forwarding._attempt import AttemptEnd, AttemptRunner
+from shallotmux.forwarding._budget import BudgetBounds, RepeatBudget
+from shallotmux.forwarding._counting import RequestCounter
+from shallotmux.forwarding._directory import EndpointDirectory, EndpointState
+from shallotmux.forwarding._engines import EnginePlacer
+from shallotmux.forwarding._forwarder import Forwarder
+from shallotmux.forwarding._headers import Headers
+from shallotmux.forwarding._job import Job
+from shallotmux.forwarding._listener import HttpListener
+from shallotmux.forwarding._messages import AnswerHead, CallerRequest, OutgoingRequest, Reply
+from shallotmux.forwarding._metrics import ForwardingMetrics
+from shallotmux.forwarding._names import HeaderNames
+from shallotmux.forwarding._pool import ConnectionPool
+from shallotmux.forwarding._refusals import Refusal
+
+__all__ = (
+    'Admitted',
+    'AnswerHead',
+    'AttemptEnd',
+    'AttemptRunner',
+    'BudgetBounds',
+    'CallerRequest',
+    'ConnectionPool',
+    'Dialect',
+    'EndpointDirectory',
+    'EndpointState',
+    'EnginePlacer',
+    'Forwarder',
+    'ForwardingMetrics',
+    'HeaderNames',
+    'Headers',
+    'HttpListener',
+    'Job',
+    'OutgoingRequest',
+    'Refusal',
+    'RepeatBudget',
+    'Reply',
+    'RequestCounter',
+    'admit_request',
+)
--- /dev/null
+++ b/shallotmux/forwarding/_admission.py
@@ -0,0 +1,105 @@
+"""Decide whether a request may be forwarded, and as what."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from shallotmux.forwarding._headers import parse_duration_ms
+from shallotmux.forwarding._job import Job
+from shallotmux.forwarding._messages import CallerRequest, Reply
+from shallotmux.forwarding._names import HeaderNames
+from shallotmux.forwarding._refusals import Refusal, refuse_not_run
+from shallotmux.placement import Prompt
+from shallotmux.routes import ForwardedRoute, KeyHolder, RouteTable, choose_service
+
+#: Time after which a request may come back to an instance that knows no configuration yet.
+RETRY_UNCONFIGURED_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Dialect:
+    """How callers and endpoints of a deployment write what the system has to understand.
+
+    :param names: names of headers.
+    :param key_scheme: scheme of the ``Authorization`` header that carries a customer's key.
+    :param read_prompt: returns the prompt that a request describes, None if it describes none.
+    :param read_handle: returns the handle in an engine's answer to a prefill, None if there is none.
+    :param prefill_headers: headers that ask an engine to read a prompt only.
+    """
+
+    names: HeaderNames = field(default_factory=HeaderNames)
+    key_scheme: str = 'Bearer'
+    read_prompt: Callable[[CallerRequest], Prompt | None] = lambda _: None
+    read_handle: Callable[[bytes], str | None] = lambda _: None
+    prefill_headers: tuple[tuple[bytes, bytes], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request that is forwarded."""
+
+    job: Job
+
+
+def admit_request(
+    request: CallerRequest,
+    reply: Reply,
+    table: RouteTable | None,
+    dialect: Dialect,
+    draw: Callable[[], float],
+) -> Admitted | Refusal:
+    """Return the job for a request, or its refusal.
+
+    :param draw: returns random numbers, for routes that share their requests among services.
+    """
+    if table is None:
+        return refuse_not_run('no configuration yet', RETRY_UNCONFIGURED_S)
+    if not request.target.startswith(b'/'):
+        return Refusal(400, 'the target is no path')
+    route = table.find_route(request.text(b'host'), request.path)
+    if route is None:
+        return Refusal(404, 'no route')
+    holder = None
+    if table.needs_keys and not route.is_open:
+        holder = table.find_customer(_read_key(request, dialect.key_scheme))
+        if holder is None:
+            return Refusal(401, 'unknown key')
+    request_id = request.header(dialect.names.request_id)
+    if not request_id:
+        return Refusal(400, 'the request has no id')
+    return Admitted(
+        _build_job(request, reply, route, holder, dialect, choose_service(route, draw()))
+    )
+
+
+def _build_job(
+    request: CallerRequest,
+    reply: Reply,
+    route: ForwardedRoute,
+    holder: KeyHolder | None,
+    dialect: Dialect,
+    service: str,
+) -> Job:
+    waits_ms = parse_duration_ms(request.header(dialect.names.deadline))
+    limit_ms = route.timeout_ms if waits_ms is None else min(waits_ms, route.timeout_ms)
+    priority = route.priority
+    if holder is not None and holder.priority is not None:
+        priority = holder.priority
+    return Job(
+        request,
+        reply,
+        route,
+        service,
+        request.header(dialect.names.request_id) or b'',
+        request.received_at + limit_ms / 1000,
+        customer='' if holder is None else holder.name,
+        priority=priority,
+        prompt=dialect.read_prompt(request) if route.has_prompt else None,
+    )
+
+
+def _read_key(request: CallerRequest, scheme: str) -> str:
+    """Return the key that a request presents, empty if it presents none."""
+    given, _, key = request.text(b'authorization').partition(' ')
+    return key.strip() if given.lower() == scheme.lower() else ''
--- /dev/null
+++ b/shallotmux/forwarding/_attempt.py
@@ -0,0 +1,199 @@
+"""One attempt: send a request to one endpoint and pass its answer on."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+
+import trio
+
+from shallotmux.errors import CallerGone, EndpointError, ShallotmuxError
+from shallotmux.forwarding._directory import EndpointDirectory, EndpointState, Target
+from shallotmux.forwarding._endpoint import ConnectionUnusable, EndpointConnection
+from shallotmux.forwarding._events import EventSplitter
+from shallotmux.forwarding._headers import drop_connection_headers
+from shallotmux.forwarding._job import Job
+from shallotmux.forwarding._messages import AnswerHead, OutgoingRequest
+from shallotmux.forwarding._names import HeaderNames
+from shallotmux.forwarding._outcome import Outcome, judge_head, judge_silence
+from shallotmux.forwarding._pool import ConnectionPool
+from shallotmux.routes import RouteKind
+
+#: Time for opening a connection to an endpoint. A lost opening packet is sent again after a
+#: second, by when another endpoint has answered.
+CONNECT_TIMEOUT_S = 0.4
+
+#: Idle time up to which a connection takes a request that must not be repeated.
+FRESH_IDLE_S = 1.0
+
+#: Status from which an answer is a failure of the endpoint.
+SERVER_ERROR = 500
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """How an attempt ended.
+
+    :param outcome: what is known of the request at this endpoint.
+    :param is_failure: whether the endpoint is to blame.
+    :param status: status of the answer, 0 if there was none.
+    """
+
+    outcome: Outcome
+    reason: str
+    is_failure: bool = False
+    status: int = 0
+
+    @property
+    def is_delivered(self) -> bool:
+        """Return whether the caller has the whole answer."""
+        return self.outcome is Outcome.DONE and not self.reason
+
+
+DELIVERED = ''
+
+
+@dataclass(frozen=True, slots=True)
+class _Attempt:
+    """One attempt under way; the fields are those of :meth:`AttemptRunner.run`."""
+
+    job: Job
+    target: Target
+    waiting: trio.CancelScope
+    may_hold_back: bool
+
+
+class AttemptRunner:
+    """Runs attempts over kept connections.
+
+    :param on_begun: is called when an endpoint has begun to run a job, once for each job.
+    """
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        pool: ConnectionPool,
+        directory: EndpointDirectory,
+        on_begun: Callable[[Job], None],
+    ) -> None:
+        self._names = names
+        self._pool = pool
+        self._directory = directory
+        self._on_begun = on_begun
+
+    async def run(
+        self, job: Job, target: Target, waiting: trio.CancelScope, *, may_hold_back: bool = False
+    ) -> AttemptEnd:
+        """Send a job to an endpoint and pass the answer on if it is final.
+
+        :param waiting: scope whose deadline no longer holds once the answer has begun.
+        :param may_hold_back: whether a failed answer is kept from the caller for another attempt.
+        """
+        state = target.state
+        state.in_flight += 1
+        try:
+            end = await self._exchange(_Attempt(job, target, waiting, may_hold_back))
+        finally:
+            state.in_flight -= 1
+        if end.is_failure:
+            self._directory.note_failure(state, end.reason)
+        elif end.outcome is Outcome.DONE:
+            state.note_success()
+        return end
+
+    async def _exchange(self, attempt: _Attempt) -> AttemptEnd:
+        state = attempt.target.state
+        try:
+            connection = await self._connect(attempt.job, state)
+        except ConnectionUnusable as error:
+            return AttemptEnd(Outcome.NOT_RUN, str(error), is_failure=True)
+        try:
+            return await self._converse(attempt, connection)
+        except EndpointError as error:
+            outcome = judge_silence(was_sent=connection.was_sent)
+            return AttemptEnd(outcome, str(error), is_failure=True)
+        finally:
+            self._pool.put(state.identity, connection)
+
+    async def _connect(self, job: Job, state: EndpointState) -> EndpointConnection:
+        longest_idle_s = float('inf') if job.route.is_repeatable else FRESH_IDLE_S
+        timeout_s = max(0.01, min(CONNECT_TIMEOUT_S, job.remaining_s))
+        listed = state.listed
+        return await self._pool.take(listed.identity, listed.address, longest_idle_s, timeout_s)
+
+    async def _converse(self, attempt: _Attempt, connection: EndpointConnection) -> AttemptEnd:
+        target = attempt.target
+        outgoing = attempt.job.outgoing(self._names, target.state.identity, target.extra)
+        attempt.job.sends += 1
+        end: AttemptEnd | None = None
+        fault: ShallotmuxError | None = None
+        async with trio.open_nursery() as nursery:
+            # An endpoint may answer before it has read a long body.
+            nursery.start_soon(_send_quietly, connection, outgoing)
+            try:
+                end = await self._receive(attempt, connection)
+            except (EndpointError, CallerGone) as error:
+                # Raised outside of the nursery, which would wrap it into a group.
+                fault = error
+            nursery.cancel_scope.cancel()
+        if end is None:
+            raise fault or EndpointError('no answer', step='receive', peer=target.state.identity)
+        return end
+
+    async def _receive(self, attempt: _Attempt, connection: EndpointConnection) -> AttemptEnd:
+        job = attempt.job
+        head = await connection.receive_head()
+        attempt.waiting.deadline = math.inf
+        load = head.header(self._names.load)
+        if load is not None:
+            attempt.target.state.note_load(load, trio.current_time())
+        outcome = judge_head(head, self._names)
+        if outcome is not Outcome.DONE:
+            await _read_out(connection)
+            reason = f'status {head.status}'
+            return AttemptEnd(outcome, reason, outcome is Outcome.UNKNOWN, head.status)
+        if job.route.kind is not RouteKind.STREAMING:
+            self._note_begun(job)
+        is_error = head.status >= SERVER_ERROR
+        if is_error and attempt.may_hold_back:
+            await _read_out(connection)
+            return AttemptEnd(outcome, f'status {head.status}', True, head.status)
+        await self._relay(job, head, connection)
+        return AttemptEnd(outcome, DELIVERED, is_error, head.status)
+
+    def _note_begun(self, job: Job) -> None:
+        if not job.has_begun:
+            job.has_begun = True
+            self._on_begun(job)
+
+    async def _relay(self, job: Job, head: AnswerHead, connection: EndpointConnection) -> None:
+        """Pass an answer on; a stream that goes on elsewhere keeps its first head."""
+        if not job.reply.is_started:
+            if job.route.kind is RouteKind.STREAMING and job.route.is_resumable:
+                job.events = EventSplitter()
+            await job.reply.send_head(head.status, drop_connection_headers(head.headers))
+        if job.events is not None:
+            job.events.drop_held()
+        part = await connection.receive_part()
+        self._note_begun(job)
+        while part is not None:
+            await job.reply.send_part(part if job.events is None else job.events.add(part))
+            part = await connection.receive_part()
+        if job.events is not None:
+            await job.reply.send_part(job.events.take_held())
+        await job.reply.finish()
+
+
+async def _send_quietly(connection: EndpointConnection, outgoing: OutgoingRequest) -> None:
+    """Send a request; a broken connection shows when the answer is read."""
+    with suppress(EndpointError):
+        await connection.send_request(outgoing)
+
+
+async def _read_out(connection: EndpointConnection) -> None:
+    """Read an answer that is not passed on, so that the connection can be used again."""
+    part: bytes | None = b''
+    while part is not None:
+        part = await connection.receive_part()
--- /dev/null
+++ b/shallotmux/forwarding/_directory.py
@@ -0,0 +1,196 @@
+"""Endpoints as this instance sees them: the list, its own requests, what they answered."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import trio
+from eliot import log_message
+
+from shallotmux.fleet import ListedEndpoint, Listing
+from shallotmux.forwarding._headers import Headers
+from shallotmux.placement import Prompt
+
+#: Failures in a row after which an endpoint is avoided.
+FAILURES_TO_AVOID = 3
+
+#: First time for which an endpoint is avoided; it doubles up to the longest.
+FIRST_AVOID_S = 1.0
+LONGEST_AVOID_S = 8.0
+
+#: Age at which a reported load counts half.
+LOAD_HALF_LIFE_S = 0.5
+
+#: Prefixes remembered of one engine.
+MAX_PREFIXES = 512
+
+
+@dataclass(frozen=True, slots=True)
+class ReportedLoad:
+    """Load that an endpoint told with an answer.
+
+    :param others: running and waiting requests that are not of this instance.
+    """
+
+    others: float
+    waiting: float
+    at: float
+
+
+@dataclass(slots=True)
+class EndpointState:
+    """One endpoint."""
+
+    listed: ListedEndpoint
+    in_flight: int = 0
+    #: Tokens that this instance's requests have yet to be read there.
+    unread_tokens: int = 0
+    load: ReportedLoad | None = None
+    failures: int = 0
+    avoided_until: float = float('-inf')
+    avoid_s: float = FIRST_AVOID_S
+    #: Prefixes that it read or fetched for this instance, the newest last.
+    prefixes: OrderedDict[bytes, None] = field(default_factory=OrderedDict)
+
+    @property
+    def identity(self) -> str:
+        """Return the identity of the endpoint."""
+        return self.listed.identity
+
+    def busy(self, now: float) -> float:
+        """Return the requests that it is expected to have, this instance's included."""
+        if self.load is None:
+            return float(self.in_flight)
+        age = max(0.0, now - self.load.at)
+        return self.in_flight + self.load.others * 0.5 ** (age / LOAD_HALF_LIFE_S)
+
+    def note_load(self, text: bytes, now: float) -> None:
+        """Take note of running and waiting requests and slots, separated by commas."""
+        try:
+            running, waiting, _ = (int(each) for each in text.split(b','))
+        except ValueError:
+            return
+        others = max(0, running + waiting - self.in_flight)
+        self.load = ReportedLoad(others, waiting, now)
+
+    def note_prompt(self, prompt: Prompt) -> None:
+        """Take note that it now holds the parts of a prompt."""
+        for part in prompt.parts:
+            self.prefixes[part.prefix] = None
+            self.prefixes.move_to_end(part.prefix)
+        while len(self.prefixes) > MAX_PREFIXES:
+            self.prefixes.popitem(last=False)
+
+    def note_success(self) -> None:
+        """Take note of a proper answer."""
+        self.failures = 0
+        self.avoid_s = FIRST_AVOID_S
+
+    def note_failure(self, now: float) -> bool:
+        """Take note of a failure; returns whether the endpoint is avoided from now on."""
+        self.failures += 1
+        if self.failures < FAILURES_TO_AVOID:
+            return False
+        self.failures = 0
+        self.avoided_until = now + self.avoid_s
+        self.avoid_s = min(2 * self.avoid_s, LONGEST_AVOID_S)
+        return True
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Where an attempt goes.
+
+    :param extra: headers that the attempt carries.
+    """
+
+    state: EndpointState
+    extra: Headers = ()
+
+
+class EndpointDirectory:
+    """Endpoints by service.
+
+    :param forget: is told the identity of an endpoint that is gone.
+    """
+
+    def __init__(self, forget: Callable[[str], None]) -> None:
+        self._forget = forget
+        self._states: dict[str, EndpointState] = {}
+
+    def take_listing(self, listing: Listing) -> None:
+        """Follow the list of endpoints."""
+        listed = {each.identity: each for each in listing.endpoints}
+        for identity in tuple(self._states):
+            if identity not in listed:
+                self._states.pop(identity)
+                self._forget(identity)
+        for identity, each in listed.items():
+            state = self._states.get(identity)
+            if state is None or state.listed.started_ms != each.started_ms:
+                self._forget(identity)
+                self._states[identity] = EndpointState(each)
+            else:
+                self._follow(state, each)
+
+    def usable(self, service: str, excluded: Iterable[str] = ()) -> list[EndpointState]:
+        """Return the endpoints of a service that may get a request.
+
+        Endpoints that failed lately are left out unless no other is left.
+        """
+        now = trio.current_time()
+        skipped = frozenset(excluded)
+        ready = [
+            state
+            for state in self._states.values()
+            if state.listed.service == service
+            and not state.listed.is_leaving
+            and state.identity not in skipped
+        ]
+        sound = [state for state in ready if state.avoided_until <= now]
+        return sound or ready
+
+    def find(self, identity: str) -> EndpointState | None:
+        """Return an endpoint by its identity."""
+        return self._states.get(identity)
+
+    def note_failure(self, state: EndpointState, reason: str) -> None:
+        """Take note of an endpoint's failure."""
+        if state.note_failure(trio.current_time()):
+            log_message(
+                message_type='shallotmux:endpoint-avoided',
+                endpoint=state.identity,
+                reason=reason,
+                for_s=state.avoid_s,
+            )
+
+    def _follow(self, state: EndpointState, listed: ListedEndpoint) -> None:
+        """Take the newest entry; an endpoint that left once does not come back."""
+        if state.listed.is_leaving and not listed.is_leaving:
+            return
+        if state.listed.address != listed.address:
+            self._forget(state.identity)
+        state.listed = listed
+
+
+def choose_least_busy(
+    candidates: list[EndpointState], zone: str, draw: Callable[[], float]
+) -> EndpointState | None:
+    """Return an endpoint with little to do, one of the own zone if it is not much busier.
+
+    :param draw: returns random numbers; instances that see equal loads choose differently.
+    """
+    now = trio.current_time()
+
+    def rank(state: EndpointState) -> tuple[float, float]:
+        slots = max(1, state.listed.slots)
+        distance = 0.0 if state.listed.zone == zone else OTHER_ZONE_LOAD
+        return state.busy(now) / slots + distance, draw()
+
+    return min(candidates, key=rank, default=None)
+
+
+#: Share of an endpoint's slots that must be busier before another zone's endpoint is taken.
+OTHER_ZONE_LOAD = 0.5
--- /dev/null
+++ b/shallotmux/forwarding/_engines.py
@@ -0,0 +1,182 @@
+"""Place requests with prompts on engines, and have long prompts read first."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import trio
+from eliot import log_message
+
+from shallotmux.errors import EndpointError
+from shallotmux.fleet import EngineRole
+from shallotmux.forwarding._admission import Dialect
+from shallotmux.forwarding._directory import EndpointDirectory, EndpointState, Target
+from shallotmux.forwarding._endpoint import ConnectionUnusable, EndpointConnection
+from shallotmux.forwarding._job import Job
+from shallotmux.forwarding._outcome import Outcome, judge_head
+from shallotmux.forwarding._pool import ConnectionPool
+from shallotmux.placement import EngineView, Placement, PlacementRequest, place_request
+from shallotmux.routes import EngineProfile, RouteTable
+
+#: Speed at which an engine reads prompts while none was measured, in tokens per ms.
+DEFAULT_READ_TOKENS_PER_MS = 50.0
+
+#: Speed of an engine that reads prompts between the tokens of others, relative to one that only
+#: reads; stated by the engines' description.
+DECODE_READ_SPEED = 0.5
+
+#: Tokens that a request of another instance has to be read on average, while it is waiting.
+OTHERS_UNREAD_TOKENS = 2000.0
+
+#: Time for opening a connection for a prefill.
+CONNECT_TIMEOUT_S = 0.4
+
+#: Status of an accepted prefill.
+ACCEPTED = 200
+
+
+class EnginePlacer:
+    """Chooses engines for the requests of this instance.
+
+    :param table: returns the look-ups of the document in force.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        dialect: Dialect,
+        pool: ConnectionPool,
+        directory: EndpointDirectory,
+        table: Callable[[], RouteTable | None],
+    ) -> None:
+        self._zone = zone
+        self._dialect = dialect
+        self._pool = pool
+        self._directory = directory
+        self._table = table
+        self.reasons: Counter[str] = Counter()
+
+    async def place(self, job: Job, usable: list[EndpointState]) -> Target | None:
+        """Return the engine for a job, after its prompt was read where that pays."""
+        profile = self._profile(job.service)
+        if job.prompt is None or profile is None:
+            return None
+        request = PlacementRequest(job.prompt, self._zone, _transfer_speed(profile))
+        placement = place_request(request, [self._view(each) for each in usable])
+        if placement is None:
+            return None
+        self._log(job, placement)
+        decode = self._directory.find(placement.decode)
+        if decode is None:
+            return None
+        decode.note_prompt(job.prompt)
+        prefill = self._directory.find(placement.prefill or '')
+        if prefill is None:
+            return Target(decode)
+        handle = await self._prefill(job, prefill)
+        if handle is None:
+            return Target(decode)
+        source = f'{prefill.listed.address}/{handle}'.encode()
+        return Target(decode, ((self._dialect.names.cache_source, source),))
+
+    def _profile(self, service: str) -> EngineProfile | None:
+        table = self._table()
+        found = table.services.get(service) if table else None
+        return found.engine if found else None
+
+    def _view(self, state: EndpointState) -> EngineView:
+        now = trio.current_time()
+        speed = DEFAULT_READ_TOKENS_PER_MS
+        if state.listed.role is not EngineRole.PREFILL:
+            speed *= DECODE_READ_SPEED
+        others = max(0.0, state.busy(now) - state.in_flight)
+        waiting = others if state.listed.role is EngineRole.PREFILL else 0.0
+        return EngineView(
+            state.identity,
+            state.listed.zone,
+            state.listed.role,
+            speed,
+            state.unread_tokens + waiting * OTHERS_UNREAD_TOKENS,
+            state.busy(now),
+            max(1, state.listed.slots),
+            frozenset(state.prefixes),
+        )
+
+    async def _prefill(self, job: Job, state: EndpointState) -> str | None:
+        """Let an engine read the prompt; returns its handle, None if it did not."""
+        outgoing = job.outgoing(self._dialect.names, state.identity, self._dialect.prefill_headers)
+        connection: EndpointConnection | None = None
+        state.in_flight += 1
+        try:
+            with _unread(state, job):
+                connection = await self._pool.take(
+                    state.identity, state.listed.address, float('inf'), CONNECT_TIMEOUT_S
+                )
+                await connection.send_request(outgoing)
+                return await self._read_answer(job, state, connection)
+        except ConnectionUnusable as error:
+            self._directory.note_failure(state, str(error))
+        except EndpointError as error:
+            self._directory.note_failure(state, str(error))
+        finally:
+            state.in_flight -= 1
+            if connection is not None:
+                self._pool.put(state.identity, connection)
+        return None
+
+    async def _read_answer(
+        self, job: Job, state: EndpointState, connection: EndpointConnection
+    ) -> str | None:
+        head = await connection.receive_head()
+        content = b''
+        part = await connection.receive_part()
+        while part is not None:
+            content += part
+            part = await connection.receive_part()
+        load = head.header(self._dialect.names.load)
+        if load is not None:
+            state.note_load(load, trio.current_time())
+        is_done = judge_head(head, self._dialect.names) is Outcome.DONE
+        if not is_done or head.status != ACCEPTED or job.prompt is None:
+            log_message(
+                message_type='shallotmux:prefill-refused',
+                request=job.request_id.decode('latin-1'),
+                endpoint=state.identity,
+                status=head.status,
+            )
+            return None
+        state.note_prompt(job.prompt)
+        state.note_success()
+        return self._dialect.read_handle(content)
+
+    def _log(self, job: Job, placement: Placement) -> None:
+        self.reasons[placement.reason] += 1
+        log_message(
+            message_type='shallotmux:placement',
+            request=job.request_id.decode('latin-1'),
+            decode=placement.decode,
+            prefill=placement.prefill,
+            expected_ms=round(placement.expected_ms, 1),
+            reason=placement.reason,
+        )
+
+
+@contextmanager
+def _unread(state: EndpointState, job: Job) -> Iterator[None]:
+    """Count a prompt's uncached tokens as backlog of an engine while it is read."""
+    tokens = 0
+    if job.prompt is not None:
+        tokens = job.prompt.tokens - job.prompt.cached_tokens(set(state.prefixes))
+    state.unread_tokens += tokens
+    try:
+        yield
+    finally:
+        state.unread_tokens -= tokens
+
+
+def _transfer_speed(profile: EngineProfile) -> float:
+    """Return the tokens whose KV cache a link carries in a millisecond."""
+    bytes_per_ms = profile.link_mbps * 1e6 / 8 / 1000
+    return bytes_per_ms / max(1, profile.token_bytes)
--- /dev/null
+++ b/shallotmux/forwarding/_listener.py
@@ -0,0 +1,309 @@
+"""Serve HTTP/1.1 to callers without changing what passes through."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import h11
+import trio
+
+from shallotmux.errors import CallerGone
+from shallotmux.forwarding._headers import Headers
+from shallotmux.forwarding._messages import CallerRequest
+from shallotmux.routes import CallerLimits
+
+#: Connections that may wait to be accepted.
+BACKLOG = 1024
+READ_BYTES = 65_536
+
+#: Bytes of following requests that are read while an answer is under way.
+MAX_READ_AHEAD_BYTES = 65_536
+
+#: Longest wait for further bytes of a body.
+BODY_GAP_S = 5.0
+
+#: Bytes of request bodies held at once by one listener.
+MAX_HELD_BYTES = 64 << 20
+
+#: Answers a request; what it raises ends the connection.
+Handler = Callable[[CallerRequest, 'CallerReply'], Awaitable[None]]
+
+
+class _CallerFault(Exception):
+    """A request cannot be read; the connection is closed after the answer."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class _CallerLeft(Exception):
+    """The caller closed the connection."""
+
+
+@dataclass(slots=True)
+class HttpListener:
+    """Listens on one address and hands requests to a handler.
+
+    :param address: IP address and port; port 0 lets the system choose.
+    :param limits: returns the limits in force.
+    """
+
+    address: str
+    handle: Handler
+    limits: Callable[[], CallerLimits] = CallerLimits
+    is_draining: bool = False
+    #: Requests being read or answered.
+    open_requests: int = 0
+    held_bytes: int = 0
+    _connections: set[CallerConnection] = field(default_factory=set)
+    _accepting: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    async def run(self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled; the address is given to ``task_status``."""
+        host, _, port = self.address.rpartition(':')
+        listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
+        async with trio.open_nursery() as nursery:
+            with self._accepting:
+                name = listeners[0].socket.getsockname()
+                task_status.started(f'{name[0]}:{name[1]}')
+                await trio.serve_listeners(self._serve, listeners, handler_nursery=nursery)
+
+    def drain(self) -> None:
+        """Let answers say that the connection ends; connections are still accepted."""
+        self.is_draining = True
+
+    def close_idle(self) -> None:
+        """Stop accepting and close the connections that wait for a request."""
+        self._accepting.cancel()
+        for connection in tuple(self._connections):
+            connection.close_if_idle()
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = CallerConnection(self, stream)
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+            await trio.aclose_forcefully(stream)
+
+
+class CallerConnection:
+    """Reads requests from one caller and lets the handler answer them, one after another."""
+
+    def __init__(self, listener: HttpListener, stream: trio.SocketStream) -> None:
+        self.listener = listener
+        self.stream = stream
+        self.protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=listener.limits().header_bytes
+        )
+        self._is_idle = True
+        self._idle_scope: trio.CancelScope | None = None
+
+    async def run(self) -> None:
+        """Serve requests until the connection ends."""
+        with contextlib.suppress(
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            CallerGone,
+            h11.ProtocolError,
+            _CallerLeft,
+        ):
+            while await self._serve_next():
+                self.protocol.start_next_cycle()
+
+    async def send(self, event: Any) -> None:
+        """Send an event of the answer."""
+        try:
+            content = self.protocol.send(event)
+            if content:
+                await self.stream.send_all(content)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise CallerGone(f'{error!r}', step='reply') from error
+
+    def close_if_idle(self) -> None:
+        """End the connection unless a request is being read or answered."""
+        if self._is_idle and self._idle_scope is not None:
+            self._idle_scope.cancel()
+
+    async def _serve_next(self) -> bool:
+        """Serve one request; returns whether another one may follow."""
+        listener = self.listener
+        if not await self._wait_for_request():
+            return False
+        listener.open_requests += 1
+        held = 0
+        reply = CallerReply(self)
+        try:
+            request = await self._read_request()
+            held = len(request.body)
+            listener.held_bytes += held
+            await self._answer(request, reply)
+        except _CallerFault as fault:
+            await reply.refuse(fault.status)
+            await self._linger()
+            return False
+        finally:
+            listener.open_requests -= 1
+            listener.held_bytes -= held
+            self._is_idle = True
+        states = (self.protocol.our_state, self.protocol.their_state)
+        return states == (h11.DONE, h11.DONE)
+
+    async def _wait_for_request(self) -> bool:
+        """Wait for the first byte of a request; returns whether it came."""
+        if self.protocol.trailing_data[0]:
+            self._is_idle = False
+            return True
+        limits = self.listener.limits()
+        self._idle_scope = trio.move_on_after(limits.idle_timeout_s)
+        with self._idle_scope:
+            content = await self.stream.receive_some(READ_BYTES)
+            self._is_idle = False
+            self.protocol.receive_data(content)
+            return bool(content)
+        return False
+
+    async def _read_request(self) -> CallerRequest:
+        limits = self.listener.limits()
+        try:
+            with trio.fail_after(limits.header_timeout_s):
+                head = await self._next_event()
+        except trio.TooSlowError:
+            raise _CallerFault(408) from None
+        received_at = trio.current_time()
+        if not isinstance(head, h11.Request):
+            raise _CallerLeft
+        headers = tuple((bytes(name), bytes(text)) for name, text in head.headers)
+        _check_framing(headers)
+        body = await self._read_body(limits.body_bytes)
+        return CallerRequest(bytes(head.method), bytes(head.target), headers, body, received_at)
+
+    async def _read_body(self, limit: int) -> bytes:
+        if self.protocol.they_are_waiting_for_100_continue:
+            await self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            try:
+                with trio.fail_after(BODY_GAP_S):
+                    event = await self._next_event()
+            except trio.TooSlowError:
+                raise _CallerFault(408) from None
+            if isinstance(event, h11.EndOfMessage):
+                return b''.join(parts)
+            if not isinstance(event, h11.Data):
+                raise _CallerLeft
+            size += len(event.data)
+            if size > limit:
+                raise _CallerFault(413)
+            if self.listener.held_bytes + size > MAX_HELD_BYTES:
+                raise _CallerFault(503)
+            parts.append(bytes(event.data))
+
+    async def _next_event(self) -> object:
+        try:
+            event = self.protocol.next_event()
+            while event is h11.NEED_DATA:
+                self.protocol.receive_data(await self.stream.receive_some(READ_BYTES))
+                event = self.protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            if self.protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+                raise
+            raise _CallerFault(error.error_status_hint) from error
+        return event
+
+    async def _answer(self, request: CallerRequest, reply: CallerReply) -> None:
+        """Let the handler answer, and cancel it when the caller leaves."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_caller, nursery.cancel_scope)
+            with contextlib.suppress(CallerGone):
+                await self.listener.handle(request, reply)
+            nursery.cancel_scope.cancel()
+        if not reply.is_finished:
+            self.protocol.send_failed()
+
+    async def _watch_caller(self, scope: trio.CancelScope) -> None:
+        """Read ahead; cancel the handler at the end of the connection."""
+        ahead = 0
+        try:
+            while ahead < MAX_READ_AHEAD_BYTES:
+                content = await self.stream.receive_some(READ_BYTES)
+                if not content:
+                    break
+                ahead += len(content)
+                self.protocol.receive_data(content)
+            else:
+                return
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        scope.cancel()
+
+    async def _linger(self) -> None:
+        """Let the caller read an early answer before the connection ends.
+
+        Closing with unread bytes resets the connection, which can drop the answer on its way.
+        """
+        with trio.move_on_after(_LINGER_S), contextlib.suppress(trio.BrokenResourceError):
+            await self.stream.send_eof()
+            content: bytes | bytearray = b'unread'
+            while content:
+                content = await self.stream.receive_some(READ_BYTES)
+
+
+#: Time for which a caller may go on sending after an early answer.
+_LINGER_S = 0.5
+
+
+class CallerReply:
+    """The answer to one request of a caller."""
+
+    def __init__(self, connection: CallerConnection) -> None:
+        self._connection = connection
+        self.is_started = False
+        self.is_finished = False
+
+    async def send_head(self, status: int, headers: Headers) -> None:
+        """Send status and headers."""
+        if self._connection.listener.is_draining:
+            headers = (*headers, (b'connection', b'close'))
+        self.is_started = True
+        await self._connection.send(h11.Response(status_code=status, headers=list(headers)))
+
+    async def send_part(self, content: bytes) -> None:
+        """Send a part of the body."""
+        if content:
+            await self._connection.send(h11.Data(data=content))
+
+    async def finish(self) -> None:
+        """End the body as complete."""
+        await self._connection.send(h11.EndOfMessage())
+        self.is_finished = True
+
+    def abort(self) -> None:
+        """End the connection, so that the answer cannot be taken for a complete one."""
+        self._connection.stream.socket.close()
+
+    async def refuse(self, status: int) -> None:
+        """Answer a request that could not be read, and close the connection."""
+        if self.is_started:
+            return
+        headers = ((b'content-length', b'0'), (b'connection', b'close'))
+        await self.send_head(status, headers)
+        await self.finish()
+
+
+def _check_framing(headers: Headers) -> None:
+    """Refuse a request whose end is ambiguous.
+
+    With both fields, two receivers may see different ends and take the rest for another request.
+    """
+    names = {name for name, _ in headers}
+    if b'content-length' in names and b'transfer-encoding' in names:
+        raise _CallerFault(400)
--- /dev/null
+++ b/shallotmux/forwarding/_metrics.py
@@ -0,0 +1,50 @@
+"""Prometheus metrics of an entry instance that forwards requests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+#: Bucket bounds in seconds.
+LATENCY_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.74, 1, 2, 4, 8)
+
+
+@dataclass(slots=True)
+class ForwardingMetrics:
+    """Instruments; label values come from the configuration, so their number is bounded."""
+
+    registry: CollectorRegistry = field(default_factory=CollectorRegistry)
+    #: Finished requests, by route and status sent.
+    requests: Counter = field(init=False)
+    #: Attempts at endpoints, by route and outcome.
+    attempts: Counter = field(init=False)
+    #: Seconds from the head of a request to the head of its answer.
+    first_byte: Histogram = field(init=False)
+    #: Requests in progress.
+    in_flight: Gauge = field(init=False)
+    #: Version of the configuration document in force.
+    document_version: Gauge = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the instruments in the registry."""
+        registry = self.registry
+        self.requests = Counter(
+            'shallotmux_forwarded', 'Finished requests.', ('route', 'status'), registry=registry
+        )
+        self.attempts = Counter(
+            'shallotmux_attempts', 'Attempts.', ('route', 'outcome'), registry=registry
+        )
+        self.first_byte = Histogram(
+            'shallotmux_first_byte_seconds',
+            'Time to the head of the answer.',
+            ('route',),
+            buckets=LATENCY_BUCKETS,
+            registry=registry,
+        )
+        self.in_flight = Gauge(
+            'shallotmux_forwarding_in_flight', 'Requests in progress.', registry=registry
+        )
+        self.document_version = Gauge(
+            'shallotmux_document_version', 'Version in force.', registry=registry
+        )
--- /dev/null
+++ b/shallotmux/forwarding/_names.py
@@ -0,0 +1,95 @@
+"""Names of the headers that callers, the system and endpoints exchange."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, fields
+
+
+@dataclass(frozen=True, slots=True)
+class HeaderNames:
+    """Header names of one dialect, in lower case as they are compared.
+
+    :param request_id: identifies one attempt of a caller; endpoints echo it.
+    :param deadline: milliseconds for which the sender waits.
+    :param model: model that a request is for.
+    :param token_counts: tokens of the prompt and most tokens of the answer.
+    :param prompt_parts: parts of the prompt in order, each with its tokens.
+    :param last_event_id: last event that the reader of a stream has.
+    :param customer: customer for whom a request runs; set by the system alone.
+    :param expected_endpoint: endpoint that a request is meant for.
+    :param not_run: marks an answer that proves that the request did not run.
+    :param load: running and waiting requests and slots of an endpoint.
+    :param priority: urgency of a request at an engine.
+    :param role: asks an engine for a part of the work.
+    :param cache_source: engine and handle from which KV cache is fetched.
+    :param expected_version: version of the weights that a request is meant for.
+    :param pin: asks an engine to keep the KV cache of a request.
+    :param hold: reservation at an engine that a request uses.
+    :param cache_backup: engine to which the KV cache of a running request is copied.
+    :param cache_peer: engine from which cached parts are fetched.
+    :param retry_after: seconds after which a refused request may come back.
+    """
+
+    request_id: bytes = b'x-request-id'
+    deadline: bytes = b'x-deadline-ms'
+    model: bytes = b'x-model'
+    token_counts: bytes = b'x-token-counts'
+    prompt_parts: bytes = b'x-prompt-parts'
+    last_event_id: bytes = b'last-event-id'
+    customer: bytes = b'x-customer'
+    expected_endpoint: bytes = b'x-expect-endpoint'
+    not_run: bytes = b'x-not-run'
+    load: bytes = b'x-endpoint-load'
+    priority: bytes = b'x-priority'
+    role: bytes = b'x-engine-role'
+    cache_source: bytes = b'x-cache-source'
+    expected_version: bytes = b'x-expect-version'
+    pin: bytes = b'x-cache-pin-ms'
+    hold: bytes = b'x-cache-hold'
+    cache_backup: bytes = b'x-cache-backup'
+    cache_peer: bytes = b'x-cache-peer'
+    retry_after: bytes = b'retry-after'
+
+    @property
+    def reserved(self) -> frozenset[bytes]:
+        """Return the headers that only the system may set."""
+        return frozenset(
+            (
+                self.customer,
+                self.expected_endpoint,
+                self.not_run,
+                self.priority,
+                self.role,
+                self.cache_source,
+                self.expected_version,
+                self.pin,
+                self.hold,
+                self.cache_backup,
+                self.cache_peer,
+            )
+        )
+
+    def __post_init__(self) -> None:
+        """Refuse names that could not be found among normalized ones."""
+        for each in fields(self):
+            name = getattr(self, each.name)
+            if name != name.lower():
+                raise ValueError(f'header name {name!r} is not in lower case')
+
+
+#: Headers that concern one connection only (RFC 9110, section 7.6.1), and ``expect``, which is
+#: answered by the hop that receives it.
+CONNECTION_HEADERS = frozenset(
+    (
+        b'connection',
+        b'expect',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
--- /dev/null
+++ b/shallotmux/forwarding/_refusals.py
@@ -0,0 +1,44 @@
+"""Answers of the system itself."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from shallotmux.forwarding._headers import Headers
+from shallotmux.forwarding._messages import Reply
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A final answer that no endpoint gave.
+
+    :param status: 408, 429 and 503 promise that the request did not run; 502 and 504 do not.
+    :param retry_after_s: time after which the request may come back; None if that is of no use.
+    """
+
+    status: int
+    reason: str
+    retry_after_s: float | None = None
+
+    async def send(self, reply: Reply, retry_after_header: bytes) -> None:
+        """Send the answer."""
+        content = f'{self.reason}\n'.encode()
+        headers: Headers = (
+            (b'content-type', b'text/plain; charset=utf-8'),
+            (b'content-length', str(len(content)).encode()),
+        )
+        if self.retry_after_s is not None:
+            headers = (*headers, (retry_after_header, f'{self.retry_after_s:.2f}'.encode()))
+        await reply.send_head(self.status, headers)
+        await reply.send_part(content)
+        await reply.finish()
+
+
+def refuse_not_run(reason: str, retry_after_s: float) -> Refusal:
+    """Return the answer for a request that did not run and will not."""
+    return Refusal(503, reason, retry_after_s)
+
+
+def refuse_unknown(reason: str, *, is_late: bool) -> Refusal:
+    """Return the answer for a request that may have run."""
+    return Refusal(504 if is_late else 502, reason)
--- /dev/null
+++ b/shallotmux/placement/__init__.py
@@ -0,0 +1,23 @@
+"""Pure functions that choose engines for prompts."""
+
+from __future__ import annotations
+
+from shallotmux.placement._choice import (
+    EngineView,
+    Placement,
+    PlacementRequest,
+    place_request,
+)
+from shallotmux.placement._homes import rank_homes
+from shallotmux.placement._prompt import Prompt, PromptPart, build_prompt
+
+__all__ = (
+    'EngineView',
+    'Placement',
+    'PlacementRequest',
+    'Prompt',
+    'PromptPart',
+    'build_prompt',
+    'place_request',
+    'rank_homes',
+)
--- /dev/null
+++ b/shallotmux/platform/__init__.py
@@ -0,0 +1,19 @@
+"""The adapter to the users' platform: names, formats and calls; it decides nothing."""
+
+from __future__ import annotations
+
+from shallotmux.platform._client import PlatformClient
+from shallotmux.platform._configuration import decode_configuration
+from shallotmux.platform._names import DIALECT, GET_PATH, HEADERS, PUT_PATH
+from shallotmux.platform._settings import build_settings, read_file
+
+__all__ = (
+    'DIALECT',
+    'GET_PATH',
+    'HEADERS',
+    'PUT_PATH',
+    'PlatformClient',
+    'build_settings',
+    'decode_configuration',
+    'read_file',
+)
--- /dev/null
+++ b/shallotmux/platform/_names.py
@@ -0,0 +1,44 @@
+"""Header names and other words of the platform."""
+
+from __future__ import annotations
+
+from shallotmux.forwarding import Dialect, HeaderNames
+from shallotmux.platform._prompts import read_handle, read_prompt
+
+HEADERS = HeaderNames(
+    request_id=b'x-shallotmux-request-id',
+    deadline=b'x-shallotmux-deadline-ms',
+    model=b'x-shallotmux-model',
+    token_counts=b'x-shallotmux-token-counts',
+    # Holds the ids and sizes of all parts of the prompt, not one hash of a prefix.
+    prompt_parts=b'x-shallotmux-prefix-hash',
+    last_event_id=b'last-event-id',
+    customer=b'x-shallotmux-tenant',
+    expected_endpoint=b'x-shallotmux-expect-instance',
+    not_run=b'x-shallotmux-not-executed',
+    load=b'x-shallotmux-instance-load',
+    priority=b'x-shallotmux-request-priority',
+    role=b'x-shallotmux-stage',
+    cache_source=b'x-shallotmux-kv-source',
+    expected_version=b'x-shallotmux-expect-version',
+    pin=b'x-shallotmux-pin-ms',
+    hold=b'x-shallotmux-kv-hold',
+    cache_backup=b'x-shallotmux-kv-backup',
+    cache_peer=b'kv-fetch',
+)
+
+#: Header with the name of the holder of a duty, and with its fencing token.
+HOLDER_HEADER = b'X-Shallotmux-Duty-Holder'
+TOKEN_HEADER = b'X-Shallotmux-Fence-Token'
+
+#: Paths at which operators put and read the configuration.
+PUT_PATH = '/Config.Put'
+GET_PATH = '/Config.Get'
+
+DIALECT = Dialect(
+    names=HEADERS,
+    key_scheme='Token',
+    read_prompt=read_prompt,
+    read_handle=read_handle,
+    prefill_headers=((HEADERS.role, b'prefill'),),
+)
--- /dev/null
+++ b/shallotmux/platform/_settings.py
@@ -0,0 +1,126 @@
+"""Read the platform's settings file."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+
+import msgspec
+
+from shallotmux.errors import SettingsError
+from shallotmux.forwarding import BudgetBounds
+from shallotmux.programs import ListenAddresses, ProgramRole, ProgramSettings, ProgramTimes
+
+#: Variable that holds the path of the settings file.
+PATH_VARIABLE = 'SHALLOTMUX_SETTINGS'
+
+#: Port at which the metrics are served; `deploy/system.toml` names it, too.
+METRICS_PORT = 9464
+
+#: Part of the platform's rate of calls that reading its list may use.
+LISTING_RATE_PART = 0.4
+
+#: Shortest and longest interval between two readings of the list by one instance, in seconds.
+LISTING_BOUNDS_S = (0.7, 2.0)
+
+#: Control instances that a deployment has at most, for sharing the rate of calls.
+MOST_CONTROL_INSTANCES = 8
+
+
+class _Limits(msgspec.Struct, rename='kebab'):
+    cpu_share: float = 1.0
+    memory_mb: float = 256.0
+
+
+class _Listen(msgspec.Struct, rename='kebab'):
+    front: str = ''
+    ready: str = ''
+    control: str = ''
+
+
+class _Tolerate(msgspec.Struct, rename='kebab'):
+    machines: int = 1
+
+
+class _Bounds(msgspec.Struct, rename='kebab'):
+    grace_s: float = 8.0
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    # Repeats allowed beyond the ratio, not a time.
+    retry_slack: float = 50.0
+    report_window_s: float = 5.0
+
+
+class _Cloud(msgspec.Struct, rename='kebab'):
+    address: str = ''
+    rate_per_s: float = 20.0
+    duties: list[str] = []
+
+
+class PlatformFile(msgspec.Struct, rename='kebab'):
+    """Fields of the settings file that are used; unknown ones are ignored."""
+
+    node_name: str
+    ip: str
+    zone: str
+    serves: list[str]
+    listen: _Listen
+    port_range: tuple[int, int]
+    seeds: list[str]
+    cloud: _Cloud
+    bootstrap: bool = False
+    data_dir: str | None = None
+    tolerate: _Tolerate = msgspec.field(default_factory=_Tolerate)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def read_file(environment: Mapping[str, str] = os.environ) -> PlatformFile:
+    """Return the settings file that the environment names.
+
+    :raises SettingsError: naming the file and the field at fault.
+    """
+    path = Path(environment.get(PATH_VARIABLE, ''))
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=PlatformFile)
+    except OSError as error:
+        raise SettingsError(f'{path}: {error.strerror}', step='settings') from error
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise SettingsError(f'{path}: {error}', step='settings') from error
+
+
+def build_settings(file: PlatformFile) -> ProgramSettings:
+    """Return the product's settings for a settings file."""
+    is_control = 'control' in file.serves
+    peer_port = file.port_range[0]
+    bounds = file.bounds
+    return ProgramSettings(
+        ProgramRole.CONTROL if is_control else ProgramRole.ENTRY,
+        file.node_name,
+        file.zone,
+        ListenAddresses(
+            f'{file.ip}:{peer_port}',
+            file.listen.front,
+            file.listen.ready,
+            file.listen.control,
+            f'{file.ip}:{METRICS_PORT}',
+        ),
+        tuple(f'{_host(seed)}:{peer_port}' for seed in file.seeds),
+        file.bootstrap,
+        None if file.data_dir is None else Path(file.data_dir),
+        file.tolerate.machines,
+        BudgetBounds(bounds.retry_budget_ratio, bounds.retry_slack, bounds.budget_window_s),
+        ProgramTimes(bounds.grace_s, _listing_interval(file.cloud), bounds.report_window_s),
+        'usage_report' in file.cloud.duties,
+        'autoscale' in file.cloud.duties,
+    )
+
+
+def _host(address: str) -> str:
+    return address.rpartition(':')[0]
+
+
+def _listing_interval(cloud: _Cloud) -> float:
+    shortest, longest = LISTING_BOUNDS_S
+    wanted = MOST_CONTROL_INSTANCES / max(0.1, LISTING_RATE_PART * cloud.rate_per_s)
+    return min(max(shortest, wanted), longest)
--- /dev/null
+++ b/shallotmux/programs/_control.py
@@ -0,0 +1,157 @@
+"""The program of a control instance: holds the fleet's log and acts for the fleet."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import SystemRandom
+
+import trio
+from eliot import log_message
+from prometheus_client import CollectorRegistry, Gauge
+
+from shallotmux.control import (
+    CONTROL_GROUP,
+    ControlMember,
+    DocumentDesk,
+    KnowledgeDesk,
+    LeaderTerm,
+    ListingPoller,
+    MemberSettings,
+    PlatformBorder,
+    UsageDuty,
+)
+from shallotmux.errors import SettingsError
+from shallotmux.fleet import JOIN_GROUP, KNOWLEDGE_GROUP, DecodeDocument, TrueClock
+from shallotmux.forwarding import HttpListener
+from shallotmux.programs._lifecycle import LoadSettings, SettingsWatch, wait_for_stop
+from shallotmux.programs._pages import DocumentPage, MetricsPage
+from shallotmux.programs._settings import ProgramSettings
+from shallotmux.transport import (
+    ForwardAnswer,
+    GrpcPeerNetwork,
+    PeerEnvelope,
+    Refusal,
+    SelfNamedAddresses,
+)
+
+#: Time for answers that are under way at the end.
+END_S = 0.5
+
+#: Interval at which gauges are set.
+GAUGE_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ControlBorder:
+    """What a control program is given by the adapter to a platform.
+
+    :param put_path: path at which operators put a document.
+    :param get_path: path at which operators read it.
+    """
+
+    decode_document: DecodeDocument
+    platform: PlatformBorder
+    put_path: str
+    get_path: str
+
+
+class ControlProgram:
+    """Listeners, group member and duties of one control instance."""
+
+    def __init__(self, settings: ProgramSettings, border: ControlBorder) -> None:
+        if settings.folder is None:
+            raise SettingsError('a control instance needs a data folder', step='settings')
+        self.settings = settings
+        self._border = border
+        own = settings.listen.peers
+        self._network = GrpcPeerNetwork(own, own, SelfNamedAddresses(), None)
+        self._clock = TrueClock()
+        self.member = ControlMember(
+            MemberSettings(
+                own, settings.folder, settings.seeds, settings.bootstrap, settings.tolerated
+            ),
+            self._network,
+            SystemRandom(),
+        )
+        self._desk = KnowledgeDesk(self.member.state, self._clock, self.member.peers)
+        self._registry = CollectorRegistry()
+
+    def apply_settings(self, settings: ProgramSettings) -> None:
+        """Take changed settings."""
+        self.member.take_seeds(settings.seeds)
+
+    async def run(self, load: LoadSettings) -> None:
+        """Serve until the process is told to stop."""
+        settings = self.settings
+        watch = SettingsWatch(settings, load, self.apply_settings)
+        desk = DocumentDesk(self.member.authority, self._border.decode_document)
+        page = DocumentPage(desk, self._border.put_path, self._border.get_path)
+        pages = [HttpListener(settings.listen.operators, page.handle)]
+        if settings.listen.metrics:
+            metrics = MetricsPage(self._registry)
+            pages.append(HttpListener(settings.listen.metrics, metrics.handle))
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._network.run, self)
+            for each in pages:
+                await nursery.start(each.run)
+            for task in (self.member.run, watch.run, self._set_gauges, *self._duties()):
+                nursery.start_soon(task)
+            log_message(
+                message_type='shallotmux:started',
+                role='control',
+                name=settings.name,
+                identity=self.member.identity,
+                applied=self.member.state.applied_index,
+            )
+            await wait_for_stop(watch)
+            await self.member.leave()
+            for each in pages:
+                each.drain()
+            await trio.sleep(END_S)
+            nursery.cancel_scope.cancel()
+        log_message(message_type='shallotmux:stopped', role='control', name=settings.name)
+
+    def receive(self, envelope: PeerEnvelope) -> None:
+        """Hand a message of the group to the member."""
+        if envelope.group == CONTROL_GROUP:
+            self.member.receive(envelope)
+
+    async def handle_forward(self, group: str, command: bytes) -> ForwardAnswer:
+        """Answer a call of another instance."""
+        match group:
+            case _ if group == KNOWLEDGE_GROUP:
+                return self._desk.answer(command)
+            case _ if group == JOIN_GROUP:
+                return self.member.answer_join(command)
+            case _ if group == CONTROL_GROUP:
+                return await self.member.driver.commit(command, FORWARDED_COMMIT_S)
+        return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail=f'no group {group!r}')
+
+    def _duties(self) -> tuple[Callable[[], Awaitable[None]], ...]:
+        settings = self.settings
+        platform = self._border.platform
+        poller = ListingPoller(platform, self._desk.take_listing, settings.times.listing_s)
+        tasks: list[Callable[[], Awaitable[None]]] = [poller.run]
+        term = LeaderTerm(self.member, settings.name)
+        if settings.has_usage:
+            window_s = settings.times.usage_window_s
+            duty = UsageDuty(self.member, self._desk, platform, self._clock, term, window_s)
+            tasks.append(duty.run)
+        return tuple(tasks)
+
+    async def _set_gauges(self) -> None:
+        term = Gauge('shallotmux_term', 'Term of the group.', registry=self._registry)
+        leads = Gauge('shallotmux_leads', 'Whether this leads.', registry=self._registry)
+        version = Gauge(
+            'shallotmux_document_version', 'Version in the local state.', registry=self._registry
+        )
+        while True:
+            term.set(self.member.driver.status().term)
+            leads.set(self.member.driver.is_leader())
+            version.set(self.member.state.zone.document.version)
+            await trio.sleep(GAUGE_S)
+
+
+#: Time in which a command of another control instance must commit.
+FORWARDED_COMMIT_S = 0.9
--- /dev/null
+++ b/shallotmux/programs/_entry.py
@@ -0,0 +1,172 @@
+"""The program of an entry instance: takes the requests of callers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import SystemRandom
+
+import trio
+from eliot import log_message
+
+from shallotmux.control import ListingPoller, PlatformBorder
+from shallotmux.fleet import DecodeDocument, FleetLearner, TrueClock
+from shallotmux.forwarding import (
+    AttemptRunner,
+    ConnectionPool,
+    Dialect,
+    EndpointDirectory,
+    EnginePlacer,
+    Forwarder,
+    ForwardingMetrics,
+    HttpListener,
+    Job,
+    RepeatBudget,
+    RequestCounter,
+)
+from shallotmux.programs._lifecycle import LoadSettings, SettingsWatch, wait_for_stop
+from shallotmux.programs._pages import MetricsPage, ReadinessPage
+from shallotmux.programs._settings import ProgramSettings
+from shallotmux.routes import CallerLimits
+from shallotmux.transport import (
+    ForwardAnswer,
+    GrpcPeerNetwork,
+    PeerEnvelope,
+    Refusal,
+    SelfNamedAddresses,
+    new_identity,
+)
+
+#: Age of the list of endpoints from which this instance asks the platform itself.
+STALE_LISTING_S = 1.8
+
+#: Time for which connections are still accepted after the request to stop. The balancer asks once
+#: a second and takes an instance out after two misses.
+LEAVE_S = 3.2
+
+#: Time kept back from the grace for the end of the process.
+END_MARGIN_S = 0.7
+END_CHECK_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class EntryBorder:
+    """What an entry program is given by the adapter to a platform."""
+
+    dialect: Dialect
+    decode_document: DecodeDocument
+    platform: PlatformBorder
+
+
+class EntryProgram:
+    """Listeners, forwarder and learner of one entry instance."""
+
+    def __init__(self, settings: ProgramSettings, border: EntryBorder) -> None:
+        self.settings = settings
+        self._border = border
+        self._is_leaving = False
+        self._clock = TrueClock()
+        self._counter = RequestCounter(self._clock, settings.times.usage_window_s)
+        own = settings.listen.peers
+        self._network = GrpcPeerNetwork(own, own, SelfNamedAddresses(), None)
+        self._learner = FleetLearner(
+            new_identity(own, SystemRandom()),
+            self._network,
+            settings.seeds,
+            border.decode_document,
+            self._clock,
+            self._counter.counts,
+        )
+        self.view = self._learner.view
+        self._pool = ConnectionPool(border.dialect.names.request_id)
+        self._directory = EndpointDirectory(self._pool.forget)
+        self.view.on_listing.append(self._directory.take_listing)
+        self.metrics = ForwardingMetrics()
+        self._listener = HttpListener(
+            settings.listen.callers, self._build_forwarder().handle, self._limits
+        )
+
+    def apply_settings(self, settings: ProgramSettings) -> None:
+        """Take changed settings."""
+        self._learner.take_seeds(settings.seeds)
+
+    def unready_reasons(self) -> tuple[str, ...]:
+        """Return why the balancer should send no new connections."""
+        checks = (
+            ('leaving', not self._is_leaving),
+            ('no configuration', self.view.table is not None),
+            ('no endpoints', bool(self.view.listing.endpoints)),
+        )
+        return tuple(reason for reason, holds in checks if not holds)
+
+    async def run(self, load: LoadSettings) -> None:
+        """Serve until the process is told to stop."""
+        watch = SettingsWatch(self.settings, load, self.apply_settings)
+        listen = self.settings.listen
+        readiness = ReadinessPage(self.unready_reasons)
+        pages = [HttpListener(listen.readiness, readiness.handle)]
+        if listen.metrics:
+            pages.append(HttpListener(listen.metrics, MetricsPage(self.metrics.registry).handle))
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._network.run, self)
+            await nursery.start(self._listener.run)
+            for page in pages:
+                await nursery.start(page.run)
+            for task in (self._learner.run, self._pool.run, self._read_stale_list, watch.run):
+                nursery.start_soon(task)
+            log_message(message_type='shallotmux:started', role='entry', name=self.settings.name)
+            await wait_for_stop(watch)
+            await self._leave()
+            nursery.cancel_scope.cancel()
+        log_message(message_type='shallotmux:stopped', role='entry', name=self.settings.name)
+
+    def receive(self, envelope: PeerEnvelope) -> None:
+        """Pass over messages of groups, in which an entry instance takes no part."""
+
+    async def handle_forward(self, group: str, command: bytes) -> ForwardAnswer:
+        """Refuse commands."""
+        return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail='an entry instance')
+
+    def _build_forwarder(self) -> Forwarder:
+        dialect = self._border.dialect
+        settings = self.settings
+        return Forwarder(
+            settings.zone,
+            self.view,
+            dialect,
+            self._directory,
+            AttemptRunner(dialect.names, self._pool, self._directory, self._note_begun),
+            EnginePlacer(
+                settings.zone, dialect, self._pool, self._directory, lambda: self.view.table
+            ),
+            RepeatBudget(settings.budget, lambda: self.view.instances),
+            self.metrics,
+        )
+
+    def _note_begun(self, job: Job) -> None:
+        if job.customer:
+            self._counter.note_begun(job.customer)
+
+    def _limits(self) -> CallerLimits:
+        table = self.view.table
+        return table.document.limits if table else CallerLimits()
+
+    async def _read_stale_list(self) -> None:
+        """Read the platform's list while no control instance tells a recent one."""
+        poller = ListingPoller(
+            self._border.platform, self.view.take_listing, self.settings.times.listing_s
+        )
+        while True:
+            await trio.sleep(self.settings.times.listing_s)
+            if trio.current_time() - self.view.listed_at > STALE_LISTING_S:
+                await poller.poll()
+
+    async def _leave(self) -> None:
+        """Finish the open requests while the balancer learns that this instance leaves."""
+        began_at = trio.current_time()
+        self._is_leaving = True
+        self._listener.drain()
+        deadline = began_at + self.settings.times.grace_s - END_MARGIN_S
+        await trio.sleep_until(min(began_at + LEAVE_S, deadline))
+        self._listener.close_idle()
+        while self._listener.open_requests and trio.current_time() < deadline:
+            await trio.sleep(END_CHECK_S)
--- /dev/null
+++ b/shallotmux/programs/_pages.py
@@ -0,0 +1,111 @@
+"""Pages that the programs serve beside the requests of callers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from eliot import log_message
+from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
+
+from shallotmux.control import DocumentDesk
+from shallotmux.errors import DocumentInvalid, ShallotmuxError
+from shallotmux.forwarding import CallerRequest, Headers, Reply
+
+TEXT_TYPE = 'text/plain; charset=utf-8'
+JSON_TYPE = 'application/json'
+
+#: Time after which an operator's call may be repeated that found no leader.
+RETRY_S = 0.3
+
+
+async def send_page(
+    reply: Reply, status: int, content: bytes, content_type: str, extra: Headers = ()
+) -> None:
+    """Send a whole answer."""
+    headers: Headers = (
+        (b'content-type', content_type.encode()),
+        (b'content-length', str(len(content)).encode()),
+        *extra,
+    )
+    await reply.send_head(status, headers)
+    await reply.send_part(content)
+    await reply.finish()
+
+
+@dataclass(frozen=True, slots=True)
+class ReadinessPage:
+    """Tells the balancer whether this instance takes new connections.
+
+    :param reasons: returns why it does not; empty when it does.
+    """
+
+    reasons: Callable[[], tuple[str, ...]]
+
+    async def handle(self, request: CallerRequest, reply: Reply) -> None:
+        """Answer any request."""
+        reasons = self.reasons()
+        content = ', '.join(reasons) or 'ready'
+        await send_page(reply, 503 if reasons else 200, f'{content}\n'.encode(), TEXT_TYPE)
+
+
+@dataclass(frozen=True, slots=True)
+class MetricsPage:
+    """Serves the metrics of a registry."""
+
+    registry: CollectorRegistry
+
+    async def handle(self, request: CallerRequest, reply: Reply) -> None:
+        """Answer any request."""
+        await send_page(reply, 200, generate_latest(self.registry), CONTENT_TYPE_LATEST)
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentPage:
+    """Takes and returns the configuration document.
+
+    :param put_path: path of ``POST`` with a document.
+    :param get_path: path of ``GET``.
+    """
+
+    desk: DocumentDesk
+    put_path: str
+    get_path: str
+
+    async def handle(self, request: CallerRequest, reply: Reply) -> None:
+        """Answer one request of an operator."""
+        match (request.method, request.path):
+            case (b'POST', path) if path == self.put_path:
+                await self._put(request, reply)
+            case (b'GET', path) if path == self.get_path:
+                await self._get(reply)
+            case _:
+                await send_page(reply, 404, b'no such path\n', TEXT_TYPE)
+
+    async def _put(self, request: CallerRequest, reply: Reply) -> None:
+        try:
+            await self.desk.put(request.body)
+        except DocumentInvalid as error:
+            log_message(message_type='shallotmux:document-refused', reason=str(error))
+            await send_page(reply, 400, f'{error}\n'.encode(), TEXT_TYPE)
+        except ShallotmuxError as error:
+            await _send_unavailable(reply, error)
+        else:
+            await send_page(reply, 200, b'{}', JSON_TYPE)
+
+    async def _get(self, reply: Reply) -> None:
+        try:
+            content = await self.desk.read()
+        except ShallotmuxError as error:
+            await _send_unavailable(reply, error)
+            return
+        if content:
+            await send_page(reply, 200, content, JSON_TYPE)
+        else:
+            await send_page(reply, 503, b'no document yet\n', TEXT_TYPE)
+
+
+async def _send_unavailable(reply: Reply, error: ShallotmuxError) -> None:
+    log_message(message_type='shallotmux:document-unavailable', reason=str(error))
+    retry = ((b'retry-after', str(RETRY_S).encode()),)
+    await send_page(reply, 503, f'{error}\n'.encode(), TEXT_TYPE, retry)
--- a/shallotmux/replication/_leadership.py
+++ b/shallotmux/replication/_leadership.py
@@ -9,6 +9,7 @@
     Configuration,
     Entry,
     EntryKind,
+    FollowerStatus,
     MembershipChange,
     PromoteLearner,
     ReadReady,
@@ -117,6 +118,13 @@
         acked[self._state.name] = self._state.now
         return majority_value(self._state.configuration, acked)
 
+    def followers(self) -> dict[str, FollowerStatus]:
+        """Return what is known of each follower."""
+        return {
+            name: FollowerStatus(each.match_index, each.acked_at)
+            for name, each in self._followers.items()
+        }
+
     def lease_end(self) -> float:
         """Return the local time at which the lease ends."""
         if self._has_given_up_lease:
--- a/shallotmux/replication/_model.py
+++ b/shallotmux/replication/_model.py
@@ -186,6 +186,18 @@
     configuration: Configuration
 
 
+@dataclass(frozen=True, slots=True)
+class FollowerStatus:
+    """What a leader knows of a follower.
+
+    :param match_index: last index at which the logs are known to be equal.
+    :param heard_at: send time of the newest heartbeat that it answered; minus infinity before.
+    """
+
+    match_index: int
+    heard_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class AddLearner:
     """Adds a member that follows the log without a vote."""
--- a/shallotmux/replication/_replica.py
+++ b/shallotmux/replication/_replica.py
@@ -23,6 +23,7 @@
 from shallotmux.replication._model import (
     Effects,
     EntryKind,
+    FollowerStatus,
     MembershipChange,
     ReplicaOptions,
     ReplicaStatus,
@@ -174,6 +175,11 @@
             state.configuration,
         )
 
+    def followers(self) -> dict[str, FollowerStatus]:
+        """Return what this replica knows of each follower; empty unless it leads."""
+        leadership = self._current_leadership()
+        return {} if leadership is None else leadership.followers()
+
     def _current_leadership(self) -> Leadership | None:
         return self._leadership if self._state.role is Role.LEADER else None
 
--- /dev/null
+++ b/shallotmux/routes/__init__.py
@@ -0,0 +1,32 @@
+"""Routes by host and path prefix, and the configuration document that holds them."""
+
+from __future__ import annotations
+
+from shallotmux.routes._checks import check_document
+from shallotmux.routes._document import (
+    CallerLimits,
+    EngineProfile,
+    FleetBounds,
+    ForwardedRoute,
+    KeyHolder,
+    RouteDocument,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from shallotmux.routes._table import RouteTable, choose_service
+
+__all__ = (
+    'CallerLimits',
+    'EngineProfile',
+    'FleetBounds',
+    'ForwardedRoute',
+    'KeyHolder',
+    'RouteDocument',
+    'RouteKind',
+    'RouteTable',
+    'Service',
+    'ServiceShare',
+    'check_document',
+    'choose_service',
+)
--- /dev/null
+++ b/shallotmux/routes/_checks.py
@@ -0,0 +1,57 @@
+"""Rules that a configuration document must keep."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from shallotmux.errors import DocumentInvalid
+from shallotmux.routes._document import ForwardedRoute, KeyHolder, RouteDocument
+
+
+def check_document(document: RouteDocument) -> None:
+    """Check a document as a whole.
+
+    :raises DocumentInvalid: naming the first fault.
+    """
+    fault = next(_find_faults(document), None)
+    if fault is not None:
+        raise DocumentInvalid(fault, step='check document')
+
+
+def _find_faults(document: RouteDocument) -> Iterator[str]:
+    services = {each.name for each in document.services}
+    for route in document.routes:
+        yield from _route_faults(route, services)
+    yield from _repeated_places(document.routes)
+    yield from _shared_keys(document.customers)
+
+
+def _route_faults(route: ForwardedRoute, services: set[str]) -> Iterator[str]:
+    for share in route.shares:
+        if share.service not in services:
+            yield f'route {route.name!r}: service {share.service!r} does not exist'
+        if share.weight < 0:
+            yield f'route {route.name!r}: weight {share.weight} is below 0'
+    if sum(each.weight for each in route.shares) <= 0:
+        yield f'route {route.name!r}: its weights add up to 0'
+    if route.timeout_ms <= 0:
+        yield f'route {route.name!r}: its timeout is not above 0'
+    if not (route.prefix.startswith('/') and route.prefix.endswith('/')):
+        yield f'route {route.name!r}: prefix {route.prefix!r} needs a slash at both ends'
+
+
+def _repeated_places(routes: Iterable[ForwardedRoute]) -> Iterator[str]:
+    names: dict[tuple[str, str], str] = {}
+    for route in routes:
+        place = (route.host.lower(), route.prefix)
+        if place in names:
+            yield f'routes {names[place]!r} and {route.name!r} share a host and a prefix'
+        names[place] = route.name
+
+
+def _shared_keys(customers: Iterable[KeyHolder]) -> Iterator[str]:
+    holders: dict[str, str] = {}
+    for customer in customers:
+        for key in customer.keys:
+            if holders.setdefault(key, customer.name) != customer.name:
+                yield f'customers {holders[key]!r} and {customer.name!r} share a key'
--- /dev/null
+++ b/shallotmux/storage/_identity.py
@@ -0,0 +1,47 @@
+"""Identity of an instance that a disk belongs to."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from shallotmux.errors import StorageError
+from shallotmux.storage._filesystem import FileSystem, LocalFileSystem
+
+IDENTITY_NAME = 'identity'
+TEMPORARY_SUFFIX = '.new'
+
+
+def load_identity(folder: Path, filesystem: FileSystem | None = None) -> str | None:
+    """Return the identity that a data folder holds, or None for an empty disk.
+
+    :raises StorageError: if the file cannot be read.
+    """
+    files = filesystem or LocalFileSystem()
+    try:
+        content = files.read(folder / IDENTITY_NAME)
+    except OSError as error:
+        raise StorageError(f'{folder / IDENTITY_NAME}: {error}', step='read') from error
+    return content.decode() if content else None
+
+
+def store_identity(folder: Path, identity: str, filesystem: FileSystem | None = None) -> None:
+    """Make an identity durable.
+
+    :raises StorageError: if that fails.
+    """
+    files = filesystem or LocalFileSystem()
+    target = folder / IDENTITY_NAME
+    temporary = folder / f'{IDENTITY_NAME}{TEMPORARY_SUFFIX}'
+    try:
+        files.make_folder(folder)
+        files.remove(temporary)
+        file = files.append(temporary)
+        try:
+            file.write(identity.encode())
+            file.sync()
+        finally:
+            file.close()
+        files.replace(temporary, target)
+        files.sync_folder(folder)
+    except OSError as error:
+        raise StorageError(f'{target}: {error}', step='store identity') from error
--- a/shallotmux/transport/__init__.py
+++ b/shallotmux/transport/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from shallotmux.transport._grpc import GrpcPeerNetwork, PeerAddresses
+from shallotmux.transport._grpc import GrpcPeerNetwork, PeerAddresses, SelfNamedAddresses
 from shallotmux.transport._memory import MemoryPeerFabric, MemoryPeerNetwork
 from shallotmux.transport._messages import (
     Channel,
@@ -28,6 +28,7 @@
     'PeerNetwork',
     'PeerTls',
     'Refusal',
+    'SelfNamedAddresses',
     'instance_name',
     'new_identity',
 )
--- a/shallotmux/transport/_grpc.py
+++ b/shallotmux/transport/_grpc.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 import trio
@@ -38,6 +38,30 @@
 #: first connection, so that tests can add addresses once the system has chosen the ports.
 PeerAddresses = Mapping[str, str]
 
+
+
+class SelfNamedAddresses(Mapping[str, str]):
+    """Addresses of instances whose names are their addresses, for fleets without a list.
+
+    Any name of the form ``HOST:PORT`` is an instance; so there is nothing to list.
+    """
+
+    def __getitem__(self, name: str) -> str:
+        """Return the address that a name is."""
+        host, _, port = name.rpartition(':')
+        if not host or not port.isdigit():
+            raise KeyError(name)
+        return name
+
+    def __iter__(self) -> Iterator[str]:
+        """Return no name, since instances are not known before they are named."""
+        return iter(())
+
+    def __len__(self) -> int:
+        """Return 0."""
+        return 0
+
+
 #: Time for telling peers that their streams end.
 CLOSE_TIMEOUT_S = 1.0
 
@@ -156,14 +180,17 @@
         link = self.link(peer)
         headers = {NAME_HEADER: self._name}
         try:
-            stub = await asyncio.wait_for(link.connected_stub(), timeout_s)
+            stub = await asyncio.wait_for(link.call_stub(), timeout_s)
         except (OSError, asyncio.TimeoutError) as error:
+            link.drop_calls()
             raise AuthorityUnavailable(
                 f'cannot connect: {error!r}', step='forward', peer=peer
             ) from error
         try:
             return await stub.Forward(request, timeout=timeout_s, metadata=headers)
         except (OSError, GRPCError, StreamTerminatedError, asyncio.TimeoutError) as error:
+            # The connection may have gone silent; other calls on it end with it.
+            link.drop_calls()
             raise OutcomeUnknown(f'no answer: {error!r}', step='forward', peer=peer) from error
 
 
--- a/shallotmux/transport/_link.py
+++ b/shallotmux/transport/_link.py
@@ -36,11 +36,26 @@
 #: retransmission backs off to minutes and delays the stream after a partition heals.
 USER_TIMEOUT_MS = 3000
 
+#: Time for opening a connection. A peer without power or behind a partition answers nothing, and
+#: the system's own limit is minutes.
+CONNECT_TIMEOUT_S = 1.0
+
+#: Time after which a stream counts as broken on which something was sent and nothing came back.
+#: Each message of a leader is answered, and a connection may go silent without a reset.
+SILENCE_S = 2.5
+SILENCE_CHECK_S = 0.5
+
 #: Header that names the sender where connections carry no certificate.
 NAME_HEADER = 'shallotmux-instance'
 
 #: What may end a stream or keep it from opening.
-BROKEN_STREAM = (OSError, GRPCError, StreamTerminatedError, ssl.SSLError)
+BROKEN_STREAM = (
+    OSError,
+    GRPCError,
+    StreamTerminatedError,
+    ssl.SSLError,
+    asyncio.TimeoutError,
+)
 
 Deliver = Callable[[str, Any], None]
 
@@ -98,6 +113,35 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+class SilenceWatch:
+    """Notices that a peer answers nothing any more."""
+
+    def __init__(self) -> None:
+        self._unanswered_since: float | None = None
+
+    def restart(self) -> None:
+        """Forget what was sent on an earlier stream."""
+        self._unanswered_since = None
+
+    def note_sent(self) -> None:
+        """Take note that something was sent."""
+        if self._unanswered_since is None:
+            self._unanswered_since = asyncio.get_running_loop().time()
+
+    def note_received(self) -> None:
+        """Take note that something arrived."""
+        self._unanswered_since = None
+
+    async def wait(self) -> None:
+        """Return once nothing has come back for too long."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SILENCE_CHECK_S)
+            since = self._unanswered_since
+            if since is not None and loop.time() - since > SILENCE_S:
+                return
+
+
 class PeerLink:
     """Everything between this instance and one peer.
 
@@ -113,7 +157,10 @@
         self._open_channel = open_channel
         # Channels belong to the event loop, so the first one is made by a task that runs in it.
         self._channel: PeerChannel | None = None
+        # Calls have a connection of their own, which is dropped when one is not answered in time.
+        self._call_channel: PeerChannel | None = None
         self._deliver = deliver
+        self._silence = SilenceWatch()
         self._random = Random(f'{own}/{peer}')  # noqa: S311
         self._streams = 0
         self._connecting = False
@@ -146,30 +193,52 @@
         finally:
             self._connecting = False
             self._close_channel()
+            self.drop_calls()
 
-    async def connected_stub(self) -> PeerStub:
-        """Connect to the peer unless a connection exists, and return the stub for calls."""
-        if self._channel is None:
-            self._channel = self._open_channel(self._peer)
-        channel = self._channel
+    async def call_stub(self) -> PeerStub:
+        """Connect to the peer unless a connection for calls exists, and return their stub."""
+        if self._call_channel is None:
+            self._call_channel = self._open_channel(self._peer)
+        channel = self._call_channel
         await channel.__connect__()
         return PeerStub(channel)
 
+    def drop_calls(self) -> None:
+        """Close the connection for calls; the next call opens another one."""
+        if self._call_channel is not None:
+            self._call_channel.close()
+            self._call_channel = None
+
     async def use(self, stream: Any) -> None:
-        """Send and receive on an open stream until it ends."""
+        """Send and receive on an open stream until it ends or the peer falls silent."""
         self._streams += 1
+        self._silence.restart()
         sending = asyncio.ensure_future(self._send_all(stream))
+        receiving = asyncio.ensure_future(self._receive_all(stream))
+        watching = asyncio.ensure_future(self._silence.wait())
+        tasks = (sending, receiving, watching)
         try:
-            async for batch in stream:
-                self._deliver(self._peer, batch)
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            if receiving.done():
+                receiving.result()
+            if watching.done():
+                raise StreamTerminatedError('the peer is silent')
         finally:
             self._streams -= 1
-            sending.cancel()
-            await asyncio.gather(sending, return_exceptions=True)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _receive_all(self, stream: Any) -> None:
+        async for batch in stream:
+            self._silence.note_received()
+            self._deliver(self._peer, batch)
 
     async def _exchange(self) -> None:
         headers = {NAME_HEADER: self._own}
-        stub = await self.connected_stub()
+        self._channel = self._open_channel(self._peer)
+        await asyncio.wait_for(self._channel.__connect__(), CONNECT_TIMEOUT_S)
+        stub = PeerStub(self._channel)
         async with stub.Exchange.open(metadata=headers) as stream:
             await stream.send_request()
             await self.use(stream)
@@ -181,7 +250,9 @@
 
     async def _send_all(self, stream: Any) -> None:
         while True:
-            await stream.send_message(await self.queue.next_batch())
+            batch = await self.queue.next_batch()
+            self._silence.note_sent()
+            await stream.send_message(batch)
 
 
 def channel_to(address: str, peer: str, context: ssl.SSLContext | None) -> PeerChannel:
--- /dev/null
+++ b/tests/forwarding/test_parts.py
@@ -0,0 +1,126 @@
+"""Tests of headers, outcomes, events and counts, without connections."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+import trio.testing
+
+from shallotmux.fleet import CustomerCount, TrueClock
+from shallotmux.forwarding import (
+    AnswerHead,
+    BudgetBounds,
+    HeaderNames,
+    RepeatBudget,
+    RequestCounter,
+)
+from shallotmux.forwarding._events import EventSplitter
+from shallotmux.forwarding._headers import (
+    drop_connection_headers,
+    drop_named,
+    parse_duration_ms,
+)
+from shallotmux.forwarding._outcome import Outcome, judge_head
+
+NAMES = HeaderNames()
+
+
+def test_connection_headers_stay_on_their_connection() -> None:
+    """Guards against framing and connection fields that pass to the next connection."""
+    headers = (
+        (b'connection', b'close, X-Private'),
+        (b'x-private', b'1'),
+        (b'transfer-encoding', b'chunked'),
+        (b'content-type', b'text/plain'),
+    )
+    assert drop_connection_headers(headers) == ((b'content-type', b'text/plain'),)
+
+
+def test_reserved_headers_are_dropped_in_any_spelling() -> None:
+    """Guards against callers that set what only the system may set."""
+    headers = ((b'x_customer', b'other'), (b'x-customer', b'other'), (b'x-model', b'm'))
+    assert drop_named(headers, NAMES.reserved) == ((b'x-model', b'm'),)
+
+
+@pytest.mark.parametrize(
+    ('text', 'duration'),
+    [(b'250', 250), (b'1.5', 1.5), (b'', None), (b'-1', None), (b'nan', None), (b'inf', None)],
+)
+def test_durations_are_read_with_care(text: bytes, duration: float | None) -> None:
+    """Guards against deadlines in the past or without end from a strange header."""
+    assert parse_duration_ms(text) == duration
+
+
+@pytest.mark.parametrize(
+    ('status', 'is_marked', 'outcome'),
+    [
+        (200, False, Outcome.DONE),
+        (500, False, Outcome.DONE),
+        (503, True, Outcome.NOT_RUN),
+        (400, True, Outcome.NOT_RUN),
+        (421, False, Outcome.NOT_RUN),
+        (503, False, Outcome.UNKNOWN),
+        (429, False, Outcome.UNKNOWN),
+        (408, False, Outcome.UNKNOWN),
+    ],
+)
+def test_only_marked_refusals_prove_that_nothing_ran(
+    status: int, is_marked: bool, outcome: Outcome
+) -> None:
+    """Guards against refusals passed on as "not run" for requests that ran."""
+    headers = ((NAMES.not_run, b'1'),) if is_marked else ()
+    assert judge_head(AnswerHead(status, headers), NAMES) is outcome
+
+
+def test_incomplete_event_is_held_back() -> None:
+    """Guards against half an event before the whole one of the next run."""
+    events = EventSplitter()
+    assert events.add(b'id: 1\ndata: a\n\nid: 2\nda') == b'id: 1\ndata: a\n\n'
+    assert events.last_id == b'1'
+    events.drop_held()
+    assert events.add(b'id: 2\ndata: b\n\n') == b'id: 2\ndata: b\n\n'
+    assert events.last_id == b'2'
+
+
+def test_rest_of_complete_stream_is_kept() -> None:
+    """Guards against a stream whose last bytes are lost."""
+    events = EventSplitter()
+    assert events.add(b'id: 1\r\n\r\nend') == b'id: 1\r\n\r\n'
+    assert events.take_held() == b'end'
+
+
+async def test_repeats_are_bounded_by_share(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against instances that together repeat more than the fleet may."""
+    budget = RepeatBudget(BudgetBounds(0.2, 50, 10), lambda: 10)
+    assert [budget.take('desk') for _ in range(4)] == [True, True, True, False]
+    assert budget.take('other')
+    await trio.sleep(10.1)
+    assert budget.take('desk')
+
+
+async def test_requests_raise_the_budget(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a budget that ignores the traffic, or counts it for longer than its window."""
+    budget = RepeatBudget(BudgetBounds(0.2, 0, 10), lambda: 1)
+    assert not budget.take('desk')
+    for _ in range(10):
+        budget.note_request('desk')
+    assert budget.take('desk')
+    assert not budget.take('desk')
+    await trio.sleep(10.1)
+    assert not budget.take('desk')
+
+
+def test_counts_belong_to_windows_of_true_time() -> None:
+    """Guards against requests that are counted twice, or in the window of another clock."""
+    steady = [0.0]
+    clock = TrueClock(lambda: 1000.0, lambda: steady[0])
+    counter = RequestCounter(clock, 5)
+    counter.note_begun('a')
+    counter.note_begun('a')
+    steady[0] = 5
+    counter.note_begun('b')
+    expected = (CustomerCount('a', 200, 2), CustomerCount('b', 201, 1))
+    assert counter.counts() == expected
+    assert counter.counts() == expected
+    steady[0] = 60
+    assert counter.counts() == ()
--- /dev/null
+++ b/tests/routes/test_checks.py
@@ -0,0 +1,58 @@
+"""Tests of the rules that a configuration document must keep."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from shallotmux.errors import DocumentInvalid
+from shallotmux.routes import (
+    ForwardedRoute,
+    KeyHolder,
+    RouteDocument,
+    RouteKind,
+    Service,
+    ServiceShare,
+    check_document,
+)
+
+ROUTE = ForwardedRoute(
+    'orders', 'shop.example', '/orders/', RouteKind.UNSAFE, (ServiceShare('desk', 1),), 2000
+)
+DOCUMENT = RouteDocument(1, (ROUTE,), (Service('desk', '/healthz', 8),))
+
+
+def test_proper_document_is_accepted() -> None:
+    """Guards against rules that refuse what operators may send."""
+    check_document(DOCUMENT)
+
+
+@pytest.mark.parametrize(
+    ('route', 'fault'),
+    [
+        (replace(ROUTE, shares=(ServiceShare('nobody', 1),)), "service 'nobody' does not exist"),
+        (replace(ROUTE, shares=(ServiceShare('desk', 0),)), 'add up to 0'),
+        (replace(ROUTE, shares=(ServiceShare('desk', -1), ServiceShare('desk', 2))), 'below 0'),
+        (replace(ROUTE, timeout_ms=0), 'timeout is not above 0'),
+        (replace(ROUTE, prefix='orders/'), 'needs a slash at both ends'),
+    ],
+)
+def test_faulty_route_is_refused(route: ForwardedRoute, fault: str) -> None:
+    """Guards against a document in force that sends requests nowhere or keeps none in time."""
+    with pytest.raises(DocumentInvalid, match=fault):
+        check_document(replace(DOCUMENT, routes=(route,)))
+
+
+def test_routes_in_one_place_are_refused() -> None:
+    """Guards against two routes of which only one could ever be chosen; hosts ignore case."""
+    twin = replace(ROUTE, name='twin', host='SHOP.example')
+    with pytest.raises(DocumentInvalid, match="'orders' and 'twin' share a host and a prefix"):
+        check_document(replace(DOCUMENT, routes=(ROUTE, twin)))
+
+
+def test_shared_key_is_refused() -> None:
+    """Guards against a key whose requests could run for another customer."""
+    customers = (KeyHolder('a', ('k1', 'k2')), KeyHolder('b', ('k2',)))
+    with pytest.raises(DocumentInvalid, match="'a' and 'b' share a key"):
+        check_document(replace(DOCUMENT, customers=customers))
--- /dev/null
+++ b/tests/routes/test_table.py
@@ -0,0 +1,72 @@
+"""Tests of look-ups in a configuration document."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from shallotmux.routes import (
+    ForwardedRoute,
+    KeyHolder,
+    RouteDocument,
+    RouteKind,
+    RouteTable,
+    Service,
+    ServiceShare,
+    choose_service,
+)
+
+
+def route(name: str, prefix: str, *shares: ServiceShare) -> ForwardedRoute:
+    """Return a route of one host."""
+    return ForwardedRoute(
+        name, 'shop.example', prefix, RouteKind.SAFE, shares or (ServiceShare('desk', 1),), 1000
+    )
+
+
+TABLE = RouteTable(
+    RouteDocument(
+        1,
+        (route('all', '/'), route('orders', '/orders/'), route('open', '/orders/open/')),
+        (Service('desk', '/healthz', 8),),
+        customers=(KeyHolder('a', ('k1', 'k2')), KeyHolder('b', ('k3',))),
+    )
+)
+
+
+def found(host: str, path: str) -> str:
+    """Return the name of the route for a path."""
+    chosen = TABLE.find_route(host, path)
+    return chosen.name if chosen else ''
+
+
+def test_longest_prefix_wins() -> None:
+    """Guards against a general route that takes the requests of a special one."""
+    assert found('shop.example', '/orders/open/7') == 'open'
+    assert found('shop.example', '/orders/7') == 'orders'
+    assert found('shop.example', '/orders') == 'all'
+    assert found('SHOP.example:8080', '/x') == 'all'
+
+
+def test_other_host_has_no_route() -> None:
+    """Guards against requests that reach the services of another host."""
+    assert found('other.example', '/orders/7') == ''
+
+
+def test_key_finds_its_holder_alone() -> None:
+    """Guards against requests that run for another customer than the key's holder."""
+    holder = TABLE.find_customer('k2')
+    assert holder is not None
+    assert holder.name == 'a'
+    assert TABLE.find_customer('k') is None
+    assert TABLE.find_customer('') is None
+
+
+def test_shares_follow_weights() -> None:
+    """Guards against requests for a service whose weight is 0, and uneven splits."""
+    split = route(
+        'split', '/', ServiceShare('a', 90), ServiceShare('none', 0), ServiceShare('b', 10)
+    )
+    drawn = Counter(choose_service(split, step / 1000) for step in range(1000))
+    assert drawn == {'a': 900, 'b': 100}
+    last = route('last', '/', ServiceShare('a', 1), ServiceShare('none', 0))
+    assert choose_service(last, 0.999999) == 'a'
