--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -24,7 +24,12 @@
 from shallotmux.errors import SettingsError
 from shallotmux.fleet import JOIN_GROUP, KNOWLEDGE_GROUP, DecodeDocument, TrueClock
 from shallotmux.forwarding import HttpListener
-from shallotmux.programs._lifecycle import LoadSettings, SettingsWatch, wait_for_stop
+from shallotmux.programs._lifecycle import (
+    LoadSettings,
+    SettingsWatch,
+    run_beneath,
+    wait_for_stop,
+)
 from shallotmux.programs._pages import DocumentPage, MetricsPage
 from shallotmux.programs._settings import ProgramSettings
 from shallotmux.transport import (
@@ -91,8 +96,8 @@
         if settings.listen.metrics:
             metrics = MetricsPage(self._registry)
             pages.append(HttpListener(settings.listen.metrics, metrics.handle))
-        async with trio.open_nursery() as nursery:
-            await nursery.start(self._network.run, self)
+        # Calls to peers must end before the network that carries them.
+        async with run_beneath(self._network, self) as nursery:
             for each in pages:
                 await nursery.start(each.run)
             for task in (self.member.run, watch.run, self._set_gauges, *self._duties()):
@@ -109,7 +114,6 @@
             for each in pages:
                 each.drain()
             await trio.sleep(END_S)
-            nursery.cancel_scope.cancel()
         log_message(message_type='shallotmux:stopped', role='control', name=settings.name)
 
     def receive(self, envelope: PeerEnvelope) -> None:
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -23,7 +23,12 @@
     RepeatBudget,
     RequestCounter,
 )
-from shallotmux.programs._lifecycle import LoadSettings, SettingsWatch, wait_for_stop
+from shallotmux.programs._lifecycle import (
+    LoadSettings,
+    SettingsWatch,
+    run_beneath,
+    wait_for_stop,
+)
 from shallotmux.programs._pages import MetricsPage, ReadinessPage
 from shallotmux.programs._settings import ProgramSettings
 from shallotmux.routes import CallerLimits
@@ -106,8 +111,8 @@
         pages = [HttpListener(listen.readiness, readiness.handle)]
         if listen.metrics:
             pages.append(HttpListener(listen.metrics, MetricsPage(self.metrics.registry).handle))
-        async with trio.open_nursery() as nursery:
-            await nursery.start(self._network.run, self)
+        # Calls to peers must end before the network that carries them.
+        async with run_beneath(self._network, self) as nursery:
             await nursery.start(self._listener.run)
             for page in pages:
                 await nursery.start(page.run)
@@ -116,7 +121,6 @@
             log_message(message_type='shallotmux:started', role='entry', name=self.settings.name)
             await wait_for_stop(watch)
             await self._leave()
-            nursery.cancel_scope.cancel()
         log_message(message_type='shallotmux:stopped', role='entry', name=self.settings.name)
 
     def receive(self, envelope: PeerEnvelope) -> None:
--- a/shallotmux/programs/_lifecycle.py
+++ b/shallotmux/programs/_lifecycle.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 
 import trio
 from eliot import log_message
 
 from shallotmux.errors import SettingsError
 from shallotmux.programs._settings import ProgramSettings
+from shallotmux.transport import PeerHandler, PeerNetwork
 
 #: Interval at which the settings are read again, since they may change without a signal.
 SETTINGS_CHECK_S = 1.0
@@ -59,6 +61,20 @@
             self._apply(loaded)
 
 
+@asynccontextmanager
+async def run_beneath(network: PeerNetwork, handler: PeerHandler) -> AsyncIterator[trio.Nursery]:
+    """Run a network for the tasks of a nursery, which are all ended before it.
+
+    A call that is under way when its network ends raises an error of the network's event loop.
+    """
+    async with trio.open_nursery() as outer:
+        await outer.start(network.run, handler)
+        async with trio.open_nursery() as inner:
+            yield inner
+            inner.cancel_scope.cancel()
+        outer.cancel_scope.cancel()
+
+
 async def wait_for_stop(
     watch: SettingsWatch, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
 ) -> None:
--- /dev/null
+++ b/tests/programs/_fleet.py
@@ -0,0 +1,163 @@
+"""A deployment of control and entry programs on loopback addresses, in one process."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import trio
+
+from shallotmux.control import DutyHolder, DutyOutcome, FleetOrder, UsageReport
+from shallotmux.errors import ShallotmuxError
+from shallotmux.fleet import EngineRole, ListedEndpoint, Listing
+from shallotmux.forwarding import Dialect
+from shallotmux.programs import (
+    ControlBorder,
+    ControlProgram,
+    EntryBorder,
+    EntryProgram,
+    ListenAddresses,
+    ProgramRole,
+    ProgramSettings,
+    ProgramTimes,
+)
+from shallotmux.routes import (
+    ForwardedRoute,
+    KeyHolder,
+    RouteDocument,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+
+PUT_PATH = '/document'
+
+#: Port of peers; each instance has a loopback address of its own.
+PEER_PORT = 17_780
+CALLER_PORT = 17_781
+OPERATOR_PORT = 17_782
+READINESS_PORT = 17_783
+
+
+def decode(content: bytes) -> RouteDocument:
+    """Return the document of a test: a version, and routes that all lead to one service."""
+    plain = json.loads(content)
+    routes = tuple(
+        ForwardedRoute(
+            prefix, 'shop.example', prefix, RouteKind.SAFE, (ServiceShare('desk', 1),), 2000, 200
+        )
+        for prefix in plain['routes']
+    )
+    return RouteDocument(
+        plain['version'],
+        routes,
+        (Service('desk', '/healthz', 8),),
+        customers=(KeyHolder('tailors', ('k1',)),),
+    )
+
+
+@dataclass(slots=True)
+class FakePlatform:
+    """Lists one endpoint and takes reports."""
+
+    address: str
+    reports: dict[int, dict[str, int]] = field(default_factory=dict)
+    holders: list[DutyHolder] = field(default_factory=list)
+    is_down: bool = False
+
+    async def list_endpoints(self) -> Listing:
+        """Return the list."""
+        if self.is_down:
+            raise ShallotmuxError('down', step='list')
+        return Listing((ListedEndpoint('e-1', 'desk', self.address, 'a', 4),))
+
+    async def report_usage(self, report: UsageReport, holder: DutyHolder) -> DutyOutcome:
+        """Take a report."""
+        self.reports[report.window] = dict(report.counts)
+        self.holders.append(holder)
+        return DutyOutcome.ACCEPTED
+
+    async def order_endpoints(self, order: FleetOrder, holder: DutyHolder) -> DutyOutcome:
+        """Refuse orders."""
+        return DutyOutcome.UNAVAILABLE
+
+    async def change_role(
+        self, endpoint: ListedEndpoint, role: EngineRole, holder: DutyHolder
+    ) -> DutyOutcome:
+        """Refuse orders."""
+        return DutyOutcome.UNAVAILABLE
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Addresses of a running deployment.
+
+    :param base: first three numbers of the loopback addresses.
+    """
+
+    base: str
+    folder: Path
+    platform: FakePlatform
+    controls: dict[int, ControlProgram] = field(default_factory=dict)
+    scopes: dict[int, trio.CancelScope] = field(default_factory=dict)
+
+    def settings(self, number: int, role: ProgramRole, *, bootstrap: bool) -> ProgramSettings:
+        """Return the settings of one instance."""
+        host = f'{self.base}.{number}'
+        return ProgramSettings(
+            role,
+            f'{role.value}-{number}',
+            'a',
+            ListenAddresses(
+                f'{host}:{PEER_PORT}',
+                f'{host}:{CALLER_PORT}',
+                f'{host}:{READINESS_PORT}',
+                f'{host}:{OPERATOR_PORT}',
+            ),
+            tuple(f'{self.base}.{seed}:{PEER_PORT}' for seed in (1, 2, 3)),
+            bootstrap,
+            self.folder / str(number),
+            times=ProgramTimes(grace_s=1, listing_s=0.2, usage_window_s=1),
+        )
+
+    async def run_control(
+        self,
+        number: int,
+        bootstrap: bool,  # noqa: FBT001
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run a control program until its scope is cancelled."""
+        settings = self.settings(number, ProgramRole.CONTROL, bootstrap=bootstrap)
+        border = ControlBorder(decode, self.platform, PUT_PATH, PUT_PATH)
+        with trio.CancelScope() as scope:
+            self.scopes[number] = scope
+            program = ControlProgram(settings, border)
+            self.controls[number] = program
+            task_status.started()
+            await program.run(lambda: settings)
+
+    async def run_entry(self, number: int) -> None:
+        """Run an entry program until cancelled."""
+        settings = self.settings(number, ProgramRole.ENTRY, bootstrap=False)
+        border = EntryBorder(Dialect(), decode, self.platform)
+        await EntryProgram(settings, border).run(lambda: settings)
+
+    def url(self, number: int, port: int) -> str:
+        """Return the address of a listener."""
+        return f'http://{self.base}.{number}:{port}'
+
+
+@asynccontextmanager
+async def run_fleet(base: str, folder: Path, endpoint: str) -> AsyncIterator[Fleet]:
+    """Run three control instances and one entry instance, number 9."""
+    fleet = Fleet(base, folder, FakePlatform(endpoint))
+    async with trio.open_nursery() as nursery:
+        for number in (1, 2, 3):
+            await nursery.start(fleet.run_control, number, True)
+        nursery.start_soon(fleet.run_entry, 9)
+        yield fleet
+        nursery.cancel_scope.cancel()
