--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -7,12 +7,15 @@
 
 import msgspec
 import trio
+from eliot import log_message
 
 from shallotmux.authority import GroupState
 from shallotmux.fleet import (
     CustomerCount,
     Knowledge,
+    ListedEndpoint,
     Listing,
+    ServiceDemand,
     TrueClock,
     decode_poll,
     encode_knowledge,
@@ -67,11 +70,17 @@
         self._peers = peers
         self.usage = UsageLedger()
         self.listing: Listing | None = None
+        self._summary: Counter[str] = Counter()
         self._listed_at = float('-inf')
         self._heard: dict[str, float] = {}
+        self._demands: dict[str, tuple[ServiceDemand, ...]] = {}
 
     def take_listing(self, listing: Listing, listed_at: float) -> None:
         """Take the platform's list as read at a local time."""
+        summary = Counter(_describe(each) for each in listing.endpoints)
+        if summary != self._summary:
+            self._summary = summary
+            log_message(message_type='shallotmux:listing', endpoints=dict(sorted(summary.items())))
         self.listing = listing
         self._listed_at = listed_at
 
@@ -81,6 +90,21 @@
         self._heard = {name: at for name, at in self._heard.items() if at >= oldest}
         return len({instance_name(name) for name in self._heard})
 
+    def demand_of(self, service: str) -> float:
+        """Return the prompt tokens that all instances have to have read in a second."""
+        oldest = trio.current_time() - INSTANCE_MEMORY_S
+        self._demands = {
+            name: demands
+            for name, demands in self._demands.items()
+            if self._heard.get(name, oldest) > oldest
+        }
+        return sum(
+            each.tokens_per_s
+            for demands in self._demands.values()
+            for each in demands
+            if each.service == service
+        )
+
     def answer(self, payload: bytes) -> ForwardAnswer:
         """Answer a poll."""
         try:
@@ -90,6 +114,7 @@
         now = trio.current_time()
         self._heard[poll.sender] = now
         self.usage.take(poll.sender, poll.counts)
+        self._demands[poll.sender] = poll.demands
         document = self._state.zone.document
         is_news = document.version > poll.version and bool(document.content)
         knowledge = Knowledge(
@@ -102,3 +127,10 @@
             self._clock.own(),
         )
         return ForwardAnswer(encode_knowledge(knowledge))
+
+
+def _describe(endpoint: ListedEndpoint) -> str:
+    """Return what a log line tells of an endpoint, equal for those that are alike."""
+    kind = 'cheap' if endpoint.is_cheap else 'regular'
+    state = 'leaving' if endpoint.is_leaving else 'ready'
+    return f'{endpoint.service} {endpoint.zone} {endpoint.role.value} {kind} {state}'
--- a/shallotmux/fleet/_learner.py
+++ b/shallotmux/fleet/_learner.py
@@ -17,6 +17,7 @@
     CustomerCount,
     Knowledge,
     Poll,
+    ServiceDemand,
     decode_answer,
     encode_knowledge,
 )
@@ -24,7 +25,7 @@
 from shallotmux.transport import PeerNetwork, Refusal
 
 #: Interval between two polls of one poller.
-POLL_S = 0.25
+POLL_S = 0.4
 
 #: Time after which a poll counts as lost and another control instance is asked.
 POLL_TIMEOUT_S = 0.5
@@ -86,6 +87,7 @@
 
     :param seeds: names of the control instances that the settings name.
     :param counts: returns the usage counts to send along.
+    :param demands: returns the demand at this instance.
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         decode: DecodeDocument,
         clock: TrueClock,
         counts: Callable[[], tuple[CustomerCount, ...]],
+        demands: Callable[[], tuple[ServiceDemand, ...]] = tuple,
     ) -> None:
         self.view = FleetView()
         self._name = name
@@ -103,6 +106,7 @@
         self._decode = decode
         self._clock = clock
         self._counts = counts
+        self._demands = demands
         self._seeds = tuple(seeds)
         self._peers = list(self._seeds)
         self._next = 0
@@ -140,7 +144,7 @@
         return min(self._peers, key=lambda each: self._avoided_until.get(each, 0))
 
     async def _poll(self, peer: str) -> None:
-        poll = Poll(self._name, self.view.version, self._counts())
+        poll = Poll(self._name, self.view.version, self._counts(), self._demands())
         try:
             answer = await self._network.forward(
                 peer, KNOWLEDGE_GROUP, encode_knowledge(poll), POLL_TIMEOUT_S
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -21,17 +21,26 @@
     requests: int
 
 
+class ServiceDemand(msgspec.Struct, frozen=True):
+    """Prompt tokens that one instance had to have read lately, for one service."""
+
+    service: str
+    tokens_per_s: float
+
+
 class Poll(msgspec.Struct, frozen=True):
     """Asks for what is newer than the sender knows.
 
     :param sender: name and incarnation of the instance.
     :param version: version of the document that the sender holds; 0 for none.
     :param counts: all counts of the sender for the windows that are still open.
+    :param demands: demand at the sender, by service.
     """
 
     sender: str
     version: int
     counts: tuple[CustomerCount, ...] = ()
+    demands: tuple[ServiceDemand, ...] = ()
 
 
 class Knowledge(msgspec.Struct, frozen=True):
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -55,7 +55,7 @@
 DELIVERED = ''
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Attempt:
     """One attempt under way; the fields are those of :meth:`AttemptRunner.run`."""
 
@@ -63,6 +63,13 @@
     target: Target
     waiting: trio.CancelScope
     may_hold_back: bool
+    is_read: bool = False
+
+    def note_read(self) -> None:
+        """Take the prompt off the endpoint's backlog, once."""
+        if not self.is_read:
+            self.is_read = True
+            self.target.state.unread_tokens -= self.target.unread_tokens
 
 
 class AttemptRunner:
@@ -92,11 +99,14 @@
         :param may_hold_back: whether a failed answer is kept from the caller for another attempt.
         """
         state = target.state
+        attempt = _Attempt(job, target, waiting, may_hold_back)
         state.in_flight += 1
+        state.unread_tokens += target.unread_tokens
         try:
-            end = await self._exchange(_Attempt(job, target, waiting, may_hold_back))
+            end = await self._exchange(attempt)
         finally:
             state.in_flight -= 1
+            attempt.note_read()
         if end.is_failure:
             self._directory.note_failure(state, end.reason)
         elif end.outcome is Outcome.DONE:
@@ -146,6 +156,7 @@
         job = attempt.job
         head = await connection.receive_head()
         attempt.waiting.deadline = math.inf
+        attempt.note_read()
         load = head.header(self._names.load)
         if load is not None:
             attempt.target.state.note_load(load, trio.current_time())
@@ -179,6 +190,7 @@
         part = await connection.receive_part()
         self._note_begun(job)
         while part is not None:
+            job.note_part()
             await job.reply.send_part(part if job.events is None else job.events.add(part))
             part = await connection.receive_part()
         if job.events is not None:
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -46,7 +46,7 @@
     listed: ListedEndpoint
     in_flight: int = 0
     #: Tokens that this instance's requests have yet to be read there.
-    unread_tokens: int = 0
+    unread_tokens: float = 0.0
     load: ReportedLoad | None = None
     failures: int = 0
     avoided_until: float = float('-inf')
@@ -104,10 +104,12 @@
     """Where an attempt goes.
 
     :param extra: headers that the attempt carries.
+    :param unread_tokens: tokens that the endpoint has to read before its answer begins.
     """
 
     state: EndpointState
     extra: Headers = ()
+    unread_tokens: float = 0.0
 
 
 class EndpointDirectory:
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -10,14 +10,21 @@
 from eliot import log_message
 
 from shallotmux.errors import EndpointError
-from shallotmux.fleet import EngineRole
+from shallotmux.fleet import EngineRole, ServiceDemand
 from shallotmux.forwarding._admission import Dialect
+from shallotmux.forwarding._demand import DemandMeter
 from shallotmux.forwarding._directory import EndpointDirectory, EndpointState, Target
 from shallotmux.forwarding._endpoint import ConnectionUnusable, EndpointConnection
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._outcome import Outcome, judge_head
 from shallotmux.forwarding._pool import ConnectionPool
-from shallotmux.placement import EngineView, Placement, PlacementRequest, place_request
+from shallotmux.placement import (
+    EngineView,
+    Placement,
+    PlacementRequest,
+    direct_limit,
+    place_request,
+)
 from shallotmux.routes import EngineProfile, RouteTable
 
 #: Speed at which an engine reads prompts while none was measured, in tokens per ms.
@@ -57,27 +64,40 @@
         self._directory = directory
         self._table = table
         self.reasons: Counter[str] = Counter()
+        self._demand = DemandMeter()
+
+    def demands(self) -> tuple[ServiceDemand, ...]:
+        """Return the prompt tokens that had to be read lately, by service."""
+        return self._demand.rates()
 
     async def place(self, job: Job, usable: list[EndpointState]) -> Target | None:
         """Return the engine for a job, after its prompt was read where that pays."""
         profile = self._profile(job.service)
         if job.prompt is None or profile is None:
             return None
-        request = PlacementRequest(job.prompt, self._zone, _transfer_speed(profile))
+        request = PlacementRequest(
+            job.prompt,
+            self._zone,
+            _transfer_speed(profile),
+            direct_limit(
+                job.route.gap_objective_ms, DECODE_READ_SPEED * DEFAULT_READ_TOKENS_PER_MS
+            ),
+        )
         placement = place_request(request, [self._view(each) for each in usable])
         if placement is None:
             return None
         self._log(job, placement)
+        self._demand.note(job.service, placement.unread_tokens)
         decode = self._directory.find(placement.decode)
         if decode is None:
             return None
         decode.note_prompt(job.prompt)
         prefill = self._directory.find(placement.prefill or '')
         if prefill is None:
-            return Target(decode)
+            return Target(decode, unread_tokens=placement.unread_tokens)
         handle = await self._prefill(job, prefill)
         if handle is None:
-            return Target(decode)
+            return Target(decode, unread_tokens=placement.unread_tokens)
         source = f'{prefill.listed.address}/{handle}'.encode()
         return Target(decode, ((self._dialect.names.cache_source, source),))
 
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -151,6 +151,8 @@
             reason=end.reason,
             number=job.sends,
             version=self.view.version,
+            first_ms=int(job.first_part_s * 1000),
+            gap_ms=int(job.longest_gap_s * 1000),
             left_ms=int(job.remaining_s * 1000),
         )
 
--- a/shallotmux/forwarding/_job.py
+++ b/shallotmux/forwarding/_job.py
@@ -39,6 +39,11 @@
     sends: int = 0
     has_begun: bool = False
     excluded: set[str] = field(default_factory=set)
+    #: Time from the head of the request to the first part of the answer; 0 before it.
+    first_part_s: float = 0.0
+    #: Longest time between two parts of the answer.
+    longest_gap_s: float = 0.0
+    last_part_at: float = 0.0
     #: Follows the events of a resumable stream; None for other answers.
     events: EventSplitter | None = None
 
@@ -47,6 +52,15 @@
         """Return the time until the deadline."""
         return self.deadline - trio.current_time()
 
+    def note_part(self) -> None:
+        """Take note that a part of the answer arrived."""
+        now = trio.current_time()
+        if self.last_part_at:
+            self.longest_gap_s = max(self.longest_gap_s, now - self.last_part_at)
+        else:
+            self.first_part_s = now - self.request.received_at
+        self.last_part_at = now
+
     def outgoing(self, names: HeaderNames, endpoint: str, extra: Headers = ()) -> OutgoingRequest:
         """Return the request as an endpoint receives it.
 
--- a/shallotmux/placement/__init__.py
+++ b/shallotmux/placement/__init__.py
@@ -6,6 +6,7 @@
     EngineView,
     Placement,
     PlacementRequest,
+    direct_limit,
     place_request,
 )
 from shallotmux.placement._homes import rank_homes
@@ -18,6 +19,7 @@
     'Prompt',
     'PromptPart',
     'build_prompt',
+    'direct_limit',
     'place_request',
     'rank_homes',
 )
--- a/shallotmux/placement/_choice.py
+++ b/shallotmux/placement/_choice.py
@@ -3,19 +3,32 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from shallotmux.fleet import EngineRole
 from shallotmux.placement._homes import rank_homes
 from shallotmux.placement._prompt import Prompt
 
-#: Engines of each role that are weighed against each other, in the order of the homes.
+#: Homes of a prefix that are weighed against each other, in their order.
 HOMES_WEIGHED = 2
 
 #: Time by which another engine must be better before a request leaves its home, in ms. It is
 #: about the time that reading a shared part again takes.
 LEAVE_HOME_MS = 60.0
 
+#: Tokens of a shared part from which it is worth while to keep its requests together. Fewer are
+#: read again within about a step of an engine.
+HOME_TOKENS = 1024
+
+#: Time by which an engine of another zone must be better, in ms: bytes between zones are paid for.
+OTHER_ZONE_MS = 12.0
+
+#: Time that a request waits for each one before it at an engine without a free slot.
+QUEUED_REQUEST_MS = 20.0
+
+#: Time by which a running stream delays the tokens of another one, in ms.
+RUNNING_STREAM_MS = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class EngineView:
@@ -42,18 +55,13 @@
         queued = max(0.0, self.running - self.slots)
         return self.backlog_tokens / self.read_tokens_per_ms + queued * QUEUED_REQUEST_MS
 
-    def read_ms(self, prompt: Prompt, *, is_home: bool) -> float:
-        """Return the time for reading what it does not hold of a prompt."""
+    def unread_tokens(self, prompt: Prompt, *, is_home: bool) -> int:
+        """Return the tokens of a prompt that it does not hold."""
         cached = prompt.cached_tokens(self.held)
         if is_home:
             # Other instances send the same prefix here, so it is held without their telling.
-            shared = sum(part.tokens for part in prompt.parts[:-1])
-            cached = max(cached, shared)
-        return max(0, prompt.tokens - cached) / self.read_tokens_per_ms
-
-
-#: Time that a request waits for each one before it at an engine without a free slot.
-QUEUED_REQUEST_MS = 20.0
+            cached = max(cached, prompt.shared_tokens)
+        return max(0, prompt.tokens - cached)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,68 +70,123 @@
 
     :param prefill: engine that reads the prompt first; None if the other one reads it itself.
     :param expected_ms: expected time to the first token.
+    :param unread_tokens: tokens that have to be read.
     """
 
     decode: str
     prefill: str | None
     expected_ms: float
     reason: str
+    unread_tokens: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class PlacementRequest:
     """A request that needs engines.
 
+    :param zone: availability zone from which it is sent.
     :param transfer_tokens_per_ms: speed at which KV cache is moved between engines.
-    :param excluded: engines that refused it or failed.
+    :param direct_tokens: tokens that an engine may read between the tokens of its streams before
+        their gaps become too long.
     """
 
     prompt: Prompt
     zone: str
     transfer_tokens_per_ms: float
-    excluded: frozenset[str] = field(default_factory=frozenset)
+    direct_tokens: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Reading:
+    """An engine that reads a prompt, and when it is done."""
+
+    engine: EngineView
+    unread_tokens: int
+    time_ms: float
 
 
 def place_request(request: PlacementRequest, engines: Iterable[EngineView]) -> Placement | None:
-    """Return the placement with the earliest first token, or None without an engine to decode.
+    """Return the placement of a request, or None without an engine to decode.
 
-    Reading at the engine that also generates saves the transfer but goes at a lower speed and
-    between the tokens of others; reading at a prefill engine needs a transfer.
+    A prompt that is read by the engine which generates the answer stretches the gaps of the other
+    streams there. Mostly it is therefore read by an engine that does nothing else, and its KV cache
+    is moved; a short one is read directly while those engines are busy.
     """
-    usable = [each for each in engines if each.identity not in request.excluded]
+    usable = tuple(engines)
     decoding = [each for each in usable if each.role is not EngineRole.PREFILL]
+    prefilling = [each for each in usable if each.role is EngineRole.PREFILL]
     if not decoding:
         return None
-    prefilling = [each for each in usable if each.role is EngineRole.PREFILL]
-    homes = _homes(request.prompt, decoding)
-    direct = _best_reader(request.prompt, homes)
-    best = Placement(direct[0].identity, None, direct[1], 'direct')
-    if prefilling:
-        handed = _hand_over(request, homes, _homes(request.prompt, prefilling))
-        best = min((best, handed), key=lambda each: each.expected_ms)
-    return best
+    direct = _read_directly(_choose_reader(request, decoding))
+    if not prefilling:
+        return direct
+    handed = _hand_over(request, decoding, _choose_reader(request, prefilling))
+    is_short = direct.unread_tokens <= request.direct_tokens
+    return direct if is_short and direct.expected_ms < handed.expected_ms else handed
+
 
+def _read_directly(reading: _Reading) -> Placement:
+    """Return the placement at an engine that reads and generates.
+
+    Reading delays each stream there, which counts like a delay of the request itself.
+    """
+    engine = reading.engine
+    harm_ms = engine.running * reading.unread_tokens / engine.read_tokens_per_ms
+    return Placement(
+        engine.identity, None, reading.time_ms + harm_ms, 'direct', reading.unread_tokens
+    )
 
-def _homes(prompt: Prompt, engines: Sequence[EngineView]) -> list[EngineView]:
+
+def _choose_reader(request: PlacementRequest, engines: Sequence[EngineView]) -> _Reading:
+    """Return the engine that has read the prompt first; leaving its home counts as a delay."""
+    prompt = request.prompt
     by_identity = {each.identity: each for each in engines}
-    return [by_identity[each] for each in rank_homes(prompt.home_key, by_identity)]
+    homes = [by_identity[each] for each in rank_homes(prompt.home_key, by_identity)]
+    candidates = homes[:HOMES_WEIGHED] if prompt.shared_tokens >= HOME_TOKENS else homes
+    weighed = (_weigh_reading(request, engine, rank) for rank, engine in enumerate(candidates))
+    return min(weighed, key=lambda each: each.time_ms)
 
 
-def _best_reader(prompt: Prompt, homes: Sequence[EngineView]) -> tuple[EngineView, float]:
-    """Return the engine that has read the prompt first, and the time until then."""
-    weighed = [
-        (engine.wait_ms + engine.read_ms(prompt, is_home=not rank) + rank * LEAVE_HOME_MS, engine)
-        for rank, engine in enumerate(homes[:HOMES_WEIGHED])
-    ]
-    time_ms, engine = min(weighed, key=lambda each: each[0])
-    return engine, time_ms
+def _weigh_reading(request: PlacementRequest, engine: EngineView, rank: int) -> _Reading:
+    unread = engine.unread_tokens(request.prompt, is_home=not rank)
+    time_ms = engine.wait_ms + unread / engine.read_tokens_per_ms + _distance_ms(request, engine)
+    if rank and request.prompt.shared_tokens >= HOME_TOKENS:
+        time_ms += LEAVE_HOME_MS
+    return _Reading(engine, unread, time_ms + engine.running * RUNNING_STREAM_MS)
 
 
 def _hand_over(
-    request: PlacementRequest, decoding: Sequence[EngineView], prefilling: Sequence[EngineView]
+    request: PlacementRequest, decoding: Sequence[EngineView], reading: _Reading
 ) -> Placement:
-    reader, read_ms = _best_reader(request.prompt, prefilling)
-    taker = min(decoding, key=lambda each: (each.wait_ms, each.running))
+    def delay_ms(engine: EngineView) -> float:
+        busy_ms = engine.wait_ms + engine.running * RUNNING_STREAM_MS
+        return busy_ms + _distance_ms(request, engine)
+
+    taker = min(decoding, key=delay_ms)
     transfer_ms = request.prompt.tokens / request.transfer_tokens_per_ms
-    expected_ms = max(read_ms, taker.wait_ms) + transfer_ms
-    return Placement(taker.identity, reader.identity, expected_ms, 'handed over')
+    expected_ms = max(reading.time_ms, taker.wait_ms) + transfer_ms
+    return Placement(
+        taker.identity,
+        reading.engine.identity,
+        expected_ms,
+        'handed over',
+        reading.unread_tokens,
+    )
+
+
+def _distance_ms(request: PlacementRequest, engine: EngineView) -> float:
+    return 0.0 if engine.zone == request.zone else OTHER_ZONE_MS
+
+
+#: Part of the longest gap that reading a prompt may add to the streams beside it.
+DIRECT_GAP_PART = 0.3
+
+
+def direct_limit(gap_objective_ms: float, read_tokens_per_ms: float) -> float:
+    """Return the tokens that may be read between the tokens of streams.
+
+    :param gap_objective_ms: longest gap of the streams; 0 when there is no objective.
+    """
+    if not gap_objective_ms:
+        return float('inf')
+    return DIRECT_GAP_PART * gap_objective_ms * read_tokens_per_ms
--- a/shallotmux/placement/_prompt.py
+++ b/shallotmux/placement/_prompt.py
@@ -46,6 +46,11 @@
             return b''
         return max(shared, key=lambda part: part.tokens).prefix
 
+    @property
+    def shared_tokens(self) -> int:
+        """Return the tokens of the parts that other prompts share."""
+        return sum(part.tokens for part in self.parts[:-1])
+
     def cached_tokens(self, held: set[bytes] | frozenset[bytes]) -> int:
         """Return the tokens that need not be read where some prefixes are held.
 
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -18,7 +18,9 @@
     LeaderTerm,
     ListingPoller,
     MemberSettings,
+    OrderingDuty,
     PlatformBorder,
+    RoleDuty,
     UsageDuty,
 )
 from shallotmux.errors import SettingsError
@@ -32,6 +34,7 @@
 )
 from shallotmux.programs._pages import DocumentPage, MetricsPage
 from shallotmux.programs._settings import ProgramSettings
+from shallotmux.routes import RouteTable
 from shallotmux.transport import (
     ForwardAnswer,
     GrpcPeerNetwork,
@@ -81,6 +84,8 @@
         )
         self._desk = KnowledgeDesk(self.member.state, self._clock, self.member.peers)
         self._registry = CollectorRegistry()
+        self._tabled_version = 0
+        self._cached_table: RouteTable | None = None
 
     def apply_settings(self, settings: ProgramSettings) -> None:
         """Take changed settings."""
@@ -142,8 +147,19 @@
             window_s = settings.times.usage_window_s
             duty = UsageDuty(self.member, self._desk, platform, self._clock, term, window_s)
             tasks.append(duty.run)
+        if settings.has_orders:
+            tasks.append(OrderingDuty(self._desk, platform, term, self._table).run)
+        tasks.append(RoleDuty(self._desk, platform, term, self._table).run)
         return tuple(tasks)
 
+    def _table(self) -> RouteTable | None:
+        """Return the look-ups of the local document, which may lag behind the group's."""
+        document = self.member.state.zone.document
+        if document.content and document.version != self._tabled_version:
+            self._tabled_version = document.version
+            self._cached_table = RouteTable(self._border.decode_document(document.content))
+        return self._cached_table
+
     async def _set_gauges(self) -> None:
         term = Gauge('shallotmux_term', 'Term of the group.', registry=self._registry)
         leads = Gauge('shallotmux_leads', 'Whether this leads.', registry=self._registry)
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -9,7 +9,7 @@
 from eliot import log_message
 
 from shallotmux.control import ListingPoller, PlatformBorder
-from shallotmux.fleet import DecodeDocument, FleetLearner, TrueClock
+from shallotmux.fleet import DecodeDocument, FleetLearner, ServiceDemand, TrueClock
 from shallotmux.forwarding import (
     AttemptRunner,
     ConnectionPool,
@@ -80,12 +80,16 @@
             border.decode_document,
             self._clock,
             self._counter.counts,
+            self._placer_demands,
         )
         self.view = self._learner.view
         self._pool = ConnectionPool(border.dialect.names.request_id)
         self._directory = EndpointDirectory(self._pool.forget)
         self.view.on_listing.append(self._directory.take_listing)
         self.metrics = ForwardingMetrics()
+        self._placer = EnginePlacer(
+            settings.zone, border.dialect, self._pool, self._directory, lambda: self.view.table
+        )
         self._listener = HttpListener(
             settings.listen.callers, self._build_forwarder().handle, self._limits
         )
@@ -130,6 +134,9 @@
         """Refuse commands."""
         return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail='an entry instance')
 
+    def _placer_demands(self) -> tuple[ServiceDemand, ...]:
+        return self._placer.demands()
+
     def _build_forwarder(self) -> Forwarder:
         dialect = self._border.dialect
         settings = self.settings
@@ -139,9 +146,7 @@
             dialect,
             self._directory,
             AttemptRunner(dialect.names, self._pool, self._directory, self._note_begun),
-            EnginePlacer(
-                settings.zone, dialect, self._pool, self._directory, lambda: self.view.table
-            ),
+            self._placer,
             RepeatBudget(settings.budget, lambda: self.view.instances),
             self.metrics,
         )
