--- a/shallotmux/control/_role_plan.py
+++ b/shallotmux/control/_role_plan.py
@@ -9,6 +9,10 @@
 from shallotmux.control._sizing import count_generators
 from shallotmux.fleet import EngineRole, ListedEndpoint
 
+#: Engines beyond the wanted ones that may go on generating. A change takes an engine out for
+#: seconds, so the roles do not follow each endpoint that comes or goes.
+SPARE_GENERATORS = 1
+
 
 @dataclass(frozen=True, slots=True)
 class RoleChange:
@@ -27,7 +31,7 @@
     reading = [each for each in engines if each.role is EngineRole.PREFILL]
     generating = [each for each in engines if each.role is EngineRole.DECODE]
     wanted = count_generators(len(reading) + len(generating))
-    if len(generating) > wanted:
+    if len(generating) > wanted + SPARE_GENERATORS:
         return RoleChange(_most_crowded(generating), EngineRole.PREFILL)
     if len(generating) < wanted and len(reading) > 1:
         return RoleChange(_least_crowded(reading, generating), EngineRole.DECODE)
--- a/shallotmux/control/_sizing.py
+++ b/shallotmux/control/_sizing.py
@@ -81,8 +81,16 @@
     zone, which may all be reclaimed at once. Regular ones stay until the cheap ones are there.
     """
     cheap = _cheap_counts(view)
-    is_carried = sum(fleet.cheap for fleet in view.fleets.values()) >= view.needed
-    regular = _regular_counts(view, cheap) if is_carried else {}
+    present = sum(fleet.cheap for fleet in view.fleets.values())
+    reachable = present if view.dry else sum(cheap.values())
+    kept = _regular_counts(view, cheap)
+    missing = view.needed - reachable - sum(kept.values())
+    regular = kept
+    if missing > 0:
+        regular = _fill_up(view, kept, missing)
+    elif present + sum(kept.values()) < view.needed:
+        # Cheap endpoints are on their way; the regular ones serve until they are there.
+        regular = {}
     wanted = [
         FleetOrder(view.service, zone, count, is_cheap=True)
         for zone, count in cheap.items()
@@ -112,7 +120,7 @@
 
     They go on serving when cheap endpoints are reclaimed in several zones at once.
     """
-    by_price = sorted(view.fleets, key=lambda zone: (_price(view.bounds, zone), zone))
+    by_price = _by_price(view)
     kept = frozenset(by_price[: math.ceil(len(by_price) / 2)])
     counts: dict[str, int] = {}
     for zone, fleet in view.fleets.items():
@@ -121,8 +129,21 @@
     return counts
 
 
-def _price(bounds: FleetBounds, zone: str) -> float:
-    return bounds.zone_prices.get(zone, 1.0)
+def _fill_up(view: SizingView, kept: Mapping[str, int], missing: int) -> dict[str, int]:
+    """Return more regular endpoints, in the cheapest zones that have room."""
+    counts = dict(kept)
+    for zone in _by_price(view):
+        room = view.bounds.most - view.fleets[zone].cheap - counts[zone]
+        added = max(0, min(missing, room))
+        counts[zone] += added
+        missing -= added
+    return counts
+
+
+def _by_price(view: SizingView) -> list[str]:
+    """Return the zones, the cheapest first."""
+    prices = view.bounds.zone_prices
+    return sorted(view.fleets, key=lambda zone: (prices.get(zone, 1.0), zone))
 
 
 class DemandPeak:
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -111,6 +111,8 @@
             self._directory.note_failure(state, end.reason)
         elif end.outcome is Outcome.DONE:
             state.note_success()
+        elif end.outcome is Outcome.NOT_RUN:
+            state.note_refusal(trio.current_time())
         return end
 
     async def _exchange(self, attempt: _Attempt) -> AttemptEnd:
@@ -155,6 +157,10 @@
     async def _receive(self, attempt: _Attempt, connection: EndpointConnection) -> AttemptEnd:
         job = attempt.job
         head = await connection.receive_head()
+        if attempt.waiting.cancel_called:
+            # The time was up at the moment at which the head came. Nothing of this answer may be
+            # passed on any more, since another endpoint is tried.
+            await trio.lowlevel.checkpoint()
         attempt.waiting.deadline = math.inf
         attempt.note_read()
         load = head.header(self._names.load)
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -9,7 +9,7 @@
 import trio
 from eliot import log_message
 
-from shallotmux.fleet import ListedEndpoint, Listing
+from shallotmux.fleet import EngineRole, ListedEndpoint, Listing
 from shallotmux.forwarding._headers import Headers
 from shallotmux.placement import Prompt
 
@@ -26,6 +26,15 @@
 #: Prefixes remembered of one engine.
 MAX_PREFIXES = 512
 
+#: Time for which an engine is believed to hold a prefix. One that reads prompts gets those of its
+#: own prefixes only; one that generates gets all, and drops the oldest within seconds.
+READER_MEMORY_S = 15.0
+GENERATOR_MEMORY_S = 2.0
+
+#: Time for which an endpoint that refused a request without running it gets no further one. It is
+#: full, or changes its role.
+REFUSED_S = 0.4
+
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
@@ -51,8 +60,9 @@
     failures: int = 0
     avoided_until: float = float('-inf')
     avoid_s: float = FIRST_AVOID_S
-    #: Prefixes that it read or fetched for this instance, the newest last.
-    prefixes: OrderedDict[bytes, None] = field(default_factory=OrderedDict)
+    #: Prefixes that it read or fetched for this instance, with the local time, the newest last.
+    prefixes: OrderedDict[bytes, float] = field(default_factory=OrderedDict)
+    refused_until: float = float('-inf')
 
     @property
     def identity(self) -> str:
@@ -77,12 +87,23 @@
 
     def note_prompt(self, prompt: Prompt) -> None:
         """Take note that it now holds the parts of a prompt."""
+        now = trio.current_time()
         for part in prompt.parts:
-            self.prefixes[part.prefix] = None
+            self.prefixes[part.prefix] = now
             self.prefixes.move_to_end(part.prefix)
         while len(self.prefixes) > MAX_PREFIXES:
             self.prefixes.popitem(last=False)
 
+    def held(self, now: float) -> frozenset[bytes]:
+        """Return the prefixes that it is believed to hold."""
+        is_reader = self.listed.role is not EngineRole.DECODE
+        oldest = now - (READER_MEMORY_S if is_reader else GENERATOR_MEMORY_S)
+        return frozenset(prefix for prefix, at in self.prefixes.items() if at >= oldest)
+
+    def note_refusal(self, now: float) -> None:
+        """Take note that it did not run a request."""
+        self.refused_until = now + REFUSED_S
+
     def note_success(self) -> None:
         """Take note of a proper answer."""
         self.failures = 0
@@ -151,7 +172,7 @@
             and not state.listed.is_leaving
             and state.identity not in skipped
         ]
-        sound = [state for state in ready if state.avoided_until <= now]
+        sound = [state for state in ready if max(state.avoided_until, state.refused_until) <= now]
         return sound or ready
 
     def find(self, identity: str) -> EndpointState | None:
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -121,7 +121,7 @@
             state.unread_tokens + waiting * OTHERS_UNREAD_TOKENS,
             state.busy(now),
             max(1, state.listed.slots),
-            frozenset(state.prefixes),
+            state.held(now),
         )
 
     async def _prefill(self, job: Job, state: EndpointState) -> str | None:
@@ -160,6 +160,7 @@
             state.note_load(load, trio.current_time())
         is_done = judge_head(head, self._dialect.names) is Outcome.DONE
         if not is_done or head.status != ACCEPTED or job.prompt is None:
+            state.note_refusal(trio.current_time())
             log_message(
                 message_type='shallotmux:prefill-refused',
                 request=job.request_id.decode('latin-1'),
@@ -188,7 +189,8 @@
     """Count a prompt's uncached tokens as backlog of an engine while it is read."""
     tokens = 0
     if job.prompt is not None:
-        tokens = job.prompt.tokens - job.prompt.cached_tokens(set(state.prefixes))
+        held = state.held(trio.current_time())
+        tokens = job.prompt.tokens - job.prompt.cached_tokens(held)
     state.unread_tokens += tokens
     try:
         yield
--- a/shallotmux/placement/_choice.py
+++ b/shallotmux/placement/_choice.py
@@ -58,8 +58,9 @@
     def unread_tokens(self, prompt: Prompt, *, is_home: bool) -> int:
         """Return the tokens of a prompt that it does not hold."""
         cached = prompt.cached_tokens(self.held)
-        if is_home:
-            # Other instances send the same prefix here, so it is held without their telling.
+        if is_home and self.role is not EngineRole.DECODE:
+            # Other instances send the same prefix here, so it is held without their telling. An
+            # engine that only generates gets requests of all prefixes and drops them soon.
             cached = max(cached, prompt.shared_tokens)
         return max(0, prompt.tokens - cached)
 
