Test the forwarder against hostile endpoints and callers

Two faults found by them: a head in one piece was not bounded by the limit, and a body beyond the limit was read although its length said so.

--- a/shallotmux/forwarding/_listener.py
+++ b/shallotmux/forwarding/_listener.py
@@ -12,7 +12,7 @@
 import trio
 
 from shallotmux.errors import CallerGone
-from shallotmux.forwarding._headers import Headers
+from shallotmux.forwarding._headers import Headers, find_header
 from shallotmux.forwarding._messages import CallerRequest
 from shallotmux.routes import CallerLimits
 
@@ -181,7 +181,7 @@
         if not isinstance(head, h11.Request):
             raise _CallerLeft
         headers = tuple((bytes(name), bytes(text)) for name, text in head.headers)
-        _check_framing(headers)
+        _check_head(headers, limits)
         body = await self._read_body(limits.body_bytes)
         return CallerRequest(bytes(head.method), bytes(head.target), headers, body, received_at)
 
@@ -299,11 +299,17 @@
         await self.finish()
 
 
-def _check_framing(headers: Headers) -> None:
-    """Refuse a request whose end is ambiguous.
+def _check_head(headers: Headers, limits: CallerLimits) -> None:
+    """Refuse a request whose end is ambiguous, or that is too long by what it says.
 
-    With both fields, two receivers may see different ends and take the rest for another request.
+    With both fields for the length, two receivers may see different ends and take the rest for
+    another request. The parser bounds only heads that come in parts.
     """
+    if sum(len(name) + len(text) for name, text in headers) > limits.header_bytes:
+        raise _CallerFault(431)
+    length = find_header(headers, b'content-length')
+    if length is not None and int(length) > limits.body_bytes:
+        raise _CallerFault(413)
     names = {name for name, _ in headers}
     if b'content-length' in names and b'transfer-encoding' in names:
         raise _CallerFault(400)
--- a/shallotmux/forwarding/_pool.py
+++ b/shallotmux/forwarding/_pool.py
@@ -53,6 +53,10 @@
         connection.idle_since = trio.current_time()
         idle.append(connection)
 
+    def idle_count(self, endpoint: str) -> int:
+        """Return the number of idle connections to an endpoint."""
+        return len(self._idle.get(endpoint, ()))
+
     def forget(self, endpoint: str) -> None:
         """Close the idle connections to an endpoint that is gone."""
         for connection in self._idle.pop(endpoint, ()):
--- /dev/null
+++ b/tests/forwarding/_stage.py
@@ -0,0 +1,278 @@
+"""An entry instance's forwarder between scripted endpoints and raw callers, over loopback."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from random import Random
+
+import h11
+import trio
+
+from shallotmux.fleet import EngineRole, FleetView, ListedEndpoint, Listing
+from shallotmux.forwarding import (
+    AttemptRunner,
+    BudgetBounds,
+    ConnectionPool,
+    Dialect,
+    EndpointDirectory,
+    EnginePlacer,
+    Forwarder,
+    ForwardingMetrics,
+    HeaderNames,
+    HttpListener,
+    Job,
+    RepeatBudget,
+)
+from shallotmux.routes import (
+    CallerLimits,
+    ForwardedRoute,
+    KeyHolder,
+    RouteDocument,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+
+NAMES = HeaderNames()
+KEY = 'k1'
+LIMITS = CallerLimits(
+    header_bytes=4096, body_bytes=8_000_000, header_timeout_s=0.2, idle_timeout_s=5
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """A request as an endpoint received it."""
+
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+#: Answers one request on a connection; returns whether the connection stays open.
+Script = Callable[[trio.SocketStream, Seen], Awaitable[bool]]
+
+
+def answer(
+    seen: Seen,
+    body: bytes = b'done',
+    *,
+    status: int = 200,
+    extra: bytes = b'',
+    request_id: bytes = b'',
+) -> bytes:
+    """Return a proper answer to a request."""
+    identity = request_id or seen.headers[NAMES.request_id]
+    return b'HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s' % (
+        status,
+        identity,
+        len(body),
+        extra,
+        body,
+    )
+
+
+@dataclass(slots=True)
+class ScriptedEndpoint:
+    """An endpoint that does what a test says."""
+
+    script: Script
+    address: str = ''
+    seen: list[Seen] = field(default_factory=list)
+    connections: int = 0
+    #: Set when a caller of this endpoint closed a connection.
+    closed: trio.Event = field(default_factory=trio.Event)
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        host, port = listeners[0].socket.getsockname()[:2]
+        self.address = f'{host}:{port}'
+        task_status.started()
+        await trio.serve_listeners(self._serve, listeners)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        protocol = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                seen = await _read(stream, protocol)
+                if seen is None:
+                    break
+                self.seen.append(seen)
+                if not await self.script(stream, seen):
+                    break
+                protocol = h11.Connection(h11.SERVER)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.closed.set()
+        finally:
+            self.closed.set()
+            await trio.aclose_forcefully(stream)
+
+
+async def _read(stream: trio.SocketStream, protocol: h11.Connection) -> Seen | None:
+    head: h11.Request | None = None
+    body = b''
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await stream.receive_some())
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return Seen(bytes(head.method), bytes(head.target), dict(head.headers), body)
+        else:
+            return None
+
+
+def route(name: str, kind: RouteKind, **changes: object) -> ForwardedRoute:
+    """Return a route under ``/name/`` to the service ``desk``."""
+    fields: dict[str, object] = {'timeout_ms': 2000, 'latency_objective_ms': 0, 'max_attempts': 2}
+    fields.update(changes)
+    return ForwardedRoute(
+        name, 'shop.example', f'/{name}/', kind, (ServiceShare('desk', 1),), **fields
+    )
+
+
+ROUTES = (
+    route('safe', RouteKind.SAFE),
+    route('quick', RouteKind.SAFE, latency_objective_ms=50),
+    route('once', RouteKind.UNSAFE),
+    route('stream', RouteKind.STREAMING),
+    route('resume', RouteKind.STREAMING, is_resumable=True, max_attempts=3),
+    route('short', RouteKind.UNSAFE, timeout_ms=100),
+    route('open', RouteKind.SAFE, is_open=True),
+)
+
+
+@dataclass(slots=True)
+class Stage:
+    """A running forwarder."""
+
+    address: str
+    forwarder: Forwarder
+    listener: HttpListener
+    pool: ConnectionPool
+    begun: list[str] = field(default_factory=list)
+
+    async def connect(self) -> trio.SocketStream:
+        """Open a connection as a caller."""
+        host, _, port = self.address.rpartition(':')
+        return await trio.open_tcp_stream(host, int(port))
+
+    async def ask(self, path: str, **options: object) -> Got:
+        """Send one request on a connection of its own, and read the whole answer."""
+        stream = await self.connect()
+        async with stream:
+            await stream.send_all(build_request(path, **options))
+            return await read_answer(stream)
+
+
+@dataclass(frozen=True, slots=True)
+class Got:
+    """An answer as a caller received it.
+
+    :param is_complete: whether its end was seen.
+    """
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+    is_complete: bool = True
+
+
+def build_request(
+    path: str,
+    *,
+    method: str = 'POST',
+    body: bytes = b'work',
+    request_id: str = 'r-1',
+    key: str = KEY,
+    extra: str = '',
+) -> bytes:
+    """Return the bytes of a request."""
+    authorization = f'Authorization: Bearer {key}\r\n' if key else ''
+    head = (
+        f'{method} {path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {request_id}\r\n'
+        f'{authorization}{extra}Content-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+async def read_answer(stream: trio.SocketStream) -> Got:
+    """Read one answer; what follows it on the connection is lost."""
+    protocol = h11.Connection(h11.CLIENT)
+    protocol.send(h11.Request(method='POST', target='/', headers=[('host', 'x')]))
+    protocol.send(h11.EndOfMessage())
+    got = Got(0, {}, b'', is_complete=False)
+    try:
+        with trio.fail_after(5):
+            while not got.is_complete:
+                event = protocol.next_event()
+                if event is h11.NEED_DATA:
+                    protocol.receive_data(await stream.receive_some())
+                elif isinstance(event, h11.Response):
+                    got = Got(event.status_code, dict(event.headers), b'', is_complete=False)
+                elif isinstance(event, h11.Data):
+                    got = Got(got.status, got.headers, got.body + bytes(event.data), False)
+                else:
+                    got = Got(
+                        got.status, got.headers, got.body, isinstance(event, h11.EndOfMessage)
+                    )
+                    break
+    except (h11.RemoteProtocolError, trio.BrokenResourceError):
+        return got
+    return got
+
+
+@asynccontextmanager
+async def run_stage(
+    *endpoints: ScriptedEndpoint, budget: BudgetBounds | None = None
+) -> AsyncIterator[Stage]:
+    """Run endpoints ``e-0``, ``e-1`` ... and a forwarder in front of them."""
+    async with trio.open_nursery() as nursery:
+        for endpoint in endpoints:
+            await nursery.start(endpoint.run)
+        view = FleetView()
+        view.take_document(
+            RouteDocument(
+                1,
+                ROUTES,
+                (Service('desk', '/healthz', 8),),
+                LIMITS,
+                (KeyHolder('tailors', (KEY,)),),
+            )
+        )
+        pool = ConnectionPool(NAMES.request_id)
+        directory = EndpointDirectory(pool.forget)
+        listed = (
+            ListedEndpoint(f'e-{number}', 'desk', each.address, 'a', 4, role=EngineRole.MIXED)
+            for number, each in enumerate(endpoints)
+        )
+        directory.take_listing(Listing(tuple(listed)))
+        dialect = Dialect()
+        begun: list[str] = []
+
+        def note_begun(job: Job) -> None:
+            begun.append(job.customer)
+
+        forwarder = Forwarder(
+            'a',
+            view,
+            dialect,
+            directory,
+            AttemptRunner(NAMES, pool, directory, note_begun),
+            EnginePlacer('a', dialect, pool, directory, lambda: view.table),
+            RepeatBudget(budget or BudgetBounds(), lambda: 1),
+            ForwardingMetrics(),
+            Random(1),
+        )
+        listener = HttpListener('127.0.0.1:0', forwarder.handle, lambda: LIMITS)
+        address = await nursery.start(listener.run)
+        yield Stage(address, forwarder, listener, pool, begun)
+        nursery.cancel_scope.cancel()
