--- a/shallotmux/transport/_link.py
+++ b/shallotmux/transport/_link.py
@@ -99,10 +99,24 @@
 
 
 class PeerChannel(Channel):
-    """gRPC channel whose connection gives up on an unresponsive peer early."""
+    """gRPC channel whose connection gives up on an unresponsive peer early.
+
+    A channel may be closed for one call while another one still waits for its connection. That
+    connection must not outlive the channel, or the library raises an error when it is collected.
+    """
+
+    _is_closed = False
+
+    def close(self) -> None:
+        """Close the channel for good."""
+        self._is_closed = True
+        super().close()
 
     async def _create_connection(self) -> Any:
         protocol = await super()._create_connection()
+        if self._is_closed:
+            protocol.processor.close()
+            raise ConnectionAbortedError('the channel was closed')
         sock = protocol.connection.get_peer()._transport.get_extra_info('socket')  # noqa: SLF001
         limit_unacknowledged(sock)
         return protocol
--- a/tests/transport/test_grpc.py
+++ b/tests/transport/test_grpc.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import gc
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import pytest
 import trio
+import trio_asyncio
 import trustme
 
 from shallotmux.errors import AuthorityUnavailable, OutcomeUnknown
@@ -17,6 +19,7 @@
     PeerEnvelope,
     PeerTls,
 )
+from shallotmux.transport._link import channel_to
 
 LOOPBACK = '127.0.0.1:0'
 DEADLINE_S = 10
@@ -151,3 +154,26 @@
             await got.arrived.wait()
             nursery.cancel_scope.cancel()
     assert [each.payload for each in got.envelopes] == [b'own']
+
+
+async def test_channel_closed_while_connecting_keeps_no_connection() -> None:
+    """Guards against an instance that ends when a connection of a closed channel is collected.
+
+    Seen as 'Unclosed connection' on hornknap-drift trouble-1: one of two calls timed out while both
+    waited for the connection.
+    """
+    addresses: dict[str, str] = {}
+
+    async def connect_closed() -> None:
+        channel = channel_to(addresses['b'], 'b', None)
+        channel.close()
+        with pytest.raises(ConnectionAbortedError):
+            await channel.__connect__()
+        del channel  # noqa: WPS420
+        gc.collect()
+
+    async with trio.open_nursery() as nursery:
+        await start(nursery, 'b', addresses, None)
+        async with trio_asyncio.open_loop():
+            await trio_asyncio.aio_as_trio(connect_closed)()
+        nursery.cancel_scope.cancel()
