Share unread tokens between entry instances; plan fleet sizes that come to rest

The tests of the sizes found plans without rest; the target no longer depends on the regular endpoints that are there, and endpoints go one after another, when others are there.

--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -84,11 +84,11 @@
         self.listing = listing
         self._listed_at = listed_at
 
-    def instances(self) -> int:
-        """Return the number of entry instances that polled lately."""
+    def entries(self) -> tuple[str, ...]:
+        """Return the names of the entry instances that polled lately."""
         oldest = trio.current_time() - INSTANCE_MEMORY_S
         self._heard = {name: at for name, at in self._heard.items() if at >= oldest}
-        return len({instance_name(name) for name in self._heard})
+        return tuple(sorted({instance_name(name) for name in self._heard}))
 
     def demand_of(self, service: str) -> float:
         """Return the prompt tokens that all instances have to have read in a second."""
@@ -123,7 +123,7 @@
             self._peers(),
             self.listing,
             max(0.0, now - self._listed_at) if self.listing else 0.0,
-            self.instances(),
+            self.entries(),
             self._clock.own(),
         )
         return ForwardAnswer(encode_knowledge(knowledge))
--- a/shallotmux/control/_ordering.py
+++ b/shallotmux/control/_ordering.py
@@ -32,6 +32,9 @@
 #: Time for which a zone counts as dry after the platform had no cheap endpoints there.
 DRY_S = 5.0
 
+#: Time between two orders by which endpoints go.
+RELEASE_PAUSE_S = 4.0
+
 #: Prompt tokens that an engine reads in a second, while nothing was measured.
 READ_TOKENS_PER_S = 50_000.0
 
@@ -64,6 +67,7 @@
         self._peaks: dict[str, DemandPeak] = defaultdict(DemandPeak)
         self._sent: dict[tuple[str, str, bool], _Sent] = {}
         self._dry_until: dict[str, float] = {}
+        self._released_at = float('-inf')
 
     async def run(self) -> None:
         """Look after all services until cancelled."""
@@ -87,6 +91,8 @@
             frozenset(zone for zone, until in self._dry_until.items() if until > now),
         )
         for order in plan_sizes(view):
+            if self._is_release(order, view) and not self._may_release(now):
+                continue
             if self._is_due(order, service.bounds.boot_s, now):
                 await self._send(order, view.needed)
 
@@ -111,6 +117,17 @@
             ),
         )
 
+    def _is_release(self, order: FleetOrder, view: SizingView) -> bool:
+        fleet = view.fleets[order.zone]
+        return order.count < (fleet.cheap if order.is_cheap else fleet.regular)
+
+    def _may_release(self, now: float) -> bool:
+        """Return whether endpoints may go; what they held has to be read again elsewhere."""
+        if now - self._released_at < RELEASE_PAUSE_S:
+            return False
+        self._released_at = now
+        return True
+
     def _is_due(self, order: FleetOrder, boot_s: float, now: float) -> bool:
         """Return whether an order is new, or was not carried out in time."""
         sent = self._sent.get((order.service, order.zone, order.is_cheap))
--- a/shallotmux/control/_sizing.py
+++ b/shallotmux/control/_sizing.py
@@ -75,69 +75,80 @@
 
 
 def plan_sizes(view: SizingView) -> tuple[FleetOrder, ...]:
-    """Return the counts to have, for each zone and kind that must change.
+    """Return the counts to order now, for each zone and kind that must change.
 
     Cheap endpoints carry the load as long as the other zones can do so without those of any one
-    zone, which may all be reclaimed at once. Regular ones stay until the cheap ones are there.
+    zone, which may all be reclaimed at once. Endpoints go only when enough others are there.
     """
-    cheap = _cheap_counts(view)
-    present = sum(fleet.cheap for fleet in view.fleets.values())
-    reachable = present if view.dry else sum(cheap.values())
-    kept = _regular_counts(view, cheap)
-    missing = view.needed - reachable - sum(kept.values())
-    regular = kept
-    if missing > 0:
-        regular = _fill_up(view, kept, missing)
-    elif present + sum(kept.values()) < view.needed:
-        # Cheap endpoints are on their way; the regular ones serve until they are there.
-        regular = {}
-    wanted = [
-        FleetOrder(view.service, zone, count, is_cheap=True)
-        for zone, count in cheap.items()
-        if count != view.fleets[zone].cheap
-    ]
-    wanted.extend(
-        FleetOrder(view.service, zone, count, is_cheap=False)
-        for zone, count in regular.items()
-        if count != view.fleets[zone].regular
-    )
-    return tuple(wanted)
-
-
-def _cheap_counts(view: SizingView) -> dict[str, int]:
-    if not view.bounds.cheap_price:
-        return {}
-    open_zones = sorted(view.fleets.keys() - view.dry)
-    carriers = max(1, len(open_zones) - 1)
-    each = math.ceil(view.needed / carriers)
-    return {
-        zone: max(0, min(each, view.bounds.most - view.fleets[zone].regular)) for zone in open_zones
-    }
-
+    target = target_fleets(view)
+    return (*_plan_growth(view, target), *_plan_release(view, target))
+
+
+def target_fleets(view: SizingView) -> dict[str, ZoneFleet]:
+    """Return the endpoints to come to in each zone; it does not depend on the regular ones."""
+    kept = frozenset(_by_price(view)[: math.ceil(len(view.fleets) / 2)])
+    # One regular endpoint in each of the cheaper half of the zones goes on serving when cheap
+    # ones are reclaimed in several zones at once.
+    regular = {zone: int(zone in kept) for zone in view.fleets}
+    cheap = _target_cheap(view, regular)
+    missing = view.needed - sum(cheap.values()) - sum(regular.values())
+    for zone in _by_price(view):
+        room = view.bounds.most - cheap[zone] - regular[zone]
+        least = view.bounds.least - cheap[zone] - regular[zone]
+        added = max(0, least, min(missing, room))
+        regular[zone] += added
+        missing -= added
+    return {zone: ZoneFleet(regular[zone], cheap[zone]) for zone in view.fleets}
 
-def _regular_counts(view: SizingView, cheap: Mapping[str, int]) -> dict[str, int]:
-    """Return the regular endpoints to keep: one in each of the cheaper half of the zones.
 
-    They go on serving when cheap endpoints are reclaimed in several zones at once.
-    """
-    by_price = _by_price(view)
-    kept = frozenset(by_price[: math.ceil(len(by_price) / 2)])
+def _target_cheap(view: SizingView, regular: Mapping[str, int]) -> dict[str, int]:
+    """Return the cheap endpoints to come to; where none are to be had, those that are there."""
+    if not view.bounds.cheap_price:
+        return {zone: fleet.cheap for zone, fleet in view.fleets.items()}
+    carriers = max(1, len(view.fleets.keys() - view.dry) - 1)
+    each = math.ceil(view.needed / carriers)
     counts: dict[str, int] = {}
     for zone, fleet in view.fleets.items():
-        least = view.bounds.least - cheap.get(zone, fleet.cheap)
-        counts[zone] = max(1 if zone in kept else 0, least, 0)
+        room = view.bounds.most - regular[zone]
+        counts[zone] = fleet.cheap if zone in view.dry else min(each, room)
     return counts
 
 
-def _fill_up(view: SizingView, kept: Mapping[str, int], missing: int) -> dict[str, int]:
-    """Return more regular endpoints, in the cheapest zones that have room."""
-    counts = dict(kept)
-    for zone in _by_price(view):
-        room = view.bounds.most - view.fleets[zone].cheap - counts[zone]
-        added = max(0, min(missing, room))
-        counts[zone] += added
-        missing -= added
-    return counts
+def _plan_growth(view: SizingView, target: Mapping[str, ZoneFleet]) -> list[FleetOrder]:
+    """Return the orders for more endpoints; the bound holds for both kinds together."""
+    orders: list[FleetOrder] = []
+    for zone, fleet in view.fleets.items():
+        regular = min(target[zone].regular, view.bounds.most - fleet.cheap)
+        cheap = min(target[zone].cheap, view.bounds.most - max(fleet.regular, regular))
+        if regular > fleet.regular:
+            orders.append(FleetOrder(view.service, zone, regular, is_cheap=False))
+        if cheap > fleet.cheap:
+            orders.append(FleetOrder(view.service, zone, cheap, is_cheap=True))
+    return orders
+
+
+def _plan_release(view: SizingView, target: Mapping[str, ZoneFleet]) -> list[FleetOrder]:
+    """Return the orders for fewer endpoints, as far as enough others are there.
+
+    A full zone in which regular endpoints keep cheap ones out gives one of them up first.
+    """
+    present = sum(fleet.total for fleet in view.fleets.values())
+    wanted = min(view.needed, sum(fleet.total for fleet in target.values()))
+    spare = present - wanted
+    orders: list[FleetOrder] = []
+    for zone in reversed(_by_price(view)):
+        fleet, goal = view.fleets[zone], target[zone]
+        is_blocked = fleet.total >= view.bounds.most and fleet.cheap < goal.cheap
+        for is_cheap, count, kept in (
+            (False, fleet.regular, goal.regular),
+            (True, fleet.cheap, goal.cheap),
+        ):
+            allowed = max(spare, int(is_blocked and not orders and not is_cheap))
+            released = max(0, min(count - kept, allowed))
+            if released:
+                spare -= released
+                orders.append(FleetOrder(view.service, zone, count - released, is_cheap))
+    return orders
 
 
 def _by_price(view: SizingView) -> list[str]:
--- a/shallotmux/fleet/__init__.py
+++ b/shallotmux/fleet/__init__.py
@@ -5,6 +5,7 @@
 from shallotmux.fleet._clock import TrueClock, read_boot_time
 from shallotmux.fleet._learner import DecodeDocument, FleetLearner, FleetView
 from shallotmux.fleet._listing import EngineRole, ListedEndpoint, Listing
+from shallotmux.fleet._load_sharing import LoadSharing, PeerLoads
 from shallotmux.fleet._messages import (
     JOIN_GROUP,
     KNOWLEDGE_GROUP,
@@ -34,6 +35,8 @@
     'Knowledge',
     'ListedEndpoint',
     'Listing',
+    'LoadSharing',
+    'PeerLoads',
     'Poll',
     'ServiceDemand',
     'TrueClock',
--- a/shallotmux/fleet/_learner.py
+++ b/shallotmux/fleet/_learner.py
@@ -52,7 +52,8 @@
     table: RouteTable | None = None
     listing: Listing = Listing()
     listed_at: float = float('-inf')
-    instances: int = 1
+    #: Names of the entry instances that control instances hear.
+    entries: tuple[str, ...] = ()
     #: Local time of the last answer of a control instance.
     heard_at: float = float('-inf')
     #: Called after a new list was taken.
@@ -63,6 +64,11 @@
         """Return the version of the document in force, 0 for none."""
         return self.table.document.version if self.table else 0
 
+    @property
+    def instances(self) -> int:
+        """Return the number of entry instances, this one included."""
+        return max(1, len(self.entries))
+
     def take_document(self, document: RouteDocument) -> bool:
         """Put a document in force unless one as high is; returns whether it is new."""
         if self.table is not None and document.version <= self.version:
@@ -165,7 +171,7 @@
             log_message(message_type='shallotmux:control-regained', peer=peer)
         self._clock.note_peer(peer, knowledge.true_time_s)
         self.view.heard_at = now
-        self.view.instances = max(1, knowledge.instances)
+        self.view.entries = knowledge.entries
         if knowledge.peers:
             self._replace_peers(knowledge.peers)
         if knowledge.document:
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -51,7 +51,7 @@
     :param peers: names of the control instances.
     :param listing: the platform's list; None if it was never read.
     :param listing_age_s: time since that list was read.
-    :param instances: entry instances that were heard lately.
+    :param entries: names of the entry instances that were heard lately.
     :param true_time_s: estimate of the time since 1970 in seconds.
     """
 
@@ -60,7 +60,7 @@
     peers: tuple[str, ...]
     listing: Listing | None
     listing_age_s: float
-    instances: int
+    entries: tuple[str, ...]
     true_time_s: float
 
 
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -175,6 +175,14 @@
         sound = [state for state in ready if max(state.avoided_until, state.refused_until) <= now]
         return sound or ready
 
+    def unread(self) -> dict[str, float]:
+        """Return the tokens of this instance's requests that endpoints have yet to read."""
+        return {
+            identity: state.unread_tokens
+            for identity, state in self._states.items()
+            if state.unread_tokens
+        }
+
     def find(self, identity: str) -> EndpointState | None:
         """Return an endpoint by its identity."""
         return self._states.get(identity)
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -34,9 +34,6 @@
 #: reads; stated by the engines' description.
 DECODE_READ_SPEED = 0.5
 
-#: Tokens that a request of another instance has to be read on average, while it is waiting.
-OTHERS_UNREAD_TOKENS = 2000.0
-
 #: Time for opening a connection for a prefill.
 CONNECT_TIMEOUT_S = 0.4
 
@@ -48,6 +45,7 @@
     """Chooses engines for the requests of this instance.
 
     :param table: returns the look-ups of the document in force.
+    :param others: returns the tokens that other instances have under way at an engine.
     """
 
     def __init__(
@@ -57,7 +55,9 @@
         pool: ConnectionPool,
         directory: EndpointDirectory,
         table: Callable[[], RouteTable | None],
+        others: Callable[[str], float] | None = None,
     ) -> None:
+        self._others = others or _know_no_others
         self._zone = zone
         self._dialect = dialect
         self._pool = pool
@@ -111,14 +111,12 @@
         speed = DEFAULT_READ_TOKENS_PER_MS
         if state.listed.role is not EngineRole.PREFILL:
             speed *= DECODE_READ_SPEED
-        others = max(0.0, state.busy(now) - state.in_flight)
-        waiting = others if state.listed.role is EngineRole.PREFILL else 0.0
         return EngineView(
             state.identity,
             state.listed.zone,
             state.listed.role,
             speed,
-            state.unread_tokens + waiting * OTHERS_UNREAD_TOKENS,
+            state.unread_tokens + self._others(state.identity),
             state.busy(now),
             max(1, state.listed.slots),
             state.held(now),
@@ -198,6 +196,11 @@
         state.unread_tokens -= tokens
 
 
+def _know_no_others(identity: str) -> float:
+    """Stand in for the figures of other instances where there are none."""
+    return 0
+
+
 def _transfer_speed(profile: EngineProfile) -> float:
     """Return the tokens whose KV cache a link carries in a millisecond."""
     bytes_per_ms = profile.link_mbps * 1e6 / 8 / 1000
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -9,7 +9,7 @@
 from eliot import log_message
 
 from shallotmux.control import ListingPoller, PlatformBorder
-from shallotmux.fleet import DecodeDocument, FleetLearner, ServiceDemand, TrueClock
+from shallotmux.fleet import DecodeDocument, FleetLearner, LoadSharing, ServiceDemand, TrueClock
 from shallotmux.forwarding import (
     AttemptRunner,
     ConnectionPool,
@@ -72,9 +72,10 @@
         self._clock = TrueClock()
         self._counter = RequestCounter(self._clock, settings.times.usage_window_s)
         own = settings.listen.peers
+        self._identity = new_identity(own, SystemRandom())
         self._network = GrpcPeerNetwork(own, own, SelfNamedAddresses(), None)
         self._learner = FleetLearner(
-            new_identity(own, SystemRandom()),
+            self._identity,
             self._network,
             settings.seeds,
             border.decode_document,
@@ -87,8 +88,16 @@
         self._directory = EndpointDirectory(self._pool.forget)
         self.view.on_listing.append(self._directory.take_listing)
         self.metrics = ForwardingMetrics()
+        self._sharing = LoadSharing(
+            self._identity, own, lambda: self.view.entries, self._directory.unread
+        )
         self._placer = EnginePlacer(
-            settings.zone, border.dialect, self._pool, self._directory, lambda: self.view.table
+            settings.zone,
+            border.dialect,
+            self._pool,
+            self._directory,
+            lambda: self.view.table,
+            self._sharing.loads.tokens_at,
         )
         self._listener = HttpListener(
             settings.listen.callers, self._build_forwarder().handle, self._limits
@@ -120,8 +129,10 @@
             await nursery.start(self._listener.run)
             for page in pages:
                 await nursery.start(page.run)
-            for task in (self._learner.run, self._pool.run, self._read_stale_list, watch.run):
+            for task in (self._learner.run, self._sharing.run, self._pool.run):
                 nursery.start_soon(task)
+            nursery.start_soon(self._read_stale_list)
+            nursery.start_soon(watch.run)
             log_message(message_type='shallotmux:started', role='entry', name=self.settings.name)
             await wait_for_stop(watch)
             await self._leave()
--- a/shallotmux/transport/_link.py
+++ b/shallotmux/transport/_link.py
@@ -105,7 +105,9 @@
     connection must not outlive the channel, or the library raises an error when it is collected.
     """
 
-    _is_closed = False
+    def __init__(self, *address: Any, **options: Any) -> None:
+        super().__init__(*address, **options)
+        self._is_closed = False
 
     def close(self) -> None:
         """Close the channel for good."""
--- /dev/null
+++ b/tests/placement/test_choice.py
@@ -0,0 +1,131 @@
+"""Tests of the choice of engines."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from shallotmux.fleet import EngineRole
+from shallotmux.placement import (
+    EngineView,
+    PlacementRequest,
+    Prompt,
+    build_prompt,
+    direct_limit,
+    place_request,
+    rank_homes,
+)
+
+READERS = tuple(EngineView(f'p-{number}', 'a', EngineRole.PREFILL, 50) for number in range(4))
+GENERATORS = tuple(EngineView(f'd-{number}', 'a', EngineRole.DECODE, 25) for number in range(2))
+
+
+def prompt(shared: str, own: int = 3000) -> Prompt:
+    """Return a prompt with a large shared part."""
+    return build_prompt('m', ((shared, 13_000), (f'own-{shared}', own)), 13_000 + own, 20)
+
+
+def request(asked: Prompt, direct_tokens: float = 1500) -> PlacementRequest:
+    """Return a request from zone ``a``."""
+    return PlacementRequest(asked, 'a', 1200, direct_tokens)
+
+
+def with_backlog(engine: EngineView, tokens: float) -> EngineView:
+    """Return an engine that has to read other prompts first."""
+    return EngineView(engine.identity, engine.zone, engine.role, 25, tokens)
+
+
+def test_shared_part_has_one_home() -> None:
+    """Guards against shared parts that are read again at each engine."""
+    placed = {
+        place_request(request(prompt('s', own)), (*READERS, *GENERATORS)).prefill  # type: ignore[union-attr]
+        for own in range(100, 3000, 100)
+    }
+    assert len(placed) == 1
+
+
+def test_homes_are_spread_and_stable() -> None:
+    """Guards against engines that win all prefixes, and a change that moves all of them."""
+    names = [f'p-{number}' for number in range(8)]
+    keys = [f'key-{number}'.encode() for number in range(800)]
+    homes = {key: rank_homes(key, names)[0] for key in keys}
+    counts = Counter(homes.values())
+    assert min(counts.values()) > 50
+    moved = [key for key in keys if rank_homes(key, names[:-1])[0] != homes[key]]
+    assert all(homes[key] == names[-1] for key in moved)
+
+
+def test_busy_home_is_left() -> None:
+    """Guards against requests that queue at their home while another engine is idle."""
+    asked = prompt('s')
+    home = place_request(request(asked), (*READERS, *GENERATORS))
+    assert home is not None
+    readers = tuple(
+        with_backlog(each, 60_000) if each.identity == home.prefill else each for each in READERS
+    )
+    placed = place_request(request(asked), (*readers, *GENERATORS))
+    assert placed is not None
+    assert placed.prefill not in {home.prefill, None}
+
+
+def test_long_prompt_is_not_read_between_streams() -> None:
+    """Guards against gaps in the streams beside a long prompt, even while readers are busy."""
+    readers = tuple(with_backlog(each, 90_000) for each in READERS)
+    placed = place_request(request(prompt('s')), (*readers, *GENERATORS))
+    assert placed is not None
+    assert placed.prefill is not None
+
+
+def test_generating_engine_is_not_believed_to_hold_a_home() -> None:
+    """Guards against long prompts taken for short ones: quiet-1, gaps of 400 to 540 ms."""
+    readers = tuple(with_backlog(each, 90_000) for each in READERS)
+    placed = place_request(request(prompt('s', own=500)), (*readers, *GENERATORS))
+    assert placed is not None
+    assert placed.prefill is not None
+
+
+def test_short_prompt_is_read_directly_while_readers_are_busy() -> None:
+    """Guards against short requests that queue behind long prompts."""
+    readers = tuple(with_backlog(each, 60_000) for each in READERS)
+    short = build_prompt('m', (('t', 200), ('own', 800)), 1000, 20)
+    placed = place_request(request(short), (*readers, *GENERATORS))
+    assert placed is not None
+    assert placed.prefill is None
+    idle = place_request(request(short), (*READERS, *GENERATORS))
+    assert idle is not None
+    assert idle.prefill is not None
+
+
+def test_without_readers_generators_read() -> None:
+    """Guards against refusals while some engine could run the request."""
+    placed = place_request(request(prompt('s')), GENERATORS)
+    assert placed is not None
+    assert placed.prefill is None
+    assert place_request(request(prompt('s')), READERS) is None
+
+
+def test_own_zone_is_preferred_when_equal() -> None:
+    """Guards against bytes between zones that buy nothing."""
+    generators = (
+        EngineView('d-b', 'b', EngineRole.DECODE, 25),
+        EngineView('d-a', 'a', EngineRole.DECODE, 25),
+    )
+    placed = place_request(request(prompt('s')), (*READERS, *generators))
+    assert placed is not None
+    assert placed.decode == 'd-a'
+
+
+def test_prefix_counts_only_behind_all_parts_before_it() -> None:
+    """Guards against parts that are taken for cached though one before them is missing."""
+    asked = build_prompt('m', (('a', 10), ('b', 20), ('c', 5)), 35, 1)
+    prefixes = [part.prefix for part in asked.parts]
+    assert asked.cached_tokens({prefixes[0], prefixes[2]}) == 10
+    assert asked.cached_tokens(set(prefixes[:2])) == 30
+    other = build_prompt('other', (('a', 10),), 10, 1)
+    assert other.parts[0].prefix != prefixes[0]
+
+
+def test_direct_limit_follows_the_gaps() -> None:
+    """Guards against a limit that ignores how fast streams must go on."""
+    assert direct_limit(200, 25) > direct_limit(100, 25)
+    assert direct_limit(100, 25) > 0
+    assert direct_limit(0, 25) == float('inf')
--- /dev/null
+++ b/tests/platform/test_adapter.py
@@ -0,0 +1,230 @@
+"""Tests of the adapter: settings, configuration, list, prompts."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from shallotmux.errors import DocumentInvalid, SettingsError, ShallotmuxError
+from shallotmux.fleet import EngineRole
+from shallotmux.forwarding import CallerRequest
+from shallotmux.platform import DIALECT, HEADERS, build_settings, decode_configuration, read_file
+from shallotmux.platform._listing import EntryReader
+from shallotmux.programs import ProgramRole
+from shallotmux.routes import RouteKind
+
+SETTINGS: dict[str, Any] = {
+    'node-name': 'core-a-1',
+    'role': 'control',
+    'serves': ['control'],
+    'ip': '10.1.0.33',
+    'zone': 'a',
+    'listen': {'control': '10.1.0.33:8367'},
+    'port-range': [7780, 7795],
+    'seeds': ['10.1.0.33:8367', '10.2.0.39:8367'],
+    'bootstrap': True,
+    'data-dir': '/data/control',
+    'tolerate': {'machines': 2, 'zones': 1, 'regions': 0},
+    'bounds': {'grace-s': 7, 'retry-budget-ratio': 0.1, 'retry-slack': 12, 'report-window-s': 4},
+    'cloud': {'address': '10.200.0.99:8362', 'rate-per-s': 44.0, 'duties': ['usage_report']},
+    'unknown': {'ignored': [1]},
+}
+
+CONFIGURATION: dict[str, Any] = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': 'shop.example',
+            'path-prefix': '/a/',
+            'kind': 'streaming',
+            'timeout-ms': 4000,
+            'target-latency-ms': 500,
+            'priority': 1,
+            'service': 'llm',
+            'max-attempts': 2,
+            'public': False,
+            'sticky': True,
+            'resumable': True,
+            'target-gap-ms': 150,
+        },
+        {
+            'name': 'r-2',
+            'host': 'shop.example',
+            'path-prefix': '/b/',
+            'kind': 'unsafe',
+            'timeout-ms': 2000,
+            'split': [{'service': 'llm', 'weight': 90}, {'service': 'desk', 'weight': 10}],
+        },
+    ],
+    'services': [
+        {
+            'name': 'llm',
+            'health-path': '/healthz',
+            'max-conns': 370,
+            'engine': {'slots': 64, 'kv-token-bytes': 163840, 'link-mbps': 1.7e6},
+            'scaling': {'min': 1, 'max': 4, 'spot-price': 0.15, 'zone-prices': {'a': 0.8}},
+        },
+        {'name': 'desk'},
+    ],
+    'limits': {'max-body-bytes': 1000, 'idle-timeout-ms': 9000},
+    'tenants': [{'name': 'tailors', 'api-keys': ['k1', 'k2'], 'priority': 1}],
+}
+
+
+def write_settings(folder: Path, **changes: object) -> dict[str, str]:
+    """Write a settings file and return the environment that names it."""
+    path = folder / 'boot.json'
+    path.write_text(json.dumps({**SETTINGS, **changes}))
+    return {'SHALLOTMUX_SETTINGS': str(path)}
+
+
+def test_settings_are_translated(tmp_path: Path) -> None:
+    """Guards against fields of the settings file that are read as something else."""
+    settings = build_settings(read_file(write_settings(tmp_path)))
+    assert settings.role is ProgramRole.CONTROL
+    assert settings.listen.peers == '10.1.0.33:7780'
+    assert settings.listen.operators == '10.1.0.33:8367'
+    assert settings.seeds == ('10.1.0.33:7780', '10.2.0.39:7780')
+    assert (settings.tolerated, settings.bootstrap) == (2, True)
+    assert (settings.has_usage, settings.has_orders) == (True, False)
+    assert (settings.times.grace_s, settings.times.usage_window_s) == (7, 4)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'named'),
+    [({'seeds': 'none'}, 'seeds'), ({'ip': 5}, 'ip'), ({'cloud': {'duties': [1]}}, 'duties')],
+)
+def test_wrong_settings_are_refused_by_name(
+    tmp_path: Path, changes: dict[str, object], named: str
+) -> None:
+    """Guards against a program that starts with settings it has misread."""
+    with pytest.raises(SettingsError, match=named) as caught:
+        read_file(write_settings(tmp_path, **changes))
+    assert 'boot.json' in str(caught.value)
+
+
+def test_missing_settings_are_named(tmp_path: Path) -> None:
+    """Guards against an error that does not say which file is missing."""
+    with pytest.raises(SettingsError, match='nowhere'):
+        read_file({'SHALLOTMUX_SETTINGS': str(tmp_path / 'nowhere')})
+
+
+def test_configuration_is_translated() -> None:
+    """Guards against fields of a configuration that are read as something else."""
+    document = decode_configuration(json.dumps(CONFIGURATION).encode())
+    first, second = document.routes
+    assert document.version == 7
+    assert (first.kind, first.has_prompt, first.is_resumable) == (RouteKind.STREAMING, True, True)
+    assert (first.latency_objective_ms, first.gap_objective_ms) == (500, 150)
+    assert [share.weight for share in second.shares] == [90, 10]
+    engine, bounds = document.services[0].engine, document.services[0].bounds
+    assert engine is not None
+    assert bounds is not None
+    assert (engine.slots, engine.token_bytes) == (64, 163840)
+    assert (bounds.least, bounds.most, bounds.cheap_price) == (1, 4, 0.15)
+    assert (document.limits.body_bytes, document.limits.idle_timeout_s) == (1000, 9)
+    assert document.customers[0].keys == ('k1', 'k2')
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'',
+        b'{',
+        b'[]',
+        b'\xff\xfe',
+        json.dumps(CONFIGURATION).encode()[:-9],
+        json.dumps({**CONFIGURATION, 'version': 'seven'}).encode(),
+        json.dumps({**CONFIGURATION, 'routes': [{'name': 'r'}]}).encode(),
+        json.dumps(CONFIGURATION).replace('unsafe', 'sometimes').encode(),
+    ],
+)
+def test_unreadable_configuration_is_refused(content: bytes) -> None:
+    """Guards against a configuration in force that was not read in full."""
+    with pytest.raises(DocumentInvalid):
+        decode_configuration(content)
+
+
+WORKER: dict[str, Any] = {
+    'id': 'i-1',
+    'service': 'llm',
+    'address': '10.0.0.9:8080',
+    'zone': 'a',
+    'state': 'ready',
+    'slots': 64,
+    'stage': 'prefill',
+    'spot': True,
+    'born': 1767821970570,
+}
+
+
+def page(*entries: object, token: str | None = None) -> bytes:
+    """Return a page of the list."""
+    return json.dumps({'instances': entries, 'next-token': token}).encode()
+
+
+def test_entry_is_translated() -> None:
+    """Guards against fields of the list that are read as something else."""
+    found, token = EntryReader().read_page(page(WORKER, token='p-50'))
+    assert token == 'p-50'
+    assert (found[0].identity, found[0].role, found[0].is_cheap) == (
+        'i-1',
+        EngineRole.PREFILL,
+        True,
+    )
+    assert found[0].started_ms == 1767821970570
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'id': 7},
+        {'address': 'nowhere'},
+        {'address': '10.0.0.9:99999'},
+        {'state': 'unheard of'},
+        {'slots': 'many'},
+        {'zone': None},
+    ],
+)
+def test_unreadable_entry_names_no_endpoint(change: dict[str, object]) -> None:
+    """Guards against a list that is lost, or requests that go astray, for one bad entry."""
+    reader = EntryReader()
+    found, _ = reader.read_page(page({**WORKER, **change}, WORKER, 'text', None))
+    assert [each.identity for each in found] == ['i-1']
+
+
+def test_unreadable_page_is_an_error() -> None:
+    """Guards against an empty list in place of one that could not be read."""
+    with pytest.raises(ShallotmuxError):
+        EntryReader().read_page(b'{"instances":')
+
+
+def test_prompt_is_read_from_headers() -> None:
+    """Guards against prompts whose parts or sizes are misread."""
+    headers = (
+        (HEADERS.model, b'm'),
+        (HEADERS.token_counts, b'1460,80'),
+        (HEADERS.prompt_parts, b'5c1e07a2:800,91bd3f06:410,e4402b7d:250'),
+    )
+    prompt = DIALECT.read_prompt(CallerRequest(b'POST', b'/', headers, b'', 0))
+    assert prompt is not None
+    assert (prompt.tokens, prompt.output_tokens) == (1460, 80)
+    assert [part.tokens for part in prompt.parts] == [800, 410, 250]
+
+
+@pytest.mark.parametrize('counts', [b'', b'many', b'1,2,3', b'1460'])
+def test_unreadable_prompt_is_none(counts: bytes) -> None:
+    """Guards against a request that fails because its prompt cannot be weighed."""
+    headers = ((HEADERS.token_counts, counts),)
+    assert DIALECT.read_prompt(CallerRequest(b'POST', b'/', headers, b'', 0)) is None
+
+
+def test_handle_is_read_from_answer() -> None:
+    """Guards against a handle that is taken from an answer without one."""
+    assert DIALECT.read_handle(b'{"kv-handle":"3fa0","tokens":1460,"version":1}') == '3fa0'
+    assert DIALECT.read_handle(b'{"tokens":1460}') is None
+    assert DIALECT.read_handle(b'not json') is None
