Do not continue a started answer with another run

Only streams with numbered events go on elsewhere; short answers of safe requests are held until they are complete, so that they can still be tried again. The test fails without the change.

--- a/shallotmux/control/_sizing.py
+++ b/shallotmux/control/_sizing.py
@@ -92,11 +92,11 @@
     regular = {zone: int(zone in kept) for zone in view.fleets}
     cheap = _target_cheap(view, regular)
     missing = view.needed - sum(cheap.values()) - sum(regular.values())
-    for zone in _by_price(view):
-        room = view.bounds.most - cheap[zone] - regular[zone]
-        least = view.bounds.least - cheap[zone] - regular[zone]
+    for each in _by_price(view):
+        room = view.bounds.most - cheap[each] - regular[each]
+        least = view.bounds.least - cheap[each] - regular[each]
         added = max(0, least, min(missing, room))
-        regular[zone] += added
+        regular[each] += added
         missing -= added
     return {zone: ZoneFleet(regular[zone], cheap[zone]) for zone in view.fleets}
 
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -72,6 +72,18 @@
             self.target.state.unread_tokens -= self.target.unread_tokens
 
 
+#: Bytes of an answer that are held until it is complete, so that a torn one can be tried again.
+MAX_HELD_BYTES = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class _Held:
+    """Start of an answer that was not passed on yet."""
+
+    content: bytes = b''
+    is_complete: bool = False
+
+
 class AttemptRunner:
     """Runs attempts over kept connections.
 
@@ -177,7 +189,11 @@
         if is_error and attempt.may_hold_back:
             await _read_out(connection)
             return AttemptEnd(outcome, f'status {head.status}', True, head.status)
-        await self._relay(job, head, connection)
+        if attempt.may_hold_back and job.route.kind is RouteKind.SAFE:
+            held = await _hold(connection)
+        else:
+            held = _Held()
+        await self._relay(job, head, connection, held)
         return AttemptEnd(outcome, DELIVERED, is_error, head.status)
 
     def _note_begun(self, job: Job) -> None:
@@ -185,7 +201,9 @@
             job.has_begun = True
             self._on_begun(job)
 
-    async def _relay(self, job: Job, head: AnswerHead, connection: EndpointConnection) -> None:
+    async def _relay(
+        self, job: Job, head: AnswerHead, connection: EndpointConnection, held: _Held
+    ) -> None:
         """Pass an answer on; a stream that goes on elsewhere keeps its first head."""
         if not job.reply.is_started:
             if job.route.kind is RouteKind.STREAMING and job.route.is_resumable:
@@ -193,7 +211,9 @@
             await job.reply.send_head(head.status, drop_connection_headers(head.headers))
         if job.events is not None:
             job.events.drop_held()
-        part = await connection.receive_part()
+        if held.content:
+            await job.reply.send_part(held.content)
+        part = None if held.is_complete else await connection.receive_part()
         self._note_begun(job)
         while part is not None:
             job.note_part()
@@ -210,6 +230,17 @@
         await connection.send_request(outgoing)
 
 
+async def _hold(connection: EndpointConnection) -> _Held:
+    """Read an answer up to its end or the most that is held."""
+    content = b''
+    while len(content) < MAX_HELD_BYTES:
+        part = await connection.receive_part()
+        if part is None:
+            return _Held(content, is_complete=True)
+        content += part
+    return _Held(content)
+
+
 async def _read_out(connection: EndpointConnection) -> None:
     """Read an answer that is not passed on, so that the connection can be used again."""
     part: bytes | None = b''
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -126,6 +126,9 @@
 
     def _may_go_on(self, job: Job, end: AttemptEnd) -> bool:
         """Return whether another attempt is allowed after one that did not deliver."""
+        if job.reply.is_started and job.events is None:
+            # Only a stream with numbered events can go on where it was broken off.
+            return False
         if end.outcome is not Outcome.NOT_RUN:
             if not job.route.is_repeatable or job.runs >= job.route.max_attempts:
                 return False
--- a/tests/forwarding/test_wire.py
+++ b/tests/forwarding/test_wire.py
@@ -42,6 +42,28 @@
     assert not got.is_complete
 
 
+@pytest.mark.parametrize(('size', 'sent'), [(10, 0), (10, 6), (200_000, 0), (200_000, 150_000)])
+async def test_torn_answer_is_not_joined_with_another(size: int, sent: int) -> None:
+    """Guards against a body made of two runs: MIXED on hornknap-drift trouble-2, 220694876913."""
+
+    async def tear(stream: trio.SocketStream, seen: Seen) -> bool:
+        whole = answer(seen, b't' * size)
+        await stream.send_all(whole[: len(whole) - size + sent])
+        return False
+
+    async def serve_whole(stream: trio.SocketStream, seen: Seen) -> bool:
+        await stream.send_all(answer(seen, b'w' * size))
+        return True
+
+    async with run_stage(ScriptedEndpoint(tear), ScriptedEndpoint(serve_whole)) as stage:
+        got = [await stage.ask('/safe/', request_id=f'r-{number}') for number in range(4)]
+    whole = [each for each in got if each.is_complete]
+    assert whole
+    assert {each.body for each in whole} == {b'w' * size}
+    # An answer is held until it is complete, or longer than what is held; then it is tried again.
+    assert len(whole) == 4 or sent > 65_536
+
+
 async def test_unframed_answer_ends_with_its_connection() -> None:
     """Guards against answers without a length that are lost or have no end for the caller."""
 
