--- a/tests/forwarding/test_wire.py
+++ b/tests/forwarding/test_wire.py
@@ -47,19 +47,19 @@
     """Guards against a body made of two runs: MIXED on hornknap-drift trouble-2, 220694876913."""
 
     async def tear(stream: trio.SocketStream, seen: Seen) -> bool:
-        whole = answer(seen, b't' * size)
+        whole = answer(seen, b't' * size, extra=b'X-Stamp: t\r\n')
         await stream.send_all(whole[: len(whole) - size + sent])
         return False
 
     async def serve_whole(stream: trio.SocketStream, seen: Seen) -> bool:
-        await stream.send_all(answer(seen, b'w' * size))
+        await stream.send_all(answer(seen, b'w' * size, extra=b'X-Stamp: w\r\n'))
         return True
 
     async with run_stage(ScriptedEndpoint(tear), ScriptedEndpoint(serve_whole)) as stage:
         got = [await stage.ask('/safe/', request_id=f'r-{number}') for number in range(4)]
     whole = [each for each in got if each.is_complete]
     assert whole
-    assert {each.body for each in whole} == {b'w' * size}
+    assert {(each.body, each.headers[b'x-stamp']) for each in whole} == {(b'w' * size, b'w')}
     # An answer is held until it is complete, or longer than what is held; then it is tried again.
     assert len(whole) == 4 or sent > 65_536
 
