Let tests of the forwarder try the first endpoint first

With equal endpoints the drawn numbers never chose the one that misbehaves, so several tests could not fail. All four cases of the joined answers fail without their guard now.

--- a/tests/forwarding/_stage.py
+++ b/tests/forwarding/_stage.py
@@ -251,7 +251,15 @@
         pool = ConnectionPool(NAMES.request_id)
         directory = EndpointDirectory(pool.forget)
         listed = (
-            ListedEndpoint(f'e-{number}', 'desk', each.address, 'a', 4, role=EngineRole.MIXED)
+            # The first endpoint is in the zone of the forwarder, so it is tried first.
+            ListedEndpoint(
+                f'e-{number}',
+                'desk',
+                each.address,
+                'b' if number else 'a',
+                4,
+                role=EngineRole.MIXED,
+            )
             for number, each in enumerate(endpoints)
         )
         directory.take_listing(Listing(tuple(listed)))
