Leave silent engines, offer a handle again, choose the generating engine late

A prompt has a time limit from what is expected; an engine that answers nothing for 1.2 s gets no further request; a handle is offered twice.

--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -114,10 +114,12 @@
         attempt = _Attempt(job, target, waiting, may_hold_back)
         state.in_flight += 1
         state.unread_tokens += target.unread_tokens
+        state.note_sent(id(attempt), trio.current_time())
         try:
             end = await self._exchange(attempt)
         finally:
             state.in_flight -= 1
+            state.pending.pop(id(attempt), None)
             attempt.note_read()
         if end.is_failure:
             self._directory.note_failure(state, end.reason)
@@ -175,6 +177,7 @@
             await trio.lowlevel.checkpoint()
         attempt.waiting.deadline = math.inf
         attempt.note_read()
+        attempt.target.state.note_answered(id(attempt), trio.current_time())
         load = head.header(self._names.load)
         if load is not None:
             attempt.target.state.note_load(load, trio.current_time())
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -31,6 +31,10 @@
 READER_MEMORY_S = 15.0
 GENERATOR_MEMORY_S = 2.0
 
+#: Time without any answer after which an endpoint gets no further request. It exceeds the time in
+#: which an engine under load begins an answer.
+SILENT_S = 1.2
+
 #: Time for which an endpoint that refused a request without running it gets no further one. It is
 #: full, or changes its role.
 REFUSED_S = 0.4
@@ -63,6 +67,9 @@
     #: Prefixes that it read or fetched for this instance, with the local time, the newest last.
     prefixes: OrderedDict[bytes, float] = field(default_factory=OrderedDict)
     refused_until: float = float('-inf')
+    #: Local times at which requests were sent that wait for their answer, by number.
+    pending: dict[int, float] = field(default_factory=dict)
+    answered_at: float = float('-inf')
 
     @property
     def identity(self) -> str:
@@ -100,6 +107,25 @@
         oldest = now - (READER_MEMORY_S if is_reader else GENERATOR_MEMORY_S)
         return frozenset(prefix for prefix, at in self.prefixes.items() if at >= oldest)
 
+    def note_sent(self, number: int, now: float) -> None:
+        """Take note that a request was sent."""
+        self.pending[number] = now
+
+    def note_answered(self, number: int, now: float) -> None:
+        """Take note that the answer to a request has begun."""
+        if self.pending.pop(number, None) is not None:
+            self.answered_at = now
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether requests wait for long and none was answered since the oldest of them."""
+        oldest = min(self.pending.values(), default=now)
+        return now - oldest > SILENT_S and self.answered_at < oldest
+
+    def is_sound(self, now: float) -> bool:
+        """Return whether nothing speaks against a further request."""
+        is_left_alone = max(self.avoided_until, self.refused_until) > now
+        return not is_left_alone and not self.is_silent(now)
+
     def note_refusal(self, now: float) -> None:
         """Take note that it did not run a request."""
         self.refused_until = now + REFUSED_S
@@ -172,7 +198,7 @@
             and not state.listed.is_leaving
             and state.identity not in skipped
         ]
-        sound = [state for state in ready if max(state.avoided_until, state.refused_until) <= now]
+        sound = [state for state in ready if state.is_sound(now)]
         return sound or ready
 
     def unread(self) -> dict[str, float]:
@@ -187,6 +213,11 @@
         """Return an endpoint by its identity."""
         return self._states.get(identity)
 
+    def note_silence(self, state: EndpointState, reason: str) -> None:
+        """Avoid an endpoint that answers nothing; others need not wait for it, too."""
+        state.failures = FAILURES_TO_AVOID
+        self.note_failure(state, reason)
+
     def note_failure(self, state: EndpointState, reason: str) -> None:
         """Take note of an endpoint's failure."""
         if state.note_failure(trio.current_time()):
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -12,6 +12,7 @@
 from shallotmux.errors import EndpointError
 from shallotmux.fleet import EngineRole, ServiceDemand
 from shallotmux.forwarding._admission import Dialect
+from shallotmux.forwarding._budget import RepeatBudget
 from shallotmux.forwarding._demand import DemandMeter
 from shallotmux.forwarding._directory import EndpointDirectory, EndpointState, Target
 from shallotmux.forwarding._endpoint import ConnectionUnusable, EndpointConnection
@@ -22,6 +23,7 @@
     EngineView,
     Placement,
     PlacementRequest,
+    choose_generator,
     direct_limit,
     place_request,
 )
@@ -37,6 +39,17 @@
 #: Time for opening a connection for a prefill.
 CONNECT_TIMEOUT_S = 0.4
 
+#: Engines that are asked to read one prompt. Further ones count as repeats.
+MAX_PREFILLS = 2
+
+#: Times that one handle is offered. A refusal does not tell whether the engine was full or the handle
+#: gone, and a second one more likely means the latter.
+MAX_SOURCE_USES = 2
+
+#: Time that an engine gets for a prompt, relative to what is expected, and beyond that.
+PREFILL_PATIENCE = 2.5
+PREFILL_SLACK_MS = 500.0
+
 #: Status of an accepted prefill.
 ACCEPTED = 200
 
@@ -55,8 +68,10 @@
         pool: ConnectionPool,
         directory: EndpointDirectory,
         table: Callable[[], RouteTable | None],
+        budget: RepeatBudget,
         others: Callable[[str], float] | None = None,
     ) -> None:
+        self._budget = budget
         self._others = others or _know_no_others
         self._zone = zone
         self._dialect = dialect
@@ -83,23 +98,55 @@
                 job.route.gap_objective_ms, DECODE_READ_SPEED * DEFAULT_READ_TOKENS_PER_MS
             ),
         )
-        placement = place_request(request, [self._view(each) for each in usable])
-        if placement is None:
+        if job.cache_source_uses >= MAX_SOURCE_USES:
+            job.cache_source = b''
+        if not job.cache_source:
+            placement = place_request(request, [self._view(each) for each in usable])
+            if placement is None:
+                return None
+            self._log(job, placement)
+            self._demand.note(job.service, placement.unread_tokens)
+            if placement.prefill is None:
+                return self._target(job, placement.decode, placement.unread_tokens)
+            await self._read_apart(job, request, placement)
+        return self._choose_taker(job, request)
+
+    async def _read_apart(
+        self, job: Job, request: PlacementRequest, placement: Placement | None
+    ) -> None:
+        """Have the prompt read by a prefill engine, or by another one if the first does not."""
+        for attempt in range(MAX_PREFILLS):
+            if attempt and not self._budget.take(job.service):
+                return
+            state = self._directory.find((placement.prefill if placement else None) or '')
+            if state is None or placement is None:
+                return
+            handle = await self._prefill(job, state, placement)
+            if handle is not None:
+                job.cache_source = f'{state.listed.address}/{handle}'.encode()
+                job.cache_source_uses = 0
+                return
+            job.excluded.add(state.identity)
+            usable = self._directory.usable(job.service, job.excluded)
+            placement = place_request(request, [self._view(each) for each in usable])
+
+    def _choose_taker(self, job: Job, request: PlacementRequest) -> Target | None:
+        """Return the engine that generates, as things are after the prompt was read."""
+        usable = self._directory.usable(job.service, job.excluded)
+        taker = choose_generator(request, [self._view(each) for each in usable])
+        if taker is None:
             return None
-        self._log(job, placement)
-        self._demand.note(job.service, placement.unread_tokens)
-        decode = self._directory.find(placement.decode)
-        if decode is None:
+        return self._target(job, taker, 0 if job.cache_source else request.prompt.tokens)
+
+    def _target(self, job: Job, identity: str, unread_tokens: float) -> Target | None:
+        state = self._directory.find(identity)
+        if state is None or job.prompt is None:
             return None
-        decode.note_prompt(job.prompt)
-        prefill = self._directory.find(placement.prefill or '')
-        if prefill is None:
-            return Target(decode, unread_tokens=placement.unread_tokens)
-        handle = await self._prefill(job, prefill)
-        if handle is None:
-            return Target(decode, unread_tokens=placement.unread_tokens)
-        source = f'{prefill.listed.address}/{handle}'.encode()
-        return Target(decode, ((self._dialect.names.cache_source, source),))
+        state.note_prompt(job.prompt)
+        if not job.cache_source:
+            return Target(state, unread_tokens=unread_tokens)
+        job.cache_source_uses += 1
+        return Target(state, ((self._dialect.names.cache_source, job.cache_source),))
 
     def _profile(self, service: str) -> EngineProfile | None:
         table = self._table()
@@ -122,13 +169,22 @@
             state.held(now),
         )
 
-    async def _prefill(self, job: Job, state: EndpointState) -> str | None:
-        """Let an engine read the prompt; returns its handle, None if it did not."""
+    async def _prefill(self, job: Job, state: EndpointState, placement: Placement) -> str | None:
+        """Let an engine read the prompt; returns its handle, None if it did not in time."""
+        patience_s = (PREFILL_PATIENCE * placement.expected_ms + PREFILL_SLACK_MS) / 1000
+        with trio.move_on_after(patience_s):
+            return await self._exchange_prefill(job, state, placement.unread_tokens)
+        self._directory.note_silence(state, 'prompt not read in time')
+        return None
+
+    async def _exchange_prefill(
+        self, job: Job, state: EndpointState, unread_tokens: float
+    ) -> str | None:
         outgoing = job.outgoing(self._dialect.names, state.identity, self._dialect.prefill_headers)
         connection: EndpointConnection | None = None
         state.in_flight += 1
         try:
-            with _unread(state, job):
+            with _unread(state, unread_tokens):
                 connection = await self._pool.take(
                     state.identity, state.listed.address, float('inf'), CONNECT_TIMEOUT_S
                 )
@@ -183,12 +239,8 @@
 
 
 @contextmanager
-def _unread(state: EndpointState, job: Job) -> Iterator[None]:
-    """Count a prompt's uncached tokens as backlog of an engine while it is read."""
-    tokens = 0
-    if job.prompt is not None:
-        held = state.held(trio.current_time())
-        tokens = job.prompt.tokens - job.prompt.cached_tokens(held)
+def _unread(state: EndpointState, tokens: float) -> Iterator[None]:
+    """Count tokens as backlog of an engine while they are read."""
     state.unread_tokens += tokens
     try:
         yield
--- a/shallotmux/forwarding/_listener.py
+++ b/shallotmux/forwarding/_listener.py
@@ -4,12 +4,14 @@
 
 import contextlib
 import socket
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 import h11
 import trio
+from eliot import log_message
 
 from shallotmux.errors import CallerGone
 from shallotmux.forwarding._headers import Headers, find_header
@@ -23,6 +25,9 @@
 #: Bytes of following requests that are read while an answer is under way.
 MAX_READ_AHEAD_BYTES = 65_536
 
+#: Lines of a fault's traceback that are logged.
+FAULT_LINES = 6
+
 #: Longest wait for further bytes of a body.
 BODY_GAP_S = 5.0
 
@@ -223,12 +228,25 @@
         """Let the handler answer, and cancel it when the caller leaves."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_caller, nursery.cancel_scope)
-            with contextlib.suppress(CallerGone):
-                await self.listener.handle(request, reply)
+            await self._handle(request, reply)
             nursery.cancel_scope.cancel()
         if not reply.is_finished:
             self.protocol.send_failed()
 
+    async def _handle(self, request: CallerRequest, reply: CallerReply) -> None:
+        """Call the handler; a fault in it ends this connection and nothing else."""
+        try:
+            await self.listener.handle(request, reply)
+        except CallerGone:
+            return
+        except Exception as error:  # noqa: BLE001
+            log_message(
+                message_type='shallotmux:handler-fault',
+                level='error',
+                error=repr(error),
+                at=traceback.format_exc().splitlines()[-FAULT_LINES:],
+            )
+
     async def _watch_caller(self, scope: trio.CancelScope) -> None:
         """Read ahead; cancel the handler at the end of the connection."""
         ahead = 0
--- a/shallotmux/placement/__init__.py
+++ b/shallotmux/placement/__init__.py
@@ -6,6 +6,7 @@
     EngineView,
     Placement,
     PlacementRequest,
+    choose_generator,
     direct_limit,
     place_request,
 )
@@ -19,6 +20,7 @@
     'Prompt',
     'PromptPart',
     'build_prompt',
+    'choose_generator',
     'direct_limit',
     'place_request',
     'rank_homes',
--- a/shallotmux/placement/_choice.py
+++ b/shallotmux/placement/_choice.py
@@ -156,14 +156,24 @@
     return _Reading(engine, unread, time_ms + engine.running * RUNNING_STREAM_MS)
 
 
-def _hand_over(
-    request: PlacementRequest, decoding: Sequence[EngineView], reading: _Reading
-) -> Placement:
+def choose_generator(request: PlacementRequest, engines: Iterable[EngineView]) -> str | None:
+    """Return the engine that generates for a prompt which was read elsewhere."""
+    decoding = [each for each in engines if each.role is not EngineRole.PREFILL]
+    return _least_delayed(request, decoding).identity if decoding else None
+
+
+def _least_delayed(request: PlacementRequest, decoding: Sequence[EngineView]) -> EngineView:
     def delay_ms(engine: EngineView) -> float:
         busy_ms = engine.wait_ms + engine.running * RUNNING_STREAM_MS
         return busy_ms + _distance_ms(request, engine)
 
-    taker = min(decoding, key=delay_ms)
+    return min(decoding, key=delay_ms)
+
+
+def _hand_over(
+    request: PlacementRequest, decoding: Sequence[EngineView], reading: _Reading
+) -> Placement:
+    taker = _least_delayed(request, decoding)
     transfer_ms = request.prompt.tokens / request.transfer_tokens_per_ms
     expected_ms = max(reading.time_ms, taker.wait_ms) + transfer_ms
     return Placement(
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -88,6 +88,7 @@
         self._directory = EndpointDirectory(self._pool.forget)
         self.view.on_listing.append(self._directory.take_listing)
         self.metrics = ForwardingMetrics()
+        self._budget = RepeatBudget(settings.budget, lambda: self.view.instances)
         self._sharing = LoadSharing(
             self._identity, own, lambda: self.view.entries, self._directory.unread
         )
@@ -97,6 +98,7 @@
             self._pool,
             self._directory,
             lambda: self.view.table,
+            self._budget,
             self._sharing.loads.tokens_at,
         )
         self._listener = HttpListener(
@@ -158,7 +160,7 @@
             self._directory,
             AttemptRunner(dialect.names, self._pool, self._directory, self._note_begun),
             self._placer,
-            RepeatBudget(settings.budget, lambda: self.view.instances),
+            self._budget,
             self.metrics,
         )
 
--- a/tests/forwarding/_stage.py
+++ b/tests/forwarding/_stage.py
@@ -232,7 +232,9 @@
 
 @asynccontextmanager
 async def run_stage(
-    *endpoints: ScriptedEndpoint, budget: BudgetBounds | None = None
+    *endpoints: ScriptedEndpoint,
+    budget: BudgetBounds | None = None,
+    dialect: Dialect | None = None,
 ) -> AsyncIterator[Stage]:
     """Run endpoints ``e-0``, ``e-1`` ... and a forwarder in front of them."""
     async with trio.open_nursery() as nursery:
@@ -263,20 +265,21 @@
             for number, each in enumerate(endpoints)
         )
         directory.take_listing(Listing(tuple(listed)))
-        dialect = Dialect()
+        dialect = dialect or Dialect()
         begun: list[str] = []
 
         def note_begun(job: Job) -> None:
             begun.append(job.customer)
 
+        repeats = RepeatBudget(budget or BudgetBounds(), lambda: 1)
         forwarder = Forwarder(
             'a',
             view,
             dialect,
             directory,
             AttemptRunner(NAMES, pool, directory, note_begun),
-            EnginePlacer('a', dialect, pool, directory, lambda: view.table),
-            RepeatBudget(budget or BudgetBounds(), lambda: 1),
+            EnginePlacer('a', dialect, pool, directory, lambda: view.table, repeats),
+            repeats,
             ForwardingMetrics(),
             Random(1),
         )
--- /dev/null
+++ b/tests/forwarding/test_engines.py
@@ -0,0 +1,141 @@
+"""Tests of requests with prompts: reading apart, handing over, silent and refusing engines."""
+
+from __future__ import annotations
+
+import trio
+
+from shallotmux.fleet import EngineRole, ListedEndpoint, Listing
+from shallotmux.forwarding import CallerRequest, Dialect
+from shallotmux.placement import Prompt, build_prompt
+from shallotmux.routes import (
+    EngineProfile,
+    ForwardedRoute,
+    KeyHolder,
+    RouteDocument,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from tests.forwarding._stage import (
+    KEY,
+    LIMITS,
+    NAMES,
+    ScriptedEndpoint,
+    Seen,
+    Stage,
+    answer,
+    run_stage,
+)
+
+
+def describe_prompt(request: CallerRequest) -> Prompt:
+    """Return a long prompt whose last part belongs to the request."""
+    own = request.text(NAMES.request_id)
+    return build_prompt('m', (('shared', 9000), (own, 3000)), 12_000, 10)
+
+
+DIALECT = Dialect(
+    read_prompt=describe_prompt,
+    read_handle=lambda content: content.decode() or None,
+    prefill_headers=((NAMES.role, b'prefill'),),
+)
+ROUTE = ForwardedRoute(
+    'ask',
+    'shop.example',
+    '/ask/',
+    RouteKind.STREAMING,
+    (ServiceShare('llm', 1),),
+    2000,
+    gap_objective_ms=200,
+    has_prompt=True,
+)
+PROFILE = EngineProfile(64, 400_000, 1000, 1e6, 5, 3)
+
+
+async def generate(stream: trio.SocketStream, seen: Seen) -> bool:
+    """Answer with what the request was generated from."""
+    await stream.send_all(answer(seen, seen.headers.get(NAMES.cache_source, b'read here')))
+    return True
+
+
+async def read_prompt(stream: trio.SocketStream, seen: Seen) -> bool:
+    """Answer a prefill with a handle."""
+    assert seen.headers[NAMES.role] == b'prefill'
+    await stream.send_all(answer(seen, b'handle'))
+    return True
+
+
+async def refuse(stream: trio.SocketStream, seen: Seen) -> bool:
+    """Say that nothing was run."""
+    await stream.send_all(answer(seen, b'', status=503, extra=b'X-Not-Run: 1\r\n'))
+    return True
+
+
+async def stay_silent(stream: trio.SocketStream, seen: Seen) -> bool:
+    """Answer nothing."""
+    await stream.receive_some()
+    return False
+
+
+def set_engines(
+    stage: Stage, readers: list[ScriptedEndpoint], generators: list[ScriptedEndpoint]
+) -> None:
+    """Put a configuration with engines in force."""
+    service = Service('llm', '/healthz', 8, PROFILE)
+    customers = (KeyHolder('tailors', (KEY,)),)
+    stage.forwarder.view.take_document(RouteDocument(2, (ROUTE,), (service,), LIMITS, customers))
+    listed = [
+        ListedEndpoint(f'p-{number}', 'llm', each.address, 'a', 64, role=EngineRole.PREFILL)
+        for number, each in enumerate(readers)
+    ]
+    listed += [
+        ListedEndpoint(f'd-{number}', 'llm', each.address, 'a', 64, role=EngineRole.DECODE)
+        for number, each in enumerate(generators)
+    ]
+    stage.forwarder.directory.take_listing(Listing(tuple(listed)))
+
+
+async def test_prompt_is_read_apart_and_handed_over() -> None:
+    """Guards against long prompts that are read between the tokens of other streams."""
+    reader, generator = ScriptedEndpoint(read_prompt), ScriptedEndpoint(generate)
+    async with run_stage(reader, generator, dialect=DIALECT) as stage:
+        set_engines(stage, [reader], [generator])
+        got = await stage.ask('/ask/')
+    assert got.body == f'{reader.address}/handle'.encode()
+    assert NAMES.role not in generator.seen[0].headers
+    assert stage.begun == ['tailors']
+
+
+async def test_silent_reader_is_left_for_another() -> None:
+    """Guards against prompts that wait for a dark engine until their deadline."""
+    readers = [ScriptedEndpoint(stay_silent), ScriptedEndpoint(read_prompt)]
+    generator = ScriptedEndpoint(generate)
+    async with run_stage(*readers, generator, dialect=DIALECT) as stage:
+        set_engines(stage, readers, [generator])
+        got = [await stage.ask('/ask/', request_id=f'r-{number}') for number in range(3)]
+        silent = stage.forwarder.directory.find('p-0')
+        assert silent is not None
+        assert not readers[0].seen or not silent.is_sound(trio.current_time())
+    assert {each.body for each in got} == {f'{readers[1].address}/handle'.encode()}
+    assert len(readers[0].seen) <= 1
+
+
+async def test_refusing_readers_leave_the_reading_to_the_generator() -> None:
+    """Guards against requests that are lost because nobody reads their prompt apart."""
+    readers = [ScriptedEndpoint(refuse), ScriptedEndpoint(refuse)]
+    generator = ScriptedEndpoint(generate)
+    async with run_stage(*readers, generator, dialect=DIALECT) as stage:
+        set_engines(stage, readers, [generator])
+        got = await stage.ask('/ask/')
+    assert got.body == b'read here'
+
+
+async def test_handle_is_offered_again_after_a_refusal() -> None:
+    """Guards against prompts that are read twice because one generating engine was full."""
+    reader = ScriptedEndpoint(read_prompt)
+    generators = [ScriptedEndpoint(refuse), ScriptedEndpoint(generate)]
+    async with run_stage(reader, *generators, dialect=DIALECT) as stage:
+        set_engines(stage, [reader], generators)
+        got = [await stage.ask('/ask/', request_id=f'r-{number}') for number in range(4)]
+    assert {each.status for each in got} == {200}
+    assert len(reader.seen) == 4
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -6,7 +6,7 @@
 import trio
 
 from shallotmux.fleet import ListedEndpoint
-from shallotmux.forwarding import AnswerHead, BudgetBounds
+from shallotmux.forwarding import AnswerHead, BudgetBounds, Forwarder
 from shallotmux.forwarding._directory import Target
 from tests.forwarding._jobs import RecordedReply, make_job
 from tests.forwarding._stage import (
@@ -316,3 +316,19 @@
         release.set()
         got = await read_answer(stream)
         assert (got.status, got.is_complete) == (200, True)
+
+
+async def test_fault_of_a_handler_ends_only_its_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a fault in one request that ends the process and all others."""
+
+    async def fail_once(*taken: object) -> None:
+        monkeypatch.undo()
+        raise KeyError('fault')
+
+    async with run_stage(ScriptedEndpoint(serve)) as stage:
+        monkeypatch.setattr(Forwarder, '_run', fail_once)
+        broken = await stage.ask('/once/')
+        assert not broken.is_complete
+        assert (await stage.ask('/once/')).status == 200
