Count refused and further prefills as repeats

They are counted, and no prompt is read apart while no repeat is left. The test fails without the change.

--- a/shallotmux/forwarding/_budget.py
+++ b/shallotmux/forwarding/_budget.py
@@ -53,15 +53,23 @@
         """Count a request of a caller."""
         self._settle(service).requests.append(trio.current_time())
 
-    def take(self, service: str) -> bool:
-        """Take one repeat; returns whether there is one left."""
+    def charge(self, service: str) -> None:
+        """Count a repeat that was not asked for, such as a call that was refused."""
+        self._settle(service).repeats.append(trio.current_time())
+
+    def has_room(self, service: str) -> bool:
+        """Return whether there is a repeat left."""
         counts = self._settle(service)
         bounds = self._bounds
         share = bounds.slack / max(1, self._instances())
         allowed = USED_PART * (bounds.ratio * len(counts.requests) + share)
-        if len(counts.repeats) + 1 > allowed:
+        return len(counts.repeats) + 1 <= allowed
+
+    def take(self, service: str) -> bool:
+        """Take one repeat; returns whether there was one left."""
+        if not self.has_room(service):
             return False
-        counts.repeats.append(trio.current_time())
+        self.charge(service)
         return True
 
     def _settle(self, service: str) -> _ServiceCounts:
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -106,7 +106,8 @@
                 return None
             self._log(job, placement)
             self._demand.note(job.service, placement.unread_tokens)
-            if placement.prefill is None:
+            # A prefill that is refused counts as a repeat, so there must be one left.
+            if placement.prefill is None or not self._budget.has_room(job.service):
                 return self._target(job, placement.decode, placement.unread_tokens)
             await self._read_apart(job, request, placement)
         return self._choose_taker(job, request)
@@ -115,9 +116,11 @@
         self, job: Job, request: PlacementRequest, placement: Placement | None
     ) -> None:
         """Have the prompt read by a prefill engine, or by another one if the first does not."""
-        for attempt in range(MAX_PREFILLS):
-            if attempt and not self._budget.take(job.service):
+        for _ in range(MAX_PREFILLS):
+            # Only the first prefill of a request that is accepted is not a repeat.
+            if job.prefills and not self._budget.take(job.service):
                 return
+            job.prefills += 1
             state = self._directory.find((placement.prefill if placement else None) or '')
             if state is None or placement is None:
                 return
@@ -126,6 +129,7 @@
                 job.cache_source = f'{state.listed.address}/{handle}'.encode()
                 job.cache_source_uses = 0
                 return
+            self._budget.charge(job.service)
             job.excluded.add(state.identity)
             usable = self._directory.usable(job.service, job.excluded)
             placement = place_request(request, [self._view(each) for each in usable])
--- a/shallotmux/forwarding/_job.py
+++ b/shallotmux/forwarding/_job.py
@@ -42,6 +42,7 @@
     #: Engine and handle from which the KV cache of the prompt is fetched; empty if it was not read.
     cache_source: bytes = b''
     cache_source_uses: int = 0
+    prefills: int = 0
     #: Time from the head of the request to the first part of the answer; 0 before it.
     first_part_s: float = 0.0
     #: Longest time between two parts of the answer.
--- a/tests/forwarding/test_engines.py
+++ b/tests/forwarding/test_engines.py
@@ -5,7 +5,7 @@
 import trio
 
 from shallotmux.fleet import EngineRole, ListedEndpoint, Listing
-from shallotmux.forwarding import CallerRequest, Dialect
+from shallotmux.forwarding import BudgetBounds, CallerRequest, Dialect
 from shallotmux.placement import Prompt, build_prompt
 from shallotmux.routes import (
     EngineProfile,
@@ -139,3 +139,16 @@
         got = [await stage.ask('/ask/', request_id=f'r-{number}') for number in range(4)]
     assert {each.status for each in got} == {200}
     assert len(reader.seen) == 4
+
+
+async def test_refused_and_further_prefills_are_repeats() -> None:
+    """Guards against repeats that the budget does not see: kockica-mux quiet-1, 45296364911."""
+    reader, generator = ScriptedEndpoint(refuse), ScriptedEndpoint(refuse)
+    budget = BudgetBounds(ratio=0, slack=10, window_s=60)
+    async with run_stage(reader, generator, budget=budget, dialect=DIALECT) as stage:
+        set_engines(stage, [reader], [generator])
+        for number in range(20):
+            await stage.ask('/ask/', request_id=f'r-{number}')
+    arrivals = len(reader.seen) + len(generator.seen)
+    firsts = 20
+    assert arrivals - firsts <= 10
