--- /dev/null
+++ b/tests/programs/test_lines.py
@@ -0,0 +1,53 @@
+"""Tests of log lines that never wait for their reader."""
+
+from __future__ import annotations
+
+import json
+import os
+
+from eliot import log_message
+
+from shallotmux.programs import write_lines
+from shallotmux.programs._lines import MAX_WAITING_BYTES
+
+
+def test_lines_are_json_with_their_type() -> None:
+    """Guards against lines that on-call engineers cannot search."""
+    reader, writer = os.pipe()
+    with write_lines(writer):
+        log_message(message_type='shallotmux:started', role='entry')
+        log_message(message_type='shallotmux:detail', level='debug')
+    os.close(writer)
+    with os.fdopen(reader) as lines:
+        read = [json.loads(line) for line in lines]
+    assert [line['message_type'] for line in read] == ['shallotmux:started']
+    assert read[0]['role'] == 'entry'
+
+
+def test_slow_reader_loses_lines_and_is_told() -> None:
+    """Guards against a process that waits for the reader of its log, or whose memory grows."""
+    reader, writer = os.pipe()
+    with write_lines(writer):
+        for _ in range(3 * MAX_WAITING_BYTES // 1000):
+            log_message(message_type='shallotmux:attempt', text='x' * 1000)
+        content = b''
+        # Each message also writes what waits, as far as the reader takes it.
+        for number in range(64):
+            content += _drain(reader)
+            log_message(message_type='shallotmux:later', number=number)
+        content += _drain(reader)
+    os.close(writer)
+    os.close(reader)
+    types = [json.loads(line)['message_type'] for line in content.splitlines()]
+    assert 'shallotmux:lines-dropped' in types
+    assert types[-1] == 'shallotmux:later'
+
+
+def _drain(reader: int) -> bytes:
+    os.set_blocking(reader, False)  # noqa: FBT003
+    content = b''
+    try:
+        while True:
+            content += os.read(reader, 1 << 16)
+    except BlockingIOError:
+        return content
