Take a busy engine for busy, and count only repeats that reached an engine

Cause: a prompt's time limit was 0.5 s beyond what was expected, and its end counted as silence. The limit is 1.5 s, and only an engine that answered nothing meanwhile is avoided. A connection that could not be opened no longer counts as a repeat: these had spent the budget (21 prompts at 30 to 36 s), with the same effect.

--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -47,7 +47,7 @@
 
 #: Time that an engine gets for a prompt, relative to what is expected, and beyond that.
 PREFILL_PATIENCE = 2.5
-PREFILL_SLACK_MS = 500.0
+PREFILL_SLACK_MS = 1500.0
 
 #: Status of an accepted prefill.
 ACCEPTED = 200
@@ -104,12 +104,22 @@
                 return None
             self._log(job, placement)
             self._demand.note(job.service, placement.unread_tokens)
-            # A prefill that is refused counts as a repeat, so there must be one left.
-            if placement.prefill is None or not self._budget.has_room(job.service):
+            if placement.prefill is None or not self._may_be_refused(job):
                 return self._target(job, placement.decode, placement.unread_tokens)
             await self._read_apart(job, request, placement)
         return self._choose_taker(job, request)
 
+    def _may_be_refused(self, job: Job) -> bool:
+        """Return whether a repeat is left, as which a refused prefill would count."""
+        has_room = self._budget.has_room(job.service)
+        if not has_room:
+            log_message(
+                message_type='shallotmux:repeats-spent',
+                request=job.request_id.decode('latin-1'),
+                service=job.service,
+            )
+        return has_room
+
     async def _read_apart(
         self, job: Job, request: PlacementRequest, placement: Placement | None
     ) -> None:
@@ -127,7 +137,6 @@
                 job.cache_source = f'{state.listed.address}/{handle}'.encode()
                 job.cache_source_uses = 0
                 return
-            self._budget.charge(job.service)
             job.excluded.add(state.identity)
             usable = self._directory.usable(job.service, job.excluded)
             placement = place_request(request, [self._view(each) for each in usable])
@@ -174,9 +183,13 @@
     async def _prefill(self, job: Job, state: EndpointState, placement: Placement) -> str | None:
         """Let an engine read the prompt; returns its handle, None if it did not in time."""
         patience_s = (PREFILL_PATIENCE * placement.expected_ms + PREFILL_SLACK_MS) / 1000
+        sent_at = trio.current_time()
         with trio.move_on_after(patience_s):
             return await self._exchange_prefill(job, state, placement.unread_tokens)
-        self._directory.note_silence(state, 'prompt not read in time')
+        self._budget.charge(job.service)
+        if state.answered_at < sent_at:
+            # An engine that answers others is only busy; leaving it would crowd the rest.
+            self._directory.note_silence(state, 'prompt not read in time')
         return None
 
     async def _exchange_prefill(
@@ -190,15 +203,18 @@
                 connection = await self._pool.take(
                     state.identity, state.listed.address, float('inf'), CONNECT_TIMEOUT_S
                 )
+                state.note_sent(id(connection), trio.current_time())
                 await connection.send_request(outgoing)
                 return await self._read_answer(job, state, connection)
         except ConnectionUnusable as error:
             self._directory.note_failure(state, str(error))
         except EndpointError as error:
+            self._budget.charge(job.service)
             self._directory.note_failure(state, str(error))
         finally:
             state.in_flight -= 1
             if connection is not None:
+                state.pending.pop(id(connection), None)
                 self._pool.put(state.identity, connection)
         return None
 
@@ -206,6 +222,7 @@
         self, job: Job, state: EndpointState, connection: EndpointConnection
     ) -> str | None:
         head = await connection.receive_head()
+        state.note_answered(id(connection), trio.current_time())
         content = b''
         part = await connection.receive_part()
         while part is not None:
@@ -217,6 +234,7 @@
         is_done = judge_head(head, self._dialect.names) is Outcome.DONE
         if not is_done or head.status != ACCEPTED or job.prompt is None:
             state.note_refusal(trio.current_time())
+            self._budget.charge(job.service)
             log_message(
                 message_type='shallotmux:prefill-refused',
                 request=job.request_id.decode('latin-1'),
