Give twins in the control duties, the connections and the adapter one place

The duties for sizes and roles shared their loop over the services; attempts and prefills each read whole bodies and had their own limit on connecting; the adapter wrote three header names twice; a reported load kept a figure that nothing read. Refused answers are now collected before they are dropped.

--- a/shallotmux/control/_duties.py
+++ b/shallotmux/control/_duties.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from uuid import uuid4
 
 import trio
@@ -13,10 +14,14 @@
 from shallotmux.control._member import ControlMember
 from shallotmux.errors import ShallotmuxError
 from shallotmux.fleet import TrueClock
+from shallotmux.routes import RouteTable, Service
 
 #: Interval at which due reports are looked for.
 CHECK_S = 0.5
 
+#: Interval at which the leader looks after the services.
+SERVICES_S = 1.0
+
 #: Time after the end of a window at which its counts are fixed. Entry instances send their counts
 #: to each control instance about once a second.
 SETTLE_S = 3.0
@@ -47,6 +52,24 @@
             log_message(message_type='shallotmux:fenced', token=holder.token)
 
 
+async def look_after_services(
+    term: LeaderTerm,
+    table: Callable[[], RouteTable | None],
+    look_after: Callable[[Service], Awaitable[None]],
+) -> None:
+    """Look after each service of the document while this instance leads, until cancelled.
+
+    :param table: returns the look-ups of the document in force, None before the first one.
+    """
+    while True:
+        await trio.sleep(SERVICES_S)
+        current = table()
+        if current is None or term.holder() is None:
+            continue
+        for service in current.document.services:
+            await look_after(service)
+
+
 class UsageDuty:
     """Fixes the counts of each window in the log and reports them.
 
--- a/shallotmux/control/_ordering.py
+++ b/shallotmux/control/_ordering.py
@@ -10,7 +10,7 @@
 from eliot import log_message
 
 from shallotmux.control._border import DutyOutcome, FleetOrder, PlatformBorder
-from shallotmux.control._duties import LeaderTerm
+from shallotmux.control._duties import LeaderTerm, look_after_services
 from shallotmux.control._knowledge import KnowledgeDesk
 from shallotmux.control._sizing import (
     UNMEASURED_FACTOR,
@@ -23,9 +23,6 @@
 )
 from shallotmux.routes import RouteTable, Service
 
-#: Interval at which the fleet's size is looked at.
-CHECK_S = 1.0
-
 #: Time for which an order is given to show in the platform's list, beyond the start of endpoints.
 SHOW_S = 3.0
 
@@ -71,16 +68,10 @@
 
     async def run(self) -> None:
         """Look after all services until cancelled."""
-        while True:
-            await trio.sleep(CHECK_S)
-            table = self._table()
-            if table is None or self._desk.listing is None or self._term.holder() is None:
-                continue
-            for service in table.document.services:
-                await self._look_after(service)
+        await look_after_services(self._term, self._table, self._look_after)
 
     async def _look_after(self, service: Service) -> None:
-        if service.bounds is None or service.engine is None:
+        if service.bounds is None or service.engine is None or self._desk.listing is None:
             return
         now = trio.current_time()
         view = SizingView(
--- a/shallotmux/control/_role_orders.py
+++ b/shallotmux/control/_role_orders.py
@@ -9,15 +9,12 @@
 from eliot import log_message
 
 from shallotmux.control._border import DutyOutcome, PlatformBorder
-from shallotmux.control._duties import LeaderTerm
+from shallotmux.control._duties import LeaderTerm, look_after_services
 from shallotmux.control._knowledge import KnowledgeDesk
 from shallotmux.control._role_plan import RoleChange, plan_role_change
 from shallotmux.fleet import EngineRole, ListedEndpoint
 from shallotmux.routes import RouteTable, Service
 
-#: Interval at which the roles are looked at; at most one engine changes in it.
-CHECK_S = 1.0
-
 #: Time for which an order is given to show in the platform's list, beyond the change itself.
 SHOW_S = 3.0
 
@@ -47,13 +44,7 @@
 
     async def run(self) -> None:
         """Look after all services until cancelled."""
-        while True:
-            await trio.sleep(CHECK_S)
-            table = self._table()
-            if table is None or self._term.holder() is None:
-                continue
-            for service in table.document.services:
-                await self._look_after(service)
+        await look_after_services(self._term, self._table, self._look_after)
 
     async def _look_after(self, service: Service) -> None:
         if service.engine is None:
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -11,7 +11,11 @@
 
 from shallotmux.errors import CallerGone, EndpointError, ShallotmuxError
 from shallotmux.forwarding._directory import EndpointDirectory, EndpointState, Target
-from shallotmux.forwarding._endpoint import ConnectionUnusable, EndpointConnection
+from shallotmux.forwarding._endpoint import (
+    CONNECT_TIMEOUT_S,
+    ConnectionUnusable,
+    EndpointConnection,
+)
 from shallotmux.forwarding._events import EventSplitter
 from shallotmux.forwarding._headers import drop_connection_headers
 from shallotmux.forwarding._job import Job
@@ -21,10 +25,6 @@
 from shallotmux.forwarding._pool import ConnectionPool
 from shallotmux.routes import RouteKind
 
-#: Time for opening a connection to an endpoint. A lost opening packet is sent again after a
-#: second, by when another endpoint has answered.
-CONNECT_TIMEOUT_S = 0.4
-
 #: Idle time up to which a connection takes a request that must not be repeated.
 FRESH_IDLE_S = 1.0
 
@@ -183,14 +183,14 @@
             attempt.target.state.note_load(load, trio.current_time())
         outcome = judge_head(head, self._names)
         if outcome is not Outcome.DONE:
-            await _read_out(connection)
+            await connection.receive_body()
             reason = f'status {head.status}'
             return AttemptEnd(outcome, reason, outcome is Outcome.UNKNOWN, head.status)
         if job.route.kind is not RouteKind.STREAMING:
             self._note_begun(job)
         is_error = head.status >= SERVER_ERROR
         if is_error and attempt.may_hold_back:
-            await _read_out(connection)
+            await connection.receive_body()
             return AttemptEnd(outcome, f'status {head.status}', True, head.status)
         if attempt.may_hold_back and job.route.kind is RouteKind.SAFE:
             held = await _hold(connection)
@@ -243,10 +243,3 @@
             return _Held(content, is_complete=True)
         content += part
     return _Held(content)
-
-
-async def _read_out(connection: EndpointConnection) -> None:
-    """Read an answer that is not passed on, so that the connection can be used again."""
-    part: bytes | None = b''
-    while part is not None:
-        part = await connection.receive_part()
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -48,7 +48,6 @@
     """
 
     others: float
-    waiting: float
     at: float
 
 
@@ -90,7 +89,7 @@
         except ValueError:
             return
         others = max(0, running + waiting - self.in_flight)
-        self.load = ReportedLoad(others, waiting, now)
+        self.load = ReportedLoad(others, now)
 
     def note_prompt(self, prompt: Prompt) -> None:
         """Take note that it now holds the parts of a prompt."""
--- a/shallotmux/forwarding/_endpoint.py
+++ b/shallotmux/forwarding/_endpoint.py
@@ -20,6 +20,10 @@
 #: Time after which the kernel closes a connection whose peer acknowledges nothing.
 USER_TIMEOUT_MS = 1500
 
+#: Time for opening a connection. A lost opening packet is sent again after a second, by when another
+#: endpoint has answered.
+CONNECT_TIMEOUT_S = 0.4
+
 #: Idle time for which a connection may be used again when the endpoint names none.
 DEFAULT_KEEP_ALIVE_S = 4.0
 
@@ -134,6 +138,18 @@
             return None
         raise EndpointError(f'{event!r} in a body', step='receive body', peer=self._peer)
 
+    async def receive_body(self) -> bytes:
+        """Return the rest of the answer's body.
+
+        :raises EndpointError: if the connection breaks before the end.
+        """
+        parts: list[bytes] = []
+        part = await self.receive_part()
+        while part is not None:
+            parts.append(part)
+            part = await self.receive_part()
+        return b''.join(parts)
+
     def close(self) -> None:
         """Close the connection at once; what was not sent yet is dropped."""
         if isinstance(self._stream, trio.SocketStream):
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -14,7 +14,11 @@
 from shallotmux.forwarding._budget import RepeatBudget
 from shallotmux.forwarding._demand import DemandMeter
 from shallotmux.forwarding._directory import EndpointDirectory, EndpointState, Target
-from shallotmux.forwarding._endpoint import ConnectionUnusable, EndpointConnection
+from shallotmux.forwarding._endpoint import (
+    CONNECT_TIMEOUT_S,
+    ConnectionUnusable,
+    EndpointConnection,
+)
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._outcome import Outcome, judge_head
 from shallotmux.forwarding._pool import ConnectionPool
@@ -35,9 +39,6 @@
 #: reads; stated by the engines' description.
 DECODE_READ_SPEED = 0.5
 
-#: Time for opening a connection for a prefill.
-CONNECT_TIMEOUT_S = 0.4
-
 #: Engines that are asked to read one prompt. Further ones count as repeats.
 MAX_PREFILLS = 2
 
@@ -223,11 +224,7 @@
     ) -> str | None:
         head = await connection.receive_head()
         state.note_answered(id(connection), trio.current_time())
-        content = b''
-        part = await connection.receive_part()
-        while part is not None:
-            content += part
-            part = await connection.receive_part()
+        content = await connection.receive_body()
         load = head.header(self._dialect.names.load)
         if load is not None:
             state.note_load(load, trio.current_time())
--- a/shallotmux/platform/__init__.py
+++ b/shallotmux/platform/__init__.py
@@ -4,7 +4,8 @@
 
 from shallotmux.platform._client import PlatformClient
 from shallotmux.platform._configuration import decode_configuration
-from shallotmux.platform._names import DIALECT, GET_PATH, HEADERS, PUT_PATH
+from shallotmux.platform._dialect import DIALECT
+from shallotmux.platform._names import GET_PATH, HEADERS, PUT_PATH
 from shallotmux.platform._settings import build_settings, read_file
 
 __all__ = (
--- /dev/null
+++ b/shallotmux/platform/_dialect.py
@@ -0,0 +1,15 @@
+"""How the platform's callers and workers write what the system has to understand."""
+
+from __future__ import annotations
+
+from shallotmux.forwarding import Dialect
+from shallotmux.platform._names import HEADERS
+from shallotmux.platform._prompts import read_handle, read_prompt
+
+DIALECT = Dialect(
+    names=HEADERS,
+    key_scheme='Token',
+    read_prompt=read_prompt,
+    read_handle=read_handle,
+    prefill_headers=((HEADERS.role, b'prefill'),),
+)
--- a/shallotmux/platform/_names.py
+++ b/shallotmux/platform/_names.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from shallotmux.forwarding import Dialect, HeaderNames
-from shallotmux.platform._prompts import read_handle, read_prompt
+from shallotmux.forwarding import HeaderNames
 
 HEADERS = HeaderNames(
     request_id=b'x-shallotmux-request-id',
@@ -34,11 +33,3 @@
 #: Paths at which operators put and read the configuration.
 PUT_PATH = '/Config.Put'
 GET_PATH = '/Config.Get'
-
-DIALECT = Dialect(
-    names=HEADERS,
-    key_scheme='Token',
-    read_prompt=read_prompt,
-    read_handle=read_handle,
-    prefill_headers=((HEADERS.role, b'prefill'),),
-)
--- a/shallotmux/platform/_prompts.py
+++ b/shallotmux/platform/_prompts.py
@@ -6,10 +6,7 @@
 
 from shallotmux.forwarding import CallerRequest
 from shallotmux.placement import Prompt, build_prompt
-
-MODEL_HEADER = b'x-shallotmux-model'
-COUNTS_HEADER = b'x-shallotmux-token-counts'
-PARTS_HEADER = b'x-shallotmux-prefix-hash'
+from shallotmux.platform._names import HEADERS
 
 
 class _PrefillAnswer(msgspec.Struct, rename='kebab'):
@@ -22,11 +19,13 @@
     The counts are ``PROMPT,OUTPUT`` tokens; the parts are ``ID:TOKENS`` with commas between.
     """
     try:
-        tokens, output = (int(each) for each in request.text(COUNTS_HEADER).split(','))
-        parts = tuple(_read_part(each) for each in request.text(PARTS_HEADER).split(',') if each)
+        tokens, output = (int(each) for each in request.text(HEADERS.token_counts).split(','))
+        parts = tuple(
+            _read_part(each) for each in request.text(HEADERS.prompt_parts).split(',') if each
+        )
     except ValueError:
         return None
-    return build_prompt(request.text(MODEL_HEADER), parts, tokens, output)
+    return build_prompt(request.text(HEADERS.model), parts, tokens, output)
 
 
 def read_handle(content: bytes) -> str | None:
