Refuse requests that crash the endpoints which run them

Change: attempts and prefills that break off are noted under a fingerprint of method, target, customer and body. The polls carry the reports to the control instances, whose answers carry them on. A request that broke off three endpoints is answered 503 without being sent; it is forgotten after 60 s.

--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -11,6 +11,7 @@
 
 from shallotmux.authority import GroupState
 from shallotmux.fleet import (
+    CrashLedger,
     CustomerCount,
     Knowledge,
     ListedEndpoint,
@@ -69,6 +70,7 @@
         self._clock = clock
         self._peers = peers
         self.usage = UsageLedger()
+        self._crashes = CrashLedger()
         self.listing: Listing | None = None
         self._summary: Counter[str] = Counter()
         self._listed_at = float('-inf')
@@ -115,6 +117,7 @@
         self._heard[poll.sender] = now
         self.usage.take(poll.sender, poll.counts)
         self._demands[poll.sender] = poll.demands
+        self._crashes.take(poll.crashes)
         document = self._state.zone.document
         is_news = document.version > poll.version and bool(document.content)
         knowledge = Knowledge(
@@ -125,6 +128,7 @@
             max(0.0, now - self._listed_at) if self.listing else 0.0,
             self.entries(),
             self._clock.own(),
+            self._crashes.reports(),
         )
         return ForwardAnswer(encode_knowledge(knowledge))
 
--- a/shallotmux/fleet/__init__.py
+++ b/shallotmux/fleet/__init__.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from shallotmux.fleet._clock import TrueClock, read_boot_time
+from shallotmux.fleet._crashes import CrashLedger
 from shallotmux.fleet._learner import DecodeDocument, FleetLearner, FleetView
 from shallotmux.fleet._listing import EngineRole, ListedEndpoint, Listing
 from shallotmux.fleet._load_sharing import LoadSharing, PeerLoads
 from shallotmux.fleet._messages import (
     JOIN_GROUP,
     KNOWLEDGE_GROUP,
+    CrashReport,
     CustomerCount,
     Join,
     JoinAnswer,
@@ -25,6 +27,8 @@
 __all__ = (
     'JOIN_GROUP',
     'KNOWLEDGE_GROUP',
+    'CrashLedger',
+    'CrashReport',
     'CustomerCount',
     'DecodeDocument',
     'EngineRole',
--- a/shallotmux/fleet/_learner.py
+++ b/shallotmux/fleet/_learner.py
@@ -11,6 +11,7 @@
 
 from shallotmux.errors import DocumentInvalid, ShallotmuxError
 from shallotmux.fleet._clock import TrueClock
+from shallotmux.fleet._crashes import CrashLedger
 from shallotmux.fleet._listing import Listing
 from shallotmux.fleet._messages import (
     KNOWLEDGE_GROUP,
@@ -105,6 +106,7 @@
         demands: Callable[[], tuple[ServiceDemand, ...]] = tuple,
     ) -> None:
         self.view = FleetView()
+        self.crashes = CrashLedger()
         self._name = name
         self._network = network
         self._decode = decode
@@ -148,7 +150,13 @@
         return min(self._peers, key=lambda each: self._avoided_until.get(each, 0))
 
     async def _poll(self, peer: str) -> None:
-        poll = Poll(self._name, self.view.version, self._counts(), self._demands())
+        poll = Poll(
+            self._name,
+            self.view.version,
+            self._counts(),
+            self._demands(),
+            self.crashes.reports(),
+        )
         try:
             answer = await self._network.forward(
                 peer, KNOWLEDGE_GROUP, encode_knowledge(poll), POLL_TIMEOUT_S
@@ -169,6 +177,7 @@
             log_message(message_type='shallotmux:control-regained', peer=peer)
         self._clock.note_peer(peer, knowledge.true_time_s)
         self.view.entries = knowledge.entries
+        self.crashes.take(knowledge.crashes)
         if knowledge.peers:
             self._replace_peers(knowledge.peers)
         if knowledge.document:
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -28,6 +28,19 @@
     tokens_per_s: float
 
 
+class CrashReport(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint that broke off while it ran a request.
+
+    :param fingerprint: names the request; one that is sent again has the same.
+    :param endpoint: names the start of the endpoint.
+    :param age_s: time since then.
+    """
+
+    fingerprint: int
+    endpoint: int
+    age_s: float
+
+
 class Poll(msgspec.Struct, frozen=True):
     """Asks for what is newer than the sender knows.
 
@@ -35,12 +48,14 @@
     :param version: version of the document that the sender holds; 0 for none.
     :param counts: all counts of the sender for the windows that are still open.
     :param demands: demand at the sender, by service.
+    :param crashes: endpoints that broke off lately while they ran a request.
     """
 
     sender: str
     version: int
     counts: tuple[CustomerCount, ...] = ()
     demands: tuple[ServiceDemand, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
 
 
 class Knowledge(msgspec.Struct, frozen=True):
@@ -53,6 +68,7 @@
     :param listing_age_s: time since that list was read.
     :param entries: names of the entry instances that were heard lately.
     :param true_time_s: estimate of the time since 1970 in seconds.
+    :param crashes: endpoints that broke off while they ran a request, as all instances told.
     """
 
     version: int
@@ -62,6 +78,7 @@
     listing_age_s: float
     entries: tuple[str, ...]
     true_time_s: float
+    crashes: tuple[CrashReport, ...] = ()
 
 
 class Join(msgspec.Struct, frozen=True):
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -139,6 +139,8 @@
             return await self._converse(attempt, connection)
         except EndpointError as error:
             outcome = judge_silence(was_sent=connection.was_sent)
+            if connection.was_sent:
+                self._directory.note_break(state, attempt.job.fingerprint())
             return AttemptEnd(outcome, str(error), is_failure=True)
         finally:
             self._pool.put(state.identity, connection)
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -9,7 +10,7 @@
 import trio
 from eliot import log_message
 
-from shallotmux.fleet import EngineRole, ListedEndpoint, Listing
+from shallotmux.fleet import CrashLedger, EngineRole, ListedEndpoint, Listing
 from shallotmux.forwarding._headers import Headers
 from shallotmux.placement import Prompt
 
@@ -75,6 +76,11 @@
         """Return the identity of the endpoint."""
         return self.listed.identity
 
+    @property
+    def start_number(self) -> int:
+        """Return a number that names this start of the endpoint in messages."""
+        return zlib.crc32(f'{self.identity} {self.listed.started_ms}'.encode())
+
     def busy(self, now: float) -> float:
         """Return the requests that it is expected to have, this instance's included."""
         if self.load is None:
@@ -162,10 +168,12 @@
     """Endpoints by service.
 
     :param forget: is told the identity of an endpoint that is gone.
+    :param crashes: is told the requests at which endpoints broke off.
     """
 
-    def __init__(self, forget: Callable[[str], None]) -> None:
+    def __init__(self, forget: Callable[[str], None], crashes: CrashLedger | None = None) -> None:
         self._forget = forget
+        self.crashes = crashes or CrashLedger()
         self._states: dict[str, EndpointState] = {}
 
     def take_listing(self, listing: Listing) -> None:
@@ -217,6 +225,10 @@
         state.failures = FAILURES_TO_AVOID
         self.note_failure(state, reason)
 
+    def note_break(self, state: EndpointState, fingerprint: int) -> None:
+        """Take note that an endpoint broke off while it may have run a request."""
+        self.crashes.note(fingerprint, state.start_number)
+
     def note_failure(self, state: EndpointState, reason: str) -> None:
         """Take note of an endpoint's failure."""
         if state.note_failure(trio.current_time()):
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -210,6 +210,7 @@
         except ConnectionUnusable as error:
             self._directory.note_failure(state, str(error))
         except EndpointError as error:
+            self._directory.note_break(state, job.fingerprint())
             self._budget.charge(job.service)
             self._directory.note_failure(state, str(error))
         finally:
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -88,6 +88,9 @@
         """Try endpoints until one has answered; returns the refusal if none did."""
         reason = 'no endpoint'
         while job.sends < MAX_SENDS:
+            if self._is_harmful(job):
+                reason = 'crashes endpoints'
+                break
             target = await self._choose(job)
             if target is None:
                 break
@@ -135,6 +138,10 @@
                 return False
         return self.budget.take(job.service)
 
+    def _is_harmful(self, job: Job) -> bool:
+        crashes = self.directory.crashes
+        return crashes.has_reports and crashes.is_harmful(job.fingerprint())
+
     async def _choose(self, job: Job) -> Target | None:
         usable = self.directory.usable(job.service, job.excluded)
         if job.prompt is not None and usable:
--- a/shallotmux/forwarding/_job.py
+++ b/shallotmux/forwarding/_job.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass, field
 
 import trio
@@ -16,6 +17,9 @@
 #: Urgency levels of engines; 0 is the most urgent.
 LEAST_URGENT = 9
 
+#: Length of a request's fingerprint; it fits into an integer of a message.
+FINGERPRINT_BYTES = 8
+
 
 @dataclass(slots=True)
 class Job:
@@ -56,6 +60,15 @@
         """Return the time until the deadline."""
         return self.deadline - trio.current_time()
 
+    def fingerprint(self) -> int:
+        """Return a number that is the same when the caller sends the request again."""
+        request = self.request
+        digest = hashlib.blake2b(request.body, digest_size=FINGERPRINT_BYTES)
+        for part in (request.method, request.target, self.customer.encode()):
+            digest.update(b'\n')
+            digest.update(part)
+        return int.from_bytes(digest.digest())
+
     def note_part(self) -> None:
         """Take note that a part of the answer arrived."""
         now = trio.current_time()
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -85,7 +85,7 @@
         )
         self.view = self._learner.view
         self._pool = ConnectionPool(border.dialect.names.request_id)
-        self._directory = EndpointDirectory(self._pool.forget)
+        self._directory = EndpointDirectory(self._pool.forget, self._learner.crashes)
         self.view.on_listing.append(self._directory.take_listing)
         self.metrics = ForwardingMetrics()
         self.metrics.document_version.set_function(lambda: self.view.version)
--- /dev/null
+++ b/tests/fleet/test_crashes.py
@@ -0,0 +1,58 @@
+"""Tests of the crashes that instances remember and tell each other."""
+
+from __future__ import annotations
+
+import trio
+import trio.testing
+
+from shallotmux.fleet import CrashLedger, CrashReport
+
+
+async def test_request_is_harmful_after_three_endpoints(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against requests that go on crashing endpoints, and against hasty judgement."""
+    ledger = CrashLedger()
+    ledger.note(7, 1)
+    ledger.note(7, 2)
+    ledger.note(7, 2)
+    assert not ledger.is_harmful(7)
+    ledger.note(7, 3)
+    assert ledger.is_harmful(7)
+    assert not ledger.is_harmful(8)
+
+
+async def test_crashes_seen_by_others_count_once(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against instances that each have to be crashed three times, and double counts."""
+    first, second = CrashLedger(), CrashLedger()
+    first.note(7, 1)
+    second.note(7, 2)
+    second.note(7, 3)
+    for _ in range(2):
+        first.take(second.reports())
+    assert first.is_harmful(7)
+    second.take(first.reports())
+    assert len(second.reports()) == 3
+
+
+async def test_crashes_are_forgotten(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against requests that are refused for ever, also by reports that go round."""
+    ledger = CrashLedger()
+    for endpoint in range(3):
+        ledger.note(7, endpoint)
+    await trio.sleep(40)
+    ledger.take(ledger.reports())
+    await trio.sleep(21)
+    assert not ledger.is_harmful(7)
+    assert not ledger.reports()
+    assert not ledger.has_reports
+
+
+async def test_reports_are_bounded(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against messages that grow with each broken connection."""
+    ledger = CrashLedger()
+    ledger.take([CrashReport(fingerprint, 1, 0) for fingerprint in range(5000)])
+    ledger.take([CrashReport(9, endpoint, 0) for endpoint in range(4)])
+    told = ledger.reports()
+    assert len(told) < 100
+    assert sum(each.fingerprint == 9 for each in told) == 3
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from shallotmux.fleet import ListedEndpoint
+from shallotmux.fleet import CrashReport, ListedEndpoint
 from shallotmux.forwarding import AnswerHead, BudgetBounds, Forwarder
 from shallotmux.forwarding._directory import Target
 from tests.forwarding._jobs import RecordedReply, make_job
@@ -346,3 +346,38 @@
         assert registry.get_sample_value('shallotmux_forwarded_total', refused) == 1
         seconds = registry.get_sample_value('shallotmux_first_byte_seconds_sum', {'route': 'once'})
         assert seconds
+
+
+async def test_request_that_crashes_endpoints_is_not_sent_on() -> None:
+    """Guards against a request that takes down one endpoint after the other."""
+    endpoints = [ScriptedEndpoint(crash_at_bad_body) for _ in range(6)]
+    async with run_stage(*endpoints) as stage:
+        bad = [
+            await stage.ask('/safe/x', body=b'bad', request_id=f'r-{number}') for number in range(6)
+        ]
+        good = await stage.ask('/safe/x', body=b'good', request_id='r-9')
+    assert [each.status for each in bad[-2:]] == [503, 503]
+    assert good.status == 200
+    crashed = [each for each in endpoints if any(seen.body == b'bad' for seen in each.seen)]
+    assert len(crashed) == 3
+
+
+async def test_crashes_seen_elsewhere_keep_a_request_from_endpoints() -> None:
+    """Guards against instances that learn only from their own endpoints' crashes."""
+    endpoint = ScriptedEndpoint(serve)
+    async with run_stage(endpoint) as stage:
+        job = make_job(RecordedReply())
+        job.customer = 'tailors'
+        reports = [CrashReport(job.fingerprint(), number, 1.0) for number in range(3)]
+        stage.forwarder.directory.crashes.take(reports)
+        refused = await stage.ask('/resume/', body=b'')
+        served = await stage.ask('/resume/', body=b'other')
+    assert (refused.status, served.status) == (503, 200)
+    assert len(endpoint.seen) == 1
+
+
+async def crash_at_bad_body(stream: trio.SocketStream, seen: Seen) -> bool:
+    """Break off when the body is bad."""
+    if seen.body == b'bad':
+        return False
+    return await serve(stream, seen)
