Fetch cached parts from other engines, and spend no repeats on calls that reach nobody

Each connection that could not be opened cost a repeat, and with the repeats spent, 433 prompts were read between the tokens of streams for fear of one refusal in 400; gaps rose above 400 ms. Engines that took over a home read its shared parts again: 1.5 of 7.5 M tokens. Change: what did not leave the instance is no repeat; an endpoint that cannot be connected is avoided at once; prompts are read apart until 0.9 of the budget is spent. An engine that does not hold the shared parts is told which engine does and fetches them, so homes are left for 20 ms instead of 60, and the next three are weighed. The types of a choice have a module of their own.

--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -125,7 +125,7 @@
             self._directory.note_failure(state, end.reason)
         elif end.outcome is Outcome.DONE:
             state.note_success()
-        elif end.outcome is Outcome.NOT_RUN:
+        elif end.status:
             state.note_refusal(trio.current_time())
         return end
 
@@ -134,7 +134,8 @@
         try:
             connection = await self._connect(attempt.job, state)
         except ConnectionUnusable as error:
-            return AttemptEnd(Outcome.NOT_RUN, str(error), is_failure=True)
+            self._directory.note_silence(state, str(error))
+            return AttemptEnd(Outcome.NOT_RUN, str(error))
         try:
             return await self._converse(attempt, connection)
         except EndpointError as error:
--- a/shallotmux/forwarding/_budget.py
+++ b/shallotmux/forwarding/_budget.py
@@ -12,6 +12,10 @@
 #: cut differently and instances that come and go.
 USED_PART = 0.6
 
+#: Part of the budget up to which prompts are still read apart. A refused prefill counts as a repeat,
+#: but few are refused, and reading between the tokens of streams delays all of them.
+PREFILL_PART = 0.9
+
 
 @dataclass(frozen=True, slots=True)
 class BudgetBounds:
@@ -57,12 +61,15 @@
         """Count a repeat that was not asked for, such as a call that was refused."""
         self._settle(service).repeats.append(trio.current_time())
 
-    def has_room(self, service: str) -> bool:
-        """Return whether there is a repeat left."""
+    def has_room(self, service: str, used_part: float = USED_PART) -> bool:
+        """Return whether there is a repeat left.
+
+        :param used_part: part of this instance's share that may be used.
+        """
         counts = self._settle(service)
         bounds = self._bounds
         share = bounds.slack / max(1, self._instances())
-        allowed = USED_PART * (bounds.ratio * len(counts.requests) + share)
+        allowed = used_part * (bounds.ratio * len(counts.requests) + share)
         return len(counts.repeats) + 1 <= allowed
 
     def take(self, service: str) -> bool:
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -11,7 +11,7 @@
 from shallotmux.errors import EndpointError
 from shallotmux.fleet import EngineRole, ServiceDemand
 from shallotmux.forwarding._admission import Dialect
-from shallotmux.forwarding._budget import RepeatBudget
+from shallotmux.forwarding._budget import PREFILL_PART, RepeatBudget
 from shallotmux.forwarding._demand import DemandMeter
 from shallotmux.forwarding._directory import EndpointDirectory, EndpointState, Target
 from shallotmux.forwarding._endpoint import (
@@ -19,6 +19,7 @@
     ConnectionUnusable,
     EndpointConnection,
 )
+from shallotmux.forwarding._headers import Headers
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._outcome import Outcome, judge_head
 from shallotmux.forwarding._pool import ConnectionPool
@@ -106,13 +107,15 @@
             self._log(job, placement)
             self._demand.note(job.service, placement.unread_tokens)
             if placement.prefill is None or not self._may_be_refused(job):
-                return self._target(job, placement.decode, placement.unread_tokens)
+                return self._target(
+                    job, placement.decode, placement.unread_tokens, placement.fetch_from
+                )
             await self._read_apart(job, request, placement)
         return self._choose_taker(job, request)
 
     def _may_be_refused(self, job: Job) -> bool:
         """Return whether a repeat is left, as which a refused prefill would count."""
-        has_room = self._budget.has_room(job.service)
+        has_room = self._budget.has_room(job.service, PREFILL_PART)
         if not has_room:
             log_message(
                 message_type='shallotmux:repeats-spent',
@@ -150,16 +153,25 @@
             return None
         return self._target(job, taker, 0 if job.cache_source else request.prompt.tokens)
 
-    def _target(self, job: Job, identity: str, unread_tokens: float) -> Target | None:
+    def _target(
+        self, job: Job, identity: str, unread_tokens: float, fetch_from: str | None = None
+    ) -> Target | None:
         state = self._directory.find(identity)
         if state is None or job.prompt is None:
             return None
         state.note_prompt(job.prompt)
         if not job.cache_source:
-            return Target(state, unread_tokens=unread_tokens)
+            return Target(state, self._fetch_headers(fetch_from), unread_tokens)
         job.cache_source_uses += 1
         return Target(state, ((self._dialect.names.cache_source, job.cache_source),))
 
+    def _fetch_headers(self, source: str | None) -> Headers:
+        """Return what tells an engine to fetch cached parts from another one."""
+        state = self._directory.find(source) if source else None
+        if state is None:
+            return ()
+        return ((self._dialect.names.cache_peer, state.listed.address.encode()),)
+
     def _profile(self, service: str) -> EngineProfile | None:
         table = self._table()
         found = table.services.get(service) if table else None
@@ -186,7 +198,7 @@
         patience_s = (PREFILL_PATIENCE * placement.expected_ms + PREFILL_SLACK_MS) / 1000
         sent_at = trio.current_time()
         with trio.move_on_after(patience_s):
-            return await self._exchange_prefill(job, state, placement.unread_tokens)
+            return await self._exchange_prefill(job, state, placement)
         self._budget.charge(job.service)
         if state.answered_at < sent_at:
             # An engine that answers others is only busy; leaving it would crowd the rest.
@@ -194,13 +206,14 @@
         return None
 
     async def _exchange_prefill(
-        self, job: Job, state: EndpointState, unread_tokens: float
+        self, job: Job, state: EndpointState, placement: Placement
     ) -> str | None:
-        outgoing = job.outgoing(self._dialect.names, state.identity, self._dialect.prefill_headers)
+        extra = (*self._dialect.prefill_headers, *self._fetch_headers(placement.fetch_from))
+        outgoing = job.outgoing(self._dialect.names, state.identity, extra)
         connection: EndpointConnection | None = None
         state.in_flight += 1
         try:
-            with _unread(state, unread_tokens):
+            with _unread(state, placement.unread_tokens):
                 connection = await self._pool.take(
                     state.identity, state.listed.address, float('inf'), CONNECT_TIMEOUT_S
                 )
@@ -208,7 +221,7 @@
                 await connection.send_request(outgoing)
                 return await self._read_answer(job, state, connection)
         except ConnectionUnusable as error:
-            self._directory.note_failure(state, str(error))
+            self._directory.note_silence(state, str(error))
         except EndpointError as error:
             self._directory.note_break(state, job.fingerprint())
             self._budget.charge(job.service)
@@ -252,6 +265,7 @@
             prefill=placement.prefill,
             expected_ms=round(placement.expected_ms, 1),
             reason=placement.reason,
+            fetch_from=placement.fetch_from,
         )
 
 
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -31,6 +31,10 @@
 #: Attempts at endpoints that all refuse a request, before it is refused.
 MAX_SENDS = 4
 
+#: Endpoints that are tried for a request, those that could not be reached included. Each may take
+#: the time limit of a connection.
+MAX_TRIES = 6
+
 #: Time after which a request may come back that found no endpoint, or only full ones.
 RETRY_SOON_S = 0.5
 
@@ -87,7 +91,7 @@
     async def _attempt_repeatedly(self, job: Job) -> Refusal | None:
         """Try endpoints until one has answered; returns the refusal if none did."""
         reason = 'no endpoint'
-        while job.sends < MAX_SENDS:
+        while job.sends < MAX_SENDS and len(job.excluded) < MAX_TRIES:
             if self._is_harmful(job):
                 reason = 'crashes endpoints'
                 break
@@ -136,7 +140,8 @@
         if end.outcome is not Outcome.NOT_RUN:
             if not job.route.is_repeatable or job.runs >= job.route.max_attempts:
                 return False
-        return self.budget.take(job.service)
+        # What did not leave this instance is no repeat.
+        return not job.sends or self.budget.take(job.service)
 
     def _is_harmful(self, job: Job) -> bool:
         crashes = self.directory.crashes
--- a/shallotmux/placement/__init__.py
+++ b/shallotmux/placement/__init__.py
@@ -2,16 +2,10 @@
 
 from __future__ import annotations
 
-from shallotmux.placement._choice import (
-    EngineView,
-    Placement,
-    PlacementRequest,
-    choose_generator,
-    direct_limit,
-    place_request,
-)
+from shallotmux.placement._choice import choose_generator, direct_limit, place_request
 from shallotmux.placement._homes import rank_homes
 from shallotmux.placement._prompt import Prompt, PromptPart, build_prompt
+from shallotmux.placement._views import EngineView, Placement, PlacementRequest
 
 __all__ = (
     'EngineView',
--- a/shallotmux/placement/_choice.py
+++ b/shallotmux/placement/_choice.py
@@ -7,14 +7,16 @@
 
 from shallotmux.fleet import EngineRole
 from shallotmux.placement._homes import rank_homes
-from shallotmux.placement._prompt import Prompt
+from shallotmux.placement._sources import find_source
+from shallotmux.placement._views import EngineView, FetchSource, Placement, PlacementRequest
 
-#: Homes of a prefix that are weighed against each other, in their order.
-HOMES_WEIGHED = 2
+#: Homes of a prefix that are weighed against each other, in their order. Others would each keep a
+#: copy of the shared parts, and have less room for the parts of their own homes.
+HOMES_WEIGHED = 3
 
-#: Time by which another engine must be better before a request leaves its home, in ms. It is
-#: about the time that reading a shared part again takes.
-LEAVE_HOME_MS = 60.0
+#: Time by which another engine must be better before a request leaves its home, in ms. The shared
+#: parts are fetched from the home, but displace others at the engine that fetches them.
+LEAVE_HOME_MS = 20.0
 
 #: Tokens of a shared part from which it is worth while to keep its requests together. Fewer are
 #: read again within about a step of an engine.
@@ -23,80 +25,10 @@
 #: Time by which an engine of another zone must be better, in ms: bytes between zones are paid for.
 OTHER_ZONE_MS = 12.0
 
-#: Time that a request waits for each one before it at an engine without a free slot.
-QUEUED_REQUEST_MS = 20.0
-
 #: Time by which a running stream delays the tokens of another one, in ms.
 RUNNING_STREAM_MS = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class EngineView:
-    """What is known of one engine at the moment of a choice.
-
-    :param read_tokens_per_ms: speed at which it reads prompts.
-    :param backlog_tokens: tokens that it has yet to read before a new request.
-    :param running: requests for which it generates.
-    :param held: prefixes that it is believed to hold.
-    """
-
-    identity: str
-    zone: str
-    role: EngineRole
-    read_tokens_per_ms: float
-    backlog_tokens: float = 0.0
-    running: float = 0.0
-    slots: int = 1
-    held: frozenset[bytes] = frozenset()
-
-    @property
-    def wait_ms(self) -> float:
-        """Return the time before it starts to read a new prompt."""
-        queued = max(0.0, self.running - self.slots)
-        return self.backlog_tokens / self.read_tokens_per_ms + queued * QUEUED_REQUEST_MS
-
-    def unread_tokens(self, prompt: Prompt, *, is_home: bool) -> int:
-        """Return the tokens of a prompt that it does not hold."""
-        cached = prompt.cached_tokens(self.held)
-        if is_home and self.role is not EngineRole.DECODE:
-            # Other instances send the same prefix here, so it is held without their telling. An
-            # engine that only generates gets requests of all prefixes and drops them soon.
-            cached = max(cached, prompt.shared_tokens)
-        return max(0, prompt.tokens - cached)
-
-
-@dataclass(frozen=True, slots=True)
-class Placement:
-    """Where a request goes.
-
-    :param prefill: engine that reads the prompt first; None if the other one reads it itself.
-    :param expected_ms: expected time to the first token.
-    :param unread_tokens: tokens that have to be read.
-    """
-
-    decode: str
-    prefill: str | None
-    expected_ms: float
-    reason: str
-    unread_tokens: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class PlacementRequest:
-    """A request that needs engines.
-
-    :param zone: availability zone from which it is sent.
-    :param transfer_tokens_per_ms: speed at which KV cache is moved between engines.
-    :param direct_tokens: tokens that an engine may read between the tokens of its streams before
-        their gaps become too long.
-    """
-
-    prompt: Prompt
-    zone: str
-    transfer_tokens_per_ms: float
-    direct_tokens: float
-
-
 @dataclass(frozen=True, slots=True)
 class _Reading:
     """An engine that reads a prompt, and when it is done."""
@@ -104,6 +36,12 @@
     engine: EngineView
     unread_tokens: int
     time_ms: float
+    source: FetchSource | None = None
+
+    @property
+    def fetch_from(self) -> str | None:
+        """Return the engine from which cached parts are fetched."""
+        return self.source.identity if self.source else None
 
 
 def place_request(request: PlacementRequest, engines: Iterable[EngineView]) -> Placement | None:
@@ -118,10 +56,10 @@
     prefilling = [each for each in usable if each.role is EngineRole.PREFILL]
     if not decoding:
         return None
-    direct = _read_directly(_choose_reader(request, decoding))
+    direct = _read_directly(_choose_reader(request, decoding, usable))
     if not prefilling:
         return direct
-    handed = _hand_over(request, decoding, _choose_reader(request, prefilling))
+    handed = _hand_over(request, decoding, _choose_reader(request, prefilling, usable))
     is_short = direct.unread_tokens <= request.direct_tokens
     return direct if is_short and direct.expected_ms < handed.expected_ms else handed
 
@@ -134,26 +72,52 @@
     engine = reading.engine
     harm_ms = engine.running * reading.unread_tokens / engine.read_tokens_per_ms
     return Placement(
-        engine.identity, None, reading.time_ms + harm_ms, 'direct', reading.unread_tokens
+        engine.identity,
+        None,
+        reading.time_ms + harm_ms,
+        'direct',
+        reading.unread_tokens,
+        reading.fetch_from,
     )
 
 
-def _choose_reader(request: PlacementRequest, engines: Sequence[EngineView]) -> _Reading:
-    """Return the engine that has read the prompt first; leaving its home counts as a delay."""
+def _choose_reader(
+    request: PlacementRequest, engines: Sequence[EngineView], sources: Sequence[EngineView]
+) -> _Reading:
+    """Return the engine that has read the prompt first; leaving its home counts as a delay.
+
+    :param sources: engines from which cached parts may be fetched.
+    """
     prompt = request.prompt
     by_identity = {each.identity: each for each in engines}
     homes = [by_identity[each] for each in rank_homes(prompt.home_key, by_identity)]
     candidates = homes[:HOMES_WEIGHED] if prompt.shared_tokens >= HOME_TOKENS else homes
-    weighed = (_weigh_reading(request, engine, rank) for rank, engine in enumerate(candidates))
+    # An engine that generates must not read a long prompt because a home did not hold it after all.
+    expected = [each for each in homes if each.role is not EngineRole.DECODE]
+    weighed = (
+        _weigh_reading(
+            request,
+            engine,
+            rank,
+            find_source(prompt, engine, sources, expected, request.transfer_tokens_per_ms),
+        )
+        for rank, engine in enumerate(candidates)
+    )
     return min(weighed, key=lambda each: each.time_ms)
 
 
-def _weigh_reading(request: PlacementRequest, engine: EngineView, rank: int) -> _Reading:
+def _weigh_reading(
+    request: PlacementRequest, engine: EngineView, rank: int, source: FetchSource | None
+) -> _Reading:
     unread = engine.unread_tokens(request.prompt, is_home=not rank)
-    time_ms = engine.wait_ms + unread / engine.read_tokens_per_ms + _distance_ms(request, engine)
+    time_ms = engine.wait_ms + _distance_ms(request, engine)
+    if source is not None and request.prompt.tokens - source.tokens < unread:
+        unread = request.prompt.tokens - source.tokens
+        time_ms += source.time_ms
+    time_ms += unread / engine.read_tokens_per_ms
     if rank and request.prompt.shared_tokens >= HOME_TOKENS:
         time_ms += LEAVE_HOME_MS
-    return _Reading(engine, unread, time_ms + engine.running * RUNNING_STREAM_MS)
+    return _Reading(engine, unread, time_ms + engine.running * RUNNING_STREAM_MS, source)
 
 
 def choose_generator(request: PlacementRequest, engines: Iterable[EngineView]) -> str | None:
@@ -182,6 +146,7 @@
         expected_ms,
         'handed over',
         reading.unread_tokens,
+        reading.fetch_from,
     )
 
 
--- a/tests/forwarding/test_engines.py
+++ b/tests/forwarding/test_engines.py
@@ -178,3 +178,27 @@
         assert state is not None
         assert state.avoided_until < trio.current_time()
     assert answered[0] == b'r-quick'
+
+
+async def test_prompts_are_read_apart_though_repeats_are_spent() -> None:
+    """Guards against prompts read between streams for fear of a refusal: hornknap-drift scale-2."""
+    reader, generator = ScriptedEndpoint(read_prompt), ScriptedEndpoint(generate)
+    budget = BudgetBounds(ratio=0, slack=10, window_s=60)
+    async with run_stage(reader, generator, budget=budget, dialect=DIALECT) as stage:
+        set_engines(stage, [reader], [generator])
+        taken = [stage.forwarder.budget.take('llm') for _ in range(10)]
+        assert not all(taken)
+        got = await stage.ask('/ask/')
+    assert got.body == f'{reader.address}/handle'.encode()
+
+
+async def test_reader_is_told_where_to_fetch_shared_parts() -> None:
+    """Guards against shared parts that a second reader reads again."""
+    readers = [ScriptedEndpoint(read_prompt), ScriptedEndpoint(read_prompt)]
+    generator = ScriptedEndpoint(generate)
+    async with run_stage(*readers, generator, dialect=DIALECT) as stage:
+        set_engines(stage, readers, [generator])
+        await stage.ask('/ask/', extra='X-Cache-Peer: 10.0.0.1:1\r\n')
+    asked, other = sorted(readers, key=lambda each: len(each.seen), reverse=True)
+    assert [seen.headers[NAMES.cache_peer] for seen in asked.seen] == [other.address.encode()]
+    assert NAMES.cache_peer not in generator.seen[0].headers
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from shallotmux.fleet import CrashReport, ListedEndpoint
+from shallotmux.fleet import CrashReport, ListedEndpoint, Listing
 from shallotmux.forwarding import AnswerHead, BudgetBounds, Forwarder
 from shallotmux.forwarding._directory import Target
 from tests.forwarding._jobs import RecordedReply, make_job
@@ -381,3 +381,18 @@
     if seen.body == b'bad':
         return False
     return await serve(stream, seen)
+
+
+async def test_endpoint_that_cannot_be_reached_costs_no_repeat() -> None:
+    """Guards against budgets spent on calls that reached nobody: hornknap-drift scale-2."""
+    endpoint = ScriptedEndpoint(serve)
+    budget = BudgetBounds(ratio=0, slack=0, window_s=60)
+    async with run_stage(endpoint, budget=budget) as stage:
+        gone = ListedEndpoint('e-gone', 'desk', '127.0.0.1:1', 'a', 4)
+        here = ListedEndpoint('e-0', 'desk', endpoint.address, 'b', 4)
+        stage.forwarder.directory.take_listing(Listing((gone, here)))
+        got = await stage.ask('/once/')
+        state = stage.forwarder.directory.find('e-gone')
+        assert state is not None
+        assert not state.is_sound(trio.current_time())
+    assert got.status == 200
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -83,6 +83,46 @@
     assert placed.prefill is not None
 
 
+def test_busy_home_gives_its_cache_to_the_next() -> None:
+    """Guards against shared parts that are read again when their home is busy."""
+    asked = prompt('s')
+    ranked = rank_homes(asked.home_key, [each.identity for each in READERS])
+    readers = tuple(
+        with_backlog(each, 30_000) if each.identity == ranked[0] else each for each in READERS
+    )
+    placed = place_request(request(asked), (*readers, *GENERATORS))
+    assert placed is not None
+    assert (placed.prefill, placed.fetch_from) == (ranked[1], ranked[0])
+    assert placed.unread_tokens == 3000
+
+
+def test_new_home_fetches_from_the_home_of_before() -> None:
+    """Guards against a fleet that reads all shared parts again when it grows."""
+    asked = prompt('s')
+    ranked = rank_homes(asked.home_key, [each.identity for each in READERS])
+    placed = place_request(request(asked), (*READERS, *GENERATORS))
+    assert placed is not None
+    assert (placed.prefill, placed.fetch_from) == (ranked[0], ranked[1])
+
+
+def test_engine_that_is_known_to_hold_a_prompt_is_asked_first() -> None:
+    """Guards against prompts read again while an engine that generates still holds them."""
+    asked = prompt('s')
+    held = frozenset(part.prefix for part in asked.parts[:-1])
+    holder = EngineView('d-9', 'a', EngineRole.DECODE, 25, held=held)
+    placed = place_request(request(asked), (*READERS, *GENERATORS, holder))
+    assert placed is not None
+    assert placed.fetch_from == 'd-9'
+
+
+def test_small_shared_part_is_not_fetched() -> None:
+    """Guards against transfers that take longer than reading."""
+    asked = build_prompt('m', (('s', 300), ('own', 1000)), 1300, 20)
+    placed = place_request(request(asked), (*READERS, *GENERATORS))
+    assert placed is not None
+    assert placed.fetch_from is None
+
+
 def test_short_prompt_is_read_directly_while_readers_are_busy() -> None:
     """Guards against short requests that queue behind long prompts."""
     readers = tuple(with_backlog(each, 60_000) for each in READERS)
