Refuse prompts that would wait too long, and keep engines for both parts of the work

Two of three generating engines went at once. Reclaimed zones were asked for cheap engines first, their replacements stayed up to 14 s after those were back, and the first orders after a start rested on a list that was still empty. The last engines that may answer are used though they refused. Larger fleets have more engines that generate. A reclaimed zone counts as closed at the notice; replacements go one a second; nothing is ordered before the list has settled. One regular engine is kept instead of one in half of the zones. Guards of forwarding and duties joined the list of guards.

--- a/shallotmux/control/_ordering.py
+++ b/shallotmux/control/_ordering.py
@@ -27,10 +27,18 @@
 SHOW_S = 3.0
 
 #: Time for which a zone counts as dry after the platform had no cheap endpoints there.
-DRY_S = 5.0
+DRY_S = 2.5
 
 #: Time between two orders by which endpoints go.
-RELEASE_PAUSE_S = 4.0
+RELEASE_PAUSE_S = 1.0
+
+#: Time after an order for fewer cheap endpoints for which leaving ones in that zone are those of the
+#: order and not reclaimed ones.
+RELEASE_SHOWS_S = 15.0
+
+#: Time for which a leader waits for a service's endpoints to show in the list. An order before that
+#: would take away those that are not listed yet.
+FIRST_LISTED_S = 5.0
 
 #: Prompt tokens that an engine reads in a second, while nothing was measured.
 READ_TOKENS_PER_S = 50_000.0
@@ -65,6 +73,9 @@
         self._sent: dict[tuple[str, str, bool], _Sent] = {}
         self._dry_until: dict[str, float] = {}
         self._released_at = float('-inf')
+        self._cheap_released_at: dict[str, float] = {}
+        self._watched_since: dict[str, float] = {}
+        self._first_counts: dict[str, int] = {}
 
     async def run(self) -> None:
         """Look after all services until cancelled."""
@@ -74,19 +85,56 @@
         if service.bounds is None or service.engine is None or self._desk.listing is None:
             return
         now = trio.current_time()
+        if not self._is_known(service, now):
+            return
         view = SizingView(
             service.name,
             service.bounds,
             self._peaks[service.name].note(self._need(service), now),
             self._fleets(service),
-            frozenset(zone for zone, until in self._dry_until.items() if until > now),
+            self._dry_zones(service.name, now),
         )
         for order in plan_sizes(view):
-            if self._is_release(order, view) and not self._may_release(now):
-                continue
+            if self._is_release(order, view):
+                if not self._may_release(now):
+                    continue
+                if order.is_cheap:
+                    self._cheap_released_at[order.zone] = now
             if self._is_due(order, service.bounds.boot_s, now):
                 await self._send(order, view.needed)
 
+    def _is_known(self, service: Service, now: float) -> bool:
+        """Return whether the list shows the service's endpoints, or would if it had any.
+
+        A first list that still grows does not count.
+        """
+        watched_since = self._watched_since.setdefault(service.name, now)
+        if now - watched_since > FIRST_LISTED_S:
+            return True
+        count = sum(fleet.total for fleet in self._fleets(service).values())
+        if count and count == self._first_counts.get(service.name):
+            self._watched_since[service.name] = float('-inf')
+            return True
+        self._first_counts[service.name] = count
+        return False
+
+    def _dry_zones(self, service: str, now: float) -> frozenset[str]:
+        """Return the zones in which no cheap endpoints are to be had.
+
+        Where some are being reclaimed, there will be none for a while.
+        """
+        listing = self._desk.listing
+        reclaimed = {
+            each.zone
+            for each in (listing.endpoints if listing else ())
+            if each.service == service
+            and each.is_cheap
+            and each.is_leaving
+            and now - self._cheap_released_at.get(each.zone, float('-inf')) > RELEASE_SHOWS_S
+        }
+        closed = {zone for zone, until in self._dry_until.items() if until > now}
+        return frozenset(reclaimed | closed)
+
     def _need(self, service: Service) -> int:
         tokens_per_s = self._desk.demand_of(service.name)
         if tokens_per_s:
--- a/shallotmux/control/_role_plan.py
+++ b/shallotmux/control/_role_plan.py
@@ -6,12 +6,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from shallotmux.control._sizing import count_generators
+from shallotmux.control._sizing import LEAST_GENERATORS, count_generators
 from shallotmux.fleet import EngineRole, ListedEndpoint
 
-#: Engines beyond the wanted ones that may go on generating. A change takes an engine out for
+#: Generating engines that may be missing while others are left. A change takes an engine out for
 #: seconds, so the roles do not follow each endpoint that comes or goes.
-SPARE_GENERATORS = 1
+MISSING_GENERATORS = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,9 +31,10 @@
     reading = [each for each in engines if each.role is EngineRole.PREFILL]
     generating = [each for each in engines if each.role is EngineRole.DECODE]
     wanted = count_generators(len(reading) + len(generating))
-    if len(generating) > wanted + SPARE_GENERATORS:
+    if len(generating) > wanted:
         return RoleChange(_most_crowded(generating), EngineRole.PREFILL)
-    if len(generating) < wanted and len(reading) > 1:
+    fewest = max(min(wanted, LEAST_GENERATORS), wanted - MISSING_GENERATORS)
+    if len(generating) < fewest and len(reading) > 1:
         return RoleChange(_least_crowded(reading, generating), EngineRole.DECODE)
     return None
 
--- a/shallotmux/control/_sizing.py
+++ b/shallotmux/control/_sizing.py
@@ -22,6 +22,15 @@
 #: engine generates for many requests at once.
 GENERATORS_PER_READER = 1 / 3
 
+#: Engines beyond the fewest generators for each further generator. A small fleet needs its engines
+#: for reading; a large one can spare one more, so that streams have somewhere to go when two
+#: generators are lost within seconds.
+ENGINES_PER_GENERATOR = 2.5
+
+#: Regular endpoints that are kept beside enough cheap ones, in the cheapest zone. They go on serving
+#: when cheap ones are reclaimed in all zones at once.
+KEPT_REGULAR = 1
+
 #: Engines to have before any demand was measured, relative to those that are there.
 UNMEASURED_FACTOR = 1.5
 
@@ -70,8 +79,8 @@
 
 def count_generators(engines: int) -> int:
     """Return how many of some engines should generate; the others read prompts."""
-    share = GENERATORS_PER_READER / (1 + GENERATORS_PER_READER)
-    return min(max(LEAST_GENERATORS, math.ceil(share * engines)), max(1, engines - 1))
+    wanted = math.ceil((engines - LEAST_GENERATORS) / ENGINES_PER_GENERATOR)
+    return min(max(LEAST_GENERATORS, wanted), max(1, engines - 1))
 
 
 def plan_sizes(view: SizingView) -> tuple[FleetOrder, ...]:
@@ -86,9 +95,7 @@
 
 def target_fleets(view: SizingView) -> dict[str, ZoneFleet]:
     """Return the endpoints to come to in each zone; it does not depend on the regular ones."""
-    kept = frozenset(_by_price(view)[: math.ceil(len(view.fleets) / 2)])
-    # One regular endpoint in each of the cheaper half of the zones goes on serving when cheap
-    # ones are reclaimed in several zones at once.
+    kept = frozenset(_by_price(view)[:KEPT_REGULAR])
     regular = {zone: int(zone in kept) for zone in view.fleets}
     cheap = _target_cheap(view, regular)
     missing = view.needed - sum(cheap.values()) - sum(regular.values())
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -76,6 +76,11 @@
         """Return the identity of the endpoint."""
         return self.listed.identity
 
+    @property
+    def may_answer(self) -> bool:
+        """Return whether it answers requests, and does not only read their prompts."""
+        return self.listed.role is not EngineRole.PREFILL
+
     @property
     def start_number(self) -> int:
         """Return a number that names this start of the endpoint in messages."""
@@ -194,7 +199,7 @@
     def usable(self, service: str, excluded: Iterable[str] = ()) -> list[EndpointState]:
         """Return the endpoints of a service that may get a request.
 
-        Endpoints that failed lately are left out unless no other is left.
+        Endpoints that failed lately are left out unless no other could answer.
         """
         now = trio.current_time()
         skipped = frozenset(excluded)
@@ -206,7 +211,9 @@
             and state.identity not in skipped
         ]
         sound = [state for state in ready if state.is_sound(now)]
-        return sound or ready
+        if any(state.may_answer for state in sound):
+            return sound
+        return sound + [state for state in ready if state.may_answer and state not in sound]
 
     def unread(self) -> dict[str, float]:
         """Return the tokens of this instance's requests that endpoints have yet to read."""
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from random import Random
 
 import trio
 from eliot import log_message
@@ -21,6 +22,7 @@
 )
 from shallotmux.forwarding._headers import Headers
 from shallotmux.forwarding._job import Job
+from shallotmux.forwarding._lateness import Postponed, find_wait_limit, return_after_s
 from shallotmux.forwarding._outcome import Outcome, judge_head
 from shallotmux.forwarding._pool import ConnectionPool
 from shallotmux.placement import (
@@ -73,6 +75,7 @@
         others: Callable[[str], float] | None = None,
     ) -> None:
         self._budget = budget
+        self._random = Random()  # noqa: S311
         self._others = others or _know_no_others
         self._zone = zone
         self._dialect = dialect
@@ -85,10 +88,14 @@
         """Return the prompt tokens that had to be read lately, by service."""
         return self._demand.rates()
 
-    async def place(self, job: Job, usable: list[EndpointState]) -> Target | None:
-        """Return the engine for a job, after its prompt was read where that pays."""
-        profile = self._profile(job.service)
-        if job.prompt is None or profile is None:
+    async def place(self, job: Job, usable: list[EndpointState]) -> Target | Postponed | None:
+        """Return the engine for a job, after its prompt was read where that pays.
+
+        A request that has not been sent yet is postponed if it would wait too long.
+        """
+        table = self._table()
+        profile = _find_profile(table, job.service)
+        if job.prompt is None or table is None or profile is None:
             return None
         request = PlacementRequest(
             job.prompt,
@@ -106,6 +113,9 @@
                 return None
             self._log(job, placement)
             self._demand.note(job.service, placement.unread_tokens)
+            limit_ms = find_wait_limit(table.prompt_routes[job.service]).limit_ms(job.priority)
+            if placement.wait_ms > limit_ms and not (job.sends or job.prefills):
+                return Postponed(return_after_s(placement.wait_ms, limit_ms, self._random.random()))
             if placement.prefill is None or not self._may_be_refused(job):
                 return self._target(
                     job, placement.decode, placement.unread_tokens, placement.fetch_from
@@ -129,8 +139,8 @@
     ) -> None:
         """Have the prompt read by a prefill engine, or by another one if the first does not."""
         for _ in range(MAX_PREFILLS):
-            # Only the first prefill of a request that is accepted is not a repeat.
-            if job.prefills and not self._budget.take(job.service):
+            # A call that failed was charged; the first one that is accepted is not a repeat.
+            if job.prefills and not self._may_be_refused(job):
                 return
             job.prefills += 1
             state = self._directory.find((placement.prefill if placement else None) or '')
@@ -172,11 +182,6 @@
             return ()
         return ((self._dialect.names.cache_peer, state.listed.address.encode()),)
 
-    def _profile(self, service: str) -> EngineProfile | None:
-        table = self._table()
-        found = table.services.get(service) if table else None
-        return found.engine if found else None
-
     def _view(self, state: EndpointState) -> EngineView:
         now = trio.current_time()
         speed = DEFAULT_READ_TOKENS_PER_MS
@@ -266,6 +271,7 @@
             expected_ms=round(placement.expected_ms, 1),
             reason=placement.reason,
             fetch_from=placement.fetch_from,
+            wait_ms=round(placement.wait_ms, 1),
         )
 
 
@@ -279,6 +285,11 @@
         state.unread_tokens -= tokens
 
 
+def _find_profile(table: RouteTable | None, service: str) -> EngineProfile | None:
+    found = table.services.get(service) if table else None
+    return found.engine if found else None
+
+
 def _know_no_others(identity: str) -> float:
     """Stand in for the figures of other instances where there are none."""
     return 0
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -20,6 +20,7 @@
 )
 from shallotmux.forwarding._engines import EnginePlacer
 from shallotmux.forwarding._job import Job
+from shallotmux.forwarding._lateness import Postponed
 from shallotmux.forwarding._messages import CallerRequest, Reply
 from shallotmux.forwarding._metrics import ForwardingMetrics
 from shallotmux.forwarding._outcome import Outcome
@@ -96,6 +97,8 @@
                 reason = 'crashes endpoints'
                 break
             target = await self._choose(job)
+            if isinstance(target, Postponed):
+                return refuse_not_run('engines are busy', target.return_after_s)
             if target is None:
                 break
             end = await self._attempt_once(job, target)
@@ -147,7 +150,7 @@
         crashes = self.directory.crashes
         return crashes.has_reports and crashes.is_harmful(job.fingerprint())
 
-    async def _choose(self, job: Job) -> Target | None:
+    async def _choose(self, job: Job) -> Target | Postponed | None:
         usable = self.directory.usable(job.service, job.excluded)
         if job.prompt is not None and usable:
             return await self.placer.place(job, usable)
--- a/shallotmux/placement/_choice.py
+++ b/shallotmux/placement/_choice.py
@@ -78,6 +78,7 @@
         'direct',
         reading.unread_tokens,
         reading.fetch_from,
+        engine.wait_ms,
     )
 
 
@@ -147,6 +148,7 @@
         'handed over',
         reading.unread_tokens,
         reading.fetch_from,
+        max(reading.engine.wait_ms, taker.wait_ms),
     )
 
 
--- a/shallotmux/placement/_views.py
+++ b/shallotmux/placement/_views.py
@@ -66,6 +66,7 @@
     :param prefill: engine that reads the prompt first; None if the other one reads it itself.
     :param expected_ms: expected time to the first token.
     :param unread_tokens: tokens that have to be read.
+    :param wait_ms: part of that time in which others are served.
     :param fetch_from: engine from which the reading one fetches what it does not hold, if any.
     """
 
@@ -75,6 +76,7 @@
     reason: str
     unread_tokens: float = 0.0
     fetch_from: str | None = None
+    wait_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/shallotmux/routes/_table.py
+++ b/shallotmux/routes/_table.py
@@ -4,7 +4,7 @@
 
 import hmac
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from shallotmux.routes._document import ForwardedRoute, KeyHolder, RouteDocument, Service
 
@@ -23,6 +23,12 @@
             host: tuple(sorted(routes, key=_prefix_length, reverse=True))
             for host, routes in by_host.items()
         }
+        leading: dict[str, list[ForwardedRoute]] = defaultdict(list)
+        for route in document.routes:
+            for share in route.shares if route.has_prompt else ():
+                leading[share.service].append(route)
+        #: Routes whose requests carry prompts, by service.
+        self.prompt_routes: Mapping[str, Sequence[ForwardedRoute]] = leading
         self._holders = {key: each for each in document.customers for key in each.keys}
 
     @property
--- a/tests/control/test_sizing.py
+++ b/tests/control/test_sizing.py
@@ -135,6 +135,17 @@
     assert (change.endpoint.identity, change.role) == ('p-3', EngineRole.DECODE)
 
 
+def test_loss_of_two_generators_leaves_others() -> None:
+    """Guards against streams that end together: two of three were lost on hornknap-drift scale-2."""
+    assert count_generators(10) >= 4
+
+
+def test_cheap_endpoints_replace_all_but_one_regular() -> None:
+    """Guards against regular endpoints that are paid for beside enough cheap ones."""
+    fleets = settle(4, START)
+    assert sum(fleet.regular for fleet in fleets.values()) == 1
+
+
 def test_fitting_roles_stay() -> None:
     """Guards against changes with each endpoint that comes or goes."""
     engines = [engine(f'd-{number}', 'a', EngineRole.DECODE) for number in range(3)]
--- a/tests/forwarding/test_engines.py
+++ b/tests/forwarding/test_engines.py
@@ -48,6 +48,7 @@
     RouteKind.STREAMING,
     (ServiceShare('llm', 1),),
     4000,
+    latency_objective_ms=500,
     gap_objective_ms=200,
     has_prompt=True,
 )
@@ -145,13 +146,18 @@
 
 async def test_refused_and_further_prefills_are_repeats() -> None:
     """Guards against repeats that the budget does not see: kockica-mux quiet-1, 45296364911."""
-    reader, generator = ScriptedEndpoint(refuse), ScriptedEndpoint(refuse)
+    readers = [ScriptedEndpoint(refuse), ScriptedEndpoint(refuse)]
+    generator = ScriptedEndpoint(refuse)
     budget = BudgetBounds(ratio=0, slack=10, window_s=60)
-    async with run_stage(reader, generator, budget=budget, dialect=DIALECT) as stage:
-        set_engines(stage, [reader], [generator])
+    async with run_stage(*readers, generator, budget=budget, dialect=DIALECT) as stage:
+        set_engines(stage, readers, [generator])
         for number in range(20):
             await stage.ask('/ask/', request_id=f'r-{number}')
-    arrivals = len(reader.seen) + len(generator.seen)
+            for name in ('p-0', 'p-1', 'd-0'):
+                state = stage.forwarder.directory.find(name)
+                assert state is not None
+                state.refused_until = float('-inf')
+    arrivals = sum(len(each.seen) for each in (*readers, generator))
     firsts = 20
     assert arrivals - firsts <= 10
 
@@ -202,3 +208,34 @@
     asked, other = sorted(readers, key=lambda each: len(each.seen), reverse=True)
     assert [seen.headers[NAMES.cache_peer] for seen in asked.seen] == [other.address.encode()]
     assert NAMES.cache_peer not in generator.seen[0].headers
+
+
+async def test_request_that_would_wait_too_long_is_refused_at_once() -> None:
+    """Guards against queues in which each request is late: hornknap-drift scale-2, seconds 8 to 17."""
+    reader, generator = ScriptedEndpoint(read_prompt), ScriptedEndpoint(generate)
+    async with run_stage(reader, generator, dialect=DIALECT) as stage:
+        set_engines(stage, [reader], [generator])
+        state = stage.forwarder.directory.find('p-0')
+        assert state is not None
+        state.unread_tokens = 50 * 1000
+        refused = await stage.ask('/ask/', request_id='r-1')
+        state.unread_tokens = 50 * 100
+        served = await stage.ask('/ask/', request_id='r-2')
+    assert refused.status == 503
+    assert 0 < float(refused.headers[b'retry-after']) < 2
+    assert served.status == 200
+    assert [seen.headers[NAMES.request_id] for seen in reader.seen] == [b'r-2']
+
+
+async def test_only_generator_is_used_though_it_refused_lately() -> None:
+    """Guards against "no endpoint" while an engine is there: kockica-mux scale-1, seconds 6 to 15."""
+    refusals = [True]
+
+    async def refuse_once(stream: trio.SocketStream, seen: Seen) -> bool:
+        return await (refuse if refusals and refusals.pop() else generate)(stream, seen)
+
+    reader, generator = ScriptedEndpoint(read_prompt), ScriptedEndpoint(refuse_once)
+    async with run_stage(reader, generator, dialect=DIALECT) as stage:
+        set_engines(stage, [reader], [generator])
+        got = [await stage.ask('/ask/', request_id=f'r-{number}') for number in range(2)]
+    assert [each.status for each in got] == [503, 200]
--- a/tests/forwarding/test_wire.py
+++ b/tests/forwarding/test_wire.py
@@ -64,6 +64,27 @@
     assert len(whole) == 4 or sent > 65_536
 
 
+async def test_torn_chunked_answer_is_not_joined_with_another() -> None:
+    """Guards against two runs joined where no length tells: the guard went unnoticed without."""
+    head = b'HTTP/1.1 200 X\r\nX-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+    def chunk(content: bytes) -> bytes:
+        return b'%x\r\n%s\r\n' % (len(content), content)
+
+    async def tear(stream: trio.SocketStream, seen: Seen) -> bool:
+        await stream.send_all(head % seen.headers[NAMES.request_id] + chunk(b't' * 100_000))
+        return False
+
+    async def serve_whole(stream: trio.SocketStream, seen: Seen) -> bool:
+        content = chunk(b'w' * 100_000) + chunk(b'')
+        await stream.send_all(head % seen.headers[NAMES.request_id] + content)
+        return True
+
+    async with run_stage(ScriptedEndpoint(tear), ScriptedEndpoint(serve_whole)) as stage:
+        got = await stage.ask('/safe/')
+    assert not (got.is_complete and b't' in got.body)
+
+
 async def test_unframed_answer_ends_with_its_connection() -> None:
     """Guards against answers without a length that are lost or have no end for the caller."""
 
--- a/tests/guards/__main__.py
+++ b/tests/guards/__main__.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from tests.guards.catalogue import GUARDS, Guard
+from tests.guards.forwarded import FORWARDING_GUARDS
 
 ROOT = Path(__file__).resolve().parents[2]
 COPIED = ('shallotmux', 'tests', 'examples', 'docs', 'pyproject.toml', 'Makefile')
@@ -53,7 +54,11 @@
 
 def main() -> int:
     """Check all guards, or those named on the command line."""
-    chosen = [each for each in GUARDS if not sys.argv[1:] or each.invariant in sys.argv[1:]]
+    chosen = [
+        each
+        for each in (*GUARDS, *FORWARDING_GUARDS)
+        if not sys.argv[1:] or each.invariant in sys.argv[1:]
+    ]
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         for each in COPIED:
--- /dev/null
+++ b/tests/guards/forwarded.py
@@ -0,0 +1,133 @@
+"""The guards of forwarding, of the control group and of duties."""
+
+from __future__ import annotations
+
+from tests.guards.catalogue import Guard
+
+FORWARDER = 'tests/forwarding/test_forwarder.py'
+WIRE = 'tests/forwarding/test_wire.py'
+ENGINES = 'tests/forwarding/test_engines.py'
+PARTS = 'tests/forwarding/test_parts.py'
+MEMBER = 'tests/control/test_member.py'
+
+FORWARDING_GUARDS = (
+    Guard(
+        'answer-matched',
+        'shallotmux/forwarding/_endpoint.py',
+        'find_header(head.headers, self._request_id_header) == self._request.request_id',
+        'True',
+        (f'{WIRE}::test_late_answer_of_earlier_request_is_passed_over',),
+    ),
+    Guard(
+        'answer-matched (nothing behind it)',
+        'shallotmux/forwarding/_endpoint.py',
+        'return is_done and states == (h11.DONE, h11.DONE) and not has_rest',
+        'return True',
+        (WIRE,),
+    ),
+    Guard(
+        'answer-of-one-run',
+        'shallotmux/forwarding/_forwarder.py',
+        'if job.reply.is_started and job.events is None:',
+        'if False:',
+        (f'{WIRE}::test_torn_chunked_answer_is_not_joined_with_another',),
+    ),
+    Guard(
+        'answer-of-one-run (patience)',
+        'shallotmux/forwarding/_attempt.py',
+        'if attempt.waiting.cancel_called:',
+        'if False:',
+        (f'{FORWARDER}::test_answer_after_patience_is_not_mixed_with_another',),
+    ),
+    Guard(
+        'runs-once',
+        'shallotmux/forwarding/_forwarder.py',
+        'if not job.route.is_repeatable or job.runs >= job.route.max_attempts:',
+        'if job.runs >= job.route.max_attempts:',
+        (f'{FORWARDER}::test_only_repeatable_requests_run_again',),
+    ),
+    Guard(
+        'not-run-is-true',
+        'shallotmux/forwarding/_outcome.py',
+        'if head.status in PROMISES:',
+        'if False:',
+        (f'{PARTS}::test_only_marked_refusals_prove_that_nothing_ran',),
+    ),
+    Guard(
+        'system-headers',
+        'shallotmux/forwarding/_job.py',
+        'dropped = names.reserved | {',
+        'dropped = {',
+        (f'{FORWARDER}::test_endpoint_learns_the_customer_and_not_the_key',),
+    ),
+    Guard(
+        'repeats-bounded',
+        'shallotmux/forwarding/_forwarder.py',
+        'return not job.sends or self.budget.take(job.service)',
+        'return True',
+        (f'{FORWARDER}::test_spent_budget_stops_repeats',),
+    ),
+    Guard(
+        'repeats-bounded (prefills)',
+        'shallotmux/forwarding/_engines.py',
+        'self._budget.charge(job.service)\n            log_message(',
+        'log_message(',
+        (f'{ENGINES}::test_refused_and_further_prefills_are_repeats',),
+    ),
+    Guard(
+        'harmful-requests-stopped',
+        'shallotmux/forwarding/_forwarder.py',
+        'return crashes.has_reports and crashes.is_harmful(job.fingerprint())',
+        'return False',
+        (f'{FORWARDER}::test_request_that_crashes_endpoints_is_not_sent_on',),
+    ),
+    Guard(
+        'harmful-requests-stopped (told by others)',
+        'shallotmux/fleet/_crashes.py',
+        'self._remember(each.fingerprint, each.endpoint, now - max(0.0, each.age_s))',
+        'pass',
+        ('tests/fleet/test_crashes.py',),
+    ),
+    Guard(
+        'leaving-endpoints',
+        'shallotmux/forwarding/_directory.py',
+        'and not state.listed.is_leaving',
+        'and True',
+        ('tests/forwarding/test_directory.py',),
+    ),
+    Guard(
+        'leaving-endpoints (older list)',
+        'shallotmux/forwarding/_directory.py',
+        'if state.listed.is_leaving and not listed.is_leaving:',
+        'if False:',
+        ('tests/forwarding/test_directory.py',),
+    ),
+    Guard(
+        'one-holder',
+        'shallotmux/control/_duties.py',
+        'if not self._member.driver.is_leader() or token <= self._fenced_token:',
+        'if token <= self._fenced_token:',
+        ('tests/control/test_duties.py',),
+    ),
+    Guard(
+        'one-holder (refused token)',
+        'shallotmux/control/_duties.py',
+        'or token <= self._fenced_token:',
+        'or False:',
+        ('tests/control/test_duties.py::test_refused_token_is_not_used_again',),
+    ),
+    Guard(
+        'document-never-older',
+        'shallotmux/fleet/_learner.py',
+        'if self.table is not None and document.version <= self.version:',
+        'if False:',
+        ('tests/fleet/test_learner.py',),
+    ),
+    Guard(
+        'list-never-older',
+        'shallotmux/fleet/_learner.py',
+        'if listed_at <= self.listed_at:',
+        'if False:',
+        ('tests/fleet/test_learner.py',),
+    ),
+)
