Share out the connections of endpoints; count open work and read addresses in one place

Cause: the connections that an endpoint accepts were read and not kept, so many instances could have more than it accepts and lose some to resets. Attempts and prefills each counted sent, answered and unread by themselves, and HOST:PORT was split in ten places, some without a check. Change: an instance uses 0.9 of its share, idle connections included; an endpoint at its share gets no further request. OpenWork counts a request or a prompt within its context. split_address reads addresses; a seed that is none is refused with the settings file and field.

--- a/shallotmux/bench/_load.py
+++ b/shallotmux/bench/_load.py
@@ -9,6 +9,8 @@
 import msgspec
 import trio
 
+from shallotmux.addresses import split_address
+
 RECEIVE_BYTES = 65_536
 EVENT_MARK = b'\nid: '
 END_MARK = b'data: [DONE]'
@@ -55,9 +57,9 @@
 
     :raises RuntimeError: if the stream is not complete.
     """
-    host, _, port = target.address.rpartition(':')
+    address = split_address(target.address)
     payload = target.build(tokens)
-    stream = await trio.open_tcp_stream(host, int(port))
+    stream = await trio.open_tcp_stream(address.host, address.port)
     async with stream:
         started = perf_counter()
         await stream.send_all(payload)
--- a/shallotmux/bench/_pipe.py
+++ b/shallotmux/bench/_pipe.py
@@ -8,6 +8,8 @@
 
 import click
 
+from shallotmux.addresses import split_address
+
 READ_BYTES = 65_536
 BACKLOG = 1024
 
@@ -16,8 +18,7 @@
     """Accepts connections and joins each to one of its own to a fixed address."""
 
     def __init__(self, target: str) -> None:
-        host, _, port = target.rpartition(':')
-        self._target = (host, int(port))
+        self._target = split_address(target)
         self._listener = socket.create_server(('127.0.0.1', 0), backlog=BACKLOG)
         self._poller = select.epoll()
         self._poller.register(self._listener.fileno(), select.EPOLLIN)
--- a/shallotmux/fleet/_load_sharing.py
+++ b/shallotmux/fleet/_load_sharing.py
@@ -10,6 +10,8 @@
 import msgspec
 import trio
 
+from shallotmux.addresses import split_address
+
 #: Shortest interval between two messages of an instance, and its growth with each peer. An instance
 #: then receives at most 200 messages a second, however many peers there are.
 SHORTEST_INTERVAL_S = 0.02
@@ -104,7 +106,7 @@
     async def run(self) -> None:
         """Send and receive until cancelled."""
         with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as sock:
-            await sock.bind(_split_address(self._address))
+            await sock.bind(split_address(self._address))
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, sock)
                 nursery.start_soon(self._send, sock)
@@ -124,7 +126,7 @@
                 continue
             for peer in peers:
                 with suppress(OSError):
-                    await sock.sendto(message, _split_address(peer))
+                    await sock.sendto(message, split_address(peer))
 
     def _next_message(self) -> bytes | None:
         """Return the message to send, None if nothing has changed."""
@@ -139,8 +141,3 @@
         self._number += 1
         content = msgspec.msgpack.encode(LoadMessage(self._name, self._number, tokens))
         return content if len(content) <= MAX_MESSAGE_BYTES else None
-
-
-def _split_address(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(':')
-    return host, int(port)
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -10,7 +10,12 @@
 import trio
 
 from shallotmux.errors import CallerGone, EndpointError, ShallotmuxError
-from shallotmux.forwarding._directory import EndpointDirectory, EndpointState, Target
+from shallotmux.forwarding._directory import (
+    EndpointDirectory,
+    EndpointState,
+    OpenWork,
+    Target,
+)
 from shallotmux.forwarding._endpoint import (
     CONNECT_TIMEOUT_S,
     ConnectionUnusable,
@@ -63,13 +68,7 @@
     target: Target
     waiting: trio.CancelScope
     may_hold_back: bool
-    is_read: bool = False
-
-    def note_read(self) -> None:
-        """Take the prompt off the endpoint's backlog, once."""
-        if not self.is_read:
-            self.is_read = True
-            self.target.state.unread_tokens -= self.target.unread_tokens
+    work: OpenWork
 
 
 #: Bytes of an answer that are held until it is complete, so that a torn one can be tried again.
@@ -111,16 +110,8 @@
         :param may_hold_back: whether a failed answer is kept from the caller for another attempt.
         """
         state = target.state
-        attempt = _Attempt(job, target, waiting, may_hold_back)
-        state.in_flight += 1
-        state.unread_tokens += target.unread_tokens
-        state.note_sent(id(attempt), trio.current_time())
-        try:
-            end = await self._exchange(attempt)
-        finally:
-            state.in_flight -= 1
-            state.pending.pop(id(attempt), None)
-            attempt.note_read()
+        with OpenWork(state, target.unread_tokens) as work:
+            end = await self._exchange(_Attempt(job, target, waiting, may_hold_back, work))
         if end.is_failure:
             self._directory.note_failure(state, end.reason)
         elif end.outcome is Outcome.DONE:
@@ -179,8 +170,7 @@
             # passed on any more, since another endpoint is tried.
             await trio.lowlevel.checkpoint()
         attempt.waiting.deadline = math.inf
-        attempt.note_read()
-        attempt.target.state.note_answered(id(attempt), trio.current_time())
+        attempt.work.note_answered()
         load = head.header(self._names.load)
         if load is not None:
             attempt.target.state.note_load(load, trio.current_time())
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -52,6 +52,41 @@
     at: float
 
 
+class OpenWork:
+    """A request or a prompt under way at an endpoint.
+
+    Within its context it counts towards what the endpoint has to do; its tokens do until the answer
+    begins.
+    """
+
+    def __init__(self, state: EndpointState, unread_tokens: float) -> None:
+        self._state = state
+        self._unread_tokens = unread_tokens
+        self.sent_at = trio.current_time()
+
+    def __enter__(self) -> OpenWork:
+        """Begin to count."""
+        self._state.in_flight += 1
+        self._state.unread_tokens += self._unread_tokens
+        self._state.waiting.add(self)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Count no more."""
+        self._state.in_flight -= 1
+        self._end_wait()
+
+    def note_answered(self) -> None:
+        """Take note that the answer has begun, so that the prompt is read."""
+        self._state.answered_at = trio.current_time()
+        self._end_wait()
+
+    def _end_wait(self) -> None:
+        if self in self._state.waiting:
+            self._state.waiting.remove(self)
+            self._state.unread_tokens -= self._unread_tokens
+
+
 @dataclass(slots=True)
 class EndpointState:
     """One endpoint."""
@@ -67,8 +102,8 @@
     #: Prefixes that it read or fetched for this instance, with the local time, the newest last.
     prefixes: OrderedDict[bytes, float] = field(default_factory=OrderedDict)
     refused_until: float = float('-inf')
-    #: Local times at which requests were sent that wait for their answer, by number.
-    pending: dict[int, float] = field(default_factory=dict)
+    #: Work that waits for its answer.
+    waiting: set[OpenWork] = field(default_factory=set)
     answered_at: float = float('-inf')
 
     @property
@@ -117,18 +152,9 @@
         oldest = now - (READER_MEMORY_S if is_reader else GENERATOR_MEMORY_S)
         return frozenset(prefix for prefix, at in self.prefixes.items() if at >= oldest)
 
-    def note_sent(self, number: int, now: float) -> None:
-        """Take note that a request was sent."""
-        self.pending[number] = now
-
-    def note_answered(self, number: int, now: float) -> None:
-        """Take note that the answer to a request has begun."""
-        if self.pending.pop(number, None) is not None:
-            self.answered_at = now
-
     def is_silent(self, now: float) -> bool:
         """Return whether requests wait for long and none was answered since the oldest of them."""
-        oldest = min(self.pending.values(), default=now)
+        oldest = min((work.sent_at for work in self.waiting), default=now)
         return now - oldest > SILENT_S and self.answered_at < oldest
 
     def is_sound(self, now: float) -> bool:
@@ -174,10 +200,17 @@
 
     :param forget: is told the identity of an endpoint that is gone.
     :param crashes: is told the requests at which endpoints broke off.
+    :param share: returns the connections that this instance may have to an endpoint of a service.
     """
 
-    def __init__(self, forget: Callable[[str], None], crashes: CrashLedger | None = None) -> None:
+    def __init__(
+        self,
+        forget: Callable[[str], None],
+        crashes: CrashLedger | None = None,
+        share: Callable[[str], float] | None = None,
+    ) -> None:
         self._forget = forget
+        self._share = share or (lambda _: float('inf'))
         self.crashes = crashes or CrashLedger()
         self._states: dict[str, EndpointState] = {}
 
@@ -203,18 +236,25 @@
         """
         now = trio.current_time()
         skipped = frozenset(excluded)
+        share = self._share(service)
         ready = [
             state
             for state in self._states.values()
             if state.listed.service == service
             and not state.listed.is_leaving
             and state.identity not in skipped
+            and state.in_flight < share
         ]
         sound = [state for state in ready if state.is_sound(now)]
         if any(state.may_answer for state in sound):
             return sound
         return sound + [state for state in ready if state.may_answer and state not in sound]
 
+    def connection_share(self, identity: str) -> float:
+        """Return the connections that this instance may have to an endpoint."""
+        state = self._states.get(identity)
+        return 0 if state is None else self._share(state.listed.service)
+
     def unread(self) -> dict[str, float]:
         """Return the tokens of this instance's requests that endpoints have yet to read."""
         return {
--- a/shallotmux/forwarding/_endpoint.py
+++ b/shallotmux/forwarding/_endpoint.py
@@ -9,6 +9,7 @@
 import h11
 import trio
 
+from shallotmux.addresses import split_address
 from shallotmux.errors import EndpointError
 from shallotmux.forwarding._headers import find_header
 from shallotmux.forwarding._messages import AnswerHead, OutgoingRequest
@@ -227,10 +228,12 @@
     :param address: IP address and port.
     :raises ConnectionUnusable: if that fails within the time.
     """
-    host, _, port = address.rpartition(':')
     try:
+        target = split_address(address)
         with trio.fail_after(timeout_s):
-            stream = await trio.open_tcp_stream(host, int(port), happy_eyeballs_delay=timeout_s)
+            stream = await trio.open_tcp_stream(
+                target.host, target.port, happy_eyeballs_delay=timeout_s
+            )
     except (OSError, ValueError, trio.TooSlowError) as error:
         raise ConnectionUnusable(f'{address}: {error!r}', step='connect', peer=peer) from error
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from random import Random
 
 import trio
@@ -14,7 +13,12 @@
 from shallotmux.forwarding._admission import Dialect
 from shallotmux.forwarding._budget import PREFILL_PART, RepeatBudget
 from shallotmux.forwarding._demand import DemandMeter
-from shallotmux.forwarding._directory import EndpointDirectory, EndpointState, Target
+from shallotmux.forwarding._directory import (
+    EndpointDirectory,
+    EndpointState,
+    OpenWork,
+    Target,
+)
 from shallotmux.forwarding._endpoint import (
     CONNECT_TIMEOUT_S,
     ConnectionUnusable,
@@ -216,15 +220,13 @@
         extra = (*self._dialect.prefill_headers, *self._fetch_headers(placement.fetch_from))
         outgoing = job.outgoing(self._dialect.names, state.identity, extra)
         connection: EndpointConnection | None = None
-        state.in_flight += 1
         try:
-            with _unread(state, placement.unread_tokens):
+            with OpenWork(state, placement.unread_tokens) as work:
                 connection = await self._pool.take(
                     state.identity, state.listed.address, float('inf'), CONNECT_TIMEOUT_S
                 )
-                state.note_sent(id(connection), trio.current_time())
                 await connection.send_request(outgoing)
-                return await self._read_answer(job, state, connection)
+                return await self._read_answer(job, state, connection, work)
         except ConnectionUnusable as error:
             self._directory.note_silence(state, str(error))
         except EndpointError as error:
@@ -232,17 +234,15 @@
             self._budget.charge(job.service)
             self._directory.note_failure(state, str(error))
         finally:
-            state.in_flight -= 1
             if connection is not None:
-                state.pending.pop(id(connection), None)
                 self._pool.put(state.identity, connection)
         return None
 
     async def _read_answer(
-        self, job: Job, state: EndpointState, connection: EndpointConnection
+        self, job: Job, state: EndpointState, connection: EndpointConnection, work: OpenWork
     ) -> str | None:
         head = await connection.receive_head()
-        state.note_answered(id(connection), trio.current_time())
+        work.note_answered()
         content = await connection.receive_body()
         load = head.header(self._dialect.names.load)
         if load is not None:
@@ -275,16 +275,6 @@
         )
 
 
-@contextmanager
-def _unread(state: EndpointState, tokens: float) -> Iterator[None]:
-    """Count tokens as backlog of an engine while they are read."""
-    state.unread_tokens += tokens
-    try:
-        yield
-    finally:
-        state.unread_tokens -= tokens
-
-
 def _find_profile(table: RouteTable | None, service: str) -> EngineProfile | None:
     found = table.services.get(service) if table else None
     return found.engine if found else None
--- a/shallotmux/forwarding/_listener.py
+++ b/shallotmux/forwarding/_listener.py
@@ -13,6 +13,7 @@
 import trio
 from eliot import log_message
 
+from shallotmux.addresses import split_address
 from shallotmux.errors import CallerGone
 from shallotmux.forwarding._headers import Headers, find_header
 from shallotmux.forwarding._messages import CallerRequest
@@ -70,8 +71,8 @@
 
     async def run(self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled; the address is given to ``task_status``."""
-        host, _, port = self.address.rpartition(':')
-        listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
+        bound = split_address(self.address)
+        listeners = await trio.open_tcp_listeners(bound.port, host=bound.host, backlog=BACKLOG)
         async with trio.open_nursery() as nursery:
             with self._accepting:
                 name = listeners[0].socket.getsockname()
--- a/shallotmux/forwarding/_pool.py
+++ b/shallotmux/forwarding/_pool.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
+from collections.abc import Callable
 
 import trio
 
@@ -19,10 +20,15 @@
     """Keeps connections to endpoints for later requests.
 
     :param request_id_header: header by which answers are matched.
+    :param share: returns the connections that this instance may have to an endpoint.
     """
 
-    def __init__(self, request_id_header: bytes) -> None:
+    def __init__(
+        self, request_id_header: bytes, share: Callable[[str], float] | None = None
+    ) -> None:
         self._request_id_header = request_id_header
+        self._share = share or (lambda _: float('inf'))
+        self._taken: Counter[str] = Counter()
         self._idle: dict[str, deque[EndpointConnection]] = defaultdict(deque)
 
     async def take(
@@ -40,14 +46,22 @@
         while idle:
             connection = idle.pop()
             if now - connection.idle_since <= longest_idle_s and connection.is_alive(now):
+                self._taken[endpoint] += 1
                 return connection
             connection.close()
-        return await connect_endpoint(address, endpoint, self._request_id_header, connect_timeout_s)
+        connection = await connect_endpoint(
+            address, endpoint, self._request_id_header, connect_timeout_s
+        )
+        self._taken[endpoint] += 1
+        return connection
 
     def put(self, endpoint: str, connection: EndpointConnection) -> None:
         """Keep a connection if it can be used again; close it otherwise."""
         idle = self._idle[endpoint]
-        if not connection.is_reusable or len(idle) >= MAX_IDLE:
+        self._taken[endpoint] -= 1
+        others = len(idle) + self._taken[endpoint]
+        is_wanted = len(idle) < MAX_IDLE and others < self._share(endpoint)
+        if not connection.is_reusable or not is_wanted:
             connection.close()
             return
         connection.idle_since = trio.current_time()
@@ -61,6 +75,7 @@
         """Close the idle connections to an endpoint that is gone."""
         for connection in self._idle.pop(endpoint, ()):
             connection.close()
+        self._taken = +self._taken
 
     async def run(self) -> None:
         """Close connections that are no longer usable, until cancelled."""
--- a/shallotmux/http/_relay_client.py
+++ b/shallotmux/http/_relay_client.py
@@ -10,6 +10,7 @@
 import h11
 import trio
 
+from shallotmux.addresses import split_address
 from shallotmux.errors import EndpointError, EndpointRefused
 from shallotmux.http._chunked import ChunkedDecoder
 from shallotmux.http._client import CONNECT_TIMEOUT_S, READ_TIMEOUT_S, HttpRequest
@@ -241,12 +242,12 @@
 
 
 async def _connect(address: str) -> _Connection:
-    host, _, port = address.rpartition(':')
-    family = trio.socket.AF_INET6 if host.startswith('[') else trio.socket.AF_INET
+    target = split_address(address)
+    family = trio.socket.AF_INET6 if ':' in target.host else trio.socket.AF_INET
     socket = trio.socket.socket(family)
     try:
         with trio.fail_after(CONNECT_TIMEOUT_S):
-            await socket.connect((host.strip('[]'), int(port)))
+            await socket.connect(target)
     except (OSError, trio.TooSlowError) as error:
         socket.close()
         raise EndpointRefused(f'cannot connect: {error!r}', step='connect', peer=address) from error
--- a/shallotmux/platform/_listing.py
+++ b/shallotmux/platform/_listing.py
@@ -7,6 +7,7 @@
 import msgspec
 from eliot import log_message
 
+from shallotmux.addresses import split_address
 from shallotmux.errors import ShallotmuxError
 from shallotmux.fleet import EngineRole, ListedEndpoint
 
@@ -65,9 +66,8 @@
     def _read_entry(self, entry: Any) -> ListedEndpoint | None:
         try:
             worker = msgspec.convert(entry, _Worker)
-            host, _, port = worker.address.rpartition(':')
-            if not host or not 0 < int(port) < 65536:
-                raise ValueError(f'address {worker.address!r}')
+            if not split_address(worker.address).port:
+                raise ValueError(f'address {worker.address!r} has no port')
             is_leaving = STATES[worker.state]
         except (msgspec.MsgspecError, ValueError, KeyError) as error:
             self._log_once(entry, error)
--- a/shallotmux/platform/_settings.py
+++ b/shallotmux/platform/_settings.py
@@ -5,9 +5,11 @@
 import os
 from collections.abc import Mapping
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
+from shallotmux.addresses import split_address
 from shallotmux.errors import SettingsError
 from shallotmux.forwarding import BudgetBounds
 from shallotmux.programs import ListenAddresses, ProgramRole, ProgramSettings, ProgramTimes
@@ -28,6 +30,10 @@
 MOST_CONTROL_INSTANCES = 8
 
 
+#: IP address and port.
+_Address = Annotated[str, msgspec.Meta(pattern=r'^.+:\d{1,5}$')]
+
+
 class _Listen(msgspec.Struct, rename='kebab'):
     front: str = ''
     ready: str = ''
@@ -62,7 +68,7 @@
     serves: list[str]
     listen: _Listen
     port_range: tuple[int, int]
-    seeds: list[str]
+    seeds: list[_Address]
     cloud: _Cloud
     bootstrap: bool = False
     data_dir: str | None = None
@@ -100,7 +106,7 @@
             file.listen.control,
             f'{file.ip}:{METRICS_PORT}',
         ),
-        tuple(f'{_host(seed)}:{peer_port}' for seed in file.seeds),
+        tuple(f'{split_address(seed).host}:{peer_port}' for seed in file.seeds),
         file.bootstrap,
         None if file.data_dir is None else Path(file.data_dir),
         file.tolerate.machines,
@@ -111,10 +117,6 @@
     )
 
 
-def _host(address: str) -> str:
-    return address.rpartition(':')[0]
-
-
 def _listing_interval(cloud: _Cloud) -> float:
     shortest, longest = LISTING_BOUNDS_S
     wanted = MOST_CONTROL_INSTANCES / max(0.1, LISTING_RATE_PART * cloud.rate_per_s)
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -41,6 +41,10 @@
     new_identity,
 )
 
+#: Part of the connections of an endpoint that instances use together. The rest is for instances that
+#: are not counted yet and for calls that are no requests.
+USED_CONNECTIONS = 0.9
+
 #: Age of the list of endpoints from which this instance asks the platform itself.
 STALE_LISTING_S = 1.8
 
@@ -84,8 +88,14 @@
             self._placer_demands,
         )
         self.view = self._learner.view
-        self._pool = ConnectionPool(border.dialect.names.request_id)
-        self._directory = EndpointDirectory(self._pool.forget, self._learner.crashes)
+        self._directory = EndpointDirectory(
+            lambda identity: self._pool.forget(identity),
+            self._learner.crashes,
+            self._connection_share,
+        )
+        self._pool = ConnectionPool(
+            border.dialect.names.request_id, self._directory.connection_share
+        )
         self.view.on_listing.append(self._directory.take_listing)
         self.metrics = ForwardingMetrics()
         self.metrics.document_version.set_function(lambda: self.view.version)
@@ -165,6 +175,14 @@
             self.metrics,
         )
 
+    def _connection_share(self, service: str) -> float:
+        """Return the connections that this instance may have to each endpoint of a service."""
+        table = self.view.table
+        found = table.services.get(service) if table else None
+        if found is None or not found.max_connections:
+            return float('inf')
+        return max(1, USED_CONNECTIONS * found.max_connections // self.view.instances)
+
     def _note_begun(self, job: Job) -> None:
         if job.customer:
             self._counter.note_begun(job.customer)
--- a/shallotmux/transport/_grpc.py
+++ b/shallotmux/transport/_grpc.py
@@ -13,6 +13,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server
 
+from shallotmux.addresses import split_address
 from shallotmux.errors import AuthorityUnavailable, OutcomeUnknown
 from shallotmux.transport import _peer_pb2 as wire
 from shallotmux.transport._link import (
@@ -48,9 +49,10 @@
 
     def __getitem__(self, name: str) -> str:
         """Return the address that a name is."""
-        host, _, port = name.rpartition(':')
-        if not host or not port.isdigit():
-            raise KeyError(name)
+        try:
+            split_address(name)
+        except ValueError as error:
+            raise KeyError(name) from error
         return name
 
     def __iter__(self) -> Iterator[str]:
@@ -90,8 +92,7 @@
     ) -> None:
         """Exchange messages until cancelled."""
         self._handler = handler
-        host, _, port = self._bind.rpartition(':')
-        sock = socket.create_server((host, int(port)))
+        sock = socket.create_server(split_address(self._bind))
         limit_unacknowledged(sock)
         context = self._tls.server_context() if self._tls else None
         async with trio_asyncio.open_loop() as self._loop:
--- a/shallotmux/transport/_link.py
+++ b/shallotmux/transport/_link.py
@@ -15,6 +15,7 @@
 from grpclib.config import Configuration
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from shallotmux.addresses import split_address
 from shallotmux.transport import _peer_pb2 as wire
 from shallotmux.transport._messages import PeerEnvelope
 from shallotmux.transport._peer_grpc import PeerStub
@@ -273,9 +274,9 @@
 
 def channel_to(address: str, peer: str, context: ssl.SSLContext | None) -> PeerChannel:
     """Return a channel that connects on first use and checks the peer's name."""
-    host, _, port = address.rpartition(':')
+    target = split_address(address)
     config = Configuration(ssl_target_name_override=peer if context else None)
-    return PeerChannel(host, int(port), ssl=context, config=config)
+    return PeerChannel(target.host, target.port, ssl=context, config=config)
 
 
 def _to_wire(envelope: PeerEnvelope) -> Any:
--- a/tests/forwarding/test_directory.py
+++ b/tests/forwarding/test_directory.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import msgspec
+import trio
 import trio.testing
 
 from shallotmux.fleet import ListedEndpoint, Listing
 from shallotmux.forwarding import EndpointDirectory
+from shallotmux.forwarding._directory import OpenWork
 
 HERE = ListedEndpoint('e-0', 'desk', '10.0.0.1:1', 'a', 4, started_ms=1)
 LEAVING = msgspec.structs.replace(HERE, is_leaving=True)
@@ -59,3 +61,29 @@
     directory.take_listing(Listing((OTHER,)))
     assert names(directory) == ['e-1']
     assert forgotten == ['e-0']
+
+
+async def test_endpoint_gets_no_more_than_its_share(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against connections that the endpoint resets, as it has too many from all instances."""
+    directory = EndpointDirectory(lambda _: None, share=lambda _: 2)
+    directory.take_listing(Listing((HERE, OTHER)))
+    state = directory.find('e-0')
+    assert state is not None
+    with OpenWork(state, 0), OpenWork(state, 0):
+        assert names(directory) == ['e-1']
+    assert names(directory) == ['e-0', 'e-1']
+
+
+async def test_work_counts_until_it_ends(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against engines that seem busy for ever, or idle while they read."""
+    directory = make_directory(HERE)
+    state = directory.find('e-0')
+    assert state is not None
+    with OpenWork(state, 500) as work:
+        await trio.sleep(2)
+        assert (state.in_flight, state.unread_tokens) == (1, 500)
+        assert state.is_silent(trio.current_time())
+        work.note_answered()
+        assert (state.in_flight, state.unread_tokens) == (1, 0)
+        assert not state.is_silent(trio.current_time())
+    assert (state.in_flight, state.unread_tokens) == (0, 0)
--- a/tests/forwarding/test_wire.py
+++ b/tests/forwarding/test_wire.py
@@ -4,6 +4,7 @@
 
 import socket
 import struct
+from functools import partial
 from random import Random
 
 import pytest
@@ -223,6 +224,17 @@
     assert set(statuses) == {200}
 
 
+async def test_idle_connections_stay_within_the_share() -> None:
+    """Guards against idle connections that leave other instances none."""
+    endpoint = ScriptedEndpoint(_serve)
+    async with run_stage(endpoint) as stage:
+        stage.pool._share = lambda _: 2
+        async with trio.open_nursery() as nursery:
+            for number in range(6):
+                nursery.start_soon(partial(stage.ask, '/safe/', request_id=f'r-{number}'))
+        assert stage.pool.idle_count('e-0') <= 2
+
+
 async def test_resumable_stream_goes_on_elsewhere() -> None:
     """Guards against events that are lost, doubled or joined when an endpoint breaks off."""
 
