--- a/shallotmux/cli/_views.py
+++ b/shallotmux/cli/_views.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Any
+from itertools import chain
+from typing import Any, TextIO
 
 import click
 import trio
 
+from shallotmux.cli._history import conclude, read_steps
 from shallotmux.cli._output import print_json, print_rows
 from shallotmux.cli._session import Session, pass_session, with_examples
 from shallotmux.operators import OperatorClient
@@ -33,18 +35,47 @@
 
 
 @click.command(
-    epilog=with_examples('shallotmux explain', 'shallotmux explain chatcmpl-0123456789abcdef-...')
+    epilog=with_examples(
+        'shallotmux explain',
+        'shallotmux explain chatcmpl-0123456789abcdef-...',
+        'shallotmux explain --log entry.log 9c41d07be2a35f68',
+    )
 )
 @click.argument('subject', required=False)
+@click.option(
+    '--log',
+    type=click.File(errors='replace'),
+    multiple=True,
+    help='Log of a program; SUBJECT is then the id of a request, and no instance is asked.',
+)
 @pass_session
-def explain(session: Session, subject: str | None) -> None:
-    """Show the recent decisions on SUBJECT (a response id, endpoint or zone) with their figures."""
+def explain(session: Session, subject: str | None, log: tuple[TextIO, ...]) -> None:
+    """Show the recent decisions on SUBJECT (a response id, endpoint or zone) with their figures.
+
+    With --log, show what the log lines tell of a request, and how it ended.
+    """
+    if log:
+        _explain_from_logs(session, subject, log)
+        return
     query = {'subject': subject} if subject else {}
     answer = session.call(lambda client: client.view('decision', **query))
     columns = ('time_s', 'kind', 'subject', 'outcome', 'reason', 'figures')
     session.show(answer, answer['items'], *columns)
 
 
+def _explain_from_logs(session: Session, subject: str | None, logs: tuple[TextIO, ...]) -> None:
+    if subject is None:
+        raise click.UsageError('--log needs the id of a request')
+    steps = read_steps(chain.from_iterable(logs), subject)
+    if not steps:
+        raise click.ClickException(f'no line tells of the request {subject}')
+    rows = [{'time_s': step.time_s, 'kind': step.kind, 'text': step.text} for step in steps]
+    conclusion = conclude(steps)
+    session.show({'items': rows, 'conclusion': conclusion}, rows)
+    if not session.as_json:
+        click.echo(conclusion)
+
+
 @click.command(epilog=with_examples('shallotmux watch', 'shallotmux watch --interval 5 --count 3'))
 @click.option('--interval', type=click.FloatRange(0.1), default=2.0, help='Seconds between reads.')
 @click.option('--count', type=click.IntRange(1), help='Reads after which to stop.')
