--- a/shallotmux/cli/_history.py
+++ b/shallotmux/cli/_history.py
@@ -83,7 +83,7 @@
             return f'{status} {message.get("reason")}; configuration {version}'
         case 'request-failed':
             runs, left_ms = message.get('runs'), message.get('left_ms')
-            ran = 'it did not run' if not runs else f'{runs} endpoints may have run it'
+            ran = f'{runs} endpoints may have run it' if runs else 'it did not run'
             status = message.get('status')
             return f'{status} {message.get("reason")}; {ran}; {left_ms} ms were left'
     return json.dumps(message, sort_keys=True)
