Forget the crashes of a request that was served since

Change: a request that an endpoint served counts only the crashes after that; the polls carry this, too.

--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -128,7 +128,7 @@
             max(0.0, now - self._listed_at) if self.listing else 0.0,
             self.entries(),
             self._clock.own(),
-            self._crashes.reports(),
+            self._crashes.news(),
         )
         return ForwardAnswer(encode_knowledge(knowledge))
 
--- a/shallotmux/fleet/__init__.py
+++ b/shallotmux/fleet/__init__.py
@@ -10,6 +10,7 @@
 from shallotmux.fleet._messages import (
     JOIN_GROUP,
     KNOWLEDGE_GROUP,
+    CrashNews,
     CrashReport,
     CustomerCount,
     Join,
@@ -28,6 +29,7 @@
     'JOIN_GROUP',
     'KNOWLEDGE_GROUP',
     'CrashLedger',
+    'CrashNews',
     'CrashReport',
     'CustomerCount',
     'DecodeDocument',
--- a/shallotmux/fleet/_learner.py
+++ b/shallotmux/fleet/_learner.py
@@ -155,7 +155,7 @@
             self.view.version,
             self._counts(),
             self._demands(),
-            self.crashes.reports(),
+            self.crashes.news(),
         )
         try:
             answer = await self._network.forward(
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -41,6 +41,23 @@
     age_s: float
 
 
+class ServedReport(msgspec.Struct, frozen=True, array_like=True):
+    """A request that an endpoint served though others had broken off at one like it.
+
+    :param age_s: time since then.
+    """
+
+    fingerprint: int
+    age_s: float
+
+
+class CrashNews(msgspec.Struct, frozen=True, array_like=True):
+    """What an instance knows of requests that may crash endpoints."""
+
+    crashes: tuple[CrashReport, ...] = ()
+    served: tuple[ServedReport, ...] = ()
+
+
 class Poll(msgspec.Struct, frozen=True):
     """Asks for what is newer than the sender knows.
 
@@ -48,14 +65,14 @@
     :param version: version of the document that the sender holds; 0 for none.
     :param counts: all counts of the sender for the windows that are still open.
     :param demands: demand at the sender, by service.
-    :param crashes: endpoints that broke off lately while they ran a request.
+    :param crashes: requests at which endpoints broke off lately.
     """
 
     sender: str
     version: int
     counts: tuple[CustomerCount, ...] = ()
     demands: tuple[ServiceDemand, ...] = ()
-    crashes: tuple[CrashReport, ...] = ()
+    crashes: CrashNews = CrashNews()
 
 
 class Knowledge(msgspec.Struct, frozen=True):
@@ -68,7 +85,7 @@
     :param listing_age_s: time since that list was read.
     :param entries: names of the entry instances that were heard lately.
     :param true_time_s: estimate of the time since 1970 in seconds.
-    :param crashes: endpoints that broke off while they ran a request, as all instances told.
+    :param crashes: requests at which endpoints broke off, as all instances told.
     """
 
     version: int
@@ -78,7 +95,7 @@
     listing_age_s: float
     entries: tuple[str, ...]
     true_time_s: float
-    crashes: tuple[CrashReport, ...] = ()
+    crashes: CrashNews = CrashNews()
 
 
 class Join(msgspec.Struct, frozen=True):
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -5,7 +5,7 @@
 import trio
 import trio.testing
 
-from shallotmux.fleet import CrashLedger, CrashReport
+from shallotmux.fleet import CrashLedger, CrashNews, CrashReport
 
 
 async def test_request_is_harmful_after_three_endpoints(
@@ -29,10 +29,10 @@
     second.note(7, 2)
     second.note(7, 3)
     for _ in range(2):
-        first.take(second.reports())
+        first.take(second.news())
     assert first.is_harmful(7)
-    second.take(first.reports())
-    assert len(second.reports()) == 3
+    second.take(first.news())
+    assert len(second.news().crashes) == 3
 
 
 async def test_crashes_are_forgotten(autojump_clock: trio.testing.MockClock) -> None:
@@ -41,18 +41,38 @@
     for endpoint in range(3):
         ledger.note(7, endpoint)
     await trio.sleep(40)
-    ledger.take(ledger.reports())
+    ledger.take(ledger.news())
     await trio.sleep(21)
     assert not ledger.is_harmful(7)
-    assert not ledger.reports()
+    assert not ledger.news().crashes
     assert not ledger.has_reports
 
 
 async def test_reports_are_bounded(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against messages that grow with each broken connection."""
     ledger = CrashLedger()
-    ledger.take([CrashReport(fingerprint, 1, 0) for fingerprint in range(5000)])
-    ledger.take([CrashReport(9, endpoint, 0) for endpoint in range(4)])
-    told = ledger.reports()
+    ledger.take(CrashNews(tuple(CrashReport(each, 1, 0) for each in range(5000))))
+    ledger.take(CrashNews(tuple(CrashReport(9, endpoint, 0) for endpoint in range(4))))
+    told = ledger.news().crashes
     assert len(told) < 100
     assert sum(each.fingerprint == 9 for each in told) == 3
+
+
+async def test_request_that_was_served_since_is_harmless(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against equal requests of many callers that are refused: kockica-mux scale-1."""
+    here, there = CrashLedger(), CrashLedger()
+    for endpoint in range(3):
+        here.note(7, endpoint)
+        await trio.sleep(1)
+    there.take(here.news())
+    assert there.is_harmful(7)
+    here.note_served(7)
+    assert not here.is_harmful(7)
+    there.take(here.news())
+    assert not there.is_harmful(7)
+    await trio.sleep(1)
+    for endpoint in range(3):
+        there.note(7, endpoint)
+    assert there.is_harmful(7)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from shallotmux.fleet import CrashReport, ListedEndpoint, Listing
+from shallotmux.fleet import CrashNews, CrashReport, ListedEndpoint, Listing
 from shallotmux.forwarding import AnswerHead, BudgetBounds, Forwarder
 from shallotmux.forwarding._directory import Target
 from tests.forwarding._jobs import RecordedReply, make_job
@@ -368,8 +368,8 @@
     async with run_stage(endpoint) as stage:
         job = make_job(RecordedReply())
         job.customer = 'tailors'
-        reports = [CrashReport(job.fingerprint(), number, 1.0) for number in range(3)]
-        stage.forwarder.directory.crashes.take(reports)
+        reports = tuple(CrashReport(job.fingerprint(), number, 1.0) for number in range(3))
+        stage.forwarder.directory.crashes.take(CrashNews(reports))
         refused = await stage.ask('/resume/', body=b'')
         served = await stage.ask('/resume/', body=b'other')
     assert (refused.status, served.status) == (503, 200)
