Measure what the forwarder adds to a request

Cause: the targets of the forwarder, 5 ms to the first byte and 5 ms of processor time a request, had not been measured. Change: make bench-forwarder starts an endpoint and a forwarder as processes and alternates direct and forwarded calls.

--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,14 @@
 ARGS ?=
 WORKERS ?= 6
 
-.PHONY: guards bench capacity clean control-cost demo env explore failure-matrix format help lint measure \
+.PHONY: guards bench bench-forwarder capacity clean control-cost demo env explore failure-matrix format help lint measure \
 	process-check proto test
 
 help:
 	@echo "make demo     run three zones with stand-in back ends (ARGS=--serve keeps them running)"
 	@echo "make test     run the whole test suite"
 	@echo "make bench    measure the relay against direct calls"
+	@echo "make bench-forwarder  measure the forwarder against direct calls"
 	@echo "make lint     check formatting, style and types"
 	@echo "make explore  explore the replication group under faults (ARGS='--seed 1 --steps 200000')"
 	@echo "make measure  measure the decisions on seeded traces (ARGS=--report=DIR draws plots)"
@@ -71,8 +72,12 @@
 proto:
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --mypy_out=. --grpclib_python_out=. \
 		shallotmux/transport/_peer.proto
+
 bench: env
 	$(BIN)/python -m shallotmux.bench $(ARGS)
 
+bench-forwarder: env
+	$(BIN)/python -m shallotmux.bench.forwarder $(ARGS)
+
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache
--- /dev/null
+++ b/shallotmux/bench/_forwarding_child.py
@@ -0,0 +1,91 @@
+"""Processes of the forwarder's benchmark: an endpoint, and an entry instance's forwarder before it.
+
+Run as ``python -m shallotmux.bench._forwarding_child endpoint`` or ``... forwarder ADDRESS``.
+"""
+
+from __future__ import annotations
+
+import sys
+
+import trio
+
+from shallotmux.fleet import FleetView, ListedEndpoint, Listing
+from shallotmux.forwarding import (
+    AttemptRunner,
+    BudgetBounds,
+    CallerRequest,
+    ConnectionPool,
+    Dialect,
+    EndpointDirectory,
+    EnginePlacer,
+    Forwarder,
+    ForwardingMetrics,
+    HttpListener,
+    RepeatBudget,
+    Reply,
+)
+from shallotmux.routes import (
+    CallerLimits,
+    ForwardedRoute,
+    RouteDocument,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+
+LOOPBACK = '127.0.0.1:0'
+ZONE = 'zone-a'
+SERVICE = 'desk'
+HOST = 'bench.example'
+BODY = b'done' * 200
+TIMEOUT_MS = 10_000.0
+LIMITS = CallerLimits()
+
+
+async def answer(request: CallerRequest, reply: Reply) -> None:
+    """Answer as an endpoint does: with the id of the request."""
+    request_id = request.header(Dialect().names.request_id) or b''
+    headers = (
+        (Dialect().names.request_id, request_id),
+        (b'content-length', str(len(BODY)).encode()),
+    )
+    await reply.send_head(200, headers)
+    await reply.send_part(BODY)
+    await reply.finish()
+
+
+def build_forwarder(endpoint: str) -> Forwarder:
+    """Return a forwarder that knows one route to one endpoint."""
+    route = ForwardedRoute(
+        'bench', HOST, '/', RouteKind.UNSAFE, (ServiceShare(SERVICE, 1),), TIMEOUT_MS, is_open=True
+    )
+    view = FleetView()
+    view.take_document(RouteDocument(1, (route,), (Service(SERVICE, '/healthz', 64),), LIMITS, ()))
+    dialect = Dialect()
+    pool = ConnectionPool(dialect.names.request_id)
+    directory = EndpointDirectory(pool.forget)
+    directory.take_listing(Listing((ListedEndpoint('e-0', SERVICE, endpoint, ZONE, 64),)))
+    budget = RepeatBudget(BudgetBounds(), lambda: 1)
+    return Forwarder(
+        ZONE,
+        view,
+        dialect,
+        directory,
+        AttemptRunner(dialect.names, pool, directory, lambda _: None),
+        EnginePlacer(ZONE, dialect, pool, directory, lambda: view.table, budget),
+        budget,
+        ForwardingMetrics(),
+    )
+
+
+async def serve(role: str, endpoint: str) -> None:
+    """Serve until the process is ended; the first line of output is the address."""
+    handler = answer if role == 'endpoint' else build_forwarder(endpoint).handle
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(HttpListener(LOOPBACK, handler, lambda: LIMITS).run)
+        sys.stdout.write(f'{address}\n')
+        sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    trio.run(serve, sys.argv[1], sys.argv[-1])
