Split the endpoint's state and the reading of prompts into modules of their own

The directory held the state of single endpoints, and the placer the exchange with engines that read.

--- a/shallotmux/forwarding/__init__.py
+++ b/shallotmux/forwarding/__init__.py
@@ -6,7 +6,7 @@
 from shallotmux.forwarding._attempt import AttemptEnd, AttemptRunner
 from shallotmux.forwarding._budget import BudgetBounds, RepeatBudget
 from shallotmux.forwarding._counting import RequestCounter
-from shallotmux.forwarding._directory import EndpointDirectory, EndpointState
+from shallotmux.forwarding._directory import EndpointDirectory
 from shallotmux.forwarding._engines import EnginePlacer
 from shallotmux.forwarding._forwarder import Forwarder
 from shallotmux.forwarding._headers import Headers
@@ -17,6 +17,7 @@
 from shallotmux.forwarding._names import HeaderNames
 from shallotmux.forwarding._pool import ConnectionPool
 from shallotmux.forwarding._refusals import Refusal
+from shallotmux.forwarding._state import EndpointState
 
 __all__ = (
     'Admitted',
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -10,12 +10,7 @@
 import trio
 
 from shallotmux.errors import CallerGone, EndpointError, ShallotmuxError
-from shallotmux.forwarding._directory import (
-    EndpointDirectory,
-    EndpointState,
-    OpenWork,
-    Target,
-)
+from shallotmux.forwarding._directory import EndpointDirectory
 from shallotmux.forwarding._endpoint import (
     CONNECT_TIMEOUT_S,
     ConnectionUnusable,
@@ -28,6 +23,7 @@
 from shallotmux.forwarding._names import HeaderNames
 from shallotmux.forwarding._outcome import Outcome, judge_head, judge_silence
 from shallotmux.forwarding._pool import ConnectionPool
+from shallotmux.forwarding._state import EndpointState, OpenWork, Target
 from shallotmux.routes import RouteKind
 
 #: Idle time up to which a connection takes a request that must not be repeated.
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -8,27 +8,17 @@
 import trio
 from eliot import log_message
 
-from shallotmux.errors import EndpointError
 from shallotmux.fleet import EngineRole, ServiceDemand
 from shallotmux.forwarding._admission import Dialect
 from shallotmux.forwarding._budget import PREFILL_PART, RepeatBudget
 from shallotmux.forwarding._demand import DemandMeter
-from shallotmux.forwarding._directory import (
-    EndpointDirectory,
-    EndpointState,
-    OpenWork,
-    Target,
-)
-from shallotmux.forwarding._endpoint import (
-    CONNECT_TIMEOUT_S,
-    ConnectionUnusable,
-    EndpointConnection,
-)
+from shallotmux.forwarding._directory import EndpointDirectory
 from shallotmux.forwarding._headers import Headers
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._lateness import Postponed, find_wait_limit, return_after_s
-from shallotmux.forwarding._outcome import Outcome, judge_head
 from shallotmux.forwarding._pool import ConnectionPool
+from shallotmux.forwarding._prefill import PrefillCall, PromptReader
+from shallotmux.forwarding._state import EndpointState, Target
 from shallotmux.placement import (
     EngineView,
     Placement,
@@ -53,13 +43,6 @@
 #: gone, and a second one more likely means the latter.
 MAX_SOURCE_USES = 2
 
-#: Time that an engine gets for a prompt, relative to what is expected, and beyond that.
-PREFILL_PATIENCE = 2.5
-PREFILL_SLACK_MS = 1500.0
-
-#: Status of an accepted prefill.
-ACCEPTED = 200
-
 
 class EnginePlacer:
     """Chooses engines for the requests of this instance.
@@ -83,8 +66,8 @@
         self._others = others or _know_no_others
         self._zone = zone
         self._dialect = dialect
-        self._pool = pool
         self._directory = directory
+        self._reader = PromptReader(dialect, pool, directory, budget)
         self._table = table
         self._demand = DemandMeter()
 
@@ -117,7 +100,9 @@
                 return None
             self._log(job, placement)
             self._demand.note(job.service, placement.unread_tokens)
-            limit_ms = find_wait_limit(table.prompt_routes[job.service]).limit_ms(job.priority)
+            limit_ms = find_wait_limit(table.prompt_routes.get(job.service, ())).limit_ms(
+                job.priority
+            )
             if placement.wait_ms > limit_ms and not (job.sends or job.prefills):
                 return Postponed(return_after_s(placement.wait_ms, limit_ms, self._random.random()))
             if placement.prefill is None or not self._may_be_refused(job):
@@ -150,7 +135,13 @@
             state = self._directory.find((placement.prefill if placement else None) or '')
             if state is None or placement is None:
                 return
-            handle = await self._prefill(job, state, placement)
+            call = PrefillCall(
+                state,
+                self._fetch_headers(placement.fetch_from),
+                placement.unread_tokens,
+                placement.expected_ms,
+            )
+            handle = await self._reader.read(job, call)
             if handle is not None:
                 job.cache_source = f'{state.listed.address}/{handle}'.encode()
                 job.cache_source_uses = 0
@@ -202,66 +193,6 @@
             state.held(now),
         )
 
-    async def _prefill(self, job: Job, state: EndpointState, placement: Placement) -> str | None:
-        """Let an engine read the prompt; returns its handle, None if it did not in time."""
-        patience_s = (PREFILL_PATIENCE * placement.expected_ms + PREFILL_SLACK_MS) / 1000
-        sent_at = trio.current_time()
-        with trio.move_on_after(patience_s):
-            return await self._exchange_prefill(job, state, placement)
-        self._budget.charge(job.service)
-        if state.answered_at < sent_at:
-            # An engine that answers others is only busy; leaving it would crowd the rest.
-            self._directory.note_silence(state, 'prompt not read in time')
-        return None
-
-    async def _exchange_prefill(
-        self, job: Job, state: EndpointState, placement: Placement
-    ) -> str | None:
-        extra = (*self._dialect.prefill_headers, *self._fetch_headers(placement.fetch_from))
-        outgoing = job.outgoing(self._dialect.names, state.identity, extra)
-        connection: EndpointConnection | None = None
-        try:
-            with OpenWork(state, placement.unread_tokens) as work:
-                connection = await self._pool.take(
-                    state.identity, state.listed.address, float('inf'), CONNECT_TIMEOUT_S
-                )
-                await connection.send_request(outgoing)
-                return await self._read_answer(job, state, connection, work)
-        except ConnectionUnusable as error:
-            self._directory.note_silence(state, str(error))
-        except EndpointError as error:
-            self._directory.note_break(state, job.fingerprint())
-            self._budget.charge(job.service)
-            self._directory.note_failure(state, str(error))
-        finally:
-            if connection is not None:
-                self._pool.put(state.identity, connection)
-        return None
-
-    async def _read_answer(
-        self, job: Job, state: EndpointState, connection: EndpointConnection, work: OpenWork
-    ) -> str | None:
-        head = await connection.receive_head()
-        work.note_answered()
-        content = await connection.receive_body()
-        load = head.header(self._dialect.names.load)
-        if load is not None:
-            state.note_load(load, trio.current_time())
-        is_done = judge_head(head, self._dialect.names) is Outcome.DONE
-        if not is_done or head.status != ACCEPTED or job.prompt is None:
-            state.note_refusal(trio.current_time())
-            self._budget.charge(job.service)
-            log_message(
-                message_type='shallotmux:prefill-refused',
-                request=job.request_id.decode('latin-1'),
-                endpoint=state.identity,
-                status=head.status,
-            )
-            return None
-        state.note_prompt(job.prompt)
-        state.note_success()
-        return self._dialect.read_handle(content)
-
     def _log(self, job: Job, placement: Placement) -> None:
         log_message(
             message_type='shallotmux:placement',
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -12,12 +12,7 @@
 from shallotmux.forwarding._admission import Admitted, Dialect, admit_request
 from shallotmux.forwarding._attempt import AttemptEnd, AttemptRunner
 from shallotmux.forwarding._budget import RepeatBudget
-from shallotmux.forwarding._directory import (
-    EndpointDirectory,
-    EndpointState,
-    Target,
-    choose_least_busy,
-)
+from shallotmux.forwarding._directory import EndpointDirectory, choose_least_busy
 from shallotmux.forwarding._engines import EnginePlacer
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._lateness import Postponed
@@ -25,6 +20,7 @@
 from shallotmux.forwarding._metrics import ForwardingMetrics
 from shallotmux.forwarding._outcome import Outcome
 from shallotmux.forwarding._refusals import Refusal, refuse_not_run, refuse_unknown
+from shallotmux.forwarding._state import EndpointState, Target
 
 #: Time after the deadline within which the endpoint's own answer to it is still awaited.
 DEADLINE_GRACE_S = 0.1
--- a/tests/forwarding/test_directory.py
+++ b/tests/forwarding/test_directory.py
@@ -8,7 +8,7 @@
 
 from shallotmux.fleet import ListedEndpoint, Listing
 from shallotmux.forwarding import EndpointDirectory
-from shallotmux.forwarding._directory import OpenWork
+from shallotmux.forwarding._state import OpenWork
 
 HERE = ListedEndpoint('e-0', 'desk', '10.0.0.1:1', 'a', 4, started_ms=1)
 LEAVING = msgspec.structs.replace(HERE, is_leaving=True)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -7,7 +7,7 @@
 
 from shallotmux.fleet import CrashNews, CrashReport, ListedEndpoint, Listing
 from shallotmux.forwarding import AnswerHead, BudgetBounds, Forwarder
-from shallotmux.forwarding._directory import Target
+from shallotmux.forwarding._state import Target
 from tests.forwarding._jobs import RecordedReply, make_job
 from tests.forwarding._stage import (
     NAMES,
--- a/tests/guards/forwarded.py
+++ b/tests/guards/forwarded.py
@@ -69,7 +69,7 @@
     ),
     Guard(
         'repeats-bounded (prefills)',
-        'shallotmux/forwarding/_engines.py',
+        'shallotmux/forwarding/_prefill.py',
         'self._budget.charge(job.service)\n            log_message(',
         'log_message(',
         (f'{ENGINES}::test_refused_and_further_prefills_are_repeats',),
