Remember closed zones, releases and the first list of each service apart

Cause: zones that were closed, and orders for fewer endpoints, were remembered for all services together, so that with two services of engines the reclaim of one would have moved the other. Change: ServiceWatch keeps them for one service; the ordering duty plans and sends.

--- a/shallotmux/control/_ordering.py
+++ b/shallotmux/control/_ordering.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 import trio
@@ -12,34 +11,24 @@
 from shallotmux.control._border import DutyOutcome, FleetOrder, PlatformBorder
 from shallotmux.control._duties import LeaderTerm, look_after_services
 from shallotmux.control._knowledge import KnowledgeDesk
+from shallotmux.control._service_watch import ServiceWatch
 from shallotmux.control._sizing import (
     UNMEASURED_FACTOR,
-    DemandPeak,
     SizingView,
     ZoneFleet,
     count_fleets,
     count_needed,
     plan_sizes,
 )
-from shallotmux.routes import RouteTable, Service
+from shallotmux.fleet import ListedEndpoint
+from shallotmux.routes import FleetBounds, RouteTable, Service
 
 #: Time for which an order is given to show in the platform's list, beyond the start of endpoints.
 SHOW_S = 3.0
 
-#: Time for which a zone counts as dry after the platform had no cheap endpoints there.
-DRY_S = 2.5
-
 #: Time between two orders by which endpoints go.
 RELEASE_PAUSE_S = 1.0
 
-#: Time after an order for fewer cheap endpoints for which leaving ones in that zone are those of the
-#: order and not reclaimed ones.
-RELEASE_SHOWS_S = 15.0
-
-#: Time for which a leader waits for a service's endpoints to show in the list. An order before that
-#: would take away those that are not listed yet.
-FIRST_LISTED_S = 5.0
-
 #: Prompt tokens that an engine reads in a second, while nothing was measured.
 READ_TOKENS_PER_S = 50_000.0
 
@@ -69,13 +58,9 @@
         self._border = border
         self._term = term
         self._table = table
-        self._peaks: dict[str, DemandPeak] = defaultdict(DemandPeak)
+        self._watches: dict[str, ServiceWatch] = {}
         self._sent: dict[tuple[str, str, bool], _Sent] = {}
-        self._dry_until: dict[str, float] = {}
         self._released_at = float('-inf')
-        self._cheap_released_at: dict[str, float] = {}
-        self._watched_since: dict[str, float] = {}
-        self._first_counts: dict[str, int] = {}
 
     async def run(self) -> None:
         """Look after all services until cancelled."""
@@ -85,76 +70,38 @@
         if service.bounds is None or service.engine is None or self._desk.listing is None:
             return
         now = trio.current_time()
-        if not self._is_known(service, now):
+        watch = self._watches.setdefault(service.name, ServiceWatch(now))
+        endpoints = self._endpoints(service)
+        fleets = _count_staying(service.bounds, endpoints)
+        if not watch.is_listed(sum(fleet.total for fleet in fleets.values()), now):
             return
         view = SizingView(
             service.name,
             service.bounds,
-            self._peaks[service.name].note(self._need(service), now),
-            self._fleets(service),
-            self._dry_zones(service.name, now),
+            watch.peak.note(self._need(service, fleets), now),
+            fleets,
+            watch.closed_zones(endpoints, now),
         )
         for order in plan_sizes(view):
             if self._is_release(order, view):
                 if not self._may_release(now):
                     continue
                 if order.is_cheap:
-                    self._cheap_released_at[order.zone] = now
+                    watch.note_release(order.zone, now)
             if self._is_due(order, service.bounds.boot_s, now):
-                await self._send(order, view.needed)
-
-    def _is_known(self, service: Service, now: float) -> bool:
-        """Return whether the list shows the service's endpoints, or would if it had any.
-
-        A first list that still grows does not count.
-        """
-        watched_since = self._watched_since.setdefault(service.name, now)
-        if now - watched_since > FIRST_LISTED_S:
-            return True
-        count = sum(fleet.total for fleet in self._fleets(service).values())
-        if count and count == self._first_counts.get(service.name):
-            self._watched_since[service.name] = float('-inf')
-            return True
-        self._first_counts[service.name] = count
-        return False
+                await self._send(order, view.needed, watch)
 
-    def _dry_zones(self, service: str, now: float) -> frozenset[str]:
-        """Return the zones in which no cheap endpoints are to be had.
-
-        Where some are being reclaimed, there will be none for a while.
-        """
+    def _endpoints(self, service: Service) -> tuple[ListedEndpoint, ...]:
         listing = self._desk.listing
-        reclaimed = {
-            each.zone
-            for each in (listing.endpoints if listing else ())
-            if each.service == service
-            and each.is_cheap
-            and each.is_leaving
-            and now - self._cheap_released_at.get(each.zone, float('-inf')) > RELEASE_SHOWS_S
-        }
-        closed = {zone for zone, until in self._dry_until.items() if until > now}
-        return frozenset(reclaimed | closed)
-
-    def _need(self, service: Service) -> int:
+        listed = listing.endpoints if listing else ()
+        return tuple(each for each in listed if each.service == service.name)
+
+    def _need(self, service: Service, fleets: Mapping[str, ZoneFleet]) -> int:
         tokens_per_s = self._desk.demand_of(service.name)
         if tokens_per_s:
             return count_needed(tokens_per_s, READ_TOKENS_PER_S)
         # Only regular endpoints, so that what was ordered does not raise the need again.
-        present = sum(fleet.regular for fleet in self._fleets(service).values())
-        return int(UNMEASURED_FACTOR * present)
-
-    def _fleets(self, service: Service) -> dict[str, ZoneFleet]:
-        listing = self._desk.listing
-        endpoints = listing.endpoints if listing else ()
-        zones = service.bounds.zone_prices if service.bounds else {}
-        return count_fleets(
-            zones,
-            (
-                (each.zone, each.is_cheap)
-                for each in endpoints
-                if each.service == service.name and not each.is_leaving
-            ),
-        )
+        return int(UNMEASURED_FACTOR * sum(fleet.regular for fleet in fleets.values()))
 
     def _is_release(self, order: FleetOrder, view: SizingView) -> bool:
         fleet = view.fleets[order.zone]
@@ -174,7 +121,7 @@
             return True
         return now - sent.at > boot_s + SHOW_S
 
-    async def _send(self, order: FleetOrder, needed: int) -> None:
+    async def _send(self, order: FleetOrder, needed: int, watch: ServiceWatch) -> None:
         holder = self._term.holder()
         if holder is None:
             return
@@ -183,7 +130,7 @@
         outcome = await self._border.order_endpoints(order, holder)
         self._term.note(holder, outcome)
         if outcome is DutyOutcome.UNAVAILABLE and order.is_cheap:
-            self._dry_until[order.zone] = now + DRY_S
+            watch.note_unavailable(order.zone, now)
         log_message(
             message_type='shallotmux:fleet-order',
             service=order.service,
@@ -194,3 +141,11 @@
             outcome=outcome.value,
             token=holder.token,
         )
+
+
+def _count_staying(
+    bounds: FleetBounds, endpoints: Iterable[ListedEndpoint]
+) -> dict[str, ZoneFleet]:
+    """Return the endpoints that are not leaving, by zone."""
+    staying = ((each.zone, each.is_cheap) for each in endpoints if not each.is_leaving)
+    return count_fleets(bounds.zone_prices, staying)
--- a/shallotmux/control/_sizing.py
+++ b/shallotmux/control/_sizing.py
@@ -57,14 +57,14 @@
 
     :param needed: engines that the demand needs.
     :param fleets: endpoints by zone, for all zones of the service.
-    :param dry: zones in which no cheap endpoints are to be had at the moment.
+    :param closed: zones in which no cheap endpoints are to be had at the moment.
     """
 
     service: str
     bounds: FleetBounds
     needed: int
     fleets: Mapping[str, ZoneFleet]
-    dry: frozenset[str] = field(default_factory=frozenset)
+    closed: frozenset[str] = field(default_factory=frozenset)
 
 
 def count_needed(tokens_per_s: float, read_tokens_per_s: float) -> int:
@@ -112,12 +112,12 @@
     """Return the cheap endpoints to come to; where none are to be had, those that are there."""
     if not view.bounds.cheap_price:
         return {zone: fleet.cheap for zone, fleet in view.fleets.items()}
-    carriers = max(1, len(view.fleets.keys() - view.dry) - 1)
+    carriers = max(1, len(view.fleets.keys() - view.closed) - 1)
     each = math.ceil(view.needed / carriers)
     counts: dict[str, int] = {}
     for zone, fleet in view.fleets.items():
         room = view.bounds.most - regular[zone]
-        counts[zone] = fleet.cheap if zone in view.dry else min(each, room)
+        counts[zone] = fleet.cheap if zone in view.closed else min(each, room)
     return counts
 
 
