Find the holders of a prompt once for all engines that may read it

Cause: the holders were looked for once for each candidate, and prompts with small shared parts have every engine as a candidate, so that a choice among n engines took n times n steps. Change: find_sources keeps the two best known and the two expected holders.

--- a/shallotmux/placement/_choice.py
+++ b/shallotmux/placement/_choice.py
@@ -7,7 +7,7 @@
 
 from shallotmux.fleet import EngineRole
 from shallotmux.placement._homes import rank_homes
-from shallotmux.placement._sources import find_source
+from shallotmux.placement._sources import find_sources
 from shallotmux.placement._views import EngineView, FetchSource, Placement, PlacementRequest
 
 #: Homes of a prefix that are weighed against each other, in their order. Others would each keep a
@@ -95,13 +95,9 @@
     candidates = homes[:HOMES_WEIGHED] if prompt.shared_tokens >= HOME_TOKENS else homes
     # An engine that generates must not read a long prompt because a home did not hold it after all.
     expected = [each for each in homes if each.role is not EngineRole.DECODE]
+    found = find_sources(prompt, sources, expected, request.transfer_tokens_per_ms)
     weighed = (
-        _weigh_reading(
-            request,
-            engine,
-            rank,
-            find_source(prompt, engine, sources, expected, request.transfer_tokens_per_ms),
-        )
+        _weigh_reading(request, engine, rank, found.find(engine))
         for rank, engine in enumerate(candidates)
     )
     return min(weighed, key=lambda each: each.time_ms)
--- a/shallotmux/placement/_sources.py
+++ b/shallotmux/placement/_sources.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import heapq
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 
 from shallotmux.placement._prompt import Prompt
 from shallotmux.placement._views import EngineView, FetchSource
@@ -17,35 +19,61 @@
 OTHER_ZONE_FACTOR = 2.0
 
 
-def find_source(
+@dataclass(frozen=True, slots=True)
+class _Holder:
+    """An engine and the tokens of the prompt's beginning that it holds."""
+
+    engine: EngineView
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class FetchSources:
+    """Engines that hold the beginning of one prompt, found once for all engines that may read it.
+
+    :param known: the two engines that are known to hold most of it, as one may be the reader.
+    :param expected: the two engines that are expected to hold its shared parts.
+    :param tokens_per_ms: speed of transfers within a zone.
+    """
+
+    prompt: Prompt
+    known: tuple[_Holder, ...]
+    expected: tuple[_Holder, ...]
+    tokens_per_ms: float
+
+    def find(self, engine: EngineView) -> FetchSource | None:
+        """Return where an engine best fetches the prompt, or None if that is no gain."""
+        holder = _first_other(self.known, engine)
+        if holder is None or holder.tokens < self.prompt.shared_tokens:
+            holder = _first_other(self.expected, engine)
+        if holder is None:
+            return None
+        gained = holder.tokens - self.prompt.cached_tokens(engine.held)
+        if gained < LEAST_FETCHED_TOKENS:
+            return None
+        factor = 1.0 if holder.engine.zone == engine.zone else OTHER_ZONE_FACTOR
+        time_ms = SETUP_MS + factor * gained / self.tokens_per_ms
+        return FetchSource(holder.engine.identity, holder.tokens, time_ms)
+
+
+def find_sources(
     prompt: Prompt,
-    engine: EngineView,
-    engines: Sequence[EngineView],
+    engines: Iterable[EngineView],
     homes: Sequence[EngineView],
     tokens_per_ms: float,
-) -> FetchSource | None:
-    """Return the engine from which another one best fetches a prompt, or None if that is no gain.
+) -> FetchSources:
+    """Return the engines from which a prompt may be fetched.
 
-    :param engine: engine that reads the rest of the prompt.
     :param engines: all engines that may be asked, with what they are known to hold.
     :param homes: engines that read prompts by preference for this one. The first one is expected to
         hold the shared parts; the second one is the home of before when the first one is new.
-    :param tokens_per_ms: speed of transfers within a zone.
     """
-    own = prompt.cached_tokens(engine.held)
-    held = {
-        each.identity: prompt.cached_tokens(each.held)
-        for each in engines
-        if each.identity != engine.identity
-    }
-    best = max(held, key=held.__getitem__, default='')
-    if held.get(best, 0) < prompt.shared_tokens:
-        expected = [each.identity for each in homes if each.identity != engine.identity]
-        best = expected[0] if expected else ''
-        held[best] = prompt.shared_tokens if expected else 0
-    gained = held.get(best, 0) - own
-    if gained < LEAST_FETCHED_TOKENS:
-        return None
-    zone = next(each.zone for each in engines if each.identity == best)
-    factor = 1.0 if zone == engine.zone else OTHER_ZONE_FACTOR
-    return FetchSource(best, held[best], SETUP_MS + factor * gained / tokens_per_ms)
+    held = (_Holder(each, prompt.cached_tokens(each.held)) for each in engines)
+    known = heapq.nlargest(2, held, key=lambda holder: holder.tokens)
+    expected = (_Holder(each, prompt.shared_tokens) for each in homes[:2])
+    return FetchSources(prompt, tuple(known), tuple(expected), tokens_per_ms)
+
+
+def _first_other(holders: Iterable[_Holder], engine: EngineView) -> _Holder | None:
+    others = (each for each in holders if each.engine.identity != engine.identity)
+    return next(others, None)
