Give the duties of the leader one set of tools, and tests one group

OrderingDuty and RoleDuty took and kept the same four parts, and each picked a service's endpoints from the list by itself; two test modules built the same group.

--- a/shallotmux/control/__init__.py
+++ b/shallotmux/control/__init__.py
@@ -10,7 +10,7 @@
     UsageReport,
 )
 from shallotmux.control._documents import DocumentDesk
-from shallotmux.control._duties import LeaderTerm, UsageDuty
+from shallotmux.control._duties import LeaderTerm, LeaderTools, UsageDuty
 from shallotmux.control._knowledge import KnowledgeDesk, UsageLedger
 from shallotmux.control._member import CONTROL_GROUP, ControlMember, MemberSettings
 from shallotmux.control._ordering import OrderingDuty
@@ -27,6 +27,7 @@
     'FleetOrder',
     'KnowledgeDesk',
     'LeaderTerm',
+    'LeaderTools',
     'ListingPoller',
     'MemberSettings',
     'OrderingDuty',
--- a/shallotmux/control/_duties.py
+++ b/shallotmux/control/_duties.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from uuid import uuid4
 
 import trio
@@ -52,19 +53,27 @@
             log_message(message_type='shallotmux:fenced', token=holder.token)
 
 
-async def look_after_services(
-    term: LeaderTerm,
-    table: Callable[[], RouteTable | None],
-    look_after: Callable[[Service], Awaitable[None]],
-) -> None:
-    """Look after each service of the document while this instance leads, until cancelled.
+@dataclass(frozen=True, slots=True)
+class LeaderTools:
+    """What the duties of the leader share that look after services.
 
     :param table: returns the look-ups of the document in force, None before the first one.
     """
+
+    desk: KnowledgeDesk
+    border: PlatformBorder
+    term: LeaderTerm
+    table: Callable[[], RouteTable | None]
+
+
+async def look_after_services(
+    tools: LeaderTools, look_after: Callable[[Service], Awaitable[None]]
+) -> None:
+    """Look after each service of the document while this instance leads, until cancelled."""
     while True:
         await trio.sleep(SERVICES_S)
-        current = table()
-        if current is None or term.holder() is None:
+        current = tools.table()
+        if current is None or tools.term.holder() is None:
             continue
         for service in current.document.services:
             await look_after(service)
--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -86,6 +86,11 @@
         self.listing = listing
         self._listed_at = listed_at
 
+    def endpoints_of(self, service: str) -> tuple[ListedEndpoint, ...]:
+        """Return the listed endpoints of a service, leaving ones included."""
+        listed = self.listing.endpoints if self.listing else ()
+        return tuple(each for each in listed if each.service == service)
+
     def entries(self) -> tuple[str, ...]:
         """Return the names of the entry instances that polled lately."""
         oldest = trio.current_time() - INSTANCE_MEMORY_S
--- a/shallotmux/control/_ordering.py
+++ b/shallotmux/control/_ordering.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 import trio
 from eliot import log_message
 
-from shallotmux.control._border import DutyOutcome, FleetOrder, PlatformBorder
-from shallotmux.control._duties import LeaderTerm, look_after_services
-from shallotmux.control._knowledge import KnowledgeDesk
+from shallotmux.control._border import DutyOutcome, FleetOrder
+from shallotmux.control._duties import LeaderTools, look_after_services
 from shallotmux.control._service_watch import ServiceWatch
 from shallotmux.control._sizing import (
     UNMEASURED_FACTOR,
@@ -21,7 +20,7 @@
     plan_sizes,
 )
 from shallotmux.fleet import ListedEndpoint
-from shallotmux.routes import FleetBounds, RouteTable, Service
+from shallotmux.routes import FleetBounds, Service
 
 #: Time for which an order is given to show in the platform's list, beyond the start of endpoints.
 SHOW_S = 3.0
@@ -42,36 +41,24 @@
 
 
 class OrderingDuty:
-    """Keeps the number of endpoints near what the demand needs.
-
-    :param table: returns the look-ups of the document in force, None before the first one.
-    """
-
-    def __init__(
-        self,
-        desk: KnowledgeDesk,
-        border: PlatformBorder,
-        term: LeaderTerm,
-        table: Callable[[], RouteTable | None],
-    ) -> None:
-        self._desk = desk
-        self._border = border
-        self._term = term
-        self._table = table
+    """Keeps the number of endpoints near what the demand needs."""
+
+    def __init__(self, tools: LeaderTools) -> None:
+        self._tools = tools
         self._watches: dict[str, ServiceWatch] = {}
         self._sent: dict[tuple[str, str, bool], _Sent] = {}
         self._released_at = float('-inf')
 
     async def run(self) -> None:
         """Look after all services until cancelled."""
-        await look_after_services(self._term, self._table, self._look_after)
+        await look_after_services(self._tools, self._look_after)
 
     async def _look_after(self, service: Service) -> None:
-        if service.bounds is None or service.engine is None or self._desk.listing is None:
+        if service.bounds is None or service.engine is None or self._tools.desk.listing is None:
             return
         now = trio.current_time()
         watch = self._watches.setdefault(service.name, ServiceWatch(now))
-        endpoints = self._endpoints(service)
+        endpoints = self._tools.desk.endpoints_of(service.name)
         fleets = _count_staying(service.bounds, endpoints)
         if not watch.is_listed(sum(fleet.total for fleet in fleets.values()), now):
             return
@@ -91,13 +78,8 @@
             if self._is_due(order, service.bounds.boot_s, now):
                 await self._send(order, view.needed, watch)
 
-    def _endpoints(self, service: Service) -> tuple[ListedEndpoint, ...]:
-        listing = self._desk.listing
-        listed = listing.endpoints if listing else ()
-        return tuple(each for each in listed if each.service == service.name)
-
     def _need(self, service: Service, fleets: Mapping[str, ZoneFleet]) -> int:
-        tokens_per_s = self._desk.demand_of(service.name)
+        tokens_per_s = self._tools.desk.demand_of(service.name)
         if tokens_per_s:
             return count_needed(tokens_per_s, READ_TOKENS_PER_S)
         # Only regular endpoints, so that what was ordered does not raise the need again.
@@ -122,13 +104,13 @@
         return now - sent.at > boot_s + SHOW_S
 
     async def _send(self, order: FleetOrder, needed: int, watch: ServiceWatch) -> None:
-        holder = self._term.holder()
+        holder = self._tools.term.holder()
         if holder is None:
             return
         now = trio.current_time()
         self._sent[order.service, order.zone, order.is_cheap] = _Sent(order.count, now)
-        outcome = await self._border.order_endpoints(order, holder)
-        self._term.note(holder, outcome)
+        outcome = await self._tools.border.order_endpoints(order, holder)
+        self._tools.term.note(holder, outcome)
         if outcome is DutyOutcome.UNAVAILABLE and order.is_cheap:
             watch.note_unavailable(order.zone, now)
         log_message(
--- a/shallotmux/control/_role_orders.py
+++ b/shallotmux/control/_role_orders.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import msgspec
 import trio
 from eliot import log_message
 
-from shallotmux.control._border import DutyOutcome, PlatformBorder
-from shallotmux.control._duties import LeaderTerm, look_after_services
-from shallotmux.control._knowledge import KnowledgeDesk
+from shallotmux.control._border import DutyOutcome
+from shallotmux.control._duties import LeaderTools, look_after_services
 from shallotmux.control._role_plan import RoleChange, plan_role_change
 from shallotmux.fleet import EngineRole, ListedEndpoint
-from shallotmux.routes import RouteTable, Service
+from shallotmux.routes import Service
 
 #: Time for which an order is given to show in the platform's list, beyond the change itself.
 SHOW_S = 3.0
@@ -23,48 +20,32 @@
 
 
 class RoleDuty:
-    """Keeps the roles of the engines near what their number asks for.
-
-    :param table: returns the look-ups of the document in force, None before the first one.
-    """
+    """Keeps the roles of the engines near what their number asks for."""
 
-    def __init__(
-        self,
-        desk: KnowledgeDesk,
-        border: PlatformBorder,
-        term: LeaderTerm,
-        table: Callable[[], RouteTable | None],
-    ) -> None:
-        self._desk = desk
-        self._border = border
-        self._term = term
-        self._table = table
+    def __init__(self, tools: LeaderTools) -> None:
+        self._tools = tools
         self._ordered: dict[str, EngineRole] = {}
         self._settled_at: dict[str, float] = {}
 
     async def run(self) -> None:
         """Look after all services until cancelled."""
-        await look_after_services(self._term, self._table, self._look_after)
+        await look_after_services(self._tools, self._look_after)
 
     async def _look_after(self, service: Service) -> None:
         if service.engine is None:
             return
         now = trio.current_time()
-        engines = [self._expected(each, now) for each in self._engines(service)]
+        engines = [
+            self._expected(each, now)
+            for each in self._tools.desk.endpoints_of(service.name)
+            if not each.is_leaving
+        ]
         change = plan_role_change(engines)
         if change is None or self._settled_at.get(change.endpoint.identity, 0) > now:
             return
         settles_in_s = service.engine.role_change_s + SHOW_S
         await self._send(change, now + settles_in_s)
 
-    def _engines(self, service: Service) -> list[ListedEndpoint]:
-        listing = self._desk.listing
-        return [
-            each
-            for each in (listing.endpoints if listing else ())
-            if each.service == service.name and not each.is_leaving
-        ]
-
     def _expected(self, engine: ListedEndpoint, now: float) -> ListedEndpoint:
         """Return an engine with the role that it was ordered to take, while that may not show."""
         ordered = self._ordered.get(engine.identity)
@@ -74,12 +55,12 @@
         return msgspec.structs.replace(engine, role=ordered)
 
     async def _send(self, change: RoleChange, settled_at: float) -> None:
-        holder = self._term.holder()
+        holder = self._tools.term.holder()
         if holder is None:
             return
         identity = change.endpoint.identity
-        outcome = await self._border.change_role(change.endpoint, change.role, holder)
-        self._term.note(holder, outcome)
+        outcome = await self._tools.border.change_role(change.endpoint, change.role, holder)
+        self._tools.term.note(holder, outcome)
         if outcome in {DutyOutcome.ACCEPTED, DutyOutcome.UNKNOWN}:
             self._ordered[identity] = change.role
             self._settled_at[identity] = settled_at
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -16,6 +16,7 @@
     DocumentDesk,
     KnowledgeDesk,
     LeaderTerm,
+    LeaderTools,
     ListingPoller,
     MemberSettings,
     OrderingDuty,
@@ -148,9 +149,10 @@
             window_s = settings.times.usage_window_s
             duty = UsageDuty(self.member, self._desk, platform, self._clock, term, window_s)
             tasks.append(duty.run)
+        tools = LeaderTools(self._desk, platform, term, self._table)
         if settings.has_orders:
-            tasks.append(OrderingDuty(self._desk, platform, term, self._table).run)
-        tasks.append(RoleDuty(self._desk, platform, term, self._table).run)
+            tasks.append(OrderingDuty(tools).run)
+        tasks.append(RoleDuty(tools).run)
         return tuple(tasks)
 
     def _table(self) -> RouteTable | None:
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-from pathlib import Path
-
-import pytest
 import trio
 import trio.testing
 
@@ -13,16 +10,6 @@
 from tests.control._cores import SEEDS, Cores
 
 
-@pytest.fixture
-async def cores(
-    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, tmp_path: Path
-) -> Cores:
-    """Return a group of three seeds with a leader."""
-    cores = Cores(nursery, tmp_path)
-    await cores.found()
-    return cores
-
-
 def find_terms(cores: Cores) -> dict[str, LeaderTerm]:
     """Return what tells each instance whether it may act."""
     return {name: LeaderTerm(core.member, name) for name, core in cores.running.items()}
--- a/tests/control/test_member.py
+++ b/tests/control/test_member.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-from pathlib import Path
-
-import pytest
 import trio
 import trio.testing
 
@@ -15,16 +12,6 @@
 FOURTH = '10.0.0.4:7'
 
 
-@pytest.fixture
-async def cores(
-    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, tmp_path: Path
-) -> Cores:
-    """Return a group of three seeds with a leader."""
-    cores = Cores(nursery, tmp_path)
-    await cores.found()
-    return cores
-
-
 async def test_first_start_elects_one_leader(cores: Cores) -> None:
     """Guards against seeds that start groups of their own."""
     assert cores.voters() == set(SEEDS)
--- a/tests/control/test_ordering.py
+++ b/tests/control/test_ordering.py
@@ -14,6 +14,7 @@
 from shallotmux.authority import GroupState
 from shallotmux.control import FleetOrder, KnowledgeDesk
 from shallotmux.control._border import DutyHolder, DutyOutcome
+from shallotmux.control._duties import LeaderTools
 from shallotmux.control._ordering import OrderingDuty
 from shallotmux.fleet import (
     EngineRole,
@@ -121,7 +122,7 @@
     platform.nursery = nursery
     term = SimpleNamespace(holder=lambda: DutyHolder('core', 1), note=lambda *_: None)
     table = SimpleNamespace(document=RouteDocument(1, (), (SERVICE,), CallerLimits(), ()))
-    duty = OrderingDuty(desk, platform, term, lambda: table)  # type: ignore[arg-type]
+    duty = OrderingDuty(LeaderTools(desk, platform, term, lambda: table))  # type: ignore[arg-type]
     nursery.start_soon(duty.run)
     return platform
 
