--- a/shallotmux/placement/_choice.py
+++ b/shallotmux/placement/_choice.py
@@ -7,7 +7,7 @@
 
 from shallotmux.fleet import EngineRole
 from shallotmux.placement._homes import rank_homes
-from shallotmux.placement._sources import find_sources
+from shallotmux.placement._sources import FetchSources, Holder, expect_holders, find_holders
 from shallotmux.placement._views import EngineView, FetchSource, Placement, PlacementRequest
 
 #: Homes of a prefix that are weighed against each other, in their order. Others would each keep a
@@ -56,10 +56,11 @@
     prefilling = [each for each in usable if each.role is EngineRole.PREFILL]
     if not decoding:
         return None
-    direct = _read_directly(_choose_reader(request, decoding, usable))
+    known = find_holders(request.prompt, usable)
+    direct = _read_directly(_choose_reader(request, decoding, known))
     if not prefilling:
         return direct
-    handed = _hand_over(request, decoding, _choose_reader(request, prefilling, usable))
+    handed = _hand_over(request, decoding, _choose_reader(request, prefilling, known))
     is_short = direct.unread_tokens <= request.direct_tokens
     return direct if is_short and direct.expected_ms < handed.expected_ms else handed
 
@@ -83,11 +84,11 @@
 
 
 def _choose_reader(
-    request: PlacementRequest, engines: Sequence[EngineView], sources: Sequence[EngineView]
+    request: PlacementRequest, engines: Sequence[EngineView], known: tuple[Holder, ...]
 ) -> _Reading:
     """Return the engine that has read the prompt first; leaving its home counts as a delay.
 
-    :param sources: engines from which cached parts may be fetched.
+    :param known: engines of both roles from which cached parts may be fetched.
     """
     prompt = request.prompt
     by_identity = {each.identity: each for each in engines}
@@ -95,9 +96,11 @@
     candidates = homes[:HOMES_WEIGHED] if prompt.shared_tokens >= HOME_TOKENS else homes
     # An engine that generates must not read a long prompt because a home did not hold it after all.
     expected = [each for each in homes if each.role is not EngineRole.DECODE]
-    found = find_sources(prompt, sources, expected, request.transfer_tokens_per_ms)
+    sources = FetchSources(
+        prompt, known, expect_holders(prompt, expected), request.transfer_tokens_per_ms
+    )
     weighed = (
-        _weigh_reading(request, engine, rank, found.find(engine))
+        _weigh_reading(request, engine, rank, sources.find(engine))
         for rank, engine in enumerate(candidates)
     )
     return min(weighed, key=lambda each: each.time_ms)
--- a/shallotmux/placement/_sources.py
+++ b/shallotmux/placement/_sources.py
@@ -20,7 +20,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Holder:
+class Holder:
     """An engine and the tokens of the prompt's beginning that it holds."""
 
     engine: EngineView
@@ -29,16 +29,16 @@
 
 @dataclass(frozen=True, slots=True)
 class FetchSources:
-    """Engines that hold the beginning of one prompt, found once for all engines that may read it.
+    """Engines that hold the beginning of one prompt.
 
-    :param known: the two engines that are known to hold most of it, as one may be the reader.
+    :param known: engines that are known to hold most of it, best first.
     :param expected: the two engines that are expected to hold its shared parts.
     :param tokens_per_ms: speed of transfers within a zone.
     """
 
     prompt: Prompt
-    known: tuple[_Holder, ...]
-    expected: tuple[_Holder, ...]
+    known: tuple[Holder, ...]
+    expected: tuple[Holder, ...]
     tokens_per_ms: float
 
     def find(self, engine: EngineView) -> FetchSource | None:
@@ -56,24 +56,21 @@
         return FetchSource(holder.engine.identity, holder.tokens, time_ms)
 
 
-def find_sources(
-    prompt: Prompt,
-    engines: Iterable[EngineView],
-    homes: Sequence[EngineView],
-    tokens_per_ms: float,
-) -> FetchSources:
-    """Return the engines from which a prompt may be fetched.
+def find_holders(prompt: Prompt, engines: Iterable[EngineView]) -> tuple[Holder, ...]:
+    """Return the two engines that are known to hold most of a prompt, as one may be the reader."""
+    held = (Holder(each, prompt.cached_tokens(each.held)) for each in engines)
+    return tuple(heapq.nlargest(2, held, key=lambda holder: holder.tokens))
+
+
+def expect_holders(prompt: Prompt, homes: Sequence[EngineView]) -> tuple[Holder, ...]:
+    """Return the two engines that are expected to hold the shared parts of a prompt.
 
-    :param engines: all engines that may be asked, with what they are known to hold.
     :param homes: engines that read prompts by preference for this one. The first one is expected to
         hold the shared parts; the second one is the home of before when the first one is new.
     """
-    held = (_Holder(each, prompt.cached_tokens(each.held)) for each in engines)
-    known = heapq.nlargest(2, held, key=lambda holder: holder.tokens)
-    expected = (_Holder(each, prompt.shared_tokens) for each in homes[:2])
-    return FetchSources(prompt, tuple(known), tuple(expected), tokens_per_ms)
+    return tuple(Holder(each, prompt.shared_tokens) for each in homes[:2])
 
 
-def _first_other(holders: Iterable[_Holder], engine: EngineView) -> _Holder | None:
+def _first_other(holders: Iterable[Holder], engine: EngineView) -> Holder | None:
     others = (each for each in holders if each.engine.identity != engine.identity)
     return next(others, None)
