Build the forwarder and send whole answers in one place each

The entry program, the benchmark and the tests wired the same parts of a forwarder, and refusals, pages and the benchmark's endpoint each sent head, body and end by themselves. build_forwarder and send_answer serve all. The fallback to engines that refused compared whole states to leave out sound ones, of which there are none then; the check for a reported load stood twice.

--- a/shallotmux/bench/_forwarding_child.py
+++ b/shallotmux/bench/_forwarding_child.py
@@ -11,18 +11,18 @@
 
 from shallotmux.fleet import FleetView, ListedEndpoint, Listing
 from shallotmux.forwarding import (
-    AttemptRunner,
     BudgetBounds,
     CallerRequest,
     ConnectionPool,
     Dialect,
     EndpointDirectory,
-    EnginePlacer,
     Forwarder,
-    ForwardingMetrics,
+    ForwarderParts,
     HttpListener,
     RepeatBudget,
     Reply,
+    build_forwarder,
+    send_answer,
 )
 from shallotmux.routes import (
     CallerLimits,
@@ -45,16 +45,10 @@
 async def answer(request: CallerRequest, reply: Reply) -> None:
     """Answer as an endpoint does: with the id of the request."""
     request_id = request.header(Dialect().names.request_id) or b''
-    headers = (
-        (Dialect().names.request_id, request_id),
-        (b'content-length', str(len(BODY)).encode()),
-    )
-    await reply.send_head(200, headers)
-    await reply.send_part(BODY)
-    await reply.finish()
+    await send_answer(reply, 200, BODY, ((Dialect().names.request_id, request_id),))
 
 
-def build_forwarder(endpoint: str) -> Forwarder:
+def build_benched(endpoint: str) -> Forwarder:
     """Return a forwarder that knows one route to one endpoint."""
     route = ForwardedRoute(
         'bench', HOST, '/', RouteKind.UNSAFE, (ServiceShare(SERVICE, 1),), TIMEOUT_MS, is_open=True
@@ -66,21 +60,14 @@
     directory = EndpointDirectory(pool.forget)
     directory.take_listing(Listing((ListedEndpoint('e-0', SERVICE, endpoint, ZONE, 64),)))
     budget = RepeatBudget(BudgetBounds(), lambda: 1)
-    return Forwarder(
-        ZONE,
-        view,
-        dialect,
-        directory,
-        AttemptRunner(dialect.names, pool, directory, lambda _: None),
-        EnginePlacer(ZONE, dialect, pool, directory, lambda: view.table, budget),
-        budget,
-        ForwardingMetrics(),
+    return build_forwarder(
+        ForwarderParts(ZONE, view, dialect, pool, directory, budget, lambda _: None)
     )
 
 
 async def serve(role: str, endpoint: str) -> None:
     """Serve until the process is ended; the first line of output is the address."""
-    handler = answer if role == 'endpoint' else build_forwarder(endpoint).handle
+    handler = answer if role == 'endpoint' else build_benched(endpoint).handle
     async with trio.open_nursery() as nursery:
         address = await nursery.start(HttpListener(LOOPBACK, handler, lambda: LIMITS).run)
         sys.stdout.write(f'{address}\n')
--- a/shallotmux/forwarding/__init__.py
+++ b/shallotmux/forwarding/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from shallotmux.forwarding._admission import Admitted, Dialect, admit_request
+from shallotmux.forwarding._assembly import ForwarderParts, build_forwarder
 from shallotmux.forwarding._attempt import AttemptEnd, AttemptRunner
 from shallotmux.forwarding._budget import BudgetBounds, RepeatBudget
 from shallotmux.forwarding._counting import RequestCounter
@@ -12,7 +13,13 @@
 from shallotmux.forwarding._headers import Headers
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._listener import HttpListener
-from shallotmux.forwarding._messages import AnswerHead, CallerRequest, OutgoingRequest, Reply
+from shallotmux.forwarding._messages import (
+    AnswerHead,
+    CallerRequest,
+    OutgoingRequest,
+    Reply,
+    send_answer,
+)
 from shallotmux.forwarding._metrics import ForwardingMetrics
 from shallotmux.forwarding._names import HeaderNames
 from shallotmux.forwarding._pool import ConnectionPool
@@ -32,6 +39,7 @@
     'EndpointState',
     'EnginePlacer',
     'Forwarder',
+    'ForwarderParts',
     'ForwardingMetrics',
     'HeaderNames',
     'Headers',
@@ -43,4 +51,6 @@
     'Reply',
     'RequestCounter',
     'admit_request',
+    'build_forwarder',
+    'send_answer',
 )
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -167,9 +167,7 @@
             await trio.lowlevel.checkpoint()
         attempt.waiting.deadline = math.inf
         attempt.work.note_answered()
-        load = head.header(self._names.load)
-        if load is not None:
-            attempt.target.state.note_load(load, trio.current_time())
+        attempt.target.state.note_load(head.header(self._names.load), trio.current_time())
         outcome = judge_head(head, self._names)
         if outcome is not Outcome.DONE:
             await connection.receive_body()
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -67,7 +67,7 @@
         sound = [state for state in ready if state.is_sound(now)]
         if any(state.may_answer for state in sound):
             return sound
-        return sound + [state for state in ready if state.may_answer and state not in sound]
+        return sound + [state for state in ready if state.may_answer]
 
     def connection_share(self, identity: str) -> float:
         """Return the connections that this instance may have to an endpoint."""
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -59,11 +59,11 @@
         directory: EndpointDirectory,
         table: Callable[[], RouteTable | None],
         budget: RepeatBudget,
-        others: Callable[[str], float] | None = None,
+        others: Callable[[str], float],
     ) -> None:
         self._budget = budget
         self._random = Random()  # noqa: S311
-        self._others = others or _know_no_others
+        self._others = others
         self._zone = zone
         self._dialect = dialect
         self._directory = directory
@@ -211,11 +211,6 @@
     return found.engine if found else None
 
 
-def _know_no_others(identity: str) -> float:
-    """Stand in for the figures of other instances where there are none."""
-    return 0
-
-
 def _transfer_speed(profile: EngineProfile) -> float:
     """Return the tokens whose KV cache a link carries in a millisecond."""
     bytes_per_ms = profile.link_mbps * 1e6 / 8 / 1000
--- a/shallotmux/forwarding/_messages.py
+++ b/shallotmux/forwarding/_messages.py
@@ -77,3 +77,11 @@
 
     def abort(self) -> None:
         """End the connection, so that the answer cannot be taken for a complete one."""
+
+
+async def send_answer(reply: Reply, status: int, content: bytes, headers: Headers = ()) -> None:
+    """Send a whole answer with its length."""
+    length = str(len(content)).encode()
+    await reply.send_head(status, ((b'content-length', length), *headers))
+    await reply.send_part(content)
+    await reply.finish()
--- a/shallotmux/forwarding/_prefill.py
+++ b/shallotmux/forwarding/_prefill.py
@@ -108,9 +108,7 @@
         head = await connection.receive_head()
         work.note_answered()
         content = await connection.receive_body()
-        load = head.header(self._dialect.names.load)
-        if load is not None:
-            state.note_load(load, trio.current_time())
+        state.note_load(head.header(self._dialect.names.load), trio.current_time())
         is_done = judge_head(head, self._dialect.names) is Outcome.DONE
         if not is_done or head.status != ACCEPTED or job.prompt is None:
             state.note_refusal(trio.current_time())
--- a/shallotmux/forwarding/_refusals.py
+++ b/shallotmux/forwarding/_refusals.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from shallotmux.forwarding._headers import Headers
-from shallotmux.forwarding._messages import Reply
+from shallotmux.forwarding._messages import Reply, send_answer
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,15 +23,10 @@
     async def send(self, reply: Reply, retry_after_header: bytes) -> None:
         """Send the answer."""
         content = f'{self.reason}\n'.encode()
-        headers: Headers = (
-            (b'content-type', b'text/plain; charset=utf-8'),
-            (b'content-length', str(len(content)).encode()),
-        )
+        headers: Headers = ((b'content-type', b'text/plain; charset=utf-8'),)
         if self.retry_after_s is not None:
             headers = (*headers, (retry_after_header, f'{self.retry_after_s:.2f}'.encode()))
-        await reply.send_head(self.status, headers)
-        await reply.send_part(content)
-        await reply.finish()
+        await send_answer(reply, self.status, content, headers)
 
 
 def refuse_not_run(reason: str, retry_after_s: float) -> Refusal:
--- a/shallotmux/forwarding/_state.py
+++ b/shallotmux/forwarding/_state.py
@@ -126,8 +126,10 @@
         age = max(0.0, now - self.load.at)
         return self.in_flight + self.load.others * 0.5 ** (age / LOAD_HALF_LIFE_S)
 
-    def note_load(self, text: bytes, now: float) -> None:
-        """Take note of running and waiting requests and slots, separated by commas."""
+    def note_load(self, text: bytes | None, now: float) -> None:
+        """Take note of running and waiting requests and slots, separated by commas, if told."""
+        if text is None:
+            return
         try:
             running, waiting, _ = (int(each) for each in text.split(b','))
         except ValueError:
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -11,17 +11,16 @@
 from shallotmux.control import ListingPoller, PlatformBorder
 from shallotmux.fleet import DecodeDocument, FleetLearner, LoadSharing, ServiceDemand, TrueClock
 from shallotmux.forwarding import (
-    AttemptRunner,
     ConnectionPool,
     Dialect,
     EndpointDirectory,
-    EnginePlacer,
-    Forwarder,
+    ForwarderParts,
     ForwardingMetrics,
     HttpListener,
     Job,
     RepeatBudget,
     RequestCounter,
+    build_forwarder,
 )
 from shallotmux.programs._lifecycle import (
     LoadSettings,
@@ -99,22 +98,23 @@
         self.view.on_listing.append(self._directory.take_listing)
         self.metrics = ForwardingMetrics()
         self.metrics.document_version.set_function(lambda: self.view.version)
-        self._budget = RepeatBudget(settings.budget, lambda: self.view.instances)
         self._sharing = LoadSharing(
             self._identity, own, lambda: self.view.entries, self._directory.unread
         )
-        self._placer = EnginePlacer(
-            settings.zone,
-            border.dialect,
-            self._pool,
-            self._directory,
-            lambda: self.view.table,
-            self._budget,
-            self._sharing.loads.tokens_at,
-        )
-        self._listener = HttpListener(
-            settings.listen.callers, self._build_forwarder().handle, self._limits
+        self._forwarder = build_forwarder(
+            ForwarderParts(
+                settings.zone,
+                self.view,
+                border.dialect,
+                self._pool,
+                self._directory,
+                RepeatBudget(settings.budget, lambda: self.view.instances),
+                self._note_begun,
+                self._sharing.loads.tokens_at,
+                self.metrics,
+            )
         )
+        self._listener = HttpListener(settings.listen.callers, self._forwarder.handle, self._limits)
 
     def apply_settings(self, settings: ProgramSettings) -> None:
         """Take changed settings."""
@@ -159,21 +159,7 @@
         return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail='an entry instance')
 
     def _placer_demands(self) -> tuple[ServiceDemand, ...]:
-        return self._placer.demands()
-
-    def _build_forwarder(self) -> Forwarder:
-        dialect = self._border.dialect
-        settings = self.settings
-        return Forwarder(
-            settings.zone,
-            self.view,
-            dialect,
-            self._directory,
-            AttemptRunner(dialect.names, self._pool, self._directory, self._note_begun),
-            self._placer,
-            self._budget,
-            self.metrics,
-        )
+        return self._forwarder.placer.demands()
 
     def _connection_share(self, service: str) -> float:
         """Return the connections that this instance may have to each endpoint of a service."""
--- a/shallotmux/programs/_pages.py
+++ b/shallotmux/programs/_pages.py
@@ -10,7 +10,7 @@
 
 from shallotmux.control import DocumentDesk
 from shallotmux.errors import DocumentInvalid, ShallotmuxError
-from shallotmux.forwarding import CallerRequest, Headers, Reply
+from shallotmux.forwarding import CallerRequest, Headers, Reply, send_answer
 
 TEXT_TYPE = 'text/plain; charset=utf-8'
 JSON_TYPE = 'application/json'
@@ -22,15 +22,9 @@
 async def send_page(
     reply: Reply, status: int, content: bytes, content_type: str, extra: Headers = ()
 ) -> None:
-    """Send a whole answer."""
-    headers: Headers = (
-        (b'content-type', content_type.encode()),
-        (b'content-length', str(len(content)).encode()),
-        *extra,
-    )
-    await reply.send_head(status, headers)
-    await reply.send_part(content)
-    await reply.finish()
+    """Send a whole page."""
+    headers = ((b'content-type', content_type.encode()), *extra)
+    await send_answer(reply, status, content, headers)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/forwarding/_stage.py
+++ b/tests/forwarding/_stage.py
@@ -12,18 +12,17 @@
 
 from shallotmux.fleet import EngineRole, FleetView, ListedEndpoint, Listing
 from shallotmux.forwarding import (
-    AttemptRunner,
     BudgetBounds,
     ConnectionPool,
     Dialect,
     EndpointDirectory,
-    EnginePlacer,
     Forwarder,
-    ForwardingMetrics,
+    ForwarderParts,
     HeaderNames,
     HttpListener,
     Job,
     RepeatBudget,
+    build_forwarder,
 )
 from shallotmux.routes import (
     CallerLimits,
@@ -272,16 +271,10 @@
             begun.append(job.customer)
 
         repeats = RepeatBudget(budget or BudgetBounds(), lambda: 1)
-        forwarder = Forwarder(
-            'a',
-            view,
-            dialect,
-            directory,
-            AttemptRunner(NAMES, pool, directory, note_begun),
-            EnginePlacer('a', dialect, pool, directory, lambda: view.table, repeats),
-            repeats,
-            ForwardingMetrics(),
-            Random(1),
+        forwarder = build_forwarder(
+            ForwarderParts(
+                'a', view, dialect, pool, directory, repeats, note_begun, random=Random(1)
+            )
         )
         listener = HttpListener('127.0.0.1:0', forwarder.handle, lambda: LIMITS)
         address = await nursery.start(listener.run)
