--- a/tests/control/test_autoscaler.py
+++ b/tests/control/test_autoscaler.py
@@ -14,7 +14,7 @@
 from shallotmux.authority import GroupState
 from shallotmux.control import FleetOrder, KnowledgeService
 from shallotmux.control._autoscaler import Autoscaler
-from shallotmux.control._duties import LeaderDependencies
+from shallotmux.control._duties import CONTROL_LOOP_S, LeaderDependencies
 from shallotmux.control._platform import DutyHolder, DutyOutcome
 from shallotmux.fleet import (
     EngineRole,
@@ -142,8 +142,13 @@
         await trio.sleep(1)
 
 
-async def test_nothing_is_ordered_before_the_service_is_listed(platform: Platform) -> None:
+async def test_nothing_is_ordered_before_the_service_is_listed(
+    platform: Platform, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against orders at the start of a leader that release endpoints not listed yet."""
+    # Half an interval apart from the autoscaler: at equal times, the scheduler's order of the two
+    # tasks would decide whether the last order is seen.
+    await trio.sleep(CONTROL_LOOP_S / 2)
     platform.publish()
     await run_under(platform, 0, 4)
     assert not platform.orders
@@ -155,7 +160,9 @@
     assert all(order.is_cheap for order in platform.orders)
 
 
-async def test_reclaimed_zone_is_replaced_at_once(platform: Platform) -> None:
+async def test_reclaimed_zone_is_replaced_at_once(
+    platform: Platform, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against a delay in which cheap endpoints are ordered in a reclaimed zone first."""
     for zone in PRICES:
         for _ in range(3):
@@ -168,7 +175,7 @@
 
 
 async def test_regular_replacements_are_released_once_cheap_ones_are_back(
-    platform: Platform,
+    platform: Platform, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against regular replacements that are kept, and paid for, long after a reclaim."""
     for zone in PRICES:
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -15,7 +15,9 @@
     return {name: LeaderTerm(instance.member, name) for name, instance in group.running.items()}
 
 
-async def test_only_the_leader_is_a_holder(group: ControlGroup) -> None:
+async def test_only_the_leader_is_a_holder(
+    group: ControlGroup, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against two instances that make leader-only calls at the same time."""
     terms = make_terms(group)
     leader = (await group.wait_for_leader()).member.settings.name
@@ -23,7 +25,9 @@
     assert holders == [leader]
 
 
-async def test_partitioned_holder_stops_before_its_successor_starts(group: ControlGroup) -> None:
+async def test_partitioned_holder_stops_before_its_successor_starts(
+    group: ControlGroup, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against a partitioned leader that still makes calls after its successor started."""
     terms = make_terms(group)
     first = (await group.wait_for_leader()).member.settings.name
@@ -41,7 +45,9 @@
     assert new.token > old.token
 
 
-async def test_refused_token_is_not_used_again(group: ControlGroup) -> None:
+async def test_refused_token_is_not_used_again(
+    group: ControlGroup, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against an instance that goes on using a token which the platform fenced."""
     leader = await group.wait_for_leader()
     term = LeaderTerm(leader.member, leader.member.settings.name)
--- a/tests/control/test_member.py
+++ b/tests/control/test_member.py
@@ -12,14 +12,18 @@
 FOURTH = '10.0.0.4:7'
 
 
-async def test_first_start_elects_one_leader(group: ControlGroup) -> None:
+async def test_first_start_elects_one_leader(
+    group: ControlGroup, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against seeds that each bootstrap a separate group."""
     assert group.voters() == set(SEEDS)
     assert await group.put(1, through=THIRD)
     assert {await group.read(name) for name in SEEDS} == {1}
 
 
-async def test_further_instance_replaces_a_lost_voter(group: ControlGroup) -> None:
+async def test_further_instance_replaces_a_lost_voter(
+    group: ControlGroup, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against a lost voter that is not replaced although another instance is available."""
     await group.put(1)
     await group.start(FOURTH, bootstrap=True)
@@ -32,7 +36,9 @@
     assert any(voter.startswith(FOURTH) for voter in group.voters())
 
 
-async def test_wiped_voter_rejoins_under_new_identity(group: ControlGroup) -> None:
+async def test_wiped_voter_rejoins_under_new_identity(
+    group: ControlGroup, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against a voter that lost its vote and votes twice under its old identity."""
     assert await group.put(1)
     await group.kill(SECOND, wipe=True)
@@ -46,7 +52,7 @@
 
 
 async def test_acknowledged_document_survives_lost_disk_and_power_failure(
-    group: ControlGroup,
+    group: ControlGroup, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against an acknowledgement before a majority of disks holds the document."""
     for version in range(1, 6):
@@ -63,7 +69,9 @@
         assert await group.read() == version
 
 
-async def test_minority_neither_commits_nor_reads(group: ControlGroup) -> None:
+async def test_minority_neither_commits_nor_reads(
+    group: ControlGroup, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against a partitioned leader that commits alone, and against stale reads."""
     leader = (await group.wait_for_leader()).member.settings.name
     assert await group.put(1)
@@ -78,7 +86,9 @@
     assert await group.read(leader) == 3
 
 
-async def test_restart_keeps_identity_and_document(group: ControlGroup) -> None:
+async def test_restart_keeps_identity_and_document(
+    group: ControlGroup, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against a restart with an intact disk that is treated as a lost disk."""
     assert await group.put(7)
     for name in SEEDS:
@@ -90,7 +100,9 @@
     assert group.voters() == set(SEEDS)
 
 
-async def test_replacement_at_another_address_becomes_voter(group: ControlGroup) -> None:
+async def test_replacement_at_another_address_becomes_voter(
+    group: ControlGroup, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against a lost instance that stays a voter and takes a majority with the next loss."""
     assert await group.put(1)
     await group.kill(FIRST, wipe=True)
@@ -104,7 +116,9 @@
     assert await group.read(FOURTH) == 2
 
 
-async def test_removed_voter_joins_again(group: ControlGroup) -> None:
+async def test_removed_voter_joins_again(
+    group: ControlGroup, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against an instance that never asks to join again after it was replaced."""
     await group.start(FOURTH)
     await trio.sleep(3)
@@ -119,7 +133,9 @@
     assert state.zone.document.version == 4
 
 
-async def test_shutdown_transfers_leadership(group: ControlGroup) -> None:
+async def test_shutdown_transfers_leadership(
+    group: ControlGroup, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against a shutdown that leaves the group without a leader until an election."""
     leader = await group.wait_for_leader()
     name = leader.member.settings.name
--- a/tests/operators/test_app.py
+++ b/tests/operators/test_app.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+import trio.testing
 
 from shallotmux.authority import LocalAuthority, RecordCrash, digest_secret
 from shallotmux.errors import AuthorityUnavailable, EndpointError, OutcomeUnknown
@@ -95,7 +96,9 @@
         await self.inner.__aexit__(*details)
 
 
-async def test_put_reports_where_change_is_in_force(harness: OperatorApiHarness) -> None:
+async def test_put_reports_where_change_is_in_force(
+    harness: OperatorApiHarness, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against a response that does not name the zones where the change is in force."""
     response = await harness.client.put(CUSTOMER, {'contract': {'weight': 2}}, 0)
     assert (response['revision'], response['in_force'], response['pending']) == (1, ['zone-a'], [])
@@ -105,7 +108,9 @@
     assert (await harness.client.view('customer'))['items'] == [shown]
 
 
-async def test_stale_write_reports_winning_revision(harness: OperatorApiHarness) -> None:
+async def test_stale_write_reports_winning_revision(
+    harness: OperatorApiHarness, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against overwriting a change that the operator has not seen."""
     await harness.client.put(CUSTOMER, {}, 0)
     with pytest.raises(OperatorError) as caught:
@@ -150,7 +155,11 @@
     ],
 )
 async def test_invalid_body_names_field(
-    harness: OperatorApiHarness, object_name: ObjectName, fields: dict[str, Any], expected: str
+    harness: OperatorApiHarness,
+    object_name: ObjectName,
+    fields: dict[str, Any],
+    expected: str,
+    autojump_clock: trio.testing.MockClock,
 ) -> None:
     """Guards against an invalid value that is accepted, or refused without naming the field."""
     with pytest.raises(OperatorError) as caught:
@@ -159,7 +168,9 @@
     assert expected in caught.value.message
 
 
-async def test_resend_after_lost_response_is_applied_once(harness: OperatorApiHarness) -> None:
+async def test_resend_after_lost_response_is_applied_once(
+    harness: OperatorApiHarness, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against a resend that conflicts with the first send, or returns an invalid secret."""
     await harness.client.put(CUSTOMER, {}, 0)
     lossy_client = LossyClient(harness.network.client('10.9.0.1:0'), 1)
@@ -175,7 +186,9 @@
     return digest_secret(secret, PEPPER)
 
 
-async def test_outcome_is_unknown_if_all_responses_are_lost(harness: OperatorApiHarness) -> None:
+async def test_outcome_is_unknown_if_all_responses_are_lost(
+    harness: OperatorApiHarness, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against reporting a failure for a change that took effect."""
     lossy_client = LossyClient(harness.network.client('10.9.0.1:0'), 99)
     with pytest.raises(OutcomeUnknown, match='operation id op-'):
@@ -183,7 +196,9 @@
     assert harness.authority.read().revision == 1
 
 
-async def test_conflict_after_lost_response_is_reported(harness: OperatorApiHarness) -> None:
+async def test_conflict_after_lost_response_is_reported(
+    harness: OperatorApiHarness, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against reporting a definitive result as an unknown outcome."""
     await harness.client.put(CUSTOMER, {}, 0)
     lossy_client = LossyClient(harness.network.client('10.9.0.1:0'), 1)
@@ -191,7 +206,9 @@
         await OperatorClient(lossy_client, HOST, OPERATOR_TOKEN).put(CUSTOMER, {}, 0)  # type: ignore[arg-type]
 
 
-async def test_resend_with_other_seed_is_refused(harness: OperatorApiHarness) -> None:
+async def test_resend_with_other_seed_is_refused(
+    harness: OperatorApiHarness, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against returning a secret whose digest was never stored."""
     await harness.client.put(CUSTOMER, {}, 0)
     operation = {'shallotmux-operation-id': 'op-1'}
@@ -201,7 +218,9 @@
     assert (status, b'sk-shallot-' in second) == (422, False)
 
 
-async def test_reused_operation_id_returns_no_secret(harness: OperatorApiHarness) -> None:
+async def test_reused_operation_id_returns_no_secret(
+    harness: OperatorApiHarness, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against returning a secret if the operation id created no key."""
     operation = {'shallotmux-operation-id': 'op-1'}
     await harness.send_raw('PUT', '/v1/customer/tailors', b'{}', **operation)
@@ -209,7 +228,9 @@
     assert (status, b'sk-shallot-' in body) == (422, False)
 
 
-async def test_key_list_reveals_no_secret(harness: OperatorApiHarness) -> None:
+async def test_key_list_reveals_no_secret(
+    harness: OperatorApiHarness, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against a list that reveals a secret or its digest."""
     await harness.client.put(CUSTOMER, {}, 0)
     created = await harness.client.create_key('tailors')
@@ -230,7 +251,12 @@
     ],
 )
 async def test_invalid_request_is_refused(
-    harness: OperatorApiHarness, method: str, path: str, extra: dict[str, str], expected: int
+    harness: OperatorApiHarness,
+    method: str,
+    path: str,
+    extra: dict[str, str],
+    expected: int,
+    autojump_clock: trio.testing.MockClock,
 ) -> None:
     """Guards against serving a request without a credential, an operation id or a known path."""
     status, _ = await harness.send_raw(method, path, b'{}', **extra)
@@ -238,7 +264,9 @@
     assert harness.authority.read().revision == 0
 
 
-async def test_oversized_body_is_refused(harness: OperatorApiHarness) -> None:
+async def test_oversized_body_is_refused(
+    harness: OperatorApiHarness, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against reading a body of unbounded size."""
     extra = {'shallotmux-operation-id': 'a'}
     status, _ = await harness.send_raw('PUT', '/v1/customer/tailors', b' ' * 2001, **extra)
@@ -250,7 +278,10 @@
     [(AuthorityUnavailable('no quorum'), (503, True)), (OutcomeUnknown('timeout'), (504, False))],
 )
 async def test_failure_reports_whether_command_ran(
-    network: MemoryNetwork, failure: Exception, expected: tuple[int, bool]
+    network: MemoryNetwork,
+    failure: Exception,
+    expected: tuple[int, bool],
+    autojump_clock: trio.testing.MockClock,
 ) -> None:
     """Guards against a response that claims a certain outcome when it is unknown."""
     harness = serve(network, _FailingAuthority(failure))
@@ -271,7 +302,9 @@
         raise self._failure
 
 
-async def test_views_work_with_default_providers(harness: OperatorApiHarness) -> None:
+async def test_views_work_with_default_providers(
+    harness: OperatorApiHarness, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against a view that fails without the optional providers."""
     assert (await harness.client.view('status'))['zones'][0]['leader'] == 'local'
     for path in ('usage', 'quarantine', 'decision', 'key'):
@@ -280,7 +313,9 @@
         await harness.client.lift_quarantine('f')
 
 
-async def test_quarantine_is_listed_and_lifted(harness: OperatorApiHarness) -> None:
+async def test_quarantine_is_listed_and_lifted(
+    harness: OperatorApiHarness, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against a quarantine that operators can neither list nor lift."""
     provider = ZoneQuarantine(harness.authority)
     now = time.time()
