Handle signals from the first lines of a program to its exit

Cause: the receiver of signals was closed at SIGTERM, while a control program waited for a full disk, and was not yet open at start. Change: handlers are installed before the program is imported and stay until the interpreter exits; the wait for a full disk ends on SIGTERM.

--- a/shallotmux/daemon/_main.py
+++ b/shallotmux/daemon/_main.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 from pathlib import Path
 
@@ -17,6 +16,7 @@
 from shallotmux.errors import SettingsError
 from shallotmux.observability import write_logs
 from shallotmux.settings import Settings, load_settings
+from shallotmux.signals import ProcessSignals
 
 #: Exit code for invalid settings, the same as for invalid options.
 EXIT_SETTINGS = 2
@@ -64,43 +64,44 @@
         read_certificates(settings)
         click.echo(f'{path}: ok')
         return
-    trio.run(_run, settings, bootstrap, recover)
+    signals = ProcessSignals()
+    signals.install()
+    trio.run(_run, settings, signals, bootstrap, recover)
+    signals.ignore()
 
 
-async def _run(settings: Settings, bootstrap: tuple[str, ...], recover: tuple[str, ...]) -> None:
+async def _run(
+    settings: Settings,
+    signals: ProcessSignals,
+    bootstrap: tuple[str, ...],
+    recover: tuple[str, ...],
+) -> None:
     groups = InstanceGroups(settings, bootstrap, recover=recover) if settings.peers else None
     daemon = DaemonInstance(settings, groups=groups)
     logging = settings.logging
     on_redaction = daemon.metrics.log_redactions.inc
     with write_logs(logging.destination, logging.level, logging.sections, on_redaction):
-        await _serve(settings, daemon)
-
-
-async def _serve(settings: Settings, daemon: DaemonInstance) -> None:
-    async with trio.open_nursery() as nursery:
-        await nursery.start(_watch_signals, daemon)
-        addresses = await nursery.start(daemon.run)
-        log_message(
-            message_type='shallotmux:daemon:started',
-            instance=settings.instance.name,
-            zone=settings.instance.zone,
-            version=__version__,
-            callers=addresses.callers,
-            peers=daemon.peer_address,
-            operators=addresses.operators,
-            metrics=addresses.metrics,
-        )
+        await _serve(settings, signals, daemon)
+
+
+async def _serve(settings: Settings, signals: ProcessSignals, daemon: DaemonInstance) -> None:
+    def drain(number: int) -> None:
+        log_message(message_type='shallotmux:daemon:draining', signal=number)
+        daemon.shut_down()
+
+    async with trio.open_nursery() as watching:
+        watching.start_soon(signals.watch, drain, daemon.reload_certificates)
+        async with trio.open_nursery() as nursery:
+            addresses = await nursery.start(daemon.run)
+            log_message(
+                message_type='shallotmux:daemon:started',
+                instance=settings.instance.name,
+                zone=settings.instance.zone,
+                version=__version__,
+                callers=addresses.callers,
+                peers=daemon.peer_address,
+                operators=addresses.operators,
+                metrics=addresses.metrics,
+            )
+        watching.cancel_scope.cancel()
     log_message(message_type='shallotmux:daemon:stopped', instance=settings.instance.name)
-
-
-async def _watch_signals(
-    daemon: DaemonInstance, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        task_status.started()
-        async for received in signals:
-            if received != signal.SIGHUP:
-                log_message(message_type='shallotmux:daemon:draining', signal=int(received))
-                daemon.shut_down()
-                return
-            daemon.reload_certificates()
--- a/shallotmux/platform/__main__.py
+++ b/shallotmux/platform/__main__.py
@@ -1,4 +1,4 @@
-"""Run a control or entry program with ``python -m shallotmux.platform``."""
+"""Run the control or entry program that the platform's settings select."""
 
 from __future__ import annotations
 
@@ -20,11 +20,13 @@
     ControlAdapter,
     EntryAdapter,
     EntryProgram,
+    ProgramLifecycle,
     ProgramRole,
     ProgramSettings,
     run_control,
     write_log_lines,
 )
+from shallotmux.signals import ProcessSignals
 
 
 def load_settings() -> ProgramSettings:
@@ -32,29 +34,36 @@
     return build_settings(read_settings_file())
 
 
-async def run() -> None:
-    """Run the program that the settings select."""
+async def run(signals: ProcessSignals) -> None:
+    """Run the program that the settings select until it has stopped."""
     file = read_settings_file()
     settings = build_settings(file)
     platform = PlatformClient(file.cloud.address)
-    if settings.role is ProgramRole.CONTROL:
-        adapter = ControlAdapter(decode_document, platform, PUT_PATH, GET_PATH)
-        await run_control(settings, adapter, load_settings)
-    else:
-        await EntryProgram(settings, EntryAdapter(DIALECT, decode_document, platform)).run(
-            load_settings
-        )
+    lifecycle = ProgramLifecycle(load_settings)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(signals.watch, lifecycle.request_stop, lifecycle.request_reload)
+        if settings.role is ProgramRole.CONTROL:
+            control = ControlAdapter(decode_document, platform, PUT_PATH, GET_PATH)
+            await run_control(settings, control, lifecycle)
+        else:
+            entry = EntryAdapter(DIALECT, decode_document, platform)
+            await EntryProgram(settings, entry).run(lifecycle)
+        nursery.cancel_scope.cancel()
 
 
 def main() -> int:
     """Run until SIGTERM or SIGINT, and return the exit code: 2 for invalid settings."""
+    signals = ProcessSignals()
+    signals.install()
+    exit_code = 0
     with write_log_lines(sys.stdout.fileno()):
         try:
-            trio.run(run)
-        except SettingsError as error:
-            sys.stderr.write(f'{error}\n')
-            return 2
-    return 0
+            trio.run(run, signals)
+        except* SettingsError as errors:
+            sys.stderr.write(f'{errors.exceptions[0]}\n')
+            exit_code = 2
+    signals.ignore()
+    return exit_code
 
 
 if __name__ == '__main__':
--- a/shallotmux/programs/__init__.py
+++ b/shallotmux/programs/__init__.py
@@ -4,7 +4,7 @@
 
 from shallotmux.programs._control import ControlAdapter, ControlProgram, run_control
 from shallotmux.programs._entry import EntryAdapter, EntryProgram
-from shallotmux.programs._lifecycle import LoadSettings
+from shallotmux.programs._lifecycle import LoadSettings, ProgramLifecycle
 from shallotmux.programs._log_lines import write_log_lines
 from shallotmux.programs._settings import (
     ListenAddresses,
@@ -20,6 +20,7 @@
     'EntryProgram',
     'ListenAddresses',
     'LoadSettings',
+    'ProgramLifecycle',
     'ProgramRole',
     'ProgramSettings',
     'ProgramTimes',
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -29,10 +29,9 @@
 from shallotmux.forwarding import HttpListener
 from shallotmux.programs._disk import run_on_disk
 from shallotmux.programs._lifecycle import (
-    LoadSettings,
+    ProgramLifecycle,
     SettingsWatcher,
     run_with_network,
-    wait_for_stop,
 )
 from shallotmux.programs._pages import DocumentPage, MetricsPage
 from shallotmux.programs._settings import ProgramSettings
@@ -97,10 +96,11 @@
         """Apply changed settings; only the seeds can change while the program runs."""
         self.member.update_seeds(settings.seeds)
 
-    async def run(self, load: LoadSettings) -> None:
-        """Serve until SIGTERM or SIGINT."""
+    async def run(self, lifecycle: ProgramLifecycle) -> None:
+        """Serve until asked to stop."""
         settings = self.settings
-        watcher = SettingsWatcher(settings, load, self.apply_settings)
+        watcher = SettingsWatcher(settings, lifecycle.load, self.apply_settings)
+        lifecycle.on_reload = watcher.check
         documents = DocumentService(self.member.authority, self._adapter.decode_document)
         page = DocumentPage(documents, self._adapter.put_path, self._adapter.get_path)
         listeners = [HttpListener(settings.listen.operators, page.handle)]
@@ -120,7 +120,7 @@
                 identity=self.member.identity,
                 applied=self.member.state.applied_index,
             )
-            await wait_for_stop(watcher)
+            await lifecycle.stop.wait()
             await self.member.transfer_leadership()
             for each in listeners:
                 each.drain()
@@ -185,9 +185,9 @@
 
 
 async def run_control(
-    settings: ProgramSettings, adapter: ControlAdapter, load: LoadSettings
+    settings: ProgramSettings, adapter: ControlAdapter, lifecycle: ProgramLifecycle
 ) -> None:
-    """Run a control instance until SIGTERM or SIGINT.
+    """Run a control instance until it is asked to stop.
 
     :raises SettingsError: if the settings name no data folder.
     """
@@ -197,11 +197,11 @@
     async def run() -> None:
         program = ControlProgram(settings, adapter)
         try:
-            await program.run(load)
+            await program.run(lifecycle)
         finally:
             program.member.close()
 
-    await run_on_disk(settings.folder, run)
+    await run_on_disk(settings.folder, run, lifecycle.stop)
 
 
 #: Time in which a command forwarded by another control instance must commit.
--- a/shallotmux/programs/_disk.py
+++ b/shallotmux/programs/_disk.py
@@ -24,7 +24,10 @@
 
 
 async def run_on_disk(
-    folder: Path, run: Callable[[], Awaitable[None]], files: FileSystem | None = None
+    folder: Path,
+    run: Callable[[], Awaitable[None]],
+    stop: trio.Event,
+    files: FileSystem | None = None,
 ) -> None:
     """Run a task that needs a disk, and restart it from the stored state after a failed write.
 
@@ -32,6 +35,7 @@
     disk, as after a restart of the process.
 
     :param run: builds its state from the disk each time it is called.
+    :param stop: set once the process is asked to stop; the disk is not waited for any more.
     :raises StorageError: if the error is not temporary, such as a damaged file.
     """
     while True:
@@ -43,7 +47,9 @@
             log_message(message_type='shallotmux:disk-refused', level='error', error=repr(group))
         else:
             return
-        await _wait_for_disk(folder, files or LocalFileSystem())
+        await _wait_for_disk(folder, files or LocalFileSystem(), stop)
+        if stop.is_set():
+            return
         log_message(message_type='shallotmux:disk-regained')
 
 
@@ -60,9 +66,13 @@
     return True
 
 
-async def _wait_for_disk(folder: Path, files: FileSystem) -> None:
-    while not await trio.to_thread.run_sync(_is_writable, folder, files):
-        await trio.sleep(PROBE_INTERVAL_S)
+async def _wait_for_disk(folder: Path, files: FileSystem, stop: trio.Event) -> None:
+    """Return when the disk accepts writes again, or ``stop`` is set."""
+    while not stop.is_set():
+        if await trio.to_thread.run_sync(_is_writable, folder, files):
+            return
+        with trio.move_on_after(PROBE_INTERVAL_S):
+            await stop.wait()
 
 
 def _is_writable(folder: Path, files: FileSystem) -> bool:
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -23,10 +23,9 @@
     build_forwarder,
 )
 from shallotmux.programs._lifecycle import (
-    LoadSettings,
+    ProgramLifecycle,
     SettingsWatcher,
     run_with_network,
-    wait_for_stop,
 )
 from shallotmux.programs._pages import MetricsPage, ReadinessPage
 from shallotmux.programs._settings import ProgramSettings
@@ -132,9 +131,10 @@
         )
         return tuple(reason for reason, holds in checks if not holds)
 
-    async def run(self, load: LoadSettings) -> None:
-        """Serve until SIGTERM or SIGINT, then drain."""
-        watcher = SettingsWatcher(self.settings, load, self.apply_settings)
+    async def run(self, lifecycle: ProgramLifecycle) -> None:
+        """Serve until asked to stop, then drain."""
+        watcher = SettingsWatcher(self.settings, lifecycle.load, self.apply_settings)
+        lifecycle.on_reload = watcher.check
         listen = self.settings.listen
         readiness = ReadinessPage(self.unready_reasons)
         listeners = [HttpListener(listen.readiness, readiness.handle)]
@@ -152,7 +152,7 @@
             nursery.start_soon(self._refresh_stale_listing)
             nursery.start_soon(watcher.run)
             log_message(message_type='shallotmux:started', role='entry', name=self.settings.name)
-            await wait_for_stop(watcher)
+            await lifecycle.stop.wait()
             await self._drain()
         log_message(message_type='shallotmux:stopped', role='entry', name=self.settings.name)
 
--- a/shallotmux/programs/_lifecycle.py
+++ b/shallotmux/programs/_lifecycle.py
@@ -1,4 +1,4 @@
-"""Signals, reloading of settings, and the order of shutdown."""
+"""Requests to stop and to reload, changed settings, and the order of shutdown."""
 
 from __future__ import annotations
 
@@ -20,6 +20,37 @@
 LoadSettings = Callable[[], ProgramSettings]
 
 
+class ProgramLifecycle:
+    """Requests to the program of a process, which may be rebuilt while the process runs.
+
+    :param load: returns the present settings, or raises :class:`SettingsError`.
+    """
+
+    def __init__(self, load: LoadSettings) -> None:
+        self.load = load
+        #: Set once the program is asked to stop.
+        self.stop = trio.Event()
+        #: Called when the program is asked to reload its settings.
+        self.on_reload: Callable[[], None] = _do_nothing
+
+    def request_stop(self, number: int) -> None:
+        """Ask the program to stop.
+
+        :param number: number of the signal, for the log.
+        """
+        log_message(message_type='shallotmux:signal', number=number)
+        self.stop.set()
+
+    def request_reload(self) -> None:
+        """Ask the program to reload its settings."""
+        log_message(message_type='shallotmux:signal', number=int(signal.SIGHUP))
+        self.on_reload()
+
+
+def _do_nothing() -> None:
+    """Serve as the reload of a program that is not running."""
+
+
 class SettingsWatcher:
     """Reloads the settings periodically; the previous ones stay in force if new ones are invalid.
 
@@ -76,16 +107,3 @@
             yield inner
             inner.cancel_scope.cancel()
         outer.cancel_scope.cancel()
-
-
-async def wait_for_stop(
-    watcher: SettingsWatcher, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-) -> None:
-    """Return on SIGTERM or SIGINT; reload the settings on SIGHUP."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
-        task_status.started()
-        async for number in received:
-            log_message(message_type='shallotmux:signal', number=int(number))
-            if number != signal.SIGHUP:
-                return
-            watcher.check()
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -83,6 +83,9 @@
             if len(parts) == 1:
                 daemon.signal(signal.SIGTERM)
                 await daemon.read_message('shallotmux:daemon:draining')
+                # A reload of certificates or a second stop signal must not cut the drain short.
+                daemon.signal(signal.SIGHUP)
+                daemon.signal(signal.SIGTERM)
                 ready = HttpRequest('GET', started['metrics'], '/readyz')
                 assert (await fetch(client, ready, MAX_BODY_BYTES))[0] == 503
                 await expect_refused_connection(started['callers'])
--- a/tests/guards/catalogue.py
+++ b/tests/guards/catalogue.py
@@ -160,7 +160,7 @@
         'shallotmux/authority/_state.py',
         'self.inventory.is_leaving(endpoint.name)',
         'False',
-        ('tests/platform/test_poller.py',),
+        ('tests/provisioning/test_poller.py',),
     ),
     Guard(
         'shutdown-safe',
--- a/tests/guards/forwarded.py
+++ b/tests/guards/forwarded.py
@@ -130,4 +130,25 @@
         'if False:',
         ('tests/fleet/test_poller.py',),
     ),
+    Guard(
+        'signals-until-exit',
+        'shallotmux/signals.py',
+        'signal.signal(number, signal.SIG_IGN)',
+        'signal.getsignal(number)',
+        ('tests/platform/test_process.py',),
+    ),
+    Guard(
+        'signals-until-exit (start)',
+        'shallotmux/launcher.py',
+        'signal.signal(signal.SIGHUP, signal.SIG_IGN)',
+        'signal.getsignal(signal.SIGHUP)',
+        ('tests/platform/test_process.py',),
+    ),
+    Guard(
+        'signals-until-exit (full disk)',
+        'shallotmux/programs/_disk.py',
+        'while not stop.is_set():',
+        'while True:',
+        ('tests/platform/test_process.py',),
+    ),
 )
--- a/tests/programs/_fleet.py
+++ b/tests/programs/_fleet.py
@@ -20,6 +20,7 @@
     EntryAdapter,
     EntryProgram,
     ListenAddresses,
+    ProgramLifecycle,
     ProgramRole,
     ProgramSettings,
     ProgramTimes,
@@ -138,13 +139,13 @@
             program = ControlProgram(settings, adapter)
             self.controls[number] = program
             task_status.started()
-            await program.run(lambda: settings)
+            await program.run(ProgramLifecycle(lambda: settings))
 
     async def run_entry(self, number: int) -> None:
         """Run an entry program until cancelled."""
         settings = self.settings(number, ProgramRole.ENTRY, bootstrap=False)
         adapter = EntryAdapter(Dialect(), decode, self.platform)
-        await EntryProgram(settings, adapter).run(lambda: settings)
+        await EntryProgram(settings, adapter).run(ProgramLifecycle(lambda: settings))
 
     def url(self, number: int, port: int) -> str:
         """Return the address of a listener."""
--- a/tests/programs/test_disk.py
+++ b/tests/programs/test_disk.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+import trio
 import trio.testing
 
 from shallotmux.errors import StorageError
@@ -44,7 +45,7 @@
         if len(runs) == 1:
             raise ExceptionGroup('tasks', [refused_write(errno.ENOSPC)])
 
-    await run_on_disk(tmp_path, run, disk)
+    await run_on_disk(tmp_path, run, trio.Event(), disk)
     assert runs == [3, 0]
     assert not list(tmp_path.iterdir())
 
@@ -57,7 +58,7 @@
         raise refused_write(number)
 
     with pytest.raises(ExceptionGroup):
-        await run_on_disk(tmp_path, run)
+        await run_on_disk(tmp_path, run, trio.Event())
 
 
 async def test_other_errors_beside_a_refused_write_are_raised(tmp_path: Path) -> None:
@@ -67,5 +68,5 @@
         raise ExceptionGroup('tasks', [refused_write(errno.ENOSPC), ValueError('fault')])
 
     with pytest.raises(ExceptionGroup) as caught:
-        await run_on_disk(tmp_path, run)
+        await run_on_disk(tmp_path, run, trio.Event())
     assert caught.group_contains(ValueError)
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import json
+import os
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -49,13 +50,19 @@
 
 
 @contextmanager
-def start_process(*arguments: str) -> Iterator[Process]:
-    """Start ``python -m`` with these arguments, and kill the process when the context exits."""
+def start_process(
+    *arguments: str, environment: Mapping[str, str] | None = None
+) -> Iterator[Process]:
+    """Start ``python -m`` with these arguments, and kill the process when the context exits.
+
+    :param environment: variables to set in addition to those of this process.
+    """
     child = subprocess.Popen(
         [sys.executable, '-m', *arguments],
         stdout=subprocess.PIPE,
         text=True,
         cwd=Path(__file__).parents[2],
+        env={**os.environ, **(environment or {})},
     )
     try:
         yield Process(child)
