Keep two holders apart without the platform's fencing

The call's lease was checked before the connection was opened, unsent bytes were retransmitted after a partition, the monotonic clock does not count a suspension, and a new leader acted at once, so that A, B, A within lease-ms was possible. Change: calls of the leader go over a connection of their own whose writes check the lease and whose unacknowledged bytes the kernel drops after 0.5 s (GuardedSender, moved from orders to calls); a suspension ends the lease until a majority confirms it; a new leader waits 1.85 s before its first call; a program that stops resigns before it transfers its leadership. Answers to such calls are bounded in bytes and time.

--- a/shallotmux/authority/_driver.py
+++ b/shallotmux/authority/_driver.py
@@ -13,6 +13,7 @@
 
 from shallotmux.authority._group_state import GroupState
 from shallotmux.authority._state import Result, decode_command, encode_result
+from shallotmux.authority._suspension import SuspensionMonitor
 from shallotmux.errors import MembershipRefused, NotLeader
 from shallotmux.replication import (
     AppendReply,
@@ -111,7 +112,9 @@
         *,
         tick_s: float,
         run_blocking: RunBlocking = run_in_thread,
+        suspension: SuspensionMonitor | None = None,
     ) -> None:
+        self._suspension = suspension or SuspensionMonitor()
         self.group = group
         self.identity = identity
         self.state = state
@@ -149,6 +152,7 @@
         return (
             status.role is Role.LEADER
             and trio.current_time() < status.lease_end
+            and status.last_leader_contact > self._suspension.noticed_at()
             and self.state.applied_term == status.term
         )
 
--- a/shallotmux/control/__init__.py
+++ b/shallotmux/control/__init__.py
@@ -4,7 +4,12 @@
 
 from shallotmux.control._autoscaler import Autoscaler
 from shallotmux.control._documents import DocumentService
-from shallotmux.control._duties import LeaderDependencies, LeaderTerm, WindowReporter
+from shallotmux.control._duties import (
+    CALL_FLIGHT_S,
+    LeaderDependencies,
+    LeaderTerm,
+    WindowReporter,
+)
 from shallotmux.control._group_changes import ControlGroupView, MemberTimeouts, next_group_change
 from shallotmux.control._knowledge import KnowledgeService, UsageTotals
 from shallotmux.control._member import CONTROL_GROUP, ControlMember, MemberSettings
@@ -19,6 +24,7 @@
 from shallotmux.control._role_balancer import RoleBalancer
 
 __all__ = (
+    'CALL_FLIGHT_S',
     'CONTROL_GROUP',
     'ControlMember',
     'DocumentService',
--- a/shallotmux/control/_autoscaler.py
+++ b/shallotmux/control/_autoscaler.py
@@ -117,9 +117,11 @@
         if holder is None:
             return
         now = trio.current_time()
-        self._sent_orders[order.service, order.zone, order.is_cheap] = _SentOrder(order.count, now)
         outcome = await self._dependencies.platform.order_endpoints(order, holder)
         self._dependencies.term.record_outcome(holder, outcome)
+        if outcome is not DutyOutcome.NOT_SENT:
+            key = (order.service, order.zone, order.is_cheap)
+            self._sent_orders[key] = _SentOrder(order.count, now)
         if outcome is DutyOutcome.UNAVAILABLE and order.is_cheap:
             tracker.record_unavailable(order.zone, now)
         log_message(
--- a/shallotmux/control/_duties.py
+++ b/shallotmux/control/_duties.py
@@ -10,6 +10,7 @@
 from eliot import log_message
 
 from shallotmux.authority import AcceptReport, FixedReport, FixReport, ReportCount
+from shallotmux.calls import LeaseExpired
 from shallotmux.control._knowledge import KnowledgeService
 from shallotmux.control._member import ControlMember
 from shallotmux.control._platform import DutyHolder, DutyOutcome, PlatformApi, UsageReport
@@ -20,6 +21,13 @@
 #: Interval between checks for usage windows to report.
 REPORT_INTERVAL_S = 0.5
 
+#: Time after the write of a call in which its bytes may still arrive: the sender's kernel drops bytes
+#: that are not acknowledged for so long.
+CALL_FLIGHT_S = 0.5
+
+#: Added to the delay of a new leader for network delay and differing clock rates.
+TAKEOVER_MARGIN_S = 0.1
+
 #: Interval of the control loop over the services.
 CONTROL_LOOP_S = 1.0
 
@@ -31,20 +39,56 @@
 NEW_LEADER_DELAY_S = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class TermGuard:
+    """Allows the calls of one term while this instance may act in it."""
+
+    term: LeaderTerm
+    token: int
+
+    def check(self) -> None:
+        """Return if a call may be sent.
+
+        :raises LeaseExpired: if it may not.
+        """
+        if not self.term.may_act(self.token):
+            raise LeaseExpired(f'the lease of term {self.token} has expired', step='send')
+
+
 class LeaderTerm:
-    """Tells whether this instance may call the platform as leader, and with which fencing token."""
+    """Tells whether this instance may call the platform as leader, and with which fencing token.
 
-    def __init__(self, member: ControlMember, name: str) -> None:
+    The platform may not check tokens, so a new leader waits until no call of its predecessor can
+    arrive any more, see :func:`takeover_delay_s`.
+
+    :param turn_s: time within which leadership must not return to an instance that has acted.
+    """
+
+    def __init__(self, member: ControlMember, name: str, turn_s: float) -> None:
         self._member = member
         self._name = name
+        self._delay_s = takeover_delay_s(turn_s)
         self._fenced_token = 0
+        self._is_resigned = False
 
     def holder(self) -> DutyHolder | None:
         """Return the holder, or None unless this instance has the lease and is not fenced."""
         token = self._member.driver.status().term
-        if not self._member.driver.is_leader() or token <= self._fenced_token:
+        if not self.may_act(token):
             return None
-        return DutyHolder(self._name, token)
+        return DutyHolder(self._name, token, TermGuard(self, token))
+
+    def may_act(self, token: int) -> bool:
+        """Return whether this instance may make calls in a term at this moment."""
+        driver = self._member.driver
+        if not driver.is_leader() or token <= self._fenced_token or self._is_resigned:
+            return False
+        leads_since = self._member.leads_since(token)
+        return driver.status().term == token and trio.current_time() - leads_since >= self._delay_s
+
+    def resign(self) -> None:
+        """Make no further calls, so that leadership can be transferred."""
+        self._is_resigned = True
 
     def record_outcome(self, holder: DutyHolder, outcome: DutyOutcome) -> None:
         """Stop using a token that the platform fenced because a higher one was used."""
@@ -53,6 +97,17 @@
             log_message(message_type='shallotmux:fenced', token=holder.token)
 
 
+def takeover_delay_s(turn_s: float) -> float:
+    """Return the time for which a new leader makes no calls.
+
+    The last call of its predecessor arrives at most :data:`CALL_FLIGHT_S` after the predecessor's
+    lease, which has ended when the new leader is elected. Two delays, less that time, lie between
+    two calls of an instance that has lost and regained leadership, so that they are more than
+    ``turn_s`` apart.
+    """
+    return (turn_s + CALL_FLIGHT_S) / 2 + TAKEOVER_MARGIN_S
+
+
 @dataclass(frozen=True, slots=True)
 class LeaderDependencies:
     """Dependencies of the leader's control loops over services.
--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
@@ -159,6 +160,10 @@
         members = {instance_name(each) for each in self.driver.status().configuration.members}
         return tuple(sorted(members or self._known_peers))
 
+    def leads_since(self, term: int) -> float:
+        """Return the local time since when this instance leads in a term; infinity before."""
+        return self._led_since if self._led_term == term else math.inf
+
     def update_seeds(self, seeds: Iterable[str]) -> None:
         """Add the seeds of changed settings to the known peers."""
         self._known_peers.update(seeds)
--- a/shallotmux/control/_platform.py
+++ b/shallotmux/control/_platform.py
@@ -4,9 +4,10 @@
 
 import enum
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
+from shallotmux.calls import SendGuard
 from shallotmux.fleet import EngineRole, ListedEndpoint, Listing
 
 
@@ -18,6 +19,8 @@
     FENCED = 'fenced'
     #: The platform has no capacity for the order at the moment.
     UNAVAILABLE = 'unavailable'
+    #: Nothing was sent, as there was no connection or the lease had expired.
+    NOT_SENT = 'not sent'
     #: No answer, or an answer that does not tell the outcome.
     UNKNOWN = 'unknown'
 
@@ -27,10 +30,12 @@
     """Instance that performs a duty, and its fencing token.
 
     :param token: term in which the instance leads the control group.
+    :param guard: checked before each write of a call.
     """
 
     name: str
     token: int
+    guard: SendGuard = field(compare=False, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/shallotmux/control/_role_balancer.py
+++ b/shallotmux/control/_role_balancer.py
@@ -67,7 +67,7 @@
         if outcome in {DutyOutcome.ACCEPTED, DutyOutcome.UNKNOWN}:
             self._ordered_roles[identity] = change.role
             self._blocked_until[identity] = blocked_until
-        else:
+        elif outcome is not DutyOutcome.NOT_SENT:
             self._blocked_until[identity] = trio.current_time() + REFUSAL_BACKOFF_S
         log_message(
             message_type='shallotmux:role-order',
--- a/shallotmux/daemon/_control.py
+++ b/shallotmux/daemon/_control.py
@@ -9,6 +9,7 @@
 import trio
 
 from shallotmux.authority import Authority
+from shallotmux.calls import GuardedSender
 from shallotmux.controllers import (
     ControllerDependencies,
     DrainWatcher,
@@ -21,7 +22,6 @@
 from shallotmux.http import HttpClient
 from shallotmux.observability import DecisionLog
 from shallotmux.orders import (
-    GuardedSender,
     LeadershipOptions,
     OrderDependencies,
     OrderDispatcher,
--- a/shallotmux/http/__init__.py
+++ b/shallotmux/http/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from shallotmux.calls import HttpRequest
 from shallotmux.http._asgi import (
     EVENT_STREAM_TYPE,
     JSON_TYPE,
@@ -24,7 +25,6 @@
 from shallotmux.http._client import (
     HttpClient,
     HttpcoreClient,
-    HttpRequest,
     HttpResponse,
     fetch,
 )
--- a/shallotmux/http/_client.py
+++ b/shallotmux/http/_client.py
@@ -4,12 +4,13 @@
 
 from collections.abc import AsyncIterator, Mapping
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from ssl import SSLContext
 from typing import Protocol
 
 import httpcore
 
+from shallotmux.calls import HttpRequest
 from shallotmux.errors import EndpointError, EndpointRefused
 
 CONNECT_TIMEOUT_S = 1.0
@@ -18,21 +19,6 @@
 MAX_KEEPALIVE_CONNECTIONS = 256
 
 
-@dataclass(frozen=True, slots=True)
-class HttpRequest:
-    """An outgoing request.
-
-    :param address: IP address and port of the server.
-    :param path: path and query.
-    """
-
-    method: str
-    address: str
-    path: str
-    body: bytes = b''
-    headers: Mapping[str, str] = field(default_factory=dict)
-
-
 class HttpResponse(Protocol):
     """A response whose body is read in chunks."""
 
--- a/shallotmux/http/_relay_client.py
+++ b/shallotmux/http/_relay_client.py
@@ -11,9 +11,10 @@
 import trio
 
 from shallotmux.addresses import split_address
+from shallotmux.calls import HttpRequest
 from shallotmux.errors import EndpointError, EndpointRefused
 from shallotmux.http._chunked import ChunkedDecoder
-from shallotmux.http._client import CONNECT_TIMEOUT_S, READ_TIMEOUT_S, HttpRequest
+from shallotmux.http._client import CONNECT_TIMEOUT_S, READ_TIMEOUT_S
 from shallotmux.http._multiplexing import Accept, IteratorRelay, ReadMultiplexer
 
 MAX_READ_BYTES = 65_536
--- a/shallotmux/orders/__init__.py
+++ b/shallotmux/orders/__init__.py
@@ -10,20 +10,12 @@
 )
 from shallotmux.orders._leadership import LeadershipOptions, Term, commit, run_as_leader
 from shallotmux.orders._requests import build_order, order_id
-from shallotmux.orders._sender import (
-    ClientSender,
-    GuardedSender,
-    LeaseExpired,
-    LeaseGuard,
-    OrderSender,
-)
+from shallotmux.orders._sender import ClientSender, LeaseGuard, OrderSender
 
 __all__ = (
     'ClientSender',
     'DrainCallback',
-    'GuardedSender',
     'LeadershipOptions',
-    'LeaseExpired',
     'LeaseGuard',
     'OrderDependencies',
     'OrderDispatcher',
--- a/shallotmux/orders/_sender.py
+++ b/shallotmux/orders/_sender.py
@@ -2,27 +2,19 @@
 
 from __future__ import annotations
 
-import socket
-import struct
-from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Protocol
 
-import httpcore
 import trio
 
 from shallotmux.authority import Authority
-from shallotmux.errors import EndpointError, EndpointRefused
-from shallotmux.http import HttpClient, HttpRequest, fetch
+from shallotmux.calls import HttpRequest, LeaseExpired
+from shallotmux.http import HttpClient, fetch
 
 #: Largest response to an order or report, in bytes.
 ANSWER_LIMIT_BYTES = 65_536
 
 
-class LeaseExpired(EndpointRefused):
-    """Nothing was sent because the sender's lease has expired."""
-
-
 @dataclass(frozen=True, slots=True)
 class LeaseGuard:
     """Checks whether this instance still holds the lease of a term."""
@@ -71,111 +63,3 @@
         """Send a request once."""
         guard.check()
         return await fetch(self.client, request, ANSWER_LIMIT_BYTES)
-
-
-@dataclass(frozen=True, slots=True)
-class _GuardedStream(httpcore.AsyncNetworkStream):
-    """Checks the lease immediately before each write."""
-
-    inner: httpcore.AsyncNetworkStream
-    guard: LeaseGuard
-
-    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        return await self.inner.read(max_bytes, timeout)
-
-    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        self.guard.check()
-        await self.inner.write(buffer, timeout)
-
-    async def aclose(self) -> None:
-        await self.inner.aclose()
-
-    def get_extra_info(self, info: str) -> Any:
-        return self.inner.get_extra_info(info)
-
-
-@dataclass(frozen=True, slots=True)
-class _GuardedBackend(httpcore.AsyncNetworkBackend):
-    """Opens connections that drop unsent bytes soon after the lease has expired."""
-
-    inner: httpcore.AsyncNetworkBackend
-    guard: LeaseGuard
-    user_timeout_s: float
-
-    async def connect_tcp(
-        self,
-        host: str,
-        port: int,
-        timeout: float | None = None,
-        local_address: str | None = None,
-        socket_options: Iterable[Any] | None = None,
-    ) -> httpcore.AsyncNetworkStream:
-        stream = await self.inner.connect_tcp(
-            host, port, timeout, local_address, order_socket_options(self.user_timeout_s)
-        )
-        return _GuardedStream(stream, self.guard)
-
-    async def sleep(self, seconds: float) -> None:
-        await trio.sleep(seconds)
-
-
-SocketOption = tuple[int, int, int] | tuple[int, int, bytes | bytearray]
-
-
-def order_socket_options(user_timeout_s: float) -> tuple[SocketOption, ...]:
-    """Return the socket options of connections for orders.
-
-    With ``TCP_USER_TIMEOUT``, the kernel drops unacknowledged bytes, which it would otherwise
-    retransmit after a network partition heals. ``SO_LINGER`` with a timeout of 0 resets the
-    connection on close, which drops buffered bytes.
-    """
-    linger = struct.pack('ii', 1, 0)
-    return (
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(user_timeout_s * 1000)),
-        (socket.SOL_SOCKET, socket.SO_LINGER, linger),
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    )
-
-
-@dataclass(frozen=True, slots=True)
-class GuardedSender:
-    """Sends each order over a new TCP connection.
-
-    :param user_timeout_s: time limit on unacknowledged bytes, shorter than the lease margin.
-    :param answer_timeout_s: time limit on the wait for a response.
-    """
-
-    user_timeout_s: float
-    answer_timeout_s: float
-
-    async def send(self, request: HttpRequest, guard: LeaseGuard) -> tuple[int, bytes]:
-        """Send a request once and close the connection."""
-        backend = _GuardedBackend(httpcore.TrioBackend(), guard, self.user_timeout_s)
-        headers = [(name.encode(), text.encode()) for name, text in request.headers.items()]
-        timeouts = {
-            'connect': self.user_timeout_s,
-            'read': self.answer_timeout_s,
-            'write': self.user_timeout_s,
-        }
-        async with httpcore.AsyncConnectionPool(network_backend=backend, retries=0) as pool:
-            try:
-                response = await pool.request(
-                    request.method,
-                    f'http://{request.address}{request.path}',
-                    headers=headers,
-                    content=request.body,
-                    extensions={'timeout': timeouts},
-                )
-            except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-                raise EndpointRefused(
-                    f'cannot connect: {error!r}', step='connect', peer=request.address
-                ) from error
-            except (
-                httpcore.NetworkError,
-                httpcore.TimeoutException,
-                httpcore.ProtocolError,
-            ) as error:
-                raise EndpointError(
-                    f'no answer: {error!r}', step='send', peer=request.address
-                ) from error
-            return response.status, response.content
--- a/shallotmux/platform/__init__.py
+++ b/shallotmux/platform/__init__.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from shallotmux.platform._client import PlatformClient
 from shallotmux.platform._configuration import decode_document
 from shallotmux.platform._dialect import DIALECT
+from shallotmux.platform._duties import PlatformClient
 from shallotmux.platform._names import GET_PATH, HEADERS, PUT_PATH
 from shallotmux.platform._settings import build_settings, read_settings_file
 
--- a/shallotmux/platform/_settings.py
+++ b/shallotmux/platform/_settings.py
@@ -51,6 +51,8 @@
     # Number of retries allowed beyond the ratio, not a duration.
     retry_slack: float = 50.0
     report_window_s: float = 5.0
+    # Not the length of our lease: holders must not take turns within this time.
+    lease_ms: float = 3000.0
 
 
 class _Cloud(msgspec.Struct, rename='kebab'):
@@ -111,7 +113,12 @@
         None if file.data_dir is None else Path(file.data_dir),
         file.tolerate.machines,
         RetryBudgetLimits(bounds.retry_budget_ratio, bounds.retry_slack, bounds.budget_window_s),
-        ProgramTimes(bounds.grace_s, _listing_interval(file.cloud), bounds.report_window_s),
+        ProgramTimes(
+            bounds.grace_s,
+            _listing_interval(file.cloud),
+            bounds.report_window_s,
+            bounds.lease_ms / 1000,
+        ),
         'usage_report' in file.cloud.duties,
         'autoscale' in file.cloud.duties,
     )
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -87,6 +87,7 @@
             self._network,
             SystemRandom(),
         )
+        self._term = LeaderTerm(self.member, settings.name, settings.times.turn_s)
         self._knowledge = KnowledgeService(self.member.state, self._clock, self.member.peers)
         self._registry = CollectorRegistry()
         self._cached_table_version = 0
@@ -121,6 +122,7 @@
                 applied=self.member.state.applied_index,
             )
             await lifecycle.stop.wait()
+            self._term.resign()
             await self.member.transfer_leadership()
             for each in listeners:
                 each.drain()
@@ -148,7 +150,7 @@
         platform = self._adapter.platform
         poller = ListingPoller(platform, self._knowledge.update_listing, settings.times.listing_s)
         tasks: list[Callable[[], Awaitable[None]]] = [poller.run]
-        term = LeaderTerm(self.member, settings.name)
+        term = self._term
         if settings.reports_usage:
             window_s = settings.times.usage_window_s
             reporter = WindowReporter(
--- a/tests/control/test_autoscaler.py
+++ b/tests/control/test_autoscaler.py
@@ -120,7 +120,10 @@
     knowledge = KnowledgeService(GroupState(), TrueClock(), lambda: ('10.0.0.1:7',))
     platform = Platform(knowledge)
     platform.nursery = nursery
-    term = SimpleNamespace(holder=lambda: DutyHolder('instance', 1), record_outcome=lambda *_: None)
+    term = SimpleNamespace(
+        holder=lambda: DutyHolder('instance', 1, SimpleNamespace(check=lambda: None)),
+        record_outcome=lambda *_: None,
+    )
     table = SimpleNamespace(document=RouteDocument(1, (), (SERVICE,), CallerLimits(), ()))
     autoscaler = Autoscaler(
         LeaderDependencies(knowledge, platform, term, lambda: table),  # type: ignore[arg-type]
--- a/tests/guards/forwarded.py
+++ b/tests/guards/forwarded.py
@@ -105,15 +105,15 @@
     Guard(
         'one-holder',
         'shallotmux/control/_duties.py',
-        'if not self._member.driver.is_leader() or token <= self._fenced_token:',
-        'if token <= self._fenced_token:',
+        'if not driver.is_leader() or token <= self._fenced_token or self._is_resigned:',
+        'if token <= self._fenced_token or self._is_resigned:',
         ('tests/control/test_duties.py',),
     ),
     Guard(
         'one-holder (refused token)',
         'shallotmux/control/_duties.py',
-        'or token <= self._fenced_token:',
-        'or False:',
+        'or token <= self._fenced_token or self._is_resigned:',
+        'or self._is_resigned:',
         ('tests/control/test_duties.py::test_refused_token_is_not_used_again',),
     ),
     Guard(
@@ -151,4 +151,48 @@
         'while True:',
         ('tests/platform/test_process.py',),
     ),
+    Guard(
+        'one-holder (takeover delay)',
+        'shallotmux/control/_duties.py',
+        'return (turn_s + CALL_FLIGHT_S) / 2 + TAKEOVER_MARGIN_S',
+        'return 0.0',
+        (
+            'tests/control/test_duties.py::test_leadership_that_returns_makes_no_calls_within_the_turn',
+        ),
+    ),
+    Guard(
+        'one-holder (call in flight)',
+        'shallotmux/control/_duties.py',
+        'return (turn_s + CALL_FLIGHT_S) / 2 + TAKEOVER_MARGIN_S',
+        'return 0.0',
+        ('tests/control/test_duties.py::test_new_leader_waits_for_calls_of_its_predecessor',),
+    ),
+    Guard(
+        'one-holder (shutdown)',
+        'shallotmux/control/_duties.py',
+        'self._is_resigned = True',
+        'self._is_resigned = False',
+        ('tests/control/test_duties.py::test_resigned_leader_makes_no_calls',),
+    ),
+    Guard(
+        'one-holder (suspension)',
+        'shallotmux/authority/_driver.py',
+        'and status.last_leader_contact > self._suspension.noticed_at()',
+        'and True',
+        ('tests/control/test_duties.py::test_suspended_leader_makes_no_calls_until_confirmed',),
+    ),
+    Guard(
+        'one-holder (lease at the write)',
+        'shallotmux/calls/_guarded.py',
+        'self.guard.check()',
+        'pass',
+        ('tests/platform/test_duties.py::test_call_is_not_written_after_the_lease',),
+    ),
+    Guard(
+        'answers-bounded (calls of the leader)',
+        'shallotmux/calls/_guarded.py',
+        'if len(content) > MAX_ANSWER_BYTES:',
+        'if False:',
+        ('tests/platform/test_duties.py::test_endless_answer_ends_with_unknown_outcome',),
+    ),
 )
--- a/tests/orders/test_sender.py
+++ b/tests/orders/test_sender.py
@@ -5,9 +5,10 @@
 import pytest
 import trio
 
+from shallotmux.calls import GuardedSender, HttpRequest, LeaseExpired
 from shallotmux.errors import EndpointRefused
-from shallotmux.http import HttpRequest, Listener, serve_app
-from shallotmux.orders import GuardedSender, LeaseExpired, LeaseGuard
+from shallotmux.http import Listener, serve_app
+from shallotmux.orders import LeaseGuard
 from shallotmux.standins import PlatformStandin, SharedGroup
 
 SENDER = GuardedSender(user_timeout_s=0.5, answer_timeout_s=2)
--- /dev/null
+++ b/tests/platform/test_duties.py
@@ -0,0 +1,91 @@
+"""Tests of the leader's calls over real connections: sent only under the lease, and once."""
+
+from __future__ import annotations
+
+import trio
+
+from shallotmux.calls import LeaseExpired
+from shallotmux.control import DutyHolder, DutyOutcome, UsageReport
+from shallotmux.platform import PlatformClient
+
+REPORT = UsageReport(7, {'tailors': 3})
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
+
+#: Size of the parts of an answer without end.
+PART_BYTES = 65_536
+
+#: Bytes of such an answer that fit into the buffers of both sockets.
+MAX_SENT_BYTES = 16 << 20
+
+
+class CountedGuard:
+    """Allows a number of checks, then none."""
+
+    def __init__(self, allowed: int) -> None:
+        self.allowed = allowed
+
+    def check(self) -> None:
+        """Return if the call may be sent."""
+        if not self.allowed:
+            raise LeaseExpired('expired', step='send')
+        self.allowed -= 1
+
+
+class RawPlatform:
+    """Accepts connections, records what arrives, and answers with given bytes."""
+
+    def __init__(self, answer: bytes = ANSWER, *, is_endless: bool = False) -> None:
+        self.received: list[bytes] = []
+        self.sent_bytes = 0
+        self._answer = answer
+        self._is_endless = is_endless
+
+    async def run(self, *, task_status: trio.TaskStatus[str]) -> None:
+        """Serve until cancelled; ``task_status`` receives the address."""
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        port = listeners[0].socket.getsockname()[1]
+        task_status.started(f'127.0.0.1:{port}')
+        await trio.serve_listeners(self._serve, listeners)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        try:
+            content = await stream.receive_some()
+            self.received.append(bytes(content))
+            await stream.send_all(self._answer)
+            while self._is_endless:
+                await stream.send_all(bytes(PART_BYTES))
+                self.sent_bytes += PART_BYTES
+            await stream.receive_some()
+        except trio.BrokenResourceError:
+            return
+
+
+async def test_call_is_not_written_after_the_lease(nursery: trio.Nursery) -> None:
+    """Guards against a call whose lease expires while its connection is opened."""
+    platform = RawPlatform()
+    client = PlatformClient(await nursery.start(platform.run))
+    holder = DutyHolder('core-1', 4, CountedGuard(0))
+    assert await client.report_usage(REPORT, holder) is DutyOutcome.NOT_SENT
+    assert not any(platform.received)
+    nursery.cancel_scope.cancel()
+
+
+async def test_call_names_holder_and_token(nursery: trio.Nursery) -> None:
+    """Guards against calls that the platform cannot attribute to a holder."""
+    platform = RawPlatform()
+    client = PlatformClient(await nursery.start(platform.run))
+    holder = DutyHolder('core-1', 4, CountedGuard(9))
+    assert await client.report_usage(REPORT, holder) is DutyOutcome.ACCEPTED
+    assert b'X-Shallotmux-Fence-Token: 4' in platform.received[0]
+    nursery.cancel_scope.cancel()
+
+
+async def test_endless_answer_ends_with_unknown_outcome(nursery: trio.Nursery) -> None:
+    """Guards against a call that reads an answer without end, and memory that grows with it."""
+    platform = RawPlatform(b'HTTP/1.1 200 OK\r\n\r\n', is_endless=True)
+    client = PlatformClient(await nursery.start(platform.run))
+    holder = DutyHolder('core-1', 4, CountedGuard(9))
+    with trio.fail_after(5):
+        assert await client.report_usage(REPORT, holder) is DutyOutcome.UNKNOWN
+    assert platform.sent_bytes < MAX_SENT_BYTES
+    nursery.cancel_scope.cancel()
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -154,3 +154,14 @@
     """Guards against a SIGHUP that ends a process while its modules are imported."""
     completed = subprocess.run([sys.executable, '-c', LAUNCHER_CHECK], check=False)
     assert completed.returncode == 0
+
+
+#: Packages of the repository's environment that the build of the programs does not install.
+NOT_DEPLOYED = ('click', 'hypercorn', 'json5', 'pydantic', 'returns')
+
+
+def test_programs_import_only_what_is_deployed() -> None:
+    """Guards against a program that does not start, as its build lacks a package."""
+    check = f'import sys, shallotmux.platform.__main__; sys.exit(bool(set({NOT_DEPLOYED}) & set(sys.modules)))'
+    completed = subprocess.run([sys.executable, '-c', check], check=False)
+    assert completed.returncode == 0
