Measure the prefill speed of engines instead of assuming one

Cause: 50,000 prompt tokens a second were assumed for any engine, in the size of the fleet, the predicted waits and the choice of engines. Change: entry instances learn the speed of a service from the median of recent prefills, and each engine's relative to it; the leader sizes the fleet by the reported speed, and by the slots in use where those bind.

--- a/shallotmux/control/_autoscaler.py
+++ b/shallotmux/control/_autoscaler.py
@@ -29,9 +29,6 @@
 #: Minimum interval between two orders that release endpoints.
 RELEASE_INTERVAL_S = 1.0
 
-#: Assumed prefill throughput of one engine, in prompt tokens per second.
-PREFILL_TOKENS_PER_S = 50_000.0
-
 
 @dataclass(frozen=True, slots=True)
 class _SentOrder:
@@ -84,9 +81,9 @@
                 await self._send(order, view.needed, tracker)
 
     def _needed_engines(self, service: Service, fleets: Mapping[str, ZoneFleet]) -> int:
-        tokens_per_s = self._dependencies.knowledge.demand_of(service.name)
-        if tokens_per_s:
-            return count_needed_engines(tokens_per_s, PREFILL_TOKENS_PER_S)
+        demand = self._dependencies.knowledge.demand_of(service.name)
+        if demand.tokens_per_s:
+            return count_needed_engines(demand, service.engine.slots if service.engine else 0)
         # Only regular endpoints count, so that cheap ones ordered here do not raise the need again.
         return int(INITIAL_SIZE_FACTOR * sum(fleet.regular for fleet in fleets.values()))
 
@@ -117,6 +114,7 @@
         if holder is None:
             return
         now = trio.current_time()
+        demand = self._dependencies.knowledge.demand_of(order.service)
         outcome = await self._dependencies.platform.order_endpoints(order, holder)
         self._dependencies.term.record_outcome(holder, outcome)
         if outcome is not DutyOutcome.NOT_SENT:
@@ -131,6 +129,9 @@
             count=order.count,
             is_cheap=order.is_cheap,
             needed=needed,
+            tokens_per_s=round(demand.tokens_per_s),
+            prefill_tokens_per_s=round(demand.prefill_tokens_per_s),
+            in_flight=demand.in_flight,
             outcome=outcome.value,
             token=holder.token,
         )
--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -10,6 +10,7 @@
 from eliot import log_message
 
 from shallotmux.authority import GroupState
+from shallotmux.control._sizing import FleetDemand, sum_demands
 from shallotmux.fleet import (
     CrashRecords,
     CustomerCount,
@@ -103,16 +104,16 @@
         self._polled_at = {name: at for name, at in self._polled_at.items() if at >= oldest}
         return tuple(sorted({instance_name(name) for name in self._polled_at}))
 
-    def demand_of(self, service: str) -> float:
-        """Return the demand for a service at all entry instances, in prompt tokens per second."""
+    def demand_of(self, service: str) -> FleetDemand:
+        """Return the demand for a service at all entry instances."""
         oldest = trio.current_time() - INSTANCE_TTL_S
         self._demands = {
             name: demands
             for name, demands in self._demands.items()
             if self._polled_at.get(name, oldest) > oldest
         }
-        return sum(
-            each.tokens_per_s
+        return sum_demands(
+            each
             for demands in self._demands.values()
             for each in demands
             if each.service == service
--- a/shallotmux/control/_sizing.py
+++ b/shallotmux/control/_sizing.py
@@ -8,12 +8,19 @@
 from dataclasses import dataclass, field
 
 from shallotmux.control._platform import FleetOrder
+from shallotmux.fleet import ServiceDemand
 from shallotmux.routes import FleetBounds
 
 #: Target for the mean utilisation of engines. It leaves room for bursts of twice the mean rate and
 #: for prompts that arrive together.
 TARGET_UTILISATION = 0.3
 
+#: Prefill speed of one engine until entry instances have measured it, in prompt tokens per second.
+INITIAL_PREFILL_TOKENS_PER_S = 50_000.0
+
+#: Target for the share of the engines' slots that are in use. The rest takes up bursts.
+TARGET_OCCUPANCY = 0.5
+
 #: Minimum number of engines of each role.
 MIN_PREFILL_ENGINES = 2
 MIN_DECODE_ENGINES = 2
@@ -67,20 +74,50 @@
     unavailable: frozenset[str] = field(default_factory=frozenset)
 
 
-def count_needed_engines(tokens_per_s: float, prefill_tokens_per_s: float) -> int:
-    """Return the number of engines of both roles that a demand needs.
+@dataclass(frozen=True, slots=True)
+class FleetDemand:
+    """Demand for a service at all entry instances.
 
-    :param tokens_per_s: demand in prompt tokens per second.
-    :param prefill_tokens_per_s: prefill throughput of one engine in prompt tokens per second.
+    :param tokens_per_s: prompt tokens per second that need prefill.
+    :param prefill_tokens_per_s: prefill speed of one engine.
+    :param in_flight: requests that engines work on.
     """
-    prefill_engines = max(
-        MIN_PREFILL_ENGINES, math.ceil(tokens_per_s / prefill_tokens_per_s / TARGET_UTILISATION)
-    )
-    return prefill_engines + max(
-        MIN_DECODE_ENGINES, math.ceil(DECODE_ENGINES_PER_PREFILL_ENGINE * prefill_engines)
+
+    tokens_per_s: float = 0.0
+    prefill_tokens_per_s: float = INITIAL_PREFILL_TOKENS_PER_S
+    in_flight: int = 0
+
+
+def sum_demands(demands: Iterable[ServiceDemand]) -> FleetDemand:
+    """Return the sum of the demands at several instances.
+
+    The speed is the mean of those measured, weighted with the tokens that they were measured on.
+    """
+    reported = tuple(demands)
+    measured = [each for each in reported if each.prefill_tokens_per_s and each.tokens_per_s]
+    weight = sum(each.tokens_per_s for each in measured)
+    speed = INITIAL_PREFILL_TOKENS_PER_S
+    if weight:
+        total = sum(each.tokens_per_s * each.prefill_tokens_per_s for each in measured)
+        speed = total / weight
+    return FleetDemand(
+        sum(each.tokens_per_s for each in reported), speed, sum(each.in_flight for each in reported)
     )
 
 
+def count_needed_engines(demand: FleetDemand, slots: int) -> int:
+    """Return the number of engines of both roles that a demand needs.
+
+    :param slots: requests that an engine runs at the same time; 0 if that is not known.
+    """
+    load = demand.tokens_per_s / demand.prefill_tokens_per_s
+    prefill_engines = max(MIN_PREFILL_ENGINES, math.ceil(load / TARGET_UTILISATION))
+    decode_engines = math.ceil(DECODE_ENGINES_PER_PREFILL_ENGINE * prefill_engines)
+    occupied = demand.in_flight / slots / TARGET_OCCUPANCY if slots else 0.0
+    by_prefill = prefill_engines + max(MIN_DECODE_ENGINES, decode_engines)
+    return max(by_prefill, math.ceil(occupied))
+
+
 def count_decode_engines(engines: int) -> int:
     """Return how many of a number of engines should run decode; the others run prefill."""
     target = math.ceil((engines - MIN_DECODE_ENGINES) / ENGINES_PER_DECODE_ENGINE)
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -25,10 +25,17 @@
 
 
 class ServiceDemand(msgspec.Struct, frozen=True):
-    """Recent demand for one service at one instance, in prompt tokens per second."""
+    """Recent demand for one service at one instance.
+
+    :param tokens_per_s: prompt tokens per second that needed prefill.
+    :param prefill_tokens_per_s: measured prefill speed of one engine; 0 while it is not known.
+    :param in_flight: requests of the instance that engines work on.
+    """
 
     service: str
     tokens_per_s: float
+    prefill_tokens_per_s: float = 0.0
+    in_flight: int = 0
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
--- a/shallotmux/forwarding/_demand.py
+++ b/shallotmux/forwarding/_demand.py
@@ -6,8 +6,6 @@
 
 import trio
 
-from shallotmux.fleet import ServiceDemand
-
 #: Length of the averaging window. It spans a burst, so that a single long prompt does not change a
 #: decision.
 WINDOW_S = 4.0
@@ -23,13 +21,13 @@
         """Add the tokens of a request that need prefill."""
         self._samples[service].append((trio.current_time(), tokens))
 
-    def rates(self) -> tuple[ServiceDemand, ...]:
+    def rates(self) -> dict[str, float]:
         """Return the tokens per second of each service."""
         oldest = trio.current_time() - WINDOW_S
         for samples in self._samples.values():
             while samples and samples[0][0] < oldest:
                 samples.popleft()
-        return tuple(
-            ServiceDemand(service, sum(tokens for _, tokens in recorded) / WINDOW_S)
+        return {
+            service: sum(tokens for _, tokens in recorded) / WINDOW_S
             for service, recorded in sorted(self._samples.items())
-        )
+        }
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -31,6 +31,8 @@
         max_connections: Callable[[str], float] | None = None,
     ) -> None:
         self._forget = forget
+        #: Called with the identity of each endpoint that is not listed any more.
+        self.on_removed: list[Callable[[str], None]] = []
         self._max_connections = max_connections or (lambda _: float('inf'))
         self.crashes = crashes or CrashRecords()
         self._states: dict[str, EndpointState] = {}
@@ -42,6 +44,8 @@
             if identity not in listed:
                 self._states.pop(identity)
                 self._forget(identity)
+                for notify in self.on_removed:
+                    notify(identity)
         for identity, each in listed.items():
             state = self._states.get(identity)
             if state is None or state.listed.started_ms != each.started_ms:
@@ -77,6 +81,11 @@
         state = self._states.get(identity)
         return 0 if state is None else self._max_connections(state.listed.service)
 
+    def in_flight(self, service: str) -> int:
+        """Return the number of this instance's requests at the endpoints of a service."""
+        states = self._states.values()
+        return sum(state.in_flight for state in states if state.listed.service == service)
+
     def queued_prefill_tokens(self) -> dict[str, float]:
         """Return this instance's prompt tokens that wait for prefill, by endpoint identity."""
         return {
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -23,15 +23,13 @@
     EngineView,
     Placement,
     PlacementRequest,
+    PrefillSpeeds,
     choose_decode_engine,
     direct_prefill_limit,
     place_request,
 )
 from shallotmux.routes import EngineProfile, RouteTable
 
-#: Assumed prefill speed of a prefill engine, in tokens per ms.
-DEFAULT_PREFILL_TOKENS_PER_MS = 50.0
-
 #: Prefill speed of an engine that also decodes, relative to a prefill engine, as the specification of
 #: the engines states it.
 DECODE_PREFILL_SPEED_RATIO = 0.5
@@ -68,13 +66,23 @@
         self._zone = zone
         self._dialect = dialect
         self._directory = directory
-        self._prefill_client = PrefillClient(dialect, pool, directory, budget)
+        self._speeds = PrefillSpeeds()
+        directory.on_removed.append(self._speeds.forget)
+        self._prefill_client = PrefillClient(dialect, pool, directory, budget, self._speeds)
         self._table = table
         self._demand = PrefillDemandMeter()
 
     def demands(self) -> tuple[ServiceDemand, ...]:
-        """Return the recent rate of prompt tokens that needed prefill, by service."""
-        return self._demand.rates()
+        """Return the recent demand for prefill and for places on engines, by service."""
+        return tuple(
+            ServiceDemand(
+                service,
+                tokens_per_s,
+                self._speeds.of_service(service) * 1000 if self._speeds.is_known(service) else 0.0,
+                self._directory.in_flight(service),
+            )
+            for service, tokens_per_s in self._demand.rates().items()
+        )
 
     async def place(self, job: Job, usable: list[EndpointState]) -> Target | LoadShed | None:
         """Return the engine that generates for a job, after any separate prefill.
@@ -92,7 +100,7 @@
             _transfer_speed(profile),
             direct_prefill_limit(
                 job.route.gap_objective_ms,
-                DECODE_PREFILL_SPEED_RATIO * DEFAULT_PREFILL_TOKENS_PER_MS,
+                DECODE_PREFILL_SPEED_RATIO * self._speeds.of_service(job.service),
             ),
         )
         if job.cache_source_uses >= MAX_CACHE_SOURCE_USES:
@@ -145,6 +153,8 @@
                 self._fetch_headers(placement.fetch_from),
                 placement.uncached_tokens,
                 placement.expected_ms,
+                self._engine_view(state).backlog_tokens,
+                placement.fetch_ms,
             )
             handle = await self._prefill_client.run_prefill(job, call)
             if handle is not None:
@@ -186,7 +196,7 @@
 
     def _engine_view(self, state: EndpointState) -> EngineView:
         now = trio.current_time()
-        speed = DEFAULT_PREFILL_TOKENS_PER_MS
+        speed = self._speeds.of_engine(state.listed.service, state.identity, now)
         if state.listed.role is not EngineRole.PREFILL:
             speed *= DECODE_PREFILL_SPEED_RATIO
         return EngineView(
--- a/shallotmux/forwarding/_prefill.py
+++ b/shallotmux/forwarding/_prefill.py
@@ -21,6 +21,7 @@
 from shallotmux.forwarding._outcome import Outcome, classify_answer
 from shallotmux.forwarding._pool import ConnectionPool
 from shallotmux.forwarding._state import EndpointState, InFlightWork
+from shallotmux.placement import PrefillMeasurement, PrefillSpeeds
 
 #: Timeout of a prefill: a multiple of the expected time, plus a margin.
 PREFILL_TIMEOUT_FACTOR = 2.5
@@ -37,18 +38,23 @@
     :param extra: further headers of the call.
     :param uncached_tokens: prompt tokens that the engine does not have in its cache.
     :param expected_ms: expected duration.
+    :param backlog_tokens: tokens that are queued at the engine before this prompt.
+    :param fetch_ms: part of the duration in which cached parts are fetched.
     """
 
     state: EndpointState
     extra: Headers
     uncached_tokens: float
     expected_ms: float
+    backlog_tokens: float = 0.0
+    fetch_ms: float = 0.0
 
 
 class PrefillClient:
     """Sends prompts to engines for prefill only.
 
     :param budget: is charged for failed calls, which count as retries.
+    :param speeds: learns from the duration of each prefill.
     """
 
     def __init__(
@@ -57,7 +63,9 @@
         pool: ConnectionPool,
         directory: EndpointDirectory,
         budget: SharedRetryBudget,
+        speeds: PrefillSpeeds,
     ) -> None:
+        self._speeds = speeds
         self._dialect = dialect
         self._pool = pool
         self._directory = directory
@@ -90,8 +98,12 @@
                 connection = await self._pool.acquire(
                     state.identity, state.listed.address, float('inf'), CONNECT_TIMEOUT_S
                 )
+                sent_at = trio.current_time()
                 await connection.send_request(outgoing)
-                return await self._read_answer(job, state, connection, work)
+                handle = await self._read_answer(job, state, connection, work)
+                if handle is not None:
+                    self._measure(job, call, sent_at)
+                return handle
         except ConnectionUnusable as error:
             self._directory.record_unresponsive(state, str(error))
         except EndpointError as error:
@@ -103,6 +115,20 @@
                 self._pool.release(state.identity, connection)
         return None
 
+    def _measure(self, job: Job, call: PrefillCall, sent_at: float) -> None:
+        now = trio.current_time()
+        self._speeds.record(
+            PrefillMeasurement(
+                job.service,
+                call.state.identity,
+                call.uncached_tokens,
+                call.backlog_tokens,
+                (now - sent_at) * 1000,
+                now,
+                call.fetch_ms,
+            )
+        )
+
     async def _read_answer(
         self, job: Job, state: EndpointState, connection: EndpointConnection, work: InFlightWork
     ) -> str | None:
--- a/shallotmux/placement/_choice.py
+++ b/shallotmux/placement/_choice.py
@@ -52,6 +52,11 @@
         """Return the identity of the engine from which cached parts are fetched, or None."""
         return self.source.identity if self.source else None
 
+    @property
+    def fetch_ms(self) -> float:
+        """Return the time in which cached parts are fetched."""
+        return self.source.time_ms if self.source else 0.0
+
 
 def place_request(request: PlacementRequest, engines: Iterable[EngineView]) -> Placement | None:
     """Return the placement of a request, or None without an engine that can decode.
@@ -91,6 +96,7 @@
         option.uncached_tokens,
         option.fetch_from,
         engine.wait_ms,
+        option.fetch_ms,
     )
 
 
@@ -162,6 +168,7 @@
         option.uncached_tokens,
         option.fetch_from,
         max(option.engine.wait_ms, decode_engine.wait_ms),
+        option.fetch_ms,
     )
 
 
--- a/shallotmux/placement/_views.py
+++ b/shallotmux/placement/_views.py
@@ -76,6 +76,7 @@
     :param uncached_tokens: tokens that need prefill.
     :param fetch_from: engine from which the one that prefills fetches cached parts, if any.
     :param wait_ms: part of the expected time that is spent waiting for other requests.
+    :param fetch_ms: part of the expected time in which cached parts are fetched.
     """
 
     decode: str
@@ -85,6 +86,7 @@
     uncached_tokens: float = 0.0
     fetch_from: str | None = None
     wait_ms: float = 0.0
+    fetch_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/control/test_knowledge.py
+++ b/tests/control/test_knowledge.py
@@ -59,10 +59,10 @@
     poll(service, 'a~2', demands=(ServiceDemand('llm', 50),))
     poll(service, 'b~1')
     assert service.entries() == ('a', 'b')
-    assert round(service.demand_of('llm')) == 150
+    assert round(service.demand_of('llm').tokens_per_s) == 150
     await trio.sleep(6)
     assert service.entries() == ()
-    assert not service.demand_of('llm')
+    assert not service.demand_of('llm').tokens_per_s
 
 
 async def test_unreadable_poll_is_refused(autojump_clock: trio.testing.MockClock) -> None:
--- a/tests/control/test_sizing.py
+++ b/tests/control/test_sizing.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
+import pytest
+
 from shallotmux.control import FleetOrder
 from shallotmux.control._role_plan import plan_role_change
 from shallotmux.control._sizing import (
+    INITIAL_PREFILL_TOKENS_PER_S,
     DemandPeak,
+    FleetDemand,
     SizingView,
     ZoneFleet,
     count_decode_engines,
     count_fleets,
     count_needed_engines,
     plan_sizes,
+    sum_demands,
 )
-from shallotmux.fleet import EngineRole, ListedEndpoint
+from shallotmux.fleet import EngineRole, ListedEndpoint, ServiceDemand
 from shallotmux.routes import FleetBounds
 
 PRICES = {'a': 1.0, 'b': 0.8, 'c': 1.25}
@@ -98,9 +103,35 @@
 
 def test_needed_engines_grow_with_demand() -> None:
     """Guards against a size that ignores demand, and fleets without engines of a role."""
-    assert count_needed_engines(0, 50_000) == 4
-    assert count_needed_engines(75_000, 50_000) > 4
-    assert count_needed_engines(150_000, 50_000) > count_needed_engines(75_000, 50_000)
+    assert count_needed_engines(FleetDemand(0, 50_000), 64) == 4
+    low = count_needed_engines(FleetDemand(75_000, 50_000), 64)
+    assert low > 4
+    assert count_needed_engines(FleetDemand(150_000, 50_000), 64) > low
+
+
+@pytest.mark.parametrize('factor', [0.5, 6])
+def test_needed_engines_follow_the_measured_speed(factor: float) -> None:
+    """Guards against a fleet that is sized for the engines of another deployment."""
+    usual = count_needed_engines(FleetDemand(600_000, 50_000), 64)
+    measured = sum_demands(
+        ServiceDemand('llm', 200_000, factor * 50_000, in_flight) for in_flight in (1, 2, 3)
+    )
+    needed = count_needed_engines(measured, 64)
+    assert needed == pytest.approx(usual / factor, rel=0.15)
+
+
+def test_speed_is_assumed_only_until_it_is_measured() -> None:
+    """Guards against instances without measurements that outweigh those with some."""
+    demands = (ServiceDemand('llm', 900, 0.0), ServiceDemand('llm', 100, 300_000.0))
+    assert sum_demands(demands).prefill_tokens_per_s == 300_000
+    assert sum_demands(demands[:1]).prefill_tokens_per_s == INITIAL_PREFILL_TOKENS_PER_S
+
+
+def test_slots_bind_where_prefill_does_not() -> None:
+    """Guards against engines with few slots that are full although prefill is fast."""
+    demand = FleetDemand(100_000, 300_000, in_flight=120)
+    assert count_needed_engines(demand, 64) == 4
+    assert count_needed_engines(demand, 16) == 15
     for engines in range(2, 20):
         assert 1 <= count_decode_engines(engines) < engines
 
