Explore calls of leaders to targets that check no fencing token

Cause: that two holders are kept apart without the platform's help was argued nowhere and tested only with few schedules.

--- a/shallotmux/checking/__init__.py
+++ b/shallotmux/checking/__init__.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from shallotmux.checking._explorer import Failure, Plan, Report, explore, explore_schedule, replay
+from shallotmux.checking._explorer import (
+    UNFENCED_PLAN,
+    Failure,
+    Plan,
+    Report,
+    explore,
+    explore_schedule,
+    replay,
+)
 from shallotmux.checking._generation import FAILING_LEADERS_PROFILE, LEASE_PROFILE, Profile
 from shallotmux.checking._history import History, Operation, is_linearizable
 from shallotmux.checking._shrinking import format_trace, shrink
@@ -17,6 +25,7 @@
 __all__ = (
     'FAILING_LEADERS_PROFILE',
     'LEASE_PROFILE',
+    'UNFENCED_PLAN',
     'Action',
     'Failure',
     'History',
--- a/shallotmux/checking/_explorer.py
+++ b/shallotmux/checking/_explorer.py
@@ -7,10 +7,16 @@
 from random import Random
 from typing import TypeAlias
 
-from shallotmux.checking._generation import Profile, StepGenerator, draw_profile
+from shallotmux.checking._generation import (
+    UNFENCED_PROFILE,
+    Profile,
+    StepGenerator,
+    draw_profile,
+)
 from shallotmux.checking._history import is_linearizable
 from shallotmux.checking._simulated_group import SimulatedGroup, SimulatedGroupOptions, Step
 from shallotmux.checking._specifications import compare_and_set_register
+from shallotmux.checking._unfenced import MAX_FLIGHT_S, TURN_S
 from shallotmux.checking._violations import InvariantViolation
 from shallotmux.errors import ShallotmuxError
 from shallotmux.replication import ReplicaOptions
@@ -39,12 +45,14 @@
     """Coverage of an exploration.
 
     :param commits: number of entries committed over all schedules.
+    :param calls: number of calls that arrived at the target without fencing.
     :param states: hashes of the distinct protocol states that were reached.
     """
 
     steps: int = 0
     schedules: int = 0
     commits: int = 0
+    calls: int = 0
     states: set[int] = field(default_factory=set)
     failure: Failure | None = None
 
@@ -61,6 +69,17 @@
     factory: GroupFactory = SimulatedGroup
 
 
+#: Calls of leaders to a target without fencing. The delay of a new leader is that of the control
+#: group, see :func:`shallotmux.control.takeover_delay_s`, on a clock that may be fast.
+UNFENCED_PLAN = Plan(
+    SimulatedGroupOptions(
+        ReplicaOptions(election_max_s=1.2, lease_s=0.8, clock_rate_margin=CLOCK_RATE_SPREAD),
+        clock_rate_spread=CLOCK_RATE_SPREAD,
+        takeover_delay_s=(1 + CLOCK_RATE_SPREAD) * ((TURN_S + MAX_FLIGHT_S) / 2 + 0.1),
+    ),
+    UNFENCED_PROFILE,
+)
+
 #: Draws the group options and the profile of each schedule at random.
 DEFAULT_PLAN = Plan()
 
@@ -92,6 +111,7 @@
         report.failure = Failure(seed, group.options, tuple(performed), violation)
     report.steps += len(performed)
     report.commits += group.invariants.committed_index
+    report.calls += group.target.arrived_count
 
 
 def replay(
--- a/shallotmux/checking/_generation.py
+++ b/shallotmux/checking/_generation.py
@@ -82,6 +82,24 @@
     faults={Action.CRASH: 1, Action.CRASH_BEFORE_SEND: 2, Action.CUT: 2},
     requests={Action.SET: 1},
 )
+#: Changes leaders often while each makes calls to a target that checks no token.
+UNFENCED_PROFILE = Profile(
+    fault_rate=0.06,
+    new_leader_fault_rate=0.1,
+    repair_rate=0.1,
+    request_rate=0.15,
+    mean_elapsed_s=0.004,
+    max_idle_s=0.15,
+    faults={
+        Action.TRANSFER: 4,
+        Action.CUT: 2,
+        Action.PAUSE: 2,
+        Action.CRASH: 1,
+        Action.FREEZE_IN_CALL: 2,
+        Action.WAIT: 2,
+    },
+    requests={Action.CALL: 8, Action.SET: 1},
+)
 
 
 def draw_profile(random: Random) -> Profile:
@@ -156,6 +174,8 @@
                 return self._draw_message_step(action, elapsed_s)
             case Action.WAIT:
                 return Step(action, elapsed_s=self._random.uniform(0.1, 1))
+            case Action.FREEZE_IN_CALL:
+                return Step(action, self._choose_leader(), elapsed_s=elapsed_s)
             case Action.TRANSFER:
                 return Step(
                     action, self._choose_leader(), self._choose_any_node(), elapsed_s=elapsed_s
--- a/shallotmux/checking/_main.py
+++ b/shallotmux/checking/_main.py
@@ -7,7 +7,7 @@
 
 import click
 
-from shallotmux.checking._explorer import explore
+from shallotmux.checking._explorer import DEFAULT_PLAN, UNFENCED_PLAN, explore
 from shallotmux.checking._shrinking import format_trace, shrink
 
 
@@ -16,14 +16,18 @@
 @click.option(
     '--steps', default=200_000, show_default=True, help='Total number of steps of all schedules.'
 )
-def main(seed: int, steps: int) -> None:
+@click.option(
+    '--unfenced', is_flag=True, help='Explore calls of leaders to a target that checks no tokens.'
+)
+def main(seed: int, steps: int, unfenced: bool) -> None:
     """Explore a simulated replication group under faults and check its invariants."""
     started = time.perf_counter()
-    report = explore(seed, steps)
+    report = explore(seed, steps, UNFENCED_PLAN if unfenced else DEFAULT_PLAN)
     elapsed_s = time.perf_counter() - started
     click.echo(
         f'seed {seed}: {report.steps} steps, {len(report.states)} distinct states, '
-        f'{report.schedules} schedules, {report.commits} commits, {elapsed_s:.1f} s'
+        f'{report.schedules} schedules, {report.commits} commits, {report.calls} calls, '
+        f'{elapsed_s:.1f} s'
     )
     if report.failure is None:
         click.echo('no violation')
--- a/shallotmux/checking/_simulated_group.py
+++ b/shallotmux/checking/_simulated_group.py
@@ -11,6 +11,7 @@
 from shallotmux.checking._history import History
 from shallotmux.checking._invariants import Invariants
 from shallotmux.checking._node import COMPARE_AND_SET, ORDER, Node
+from shallotmux.checking._unfenced import MAX_FLIGHT_S, Call, UnfencedTarget
 from shallotmux.errors import MembershipRefused, NotLeader
 from shallotmux.replication import (
     AddLearner,
@@ -35,6 +36,8 @@
 #: Maximum number of operations of one history without a response. Each overlaps with all later
 #: ones: a history with dozens of them took more than ten minutes and 4 GB to check.
 MAX_UNANSWERED = 6
+#: Number of flight times of a call, from none to the longest.
+FLIGHT_CHOICES = 8
 #: Number of values of the replicated register, and number of targets of order commands.
 VALUE_COUNT = 3
 
@@ -62,6 +65,8 @@
     PROMOTE = 'promote'
     REMOVE = 'remove'
     COMPACT = 'compact'
+    CALL = 'call'
+    FREEZE_IN_CALL = 'freeze in call'
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +93,7 @@
     """Options of the simulated group.
 
     :param clock_rate_spread: largest relative difference of two nodes' clock rates.
+    :param takeover_delay_s: time on its own clock for which a new leader makes no calls.
     :param voters: number of voters; the first ``disks`` of them have a disk, and the last
         ``witnesses`` are witnesses.
     """
@@ -97,6 +103,7 @@
     disks: int = 3
     witnesses: int = 0
     clock_rate_spread: float = 0.02
+    takeover_delay_s: float = 0
 
 
 class SimulatedGroup:
@@ -118,6 +125,9 @@
         self._reads: dict[tuple[str, int], tuple[int, int]] = {}
         self._node_summaries: dict[str, tuple[Any, ...]] = {}
         self._drops_messages = False
+        self.target = UnfencedTarget()
+        # Term and local time since when each node leads.
+        self._leading: dict[str, tuple[int, float]] = {}
         self._start_group()
 
     def perform(self, step: Step) -> None:
@@ -126,6 +136,7 @@
         :raises InvariantViolation: if one is violated.
         """
         self.now += step.elapsed_s
+        self.target.advance(self.now)
         match step.action:
             case Action.DELIVER | Action.LOSE | Action.DUPLICATE:
                 self._handle_message(step)
@@ -252,10 +263,39 @@
                 node.is_paused = step.action is Action.PAUSE
             case Action.COMPACT:
                 self._compact(node, replica)
+            case Action.CALL | Action.FREEZE_IN_CALL:
+                self._call(step, node, replica)
             case _:
                 self._submit(step, node, replica)
         self._process_effects(node)
 
+    def _call(self, step: Step, node: Node, replica: Replica) -> None:
+        """Make a call as leader under the lease; it arrives after a delay.
+
+        A call that is written after a freeze is not sent: no wait of a successor bounds the freeze,
+        and the platform does not count what arrives right after its sender woke.
+        """
+        now = node.local_time(self.now)
+        status = replica.status()
+        term, since = self._leading.get(node.name, (0, 0.0))
+        has_waited = now - since >= self.options.takeover_delay_s
+        if status.role is not Role.LEADER or status.term != term or not has_waited:
+            return
+        if now >= status.lease_end:
+            return
+        if step.action is Action.FREEZE_IN_CALL:
+            node.is_paused = True
+            return
+        flight_s = MAX_FLIGHT_S * step.choice / FLIGHT_CHOICES
+        self.target.send(Call(self.now + flight_s, node.name, term))
+
+    def _update_leading(self, node: Node) -> None:
+        status = node.replica.status() if node.replica else None
+        if status is None or status.role is not Role.LEADER:
+            self._leading.pop(node.name, None)
+        elif self._leading.get(node.name, (0, 0.0))[0] != status.term:
+            self._leading[node.name] = (status.term, node.local_time(self.now))
+
     def _crash(self, node: Node) -> None:
         if node.has_disk or self.keeps_majority_without(node.name):
             node.replica = None
@@ -330,6 +370,7 @@
             if not effects.entries and effects.snapshot is None:
                 break
         self._node_summaries[node.name] = _summarize(node)
+        self._update_leading(node)
 
     def _finish_operations(self, node: Node, effects: Effects) -> None:
         for entry in effects.committed:
--- a/tests/checking/test_explorer.py
+++ b/tests/checking/test_explorer.py
@@ -2,9 +2,19 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
-from shallotmux.checking import Plan, Report, explore, explore_schedule, format_trace, shrink
+from shallotmux.checking import (
+    UNFENCED_PLAN,
+    Plan,
+    Report,
+    explore,
+    explore_schedule,
+    format_trace,
+    shrink,
+)
 from shallotmux.replication._election import Election
 from shallotmux.replication._leadership import Leadership
 from tests.checking._faults import (
@@ -19,6 +29,8 @@
 VOLATILE_VOTER_SEEDS = (12, 2000003)
 MARGIN_SEEDS = (4, 1000011)
 VOTE_DURING_LEASE_SEEDS = (14, 1000076)
+#: What each of these seeds finds.
+MISSING_DELAY_SEEDS = {0: 'unfenced-turn', 3: 'unfenced-token'}
 COMMIT_BY_COUNTING_SEEDS = (2000045, 3000034)
 
 
@@ -74,6 +86,24 @@
     assert find_violation(FAILING_LEADERS, seed) == 'committed-kept'
 
 
+@pytest.mark.parametrize('seed', [1, 2])
+def test_calls_without_fencing_are_kept_apart(seed: int) -> None:
+    """Guards against two holders at a target that checks no tokens."""
+    report = explore(seed, 50_000, UNFENCED_PLAN)
+    assert report.failure is None
+    assert report.calls > 200
+
+
+@pytest.mark.parametrize('seed', MISSING_DELAY_SEEDS)
+def test_missing_takeover_delay_is_found(seed: int) -> None:
+    """Guards against an explorer that misses a new leader which calls too early."""
+    options = UNFENCED_PLAN.options
+    assert options is not None
+    hasty = replace(UNFENCED_PLAN, options=replace(options, takeover_delay_s=0))
+    assert not find_violation(UNFENCED_PLAN, seed)
+    assert find_violation(hasty, seed) == MISSING_DELAY_SEEDS[seed]
+
+
 def test_shrunk_schedule_breaks_same_invariant() -> None:
     """Guards against a trace that is too long to read or shows a different fault."""
     failure = run(WITHOUT_MARGIN, MARGIN_SEEDS[0]).failure
