Tell refused callers when their return can succeed

Cause: the upper bound on Retry-After was applied after the jitter, so that all callers returned after exactly 3.0 s under heavy overload; a quarantined request was asked to return after 0.5 s and refused for up to 60 s; the log line of an avoided endpoint had twice the time. Change: the jitter is added to the bound; a quarantine tells when it ends; the log line has the time in force. Result: test_retries_are_spread_under_heavy_overload, test_quarantine_tells_when_it_ends and test_failure_tells_for_how_long_the_endpoint_is_avoided fail without the change.

--- a/shallotmux/fleet/_crashes.py
+++ b/shallotmux/fleet/_crashes.py
@@ -62,6 +62,13 @@
         """Return whether a request must not run again, since too many endpoints crashed during it."""
         return len(self._recent(fingerprint)) >= CRASH_LIMIT
 
+    def quarantine_ends_in(self, fingerprint: int) -> float:
+        """Return the seconds until enough crashes have expired; 0 for other requests."""
+        times = sorted(self._recent(fingerprint).values(), reverse=True)
+        if len(times) < CRASH_LIMIT:
+            return 0.0
+        return max(0.0, times[CRASH_LIMIT - 1] + CRASH_TTL_S - trio.current_time())
+
     def build_report(self) -> CrashNews:
         """Return the report for other instances; it prefers the requests with the most crashes."""
         recent = {each: self._recent(each) for each in self._crashes}
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -109,12 +109,13 @@
 
     def record_failure(self, state: EndpointState, reason: str) -> None:
         """Count a failure of an endpoint, and log when it becomes avoided."""
-        if state.record_failure(trio.current_time()):
+        avoided_s = state.record_failure(trio.current_time())
+        if avoided_s:
             log_message(
                 message_type='shallotmux:endpoint-avoided',
                 endpoint=state.identity,
                 reason=reason,
-                for_s=state.avoid_s,
+                for_s=avoided_s,
             )
 
     def _update_entry(self, state: EndpointState, listed: ListedEndpoint) -> None:
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -88,9 +88,11 @@
     async def _try_endpoints(self, job: Job) -> Refusal | None:
         """Try endpoints until one answers; returns a refusal if none does."""
         reason = 'no endpoint'
+        retry_after_s = RETRY_AFTER_S
         while job.sends < MAX_SENDS and len(job.excluded) < MAX_ENDPOINTS_TRIED:
             if self._is_quarantined(job):
                 reason = 'crashes endpoints'
+                retry_after_s = self.directory.crashes.quarantine_ends_in(job.fingerprint())
                 break
             target = await self._choose_target(job)
             if isinstance(target, LoadShed):
@@ -108,7 +110,7 @@
                 return _final_refusal(job, result)
         if job.runs:
             return refuse_unknown(reason, is_late=False)
-        return refuse_not_run(reason, RETRY_AFTER_S)
+        return refuse_not_run(reason, retry_after_s)
 
     async def _attempt_once(self, job: Job, target: Target) -> AttemptResult:
         may_retry = job.route.is_repeatable and self._has_attempts_left(job, job.runs + 1)
--- a/shallotmux/forwarding/_load_shedding.py
+++ b/shallotmux/forwarding/_load_shedding.py
@@ -14,7 +14,7 @@
 #: Added to the factor for each less urgent priority, so that more urgent requests are shed last.
 URGENCY_WAIT_STEP = 0.4
 
-#: Longest retry-after time of a request that was shed.
+#: Longest retry-after time of a request that was shed, without jitter.
 MAX_RETRY_AFTER_S = 3.0
 
 
@@ -60,9 +60,10 @@
     """Return the retry-after time of a request that was shed.
 
     By then the queue has shrunk to half of the limit. Jitter of up to half that time keeps the
-    retries from arriving together.
+    retries from arriving together; it is added to the upper bound, too, which all callers get under
+    heavy overload.
 
     :param draw: random number in [0, 1).
     """
     excess_s = (wait_ms - limit_ms / 2) / 1000
-    return min(MAX_RETRY_AFTER_S, excess_s * (1 + draw / 2))
+    return min(MAX_RETRY_AFTER_S, excess_s) * (1 + draw / 2)
--- a/shallotmux/forwarding/_state.py
+++ b/shallotmux/forwarding/_state.py
@@ -175,15 +175,16 @@
         self.failures = 0
         self.avoid_s = INITIAL_AVOID_S
 
-    def record_failure(self, now: float) -> bool:
-        """Count a failure; returns whether the endpoint is avoided from now on."""
+    def record_failure(self, now: float) -> float:
+        """Count a failure; returns the seconds for which the endpoint is avoided from now on."""
         self.failures += 1
         if self.failures < FAILURE_THRESHOLD:
-            return False
+            return 0.0
         self.failures = 0
-        self.avoided_until = now + self.avoid_s
-        self.avoid_s = min(2 * self.avoid_s, MAX_AVOID_S)
-        return True
+        avoided_s = self.avoid_s
+        self.avoided_until = now + avoided_s
+        self.avoid_s = min(2 * avoided_s, MAX_AVOID_S)
+        return avoided_s
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -6,6 +6,7 @@
 import trio.testing
 
 from shallotmux.fleet import CrashNews, CrashRecords, CrashReport
+from shallotmux.fleet._crashes import CRASH_TTL_S
 
 
 async def test_request_is_quarantined_after_three_endpoints(
@@ -78,3 +79,17 @@
     for endpoint in range(3):
         remote.record_crash(7, endpoint)
     assert remote.is_quarantined(7)
+
+
+async def test_quarantine_tells_when_it_ends(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against callers that are told to return while their request is still refused."""
+    records = CrashRecords()
+    for endpoint in range(4):
+        records.record_crash(7, endpoint)
+        await trio.sleep(1)
+    remaining_s = records.quarantine_ends_in(7)
+    # Two of the four crashes must expire.
+    assert remaining_s == CRASH_TTL_S - 3
+    await trio.sleep(remaining_s)
+    assert not records.is_quarantined(7)
+    assert not records.quarantine_ends_in(8)
--- a/tests/forwarding/test_directory.py
+++ b/tests/forwarding/test_directory.py
@@ -8,7 +8,7 @@
 
 from shallotmux.fleet import ListedEndpoint, Listing
 from shallotmux.forwarding import EndpointDirectory
-from shallotmux.forwarding._state import InFlightWork
+from shallotmux.forwarding._state import FAILURE_THRESHOLD, EndpointState, InFlightWork
 
 HERE = ListedEndpoint('e-0', 'desk', '10.0.0.1:1', 'a', 4, started_ms=1)
 LEAVING = msgspec.structs.replace(HERE, is_leaving=True)
@@ -87,3 +87,14 @@
         assert (state.in_flight, state.queued_prefill_tokens) == (1, 0)
         assert not state.is_unresponsive(trio.current_time())
     assert (state.in_flight, state.queued_prefill_tokens) == (0, 0)
+
+
+async def test_failure_tells_for_how_long_the_endpoint_is_avoided(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a log line with twice the time for which an endpoint is avoided."""
+    state = EndpointState(HERE)
+    for _ in range(2):
+        avoided_s = [state.record_failure(trio.current_time()) for _ in range(FAILURE_THRESHOLD)]
+        assert not any(avoided_s[:-1])
+        assert avoided_s[-1] == state.avoided_until - trio.current_time()
--- a/tests/forwarding/test_load_shedding.py
+++ b/tests/forwarding/test_load_shedding.py
@@ -38,3 +38,11 @@
     assert late <= MAX_RETRY_AFTER_S
     soon = choose_retry_after_s(900, 800, 0)
     assert soon < early
+
+
+def test_retries_are_spread_under_heavy_overload() -> None:
+    """Guards against all callers that return at the upper bound at the same moment."""
+    waits = [choose_retry_after_s(60_000, 800, draw / 10) for draw in range(10)]
+    assert len(set(waits)) == 10
+    assert min(waits) == MAX_RETRY_AFTER_S
+    assert max(waits) - min(waits) > 1
