--- a/shallotmux/authority/_codec.py
+++ b/shallotmux/authority/_codec.py
@@ -71,12 +71,25 @@
 
     def _build(self, name: str, content: dict[str, Any]) -> Any:
         target = self._types[name]
-        if not any(_contains_data_class(each) for each in content.values()):
+        is_plain = not any(_contains_data_class(each) for each in content.values())
+        if is_plain and _is_convertible(target):  # type: ignore[arg-type]
             return msgspec.convert(content, target)
         hints = _field_types(target)  # type: ignore[arg-type]
         return target(**{key: _convert_field(each, hints[key]) for key, each in content.items()})
 
 
+@cache
+def _is_convertible(target: type[Any]) -> bool:
+    """Return whether msgspec supports all fields of a type; unions of data classes it does not."""
+    try:
+        msgspec.convert({}, target)
+    except msgspec.ValidationError:
+        return True
+    except TypeError:
+        return False
+    return True
+
+
 @cache
 def _field_types(target: type[Any]) -> dict[str, Any]:
     return get_type_hints(target)
@@ -85,10 +98,13 @@
 def _convert_field(item: Any, hint: Any) -> Any:
     """Convert a field value to its annotated type.
 
-    Nested data classes have been decoded already; MessagePack returns tuples as lists.
+    Nested data classes have been decoded already; MessagePack returns tuples as lists. Fields that
+    could hold data classes may be empty instead.
     """
-    if _contains_data_class(item):
+    if _contains_data_class(item) or item is None:
         return tuple(item) if isinstance(item, list) else item
+    if isinstance(item, list) and not item:
+        return ()
     return msgspec.convert(item, hint)
 
 
--- a/shallotmux/authority/_ledger.py
+++ b/shallotmux/authority/_ledger.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import hashlib
+import heapq
 import math
-from dataclasses import dataclass, field, replace
+from dataclasses import astuple, dataclass, field, replace
 
 from shallotmux.authority._codec import registry
 from shallotmux.authority._results import Applied, Refused
@@ -155,6 +156,11 @@
     deadline_s: float = math.inf
     retention_s: float = RETENTION_S
 
+    @property
+    def retained_until_s(self) -> float:
+        """Return the wall-clock time at which the job may be forgotten."""
+        return self.time_s + self.retention_s
+
 
 LedgerCommand = ClaimJob | FinishJob | ReleaseJob | AbandonJob | AbandonClaims
 LedgerResult = (
@@ -175,6 +181,8 @@
 
     jobs: dict[JobId, Job] = field(default_factory=dict)
     answer_bytes: int = 0
+    #: End of retention of each claim, the earliest first; claims that were released remain until it.
+    _retention_ends: list[tuple[float, tuple[str, str, str]]] = field(default_factory=list)
 
     def apply(self, command: LedgerCommand, revision: int) -> LedgerResult:
         """Claim a job, or finish, release or abandon a claim."""
@@ -197,6 +205,7 @@
             job: Job = registry.decode(each)
             self.jobs[job.job] = job
             self.answer_bytes += _answer_size(job)
+            self._add_retention_end(job)
 
     def _claim(self, command: ClaimJob) -> LedgerResult:
         job = self.jobs.get(command.job)
@@ -211,7 +220,7 @@
     def _grant(self, command: ClaimJob) -> ClaimGranted | Refused:
         if len(self.jobs) >= MAX_JOBS:
             return Refused('the job ledger is full')
-        self.jobs[command.job] = Job(
+        job = Job(
             command.job,
             command.body_hash,
             command.claimant,
@@ -219,6 +228,8 @@
             deadline_s=command.deadline_s,
             retention_s=command.retention_s,
         )
+        self.jobs[command.job] = job
+        self._add_retention_end(job)
         return ClaimGranted(command.claimant)
 
     def _settle(
@@ -264,19 +275,21 @@
         # takes no new revision.
         return Applied(revision if abandoned else revision - 1)
 
+    def _add_retention_end(self, job: Job) -> None:
+        heapq.heappush(self._retention_ends, (job.retained_until_s, astuple(job.job)))
+
     def _evict(self, time_s: float) -> None:
-        """Remove the oldest jobs whose retention time has passed.
+        """Remove the jobs whose retention time has passed.
 
-        Jobs are stored in the order of their claims, so the scan ends at the first one to keep.
+        Retention differs between claims, so the oldest job need not be the first to go.
         """
-        expired = []
-        for job in self.jobs.values():
-            if job.time_s + job.retention_s > time_s:
-                break
-            expired.append(job)
-        for job in expired:
-            self.answer_bytes -= _answer_size(job)
-            self.jobs.pop(job.job)
+        while self._retention_ends and self._retention_ends[0][0] <= time_s:
+            _, identity = heapq.heappop(self._retention_ends)
+            job = self.jobs.get(JobId(*identity))
+            # A released job may have been claimed again, with a later end.
+            if job is not None and job.retained_until_s <= time_s:
+                self.answer_bytes -= _answer_size(job)
+                self.jobs.pop(job.job)
 
 
 def _answer_size(job: Job) -> int:
--- a/shallotmux/requests/_jobs.py
+++ b/shallotmux/requests/_jobs.py
@@ -113,10 +113,23 @@
         """Retry settlements that could not be committed, until cancelled."""
         await self.abandon_previous_claims()
         while True:
-            while self.pending and await self._submit(self.pending[0]) is not None:
-                self.pending.popleft()
+            is_available = True
+            while self.pending and is_available:
+                is_available = await self._settle_first()
             await trio.sleep(RESUBMIT_DELAY_S)
 
+    async def _settle_first(self) -> bool:
+        """Submit the first settlement, and remove it unless that failed; returns whether it did not.
+
+        It may have been evicted meanwhile by one that was added to the full queue.
+        """
+        first = self.pending[0]
+        if await self._submit(first) is None:
+            return False
+        if self.pending and self.pending[0] is first:
+            self.pending.popleft()
+        return True
+
     async def _claim(
         self, operation_id: str, job: JobId, request: ServiceRequest, claimant: str
     ) -> Result:
--- a/tests/authority/test_ledger.py
+++ b/tests/authority/test_ledger.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from shallotmux.authority import (
@@ -116,3 +118,17 @@
     for number in range(2, 50):
         assert state.apply(claim(number)) == ClaimFinished(ANSWER)
     assert len(state.snapshot()) == size
+
+
+def test_long_retention_does_not_keep_expired_jobs() -> None:
+    """Guards against one old job with a long retention that fills the ledger with expired ones."""
+    state = ZoneState()
+    kept = JobId('tailors', 'orders', 'kept')
+    state.apply(replace(claim(0, job=kept), retention_s=1000.0))
+    for number in range(1, 4):
+        state.apply(claim(number, job=JobId('tailors', 'orders', f'order-{number}')))
+    state.apply(claim(9, job=JobId('tailors', 'orders', 'later'), time_s=200))
+    assert {job.idempotency_key for job in state.ledger.jobs} == {'kept', 'later'}
+    restored = ZoneState.restore(state.snapshot())
+    restored.apply(claim(10, time_s=1500))
+    assert {job.idempotency_key for job in restored.ledger.jobs} == {JOB.idempotency_key}
