Keep failed endpoints excluded, and find keys that are followed by other characters

Cause: a role change, or the end of an earlier exclusion, made an endpoint a candidate although its last exclusion had not ended; a failure of a removed endpoint left entries behind. The pattern of keys took in what follows a key, so that its digest was not found and the key was forwarded. Change: the router knows until when each endpoint is excluded; the pattern has the exact length and overlaps. Result: three tests of the router and two of the checks of requests fail without the change.

--- a/shallotmux/callers/_request_checks.py
+++ b/shallotmux/callers/_request_checks.py
@@ -23,8 +23,9 @@
 #: Header with the timeout that the caller sets for its request, in seconds.
 TIMEOUT_HEADER = b'shallotmux-timeout-s'
 
-#: Format of issued secrets; see ``authority.create_secret``.
-_SECRET = re.compile(rb'sk-shallot-[A-Za-z0-9_-]{20,64}')
+#: Format of issued secrets; see ``authority.create_secret``. The look-ahead finds overlapping ones, and
+#: the exact length those that are directly followed by characters which may stand in a secret.
+_SECRET = re.compile(rb'(?=(sk-shallot-[A-Za-z0-9_-]{32}))')
 
 #: Start of a JSON escape that gives a character by its code point.
 JSON_ESCAPE = bytes((0x5C, 0x75))
--- a/shallotmux/decisions/_router.py
+++ b/shallotmux/decisions/_router.py
@@ -70,6 +70,7 @@
     :param candidate_sets: candidates by whether a request only decodes and is repeatable.
     :param failures: consecutive failures by endpoint.
     :param readmissions: heap of the times at which exclusions after failures end.
+    :param failing_until: end of the exclusion of each endpoint that has failed.
     :param excluded: endpoints that the caller excluded; the end of an exclusion after failures
         does not readmit them.
     :param full: endpoints without free capacity, which keep their ring points and prefixes.
@@ -82,6 +83,7 @@
     candidate_sets: dict[tuple[bool, bool], CandidateSet] = field(default_factory=dict)
     failures: dict[str, int] = field(default_factory=dict)
     readmissions: list[tuple[float, str]] = field(default_factory=list)
+    failing_until: dict[str, float] = field(default_factory=dict)
     excluded: set[str] = field(default_factory=set)
     full: set[str] = field(default_factory=set)
 
@@ -95,14 +97,14 @@
             self.states[endpoint.name] = EndpointState(endpoint, role)
         else:
             known.role = role
-        if endpoint.name not in self.excluded:
-            self._add_candidate(endpoint.name)
+        self._add_unless_excluded(endpoint.name)
 
     def remove(self, name: str) -> None:
         """Remove an endpoint that left the pool."""
         self.exclude(name)
         self.states.pop(name, None)
         self.failures.pop(name, None)
+        self.failing_until.pop(name, None)
         self.excluded.discard(name)
         self.full.discard(name)
         self.index.remove(name)
@@ -116,8 +118,7 @@
     def include(self, name: str) -> None:
         """Route requests to an endpoint again."""
         self.excluded.discard(name)
-        if name in self.states:
-            self._add_candidate(name)
+        self._add_unless_excluded(name)
 
     def pause(self, name: str) -> None:
         """Mark an endpoint as full, so that it is not chosen until it is resumed."""
@@ -134,12 +135,16 @@
 
     def record_failure(self, name: str, now: float) -> None:
         """Exclude an endpoint after a failure, with exponential backoff."""
+        if name not in self.states:
+            return
         count = self.failures.get(name, 0)
         self.failures[name] = count + 1
         pause = min(LONGEST_EXCLUSION_S, FIRST_EXCLUSION_S * 2 ** min(count, 8))
         self._remove_candidate(name)
         self.index.mark_stale(name)
-        heapq.heappush(self.readmissions, (now + pause, name))
+        until = max(now + pause, self.failing_until.get(name, 0.0))
+        self.failing_until[name] = until
+        heapq.heappush(self.readmissions, (until, name))
 
     def report(self, name: str, report: LoadReport) -> None:
         """Update the load of an endpoint from its report."""
@@ -264,8 +269,15 @@
     def _readmit(self, now: float) -> None:
         while self.readmissions and self.readmissions[0][0] <= now:
             name = heapq.heappop(self.readmissions)[1]
-            if name in self.states and name not in self.excluded:
-                self._add_candidate(name)
+            # A later failure has a later entry of its own.
+            if self.failing_until.get(name, now) <= now:
+                self.failing_until.pop(name, None)
+                self._add_unless_excluded(name)
+
+    def _add_unless_excluded(self, name: str) -> None:
+        """Make an endpoint a candidate unless it is gone, excluded or excluded after a failure."""
+        if name in self.states and name not in self.excluded and name not in self.failing_until:
+            self._add_candidate(name)
 
 
 def _describe(best: ScoredEndpoint, scored: Sequence[ScoredEndpoint]) -> RoutingDecision:
--- a/tests/callers/test_request_checks.py
+++ b/tests/callers/test_request_checks.py
@@ -102,6 +102,8 @@
         ('/v1/services/stock/x?key=SECRET', 'POST', {}, 400, 'key_in_request'),
         ('/v1/services/stock/x?key=%2573k%252dshallot', 'POST', {}, 200, None),
         ('/v1/services/stock/SECRET', 'POST', {}, 400, 'key_in_request'),
+        ('/v1/services/stock/xSECRETx', 'POST', {}, 400, 'key_in_request'),
+        ('/v1/services/stock/sk-shallot-SECRET_-9', 'POST', {}, 400, 'key_in_request'),
         ('/v1/services/stock/x', 'POST', {'x_request_id': 'SECRET'}, 400, 'key_in_request'),
         ('/v1/services/orders/x', 'POST', {'idempotency_key': 'a b'}, 400, 'invalid_idempotency_key'),
         ('/v2/x', 'POST', {}, 404, 'not_found'),
--- a/tests/decisions/test_router.py
+++ b/tests/decisions/test_router.py
@@ -110,6 +110,34 @@
     assert 'e0' in {chosen(router, PROMPT, seed, 9) for seed in range(20)}
 
 
+def test_role_change_does_not_end_the_exclusion_after_a_failure() -> None:
+    """Guards against work on an endpoint that has just failed, because its role changed."""
+    router = make_router(2)
+    router.record_failure('e0', 1)
+    router.add(router.states['e0'].endpoint, EngineRole.PREFILL)
+    router.add(router.states['e0'].endpoint, EngineRole.MIXED)
+    router.include('e0')
+    assert {chosen(router, RequestFeatures(), seed, 1.2) for seed in range(20)} == {'e1'}
+
+
+def test_exclusions_that_overlap_end_with_the_last() -> None:
+    """Guards against an endpoint that failed again and is readmitted by its first failure."""
+    router = make_router(2)
+    for _ in range(3):
+        router.record_failure('e0', 1)
+    assert {chosen(router, RequestFeatures(), seed, 2.5) for seed in range(20)} == {'e1'}
+    assert 'e0' in {chosen(router, RequestFeatures(), seed, 60) for seed in range(20)}
+
+
+def test_failure_of_a_removed_endpoint_leaves_no_trace() -> None:
+    """Guards against entries that are kept for endpoints which are gone."""
+    router = make_router(2)
+    router.remove('e0')
+    router.record_failure('e0', 1)
+    assert not router.failures
+    assert not router.readmissions
+
+
 def test_cheap_endpoint_gets_repeatable_work_only() -> None:
     """Guards against losing a non-repeatable call when its endpoint is reclaimed."""
     router = make_router()
--- a/tests/requests/test_pending_settlements.py
+++ b/tests/requests/test_pending_settlements.py
@@ -39,7 +39,7 @@
         return SimpleNamespace(ledger=SimpleNamespace(jobs={}))
 
     authority = SimpleNamespace(submit=submit, read=read, is_fresh=lambda: True)
-    jobs = Jobs(authority, RequestSettings(), lambda: 0.0, 'entry-1', 'a', pending)  # type: ignore[arg-type]
+    jobs = Jobs(authority, RequestSettings(), float, 'entry-1', 'a', pending)  # type: ignore[arg-type]
     nursery.start_soon(jobs.settle_pending)
     await trio.sleep(5)
     assert submitted == ['release-1', 'release-2', 'release-3']
