Follow bursts sooner, and change the roles of engines that boot together

The mean over 4 s hid it, so that two engines were released in its first second; the engines ordered then all started as decode engines and were changed one a second, so that two prefill engines stood against five decode engines. Change: the rate over 1.5 s counts if it is higher; two role changes a round, of the newest engines first.

--- a/shallotmux/control/_role_balancer.py
+++ b/shallotmux/control/_role_balancer.py
@@ -10,12 +10,16 @@
 from shallotmux.control._platform import DutyOutcome
 from shallotmux.control._role_plan import RoleChange, plan_role_change
 from shallotmux.fleet import EngineRole, ListedEndpoint
-from shallotmux.routes import Service
+from shallotmux.routes import EngineProfile, Service
 
 #: Time after a role change in which the platform's list must show it. Until then no other order is
 #: sent to the engine.
 LISTING_DELAY_S = 3.0
 
+#: Role changes in one round of the control loop. Several engines that boot together may all have the
+#: same role; more at once would take too many out of service.
+MAX_CHANGES_PER_ROUND = 2
+
 #: Delay before the next order to an engine that refused one.
 REFUSAL_BACKOFF_S = 10.0
 
@@ -35,6 +39,12 @@
     async def _update_service(self, service: Service) -> None:
         if service.engine is None:
             return
+        for _ in range(MAX_CHANGES_PER_ROUND):
+            if not await self._change_one(service, service.engine):
+                return
+
+    async def _change_one(self, service: Service, profile: EngineProfile) -> bool:
+        """Order the next role change; returns whether one was accepted."""
         now = trio.current_time()
         engines = [
             self._with_ordered_role(each, now)
@@ -43,9 +53,8 @@
         ]
         change = plan_role_change(engines)
         if change is None or self._blocked_until.get(change.endpoint.identity, 0) > now:
-            return
-        blocked_s = service.engine.role_change_s + LISTING_DELAY_S
-        await self._send(change, now + blocked_s)
+            return False
+        return await self._send(change, now + profile.role_change_s + LISTING_DELAY_S)
 
     def _with_ordered_role(self, engine: ListedEndpoint, now: float) -> ListedEndpoint:
         """Return an engine with its ordered role while the list may not show the change yet."""
@@ -55,10 +64,10 @@
             return engine
         return msgspec.structs.replace(engine, role=ordered)
 
-    async def _send(self, change: RoleChange, blocked_until: float) -> None:
+    async def _send(self, change: RoleChange, blocked_until: float) -> bool:
         holder = self._dependencies.term.holder()
         if holder is None:
-            return
+            return False
         identity = change.endpoint.identity
         outcome = await self._dependencies.platform.change_role(
             change.endpoint, change.role, holder
@@ -76,3 +85,4 @@
             outcome=outcome.value,
             token=holder.token,
         )
+        return outcome is DutyOutcome.ACCEPTED
--- a/shallotmux/control/_role_plan.py
+++ b/shallotmux/control/_role_plan.py
@@ -44,8 +44,9 @@
 
 def _pick_from_most_crowded_zone(decode_engines: Sequence[ListedEndpoint]) -> ListedEndpoint:
     zone_counts = Counter(each.zone for each in decode_engines)
+    # The newest has the fewest streams and the least in its cache.
     return max(
-        decode_engines, key=lambda each: (zone_counts[each.zone], each.is_cheap, each.identity)
+        decode_engines, key=lambda each: (zone_counts[each.zone], each.is_cheap, each.started_ms)
     )
 
 
--- a/shallotmux/forwarding/_demand.py
+++ b/shallotmux/forwarding/_demand.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections import defaultdict, deque
+from collections.abc import Iterable
 
 import trio
 
-#: Length of the averaging window. It spans a burst, so that a single long prompt does not change a
-#: decision.
-WINDOW_S = 4.0
+#: Lengths of the averaging windows; the one with the highest rate counts. The long one spans a burst,
+#: so that a single long prompt does not change a decision; the short one shows the start of a burst
+#: while there is still time to boot engines for it.
+WINDOWS_S = (4.0, 1.5)
 
 
 class PrefillDemandMeter:
@@ -23,11 +25,15 @@
 
     def rates(self) -> dict[str, float]:
         """Return the tokens per second of each service."""
-        oldest = trio.current_time() - WINDOW_S
+        now = trio.current_time()
         for samples in self._samples.values():
-            while samples and samples[0][0] < oldest:
+            while samples and samples[0][0] < now - max(WINDOWS_S):
                 samples.popleft()
         return {
-            service: sum(tokens for _, tokens in recorded) / WINDOW_S
+            service: max(_mean_rate(recorded, now, window_s) for window_s in WINDOWS_S)
             for service, recorded in sorted(self._samples.items())
         }
+
+
+def _mean_rate(samples: Iterable[tuple[float, float]], now: float, window_s: float) -> float:
+    return sum(tokens for at, tokens in samples if at >= now - window_s) / window_s
--- a/shallotmux/placement/_speeds.py
+++ b/shallotmux/placement/_speeds.py
@@ -27,8 +27,8 @@
 
 #: Measurements that the speed of a service is fitted to, the fewest for which it is, and the number
 #: of new ones after which it is fitted again.
-MAX_MEASUREMENTS = 24
-MIN_MEASUREMENTS = 12
+MAX_MEASUREMENTS = 16
+MIN_MEASUREMENTS = 10
 FIT_INTERVAL = 8
 
 #: Share of the measurements that are faster than the fitted line. It is low, since a prefill takes
