--- a/shallotmux/checking/_explorer.py
+++ b/shallotmux/checking/_explorer.py
@@ -16,7 +16,7 @@
 from shallotmux.checking._history import is_linearizable
 from shallotmux.checking._simulated_group import SimulatedGroup, SimulatedGroupOptions, Step
 from shallotmux.checking._specifications import compare_and_set_register
-from shallotmux.checking._unfenced import MAX_FLIGHT_S, TURN_S
+from shallotmux.checking._unfenced import ALTERNATION_S, MAX_FLIGHT_S
 from shallotmux.checking._violations import InvariantViolation
 from shallotmux.errors import ShallotmuxError
 from shallotmux.replication import ReplicaOptions
@@ -75,7 +75,7 @@
     SimulatedGroupOptions(
         ReplicaOptions(election_max_s=1.2, lease_s=0.8, clock_rate_margin=CLOCK_RATE_SPREAD),
         clock_rate_spread=CLOCK_RATE_SPREAD,
-        takeover_delay_s=(1 + CLOCK_RATE_SPREAD) * ((TURN_S + MAX_FLIGHT_S) / 2 + 0.1),
+        takeover_delay_s=(1 + CLOCK_RATE_SPREAD) * ((ALTERNATION_S + MAX_FLIGHT_S) / 2 + 0.1),
     ),
     UNFENCED_PROFILE,
 )
@@ -111,7 +111,7 @@
         report.failure = Failure(seed, group.options, tuple(performed), violation)
     report.steps += len(performed)
     report.commits += group.invariants.committed_index
-    report.calls += group.target.arrived_count
+    report.calls += group.calls.target.arrived_count
 
 
 def replay(
--- a/shallotmux/checking/_simulated_group.py
+++ b/shallotmux/checking/_simulated_group.py
@@ -11,7 +11,7 @@
 from shallotmux.checking._history import History
 from shallotmux.checking._invariants import Invariants
 from shallotmux.checking._node import COMPARE_AND_SET, ORDER, Node
-from shallotmux.checking._unfenced import MAX_FLIGHT_S, Call, UnfencedTarget
+from shallotmux.checking._unfenced import LeaderCalls
 from shallotmux.errors import MembershipRefused, NotLeader
 from shallotmux.replication import (
     AddLearner,
@@ -36,8 +36,6 @@
 #: Maximum number of operations of one history without a response. Each overlaps with all later
 #: ones: a history with dozens of them took more than ten minutes and 4 GB to check.
 MAX_UNANSWERED = 6
-#: Number of flight times of a call, from none to the longest.
-FLIGHT_CHOICES = 8
 #: Number of values of the replicated register, and number of targets of order commands.
 VALUE_COUNT = 3
 
@@ -125,9 +123,7 @@
         self._reads: dict[tuple[str, int], tuple[int, int]] = {}
         self._node_summaries: dict[str, tuple[Any, ...]] = {}
         self._drops_messages = False
-        self.target = UnfencedTarget()
-        # Term and local time since when each node leads.
-        self._leading: dict[str, tuple[int, float]] = {}
+        self.calls = LeaderCalls(options.takeover_delay_s)
         self._start_group()
 
     def perform(self, step: Step) -> None:
@@ -136,7 +132,7 @@
         :raises InvariantViolation: if one is violated.
         """
         self.now += step.elapsed_s
-        self.target.advance(self.now)
+        self.calls.target.advance(self.now)
         match step.action:
             case Action.DELIVER | Action.LOSE | Action.DUPLICATE:
                 self._handle_message(step)
@@ -264,38 +260,12 @@
             case Action.COMPACT:
                 self._compact(node, replica)
             case Action.CALL | Action.FREEZE_IN_CALL:
-                self._call(step, node, replica)
+                is_frozen = step.action is Action.FREEZE_IN_CALL
+                self.calls.make(node, self.now, step.choice, is_frozen=is_frozen)
             case _:
                 self._submit(step, node, replica)
         self._process_effects(node)
 
-    def _call(self, step: Step, node: Node, replica: Replica) -> None:
-        """Make a call as leader under the lease; it arrives after a delay.
-
-        A call that is written after a freeze is not sent: no wait of a successor bounds the freeze,
-        and the platform does not count what arrives right after its sender woke.
-        """
-        now = node.local_time(self.now)
-        status = replica.status()
-        term, since = self._leading.get(node.name, (0, 0.0))
-        has_waited = now - since >= self.options.takeover_delay_s
-        if status.role is not Role.LEADER or status.term != term or not has_waited:
-            return
-        if now >= status.lease_end:
-            return
-        if step.action is Action.FREEZE_IN_CALL:
-            node.is_paused = True
-            return
-        flight_s = MAX_FLIGHT_S * step.choice / FLIGHT_CHOICES
-        self.target.send(Call(self.now + flight_s, node.name, term))
-
-    def _update_leading(self, node: Node) -> None:
-        status = node.replica.status() if node.replica else None
-        if status is None or status.role is not Role.LEADER:
-            self._leading.pop(node.name, None)
-        elif self._leading.get(node.name, (0, 0.0))[0] != status.term:
-            self._leading[node.name] = (status.term, node.local_time(self.now))
-
     def _crash(self, node: Node) -> None:
         if node.has_disk or self.keeps_majority_without(node.name):
             node.replica = None
@@ -370,7 +340,7 @@
             if not effects.entries and effects.snapshot is None:
                 break
         self._node_summaries[node.name] = _summarize(node)
-        self._update_leading(node)
+        self.calls.update(node, self.now)
 
     def _finish_operations(self, node: Node, effects: Effects) -> None:
         for entry in effects.committed:
--- a/shallotmux/control/_duties.py
+++ b/shallotmux/control/_duties.py
@@ -61,13 +61,13 @@
     The platform may not check tokens, so a new leader waits until no call of its predecessor can
     arrive any more, see :func:`takeover_delay_s`.
 
-    :param turn_s: time within which leadership must not return to an instance that has acted.
+    :param alternation_s: time within which leadership must not return to an instance that has acted.
     """
 
-    def __init__(self, member: ControlMember, name: str, turn_s: float) -> None:
+    def __init__(self, member: ControlMember, name: str, alternation_s: float) -> None:
         self._member = member
         self._name = name
-        self._delay_s = takeover_delay_s(turn_s)
+        self._delay_s = takeover_delay_s(alternation_s)
         self._fenced_token = 0
         self._is_resigned = False
 
@@ -97,15 +97,15 @@
             log_message(message_type='shallotmux:fenced', token=holder.token)
 
 
-def takeover_delay_s(turn_s: float) -> float:
+def takeover_delay_s(alternation_s: float) -> float:
     """Return the time for which a new leader makes no calls.
 
     The last call of its predecessor arrives at most :data:`CALL_FLIGHT_S` after the predecessor's
     lease, which has ended when the new leader is elected. Two delays, less that time, lie between
     two calls of an instance that has lost and regained leadership, so that they are more than
-    ``turn_s`` apart.
+    ``alternation_s`` apart.
     """
-    return (turn_s + CALL_FLIGHT_S) / 2 + TAKEOVER_MARGIN_S
+    return (alternation_s + CALL_FLIGHT_S) / 2 + TAKEOVER_MARGIN_S
 
 
 @dataclass(frozen=True, slots=True)
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -87,7 +87,7 @@
             self._network,
             SystemRandom(),
         )
-        self._term = LeaderTerm(self.member, settings.name, settings.times.turn_s)
+        self._term = LeaderTerm(self.member, settings.name, settings.times.alternation_s)
         self._knowledge = KnowledgeService(self.member.state, self._clock, self.member.peers)
         self._registry = CollectorRegistry()
         self._cached_table_version = 0
--- a/shallotmux/programs/_settings.py
+++ b/shallotmux/programs/_settings.py
@@ -43,14 +43,14 @@
     :param grace_s: time between SIGTERM and SIGKILL.
     :param listing_s: interval at which the platform's list of endpoints is polled.
     :param usage_window_s: length of a usage window.
-    :param turn_s: time within which leader-only calls must not return to an instance after another
+    :param alternation_s: time within which leader-only calls must not return to an instance after another
         one has made some.
     """
 
     grace_s: float = 8.0
     listing_s: float = 0.8
     usage_window_s: float = 5.0
-    turn_s: float = 3.0
+    alternation_s: float = 3.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/checking/test_explorer.py
+++ b/tests/checking/test_explorer.py
@@ -30,7 +30,7 @@
 MARGIN_SEEDS = (4, 1000011)
 VOTE_DURING_LEASE_SEEDS = (14, 1000076)
 #: What each of these seeds finds.
-MISSING_DELAY_SEEDS = {0: 'unfenced-turn', 3: 'unfenced-token'}
+MISSING_DELAY_SEEDS = {0: 'unfenced-alternation', 3: 'unfenced-token'}
 COMMIT_BY_COUNTING_SEEDS = (2000045, 3000034)
 
 
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -13,13 +13,14 @@
 from tests.control._instances import SEEDS, ControlGroup
 
 #: Time within which leader-only calls must not return to an instance.
-TURN_S = 3.0
+ALTERNATION_S = 3.0
 
 
 def make_terms(group: ControlGroup) -> dict[str, LeaderTerm]:
     """Return the leader term of each instance by name."""
     return {
-        name: LeaderTerm(instance.member, name, TURN_S) for name, instance in group.running.items()
+        name: LeaderTerm(instance.member, name, ALTERNATION_S)
+        for name, instance in group.running.items()
     }
 
 
@@ -29,7 +30,7 @@
     """Guards against two instances that make leader-only calls at the same time."""
     terms = make_terms(group)
     leader = (await group.wait_for_leader()).member.settings.name
-    await trio.sleep(TURN_S)
+    await trio.sleep(ALTERNATION_S)
     holders = [name for name in SEEDS if terms[name].holder() is not None]
     assert holders == [leader]
 
@@ -40,7 +41,7 @@
     """Guards against a partitioned leader that still makes calls after its successor started."""
     terms = make_terms(group)
     first = (await group.wait_for_leader()).member.settings.name
-    await trio.sleep(TURN_S)
+    await trio.sleep(ALTERNATION_S)
     old = terms[first].holder()
     group.fabric.isolate(first)
     acted: list[list[str]] = []
@@ -60,8 +61,8 @@
 ) -> None:
     """Guards against an instance that goes on using a token which the platform fenced."""
     leader = await group.wait_for_leader()
-    term = LeaderTerm(leader.member, leader.member.settings.name, TURN_S)
-    await trio.sleep(TURN_S)
+    term = LeaderTerm(leader.member, leader.member.settings.name, ALTERNATION_S)
+    await trio.sleep(ALTERNATION_S)
     holder = term.holder()
     assert holder is not None
     term.record_outcome(holder, DutyOutcome.UNAVAILABLE)
@@ -101,7 +102,7 @@
     for first_at, first, _ in seen:
         others = [at for at, name, _ in seen if name != first and at > first_at]
         again = [at for at, name, _ in seen if name == first and others and at > others[0]]
-        assert not again or again[0] - first_at > TURN_S
+        assert not again or again[0] - first_at > ALTERNATION_S
     assert len({name for _, name, _ in seen}) > 1
     assert [token for _, _, token in seen] == sorted(token for _, _, token in seen)
 
@@ -112,7 +113,7 @@
     """Guards against calls that overtake one which the predecessor sent at the end of its lease."""
     terms = make_terms(group)
     first = (await group.wait_for_leader()).member.settings.name
-    await trio.sleep(TURN_S)
+    await trio.sleep(ALTERNATION_S)
     group.fabric.isolate(first)
     seen = await record_holders(terms, 10)
     last = max(at for at, name, _ in seen if name == first)
@@ -125,8 +126,8 @@
 ) -> None:
     """Guards against calls of an instance that is handing over its leadership at shutdown."""
     leader = await group.wait_for_leader()
-    term = LeaderTerm(leader.member, leader.member.settings.name, TURN_S)
-    await trio.sleep(TURN_S)
+    term = LeaderTerm(leader.member, leader.member.settings.name, ALTERNATION_S)
+    await trio.sleep(ALTERNATION_S)
     holder = term.holder()
     assert holder is not None
     holder.guard.check()
@@ -141,7 +142,7 @@
 ) -> None:
     """Guards against a lease that looks valid after a suspension, which its clock does not count."""
     leader = await group.wait_for_leader()
-    await trio.sleep(TURN_S)
+    await trio.sleep(ALTERNATION_S)
     assert leader.member.driver.is_leader()
     suspended_s = read_suspended_time() + 5
     monkeypatch.setattr(leader.member.driver._suspension, '_read', lambda: suspended_s)  # noqa: SLF001
--- a/tests/guards/forwarded.py
+++ b/tests/guards/forwarded.py
@@ -154,7 +154,7 @@
     Guard(
         'one-holder (takeover delay)',
         'shallotmux/control/_duties.py',
-        'return (turn_s + CALL_FLIGHT_S) / 2 + TAKEOVER_MARGIN_S',
+        'return (alternation_s + CALL_FLIGHT_S) / 2 + TAKEOVER_MARGIN_S',
         'return 0.0',
         (
             'tests/control/test_duties.py::test_leadership_that_returns_makes_no_calls_within_the_turn',
@@ -163,7 +163,7 @@
     Guard(
         'one-holder (call in flight)',
         'shallotmux/control/_duties.py',
-        'return (turn_s + CALL_FLIGHT_S) / 2 + TAKEOVER_MARGIN_S',
+        'return (alternation_s + CALL_FLIGHT_S) / 2 + TAKEOVER_MARGIN_S',
         'return 0.0',
         ('tests/control/test_duties.py::test_new_leader_waits_for_calls_of_its_predecessor',),
     ),
