Let each entry instance hear the load of as many peers as it sends to

Cause: each instance sent its load to the first 32 names of one list that is sorted the same way everywhere. Beyond 33 instances, 32 heard all others and the rest heard nobody. The sum for an engine was rebuilt from all peers for each engine of each choice. Change: an instance sends to the next 32 in the sorted circle, takes those that it does not hear to be like the others, and keeps the sums up to date. Result: test_each_instance_hears_from_as_many_peers_as_it_sends_to fails with the old choice at 75 and 380. Up to 33 instances the peers are the same as before.

--- a/shallotmux/fleet/_load_sharing.py
+++ b/shallotmux/fleet/_load_sharing.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Callable, Mapping
+from bisect import bisect
+from collections import Counter, OrderedDict
+from collections.abc import Callable, Mapping, Sequence
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -56,10 +58,15 @@
 
 
 class PeerLoads:
-    """Queued prefill tokens of the other instances."""
+    """Queued prefill tokens of the other instances.
+
+    The sum for each engine is kept up to date, since it is read for each engine of each choice.
+    """
 
     def __init__(self) -> None:
-        self._loads: dict[str, _PeerLoad] = {}
+        #: Loads by sender, the one received last at the end.
+        self._loads: OrderedDict[str, _PeerLoad] = OrderedDict()
+        self._totals: Counter[int] = Counter()
 
     def receive(self, content: bytes) -> None:
         """Process a message; invalid and out-of-order ones are dropped.
@@ -71,16 +78,45 @@
         except msgspec.MsgspecError:
             return
         known = self._loads.get(message.sender)
-        if known is None or message.number > known.number:
-            now = trio.current_time()
-            self._loads[message.sender] = _PeerLoad(message.number, now, message.tokens)
+        if known is not None:
+            if message.number <= known.number:
+                return
+            self._remove(message.sender)
+        now = trio.current_time()
+        self._loads[message.sender] = _PeerLoad(message.number, now, message.tokens)
+        self._totals.update(message.tokens)
 
     def tokens_at(self, identity: str) -> float:
         """Return the queued prefill tokens of other instances at an engine."""
+        self._remove_expired()
+        return float(self._totals.get(engine_checksum(identity), 0))
+
+    def _remove_expired(self) -> None:
         oldest = trio.current_time() - LOAD_TTL_S
-        number = engine_checksum(identity)
-        self._loads = {sender: each for sender, each in self._loads.items() if each.at >= oldest}
-        return float(sum(each.tokens.get(number, 0) for each in self._loads.values()))
+        while self._loads:
+            sender, load = next(iter(self._loads.items()))
+            if load.at >= oldest:
+                return
+            self._remove(sender)
+
+    def _remove(self, sender: str) -> None:
+        for engine, tokens in self._loads.pop(sender).tokens.items():
+            self._totals[engine] -= tokens
+            if not self._totals[engine]:
+                self._totals.pop(engine)
+
+
+def choose_peers(address: str, entries: Sequence[str]) -> tuple[str, ...]:
+    """Return the peers to which an instance sends its load.
+
+    These are the next ones in the sorted circle of all instances, so that each instance hears from
+    as many peers as it sends to. Instances that are not listed yet send to the first ones.
+
+    :param entries: addresses of all entry instances.
+    """
+    circle = sorted(each for each in entries if each != address)
+    start = bisect(circle, address)
+    return tuple((circle[start:] + circle[:start])[:MAX_PEERS])
 
 
 class LoadSharing:
@@ -107,6 +143,16 @@
         self._last_sent: dict[int, int] = {}
         self.loads = PeerLoads()
 
+    def tokens_at(self, identity: str) -> float:
+        """Return the estimated queued prefill tokens of all other instances at an engine.
+
+        In a large fleet an instance hears from a part of its peers, and takes the others to be like
+        them.
+        """
+        others = sum(each != self._address for each in self._peers())
+        scale = max(1.0, others / MAX_PEERS)
+        return scale * self.loads.tokens_at(identity)
+
     async def run(self) -> None:
         """Send and receive until cancelled."""
         with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as sock:
@@ -123,7 +169,7 @@
 
     async def _send(self, sock: trio.socket.SocketType) -> None:
         while True:
-            peers = tuple(each for each in self._peers() if each != self._address)[:MAX_PEERS]
+            peers = choose_peers(self._address, self._peers())
             await trio.sleep(max(MIN_INTERVAL_S, INTERVAL_PER_PEER_S * len(peers)))
             message = self._next_message()
             if message is None:
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -112,7 +112,7 @@
                 self._directory,
                 SharedRetryBudget(settings.retry_budget, lambda: self.view.instances),
                 self._count_run_started,
-                self._load_sharing.loads.tokens_at,
+                self._load_sharing.tokens_at,
                 self.metrics,
             )
         )
--- a/tests/fleet/test_load_sharing.py
+++ b/tests/fleet/test_load_sharing.py
@@ -2,12 +2,23 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from random import Random
+
 import msgspec
+import pytest
 import trio
 import trio.testing
 
 from shallotmux.fleet import LoadSharing, PeerLoads
-from shallotmux.fleet._load_sharing import LoadMessage, engine_checksum
+from shallotmux.fleet._load_sharing import (
+    LOAD_TTL_S,
+    MAX_PEERS,
+    LoadMessage,
+    choose_peers,
+    engine_checksum,
+)
+from tests.support.networks import private_network
 
 
 def message(sender: str, number: int, tokens: int) -> bytes:
@@ -48,9 +59,45 @@
     assert not loads.tokens_at('e-1')
 
 
+@pytest.mark.parametrize('count', [2, 33, 75, 380])
+def test_each_instance_hears_from_as_many_peers_as_it_sends_to(count: int) -> None:
+    """Guards against a large fleet in which some hear all others and the rest hear nobody."""
+    entries = tuple(f'10.0.{number % 7}.{number}:1' for number in range(count))
+    heard = Counter(peer for each in entries for peer in choose_peers(each, entries))
+    expected = min(count - 1, MAX_PEERS)
+    assert {heard[each] for each in entries} == {expected}
+    assert all(each not in choose_peers(each, entries) for each in entries)
+
+
+async def test_unheard_peers_are_taken_to_be_like_the_others(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a queue that looks shorter the more instances share it."""
+    entries = tuple(f'10.0.0.{number}:1' for number in range(2 * MAX_PEERS + 1))
+    sharing = LoadSharing('a', entries[0], lambda: entries, dict)
+    for number in range(MAX_PEERS):
+        sharing.loads.receive(message(f'b-{number}', 1, 10))
+    assert int(sharing.tokens_at('e-1')) == 10 * 2 * MAX_PEERS
+
+
+async def test_sums_stay_right_over_many_messages(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against sums that drift from the loads of which they are kept."""
+    random = Random(5)
+    loads = PeerLoads()
+    latest: dict[str, tuple[float, int]] = {}
+    for number in range(2000):
+        sender = random.choice('abcdefgh')
+        tokens = random.randrange(5000)
+        loads.receive(message(sender, number, tokens))
+        latest[sender] = (trio.current_time(), tokens)
+        await trio.sleep(random.choice((0.0, 0.1, 0.4)))
+        oldest = trio.current_time() - LOAD_TTL_S
+        assert loads.tokens_at('e-1') == sum(held for at, held in latest.values() if at >= oldest)
+
+
 async def test_instances_exchange_loads() -> None:
     """Guards against loads that are never sent, or not sent again after a change."""
-    names = ('127.0.91.1:17790', '127.0.91.2:17790')
+    names = tuple(f'{private_network(92)}.{number}:17790' for number in (1, 2))
     queued_tokens = {'e-1': 700.0}
     first = LoadSharing('a', names[0], lambda: names, lambda: queued_tokens)
     second = LoadSharing('b', names[1], lambda: names, dict)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -14,11 +14,15 @@
 import trio
 
 from tests.support.full_disk_program import MARKER_VARIABLE
+from tests.support.networks import private_network
 from tests.support.processes import Process, start_process
 
 LAUNCHER = 'shallotmux.launcher'
 FULL_DISK_PROGRAM = 'tests.support.full_disk_program'
 
+#: Network of the programs under test.
+NETWORK = private_network(91)
+
 #: Interval between two signals of a series.
 SIGNAL_INTERVAL_S = 0.005
 
@@ -77,15 +81,15 @@
         await trio.sleep(SIGNAL_INTERVAL_S)
 
 
-@pytest.mark.parametrize(('role', 'host'), [('control', '127.0.91.1'), ('front', '127.0.91.2')])
+@pytest.mark.parametrize(('role', 'number'), [('control', 1), ('front', 2)])
 async def test_reload_signals_from_start_to_exit_do_not_end_the_process(
-    tmp_path: Path, role: str, host: str
+    tmp_path: Path, role: str, number: int
 ) -> None:
     """Guards against a SIGHUP that ends a process while it starts, drains or exits.
 
     An entry instance lost the streams it was finishing when its settings changed during a drain.
     """
-    with start_program(tmp_path, host, role) as process:
+    with start_program(tmp_path, f'{NETWORK}.{number}', role) as process:
         with trio.fail_after(20):
             await wait_until_ignored(process, signal.SIGHUP)
             async with trio.open_nursery() as nursery:
@@ -98,7 +102,7 @@
 
 async def test_repeated_stop_signals_do_not_cut_the_drain_short(tmp_path: Path) -> None:
     """Guards against a second SIGTERM that ends a process which is still finishing requests."""
-    with start_program(tmp_path, '127.0.91.3', 'front') as process:
+    with start_program(tmp_path, f'{NETWORK}.3', 'front') as process:
         with trio.fail_after(20):
             await process.read_message('shallotmux:started')
             async with trio.open_nursery() as nursery:
@@ -113,7 +117,7 @@
     marker = tmp_path / 'full'
     with start_program(
         tmp_path,
-        '127.0.91.4',
+        f'{NETWORK}.4',
         'control',
         FULL_DISK_PROGRAM,
         **{MARKER_VARIABLE: str(marker)},
@@ -121,7 +125,7 @@
         with trio.fail_after(20):
             await process.read_message('shallotmux:leading')
             marker.touch()
-            await put_document(trio_url='127.0.91.4')
+            await put_document(f'{NETWORK}.4')
             await process.read_message('shallotmux:disk-refused')
             process.signal(signal.SIGHUP)
             await trio.sleep(0.2)
@@ -129,11 +133,11 @@
             assert await process.exit_code() == 0
 
 
-async def put_document(trio_url: str) -> None:
+async def put_document(host: str) -> None:
     """Submit a document, whose write to the disk fails; no answer is awaited."""
     body = json.dumps({'version': 1, 'routes': [], 'services': []}).encode()
     head = f'POST /Config.Put HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n\r\n'
-    async with await trio.open_tcp_stream(trio_url, 18367) as stream:
+    async with await trio.open_tcp_stream(host, 18367) as stream:
         await stream.send_all(head.encode() + body)
 
 
--- a/tests/programs/test_log_lines.py
+++ b/tests/programs/test_log_lines.py
@@ -4,15 +4,24 @@
 
 import json
 import os
+from typing import Any
 
-from eliot import log_message
+from eliot import add_destinations, log_message, remove_destination
 
 from shallotmux.programs import write_log_lines
 from shallotmux.programs._log_lines import MAX_BUFFERED_BYTES
 
 
+def _ignore(message: dict[str, Any]) -> None:
+    """Serve as a destination that keeps nothing."""
+
+
 def test_lines_are_json_with_their_type() -> None:
     """Guards against log lines that cannot be searched by type."""
+    # eliot buffers the messages of earlier tests for its first destination; more of them than a pipe
+    # holds would keep the lines of this test from being written.
+    add_destinations(_ignore)
+    remove_destination(_ignore)
     reader, writer = os.pipe()
     with write_log_lines(writer):
         log_message(message_type='shallotmux:started', role='entry', of_test=True)
@@ -20,7 +29,6 @@
     os.close(writer)
     with os.fdopen(reader) as lines:
         written = [json.loads(line) for line in lines]
-    # eliot buffers messages logged by earlier tests and passes them to the first destination.
     read = [line for line in written if line.get('of_test')]
     assert [line['message_type'] for line in read] == ['shallotmux:started']
     assert read[0]['role'] == 'entry'
--- a/tests/programs/test_programs.py
+++ b/tests/programs/test_programs.py
@@ -19,6 +19,7 @@
     Fleet,
     run_fleet,
 )
+from tests.support.networks import private_network
 
 ENTRY = 9
 TEST_TIMEOUT_S = 20
@@ -88,7 +89,7 @@
 
 async def test_document_takes_effect_and_never_reverts(tmp_path: Path) -> None:
     """Guards against documents that are lost, revert, or do not reach entry instances."""
-    async with start_fleet('127.0.81', tmp_path) as fleet:
+    async with start_fleet(private_network(81), tmp_path) as fleet:
         assert await send_work(fleet, '/a/') == 503
         assert await put_document(fleet, 1, make_document(4, '/a/')) == 200
         await wait_for_status(fleet, '/a/', 200)
@@ -102,7 +103,7 @@
 
 async def test_invalid_document_is_refused_and_changes_nothing(tmp_path: Path) -> None:
     """Guards against an invalid document that takes effect."""
-    async with start_fleet('127.0.82', tmp_path) as fleet:
+    async with start_fleet(private_network(82), tmp_path) as fleet:
         assert await put_document(fleet, 1, make_document(4, '/a/')) == 200
         assert await put_document(fleet, 2, make_document(5, '/a/', '/a/')) == 400
         read = await send_request(fleet.url(3, OPERATOR_PORT) + PUT_PATH)
@@ -111,7 +112,7 @@
 
 async def test_instance_without_configuration_is_not_ready(tmp_path: Path) -> None:
     """Guards against connections to an instance that has no configuration."""
-    async with start_fleet('127.0.83', tmp_path) as fleet:
+    async with start_fleet(private_network(83), tmp_path) as fleet:
         url = f'{fleet.url(ENTRY, READINESS_PORT)}/'
         while (await send_request(url)).status != 503:
             await trio.sleep(0.05)
@@ -122,7 +123,7 @@
 
 async def test_usage_is_reported_once_with_equal_counts(tmp_path: Path) -> None:
     """Guards against skipped usage windows, and reports without a fencing token."""
-    async with start_fleet('127.0.84', tmp_path) as fleet:
+    async with start_fleet(private_network(84), tmp_path) as fleet:
         await put_document(fleet, 1, make_document(1, '/a/'))
         await wait_for_status(fleet, '/a/', 200)
         for _ in range(4):
@@ -139,7 +140,7 @@
 
 async def test_entry_keeps_serving_without_control(tmp_path: Path) -> None:
     """Guards against an entry instance that stops serving without control instances."""
-    async with start_fleet('127.0.85', tmp_path) as fleet:
+    async with start_fleet(private_network(85), tmp_path) as fleet:
         await put_document(fleet, 1, make_document(1, '/a/'))
         await wait_for_status(fleet, '/a/', 200)
         for scope in fleet.scopes.values():
