Bound what is read of answers that nobody needs whole

Cause: endpoints in trouble may send bytes without end. The bodies of refusals, failures, prefills and answers to other requests, interim answers, and pages of the platform's list were read until the request's time was over; a page was read for ever, since only each read had a timeout. Change: bodies that are read whole have at most 64 KiB, a page 4 MiB and 2 s; a body that is discarded to keep its connection is given up after 64 KiB or 0.25 s, and what its head proves holds; eight interim answers are skipped.

--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -177,14 +177,14 @@
         attempt.target.state.record_load(head.header(self._names.load), trio.current_time())
         outcome = classify_answer(head, self._names)
         if outcome is not Outcome.DONE:
-            await connection.receive_body()
+            await connection.discard_body()
             reason = f'status {head.status}'
             return AttemptResult(outcome, reason, outcome is Outcome.UNKNOWN, head.status)
         if job.route.kind is not RouteKind.STREAMING:
             self._record_run_started(job)
         is_error = head.status >= MIN_SERVER_ERROR_STATUS
         if is_error and attempt.may_retry:
-            await connection.receive_body()
+            await connection.discard_body()
             return AttemptResult(outcome, f'status {head.status}', True, head.status)
         if attempt.may_retry and job.route.kind is RouteKind.SAFE:
             buffered = await _buffer_start(connection)
--- a/shallotmux/forwarding/_endpoint.py
+++ b/shallotmux/forwarding/_endpoint.py
@@ -31,6 +31,16 @@
 #: Subtracted from the keep-alive time that an endpoint states, to allow for network delay.
 KEEP_ALIVE_MARGIN_S = 1.0
 
+#: Interim answers (status 1xx) that are skipped before a connection counts as broken.
+MAX_INTERIM_ANSWERS = 8
+
+#: Largest body that is read whole, or discarded to keep a connection. An endpoint in trouble may send
+#: bytes without end.
+MAX_WHOLE_BODY_BYTES = 65_536
+
+#: Time in which a body is discarded to keep a connection.
+DISCARD_TIMEOUT_S = 0.25
+
 #: Answers with another request's id that are skipped before a connection counts as broken.
 MAX_MISMATCHED_ANSWERS = 2
 
@@ -142,15 +152,34 @@
     async def receive_body(self) -> bytes:
         """Return the rest of the answer's body.
 
-        :raises EndpointError: if the connection breaks before the end.
+        :raises EndpointError: if the connection breaks before the end, or the body is longer than
+            :data:`MAX_WHOLE_BODY_BYTES`.
         """
         parts: list[bytes] = []
+        size = 0
         part = await self.receive_part()
         while part is not None:
+            size += len(part)
+            if size > MAX_WHOLE_BODY_BYTES:
+                raise EndpointError('the body is too long', step='receive body', peer=self._peer)
             parts.append(part)
             part = await self.receive_part()
         return b''.join(parts)
 
+    async def discard_body(self) -> None:
+        """Read the rest of a body that nobody needs, so that the connection can be used again.
+
+        A long or slow body is not read to its end; the connection is then closed.
+
+        :raises EndpointError: if the connection breaks before the end.
+        """
+        size = 0
+        with trio.move_on_after(DISCARD_TIMEOUT_S):
+            part = await self.receive_part()
+            while part is not None and size <= MAX_WHOLE_BODY_BYTES:
+                size += len(part)
+                part = await self.receive_part()
+
     def close(self) -> None:
         """Close the connection at once, discarding unsent data."""
         if isinstance(self._stream, trio.SocketStream):
@@ -164,7 +193,9 @@
 
     async def _receive_any_head(self) -> AnswerHead:
         event = await self._next_event()
-        while isinstance(event, h11.InformationalResponse):
+        for _ in range(MAX_INTERIM_ANSWERS):
+            if not isinstance(event, h11.InformationalResponse):
+                break
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise EndpointError(
@@ -174,10 +205,12 @@
         return AnswerHead(event.status_code, headers)
 
     async def _skip_answer(self) -> None:
-        """Read an answer to another request to its end, and prepare for the next head."""
-        event = await self._next_event()
-        while not isinstance(event, h11.EndOfMessage):
-            event = await self._next_event()
+        """Read an answer to another request to its end, and prepare for the next head.
+
+        :raises EndpointError: if the connection breaks, or the answer is too long.
+        """
+        await self.receive_body()
+        self._progress.is_answer_complete = False
         trailing, is_closed = self._protocol.trailing_data
         request = self._request
         if is_closed or request is None or self._protocol.their_state is not h11.DONE:
--- a/shallotmux/platform/_client.py
+++ b/shallotmux/platform/_client.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 import httpcore
+import trio
 
 from shallotmux.errors import ShallotmuxError
 from shallotmux.fleet import ListedEndpoint, Listing
@@ -11,6 +14,11 @@
 #: Timeout of each phase of a call: connect, read, write and acquiring a connection.
 CALL_TIMEOUT_S = 1.0
 
+#: Time in which a page must be complete, and its largest size. A page of the largest deployments has
+#: some hundred kilobytes.
+PAGE_TIMEOUT_S = 2.0
+MAX_PAGE_BYTES = 4 << 20
+
 #: Number of pages beyond which a list is invalid, so that a repeating token cannot loop forever.
 MAX_PAGES = 1000
 
@@ -23,9 +31,18 @@
     httpcore.ProtocolError,
     httpcore.TimeoutException,
     OSError,
+    trio.TooSlowError,
 )
 
 
+@dataclass(frozen=True, slots=True)
+class _Page:
+    """Status and content of a response."""
+
+    status: int
+    content: bytes
+
+
 class ListClient:
     """Lists endpoints through the platform's API.
 
@@ -57,9 +74,21 @@
                 return Listing(tuple(endpoints))
         raise ShallotmuxError('the list has too many pages', step='list', peer=self._address)
 
-    async def _get(self, url: str) -> httpcore.Response:
+    async def _get(self, url: str) -> _Page:
         limits = dict.fromkeys(('connect', 'read', 'write', 'pool'), CALL_TIMEOUT_S)
         try:
-            return await self._pool.request('GET', url, extensions={'timeout': limits})
+            with trio.fail_after(PAGE_TIMEOUT_S):
+                async with self._pool.stream(
+                    'GET', url, extensions={'timeout': limits}
+                ) as response:
+                    return _Page(response.status, await self._read_content(response))
         except NO_RESPONSE_ERRORS as error:
             raise ShallotmuxError(repr(error), step=f'GET {url}', peer=self._address) from error
+
+    async def _read_content(self, response: httpcore.Response) -> bytes:
+        content = bytearray()
+        async for part in response.aiter_stream():
+            content += part
+            if len(content) > MAX_PAGE_BYTES:
+                raise ShallotmuxError('the page is too long', step='list', peer=self._address)
+        return bytes(content)
--- a/tests/guards/forwarded.py
+++ b/tests/guards/forwarded.py
@@ -209,4 +209,34 @@
         'DEREGISTRATION_DELAY_S = 3.2',
         ('tests/programs/test_drain.py',),
     ),
+    Guard(
+        'answers-bounded (whole bodies)',
+        'shallotmux/forwarding/_endpoint.py',
+        'if size > MAX_WHOLE_BODY_BYTES:',
+        'if False:',
+        ('tests/forwarding/test_endless.py',),
+    ),
+    Guard(
+        'answers-bounded (discarded bodies)',
+        'shallotmux/forwarding/_attempt.py',
+        """            await connection.discard_body()
+            reason = f""",
+        """            await connection.receive_body()
+            reason = f""",
+        ('tests/forwarding/test_endless.py',),
+    ),
+    Guard(
+        'answers-bounded (interim answers)',
+        'shallotmux/forwarding/_endpoint.py',
+        'for _ in range(MAX_INTERIM_ANSWERS):',
+        'while True:',
+        ('tests/forwarding/test_endless.py',),
+    ),
+    Guard(
+        'answers-bounded (list)',
+        'shallotmux/platform/_client.py',
+        'if len(content) > MAX_PAGE_BYTES:',
+        'if False:',
+        ('tests/platform/test_list_client.py',),
+    ),
 )
