Read bounded answers and queued tokens in one place each

The backlog of one engine was read by building its whole view, cached prefixes included; the number of peers was counted by a scan for each engine of each choice; the reading of a bounded answer and its limit stood twice, as did the initial prefill speed. Parameters that nobody passed are gone, and the guards follow the checks.

--- a/shallotmux/authority/_driver.py
+++ b/shallotmux/authority/_driver.py
@@ -112,9 +112,8 @@
         *,
         tick_s: float,
         run_blocking: RunBlocking = run_in_thread,
-        suspension: SuspensionMonitor | None = None,
     ) -> None:
-        self._suspension = suspension or SuspensionMonitor()
+        self._suspension = SuspensionMonitor()
         self.group = group
         self.identity = identity
         self.state = state
--- a/shallotmux/calls/__init__.py
+++ b/shallotmux/calls/__init__.py
@@ -5,7 +5,20 @@
 
 from __future__ import annotations
 
-from shallotmux.calls._guarded import GuardedSender, LeaseExpired, SendGuard
+from shallotmux.calls._guarded import (
+    MAX_ANSWER_BYTES,
+    GuardedSender,
+    LeaseExpired,
+    SendGuard,
+    read_bounded,
+)
 from shallotmux.calls._request import HttpRequest
 
-__all__ = ('GuardedSender', 'HttpRequest', 'LeaseExpired', 'SendGuard')
+__all__ = (
+    'MAX_ANSWER_BYTES',
+    'GuardedSender',
+    'HttpRequest',
+    'LeaseExpired',
+    'SendGuard',
+    'read_bounded',
+)
--- a/shallotmux/calls/_guarded.py
+++ b/shallotmux/calls/_guarded.py
@@ -150,17 +150,18 @@
             extensions={'timeout': timeouts},
         ) as response,
     ):
-        return response.status, await _read_bounded(response, request.address)
+        return response.status, await read_bounded(response, MAX_ANSWER_BYTES, request.address)
 
 
-async def _read_bounded(response: httpcore.Response, peer: str) -> bytes:
+async def read_bounded(response: httpcore.Response, limit: int, peer: str) -> bytes:
     """Return the body of an answer.
 
-    :raises EndpointError: if it is longer than :data:`MAX_ANSWER_BYTES`.
+    :param limit: largest size in bytes.
+    :raises EndpointError: if it is longer.
     """
-    content = b''
+    content = bytearray()
     async for part in response.aiter_stream():
         content += part
-        if len(content) > MAX_ANSWER_BYTES:
+        if len(content) > limit:
             raise EndpointError('the answer is too long', step='receive', peer=peer)
-    return content
+    return bytes(content)
--- a/shallotmux/control/_sizing.py
+++ b/shallotmux/control/_sizing.py
@@ -9,6 +9,7 @@
 
 from shallotmux.control._platform import FleetOrder
 from shallotmux.fleet import ServiceDemand
+from shallotmux.placement import INITIAL_TOKENS_PER_MS
 from shallotmux.routes import FleetBounds
 
 #: Target for the mean utilisation of engines. It leaves room for bursts of twice the mean rate and
@@ -16,7 +17,7 @@
 TARGET_UTILISATION = 0.3
 
 #: Prefill speed of one engine until entry instances have measured it, in prompt tokens per second.
-INITIAL_PREFILL_TOKENS_PER_S = 50_000.0
+INITIAL_PREFILL_TOKENS_PER_S = 1000 * INITIAL_TOKENS_PER_MS
 
 #: Target for the share of the engines' slots that are in use. The rest takes up bursts.
 TARGET_OCCUPANCY = 0.5
--- a/shallotmux/fleet/_load_sharing.py
+++ b/shallotmux/fleet/_load_sharing.py
@@ -149,7 +149,8 @@
         In a large fleet an instance hears from a part of its peers, and takes the others to be like
         them.
         """
-        others = sum(each != self._address for each in self._peers())
+        peers = self._peers()
+        others = len(peers) - (self._address in peers)
         scale = max(1.0, others / MAX_PEERS)
         return scale * self.loads.tokens_at(identity)
 
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -153,7 +153,7 @@
                 self._fetch_headers(placement.fetch_from),
                 placement.uncached_tokens,
                 placement.expected_ms,
-                self._engine_view(state).backlog_tokens,
+                self._backlog_tokens(state),
                 placement.fetch_ms,
             )
             handle = await self._prefill_client.run_prefill(job, call)
@@ -194,6 +194,10 @@
             return ()
         return ((self._dialect.names.cache_peer, state.listed.address.encode()),)
 
+    def _backlog_tokens(self, state: EndpointState) -> float:
+        """Return the prompt tokens that all instances have queued at an engine."""
+        return state.queued_prefill_tokens + self._other_instances_tokens(state.identity)
+
     def _engine_view(self, state: EndpointState) -> EngineView:
         now = trio.current_time()
         speed = self._speeds.of_engine(state.listed.service, state.identity, now)
@@ -204,7 +208,7 @@
             state.listed.zone,
             state.listed.role,
             speed,
-            state.queued_prefill_tokens + self._other_instances_tokens(state.identity),
+            self._backlog_tokens(state),
             state.expected_requests(now),
             max(1, state.listed.slots),
             state.cached_prefixes(now),
--- a/shallotmux/orders/_sender.py
+++ b/shallotmux/orders/_sender.py
@@ -8,12 +8,9 @@
 import trio
 
 from shallotmux.authority import Authority
-from shallotmux.calls import HttpRequest, LeaseExpired
+from shallotmux.calls import MAX_ANSWER_BYTES, HttpRequest, LeaseExpired
 from shallotmux.http import HttpClient, fetch
 
-#: Largest response to an order or report, in bytes.
-ANSWER_LIMIT_BYTES = 65_536
-
 
 @dataclass(frozen=True, slots=True)
 class LeaseGuard:
@@ -62,4 +59,4 @@
     async def send(self, request: HttpRequest, guard: LeaseGuard) -> tuple[int, bytes]:
         """Send a request once."""
         guard.check()
-        return await fetch(self.client, request, ANSWER_LIMIT_BYTES)
+        return await fetch(self.client, request, MAX_ANSWER_BYTES)
--- a/shallotmux/placement/__init__.py
+++ b/shallotmux/placement/__init__.py
@@ -5,10 +5,15 @@
 from shallotmux.placement._choice import choose_decode_engine, direct_prefill_limit, place_request
 from shallotmux.placement._homes import rank_owners
 from shallotmux.placement._prompt import Prompt, PromptPart, build_prompt
-from shallotmux.placement._speeds import PrefillMeasurement, PrefillSpeeds
+from shallotmux.placement._speeds import (
+    INITIAL_TOKENS_PER_MS,
+    PrefillMeasurement,
+    PrefillSpeeds,
+)
 from shallotmux.placement._views import EngineView, Placement, PlacementRequest
 
 __all__ = (
+    'INITIAL_TOKENS_PER_MS',
     'EngineView',
     'Placement',
     'PlacementRequest',
--- a/shallotmux/platform/_client.py
+++ b/shallotmux/platform/_client.py
@@ -7,6 +7,7 @@
 import httpcore
 import trio
 
+from shallotmux.calls import read_bounded
 from shallotmux.errors import ShallotmuxError
 from shallotmux.fleet import ListedEndpoint, Listing
 from shallotmux.platform._listing import ListingParser
@@ -81,14 +82,7 @@
                 async with self._pool.stream(
                     'GET', url, extensions={'timeout': limits}
                 ) as response:
-                    return _Page(response.status, await self._read_content(response))
+                    content = await read_bounded(response, MAX_PAGE_BYTES, self._address)
+                    return _Page(response.status, content)
         except NO_RESPONSE_ERRORS as error:
             raise ShallotmuxError(repr(error), step=f'GET {url}', peer=self._address) from error
-
-    async def _read_content(self, response: httpcore.Response) -> bytes:
-        content = bytearray()
-        async for part in response.aiter_stream():
-            content += part
-            if len(content) > MAX_PAGE_BYTES:
-                raise ShallotmuxError('the page is too long', step='list', peer=self._address)
-        return bytes(content)
--- a/shallotmux/signals.py
+++ b/shallotmux/signals.py
@@ -46,15 +46,12 @@
         self,
         on_stop: Callable[[int], None],
         on_reload: Callable[[], None],
-        *,
-        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Call back on each signal until cancelled.
 
         :param on_stop: called with the number of each stop signal; there may be several.
         """
         self._token = trio.lowlevel.current_trio_token()
-        task_status.started()
         async for number in self._receiver:
             if number in _STOP_SIGNALS:
                 on_stop(number)
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -84,7 +84,7 @@
     return seen
 
 
-async def test_leadership_that_returns_makes_no_calls_within_the_turn(
+async def test_leadership_that_returns_makes_no_calls_too_soon(
     group: ControlGroup, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against calls of A, B and A again within the time that the platform allows."""
--- a/tests/guards/forwarded.py
+++ b/tests/guards/forwarded.py
@@ -156,9 +156,7 @@
         'shallotmux/control/_duties.py',
         'return (alternation_s + CALL_FLIGHT_S) / 2 + TAKEOVER_MARGIN_S',
         'return 0.0',
-        (
-            'tests/control/test_duties.py::test_leadership_that_returns_makes_no_calls_within_the_turn',
-        ),
+        ('tests/control/test_duties.py::test_leadership_that_returns_makes_no_calls_too_soon',),
     ),
     Guard(
         'one-holder (call in flight)',
@@ -191,7 +189,7 @@
     Guard(
         'answers-bounded (calls of the leader)',
         'shallotmux/calls/_guarded.py',
-        'if len(content) > MAX_ANSWER_BYTES:',
+        'if len(content) > limit:',
         'if False:',
         ('tests/platform/test_duties.py::test_endless_answer_ends_with_unknown_outcome',),
     ),
@@ -234,8 +232,8 @@
     ),
     Guard(
         'answers-bounded (list)',
-        'shallotmux/platform/_client.py',
-        'if len(content) > MAX_PAGE_BYTES:',
+        'shallotmux/calls/_guarded.py',
+        'if len(content) > limit:',
         'if False:',
         ('tests/platform/test_list_client.py',),
     ),
