Log each suspected crash with the parts of its prompt

Callers saw streams break while engines ended one after the other. The logs could not tell whether crashes are counted under the wrong key, reach other instances too late, or are erased: no line named what was recorded. Each suspected crash now writes shallotmux:suspected-crash with the request's fingerprint, hashes of the parts that its prompt may share with others, and the number of endpoints known to have crashed during this request. No decision changes; tests of fleet, forwarding, placement and the adapter pass, and lint.

--- a/shallotmux/fleet/_crashes.py
+++ b/shallotmux/fleet/_crashes.py
@@ -58,6 +58,10 @@
             at = now - max(0.0, served.age_s)
             self._served[served.fingerprint] = max(at, self._served.get(served.fingerprint, at))
 
+    def count(self, fingerprint: int) -> int:
+        """Return the number of endpoints known to have crashed during a request."""
+        return len(self._recent(fingerprint))
+
     def is_quarantined(self, fingerprint: int) -> bool:
         """Return whether a request must not run again, since too many endpoints crashed during it."""
         return len(self._recent(fingerprint)) >= CRASH_LIMIT
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -8,12 +8,16 @@
 from eliot import log_message
 
 from shallotmux.fleet import CrashRecords, ListedEndpoint, Listing
+from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._state import FAILURE_THRESHOLD, EndpointState
 
 #: Added to the load per slot of endpoints in other zones, so that they are chosen only if those of
 #: the own zone are busier by this fraction of their slots.
 CROSS_ZONE_LOAD_PENALTY = 0.5
 
+#: Parts of a prompt that a log line names.
+MAX_LOGGED_PARTS = 16
+
 
 class EndpointDirectory:
     """Endpoints by service.
@@ -103,9 +107,19 @@
         state.failures = FAILURE_THRESHOLD
         self.record_failure(state, reason)
 
-    def record_suspected_crash(self, state: EndpointState, fingerprint: int) -> None:
+    def record_suspected_crash(self, state: EndpointState, job: Job) -> None:
         """Record that a connection broke while the endpoint may have been running a request."""
+        fingerprint = job.fingerprint()
         self.crashes.record_crash(fingerprint, state.start_number)
+        parts = job.prompt.shared_parts if job.prompt else ()
+        log_message(
+            message_type='shallotmux:suspected-crash',
+            request=job.request_id.decode('latin-1'),
+            endpoint=state.identity,
+            fingerprint=f'{fingerprint:016x}',
+            parts=[f'{part.digest:016x}' for part in parts[:MAX_LOGGED_PARTS]],
+            crashes=self.crashes.count(fingerprint),
+        )
 
     def record_failure(self, state: EndpointState, reason: str) -> None:
         """Count a failure of an endpoint, and log when it becomes avoided."""
--- a/shallotmux/forwarding/_prefill.py
+++ b/shallotmux/forwarding/_prefill.py
@@ -107,7 +107,7 @@
         except ConnectionUnusable as error:
             self._directory.record_unresponsive(state, str(error))
         except EndpointError as error:
-            self._directory.record_suspected_crash(state, job.fingerprint())
+            self._directory.record_suspected_crash(state, job)
             self._budget.charge(job.service)
             self._directory.record_failure(state, str(error))
         finally:
--- a/shallotmux/placement/_prompt.py
+++ b/shallotmux/placement/_prompt.py
@@ -8,6 +8,9 @@
 #: Size of the hash that identifies a prefix.
 PREFIX_HASH_BYTES = 8
 
+#: Size of the hash that identifies a part. It must fit into a 64-bit integer of a message.
+PART_DIGEST_BYTES = 8
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -15,10 +18,12 @@
 
     :param prefix: hash of the model, this part and all parts before it.
     :param tokens: number of tokens of this part alone.
+    :param digest: hash of this part alone, whatever the model and the parts before it are.
     """
 
     prefix: bytes
     tokens: int
+    digest: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +52,11 @@
             return b''
         return max(shared, key=lambda part: part.tokens).prefix
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Return the parts that other prompts may share."""
+        return self.parts[:-1]
+
     @property
     def shared_tokens(self) -> int:
         """Return the number of tokens of the shared parts."""
@@ -77,5 +87,10 @@
     built: list[PromptPart] = []
     for identity, size in parts:
         hasher.update(f'/{identity}'.encode())
-        built.append(PromptPart(hasher.digest(), size))
+        built.append(PromptPart(hasher.digest(), size, _digest_part(identity)))
     return Prompt(tuple(built), max(tokens, sum(part.tokens for part in built)), output_tokens)
+
+
+def _digest_part(identity: str) -> int:
+    digest = hashlib.blake2b(identity.encode(), digest_size=PART_DIGEST_BYTES).digest()
+    return int.from_bytes(digest)
