Count an error answer no longer as a served request

A request that was answered with an error cleared itself and its prompt parts of all crashes before. Between two crashes, one endpoint that fails part of its requests was enough to keep a part that crashes engines out of quarantine, or callers waiting on it.

Evidence: test_error_answer_does_not_clear_a_part failed before (the request after the third crash got 200 from the stand-in instead of 503). Only answers below status 400 clear now; the test passes with all tests of forwarding.

--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -30,6 +30,9 @@
 #: a connection was idle, the likelier the peer has closed it without notice.
 NON_REPEATABLE_MAX_IDLE_S = 1.0
 
+#: Lowest status of an answer that does not show that the request was served.
+MIN_ERROR_STATUS = 400
+
 #: Lowest status that counts as a failure of the endpoint.
 MIN_SERVER_ERROR_STATUS = 500
 
@@ -54,6 +57,11 @@
         """Return whether the caller received the whole answer."""
         return self.outcome is Outcome.DONE and not self.reason
 
+    @property
+    def is_success(self) -> bool:
+        """Return whether the caller received the whole answer, and it reports no failure."""
+        return self.is_delivered and self.status < MIN_ERROR_STATUS
+
 
 #: Reason of an attempt whose answer was delivered.
 DELIVERED = ''
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -153,7 +153,8 @@
         return None if state is None else Target(state)
 
     def _record_delivered(self, job: Job, result: AttemptResult) -> None:
-        self.directory.record_served(job)
+        if result.is_success:
+            self.directory.record_served(job)
         self.metrics.requests.labels(job.route.name, result.status).inc()
         self.metrics.first_byte.labels(job.route.name).observe(job.first_part_s)
 
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from shallotmux.crashes import CRASH_LIMIT, CrashNews, CrashReport
 from shallotmux.fleet import EngineRole, ListedEndpoint, Listing
 from shallotmux.forwarding import CallerRequest, Dialect
 from shallotmux.placement import Prompt, build_prompt
@@ -91,3 +92,35 @@
     assert refused.status == 503
     assert NAMES.retry_after in refused.headers
     assert {each.status for each in sound} == {200}
+
+
+def crash_reports(*parts: str) -> CrashNews:
+    """Return news of crashes of one endpoint fewer than a quarantine needs, under each part."""
+    digests = [build_prompt('m', ((part, 1),), 1, 1).parts[0].digest for part in parts]
+    return CrashNews(
+        crashes=tuple(
+            CrashReport(digest, endpoint, 0.0)
+            for digest in digests
+            for endpoint in range(CRASH_LIMIT - 1)
+        )
+    )
+
+
+async def test_error_answer_does_not_clear_a_part() -> None:
+    """Guards against a failing endpoint whose error answer makes a bad part look sound."""
+
+    async def fail_or_crash(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
+        if received.body == b'work 0':
+            await stream.send_all(answer(received, b'', status=500))
+            return True
+        return await crash_on_bad_part(stream, received)
+
+    engine = ScriptedEndpoint(fail_or_crash)
+    async with run_forwarder(engine, dialect=DIALECT) as harness:
+        configure_engines(harness, [], [engine])
+        harness.forwarder.directory.crashes.merge(crash_reports('bad'))
+        failed = await ask(harness, 0, 'system,bad')
+        await ask(harness, 1, 'system,bad')
+        refused = await ask(harness, 2, 'other,bad')
+    assert (failed.status, refused.status) == (500, 503)
+    assert len(engine.received) == 2
