Check the quarantine again after each prefill of a prompt

A request whose prompt was being prefilled while one of its parts was quarantined went on to a second prefill engine, and then to the engine that generates. A prefill may wait for seconds, so all requests that were under way at that time still reached an engine.

Evidence: two of the new tests failed before (200 instead of 503, and a second prefill). The quarantine is now checked before each call that reaches an engine. A request on trial after a quarantine is prefilled by the engine that generates, so that it reaches one engine instead of two.

--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -114,6 +114,13 @@
             return 0.0
         return self.crashes.quarantine_ends_in(job.subjects(), job.request_id)
 
+    def is_on_trial(self, job: Job) -> bool:
+        """Return whether a request that may run is suspected of crashing endpoints."""
+        if not self.crashes.has_crashes:
+            return False
+        subjects = job.subjects()
+        return any(each.subjects <= subjects for each in self.crashes.quarantines())
+
     def record_served(self, job: Job) -> None:
         """Record that a request was served, which clears it and its prompt parts of suspicion."""
         has_crashes = self.crashes.has_crashes
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -118,7 +118,9 @@
                 return LoadShed(
                     choose_retry_after_s(placement.wait_ms, limit_ms, self._random.random())
                 )
-            if placement.prefill is None or not self._has_retry_budget(job):
+            # A separate prefill would bring a request on trial to two engines.
+            is_direct = placement.prefill is None or self._directory.is_on_trial(job)
+            if is_direct or not self._has_retry_budget(job):
                 return self._build_target(
                     job, placement.decode, placement.uncached_tokens, placement.fetch_from
                 )
@@ -144,6 +146,8 @@
             # Failed calls were charged to the budget; a first call that is accepted is no retry.
             if job.prefills and not self._has_retry_budget(job):
                 return
+            if self._directory.quarantine_ends_in(job):
+                return
             job.prefills += 1
             state = self._directory.find((placement.prefill if placement else None) or '')
             if state is None or placement is None:
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -91,11 +91,13 @@
         retry_after_s = RETRY_AFTER_S
         while job.sends < MAX_SENDS and len(job.excluded) < MAX_ENDPOINTS_TRIED:
             quarantine_s = self.directory.quarantine_ends_in(job)
+            target = None if quarantine_s else await self._choose_target(job)
+            # A prompt may have been prefilled meanwhile, which takes long enough for more crashes.
+            quarantine_s = quarantine_s or self.directory.quarantine_ends_in(job)
             if quarantine_s:
                 reason = 'crashes endpoints'
                 retry_after_s = quarantine_s
                 break
-            target = await self._choose_target(job)
             if isinstance(target, LoadShed):
                 return refuse_not_run('engines are busy', target.retry_after_s)
             if target is None:
