Quarantine messages that crash engines at the product's own border, too

Callers of chat completions whose requests share a message that crashes engines ended engine after engine: only whole requests were recorded, and no two are alike.

A served request clears its messages. With the change there are 4 crashes at most, and all sound requests that share the first message are served.

--- a/shallotmux/authority/__init__.py
+++ b/shallotmux/authority/__init__.py
@@ -68,6 +68,7 @@
     drop_answer_body,
 )
 from shallotmux.authority._local import Authority, Leadership, LocalAuthority
+from shallotmux.authority._part_crashes import ClearParts
 from shallotmux.authority._quarantine import (
     EndTrial,
     LiftQuarantine,
@@ -168,6 +169,7 @@
     'PutObject',
     'RecordUsage',
     'QuarantineState',
+    'ClearParts',
     'RecordCrash',
     'Refused',
     'ReleaseEndpoint',
--- a/shallotmux/authority/_quarantine.py
+++ b/shallotmux/authority/_quarantine.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field, replace
 
 from shallotmux.authority._codec import registry
+from shallotmux.authority._part_crashes import ClearParts, PartCrash, PartCrashes
 from shallotmux.authority._results import Applied, Refused
 
 #: Number of crashes after which a request is quarantined.
@@ -28,6 +29,7 @@
     :param fingerprints: customer, route and body hash of each request.
     :param alone: whether the engine was running a single request on trial.
     :param quarantine_s: duration of a quarantine in seconds.
+    :param parts: hashes of the parts of their prompts that other requests may share.
     """
 
     operation_id: str
@@ -36,6 +38,7 @@
     alone: bool
     time_s: float
     quarantine_s: float
+    parts: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,22 +92,26 @@
     trial_until_s: float = 0.0
 
 
-QuarantineCommand = RecordCrash | StartTrial | EndTrial | LiftQuarantine
+QuarantineCommand = RecordCrash | StartTrial | EndTrial | LiftQuarantine | ClearParts
 
 registry.register(RecordCrash, StartTrial, EndTrial, LiftQuarantine, Suspicion)
 
 
 @dataclass(slots=True)
 class QuarantineState:
-    """Suspicions by fingerprint, in the order in which they arose."""
+    """Suspicions by fingerprint, in the order in which they arose, and crashes by prompt part."""
 
     suspicions: dict[str, Suspicion] = field(default_factory=dict)
+    parts: PartCrashes = field(default_factory=PartCrashes)
 
     def apply(self, command: QuarantineCommand, revision: int) -> Applied | Refused:
         """Record a crash, start or end a trial, or lift a quarantine."""
         match command:
             case RecordCrash():
                 self._record(command)
+                self.parts.record(command.endpoint, command.parts, command.time_s)
+            case ClearParts(parts=parts, time_s=time_s):
+                self.parts.clear(parts, time_s)
             case StartTrial():
                 return self._start(command, revision)
             case EndTrial():
@@ -121,13 +128,16 @@
 
     def dump(self) -> list[bytes]:
         """Return the suspicions for a snapshot."""
-        return [registry.encode(each) for each in self.suspicions.values()]
+        return [registry.encode(each) for each in (*self.suspicions.values(), *self.parts.crashes)]
 
     def restore(self, dumped: list[bytes]) -> None:
         """Load the suspicions of a snapshot."""
         for each in dumped:
-            suspicion: Suspicion = registry.decode(each)
-            self.suspicions[suspicion.fingerprint] = suspicion
+            match registry.decode(each):
+                case Suspicion() as suspicion:
+                    self.suspicions[suspicion.fingerprint] = suspicion
+                case PartCrash() as crash:
+                    self.parts.crashes.append(crash)
 
     def _record(self, command: RecordCrash) -> None:
         for fingerprint in command.fingerprints:
--- a/shallotmux/authority/_state.py
+++ b/shallotmux/authority/_state.py
@@ -45,6 +45,7 @@
     LedgerResult,
     ReleaseJob,
 )
+from shallotmux.authority._part_crashes import ClearParts
 from shallotmux.authority._quarantine import (
     EndTrial,
     LiftQuarantine,
@@ -261,7 +262,7 @@
                 return self._apply_key(command, revision)
             case ClaimJob() | FinishJob() | ReleaseJob() | AbandonJob() | AbandonClaims():
                 return self.ledger.apply(command, revision)
-            case RecordCrash() | StartTrial() | EndTrial() | LiftQuarantine():
+            case RecordCrash() | StartTrial() | EndTrial() | LiftQuarantine() | ClearParts():
                 return self.quarantine.apply(command, revision)
             case PutDocument() | FixReport() | AcceptReport() | RecordUsage():
                 return self._apply_instance_command(command, revision)
--- a/shallotmux/crashes/__init__.py
+++ b/shallotmux/crashes/__init__.py
@@ -20,6 +20,7 @@
     ServedReport,
 )
 from shallotmux.crashes._records import CrashRecords
+from shallotmux.crashes._subjects import digest_subject
 
 __all__ = (
     'CRASH_LIMIT',
@@ -33,6 +34,7 @@
     'Culprit',
     'Position',
     'ServedReport',
+    'digest_subject',
     'find_culprits',
     'find_culprits_naively',
     'may_run_trial',
--- a/shallotmux/crashes/_culprits.py
+++ b/shallotmux/crashes/_culprits.py
@@ -62,7 +62,7 @@
         return self.latest_at + min(QUARANTINE_S * 2**doublings, MAX_QUARANTINE_S)
 
 
-def find_culprits(crashes: Iterable[Crash]) -> tuple[Culprit, ...]:
+def find_culprits(crashes: Collection[Crash]) -> tuple[Culprit, ...]:
     """Return what explains the crashes, the cause of the most crashes first.
 
     Whatever ran on the same endpoints as a culprit is not blamed for those crashes again. Subjects
@@ -80,7 +80,7 @@
     return tuple(culprits)
 
 
-def find_culprits_naively(crashes: Iterable[Crash]) -> tuple[Culprit, ...]:
+def find_culprits_naively(crashes: Collection[Crash]) -> tuple[Culprit, ...]:
     """Return all subjects that ran on enough crashed endpoints, each as a culprit of its own.
 
     This is the version that :func:`find_culprits` is measured against.
--- /dev/null
+++ b/shallotmux/crashes/_subjects.py
@@ -0,0 +1,13 @@
+"""Numbers that identify requests and prompt parts in the records of crashes."""
+
+from __future__ import annotations
+
+import hashlib
+
+#: Size of the hash. It must fit into a 64-bit integer of a message.
+DIGEST_BYTES = 8
+
+
+def digest_subject(content: bytes) -> int:
+    """Return the number of a request or of a prompt part."""
+    return int.from_bytes(hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest())
--- a/shallotmux/engines/__init__.py
+++ b/shallotmux/engines/__init__.py
@@ -5,7 +5,7 @@
 from shallotmux.engines._cache import CachePoller
 from shallotmux.engines._client import CacheEvent, CachePage, EngineClient, EngineRun, LoadReport
 from shallotmux.engines._load import LoadPoller, LoadTable, ReceivedLoadReport
-from shallotmux.engines._prompts import BLOCK_BYTES, BYTES_PER_TOKEN, hash_prompt
+from shallotmux.engines._prompts import BLOCK_BYTES, BYTES_PER_TOKEN, hash_parts, hash_prompt
 from shallotmux.engines._service import (
     CALL_HEADER,
     ServiceCall,
@@ -29,5 +29,6 @@
     'ServiceCall',
     'ServiceClient',
     'ServiceResult',
+    'hash_parts',
     'hash_prompt',
 )
--- a/shallotmux/engines/_prompts.py
+++ b/shallotmux/engines/_prompts.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from shallotmux.crashes import digest_subject
 from shallotmux.decisions import BLOCK_TOKENS, hash_blocks
 
 #: Assumed number of prompt bytes per token.
@@ -26,3 +27,12 @@
     """
     prompt = payload.get('messages', payload.get('prompt', ''))
     return hash_blocks(msgspec.json.encode(prompt), BLOCK_BYTES)
+
+
+def hash_parts(payload: Mapping[str, Any]) -> tuple[int, ...]:
+    """Return the hashes of the messages that other requests may share: all but the last one.
+
+    :param payload: request body; one without ``messages`` has no such parts.
+    """
+    messages = payload.get('messages') or ()
+    return tuple(digest_subject(msgspec.json.encode(each)) for each in messages[:-1])
--- a/shallotmux/forwarding/_job.py
+++ b/shallotmux/forwarding/_job.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import hashlib
 from dataclasses import dataclass, field
 
 import trio
 
+from shallotmux.crashes import digest_subject
 from shallotmux.forwarding._events import EventSplitter
 from shallotmux.forwarding._headers import Headers, drop_connection_headers, drop_named
 from shallotmux.forwarding._messages import CallerRequest, OutgoingRequest, Reply
@@ -20,9 +20,6 @@
 #: Parts of a prompt that are recorded when an endpoint crashes.
 MAX_BLAMED_PARTS = 256
 
-#: Size of a request's fingerprint. It must fit into a 64-bit integer of a message.
-FINGERPRINT_BYTES = 8
-
 
 @dataclass(slots=True)
 class Job:
@@ -69,11 +66,8 @@
     def fingerprint(self) -> int:
         """Return a hash of the request that is equal when the caller sends it again."""
         request = self.request
-        digest = hashlib.blake2b(request.body, digest_size=FINGERPRINT_BYTES)
-        for part in (request.method, request.target, self.customer.encode()):
-            digest.update(b'\n')
-            digest.update(part)
-        return int.from_bytes(digest.digest())
+        parts = (request.body, request.method, request.target, self.customer.encode())
+        return digest_subject(b'\n'.join(parts))
 
     def subjects(self) -> frozenset[int]:
         """Return what may be the cause if endpoints crash: the request and its shared parts."""
--- a/shallotmux/placement/_prompt.py
+++ b/shallotmux/placement/_prompt.py
@@ -5,12 +5,11 @@
 import hashlib
 from dataclasses import dataclass
 
+from shallotmux.crashes import digest_subject
+
 #: Size of the hash that identifies a prefix.
 PREFIX_HASH_BYTES = 8
 
-#: Size of the hash that identifies a part. It must fit into a 64-bit integer of a message.
-PART_DIGEST_BYTES = 8
-
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -87,10 +86,5 @@
     built: list[PromptPart] = []
     for identity, size in parts:
         hasher.update(f'/{identity}'.encode())
-        built.append(PromptPart(hasher.digest(), size, _digest_part(identity)))
+        built.append(PromptPart(hasher.digest(), size, digest_subject(identity.encode())))
     return Prompt(tuple(built), max(tokens, sum(part.tokens for part in built)), output_tokens)
-
-
-def _digest_part(identity: str) -> int:
-    digest = hashlib.blake2b(identity.encode(), digest_size=PART_DIGEST_BYTES).digest()
-    return int.from_bytes(digest)
--- a/shallotmux/requests/_attempts.py
+++ b/shallotmux/requests/_attempts.py
@@ -12,9 +12,10 @@
 import trio
 
 from shallotmux.authority import Figures
-from shallotmux.engines import BLOCK_BYTES, BYTES_PER_TOKEN, EngineRun, hash_prompt
+from shallotmux.engines import BLOCK_BYTES, BYTES_PER_TOKEN, EngineRun, hash_parts, hash_prompt
 from shallotmux.errors import EndpointError, EndpointRefused
 from shallotmux.http import open_relay
+from shallotmux.requests._crashes import RunningRequest
 from shallotmux.requests._event_buffer import EventBuffer
 from shallotmux.requests._events import EventSplitter, StreamFault
 from shallotmux.requests._lifecycle import (
@@ -112,6 +113,7 @@
         self._buffered_offset = request.offset
         self._usage_counted = bool(request.offset)
         self._blocks = hash_prompt(request.payload) if has_blocks else ()
+        self._running_request = RunningRequest(request.fingerprint, hash_parts(request.payload))
         self._stop_reason: RequestRefused | None = None
         self._scope = trio.CancelScope(deadline=self._deadline_s)
 
@@ -151,6 +153,7 @@
             await self._prepare_retry(failure)
             failure = await self._run_attempt(background)
         self._context.budget.record_success()
+        background.start_soon(self._clear_parts)
 
     async def _run_attempt(self, background: trio.Nursery) -> Failure | None:
         """Wait for an endpoint and run one attempt on it."""
@@ -158,7 +161,7 @@
         attempt_id = self._context.new_id()
         trial_deadline_s = trio.current_time() + self._context.settings.trial_s
         on_trial = await self._context.crash_tracker.start_trial(
-            self.request.fingerprint,
+            self._running_request,
             attempt_id,
             self.lifecycle,
             min(self._deadline_s, trial_deadline_s),
@@ -198,7 +201,7 @@
         attempt_id = attempt.attempt_id
         self.attempt = attempt
         self._advance(Dispatch(attempt_id))
-        crash_tracker.add_attempt(endpoint.name, attempt_id, self.request.fingerprint)
+        crash_tracker.add_attempt(endpoint.name, attempt_id, self._running_request)
         needs_cancel = True
         try:
             failure = await self._exchange(attempt, background)
@@ -382,6 +385,11 @@
             with suppress(EndpointError):
                 await self._context.engines.cancel(endpoint, attempt_id)
 
+    async def _clear_parts(self) -> None:
+        deadline_s = trio.current_time() + self._context.settings.trial_s
+        with trio.CancelScope(shield=True, deadline=deadline_s):
+            await self._context.crash_tracker.clear_parts(self._running_request.parts)
+
     async def _end_trial(self, claimant: str, cleared: bool) -> None:
         deadline_s = trio.current_time() + self._context.settings.trial_s
         with trio.CancelScope(shield=True, deadline=deadline_s):
--- a/shallotmux/requests/_crashes.py
+++ b/shallotmux/requests/_crashes.py
@@ -11,6 +11,7 @@
 from shallotmux.authority import (
     Applied,
     Authority,
+    ClearParts,
     EndTrial,
     RecordCrash,
     StartTrial,
@@ -37,17 +38,28 @@
 MAX_SUBMISSIONS = 3
 
 
+@dataclass(frozen=True, slots=True)
+class RunningRequest:
+    """What is recorded of a request if its engine crashes.
+
+    :param parts: hashes of the parts of its prompt that other requests may share.
+    """
+
+    fingerprint: str
+    parts: tuple[int, ...] = ()
+
+
 @dataclass(eq=False, slots=True)
 class Incident:
     """Broken streams of an engine that may have crashed.
 
-    :param running: fingerprints, by attempt id, of the attempts that ran when the first stream
-        broke. An attempt that ends without a broken stream is removed.
+    :param running: requests, by attempt id, of the attempts that ran when the first stream broke.
+        An attempt that ends without a broken stream is removed.
     :param broken: ids of the attempts whose streams broke.
     :param classified: set when it is known whether the engine crashed.
     """
 
-    running: dict[str, str]
+    running: dict[str, RunningRequest]
     broken: set[str] = field(default_factory=set)
     classified: trio.Event = field(default_factory=trio.Event)
     crashed: bool = False
@@ -74,12 +86,12 @@
         self._clock = clock
         self._name = name
         self._command_numbers = itertools.count(1)
-        self._running: dict[str, dict[str, str]] = {}
+        self._running: dict[str, dict[str, RunningRequest]] = {}
         self._incidents: dict[str, Incident] = {}
 
-    def add_attempt(self, endpoint: str, attempt_id: str, fingerprint: str) -> None:
+    def add_attempt(self, endpoint: str, attempt_id: str, request: RunningRequest) -> None:
         """Record that an attempt runs on an engine."""
-        self._running.setdefault(endpoint, {})[attempt_id] = fingerprint
+        self._running.setdefault(endpoint, {})[attempt_id] = request
 
     def remove_attempt(self, endpoint: str, attempt_id: str) -> None:
         """Record that an attempt has ended, whatever its outcome."""
@@ -116,7 +128,7 @@
         return self._authority.read().quarantine.find(fingerprint, self._clock())
 
     async def start_trial(
-        self, fingerprint: str, claimant: str, lifecycle: Lifecycle, deadline_s: float
+        self, request: RunningRequest, claimant: str, lifecycle: Lifecycle, deadline_s: float
     ) -> bool:
         """Wait until a suspect request may run alone on an engine, as its only trial in the zone.
 
@@ -126,7 +138,8 @@
         """
         with trio.move_on_at(deadline_s):
             while True:
-                suspicion = self.find(fingerprint)
+                self._refuse_culprit(request.parts, lifecycle)
+                suspicion = self.find(request.fingerprint)
                 if suspicion is None:
                     return False
                 if suspicion.quarantined:
@@ -138,7 +151,7 @@
                         retry_after_s=suspicion.until_s - self._clock(),
                     )
                 revision = self._authority.read().revision
-                if await self._claim(fingerprint, claimant):
+                if await self._claim(request.fingerprint, claimant):
                     return True
                 with trio.move_on_after(TRIAL_POLL_S):
                     await self._authority.wait_changed(revision)
@@ -149,6 +162,11 @@
             retry_after_s=self._settings.trial_s,
         )
 
+    async def clear_parts(self, parts: tuple[int, ...]) -> None:
+        """Clear the prompt parts of a served request of all crashes before."""
+        if self._authority.read().quarantine.parts.are_suspect(parts):
+            await self._submit(ClearParts(self._operation_id(), parts, self._clock()))
+
     async def end_trial(self, fingerprint: str, claimant: str, *, cleared: bool) -> None:
         """End the trial of a request that did not crash its engine.
 
@@ -156,6 +174,22 @@
         """
         await self._submit(EndTrial(self._operation_id(), fingerprint, claimant, cleared))
 
+    def _refuse_culprit(self, parts: tuple[int, ...], lifecycle: Lifecycle) -> None:
+        """Refuse a request whose prompt contains a quarantined part.
+
+        :raises RequestRefused: if it does.
+        """
+        now = self._clock()
+        culprit = self._authority.read().quarantine.parts.find_culprit(parts, now)
+        if culprit is not None:
+            raise refuse(
+                lifecycle,
+                'a part of this prompt has crashed several engines and is quarantined',
+                code='quarantined',
+                status=422,
+                retry_after_s=culprit.ends_at - now,
+            )
+
     async def _claim(self, fingerprint: str, claimant: str) -> bool:
         command = StartTrial(
             self._operation_id(), fingerprint, claimant, self._clock(), self._settings.trial_s
@@ -184,7 +218,9 @@
         return False
 
     async def _record(self, endpoint: str, incident: Incident, *, on_trial: bool) -> None:
-        fingerprints = tuple(sorted(set(incident.running.values())))
+        running = incident.running.values()
+        fingerprints = tuple(sorted({each.fingerprint for each in running}))
+        parts = tuple(sorted({part for each in running for part in each.parts}))
         alone = on_trial and len(fingerprints) == 1
         now = self._clock()
         await self._submit(
@@ -195,10 +231,11 @@
                 alone,
                 now,
                 self._settings.quarantine_s,
+                parts,
             ),
         )
 
-    async def _submit(self, command: RecordCrash | StartTrial | EndTrial) -> bool:
+    async def _submit(self, command: RecordCrash | StartTrial | EndTrial | ClearParts) -> bool:
         for _ in range(MAX_SUBMISSIONS):
             try:
                 return isinstance(await self._authority.submit(command), Applied)
--- a/tests/authority/test_quarantine.py
+++ b/tests/authority/test_quarantine.py
@@ -4,6 +4,7 @@
 
 from shallotmux.authority import (
     Applied,
+    ClearParts,
     EndTrial,
     LiftQuarantine,
     RecordCrash,
@@ -11,6 +12,7 @@
     StartTrial,
     ZoneState,
 )
+from shallotmux.authority._part_crashes import MAX_CRASHES, MAX_PARTS
 
 
 def crash(number: int, *fingerprints: str, alone: bool = False, time_s: float = 0) -> RecordCrash:
@@ -60,3 +62,52 @@
     state.apply(EndTrial('e', 'cleared', 'entry-1', cleared=True))
     state.apply(LiftQuarantine('l', 'lifted'))
     assert not state.quarantine.suspicions
+
+
+def part_crash(number: int, *parts: int, engine: str = '', time_s: float = 0) -> RecordCrash:
+    """Return the report of a crash of an engine that ran prompts with these parts."""
+    name = engine or f'engine-{number}'
+    fingerprint = (f'request-{number}',)
+    return RecordCrash(f'crash-{number}', name, fingerprint, False, time_s, 300.0, parts)
+
+
+def test_part_of_different_requests_is_quarantined() -> None:
+    """Guards against requests that share one part and crash engines without being alike."""
+    state = ZoneState()
+    for number in range(3):
+        assert state.quarantine.parts.find_culprit((1, 7), 2.0) is None
+        state.apply(part_crash(number, 7, 10 + number, time_s=number))
+    culprit = state.quarantine.parts.find_culprit((1, 7), 3.0)
+    assert culprit is not None
+    assert state.quarantine.parts.find_culprit((1, 10), 3.0) is None
+    assert state.quarantine.parts.find_culprit((1, 7), culprit.ends_at) is None
+    assert ZoneState.restore(state.snapshot()) == state
+
+
+def test_crash_seen_by_several_instances_counts_once() -> None:
+    """Guards against a quarantine after one crash that three instances report."""
+    state = ZoneState()
+    for number in range(3):
+        state.apply(part_crash(number, 7, engine='engine-1', time_s=number))
+    assert state.quarantine.parts.find_culprit((7,), 3.0) is None
+
+
+def test_served_part_is_cleared() -> None:
+    """Guards against a frequent part that is refused since it ran beside the cause."""
+    state = ZoneState()
+    for number in range(3):
+        state.apply(part_crash(number, 7, 8, time_s=number))
+    state.apply(ClearParts('c', (8,), 3.0))
+    assert not state.quarantine.parts.are_suspect((8,))
+    assert state.quarantine.parts.find_culprit((8,), 4.0) is None
+    assert state.quarantine.parts.find_culprit((7,), 4.0) is not None
+
+
+def test_crashes_of_parts_are_bounded() -> None:
+    """Guards against requests with ever new parts that fill the state of a zone."""
+    state = ZoneState()
+    for number in range(200):
+        state.apply(part_crash(number, *range(1000 * number, 1000 * number + 500)))
+    crashes = state.quarantine.parts.crashes
+    assert len(crashes) == MAX_CRASHES
+    assert max(len(each.parts) for each in crashes) == MAX_PARTS
--- a/tests/requests/_records.py
+++ b/tests/requests/_records.py
@@ -25,10 +25,15 @@
     code: str = ''
     not_run: bool = False
     tier: str = 'default'
+    context: tuple[str, ...] = ()
     connections: int = 0
     started_s: float = 0.0
     times: list[float] = field(default_factory=list)
 
+    def messages(self) -> list[dict[str, str]]:
+        """Return the messages of the request."""
+        return [{'role': 'user', 'content': text} for text in (*self.context, self.prompt)]
+
     def add_events(self, block: bytes) -> None:
         """Record a block, which must consist of complete events."""
         assert block.endswith(EVENT_SEPARATOR), block
--- a/tests/requests/test_failures.py
+++ b/tests/requests/test_failures.py
@@ -224,6 +224,27 @@
     assert sum(engine.crashes for engine in zone.engines) == 2
 
 
+def test_message_shared_by_poison_requests_is_quarantined() -> None:
+    """Guards against different requests that share one message and crash engine after engine."""
+
+    async def work(zone: Zone) -> None:
+        for engine in zone.engines:
+            engine.behaviour.poison = POISON.encode()
+        for number in range(12):
+            await zone.request_completion(
+                'tailors', f'ask {number}', connections=1, context=('system', POISON)
+            )
+            await trio.sleep(1)
+            await zone.request_completion('tailors', f'sound {number}', context=('system',))
+
+    zone = run_zone(work, ZoneLayout(engines=6, behaviour={'token_s': 0.02}))
+    check_histories(zone)
+    poisoned = [answer for answer in zone.answers if POISON in answer.context]
+    assert {answer.code for answer in poisoned[-8:]} == {'quarantined'}
+    assert all(answer.done for answer in zone.answers if POISON not in answer.context)
+    assert sum(engine.crashes for engine in zone.engines) <= 4
+
+
 def test_superseded_attempt_is_cancelled_at_engine() -> None:
     """Guards against an engine that continues an attempt whose answer is discarded."""
 
