--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 WORKERS ?= 6
 
 .PHONY: guards bench bench-forwarder capacity clean control-cost demo env explore failure-matrix format help lint measure \
-	process-check proto test
+	measure-quarantine process-check proto test
 
 help:
 	@echo "make demo     run three zones with stand-in back ends (ARGS=--serve keeps them running)"
@@ -16,6 +16,7 @@
 	@echo "make lint     check formatting, style and types"
 	@echo "make explore  explore the replication group under faults (ARGS='--seed 1 --steps 200000')"
 	@echo "make measure  measure the decisions on seeded traces (ARGS=--report=DIR draws plots)"
+	@echo "make measure-quarantine  compare rules for requests that crash engines"
 	@echo "make capacity measure the slopes of docs/CAPACITY.md"
 	@echo "make format   format the sources"
 	@echo "make process-check    end real processes under load (ARGS='kill --rounds 3' runs one check)"
@@ -52,6 +53,9 @@
 measure: env
 	$(BIN)/python -m shallotmux.measure $(ARGS)
 
+measure-quarantine: env
+	$(BIN)/python -m shallotmux.measure.quarantine $(ARGS)
+
 capacity: env
 	$(BIN)/python -m shallotmux.measure.capacity $(ARGS)
 
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -95,6 +95,7 @@
             # A prompt may have been prefilled meanwhile, which takes long enough for more crashes.
             quarantine_s = quarantine_s or self.directory.quarantine_ends_in(job)
             if quarantine_s:
+                self.metrics.quarantine_refusals.labels(job.route.name).inc()
                 reason = 'crashes endpoints'
                 retry_after_s = quarantine_s
                 break
--- a/shallotmux/forwarding/_metrics.py
+++ b/shallotmux/forwarding/_metrics.py
@@ -24,6 +24,10 @@
     attempts: Counter = field(init=False)
     #: Seconds from the head of a request to the first part of its answer body.
     first_byte: Histogram = field(init=False)
+    #: Requests that were refused since they, or parts of their prompts, crash endpoints.
+    quarantine_refusals: Counter = field(init=False)
+    #: Present quarantines.
+    quarantines: Gauge = field(init=False)
     #: Requests in progress.
     in_flight: Gauge = field(init=False)
     #: Version of the configuration document in force.
@@ -45,6 +49,15 @@
             buckets=LATENCY_BUCKETS,
             registry=registry,
         )
+        self.quarantine_refusals = Counter(
+            'shallotmux_quarantine_refusals',
+            'Requests refused by a quarantine.',
+            ('route',),
+            registry=registry,
+        )
+        self.quarantines = Gauge(
+            'shallotmux_quarantines', 'Quarantined requests and prompt parts.', registry=registry
+        )
         self.in_flight = Gauge(
             'shallotmux_forwarding_in_flight', 'Requests in progress.', registry=registry
         )
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -98,6 +98,7 @@
         self.view.on_listing.append(self._directory.update_listing)
         self.metrics = ForwardingMetrics()
         self.metrics.document_version.set_function(lambda: self.view.version)
+        self.metrics.quarantines.set_function(lambda: len(self._poller.crashes.quarantines()))
         self._load_sharing = LoadSharing(
             self._identity,
             peer_address,
--- a/tests/crashes/test_exchange.py
+++ b/tests/crashes/test_exchange.py
@@ -72,6 +72,8 @@
     entries[0] = Instance()
     entries[0].poll('c', control)
     assert entries[0].is_quarantined()
+    for entry in (*entries, *entries):
+        entry.poll('c', control)
     control = Instance()
     for entry in (*entries, *entries):
         entry.poll('c', control)
