Keep the limit that an endpoint names, together with all instances

Cause: the header with the limit was not read at all.

Change: the package shallotmux/ratelimits. Each answer tells the limit; the newest observation of any instance counts, and polls spread it. One entry instance is chosen for each endpoint, by its number and the live instances, and grants permits at the rate of the limit to those that ask, in turn. Attempts, repeats, resumed streams and separate prefills use up a permit each; an endpoint without one is skipped and not treated as failed. If all are at their limits, the caller is refused at once with the expected time of the next permit. Sizing counts an engine with a limit as the part of one that it still is.

--- a/shallotmux/control/_autoscaler.py
+++ b/shallotmux/control/_autoscaler.py
@@ -16,6 +16,7 @@
     SizingView,
     ZoneFleet,
     count_fleets,
+    count_missing_engines,
     count_needed_engines,
     plan_sizes,
 )
@@ -83,7 +84,10 @@
     def _needed_engines(self, service: Service, fleets: Mapping[str, ZoneFleet]) -> int:
         demand = self._dependencies.knowledge.demand_of(service.name)
         if demand.tokens_per_s:
-            return count_needed_engines(demand, service.engine.slots if service.engine else 0)
+            needed = count_needed_engines(demand, service.engine.slots if service.engine else 0)
+            present = sum(fleet.total for fleet in fleets.values())
+            limits = self._dependencies.knowledge.limits_of(service.name)
+            return needed + count_missing_engines(demand, present, limits)
         # Only regular endpoints count, so that cheap ones ordered here do not raise the need again.
         return int(INITIAL_SIZE_FACTOR * sum(fleet.regular for fleet in fleets.values()))
 
--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -22,6 +22,7 @@
     decode_poll,
     encode_fleet_message,
 )
+from shallotmux.ratelimits import KnownLimits
 from shallotmux.transport import ForwardAnswer, Refusal, instance_name
 
 #: Time after its last poll for which an entry instance counts as live.
@@ -75,6 +76,7 @@
         self._peers = peers
         self.usage = UsageTotals()
         self._crashes = CrashRecords()
+        self.limits = KnownLimits()
         self.listing: Listing | None = None
         self._summary: Counter[str] = Counter()
         self._listed_at = float('-inf')
@@ -98,6 +100,11 @@
         listed = self.listing.endpoints if self.listing else ()
         return tuple(each for each in listed if each.service == service)
 
+    def limits_of(self, service: str) -> tuple[float, ...]:
+        """Return the limits in requests per second that endpoints of a service have named."""
+        limits = (self.limits.limit_of(each.start_number) for each in self.endpoints_of(service))
+        return tuple(limit for limit in limits if limit is not None)
+
     def entries(self) -> tuple[str, ...]:
         """Return the names of the live entry instances."""
         oldest = trio.current_time() - INSTANCE_TTL_S
@@ -130,6 +137,7 @@
         self.usage.merge(poll.sender, poll.counts)
         self._demands[poll.sender] = poll.demands
         self._crashes.merge(poll.crash_news)
+        self.limits.merge(poll.limits)
         document = self._state.zone.document
         is_newer = document.version > poll.version and bool(document.content)
         knowledge = Knowledge(
@@ -141,6 +149,7 @@
             self.entries(),
             self._clock.local_estimate(),
             self._crashes.build_news(poll.crashes_known),
+            self.limits.build_reports(),
         )
         return ForwardAnswer(encode_fleet_message(knowledge))
 
--- a/shallotmux/control/_sizing.py
+++ b/shallotmux/control/_sizing.py
@@ -39,6 +39,9 @@
 #: zones. They keep serving when cheap endpoints are reclaimed in all zones at once.
 MIN_REGULAR_ENDPOINTS = 1
 
+#: Engines that a request usually reaches: one for prefill and one that generates.
+SENDS_PER_REQUEST = 2
+
 #: Target number of engines before any demand is measured, relative to the regular endpoints.
 INITIAL_SIZE_FACTOR = 1.5
 
@@ -82,11 +85,13 @@
     :param tokens_per_s: prompt tokens per second that need prefill.
     :param prefill_tokens_per_s: prefill speed of one engine.
     :param in_flight: requests that engines work on.
+    :param requests_per_s: requests per second.
     """
 
     tokens_per_s: float = 0.0
     prefill_tokens_per_s: float = INITIAL_PREFILL_TOKENS_PER_S
     in_flight: int = 0
+    requests_per_s: float = 0.0
 
 
 def sum_demands(demands: Iterable[ServiceDemand]) -> FleetDemand:
@@ -102,10 +107,23 @@
         total = sum(each.tokens_per_s * each.prefill_tokens_per_s for each in measured)
         speed = total / weight
     return FleetDemand(
-        sum(each.tokens_per_s for each in reported), speed, sum(each.in_flight for each in reported)
+        sum(each.tokens_per_s for each in reported),
+        speed,
+        sum(each.in_flight for each in reported),
+        sum(each.requests_per_s for each in reported),
     )
 
 
+def count_missing_engines(demand: FleetDemand, engines: int, limits: Iterable[float]) -> int:
+    """Return how many engines are missing since some take fewer requests than the others.
+
+    :param engines: number of engines, those with a limit included.
+    :param limits: limits in requests per second that engines have named.
+    """
+    usual = SENDS_PER_REQUEST * demand.requests_per_s / max(1, engines)
+    return math.ceil(sum(max(0.0, 1 - limit / usual) for limit in limits) if usual else 0)
+
+
 def count_needed_engines(demand: FleetDemand, slots: int) -> int:
     """Return the number of engines of both roles that a demand needs.
 
--- a/shallotmux/fleet/_listing.py
+++ b/shallotmux/fleet/_listing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import zlib
 
 import msgspec
 
@@ -40,6 +41,11 @@
     cold_s: float = 0.0
     started_ms: int = 0
 
+    @property
+    def start_number(self) -> int:
+        """Return a number that identifies this start of the endpoint in messages."""
+        return zlib.crc32(f'{self.identity} {self.started_ms}'.encode())
+
 
 class Listing(msgspec.Struct, frozen=True):
     """The complete list of endpoints."""
--- a/shallotmux/fleet/_load_sharing.py
+++ b/shallotmux/fleet/_load_sharing.py
@@ -126,6 +126,7 @@
     :param address: IP address and port at which messages are received.
     :param peers: returns the addresses of the entry instances.
     :param tokens: returns the queued prefill tokens of this instance by engine identity.
+    :param receive_other: processes other messages to the same address; returns whether it knows one.
     """
 
     def __init__(
@@ -134,6 +135,7 @@
         address: str,
         peers: Callable[[], tuple[str, ...]],
         tokens: Callable[[], Mapping[str, float]],
+        receive_other: Callable[[bytes], bool] | None = None,
     ) -> None:
         self._name = name
         self._address = address
@@ -142,6 +144,8 @@
         self._number = 0
         self._last_sent: dict[int, int] = {}
         self.loads = PeerLoads()
+        self._receive_other = receive_other
+        self._sock: trio.socket.SocketType | None = None
 
     def tokens_at(self, identity: str) -> float:
         """Return the estimated queued prefill tokens of all other instances at an engine.
@@ -158,15 +162,24 @@
         """Send and receive until cancelled."""
         with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as sock:
             await sock.bind(split_address(self._address))
+            self._sock = sock
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, sock)
                 nursery.start_soon(self._send, sock)
 
+    async def send_to(self, peer: str, content: bytes) -> None:
+        """Send a message of another kind; it is dropped if that is not possible now."""
+        if self._sock is not None:
+            # The address may come from a datagram of anybody.
+            with suppress(OSError, ValueError):
+                await self._sock.sendto(content, split_address(peer))
+
     async def _receive(self, sock: trio.socket.SocketType) -> None:
         while True:
             with suppress(OSError):
                 content, _ = await sock.recvfrom(MAX_MESSAGE_BYTES)
-                self.loads.receive(content)
+                if self._receive_other is None or not self._receive_other(content):
+                    self.loads.receive(content)
 
     async def _send(self, sock: trio.socket.SocketType) -> None:
         while True:
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -6,6 +6,7 @@
 
 from shallotmux.crashes import CrashNews, Position
 from shallotmux.fleet._listing import Listing
+from shallotmux.ratelimits import LimitReport
 
 #: Group name under which polls are forwarded to a control instance.
 KNOWLEDGE_GROUP = 'knowledge'
@@ -31,12 +32,14 @@
     :param tokens_per_s: prompt tokens per second that needed prefill.
     :param prefill_tokens_per_s: measured prefill speed of one engine; 0 while it is not known.
     :param in_flight: requests of the instance that engines work on.
+    :param requests_per_s: requests of the instance per second.
     """
 
     service: str
     tokens_per_s: float
     prefill_tokens_per_s: float = 0.0
     in_flight: int = 0
+    requests_per_s: float = 0.0
 
 
 class Poll(msgspec.Struct, frozen=True):
@@ -48,6 +51,7 @@
     :param demands: demand at the sender, by service.
     :param crash_news: what the sender learned of crashes after its last poll of the receiver.
     :param crashes_known: position of the receiver's news of crashes that the sender has.
+    :param limits: limits of endpoints that the sender knows of.
     """
 
     sender: str
@@ -56,6 +60,7 @@
     demands: tuple[ServiceDemand, ...] = ()
     crash_news: CrashNews = CrashNews()
     crashes_known: Position = Position()
+    limits: tuple[LimitReport, ...] = ()
 
 
 class Knowledge(msgspec.Struct, frozen=True):
@@ -69,6 +74,7 @@
     :param entries: names of the live entry instances.
     :param true_time_s: the answering instance's estimate of the time since 1970.
     :param crash_news: what the answering instance learned of crashes after the position in the poll.
+    :param limits: limits of endpoints as reported by all instances.
     """
 
     version: int
@@ -79,6 +85,7 @@
     entries: tuple[str, ...]
     true_time_s: float
     crash_news: CrashNews = CrashNews()
+    limits: tuple[LimitReport, ...] = ()
 
 
 class Join(msgspec.Struct, frozen=True):
--- a/shallotmux/fleet/_poller.py
+++ b/shallotmux/fleet/_poller.py
@@ -22,6 +22,7 @@
     decode_knowledge,
     encode_fleet_message,
 )
+from shallotmux.ratelimits import KnownLimits
 from shallotmux.routes import RouteDocument, RouteTable
 from shallotmux.transport import PeerNetwork, Refusal, instance_name
 
@@ -93,6 +94,7 @@
     :param seeds: names of the control instances in the settings.
     :param counts: returns the usage counts to report.
     :param demands: returns the demand at this instance, by service.
+    :param limits: limits of endpoints, exchanged with the control instances.
     """
 
     def __init__(
@@ -104,7 +106,9 @@
         clock: TrueClock,
         counts: Callable[[], tuple[CustomerCount, ...]],
         demands: Callable[[], tuple[ServiceDemand, ...]] = tuple,
+        limits: KnownLimits | None = None,
     ) -> None:
+        self._limits = limits or KnownLimits()
         self.view = FleetView()
         self.crashes = CrashRecords(instance_name(name), lambda: self.view.entries)
         self._crash_exchange = CrashExchange(self.crashes)
@@ -159,6 +163,7 @@
             self._demands(),
             crash_news,
             crashes_known,
+            self._limits.build_reports(),
         )
         try:
             answer = await self._network.forward(
@@ -181,6 +186,7 @@
         self._clock.record_peer_estimate(peer, knowledge.true_time_s)
         self.view.entries = knowledge.entries
         self._crash_exchange.apply(peer, sent, knowledge.crash_news)
+        self._limits.merge(knowledge.limits)
         if knowledge.peers:
             self._replace_peers(knowledge.peers)
         if knowledge.document:
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -133,6 +133,8 @@
 
     async def _exchange(self, attempt: _Attempt) -> AttemptResult:
         state = attempt.target.state
+        if not self._directory.take_permit(state):
+            return AttemptResult(Outcome.NOT_RUN, 'the limit of the endpoint is reached')
         try:
             connection = await self._connect(attempt.job, state)
         except ConnectionUnusable as error:
@@ -184,7 +186,8 @@
             await trio.lowlevel.checkpoint()
         attempt.timeout_scope.deadline = math.inf
         attempt.work.record_answer()
-        self._directory.record_answer(attempt.target.state, attempt.work.sent_at)
+        limit = head.header(self._names.limit)
+        self._directory.record_answer(attempt.target.state, attempt.work.sent_at, limit)
         attempt.target.state.record_load(head.header(self._names.load), trio.current_time())
         outcome = classify_answer(head, self._names)
         if outcome is not Outcome.DONE:
--- a/shallotmux/forwarding/_demand.py
+++ b/shallotmux/forwarding/_demand.py
@@ -23,6 +23,14 @@
         """Add the tokens of a request that need prefill."""
         self._samples[service].append((trio.current_time(), tokens))
 
+    def request_rates(self) -> dict[str, float]:
+        """Return the requests per second of each service."""
+        oldest = trio.current_time() - max(WINDOWS_S)
+        return {
+            service: sum(at >= oldest for at, _ in recorded) / max(WINDOWS_S)
+            for service, recorded in self._samples.items()
+        }
+
     def rates(self) -> dict[str, float]:
         """Return the tokens per second of each service."""
         now = trio.current_time()
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -11,6 +11,7 @@
 from shallotmux.fleet import ListedEndpoint, Listing
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._state import FAILURE_THRESHOLD, EndpointState
+from shallotmux.ratelimits import EndpointLimits, parse_limit
 
 #: Added to the load per slot of endpoints in other zones, so that they are chosen only if those of
 #: the own zone are busier by this fraction of their slots.
@@ -27,6 +28,7 @@
     :param crashes: records the requests during which endpoints closed the connection.
     :param max_connections: returns the connection limit of this instance to each endpoint of a
         service.
+    :param limits: limits of requests per second that endpoints name.
     """
 
     def __init__(
@@ -34,12 +36,14 @@
         forget: Callable[[str], None],
         crashes: CrashRecords | None = None,
         max_connections: Callable[[str], float] | None = None,
+        limits: EndpointLimits | None = None,
     ) -> None:
         self._forget = forget
         #: Called with the identity of each endpoint that is not listed any more.
         self.on_removed: list[Callable[[str], None]] = []
         self._max_connections = max_connections or (lambda _: float('inf'))
         self.crashes = crashes or CrashRecords()
+        self.limits = limits or EndpointLimits()
         self._states: dict[str, EndpointState] = {}
 
     def update_listing(self, listing: Listing) -> None:
@@ -74,13 +78,25 @@
             if state.listed.service == service
             and not state.listed.is_leaving
             and state.identity not in skipped
-            and state.in_flight < max_connections
+            and self._has_room(state, max_connections)
         ]
         available = [state for state in eligible if state.is_available(now)]
         if any(state.may_answer for state in available):
             return available
         return available + [state for state in eligible if state.may_answer]
 
+    def take_permit(self, state: EndpointState) -> bool:
+        """Return whether a request may be sent to an endpoint, and count it under its limit."""
+        return self.limits.known.is_empty or self.limits.take(state.start_number)
+
+    def returns_in(self, service: str) -> float | None:
+        """Return when an endpoint of a service may have room, if limits keep requests off now."""
+        return self.limits.returns_in(
+            state.start_number
+            for state in self._states.values()
+            if state.listed.service == service and not state.listed.is_leaving
+        )
+
     def connection_limit(self, identity: str) -> float:
         """Return the connection limit of this instance to an endpoint; 0 if it is not listed."""
         state = self._states.get(identity)
@@ -135,9 +151,14 @@
         has_crashes = self.crashes.has_crashes
         self.crashes.record_served(job.subjects() if has_crashes else job.shared_parts())
 
-    def record_answer(self, state: EndpointState, sent_at: float) -> None:
-        """Record that an endpoint answered a request sent at a time, so it had not crashed then."""
+    def record_answer(self, state: EndpointState, sent_at: float, limit: bytes | None) -> None:
+        """Record that an endpoint answered a request sent at a time, so it had not crashed then.
+
+        :param limit: header of the answer with the limit that the endpoint names, if any.
+        """
         self.crashes.record_answer(state.start_number, sent_at)
+        if limit is not None or not self.limits.known.is_empty:
+            self.limits.known.observe(state.start_number, parse_limit(limit), sent_at)
 
     def record_suspected_crash(self, state: EndpointState, job: Job) -> None:
         """Record that a connection broke while the endpoint may have been running a request."""
@@ -164,6 +185,11 @@
                 for_s=avoided_s,
             )
 
+    def _has_room(self, state: EndpointState, max_connections: float) -> bool:
+        if state.in_flight >= max_connections:
+            return False
+        return self.limits.known.is_empty or self.limits.has_room(state.start_number)
+
     def _update_entry(self, state: EndpointState, listed: ListedEndpoint) -> None:
         """Replace the entry; an endpoint that was leaving stays so, as the listing may be older."""
         if state.listed.is_leaving and not listed.is_leaving:
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -74,12 +74,14 @@
 
     def demands(self) -> tuple[ServiceDemand, ...]:
         """Return the recent demand for prefill and for places on engines, by service."""
+        request_rates = self._demand.request_rates()
         return tuple(
             ServiceDemand(
                 service,
                 tokens_per_s,
                 self._speeds.of_service(service) * 1000 if self._speeds.is_known(service) else 0.0,
                 self._directory.in_flight(service),
+                request_rates.get(service, 0.0),
             )
             for service, tokens_per_s in self._demand.rates().items()
         )
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -88,21 +88,10 @@
     async def _try_endpoints(self, job: Job) -> Refusal | None:
         """Try endpoints until one answers; returns a refusal if none does."""
         reason = 'no endpoint'
-        retry_after_s = RETRY_AFTER_S
         while job.sends < MAX_SENDS and len(job.excluded) < MAX_ENDPOINTS_TRIED:
-            quarantine_s = self.directory.quarantine_ends_in(job)
-            target = None if quarantine_s else await self._choose_target(job)
-            # A prompt may have been prefilled meanwhile, which takes long enough for more crashes.
-            quarantine_s = quarantine_s or self.directory.quarantine_ends_in(job)
-            if quarantine_s:
-                self.metrics.quarantine_refusals.labels(job.route.name).inc()
-                reason = 'crashes endpoints'
-                retry_after_s = quarantine_s
-                break
-            if isinstance(target, LoadShed):
-                return refuse_not_run('engines are busy', target.retry_after_s)
-            if target is None:
-                break
+            target = await self._find_target(job, reason)
+            if isinstance(target, Refusal):
+                return target
             result = await self._attempt_once(job, target)
             self._log_attempt(job, target.state, result)
             if result.is_delivered:
@@ -112,9 +101,26 @@
             job.excluded.add(target.state.identity)
             if not self._may_retry(job, result):
                 return _final_refusal(job, result)
-        if job.runs:
-            return refuse_unknown(reason, is_late=False)
-        return refuse_not_run(reason, retry_after_s)
+        return _refuse(job, reason, RETRY_AFTER_S)
+
+    async def _find_target(self, job: Job, reason: str) -> Target | Refusal:
+        """Return the endpoint for the next attempt.
+
+        :param reason: why the attempt before failed.
+        """
+        quarantine_s = self.directory.quarantine_ends_in(job)
+        target = None if quarantine_s else await self._choose_target(job)
+        # A prompt may have been prefilled meanwhile, which takes long enough for more crashes.
+        quarantine_s = quarantine_s or self.directory.quarantine_ends_in(job)
+        if quarantine_s:
+            self.metrics.quarantine_refusals.labels(job.route.name).inc()
+            return _refuse(job, 'crashes endpoints', quarantine_s)
+        match target:
+            case Target():
+                return target
+            case LoadShed():
+                return refuse_not_run('engines are busy', target.retry_after_s)
+        return _refuse(job, reason, self.directory.returns_in(job.service) or RETRY_AFTER_S)
 
     async def _attempt_once(self, job: Job, target: Target) -> AttemptResult:
         may_retry = job.route.is_repeatable and self._has_attempts_left(job, job.runs + 1)
@@ -209,3 +215,10 @@
     if result.outcome is Outcome.NOT_RUN and not job.runs:
         return refuse_not_run(result.reason, RETRY_AFTER_S)
     return refuse_unknown(result.reason, is_late=False)
+
+
+def _refuse(job: Job, reason: str, retry_after_s: float) -> Refusal:
+    """Return the refusal for a job that is sent to no other endpoint."""
+    if job.runs:
+        return refuse_unknown(reason, is_late=False)
+    return refuse_not_run(reason, retry_after_s)
--- a/shallotmux/forwarding/_names.py
+++ b/shallotmux/forwarding/_names.py
@@ -19,6 +19,7 @@
     :param expected_endpoint: endpoint that a request is meant for.
     :param not_run: marks an answer as proof that the request did not run.
     :param load: numbers of running requests, waiting requests and slots of an endpoint.
+    :param limit: requests per second that an endpoint takes from all instances together.
     :param priority: urgency of a request at an engine.
     :param role: asks an engine for one phase only, such as prefill.
     :param cache_source: address and handle from which an engine fetches the KV cache of a prompt.
@@ -40,6 +41,7 @@
     expected_endpoint: bytes = b'x-expect-endpoint'
     not_run: bytes = b'x-not-run'
     load: bytes = b'x-endpoint-load'
+    limit: bytes = b'x-endpoint-limit'
     priority: bytes = b'x-priority'
     role: bytes = b'x-engine-role'
     cache_source: bytes = b'x-cache-source'
--- a/shallotmux/forwarding/_prefill.py
+++ b/shallotmux/forwarding/_prefill.py
@@ -77,6 +77,8 @@
         :returns: the handle of the KV cache, None if the prefill failed or timed out.
         """
         state = call.state
+        if not self._directory.take_permit(state):
+            return None
         timeout_s = (PREFILL_TIMEOUT_FACTOR * call.expected_ms + PREFILL_TIMEOUT_MARGIN_MS) / 1000
         sent_at = trio.current_time()
         with trio.move_on_after(timeout_s):
@@ -134,7 +136,8 @@
     ) -> str | None:
         head = await connection.receive_head()
         work.record_answer()
-        self._directory.record_answer(state, work.sent_at)
+        limit = head.header(self._dialect.names.limit)
+        self._directory.record_answer(state, work.sent_at, limit)
         content = await connection.receive_body()
         state.record_load(head.header(self._dialect.names.load), trio.current_time())
         is_done = classify_answer(head, self._dialect.names) is Outcome.DONE
--- a/shallotmux/forwarding/_state.py
+++ b/shallotmux/forwarding/_state.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import zlib
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -118,7 +117,7 @@
     @property
     def start_number(self) -> int:
         """Return a number that identifies this start of the endpoint in messages."""
-        return zlib.crc32(f'{self.identity} {self.listed.started_ms}'.encode())
+        return self.listed.start_number
 
     def expected_requests(self, now: float) -> float:
         """Return the estimated number of requests there, including those of this instance."""
--- a/shallotmux/platform/_names.py
+++ b/shallotmux/platform/_names.py
@@ -16,6 +16,7 @@
     expected_endpoint=b'x-shallotmux-expect-instance',
     not_run=b'x-shallotmux-not-executed',
     load=b'x-shallotmux-instance-load',
+    limit=b'server-limit',
     priority=b'x-shallotmux-request-priority',
     role=b'x-shallotmux-stage',
     cache_source=b'x-shallotmux-kv-source',
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -29,6 +29,7 @@
 )
 from shallotmux.programs._pages import MetricsPage, ReadinessPage
 from shallotmux.programs._settings import ProgramSettings
+from shallotmux.ratelimits import EndpointLimits
 from shallotmux.routes import CallerLimits
 from shallotmux.transport import (
     ForwardAnswer,
@@ -77,6 +78,9 @@
         peer_address = settings.listen.peers
         self._identity = new_identity(peer_address, SystemRandom())
         self._network = GrpcPeerNetwork(peer_address, peer_address, SelfNamedAddresses(), None)
+        self._endpoint_limits = EndpointLimits(
+            peer_address, self._identity, lambda: self._poller.view.entries
+        )
         self._poller = FleetPoller(
             self._identity,
             self._network,
@@ -85,12 +89,14 @@
             self._clock,
             self._counter.counts,
             self._service_demands,
+            self._endpoint_limits.known,
         )
         self.view = self._poller.view
         self._directory = EndpointDirectory(
             lambda identity: self._pool.forget(identity),
             self._poller.crashes,
             self._connection_limit,
+            self._endpoint_limits,
         )
         self._pool = ConnectionPool(
             adapter.dialect.names.request_id, self._directory.connection_limit
@@ -104,6 +110,7 @@
             peer_address,
             lambda: self.view.entries,
             self._directory.queued_prefill_tokens,
+            self._endpoint_limits.receive,
         )
         self._forwarder = build_forwarder(
             ForwarderParts(
@@ -151,6 +158,7 @@
                 await nursery.start(listener.run)
             for task in (self._poller.run, self._load_sharing.run, self._pool.run):
                 nursery.start_soon(task)
+            nursery.start_soon(self._endpoint_limits.run, self._load_sharing.send_to)
             nursery.start_soon(self._refresh_stale_listing)
             nursery.start_soon(watcher.run)
             log_message(message_type='shallotmux:started', role='entry', name=self.settings.name)
--- a/tests/control/test_knowledge.py
+++ b/tests/control/test_knowledge.py
@@ -17,6 +17,7 @@
     decode_knowledge,
     encode_fleet_message,
 )
+from shallotmux.ratelimits import LimitReport
 from shallotmux.transport import Refusal
 
 
@@ -79,3 +80,18 @@
     usage_totals.merge('a~2', (CustomerCount('t', 7, 2),))
     assert usage_totals.totals(7) == {'t': 7, 'u': 1}
     assert usage_totals.totals(8) == {}
+
+
+async def test_limits_are_passed_on_and_belong_to_their_service(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against limits that stay at one instance, or that are counted for all services."""
+    service = make_service()
+    limited = ListedEndpoint('e-1', 'desk', '10.0.0.9:1', 'a', started_ms=5)
+    other = ListedEndpoint('e-2', 'llm', '10.0.0.8:1', 'a', started_ms=5)
+    service.update_listing(Listing((limited, other)), trio.current_time())
+    poll(service, 'a~1', limits=(LimitReport(limited.start_number, 3.5, 0.0),))
+    answer = poll(service, 'b~1')
+    assert answer.limits == (LimitReport(limited.start_number, 3.5, 0.0),)  # type: ignore[attr-defined]
+    assert service.limits_of('desk') == (3.5,)
+    assert service.limits_of('llm') == ()
--- a/tests/control/test_sizing.py
+++ b/tests/control/test_sizing.py
@@ -14,6 +14,7 @@
     ZoneFleet,
     count_decode_engines,
     count_fleets,
+    count_missing_engines,
     count_needed_engines,
     plan_sizes,
     sum_demands,
@@ -187,3 +188,14 @@
     engines += [make_engine(f'p-{number}', 'a', EngineRole.PREFILL) for number in range(5)]
     assert plan_role_change(engines) is None
     assert plan_role_change(engines[:1]) is None
+
+
+def test_engines_with_a_limit_are_replaced_as_far_as_they_take_less() -> None:
+    """Guards against a fleet that is too small while some engines take few requests."""
+    demand = FleetDemand(10_000, 50_000, 0, 30.0)
+    assert count_missing_engines(demand, 6, ()) == 0
+    assert count_missing_engines(demand, 6, (1.0,)) == 1
+    assert count_missing_engines(demand, 6, (5.0, 5.0)) == 1
+    assert count_missing_engines(demand, 6, (1.0, 1.0)) == 2
+    assert count_missing_engines(demand, 6, (50.0, 10.0)) == 0
+    assert count_missing_engines(FleetDemand(), 0, (1.0,)) == 0
