--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -162,6 +162,7 @@
         target = attempt.target
         outgoing = attempt.job.build_outgoing(self._names, target.state.identity, target.extra)
         attempt.job.sends += 1
+        attempt.job.cache_source_uses += bool(attempt.job.cache_source)
         result: AttemptResult | None = None
         failure: ShallotmuxError | None = None
         async with trio.open_nursery() as nursery:
--- a/shallotmux/forwarding/_budget.py
+++ b/shallotmux/forwarding/_budget.py
@@ -61,6 +61,10 @@
         """Count a retry without checking the budget, such as a refused call."""
         self._current_counts(service).retries.append(trio.current_time())
 
+    def count(self, service: str) -> int:
+        """Return the retries in the present window."""
+        return len(self._current_counts(service).retries)
+
     def allows_retry(self, service: str, usable_fraction: float = USABLE_FRACTION) -> bool:
         """Return whether the budget allows another retry.
 
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -164,6 +164,10 @@
             )
             handle = await self._prefill_client.run_prefill(job, call)
             if handle is not None:
+                if job.is_prefilled:
+                    # Only the first accepted prefill of a request is no retry.
+                    self._budget.charge(job.service)
+                job.is_prefilled = True
                 job.cache_source = f'{state.listed.address}/{handle}'.encode()
                 job.cache_source_uses = 0
                 return
@@ -190,7 +194,6 @@
         state.record_prompt(job.prompt)
         if not job.cache_source:
             return Target(state, self._fetch_headers(fetch_from), uncached_tokens)
-        job.cache_source_uses += 1
         return Target(state, ((self._dialect.names.cache_source, job.cache_source),))
 
     def _fetch_headers(self, source: str | None) -> Headers:
--- a/shallotmux/forwarding/_job.py
+++ b/shallotmux/forwarding/_job.py
@@ -47,8 +47,10 @@
     excluded: set[str] = field(default_factory=set)
     #: Address and handle from which the KV cache of the prompt is fetched; empty without a prefill.
     cache_source: bytes = b''
+    #: Number of engines to which the handle was sent.
     cache_source_uses: int = 0
     prefills: int = 0
+    is_prefilled: bool = False
     #: Time from the head of the request to the first part of the answer body; 0 until then.
     first_part_s: float = 0.0
     #: Longest time between two consecutive parts of the answer body.
--- a/tests/forwarding/test_engines.py
+++ b/tests/forwarding/test_engines.py
@@ -166,6 +166,43 @@
     assert total_sends - first_sends <= 10
 
 
+async def test_unreachable_decode_engines_cost_no_second_prefill() -> None:
+    """Guards against prompts that are prefilled again and again while engines are cut off."""
+    prefill_engine = ScriptedEndpoint(answer_prefill)
+    async with run_forwarder(prefill_engine, dialect=DIALECT) as harness:
+        configure_engines(harness, [prefill_engine], [])
+        reachable = harness.forwarder.directory.find('p-0')
+        assert reachable is not None
+        cut_off = [
+            ListedEndpoint(
+                f'd-{number}', 'llm', f'127.0.0.1:{number}', 'a', 64, role=EngineRole.DECODE
+            )
+            for number in (1, 2, 3, 4)
+        ]
+        harness.forwarder.directory.update_listing(Listing((reachable.listed, *cut_off)))
+        got = await harness.make_request('/ask/')
+    assert got.status == 503
+    assert len(prefill_engine.received) == 1
+
+
+async def test_further_accepted_prefills_count_as_retries() -> None:
+    """Guards against prompts that are prefilled again without being counted."""
+    prefill_engine = ScriptedEndpoint(answer_prefill)
+    decode_engines = [ScriptedEndpoint(refuse) for _ in range(4)]
+    budget = RetryBudgetLimits(ratio=0, slack=30, window_s=60)
+    async with run_forwarder(
+        prefill_engine, *decode_engines, budget=budget, dialect=DIALECT
+    ) as harness:
+        configure_engines(harness, [prefill_engine], decode_engines)
+        for number in range(20):
+            await harness.make_request('/ask/', request_id=f'r-{number}')
+        charged = harness.forwarder.budget.count('llm')
+    sends = sum(len(each.received) for each in decode_engines)
+    extra = max(0, sends - 20) + max(0, len(prefill_engine.received) - 20)
+    assert extra > 0
+    assert charged >= extra
+
+
 async def test_busy_prefill_engine_is_not_avoided() -> None:
     """Guards against overload: a slow prefill made a busy engine avoided, and the others took its load."""
     answered: list[bytes] = []
