Show who gets permits, and refund none that a former granter granted

An on-call engineer could not tell whose share of an endpoint's limit is what. The instance that grants an endpoint's permits logs every 5 s to whom it granted them; gauges show limited endpoints and permits.

While it was made simpler, a fault showed: permits of the former granter that expired were added at the new one. test_new_granter_waits_for_the_permits_of_the_former now covers both.

The poller forgets when a peer that has left may be tried again (docs/FINDINGS.md).

--- a/shallotmux/fleet/_poller.py
+++ b/shallotmux/fleet/_poller.py
@@ -215,6 +215,7 @@
         wanted = set(named) | set(self._seeds)
         self._peers = [each for each in self._peers if each in wanted]
         self._crash_exchange.keep(wanted)
+        self._retry_at = {name: at for name, at in self._retry_at.items() if name in wanted}
         self._add_peers(sorted(wanted))
 
     def _add_peers(self, names: Iterable[str]) -> None:
--- a/shallotmux/forwarding/_metrics.py
+++ b/shallotmux/forwarding/_metrics.py
@@ -28,6 +28,9 @@
     quarantine_refusals: Counter = field(init=False)
     #: Present quarantines.
     quarantines: Gauge = field(init=False)
+    #: Endpoints that name a limit, and permits under their limits since the start.
+    limited_endpoints: Gauge = field(init=False)
+    permits: Gauge = field(init=False)
     #: Requests in progress.
     in_flight: Gauge = field(init=False)
     #: Version of the configuration document in force.
@@ -58,6 +61,15 @@
         self.quarantines = Gauge(
             'shallotmux_quarantines', 'Quarantined requests and prompt parts.', registry=registry
         )
+        self.limited_endpoints = Gauge(
+            'shallotmux_limited_endpoints', 'Endpoints that name a limit.', registry=registry
+        )
+        self.permits = Gauge(
+            'shallotmux_permits',
+            'Permits granted to all instances, and received by this one, since its start.',
+            ('kind',),
+            registry=registry,
+        )
         self.in_flight = Gauge(
             'shallotmux_forwarding_in_flight', 'Requests in progress.', registry=registry
         )
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -105,6 +105,10 @@
         self.metrics = ForwardingMetrics()
         self.metrics.document_version.set_function(lambda: self.view.version)
         self.metrics.quarantines.set_function(lambda: len(self._poller.crashes.quarantines()))
+        limits = self._endpoint_limits
+        self.metrics.limited_endpoints.set_function(lambda: len(limits.known.limited()))
+        self.metrics.permits.labels('granted').set_function(lambda: limits.total_granted)
+        self.metrics.permits.labels('received').set_function(lambda: limits.total_received)
         self._load_sharing = LoadSharing(
             self._identity,
             peer_address,
--- a/shallotmux/ratelimits/_endpoint_limits.py
+++ b/shallotmux/ratelimits/_endpoint_limits.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable, Iterable
 
 import msgspec
 import trio
+from eliot import log_message
 
 from shallotmux.ratelimits._granting import PermitGranter, choose_granter
 from shallotmux.ratelimits._known import KnownLimits
@@ -17,12 +18,18 @@
 #: Interval between two rounds of requests for permits and grants.
 ROUND_INTERVAL_S = 0.1
 
+#: Interval between two log lines that tell to whom permits were granted.
+SUMMARY_INTERVAL_S = 5.0
+
 #: Maximum number of endpoints in one message, so that it fits one datagram.
 MAX_ENDPOINTS = 32
 
 #: Maximum number of permits for one endpoint in one message.
 MAX_GRANTED = 64
 
+#: Instances that a log line names.
+MAX_LOGGED_INSTANCES = 16
+
 #: Maximum number of granters, restarts included, whose last message is remembered.
 MAX_GRANTERS = 1024
 
@@ -61,6 +68,12 @@
         self._stock = PermitStock()
         self._granter = PermitGranter()
         self._number = 0
+        #: Permits granted since the last log line, by endpoint and instance.
+        self._granted: defaultdict[int, Counter[str]] = defaultdict(Counter)
+        self._logged_at = float('-inf')
+        #: Permits granted to all instances, and received by this one, since its start.
+        self.total_granted = 0
+        self.total_received = 0
         #: Granter by endpoint, for the instances named beside.
         self._granters: dict[int, str] = {}
         self._chosen_among: frozenset[str] = frozenset()
@@ -125,6 +138,7 @@
             for endpoint in self._granter.endpoints()
             for message in self._grant(endpoint, limits.get(endpoint))
         ]
+        self._log_granted(limits)
         return [*requests, *grants]
 
     def _request_permits(self, limits: dict[int, float]) -> list[tuple[str, bytes]]:
@@ -155,21 +169,24 @@
         if limit is None:
             return messages
         for instance, count in self._granter.grant(endpoint, limit, trio.current_time()).items():
+            self._granted[endpoint][instance] += count
+            self.total_granted += count
             self._number += 1
             grant = PermitGrant(self._identity, self._number, {endpoint: count})
             if instance == self._instance:
-                self._stock.add(endpoint, count, trio.current_time())
+                self._add_permits(endpoint, count)
             else:
                 messages.append((instance, msgspec.msgpack.encode(grant)))
         return messages
 
     def _receive_request(self, request: PermitRequest) -> None:
         self.known.merge(request.limits)
+        now = trio.current_time()
         for endpoint, count in request.unused.items():
-            self._granter.refund(endpoint, max(0, min(count, MAX_GRANTED)))
+            self._granter.refund(endpoint, max(0, min(count, MAX_GRANTED)), now)
         for endpoint, count in request.wanted.items():
             if self._is_granter(endpoint) and self.known.limit_of(endpoint) is not None:
-                self._granter.request(endpoint, request.sender, count, trio.current_time())
+                self._granter.request(endpoint, request.sender, count, now)
 
     def _receive_grant(self, grant: PermitGrant) -> None:
         if grant.number <= self._received.get(grant.sender, 0):
@@ -181,7 +198,26 @@
         for endpoint, count in grant.permits.items():
             # Another instance may still believe that it was chosen.
             if self._choose_granter(endpoint) == granter:
-                self._stock.add(endpoint, min(count, MAX_GRANTED), trio.current_time())
+                self._add_permits(endpoint, max(0, min(count, MAX_GRANTED)))
+
+    def _add_permits(self, endpoint: int, count: int) -> None:
+        self.total_received += count
+        self._stock.add(endpoint, count, trio.current_time())
+
+    def _log_granted(self, limits: dict[int, float]) -> None:
+        now = trio.current_time()
+        if now - self._logged_at < SUMMARY_INTERVAL_S or not self._granted:
+            return
+        self._logged_at = now
+        for endpoint, counts in self._granted.items():
+            log_message(
+                message_type='shallotmux:permits',
+                start=f'{endpoint:08x}',
+                limit_per_s=limits.get(endpoint),
+                granted=dict(counts.most_common(MAX_LOGGED_INSTANCES)),
+                instances=len(counts),
+            )
+        self._granted.clear()
 
     def _is_granter(self, endpoint: int) -> bool:
         return self._choose_granter(endpoint) == self._instance
--- a/shallotmux/ratelimits/_granting.py
+++ b/shallotmux/ratelimits/_granting.py
@@ -36,20 +36,20 @@
 class _Bucket:
     """Permits of one endpoint that can be granted, and who waits for them.
 
+    :param filled_until: time up to which permits were added; in the future during a handover.
     :param waiting: number of permits and time of the request, by instance, in order of arrival.
     """
 
-    opens_at: float
-    updated_at: float
+    filled_until: float
     asked_at: float
     permits: float = 0.0
     waiting: OrderedDict[str, tuple[int, float]] = field(default_factory=OrderedDict)
 
     def refill(self, limit: float, now: float) -> None:
         """Add the permits of the time since the last refill."""
-        since = max(self.updated_at, min(self.opens_at, now))
-        self.updated_at = now
-        self.permits = min(max(1.0, limit * BURST_S), self.permits + limit * (now - since))
+        added = limit * max(0.0, now - self.filled_until)
+        self.filled_until = max(self.filled_until, now)
+        self.permits = min(max(1.0, limit * BURST_S), self.permits + added)
 
 
 class PermitGranter:
@@ -66,22 +66,22 @@
         """Add a request for permits; it replaces an earlier one of the same instance."""
         bucket = self._buckets.get(endpoint)
         if bucket is None or now - bucket.asked_at > FORGET_S:
-            bucket = _Bucket(now + HANDOVER_S, now, now)
+            bucket = _Bucket(now + HANDOVER_S, now)
             self._buckets[endpoint] = bucket
         bucket.asked_at = now
         bucket.waiting[instance] = (count, now)
 
-    def refund(self, endpoint: int, count: int) -> None:
-        """Add permits back that expired unused."""
+    def refund(self, endpoint: int, count: int, now: float) -> None:
+        """Add permits back that expired unused, unless the former granter granted them."""
         bucket = self._buckets.get(endpoint)
-        if bucket is not None:
+        if bucket is not None and now >= bucket.filled_until:
             bucket.permits += count
 
     def grant(self, endpoint: int, limit: float, now: float) -> dict[str, int]:
         """Return the permits to grant now, by instance."""
         bucket = self._buckets.get(endpoint)
         granted: dict[str, int] = {}
-        if bucket is None or now < bucket.opens_at:
+        if bucket is None:
             return granted
         bucket.refill(limit, now)
         while bucket.permits >= 1 and bucket.waiting:
--- a/tests/guards/__main__.py
+++ b/tests/guards/__main__.py
@@ -14,6 +14,7 @@
 from tests.guards.catalogue import GUARDS, Guard
 from tests.guards.crashes import CRASH_GUARDS
 from tests.guards.forwarded import FORWARDING_GUARDS
+from tests.guards.ratelimits import LIMIT_GUARDS
 
 ROOT = Path(__file__).resolve().parents[2]
 COPIED_PATHS = ('shallotmux', 'tests', 'examples', 'docs', 'pyproject.toml', 'Makefile')
@@ -57,7 +58,7 @@
     """Check all guards, or those whose invariants are given as arguments."""
     selected = [
         each
-        for each in (*GUARDS, *FORWARDING_GUARDS, *CRASH_GUARDS)
+        for each in (*GUARDS, *FORWARDING_GUARDS, *CRASH_GUARDS, *LIMIT_GUARDS)
         if not sys.argv[1:] or each.invariant in sys.argv[1:]
     ]
     with tempfile.TemporaryDirectory() as name:
--- a/tests/ratelimits/test_endpoint_limits.py
+++ b/tests/ratelimits/test_endpoint_limits.py
@@ -119,6 +119,8 @@
     """Guards against permits of two granters at the same time when an instance comes or goes."""
     granter = PermitGranter()
     granter.request(ENDPOINT, 'a', 5, 0.0)
+    granter.refund(ENDPOINT, 5, 0.1)
+    granter.request(ENDPOINT, 'a', 5, HANDOVER_S - 0.1)
     assert not granter.grant(ENDPOINT, 100.0, HANDOVER_S - 0.1)
     granter.request(ENDPOINT, 'a', 5, HANDOVER_S)
     assert not granter.grant(ENDPOINT, 100.0, HANDOVER_S)
