--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 WORKERS ?= 6
 
 .PHONY: guards bench bench-forwarder capacity clean control-cost demo env explore failure-matrix format help lint measure \
-	measure-quarantine process-check proto test
+	measure-quarantine measure-ratelimits process-check proto test
 
 help:
 	@echo "make demo     run three zones with stand-in back ends (ARGS=--serve keeps them running)"
@@ -17,6 +17,7 @@
 	@echo "make explore  explore the replication group under faults (ARGS='--seed 1 --steps 200000')"
 	@echo "make measure  measure the decisions on seeded traces (ARGS=--report=DIR draws plots)"
 	@echo "make measure-quarantine  compare rules for requests that crash engines"
+	@echo "make measure-ratelimits  compare rules for endpoints that name a limit"
 	@echo "make capacity measure the slopes of docs/CAPACITY.md"
 	@echo "make format   format the sources"
 	@echo "make process-check    end real processes under load (ARGS='kill --rounds 3' runs one check)"
@@ -56,6 +57,9 @@
 measure-quarantine: env
 	$(BIN)/python -m shallotmux.measure.quarantine $(ARGS)
 
+measure-ratelimits: env
+	$(BIN)/python -m shallotmux.measure.ratelimits $(ARGS)
+
 capacity: env
 	$(BIN)/python -m shallotmux.measure.capacity $(ARGS)
 
