Blame no part for endpoints that end together with a shared cause

When several engines ended at once, popular parts of prompts that ran on all of them were quarantined, and callers were refused for 60 s and more although their requests were sound. This came with the attribution by parts: three endpoints sufficed, whatever the time between their ends.

Three causes: crashes at one time were counted as several, though a failed rack is likelier; an instance that had served a part since did not tell the others; and evidence on requests that were never sent again delayed what matters.

Endpoints that end within 0.5 s now count as one crash, unless the request was sent after the one before, and five endpoints suffice at two times. An instance that rejects a report, since it served the part or got an answer since, says so. Tests that recorded crashes at one instant on purpose-built numbers now let time pass between them; their limits are the same.

--- a/shallotmux/authority/_part_crashes.py
+++ b/shallotmux/authority/_part_crashes.py
@@ -38,11 +38,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PartCrash:
-    """Crash of an engine, and the parts that ran on it and were not served since."""
+    """Crash of an engine, and the parts that ran on it and were not served since.
+
+    :param alone: whether a single request ran there, on trial after an earlier crash.
+    """
 
     endpoint: str
     time_s: float
     parts: tuple[int, ...]
+    alone: bool = False
 
 
 registry.register(ClearParts, PartCrash)
@@ -54,11 +58,13 @@
 
     crashes: list[PartCrash] = field(default_factory=list)
 
-    def record(self, endpoint: str, parts: Iterable[int], time_s: float) -> None:
+    def record(
+        self, endpoint: str, parts: Iterable[int], time_s: float, *, alone: bool = False
+    ) -> None:
         """Add a crash, or the parts of another instance's requests to a crash that is known."""
         known = next((each for each in self.crashes if _is_same(each, endpoint, time_s)), None)
         if known is None:
-            known = PartCrash(endpoint, time_s, ())
+            known = PartCrash(endpoint, time_s, (), alone)
         else:
             self.crashes.remove(known)
         merged = tuple(sorted({*known.parts, *parts}))[:MAX_PARTS]
@@ -88,9 +94,9 @@
         asked = frozenset(parts)
         culprits = find_culprits(
             [
-                Crash(digest_subject(f'{each.endpoint} {each.time_s}'.encode()), each.time_s, names)
+                _describe(each)
                 for each in self.crashes
-                if time_s - each.time_s < EVIDENCE_TTL_S and (names := frozenset(each.parts))
+                if each.parts and time_s - each.time_s < EVIDENCE_TTL_S
             ]
         )
         held = (each for each in culprits if each.subjects <= asked and time_s < each.ends_at)
@@ -99,3 +105,10 @@
 
 def _is_same(crash: PartCrash, endpoint: str, time_s: float) -> bool:
     return crash.endpoint == endpoint and abs(crash.time_s - time_s) <= SAME_CRASH_S
+
+
+def _describe(crash: PartCrash) -> Crash:
+    """Return a crash as the rule for culprits takes it."""
+    number = digest_subject(f'{crash.endpoint} {crash.time_s}'.encode())
+    parts = frozenset(crash.parts)
+    return Crash(number, crash.time_s, parts, parts if crash.alone else frozenset())
--- a/shallotmux/authority/_quarantine.py
+++ b/shallotmux/authority/_quarantine.py
@@ -109,7 +109,9 @@
         match command:
             case RecordCrash():
                 self._record(command)
-                self.parts.record(command.endpoint, command.parts, command.time_s)
+                self.parts.record(
+                    command.endpoint, command.parts, command.time_s, alone=command.alone
+                )
             case ClearParts(parts=parts, time_s=time_s):
                 self.parts.clear(parts, time_s)
             case StartTrial():
--- a/shallotmux/crashes/_culprits.py
+++ b/shallotmux/crashes/_culprits.py
@@ -7,10 +7,18 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-#: Endpoints that must have crashed under a subject before it is quarantined. Fewer may have ended for
-#: another reason.
+#: Crashes that must have happened under a subject before it is quarantined. Fewer endpoints may have
+#: ended for another reason.
 CRASH_LIMIT = 3
 
+#: Endpoints that crash within this time count as one crash, unless the request was sent after the one
+#: before: a shared cause, such as a failed rack, is likelier than several requests.
+SAME_CAUSE_S = 0.5
+
+#: Endpoints whose crashes suffice if they happened at two times at least. Requests that arrive in
+#: bursts crash several endpoints at once.
+MANY_ENDPOINTS = 5
+
 #: Quarantine after the crash that reaches the limit. Each further crash doubles it, up to the maximum.
 QUARANTINE_S = 60.0
 MAX_QUARANTINE_S = 600.0
@@ -34,11 +42,14 @@
     :param at: time of the crash.
     :param subjects: identifies the requests that ran there and the parts of their prompts, without
         those of which a request has been served since.
+    :param repeated: subjects of which the request was sent after an earlier crash under the same one.
+        That crash had no cause in common with this one but the subject.
     """
 
     endpoint: int
     at: float
     subjects: frozenset[int]
+    repeated: frozenset[int] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,16 +60,18 @@
         do not tell them apart.
     :param endpoints: endpoints that crashed.
     :param latest_at: time of the latest crash.
+    :param crashes: number of crashes; those at one time count once.
     """
 
     subjects: frozenset[int]
     endpoints: frozenset[int]
     latest_at: float
+    crashes: int
 
     @property
     def ends_at(self) -> float:
         """Return the time at which the quarantine ends and a trial may run."""
-        doublings = min(len(self.endpoints) - CRASH_LIMIT, MAX_DOUBLINGS)
+        doublings = min(max(0, self.crashes - CRASH_LIMIT), MAX_DOUBLINGS)
         return self.latest_at + min(QUARANTINE_S * 2**doublings, MAX_QUARANTINE_S)
 
 
@@ -69,14 +82,15 @@
     that ran on exactly the same endpoints are blamed together: a request that contains one of them
     alone may run, and shows which one it is.
     """
-    times = {crash.endpoint: crash.at for crash in crashes}
-    unexplained = _frequent(_endpoints_by_subject(crashes))
+    log = _CrashLog(crashes)
+    unexplained = log.frequent(_endpoints_by_subject(crashes))
     culprits: list[Culprit] = []
     while unexplained:
-        endpoints = _largest(unexplained.values(), times)
+        most = log.heaviest(unexplained)
+        endpoints = unexplained[most]
         subjects = frozenset(name for name, each in unexplained.items() if each == endpoints)
-        culprits.append(Culprit(subjects, endpoints, _latest(endpoints, times)))
-        unexplained = _frequent({name: each - endpoints for name, each in unexplained.items()})
+        culprits.append(log.culprit(most, subjects, endpoints))
+        unexplained = log.frequent({name: each - endpoints for name, each in unexplained.items()})
     return tuple(culprits)
 
 
@@ -85,11 +99,11 @@
 
     This is the version that :func:`find_culprits` is measured against.
     """
-    times = {crash.endpoint: crash.at for crash in crashes}
-    frequent = _frequent(_endpoints_by_subject(crashes))
+    log = _CrashLog(crashes)
     return tuple(
-        Culprit(frozenset((subject,)), endpoints, _latest(endpoints, times))
-        for subject, endpoints in frequent.items()
+        log.culprit(subject, frozenset((subject,)), endpoints)
+        for subject, endpoints in _endpoints_by_subject(crashes).items()
+        if len(endpoints) >= CRASH_LIMIT
     )
 
 
@@ -119,18 +133,54 @@
     return {name: frozenset(each) for name, each in endpoints.items()}
 
 
-def _frequent(endpoints: Mapping[int, frozenset[int]]) -> dict[int, frozenset[int]]:
-    """Return the subjects with enough crashes for a quarantine."""
-    return {name: each for name, each in endpoints.items() if len(each) >= CRASH_LIMIT}
-
-
-def _largest(groups: Iterable[frozenset[int]], times: Mapping[int, float]) -> frozenset[int]:
-    """Return the largest group of endpoints, among equal ones that with the latest crash."""
-    return max(groups, key=lambda each: (len(each), _latest(each, times)))
-
-
-def _latest(endpoints: frozenset[int], times: Mapping[int, float]) -> float:
-    return max(times[each] for each in endpoints)
+class _CrashLog:
+    """Times of crashes by endpoint, and how many they count as."""
+
+    def __init__(self, crashes: Iterable[Crash]) -> None:
+        self._crashes = {crash.endpoint: crash for crash in crashes}
+
+    def frequent(self, endpoints: Mapping[int, frozenset[int]]) -> dict[int, frozenset[int]]:
+        """Return the subjects with enough crashes for a quarantine."""
+        return {name: each for name, each in endpoints.items() if self._are_enough(name, each)}
+
+    def heaviest(self, endpoints: Mapping[int, frozenset[int]]) -> int:
+        """Return the subject against which most speaks; of equal ones that of the latest crash."""
+        return max(
+            endpoints,
+            key=lambda name: (
+                self._count(name, endpoints[name]),
+                len(endpoints[name]),
+                self._latest(endpoints[name]),
+            ),
+        )
+
+    def culprit(self, subject: int, subjects: frozenset[int], endpoints: frozenset[int]) -> Culprit:
+        """Return the culprit of the crashes of endpoints.
+
+        :param subject: one of the subjects, whose crashes are counted.
+        """
+        return Culprit(
+            subjects, endpoints, self._latest(endpoints), self._count(subject, endpoints)
+        )
+
+    def _are_enough(self, subject: int, endpoints: frozenset[int]) -> bool:
+        if len(endpoints) < CRASH_LIMIT:
+            return False
+        count = self._count(subject, endpoints)
+        return count >= CRASH_LIMIT or (count > 1 and len(endpoints) >= MANY_ENDPOINTS)
+
+    def _count(self, subject: int, endpoints: frozenset[int]) -> int:
+        """Return the number of crashes under a subject; those with a shared cause count once."""
+        count = 0
+        since = float('-inf')
+        for crash in sorted((self._crashes[each] for each in endpoints), key=lambda each: each.at):
+            if crash.at - since > SAME_CAUSE_S or subject in crash.repeated:
+                count += 1
+                since = crash.at
+        return count
+
+    def _latest(self, endpoints: frozenset[int]) -> float:
+        return max((self._crashes[each].at for each in endpoints), default=float('-inf'))
 
 
 def _rank(culprit: Culprit, slot: float, instance: str) -> bytes:
--- a/shallotmux/crashes/_evidence.py
+++ b/shallotmux/crashes/_evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections import OrderedDict, defaultdict, deque
 
 from shallotmux.crashes._culprits import Crash
@@ -38,6 +39,15 @@
 MAX_UNCERTAIN = 256
 
 
+class Addition(enum.Enum):
+    """What became of a crash that was to be added."""
+
+    ADDED = 'added'
+    KNOWN = 'known'
+    SERVED_SINCE = 'served since'
+    ALIVE_SINCE = 'alive since'
+
+
 class Evidence:
     """Crashes by subject and endpoint, without those that were refuted.
 
@@ -48,6 +58,8 @@
     def __init__(self) -> None:
         #: Time of each crash, by subject and endpoint.
         self.crashes: dict[int, dict[int, float]] = {}
+        #: Subjects and endpoints of crashes whose request was sent after an earlier crash.
+        self.repeated: set[tuple[int, int]] = set()
         #: Time at which a request of each subject was last served, the latest last.
         self.served: OrderedDict[int, float] = OrderedDict()
         #: Time of the supposed crash of endpoints that were alive after it, the latest last.
@@ -58,18 +70,30 @@
         #: Time and subjects of the latest uncertain ends of streams, by endpoint.
         self._uncertain: OrderedDict[int, deque[tuple[float, frozenset[int]]]] = OrderedDict()
 
-    def add_crash(self, subject: int, endpoint: int, at: float) -> bool:
-        """Add a crash; returns whether it was new and is not refuted."""
-        known = self.crashes.get(subject, {})
-        if endpoint in known or at <= self.served.get(subject, float('-inf')):
-            return False
+    def add_crash(
+        self, subject: int, endpoint: int, at: float, *, is_repeated: bool = False
+    ) -> Addition:
+        """Add a crash, unless it is known or refuted."""
+        if endpoint in self.crashes.get(subject, ()):
+            if not is_repeated or (subject, endpoint) in self.repeated:
+                return Addition.KNOWN
+            self.repeated.add((subject, endpoint))
+            return Addition.ADDED
+        if at <= self.served.get(subject, float('-inf')):
+            return Addition.SERVED_SINCE
         if self._was_alive_after(endpoint, at):
-            return False
+            return Addition.ALIVE_SINCE
         self.crashes.setdefault(subject, {})[endpoint] = at
         self._crashed_at[endpoint] = max(at, self._crashed_at.get(endpoint, at))
+        if is_repeated:
+            self.repeated.add((subject, endpoint))
         if len(self.crashes) > MAX_SUBJECTS:
             self._forget_rarest()
-        return True
+        return Addition.ADDED
+
+    def has_crash_before(self, subject: int, at: float) -> bool:
+        """Return whether a crash under a subject is known from before a time."""
+        return any(each < at for each in self.crashes.get(subject, {}).values())
 
     def add_uncertain_end(self, subjects: frozenset[int], endpoint: int, at: float) -> None:
         """Add a stream whose end may be a crash of its endpoint."""
@@ -148,13 +172,21 @@
             for endpoint in endpoints:
                 subjects[endpoint].add(subject)
         return tuple(
-            Crash(name, self._crashed_at[name], frozenset(each)) for name, each in subjects.items()
+            Crash(
+                name,
+                self._crashed_at[name],
+                frozenset(each),
+                frozenset(own for own in each if (own, name) in self.repeated),
+            )
+            for name, each in subjects.items()
         )
 
     def _was_alive_after(self, endpoint: int, at: float) -> bool:
-        if at < self.alive.get(endpoint, float('-inf')):
-            return True
-        return any(_is_alive(at, sent_at) for sent_at in self._answers.get(endpoint, ()))
+        answered_at = (each for each in self._answers.get(endpoint, ()) if _is_alive(at, each))
+        alive_at = max(answered_at, default=float('-inf'))
+        if alive_at > self.alive.get(endpoint, float('-inf')):
+            self.add_alive(endpoint, alive_at)
+        return at < self.alive.get(endpoint, float('-inf'))
 
     def _remove_crashes(self, subject: int, until: float) -> bool:
         """Remove the crashes of a subject up to a time; returns whether there were any."""
@@ -166,6 +198,7 @@
     def _remove_crash(self, subject: int, endpoint: int) -> None:
         endpoints = self.crashes[subject]
         endpoints.pop(endpoint)
+        self.repeated.discard((subject, endpoint))
         if not endpoints:
             self.crashes.pop(subject)
 
@@ -176,7 +209,8 @@
             key=lambda each: (len(self.crashes[each]), max(self.crashes[each].values())),
         )
         for subject in ranked[: MAX_SUBJECTS // 4]:
-            self.crashes.pop(subject)
+            for endpoint in tuple(self.crashes[subject]):
+                self._remove_crash(subject, endpoint)
 
 
 def _is_alive(crashed_at: float, sent_at: float) -> bool:
--- a/shallotmux/crashes/_history.py
+++ b/shallotmux/crashes/_history.py
@@ -88,7 +88,8 @@
     for each in changes:
         at = evidence.crashes.get(each.subject, {}).get(each.endpoint)
         if each.kind is ChangeKind.CRASH and at is not None:
-            yield CrashReport(each.subject, each.endpoint, now - at)
+            is_repeated = (each.subject, each.endpoint) in evidence.repeated
+            yield CrashReport(each.subject, each.endpoint, now - at, is_repeated)
 
 
 def _served_reports(
--- a/shallotmux/crashes/_messages.py
+++ b/shallotmux/crashes/_messages.py
@@ -11,11 +11,13 @@
     :param subject: hash of the request, which is equal when it is sent again, or of the prompt part.
     :param endpoint: identifies one start of the endpoint: the number changes when it restarts.
     :param age_s: time since the crash.
+    :param is_repeated: whether the request was sent after an earlier crash under the same subject.
     """
 
     subject: int
     endpoint: int
     age_s: float
+    is_repeated: bool = False
 
 
 class ServedReport(msgspec.Struct, frozen=True, array_like=True):
--- a/shallotmux/crashes/_records.py
+++ b/shallotmux/crashes/_records.py
@@ -14,13 +14,20 @@
     find_culprits,
     may_run_trial,
 )
-from shallotmux.crashes._evidence import UNCERTAIN_END_S, Evidence
+from shallotmux.crashes._evidence import UNCERTAIN_END_S, Addition, Evidence
 from shallotmux.crashes._history import Change, ChangeKind, History
 from shallotmux.crashes._messages import CrashNews, Position
 
+#: Times after and before all others.
+ALWAYS = float('inf')
+NEVER = float('-inf')
+
 #: Interval at which old evidence is forgotten.
 EXPIRY_INTERVAL_S = 1.0
 
+#: Maximum number of subjects whose last announcement is remembered.
+MAX_ANNOUNCED = 4096
+
 #: Subjects and endpoints of a quarantine that a log line names.
 MAX_LOGGED = 8
 
@@ -59,6 +66,8 @@
         self._is_changed = False
         self._expired_at = float('-inf')
         self._trials: dict[frozenset[int], _Trial] = {}
+        #: Time of service that other instances were last told of, by subject.
+        self._announced: dict[int, float] = {}
 
     @property
     def has_crashes(self) -> bool:
@@ -96,11 +105,15 @@
         )
         return max(waits, default=0.0)
 
-    def record_crash(self, subjects: Iterable[int], endpoint: int) -> None:
-        """Record that an endpoint crashed while it may have run a request."""
+    def record_crash(self, subjects: Iterable[int], endpoint: int, sent_at: float = ALWAYS) -> None:
+        """Record that an endpoint crashed while it may have run a request.
+
+        :param sent_at: local time at which the request was sent to it.
+        """
         now = trio.current_time()
         for subject in subjects:
-            self._add_crash(subject, endpoint, now)
+            is_repeated = self._evidence.has_crash_before(subject, sent_at)
+            self._add_crash(subject, endpoint, now, is_repeated=is_repeated, is_own=True)
 
     def record_uncertain_end(self, subjects: frozenset[int], endpoint: int) -> None:
         """Record that a stream ended with its connection, which may be a crash of its endpoint.
@@ -110,7 +123,7 @@
         now = trio.current_time()
         self._evidence.add_uncertain_end(subjects, endpoint, now)
         if now - self._evidence.crashed_at(endpoint) <= UNCERTAIN_END_S:
-            self.record_crash(subjects, endpoint)
+            self.record_crash(subjects, endpoint, NEVER)
 
     def record_unreachable(self, endpoint: int) -> None:
         """Record that an endpoint accepted no connection."""
@@ -136,24 +149,56 @@
             if self._evidence.add_alive(alive.endpoint, now - max(0.0, alive.age_s)):
                 self._record_change(Change(ChangeKind.ALIVE, endpoint=alive.endpoint))
         for crash in news.crashes:
-            self._add_crash(crash.subject, crash.endpoint, now - max(0.0, crash.age_s))
+            at = now - max(0.0, crash.age_s)
+            self._add_crash(crash.subject, crash.endpoint, at, is_repeated=crash.is_repeated)
 
     def build_news(self, after: Position) -> CrashNews:
         """Return what was learned after a position, at most as much as fits one message."""
         self._expire()
         return self._history.build_news(after, self._evidence, trio.current_time())
 
-    def _add_crash(self, subject: int, endpoint: int, at: float) -> None:
-        if self._evidence.add_crash(subject, endpoint, at):
-            self._record_change(Change(ChangeKind.CRASH, subject, endpoint))
-            self._add_uncertain(endpoint, at)
+    def _add_crash(
+        self, subject: int, endpoint: int, at: float, *, is_repeated: bool, is_own: bool = False
+    ) -> None:
+        match self._evidence.add_crash(subject, endpoint, at, is_repeated=is_repeated):
+            case Addition.ADDED:
+                self._record_crash_change(subject, endpoint, is_own=is_own)
+                self._add_uncertain(endpoint, at)
+            case Addition.SERVED_SINCE:
+                # Whoever reported the crash may not know that.
+                self._announce_served(subject)
+            case Addition.ALIVE_SINCE:
+                self._record_change(Change(ChangeKind.ALIVE, endpoint=endpoint))
 
     def _add_uncertain(self, endpoint: int, at: float) -> None:
         """Count streams that ended when an endpoint crashed as broken."""
         for subject in self._evidence.find_uncertain(endpoint, at):
-            if self._evidence.add_crash(subject, endpoint, at):
+            if self._evidence.add_crash(subject, endpoint, at) is Addition.ADDED:
                 self._record_change(Change(ChangeKind.CRASH, subject, endpoint))
 
+    def _record_crash_change(self, subject: int, endpoint: int, *, is_own: bool) -> None:
+        """Record a crash for other instances.
+
+        What others reported is passed on once a second endpoint has crashed under it. A failed rack
+        otherwise floods all instances with requests that were on it, and delays what matters.
+        """
+        known = self._evidence.crashes.get(subject, {})
+        if is_own or len(known) > 2:
+            self._record_change(Change(ChangeKind.CRASH, subject, endpoint))
+        elif len(known) == 2:
+            for each in known:
+                self._record_change(Change(ChangeKind.CRASH, subject, each))
+        self._is_changed = True
+
+    def _announce_served(self, subject: int) -> None:
+        served_at = self._evidence.served[subject]
+        if self._announced.get(subject) == served_at:
+            return
+        self._announced[subject] = served_at
+        if len(self._announced) > MAX_ANNOUNCED:
+            self._announced.pop(next(iter(self._announced)))
+        self._record_change(Change(ChangeKind.SERVED, subject))
+
     def _add_served(self, subject: int, at: float) -> None:
         if self._evidence.add_served(subject, at):
             self._record_change(Change(ChangeKind.SERVED, subject))
@@ -170,7 +215,7 @@
 
     def _may_try(self, culprit: Culprit, holder: object, now: float) -> bool:
         """Return whether a request that contains a culprit may run as a trial."""
-        crashes = len(culprit.endpoints)
+        crashes = culprit.crashes
         trial = self._trials.get(culprit.subjects)
         if trial is not None and trial.holder == holder:
             return trial.crashes == crashes
@@ -203,6 +248,7 @@
     """Return the fields of a log line that name a culprit."""
     return {
         'subjects': [f'{each:016x}' for each in sorted(culprit.subjects)[:MAX_LOGGED]],
-        'crashes': len(culprit.endpoints),
+        'crashes': culprit.crashes,
+        'endpoints': len(culprit.endpoints),
         'starts': [f'{each:08x}' for each in sorted(culprit.endpoints)[:MAX_LOGGED]],
     }
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -145,7 +145,7 @@
         except EndpointError as error:
             outcome = classify_missing_answer(was_sent=connection.was_sent)
             if connection.was_sent:
-                self._directory.record_suspected_crash(state, attempt.job)
+                self._directory.record_suspected_crash(state, attempt.job, attempt.work.sent_at)
             return AttemptResult(outcome, str(error), is_failure=True)
         finally:
             self._pool.release(state.identity, connection)
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -160,9 +160,12 @@
         if limit is not None or not self.limits.known.is_empty:
             self.limits.known.observe(state.start_number, parse_limit(limit), sent_at)
 
-    def record_suspected_crash(self, state: EndpointState, job: Job) -> None:
-        """Record that a connection broke while the endpoint may have been running a request."""
-        self.crashes.record_crash(job.subjects(), state.start_number)
+    def record_suspected_crash(self, state: EndpointState, job: Job, sent_at: float) -> None:
+        """Record that a connection broke while the endpoint may have been running a request.
+
+        :param sent_at: local time at which the request was sent.
+        """
+        self.crashes.record_crash(job.subjects(), state.start_number, sent_at)
         parts = sorted(job.shared_parts(), key=self.crashes.count, reverse=True)
         log_message(
             message_type='shallotmux:suspected-crash',
--- a/shallotmux/forwarding/_prefill.py
+++ b/shallotmux/forwarding/_prefill.py
@@ -95,6 +95,7 @@
         extra = (*self._dialect.prefill_headers, *call.extra)
         outgoing = job.build_outgoing(self._dialect.names, state.identity, extra)
         connection: EndpointConnection | None = None
+        sent_at = trio.current_time()
         try:
             with InFlightWork(state, call.uncached_tokens) as work:
                 connection = await self._pool.acquire(
@@ -109,7 +110,7 @@
         except ConnectionUnusable as error:
             self._directory.record_unreachable(state, str(error))
         except EndpointError as error:
-            self._directory.record_suspected_crash(state, job)
+            self._directory.record_suspected_crash(state, job, sent_at)
             self._budget.charge(job.service)
             self._directory.record_failure(state, str(error))
         finally:
--- a/tests/crashes/test_exchange.py
+++ b/tests/crashes/test_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import trio
 import trio.testing
 
 from shallotmux.crashes import CrashExchange, CrashRecords
@@ -53,6 +54,7 @@
     entry, control, other = Instance(), Instance(), Instance()
     other.records.record_crash((SUBJECT,), 3)
     other.poll('c', control)
+    await trio.sleep(1)
     entry.records.record_crash((SUBJECT,), 1)
     entry.poll('c', control, answer_lost=True)
     entry.records.record_crash((SUBJECT,), 2)
@@ -66,6 +68,7 @@
     entries, control = [Instance(), Instance()], Instance()
     entries[0].records.record_crash((SUBJECT,), 1)
     entries[0].records.record_crash((SUBJECT,), 2)
+    await trio.sleep(1)
     entries[1].records.record_crash((SUBJECT,), 3)
     for entry in (*entries, *entries):
         entry.poll('c', control)
--- a/tests/crashes/test_records.py
+++ b/tests/crashes/test_records.py
@@ -49,6 +49,7 @@
     """Guards against three crashes at each instance before refusal, and against double counts."""
     first, second = CrashRecords(), CrashRecords()
     first.record_crash((7,), 1)
+    await trio.sleep(1)
     second.record_crash((7,), 2)
     second.record_crash((7,), 3)
     for _ in range(2):
@@ -255,8 +256,10 @@
     records.record_uncertain_end(subjects, 1)
     await trio.sleep(0.5)
     records.record_unreachable(1)
+    await trio.sleep(1)
     records.record_uncertain_end(subjects, 2)
     records.record_crash((8,), 2)
+    await trio.sleep(1)
     records.record_crash((8,), 3)
     records.record_uncertain_end(subjects, 3)
     assert is_quarantined(records, 7)
@@ -270,3 +273,20 @@
         await trio.sleep(2)
         records.record_unreachable(endpoint)
     assert records.count(7) == 0
+
+
+async def test_refutation_of_a_late_report_reaches_other_instances(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a popular part that others refuse, though one instance has served it since."""
+    observer, server, other = CrashRecords(), CrashRecords(), CrashRecords()
+    await trio.sleep(10)
+    for endpoint in range(3):
+        observer.record_crash((7,), endpoint)
+        await trio.sleep(1)
+    server.record_served((7,))
+    exchange(observer, other)
+    assert is_quarantined(other, 7)
+    exchange(observer, server)
+    exchange(server, other)
+    assert not is_quarantined(other, 7)
