Write up the second fault of the quarantine, and make two of its tests stricter

Reports of crashes at one time count as one now, so two tests that must see no quarantine passed without what they guard: make guards showed it for late reports. They use crashes at different times and check that these suffice without a refutation.

--- a/tests/crashes/test_records.py
+++ b/tests/crashes/test_records.py
@@ -200,9 +200,12 @@
     records = CrashRecords()
     await trio.sleep(10)
     records.record_served((7,))
-    reports = tuple(CrashReport(7, endpoint, 5.0) for endpoint in range(3))
+    reports = tuple(CrashReport(7, endpoint, 5.0 + endpoint) for endpoint in range(3))
     records.merge(CrashNews(crashes=reports))
     assert not is_quarantined(records, 7)
+    unserved = CrashRecords()
+    unserved.merge(CrashNews(crashes=reports))
+    assert is_quarantined(unserved, 7)
 
 
 async def test_endpoint_that_answers_has_not_crashed(
@@ -241,7 +244,10 @@
 ) -> None:
     """Guards against results that depend on which of two messages comes first."""
     await trio.sleep(10)
-    crashes = CrashNews(crashes=tuple(CrashReport(7, each, 5.0) for each in range(3)))
+    crashes = CrashNews(crashes=tuple(CrashReport(7, each, 5.0 + each) for each in range(3)))
+    unrefuted = CrashRecords()
+    unrefuted.merge(crashes)
+    assert is_quarantined(unrefuted, 7)
     served = CrashNews(served=(ServedReport(7, 4.0),))
     alive = CrashNews(alive=(AliveReport(1, 4.5),))
     for refutation in (served, alive):
--- a/tests/guards/crashes.py
+++ b/tests/guards/crashes.py
@@ -77,7 +77,7 @@
         'sound-requests-served (late reports)',
         'shallotmux/crashes/_evidence.py',
         "if at <= self.served.get(subject, float('-inf')):\n            return Addition",
-        'if False:',
+        'if False:\n            return Addition',
         (f'{RECORDS}::test_part_served_before_a_late_report_is_not_quarantined',),
     ),
     Guard(
