Keep the lifetime of crash evidence in one place

The time for which crashes are remembered stood twice, in shallotmux.crashes and in the zone's state; the latter now uses the former. EndpointLimits checked twice whether any limit is known, which limit_of tells already. No behaviour changes; lint and the tests of authority, crashes, ratelimits and forwarding pass.

--- a/shallotmux/authority/_part_crashes.py
+++ b/shallotmux/authority/_part_crashes.py
@@ -10,15 +10,11 @@
 from dataclasses import dataclass, field, replace
 
 from shallotmux.authority._codec import registry
-from shallotmux.crashes import Crash, Culprit, digest_subject, find_culprits
+from shallotmux.crashes import EVIDENCE_TTL_S, Crash, Culprit, digest_subject, find_culprits
 
 #: Reports of one engine's crash within this time, by several instances, are the same crash.
 SAME_CRASH_S = 5.0
 
-#: Time in seconds for which a crash is remembered. It exceeds the longest quarantine, so that one
-#: more crash after it starts the next one.
-EVIDENCE_TTL_S = 900.0
-
 #: Maximum number of crashes that are remembered, and of parts of each.
 MAX_CRASHES = 64
 MAX_PARTS = 256
--- a/shallotmux/crashes/__init__.py
+++ b/shallotmux/crashes/__init__.py
@@ -11,6 +11,7 @@
     find_culprits_naively,
     may_run_trial,
 )
+from shallotmux.crashes._evidence import EVIDENCE_TTL_S
 from shallotmux.crashes._exchange import CrashExchange
 from shallotmux.crashes._messages import (
     AliveReport,
@@ -24,6 +25,7 @@
 
 __all__ = (
     'CRASH_LIMIT',
+    'EVIDENCE_TTL_S',
     'QUARANTINE_S',
     'AliveReport',
     'Crash',
--- a/shallotmux/ratelimits/_endpoint_limits.py
+++ b/shallotmux/ratelimits/_endpoint_limits.py
@@ -81,7 +81,7 @@
 
     def has_room(self, endpoint: int) -> bool:
         """Return whether a request may be sent to an endpoint now."""
-        if self.known.is_empty or self.known.limit_of(endpoint) is None:
+        if self.known.limit_of(endpoint) is None:
             return True
         if self._stock.count(endpoint, trio.current_time()):
             return True
@@ -90,7 +90,7 @@
 
     def take(self, endpoint: int) -> bool:
         """Use up a permit if the endpoint has a limit; returns whether a request may be sent."""
-        if self.known.is_empty or self.known.limit_of(endpoint) is None:
+        if self.known.limit_of(endpoint) is None:
             return True
         return self._stock.take(endpoint, trio.current_time())
 
