Recognize events whatever line ends a stream has

Callers saw whole streams without a length or chunks broken off if their lines ended with CR, or with a mixture, and on resumable routes got the events of such a stream only at its end.

Cause: an event was taken to end at LF LF or CRLF CRLF alone; the format allows LF, CR and CRLF, in any combination. Two classes looked for the ends, by different rules; one does now.

A property test checks that the result does not depend on how a stream is cut into parts.

--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -16,7 +16,7 @@
     ConnectionUnusable,
     EndpointConnection,
 )
-from shallotmux.forwarding._events import EventBoundary, EventSplitter
+from shallotmux.forwarding._events import EventSplitter
 from shallotmux.forwarding._headers import drop_connection_headers
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._messages import AnswerHead, OutgoingRequest
@@ -225,8 +225,8 @@
                 job.events = EventSplitter()
             await job.reply.send_head(head.status, drop_connection_headers(head.headers))
         if job.events is not None:
-            job.events.discard_incomplete()
-        boundary = EventBoundary()
+            job.events.start_attempt()
+        splitter = EventSplitter() if job.events is None else job.events
         if buffered.content:
             job.record_part()
             await job.reply.send_part(buffered.content)
@@ -234,10 +234,11 @@
         self._record_run_started(job)
         while part is not None:
             job.record_part()
-            boundary.feed(part)
-            await job.reply.send_part(part if job.events is None else job.events.feed(part))
+            complete = splitter.feed(part)
+            await job.reply.send_part(part if job.events is None else complete)
             part = await connection.receive_part()
-        if _ends_with_connection(job, head) and not boundary.is_whole:
+        is_whole = splitter.has_events and splitter.is_whole
+        if _ends_with_connection(job, head) and not is_whole:
             raise EndpointError(
                 'the stream broke off inside an event', step='receive body', peer=connection.peer
             )
--- a/shallotmux/forwarding/_events.py
+++ b/shallotmux/forwarding/_events.py
@@ -2,39 +2,69 @@
 
 from __future__ import annotations
 
+import re
+
 #: Largest incomplete event that is held back.
 MAX_EVENT_BYTES = 1 << 20
 
-#: Length of the longest line end and blank line after an event.
-MAX_BLANK_LINE_BYTES = 4
+#: Bytes of a line end and a blank line, which end an event, that may precede the last one of them.
+MAX_SPLIT_END_BYTES = 3
+
+#: A line end and a blank line. Lines end with LF, CR or both; a CR at the end of the content counts, as
+#: a sender of CR alone would otherwise be held back until its next event.
+_EVENT_END = re.compile(rb'(?:\r\n|\n|\r(?!\n))(?:\r\n|[\r\n])[\r\n]*')
+
+#: Blank lines and comments, which belong to no event. The match does not backtrack, which would take
+#: exponential time.
+_NO_EVENT = re.compile(rb'(?:(?::[^\r\n]*+)?(?>\r\n|[\r\n]))*+')
+
+_COMMON_ENDS = (b'\n\n', b'\r\n\r\n')
 
 
 class EventSplitter:
-    """Holds back an incomplete event, and tracks the id of the last complete one.
+    """Splits a stream into complete events and an incomplete one, and tracks the last id.
 
-    A stream that breaks in the middle of an event can then be resumed at another endpoint, after
-    the last event that the caller received.
+    A stream that breaks in the middle of an event can be resumed at another endpoint, after the last
+    event that the caller received.
     """
 
     def __init__(self) -> None:
         self._pending = b''
         #: Id of the last complete event, empty before the first one with an id.
         self.last_id = b''
+        #: Whether an event of the present attempt was complete.
+        self.has_events = False
+        #: Whether the start of the present event was returned, since it is too long to be held back.
+        self.is_partly_returned = False
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether no event is incomplete."""
+        return not self.is_partly_returned and _NO_EVENT.fullmatch(self._pending) is not None
 
     def feed(self, content: bytes) -> bytes:
         """Append content; returns the events that are now complete."""
         pending = self._pending + content
         end = _end_of_events(pending)
-        if end == 0 and len(pending) > MAX_EVENT_BYTES:
-            end = len(pending)
+        if not (end or self.is_partly_returned):
+            # These line ends belong to the event before.
+            end = len(pending) - len(pending.lstrip(b'\r\n'))
+        if end:
+            self.is_partly_returned = False
+            self.has_events = self.has_events or _NO_EVENT.fullmatch(pending[:end]) is None
+        elif len(pending) > MAX_EVENT_BYTES:
+            self.is_partly_returned = True
+            # The end of the event may be split across parts, and is looked for in what is kept.
+            end = len(pending) - MAX_SPLIT_END_BYTES
         complete = pending[:end]
         self._pending = pending[end:]
         self._record_ids(complete)
         return complete
 
-    def discard_incomplete(self) -> None:
+    def start_attempt(self) -> None:
         """Drop an incomplete event, which a resumed stream sends again."""
         self._pending = b''
+        self.has_events = False
 
     def flush(self) -> bytes:
         """Return the bytes after the last event, at the end of a complete stream."""
@@ -48,24 +78,11 @@
                 self.last_id = line[3:].strip()
 
 
-class EventBoundary:
-    """Tells whether a stream has ended after an event, by its last bytes."""
-
-    def __init__(self) -> None:
-        self._tail = b''
-
-    def feed(self, content: bytes) -> None:
-        """Append content."""
-        self._tail = (self._tail + content[-MAX_BLANK_LINE_BYTES:])[-MAX_BLANK_LINE_BYTES:]
-
-    @property
-    def is_whole(self) -> bool:
-        """Return whether there was an event, and none is incomplete."""
-        return bool(self._tail) and _end_of_events(self._tail) == len(self._tail)
-
-
 def _end_of_events(content: bytes) -> int:
-    """Return the position after the last empty line, 0 without one."""
-    lf_end = content.rfind(b'\n\n')
-    crlf_end = content.rfind(b'\r\n\r\n')
-    return max(lf_end + 2 if lf_end >= 0 else 0, crlf_end + 4 if crlf_end >= 0 else 0)
+    """Return the position after the last complete event, 0 without one."""
+    if content.endswith(_COMMON_ENDS):
+        return len(content)
+    end = 0
+    for match in _EVENT_END.finditer(content):
+        end = match.end()
+    return end
--- a/tests/forwarding/test_parts.py
+++ b/tests/forwarding/test_parts.py
@@ -5,6 +5,8 @@
 import pytest
 import trio
 import trio.testing
+from hypothesis import given
+from hypothesis import strategies as st
 
 from shallotmux.fleet import CustomerCount, TrueClock
 from shallotmux.forwarding import (
@@ -77,7 +79,7 @@
     events = EventSplitter()
     assert events.feed(b'id: 1\ndata: a\n\nid: 2\nda') == b'id: 1\ndata: a\n\n'
     assert events.last_id == b'1'
-    events.discard_incomplete()
+    events.start_attempt()
     assert events.feed(b'id: 2\ndata: b\n\n') == b'id: 2\ndata: b\n\n'
     assert events.last_id == b'2'
 
@@ -89,6 +91,30 @@
     assert events.flush() == b'end'
 
 
+@given(
+    events=st.lists(st.sampled_from((b'id: 1', b'data: a', b': note', b'')), max_size=12),
+    line_ends=st.lists(st.sampled_from((b'\n', b'\r', b'\r\n')), min_size=12, max_size=12),
+    cuts=st.sets(st.integers(0, 80)),
+)
+def test_split_streams_keep_their_bytes_and_boundaries(
+    events: list[bytes], line_ends: list[bytes], cuts: set[int]
+) -> None:
+    """Guards against results that depend on how a stream is cut into parts."""
+    content = b''.join(line + end for line, end in zip(events, line_ends, strict=False))
+    whole = EventSplitter()
+    complete = whole.feed(content)
+    parted = EventSplitter()
+    positions = sorted({0, *cuts, len(content)})
+    got = b''.join(
+        parted.feed(content[start:end])
+        for start, end in zip(positions, positions[1:], strict=False)
+    )
+    assert got == complete
+    assert got + parted.flush() == content
+    found = [(each.has_events, each.last_id) for each in (parted, whole)]
+    assert found[0] == found[1]
+
+
 async def test_retries_are_bounded_by_share(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against instances that together exceed the retry budget of the fleet."""
     budget = SharedRetryBudget(RetryBudgetLimits(0.2, 50, 10), lambda: 10)
