Break off every stream that ends inside an event, however it is framed

Callers saw a stream that had ended inside an event as complete if it came with a length or with chunks, or on a route that is not of the streaming kind. On resumable routes the body of an error answer could follow the events of a stream that had broken off, also marked as complete.

Cause: took the connection's end for an uncertain end, and trusted every other end; it asked the route whether an answer is a stream. The end of the last event is what counts, so the check now holds for all framings, and the type of the answer decides whether it is a stream, without one the kind of the route. An answer that is no stream, or an error, does not continue a stream. A stream on a route of the safe kind is no longer buffered.

--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -16,13 +16,20 @@
     ConnectionUnusable,
     EndpointConnection,
 )
-from shallotmux.forwarding._events import EventSplitter
-from shallotmux.forwarding._headers import drop_connection_headers
 from shallotmux.forwarding._job import Job
-from shallotmux.forwarding._messages import AnswerHead, OutgoingRequest
+from shallotmux.forwarding._messages import OutgoingRequest
 from shallotmux.forwarding._names import HeaderNames
 from shallotmux.forwarding._outcome import Outcome, classify_answer, classify_missing_answer
 from shallotmux.forwarding._pool import ConnectionPool
+from shallotmux.forwarding._relay import (
+    MIN_ERROR_STATUS,
+    BufferedStart,
+    buffer_start,
+    ends_with_connection,
+    is_event_stream,
+    may_continue_stream,
+    relay_answer,
+)
 from shallotmux.forwarding._state import EndpointState, InFlightWork, Target
 from shallotmux.routes import RouteKind
 
@@ -30,9 +37,6 @@
 #: a connection was idle, the likelier the peer has closed it without notice.
 NON_REPEATABLE_MAX_IDLE_S = 1.0
 
-#: Lowest status of an answer that does not show that the request was served.
-MIN_ERROR_STATUS = 400
-
 #: Lowest status that counts as a failure of the endpoint.
 MIN_SERVER_ERROR_STATUS = 500
 
@@ -80,19 +84,6 @@
     work: InFlightWork
 
 
-#: Bytes of an answer that are buffered before it is relayed. While all of it is in the buffer, a
-#: truncated answer can be retried without the caller noticing.
-MAX_BUFFERED_BYTES = 65_536
-
-
-@dataclass(frozen=True, slots=True)
-class _BufferedStart:
-    """Start of an answer body that was not relayed yet."""
-
-    content: bytes = b''
-    is_complete: bool = False
-
-
 class AttemptRunner:
     """Runs attempts over pooled connections.
 
@@ -201,12 +192,19 @@
         if is_error and attempt.may_retry:
             await connection.discard_body()
             return AttemptResult(outcome, f'status {head.status}', True, head.status)
-        if attempt.may_retry and job.route.kind is RouteKind.SAFE:
-            buffered = await _buffer_start(connection)
-        else:
-            buffered = _BufferedStart()
-        await self._relay(job, head, connection, buffered)
-        is_end_certain = not _ends_with_connection(job, head)
+        if job.reply.is_started and not may_continue_stream(job, head):
+            await connection.discard_body()
+            reason = f'status {head.status} instead of the rest of a stream'
+            return AttemptResult(outcome, reason, is_error, head.status)
+        start = BufferedStart()
+        if (
+            attempt.may_retry
+            and job.route.kind is RouteKind.SAFE
+            and not is_event_stream(job, head)
+        ):
+            start = await buffer_start(connection)
+        await relay_answer(job, head, connection, start, self._record_run_started)
+        is_end_certain = not ends_with_connection(job, head)
         if not is_end_certain:
             self._directory.record_uncertain_end(attempt.target.state, job)
         return AttemptResult(outcome, DELIVERED, is_error, head.status, is_end_certain)
@@ -216,55 +214,8 @@
             job.has_run_started = True
             self._on_run_started(job)
 
-    async def _relay(
-        self, job: Job, head: AnswerHead, connection: EndpointConnection, buffered: _BufferedStart
-    ) -> None:
-        """Relay an answer; a resumed stream keeps the head of its first attempt."""
-        if not job.reply.is_started:
-            if job.route.kind is RouteKind.STREAMING and job.route.is_resumable:
-                job.events = EventSplitter()
-            await job.reply.send_head(head.status, drop_connection_headers(head.headers))
-        if job.events is not None:
-            job.events.start_attempt()
-        splitter = EventSplitter() if job.events is None else job.events
-        if buffered.content:
-            job.record_part()
-            await job.reply.send_part(buffered.content)
-        part = None if buffered.is_complete else await connection.receive_part()
-        self._record_run_started(job)
-        while part is not None:
-            job.record_part()
-            complete = splitter.feed(part)
-            await job.reply.send_part(part if job.events is None else complete)
-            part = await connection.receive_part()
-        is_whole = splitter.has_events and splitter.is_whole
-        if _ends_with_connection(job, head) and not is_whole:
-            raise EndpointError(
-                'the stream broke off inside an event', step='receive body', peer=connection.peer
-            )
-        if job.events is not None:
-            await job.reply.send_part(job.events.flush())
-        await job.reply.finish()
-
 
 async def _send_ignoring_errors(connection: EndpointConnection, outgoing: OutgoingRequest) -> None:
     """Send a request; a broken connection is reported when the answer is read."""
     with suppress(EndpointError):
         await connection.send_request(outgoing)
-
-
-def _ends_with_connection(job: Job, head: AnswerHead) -> bool:
-    """Return whether only the connection marks the end of a stream of events."""
-    is_stream = job.route.kind is RouteKind.STREAMING and head.status < MIN_ERROR_STATUS
-    return is_stream and not head.has_length
-
-
-async def _buffer_start(connection: EndpointConnection) -> _BufferedStart:
-    """Read an answer up to its end or :data:`MAX_BUFFERED_BYTES`."""
-    content = b''
-    while len(content) < MAX_BUFFERED_BYTES:
-        part = await connection.receive_part()
-        if part is None:
-            return _BufferedStart(content, is_complete=True)
-        content += part
-    return _BufferedStart(content)
--- a/tests/forwarding/test_broken_streams.py
+++ b/tests/forwarding/test_broken_streams.py
@@ -165,3 +165,13 @@
         except trio.BrokenResourceError:
             is_reset = True
     assert is_reset or not received.startswith(b'HTTP/1.1 200')
+
+
+@pytest.mark.parametrize('status', [404, 500])
+@pytest.mark.parametrize('content_type', [STREAM_TYPE, b'Content-Type: text/plain\r\n', b''])
+async def test_error_answer_does_not_continue_a_stream(status: int, content_type: bytes) -> None:
+    """Guards against the body of an error answer that is joined to a stream that broke off."""
+    failing = [serve(EVENTS, 'length', content_type=content_type, status=status) for _ in range(2)]
+    async with run_forwarder(serve(EVENTS[:-1], 'chunked'), *failing) as harness:
+        got = await harness.make_request('/resume/')
+    assert (got.status, got.is_complete, got.body) == (200, False, EVENTS[:15])
