Do not resume a stream whose present event was relayed in part

Callers could get an event over 1 MiB joined from two runs: an event over the buffer limit is relayed before its end, and when the stream broke there, another endpoint sent the whole event again. Such a stream is broken off now.

Evidence: test_event_that_was_relayed_in_part_is_not_sent_again failed before.

--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -145,8 +145,8 @@
 
     def _may_retry(self, job: Job, result: AttemptResult) -> bool:
         """Return whether another attempt is allowed after a failed one."""
-        if job.reply.is_started and job.events is None:
-            # Only a stream of events with ids can be resumed.
+        if job.reply.is_started and (job.events is None or job.events.is_partly_returned):
+            # Only a stream of events with ids can be resumed, after a complete event.
             return False
         if result.outcome is not Outcome.NOT_RUN:
             if not job.route.is_repeatable or job.runs >= job.route.max_attempts:
