Reset the connection of a caller of HTTP/1.0 whose answer broke off

Callers of HTTP/1.0 saw a broken stream as complete. They get no chunks, so the end of the connection is the end of the answer, and an answer that broke off, failed in the instance, or was interrupted by its shutdown ended in the same way as a whole one. Such a connection is reset now.

--- a/shallotmux/forwarding/_listener.py
+++ b/shallotmux/forwarding/_listener.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import struct
 import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -35,6 +36,9 @@
 #: Total bytes of request bodies that a listener keeps in memory.
 MAX_BUFFERED_BODY_BYTES = 64 << 20
 
+#: Value of ``SO_LINGER`` with which closing a connection resets it.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
 #: Answers a request; an exception ends the connection.
 Handler = Callable[[CallerRequest, 'CallerReply'], Awaitable[None]]
 
@@ -104,6 +108,7 @@
             await connection.run()
         finally:
             self._connections.discard(connection)
+            connection.reset_unless_end_is_marked()
             await trio.aclose_forcefully(stream)
 
 
@@ -140,6 +145,16 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise CallerDisconnected(f'{error!r}', step='reply') from error
 
+    def reset_unless_end_is_marked(self) -> None:
+        """Make closing the connection a reset if it would look like the end of the present answer.
+
+        That is so for callers of HTTP/1.0, which get no chunks.
+        """
+        is_open = self.protocol.our_state in {h11.SEND_BODY, h11.ERROR}
+        if is_open and self.protocol.their_http_version != b'1.1':
+            with contextlib.suppress(OSError):
+                self.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or answered."""
         if self._is_idle and self._idle_scope is not None:
@@ -317,6 +332,7 @@
 
     def abort(self) -> None:
         """Close the connection, so that the caller sees the answer as incomplete."""
+        self._connection.reset_unless_end_is_marked()
         self._connection.stream.socket.close()
 
     async def refuse(self, status: int) -> None:
--- a/tests/forwarding/test_broken_streams.py
+++ b/tests/forwarding/test_broken_streams.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from shallotmux.forwarding import CallerRequest, HttpListener, Reply
 from tests.forwarding._harness import (
     NAMES,
     ReceivedRequest,
@@ -175,3 +176,31 @@
     async with run_forwarder(serve(EVENTS[:-1], 'chunked'), *failing) as harness:
         got = await harness.make_request('/resume/')
     assert (got.status, got.is_complete, got.body) == (200, False, EVENTS[:15])
+
+
+@pytest.mark.parametrize('ending', ['exception', 'shutdown'])
+async def test_interrupted_answer_is_reset_for_callers_without_chunks(ending: str) -> None:
+    """Guards against an answer that looks complete to a caller of HTTP/1.0 since the instance failed."""
+
+    async def send_start(request: CallerRequest, reply: Reply) -> None:
+        await reply.send_head(200, ())
+        await reply.send_part(b'start')
+        if ending == 'exception':
+            raise ValueError('handler fails')
+        await trio.sleep_forever()
+
+    listener = HttpListener('127.0.0.1:0', send_start)
+    async with trio.open_nursery() as nursery:
+        host, _, port = (await nursery.start(listener.run)).rpartition(':')
+        stream = await trio.open_tcp_stream(host, int(port))
+        await stream.send_all(b'GET / HTTP/1.0\r\nHost: shop.example\r\n\r\n')
+        received = b''
+        while not received.endswith(b'start'):
+            received += await stream.receive_some()
+        if ending == 'exception':
+            with pytest.raises(trio.BrokenResourceError):
+                await stream.receive_some()
+        nursery.cancel_scope.cancel()
+    if ending == 'shutdown':
+        with pytest.raises(trio.BrokenResourceError):
+            await stream.receive_some()
