--- a/shallotmux/fleet/_listing.py
+++ b/shallotmux/fleet/_listing.py
@@ -28,6 +28,8 @@
     :param is_cheap: whether the platform may reclaim the endpoint.
     :param cold_s: remaining warm-up time in seconds, in which the endpoint is slower.
     :param started_ms: start time in milliseconds; tells restarts under the same identity apart.
+    :param software_version: version of the endpoint's software, not of a model's weights; empty if it is
+        not listed.
     """
 
     identity: str
@@ -40,6 +42,7 @@
     is_cheap: bool = False
     cold_s: float = 0.0
     started_ms: int = 0
+    software_version: str = ''
 
     @property
     def start_number(self) -> int:
--- a/shallotmux/forwarding/_job.py
+++ b/shallotmux/forwarding/_job.py
@@ -65,6 +65,12 @@
         """Return the time until the deadline."""
         return self.deadline - trio.current_time()
 
+    def after_event(self, names: HeaderNames) -> str:
+        """Return the id of the event after which the next endpoint continues; empty for a new stream."""
+        if self.events is not None and self.events.last_id:
+            return self.events.last_id.decode('latin-1')
+        return self.request.text(names.last_event_id)
+
     def fingerprint(self) -> int:
         """Return a hash of the request that is equal when the caller sends it again."""
         request = self.request
--- a/shallotmux/forwarding/_names.py
+++ b/shallotmux/forwarding/_names.py
@@ -15,6 +15,7 @@
     :param token_counts: tokens of the prompt, and maximum tokens of the answer.
     :param prompt_parts: parts of the prompt in order, each with its tokens.
     :param last_event_id: id of the last event received, to resume a stream.
+    :param resumed_request: id of the request that brought the first event of a stream to be resumed.
     :param customer: customer for whom a request runs; set by the system alone.
     :param expected_endpoint: endpoint that a request is meant for.
     :param not_run: marks an answer as proof that the request did not run.
@@ -37,6 +38,7 @@
     token_counts: bytes = b'x-token-counts'
     prompt_parts: bytes = b'x-prompt-parts'
     last_event_id: bytes = b'last-event-id'
+    resumed_request: bytes = b'x-resumed-request'
     customer: bytes = b'x-customer'
     expected_endpoint: bytes = b'x-expect-endpoint'
     not_run: bytes = b'x-not-run'
--- a/shallotmux/platform/_listing.py
+++ b/shallotmux/platform/_listing.py
@@ -33,6 +33,8 @@
     cold_remaining_ms: float = 0.0
     # Unix time of the start in milliseconds; it changes when a worker restarts under the same id.
     born: int = 0
+    # Version of the worker's software; the versions of its model weights are listed by model.
+    version: str = ''
 
 
 class ListPage(msgspec.Struct, rename='kebab'):
@@ -83,6 +85,7 @@
             worker.spot,
             worker.cold_remaining_ms / 1000,
             worker.born,
+            worker.version,
         )
 
     def _log_once(self, entry: Any, error: Exception) -> None:
--- a/shallotmux/platform/_names.py
+++ b/shallotmux/platform/_names.py
@@ -12,6 +12,7 @@
     # Contains the ids and sizes of all parts of the prompt, not a hash of a prefix.
     prompt_parts=b'x-shallotmux-prefix-hash',
     last_event_id=b'last-event-id',
+    resumed_request=b'resumes',
     customer=b'x-shallotmux-tenant',
     expected_endpoint=b'x-shallotmux-expect-instance',
     not_run=b'x-shallotmux-not-executed',
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -165,6 +165,7 @@
     'stage': 'prefill',
     'spot': True,
     'born': 1767821970570,
+    'version': 'v1.1',
 }
 
 
@@ -183,6 +184,7 @@
         True,
     )
     assert endpoints[0].started_ms == 1767821970570
+    assert endpoints[0].software_version == 'v1.1'
 
 
 @pytest.mark.parametrize(
@@ -194,6 +196,7 @@
         {'state': 'unheard of'},
         {'slots': 'many'},
         {'zone': None},
+        {'version': 3},
     ],
 )
 def test_invalid_entry_is_skipped(change: dict[str, object]) -> None:
