--- a/tests/forwarding/_harness.py
+++ b/tests/forwarding/_harness.py
@@ -4,7 +4,7 @@
 
 import socket
 import struct
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from random import Random
@@ -250,8 +250,12 @@
     *endpoints: ScriptedEndpoint,
     budget: RetryBudgetLimits | None = None,
     dialect: Dialect | None = None,
+    versions: Sequence[str] = (),
 ) -> AsyncIterator[ForwarderHarness]:
-    """Run endpoints ``e-0``, ``e-1`` ... and a forwarder in front of them."""
+    """Run endpoints ``e-0``, ``e-1`` ... and a forwarder in front of them.
+
+    :param versions: software version of each endpoint; empty for the same one.
+    """
     async with trio.open_nursery() as nursery:
         for endpoint in endpoints:
             await nursery.start(endpoint.run)
@@ -276,6 +280,7 @@
                 'b' if number else 'a',
                 4,
                 role=EngineRole.MIXED,
+                software_version=versions[number] if versions else 'v1',
             )
             for number, each in enumerate(endpoints)
         )
--- a/tests/programs/_fleet.py
+++ b/tests/programs/_fleet.py
@@ -44,11 +44,22 @@
 
 
 def decode(content: bytes) -> RouteDocument:
-    """Decode a test document: a version, and routes that all lead to one service."""
+    """Decode a test document: a version, and routes that all lead to one service.
+
+    Routes under ``/stream`` are streams that can be resumed.
+    """
     parsed = json.loads(content)
     routes = tuple(
         ForwardedRoute(
-            prefix, 'shop.example', prefix, RouteKind.SAFE, (ServiceShare('desk', 1),), 2000, 200
+            prefix,
+            'shop.example',
+            prefix,
+            RouteKind.STREAMING if prefix.startswith('/stream') else RouteKind.SAFE,
+            (ServiceShare('desk', 1),),
+            2000,
+            200,
+            max_attempts=2,
+            is_resumable=prefix.startswith('/stream'),
         )
         for prefix in parsed['routes']
     )
@@ -62,9 +73,13 @@
 
 @dataclass(slots=True)
 class FakePlatform:
-    """Lists one endpoint, records usage reports and refuses orders."""
+    """Lists endpoints, records usage reports and refuses orders.
+
+    :param address: address of the only endpoint, unless there is a list.
+    """
 
     address: str
+    listing: Listing | None = None
     reports: dict[int, dict[str, int]] = field(default_factory=dict)
     holders: list[DutyHolder] = field(default_factory=list)
     is_down: bool = False
@@ -73,7 +88,7 @@
         """Return the list."""
         if self.is_down:
             raise ShallotmuxError('down', step='list')
-        return Listing((ListedEndpoint('e-1', 'desk', self.address, 'a', 4),))
+        return self.listing or Listing((ListedEndpoint('e-1', 'desk', self.address, 'a', 4),))
 
     async def report_usage(self, report: UsageReport, holder: DutyHolder) -> DutyOutcome:
         """Record a report."""
