Continue a stream only at the software version that began it

Callers saw streams whose text was joined from two software versions, in one answer after a crash, and over their retries, also after all instances that knew the first version had been killed.

Cause: the version that the list of endpoints names decided nothing. Retries within an answer, and those of callers, went to any endpoint of the service.

Change: an attempt that relays the first events of a resumable stream binds it to the version of its endpoint. The beginning is kept under a hash of request id, target and customer, and told to two control instances before the first event goes out, unless a single version served for as long as a stream can last. An instance that a caller comes back to looks it up, or asks up to four control instances; if nobody knows it, the stream goes on only where a single version can have begun it. Otherwise it is refused at once with 503, as not run. The history of versions is complete from the first start of a deployment, and extended on entry instances by what control instances saw.

--- a/shallotmux/authority/_driver.py
+++ b/shallotmux/authority/_driver.py
@@ -13,7 +13,6 @@
 
 from shallotmux.authority._group_state import GroupState
 from shallotmux.authority._state import Result, decode_command, encode_result
-from shallotmux.authority._suspension import SuspensionMonitor
 from shallotmux.errors import MembershipRefused, NotLeader
 from shallotmux.replication import (
     AppendReply,
@@ -29,6 +28,7 @@
     decode_envelope,
     encode_envelope,
 )
+from shallotmux.suspension import SuspensionMonitor
 from shallotmux.transport import Channel, ForwardAnswer, PeerEnvelope, Refusal
 
 #: Capacity of the input queue. When it is full, envelopes are dropped and commands are refused.
--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -22,6 +22,13 @@
     decode_poll,
     encode_fleet_message,
 )
+from shallotmux.origins import (
+    OriginAnswer,
+    OriginStore,
+    VersionHistory,
+    decode_origin_call,
+    encode_origin_message,
+)
 from shallotmux.ratelimits import KnownLimits
 from shallotmux.transport import ForwardAnswer, Refusal, instance_name
 
@@ -77,6 +84,8 @@
         self.usage = UsageTotals()
         self._crashes = CrashRecords()
         self.limits = KnownLimits()
+        self.history = VersionHistory()
+        self._origins = OriginStore()
         self.listing: Listing | None = None
         self._summary: Counter[str] = Counter()
         self._listed_at = float('-inf')
@@ -94,6 +103,7 @@
             log_message(message_type='shallotmux:listing', endpoints=dict(sorted(summary.items())))
         self.listing = listing
         self._listed_at = listed_at
+        self.history.observe(listing.versions(), listed_at)
 
     def endpoints_of(self, service: str) -> tuple[ListedEndpoint, ...]:
         """Return the listed endpoints of a service, including those that are leaving."""
@@ -150,9 +160,20 @@
             self._clock.local_estimate(),
             self._crashes.build_news(poll.crashes_known),
             self.limits.build_reports(),
+            self.history.build_report(now),
         )
         return ForwardAnswer(encode_fleet_message(knowledge))
 
+    def answer_origins(self, payload: bytes) -> ForwardAnswer:
+        """Remember the beginnings of streams in a call, and return those that it asks for."""
+        try:
+            call = decode_origin_call(payload)
+        except msgspec.DecodeError as error:
+            return ForwardAnswer(refusal=Refusal.INVALID, detail=str(error))
+        self._origins.merge(call.reports)
+        answer = OriginAnswer(self._origins.build_reports(call.wanted))
+        return ForwardAnswer(encode_origin_message(answer))
+
 
 def _describe_endpoint(endpoint: ListedEndpoint) -> str:
     """Return the key under which a log line counts an endpoint."""
--- a/shallotmux/fleet/_listing.py
+++ b/shallotmux/fleet/_listing.py
@@ -54,3 +54,7 @@
     """The complete list of endpoints."""
 
     endpoints: tuple[ListedEndpoint, ...] = ()
+
+    def versions(self) -> frozenset[tuple[str, str]]:
+        """Return each service with each software version of its endpoints."""
+        return frozenset((each.service, each.software_version) for each in self.endpoints)
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -6,6 +6,7 @@
 
 from shallotmux.crashes import CrashNews, Position
 from shallotmux.fleet._listing import Listing
+from shallotmux.origins import NO_HISTORY, HistoryReport
 from shallotmux.ratelimits import LimitReport
 
 #: Group name under which polls are forwarded to a control instance.
@@ -75,6 +76,7 @@
     :param true_time_s: the answering instance's estimate of the time since 1970.
     :param crash_news: what the answering instance learned of crashes after the position in the poll.
     :param limits: limits of endpoints as reported by all instances.
+    :param versions: software versions that the answering instance itself saw in lists of endpoints.
     """
 
     version: int
@@ -86,6 +88,7 @@
     true_time_s: float
     crash_news: CrashNews = CrashNews()
     limits: tuple[LimitReport, ...] = ()
+    versions: HistoryReport = NO_HISTORY
 
 
 class Join(msgspec.Struct, frozen=True):
--- a/shallotmux/fleet/_poller.py
+++ b/shallotmux/fleet/_poller.py
@@ -22,6 +22,7 @@
     decode_knowledge,
     encode_fleet_message,
 )
+from shallotmux.origins import VersionHistory
 from shallotmux.ratelimits import KnownLimits
 from shallotmux.routes import RouteDocument, RouteTable
 from shallotmux.transport import PeerNetwork, Refusal, instance_name
@@ -58,6 +59,11 @@
     entries: tuple[str, ...] = ()
     #: Callbacks for each changed list.
     on_listing: list[Callable[[Listing], None]] = field(default_factory=list)
+    #: Callbacks for each newer list, changed or not, with the services and software versions in it.
+    on_versions: list[Callable[[frozenset[tuple[str, str]], float], None]] = field(
+        default_factory=list
+    )
+    _versions: frozenset[tuple[str, str]] = frozenset()
 
     @property
     def version(self) -> int:
@@ -84,8 +90,11 @@
         is_changed = listing != self.listing
         self.listing = listing
         if is_changed:
+            self._versions = listing.versions()
             for notify in self.on_listing:
                 notify(listing)
+        for notify_versions in self.on_versions:
+            notify_versions(self._versions, listed_at)
 
 
 class FleetPoller:
@@ -95,6 +104,7 @@
     :param counts: returns the usage counts to report.
     :param demands: returns the demand at this instance, by service.
     :param limits: limits of endpoints, exchanged with the control instances.
+    :param history: software versions in service, extended by what the control instances saw.
     """
 
     def __init__(
@@ -107,8 +117,10 @@
         counts: Callable[[], tuple[CustomerCount, ...]],
         demands: Callable[[], tuple[ServiceDemand, ...]] = tuple,
         limits: KnownLimits | None = None,
+        history: VersionHistory | None = None,
     ) -> None:
         self._limits = limits or KnownLimits()
+        self._history = history or VersionHistory()
         self.view = FleetView()
         self.crashes = CrashRecords(instance_name(name), lambda: self.view.entries)
         self._crash_exchange = CrashExchange(self.crashes)
@@ -123,6 +135,11 @@
         self._next_index = 0
         self._retry_at: dict[str, float] = {}
 
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """Return the names of the control instances."""
+        return tuple(self._peers)
+
     def update_seeds(self, seeds: Iterable[str]) -> None:
         """Set the seeds of changed settings and add them to the polled peers."""
         self._seeds = tuple(seeds)
@@ -165,12 +182,13 @@
             crashes_known,
             self._limits.build_reports(),
         )
+        sent_at = trio.current_time()
         try:
             answer = await self._network.forward(
                 peer, KNOWLEDGE_GROUP, encode_fleet_message(poll), POLL_TIMEOUT_S
             )
             if answer.refusal is Refusal.NONE:
-                self._apply_knowledge(peer, decode_knowledge(answer.result), crash_news)
+                self._apply_knowledge(peer, decode_knowledge(answer.result), crash_news, sent_at)
                 return
             reason = answer.detail
         except (ShallotmuxError, msgspec.DecodeError) as error:
@@ -179,20 +197,24 @@
             log_message(message_type='shallotmux:control-lost', peer=peer, reason=reason)
         self._retry_at[peer] = trio.current_time() + RETRY_PEER_AFTER_S
 
-    def _apply_knowledge(self, peer: str, knowledge: Knowledge, sent: CrashNews) -> None:
-        now = trio.current_time()
+    def _apply_knowledge(
+        self, peer: str, knowledge: Knowledge, sent: CrashNews, sent_at: float
+    ) -> None:
         if self._retry_at.pop(peer, None) is not None:
             log_message(message_type='shallotmux:control-regained', peer=peer)
         self._clock.record_peer_estimate(peer, knowledge.true_time_s)
         self.view.entries = knowledge.entries
         self._crash_exchange.apply(peer, sent, knowledge.crash_news)
         self._limits.merge(knowledge.limits)
+        self._history.merge(knowledge.versions, sent_at)
         if knowledge.peers:
             self._replace_peers(knowledge.peers)
         if knowledge.document:
             self._apply_document(peer, knowledge.document)
         if knowledge.listing is not None:
-            self.view.update_listing(knowledge.listing, now - knowledge.listing_age_s)
+            # The answer may have been delayed, also by a suspension of this machine. The list is at least
+            # as new as its age at the time of the poll.
+            self.view.update_listing(knowledge.listing, sent_at - knowledge.listing_age_s)
 
     def _apply_document(self, peer: str, content: bytes) -> None:
         try:
--- a/shallotmux/forwarding/_assembly.py
+++ b/shallotmux/forwarding/_assembly.py
@@ -16,6 +16,7 @@
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._metrics import ForwardingMetrics
 from shallotmux.forwarding._pool import ConnectionPool
+from shallotmux.origins import StreamOrigins
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +39,7 @@
     other_instances_tokens: Callable[[str], float] = lambda _: 0
     metrics: ForwardingMetrics = field(default_factory=ForwardingMetrics)
     random: Random = field(default_factory=Random)
+    origins: StreamOrigins = field(default_factory=StreamOrigins)
 
 
 def build_forwarder(parts: ForwarderParts) -> Forwarder:
@@ -48,7 +50,7 @@
         parts.view,
         dialect,
         directory,
-        AttemptRunner(dialect.names, pool, directory, parts.on_run_started),
+        AttemptRunner(dialect.names, pool, directory, parts.on_run_started, parts.origins),
         EnginePlacer(
             parts.zone,
             dialect,
@@ -60,5 +62,6 @@
         ),
         budget,
         parts.metrics,
+        parts.origins,
         parts.random,
     )
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -23,14 +23,15 @@
 from shallotmux.forwarding._pool import ConnectionPool
 from shallotmux.forwarding._relay import (
     MIN_ERROR_STATUS,
+    AnswerRelay,
     BufferedStart,
     buffer_start,
     ends_with_connection,
     is_event_stream,
     may_continue_stream,
-    relay_answer,
 )
 from shallotmux.forwarding._state import EndpointState, InFlightWork, Target
+from shallotmux.origins import StreamOrigins
 from shallotmux.routes import RouteKind
 
 #: Longest idle time of a connection that is reused for a request that must not run twice. The longer
@@ -88,6 +89,7 @@
     """Runs attempts over pooled connections.
 
     :param on_run_started: called once for each job, when an endpoint has started to run it.
+    :param origins: is told at which software version streams began.
     """
 
     def __init__(
@@ -96,11 +98,14 @@
         pool: ConnectionPool,
         directory: EndpointDirectory,
         on_run_started: Callable[[Job], None],
+        origins: StreamOrigins,
     ) -> None:
         self._names = names
         self._pool = pool
         self._directory = directory
         self._on_run_started = on_run_started
+        self._origins = origins
+        self._relay = AnswerRelay(self._record_run_started, self._record_events)
 
     async def run(
         self, job: Job, target: Target, timeout_scope: trio.CancelScope, *, may_retry: bool = False
@@ -153,6 +158,7 @@
         target = attempt.target
         outgoing = attempt.job.build_outgoing(self._names, target.state.identity, target.extra)
         attempt.job.sends += 1
+        attempt.job.attempt_version = target.state.listed.software_version
         attempt.job.cache_source_uses += bool(attempt.job.cache_source)
         result: AttemptResult | None = None
         failure: ShallotmuxError | None = None
@@ -203,12 +209,24 @@
             and not is_event_stream(job, head)
         ):
             start = await buffer_start(connection)
-        await relay_answer(job, head, connection, start, self._record_run_started)
+        await self._relay.relay(job, head, connection, start)
         is_end_certain = not ends_with_connection(job, head)
         if not is_end_certain:
             self._directory.record_uncertain_end(attempt.target.state, job)
         return AttemptResult(outcome, DELIVERED, is_error, head.status, is_end_certain)
 
+    async def _record_events(self, job: Job) -> None:
+        """Bind the stream to the version that sends its first event, and let others know."""
+        if job.stream_version is None:
+            job.stream_version = job.attempt_version
+        job.is_origin_recorded = True
+        await self._origins.record(
+            job.origin_key(job.request_id),
+            job.service,
+            job.stream_version,
+            job.request_id.decode('latin-1'),
+        )
+
     def _record_run_started(self, job: Job) -> None:
         if not job.has_run_started:
             job.has_run_started = True
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -63,9 +63,17 @@
             else:
                 self._update_entry(state, each)
 
-    def usable(self, service: str, excluded: Iterable[str] = ()) -> list[EndpointState]:
+    def usable_for(self, job: Job) -> list[EndpointState]:
+        """Return the endpoints that a job may be sent to, by its service and software version."""
+        return self.usable(job.service, job.excluded, job.stream_version)
+
+    def usable(
+        self, service: str, excluded: Iterable[str] = (), software_version: str | None = None
+    ) -> list[EndpointState]:
         """Return the endpoints of a service that a request may be sent to.
 
+        :param software_version: version that the endpoints must have; None for any.
+
         Endpoints that are avoided after failures or refusals are included only if no other endpoint
         could answer.
         """
@@ -78,6 +86,7 @@
             if state.listed.service == service
             and not state.listed.is_leaving
             and state.identity not in skipped
+            and software_version in {None, state.listed.software_version}
             and self._has_room(state, max_connections)
         ]
         available = [state for state in eligible if state.is_available(now)]
@@ -115,6 +124,15 @@
             if state.queued_prefill_tokens
         }
 
+    def has_version(self, service: str, software_version: str) -> bool:
+        """Return whether an endpoint of a software version takes new work."""
+        return any(
+            state.listed.service == service
+            and not state.listed.is_leaving
+            and state.listed.software_version == software_version
+            for state in self._states.values()
+        )
+
     def find(self, identity: str) -> EndpointState | None:
         """Return an endpoint by its identity, or None if it is not listed."""
         return self._states.get(identity)
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -172,12 +172,12 @@
                 job.cache_source_uses = 0
                 return
             job.excluded.add(state.identity)
-            usable = self._directory.usable(job.service, job.excluded)
+            usable = self._directory.usable_for(job)
             placement = place_request(request, [self._engine_view(each) for each in usable])
 
     def _choose_decode_target(self, job: Job, request: PlacementRequest) -> Target | None:
         """Return the engine that generates, by the load after prefill."""
-        usable = self._directory.usable(job.service, job.excluded)
+        usable = self._directory.usable_for(job)
         decode_engine = choose_decode_engine(request, [self._engine_view(each) for each in usable])
         if decode_engine is None:
             return None
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -21,6 +21,7 @@
 from shallotmux.forwarding._outcome import Outcome
 from shallotmux.forwarding._refusals import Refusal, refuse_not_run, refuse_unknown
 from shallotmux.forwarding._state import EndpointState, Target
+from shallotmux.origins import Continuation, StreamOrigins, Unknown
 
 #: Time after the deadline for which an endpoint's own timeout answer is still awaited.
 DEADLINE_GRACE_S = 0.1
@@ -54,6 +55,7 @@
     placer: EnginePlacer
     budget: SharedRetryBudget
     metrics: ForwardingMetrics
+    origins: StreamOrigins
     random: Random = field(default_factory=Random)
 
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
@@ -68,11 +70,13 @@
                     await self._run(job)
 
     async def _run(self, job: Job) -> None:
-        self.budget.record_request(job.service)
         refusal: Refusal | None = None
         deadline_scope = trio.move_on_at(job.deadline + DEADLINE_GRACE_S)
         with deadline_scope:
-            refusal = await self._try_endpoints(job)
+            refusal = await self._bind_resumed_stream(job)
+            self.budget.record_request(job.service)
+            if refusal is None:
+                refusal = await self._try_endpoints(job)
         if deadline_scope.cancelled_caught:
             refusal = refuse_unknown('deadline reached', is_late=True)
             if not job.sends:
@@ -85,6 +89,37 @@
         else:
             await refusal.send(job.reply, self.dialect.names.retry_after)
 
+    async def _bind_resumed_stream(self, job: Job) -> Refusal | None:
+        """Bind a stream of which the caller has events to the software version that began it.
+
+        :returns: a refusal if it cannot go on, so that the caller can begin a new one at once.
+        """
+        names = self.dialect.names
+        if not job.resumes_stream(names):
+            return None
+        resumed = job.request.header(names.resumed_request) or b''
+        found = await self.origins.find(job.origin_key(resumed), job.service)
+        match found:
+            case Unknown():
+                reason = found.reason
+            case Continuation():
+                job.service, job.stream_version = found.service, found.version
+                reason = self._why_not_continued(job, found)
+        self._log_resumed(job, found, reason)
+        if not reason:
+            return None
+        self.metrics.resumptions.labels(job.route.name, 'refused').inc()
+        return refuse_not_run(reason, RETRY_AFTER_S)
+
+    def _why_not_continued(self, job: Job, found: Continuation) -> str:
+        """Return why a stream whose version is known cannot go on; empty if it can."""
+        if all(share.service != found.service for share in job.route.shares):
+            return 'the route does not lead to the service of the stream any more'
+        if not self.directory.has_version(found.service, found.version):
+            return 'no endpoint of the version that began the stream is left'
+        self.metrics.resumptions.labels(job.route.name, found.known_from.value).inc()
+        return ''
+
     async def _try_endpoints(self, job: Job) -> Refusal | None:
         """Try endpoints until one answers; returns a refusal if none does."""
         reason = 'no endpoint'
@@ -151,11 +186,14 @@
         if result.outcome is not Outcome.NOT_RUN:
             if not job.route.is_repeatable or job.runs >= job.route.max_attempts:
                 return False
+        version = job.stream_version
+        if version is not None and not self.directory.has_version(job.service, version):
+            return False
         # The next attempt is no retry if nothing was sent so far.
         return not job.sends or self.budget.try_spend(job.service)
 
     async def _choose_target(self, job: Job) -> Target | LoadShed | None:
-        usable = self.directory.usable(job.service, job.excluded)
+        usable = self.directory.usable_for(job)
         if job.prompt is not None and usable:
             return await self.placer.place(job, usable)
         state = choose_least_loaded(usable, self.zone, self.random.random)
@@ -167,6 +205,20 @@
         self.metrics.requests.labels(job.route.name, result.status).inc()
         self.metrics.first_byte.labels(job.route.name).observe(job.first_part_s)
 
+    def _log_resumed(self, job: Job, found: Continuation | Unknown, reason: str) -> None:
+        """Log at which version a stream goes on and where that is known from, or why it does not."""
+        known_from = found.known_from.value if isinstance(found, Continuation) else None
+        log_message(
+            message_type='shallotmux:stream-resumed',
+            request=job.request_id.decode('latin-1'),
+            resumes=job.request.text(self.dialect.names.resumed_request),
+            after_event=job.request.text(self.dialect.names.last_event_id),
+            service=job.service,
+            software=job.stream_version,
+            known_from=known_from,
+            refused=reason or None,
+        )
+
     def _log_attempt(self, job: Job, state: EndpointState, result: AttemptResult) -> None:
         outcome = 'delivered' if result.is_delivered else result.outcome.value
         self.metrics.attempts.labels(job.route.name, outcome).inc()
--- a/shallotmux/forwarding/_job.py
+++ b/shallotmux/forwarding/_job.py
@@ -12,7 +12,7 @@
 from shallotmux.forwarding._messages import CallerRequest, OutgoingRequest, Reply
 from shallotmux.forwarding._names import HeaderNames
 from shallotmux.placement import Prompt
-from shallotmux.routes import ForwardedRoute
+from shallotmux.routes import ForwardedRoute, RouteKind
 
 #: Least urgent priority that engines accept; 0 is the most urgent.
 LOWEST_PRIORITY = 9
@@ -58,6 +58,12 @@
     last_part_at: float = 0.0
     #: Tracks the events of a resumable stream; None for other answers.
     events: EventSplitter | None = None
+    #: Software version at which the stream goes on; None until its first event.
+    stream_version: str | None = None
+    #: Software version of the endpoint of the present attempt, if it is certain.
+    attempt_version: str = ''
+    #: Whether the beginning of the stream was recorded for this request.
+    is_origin_recorded: bool = False
     _subjects: frozenset[int] = frozenset()
 
     @property
@@ -65,6 +71,20 @@
         """Return the time until the deadline."""
         return self.deadline - trio.current_time()
 
+    def resumes_stream(self, names: HeaderNames) -> bool:
+        """Return whether the caller already has events of the stream."""
+        return self.route.kind is RouteKind.STREAMING and bool(
+            self.request.header(names.last_event_id)
+        )
+
+    def origin_key(self, request_id: bytes) -> int:
+        """Return the key under which the beginning of a stream is known.
+
+        :param request_id: id of the request that brought its first event. Customer and target are part
+            of the key, so that ids of others are not known.
+        """
+        return digest_subject(b'\n'.join((request_id, self.request.target, self.customer.encode())))
+
     def after_event(self, names: HeaderNames) -> str:
         """Return the id of the event after which the next endpoint continues; empty for a new stream."""
         if self.events is not None and self.events.last_id:
--- a/shallotmux/forwarding/_metrics.py
+++ b/shallotmux/forwarding/_metrics.py
@@ -26,6 +26,8 @@
     first_byte: Histogram = field(init=False)
     #: Requests that were refused since they, or parts of their prompts, crash endpoints.
     quarantine_refusals: Counter = field(init=False)
+    #: Streams that callers resumed, by where the version that began them was known from, or refused.
+    resumptions: Counter = field(init=False)
     #: Present quarantines.
     quarantines: Gauge = field(init=False)
     #: Endpoints that name a limit, and permits under their limits since the start.
@@ -58,6 +60,12 @@
             ('route',),
             registry=registry,
         )
+        self.resumptions = Counter(
+            'shallotmux_stream_resumptions',
+            'Streams that callers resumed, by where their version was known from, or refused.',
+            ('route', 'known_from'),
+            registry=registry,
+        )
         self.quarantines = Gauge(
             'shallotmux_quarantines', 'Quarantined requests and prompt parts.', registry=registry
         )
--- a/shallotmux/forwarding/_relay.py
+++ b/shallotmux/forwarding/_relay.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from shallotmux.errors import EndpointError
@@ -68,37 +68,48 @@
     return BufferedStart(content)
 
 
-async def relay_answer(
-    job: Job,
-    head: AnswerHead,
-    connection: EndpointConnection,
-    start: BufferedStart,
-    record_started: Callable[[Job], None],
-) -> None:
-    """Relay an answer to its end; a resumed stream keeps the head of its first attempt.
+@dataclass(frozen=True, slots=True)
+class AnswerRelay:
+    """Relays the answers of endpoints.
 
-    :param record_started: called after the first part of the body, or its end.
-    :raises EndpointError: if the answer breaks off. A stream that ends inside an event has broken
-        off, even if its length or last chunk says otherwise.
+    :param record_started: called after the first part of a body, or its end.
+    :param record_events: called before the first events of a resumable stream are relayed.
     """
-    is_stream = is_event_stream(job, head)
-    await _send_head(job, head, is_stream=is_stream)
-    splitter = job.events or EventSplitter()
-    splitter.start_attempt()
-    part: bytes | None = start.content
-    if not part:
-        part = None if start.is_complete else await connection.receive_part()
-    record_started(job)
-    while part is not None:
-        job.record_part()
-        complete = splitter.feed(part) if is_stream else part
-        await job.reply.send_part(part if job.events is None else complete)
-        part = None if start.is_complete else await connection.receive_part()
-    if is_stream:
-        _check_end(head, splitter, connection.peer)
-    if job.events is not None:
-        await job.reply.send_part(job.events.flush())
-    await job.reply.finish()
+
+    record_started: Callable[[Job], None]
+    record_events: Callable[[Job], Awaitable[None]]
+
+    async def relay(
+        self, job: Job, head: AnswerHead, connection: EndpointConnection, start: BufferedStart
+    ) -> None:
+        """Relay an answer to its end; a resumed stream keeps the head of its first attempt.
+
+        :raises EndpointError: if the answer breaks off. A stream that ends inside an event has broken
+            off, even if its length or last chunk says otherwise.
+        """
+        is_stream = is_event_stream(job, head)
+        await _send_head(job, head, is_stream=is_stream)
+        splitter = job.events or EventSplitter()
+        splitter.start_attempt()
+        part: bytes | None = start.content
+        if not part:
+            part = None if start.is_complete else await connection.receive_part()
+        self.record_started(job)
+        while part is not None:
+            job.record_part()
+            complete = splitter.feed(part) if is_stream else part
+            await self._send(job, part if job.events is None else complete)
+            part = None if start.is_complete else await connection.receive_part()
+        if is_stream:
+            _check_end(head, splitter, connection.peer)
+        if job.events is not None:
+            await self._send(job, job.events.flush())
+        await job.reply.finish()
+
+    async def _send(self, job: Job, content: bytes) -> None:
+        if content and job.events is not None and not job.is_origin_recorded:
+            await self.record_events(job)
+        await job.reply.send_part(content)
 
 
 async def _send_head(job: Job, head: AnswerHead, *, is_stream: bool) -> None:
--- a/shallotmux/placement/__init__.py
+++ b/shallotmux/placement/__init__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from shallotmux.placement._choice import choose_decode_engine, direct_prefill_limit, place_request
-from shallotmux.placement._homes import rank_owners
 from shallotmux.placement._prompt import Prompt, PromptPart, build_prompt
 from shallotmux.placement._speeds import (
     INITIAL_TOKENS_PER_MS,
@@ -11,6 +10,7 @@
     PrefillSpeeds,
 )
 from shallotmux.placement._views import EngineView, Placement, PlacementRequest
+from shallotmux.rendezvous import rank_owners
 
 __all__ = (
     'INITIAL_TOKENS_PER_MS',
--- a/shallotmux/placement/_choice.py
+++ b/shallotmux/placement/_choice.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 from shallotmux.fleet import EngineRole
-from shallotmux.placement._homes import rank_owners
 from shallotmux.placement._sources import (
     CacheHolder,
     FetchSources,
@@ -14,6 +13,7 @@
     find_known_holders,
 )
 from shallotmux.placement._views import EngineView, FetchSource, Placement, PlacementRequest
+from shallotmux.rendezvous import rank_owners
 
 #: Number of engines that are compared for a prefix, in the order of :func:`rank_owners`. Each further
 #: engine would cache another copy of the shared parts, and evict prefixes that it owns.
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -27,6 +27,7 @@
 from shallotmux.errors import SettingsError
 from shallotmux.fleet import JOIN_GROUP, KNOWLEDGE_GROUP, DecodeDocument, TrueClock
 from shallotmux.forwarding import HttpListener
+from shallotmux.origins import ORIGIN_GROUP
 from shallotmux.programs._disk import run_on_disk
 from shallotmux.programs._lifecycle import (
     ProgramLifecycle,
@@ -89,6 +90,8 @@
         )
         self._term = LeaderTerm(self.member, settings.name, settings.times.alternation_s)
         self._knowledge = KnowledgeService(self.member.state, self._clock, self.member.peers)
+        if settings.bootstrap and not self.member.state.applied_index:
+            self._knowledge.history.assume_complete()
         self._registry = CollectorRegistry()
         self._cached_table_version = 0
         self._cached_table: RouteTable | None = None
@@ -139,6 +142,8 @@
         match group:
             case _ if group == KNOWLEDGE_GROUP:
                 return self._knowledge.answer(command)
+            case _ if group == ORIGIN_GROUP:
+                return self._knowledge.answer_origins(command)
             case _ if group == JOIN_GROUP:
                 return self.member.handle_join_request(command)
             case _ if group == CONTROL_GROUP:
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 
 from shallotmux.control import ListingPoller, PlatformApi
+from shallotmux.errors import ShallotmuxError
 from shallotmux.fleet import DecodeDocument, FleetPoller, LoadSharing, ServiceDemand, TrueClock
 from shallotmux.forwarding import (
     ConnectionPool,
@@ -22,6 +23,7 @@
     SharedRetryBudget,
     build_forwarder,
 )
+from shallotmux.origins import ORIGIN_GROUP, OriginClient, StreamOrigins
 from shallotmux.programs._lifecycle import (
     ProgramLifecycle,
     SettingsWatcher,
@@ -81,6 +83,8 @@
         self._endpoint_limits = EndpointLimits(
             peer_address, self._identity, lambda: self._poller.view.entries
         )
+        self._origin_client = OriginClient(self._call_control, lambda: self._poller.peers)
+        self._origins = StreamOrigins(self._origin_client)
         self._poller = FleetPoller(
             self._identity,
             self._network,
@@ -90,6 +94,7 @@
             self._counter.counts,
             self._service_demands,
             self._endpoint_limits.known,
+            self._origins.history,
         )
         self.view = self._poller.view
         self._directory = EndpointDirectory(
@@ -102,6 +107,7 @@
             adapter.dialect.names.request_id, self._directory.connection_limit
         )
         self.view.on_listing.append(self._directory.update_listing)
+        self.view.on_versions.append(self._origins.observe)
         self.metrics = ForwardingMetrics()
         self.metrics.document_version.set_function(lambda: self.view.version)
         self.metrics.quarantines.set_function(lambda: len(self._poller.crashes.quarantines()))
@@ -127,6 +133,7 @@
                 self._count_run_started,
                 self._load_sharing.tokens_at,
                 self.metrics,
+                origins=self._origins,
             )
         )
         self._listener = HttpListener(settings.listen.callers, self._forwarder.handle, self._limits)
@@ -160,7 +167,12 @@
             await nursery.start(self._listener.run)
             for listener in listeners:
                 await nursery.start(listener.run)
-            for task in (self._poller.run, self._load_sharing.run, self._pool.run):
+            for task in (
+                self._poller.run,
+                self._load_sharing.run,
+                self._pool.run,
+                self._origin_client.run,
+            ):
                 nursery.start_soon(task)
             nursery.start_soon(self._endpoint_limits.run, self._load_sharing.send_to)
             nursery.start_soon(self._refresh_stale_listing)
@@ -177,6 +189,13 @@
         """Refuse a forwarded command."""
         return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail='an entry instance')
 
+    async def _call_control(self, peer: str, content: bytes, timeout_s: float) -> bytes:
+        """Call a control instance about the beginnings of streams; returns its answer."""
+        answer = await self._network.forward(peer, ORIGIN_GROUP, content, timeout_s)
+        if answer.refusal is not Refusal.NONE:
+            raise ShallotmuxError(answer.detail, step='origins', peer=peer)
+        return answer.result
+
     def _service_demands(self) -> tuple[ServiceDemand, ...]:
         return self._forwarder.placer.demands()
 
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -6,10 +6,10 @@
 import trio
 import trio.testing
 
-from shallotmux.authority._suspension import read_suspended_time
 from shallotmux.calls import LeaseExpired
 from shallotmux.control._duties import CALL_FLIGHT_S, LeaderTerm
 from shallotmux.control._platform import DutyOutcome
+from shallotmux.suspension import read_suspended_time
 from tests.control._instances import SEEDS, ControlGroup
 
 #: Time within which leader-only calls must not return to an instance.
--- a/tests/forwarding/_harness.py
+++ b/tests/forwarding/_harness.py
@@ -26,6 +26,7 @@
     SharedRetryBudget,
     build_forwarder,
 )
+from shallotmux.origins import StreamOrigins
 from shallotmux.routes import (
     CallerLimits,
     DocumentCustomer,
@@ -284,13 +285,18 @@
             )
             for number, each in enumerate(endpoints)
         )
-        directory.update_listing(Listing(tuple(listed)))
+        listing = Listing(tuple(listed))
+        directory.update_listing(listing)
         dialect = dialect or Dialect()
         started_customers: list[str] = []
 
         def record_run_started(job: Job) -> None:
             started_customers.append(job.customer)
 
+        origins = StreamOrigins()
+        origins.history.assume_complete()
+        listed_versions = {(each.service, each.software_version) for each in listing.endpoints}
+        origins.observe(listed_versions, trio.current_time())
         retry_budget = SharedRetryBudget(budget or RetryBudgetLimits(), lambda: 1)
         forwarder = build_forwarder(
             ForwarderParts(
@@ -302,6 +308,7 @@
                 retry_budget,
                 record_run_started,
                 random=Random(1),
+                origins=origins,
             )
         )
         listener = HttpListener('127.0.0.1:0', forwarder.handle, lambda: LIMITS)
