Verify that an endpoint is the start that was listed, where its version matters

What callers could see: a stream that goes on at a newer version of the endpoint that the list still names under the old one, as a worker may restart under its identity and address, and the list is some seconds old. A request names the identity only.

Change: on a connection that was not open well before the list was read, an endpoint is asked when it started before a stream goes on there, and before one begins while several versions serve. If it is another start, or does not say, the request goes elsewhere. While one version serves, nothing is asked.

--- a/shallotmux/forwarding/_admission.py
+++ b/shallotmux/forwarding/_admission.py
@@ -27,6 +27,10 @@
     :param read_handle: parses the KV cache handle in the body of a prefill answer; returns None if
         there is none.
     :param prefill_headers: headers that ask an engine to prefill a prompt without generating.
+    :param report_path: path at which an endpoint of a streaming route tells when it started; empty if
+        endpoints do not tell.
+    :param read_start: parses that answer; returns the start time in milliseconds, or None if it has
+        none. Raises :exc:`ValueError` for an invalid answer.
     """
 
     names: HeaderNames = field(default_factory=HeaderNames)
@@ -34,6 +38,8 @@
     read_prompt: Callable[[CallerRequest], Prompt | None] = lambda _: None
     read_handle: Callable[[bytes], str | None] = lambda _: None
     prefill_headers: tuple[tuple[bytes, bytes], ...] = ()
+    report_path: str = ''
+    read_start: Callable[[bytes], int | None] = lambda _: None
 
 
 @dataclass(frozen=True, slots=True)
--- a/shallotmux/forwarding/_assembly.py
+++ b/shallotmux/forwarding/_assembly.py
@@ -16,6 +16,7 @@
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._metrics import ForwardingMetrics
 from shallotmux.forwarding._pool import ConnectionPool
+from shallotmux.forwarding._starts import StartVerifier
 from shallotmux.origins import StreamOrigins
 
 
@@ -50,7 +51,14 @@
         parts.view,
         dialect,
         directory,
-        AttemptRunner(dialect.names, pool, directory, parts.on_run_started, parts.origins),
+        AttemptRunner(
+            dialect.names,
+            pool,
+            directory,
+            parts.on_run_started,
+            parts.origins,
+            StartVerifier(dialect, parts.origins, lambda: parts.view.listed_at),
+        ),
         EnginePlacer(
             parts.zone,
             dialect,
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -30,6 +30,7 @@
     is_event_stream,
     may_continue_stream,
 )
+from shallotmux.forwarding._starts import StartVerifier
 from shallotmux.forwarding._state import EndpointState, InFlightWork, Target
 from shallotmux.origins import StreamOrigins
 from shallotmux.routes import RouteKind
@@ -99,12 +100,14 @@
         directory: EndpointDirectory,
         on_run_started: Callable[[Job], None],
         origins: StreamOrigins,
+        starts: StartVerifier,
     ) -> None:
         self._names = names
         self._pool = pool
         self._directory = directory
         self._on_run_started = on_run_started
         self._origins = origins
+        self._starts = starts
         self._relay = AnswerRelay(self._record_run_started, self._record_events)
 
     async def run(
@@ -137,7 +140,11 @@
             self._directory.record_unreachable(state, str(error))
             return AttemptResult(Outcome.NOT_RUN, str(error))
         try:
+            await self._verify_start(attempt, connection)
             return await self._send_and_receive(attempt, connection)
+        except ConnectionUnusable as error:
+            self._directory.record_unreachable(state, str(error))
+            return AttemptResult(Outcome.NOT_RUN, str(error))
         except EndpointError as error:
             outcome = classify_missing_answer(was_sent=connection.was_sent)
             if connection.was_sent:
@@ -146,6 +153,22 @@
         finally:
             self._pool.release(state.identity, connection)
 
+    async def _verify_start(self, attempt: _Attempt, connection: EndpointConnection) -> None:
+        """Verify that a connection leads to the start of the endpoint that was chosen.
+
+        :raises ConnectionUnusable: if it does not.
+        """
+        state = attempt.target.state
+        try:
+            await self._starts.verify(attempt.job, state, connection)
+        except ConnectionUnusable:
+            raise
+        except EndpointError as error:
+            # No byte of the request itself was sent.
+            raise ConnectionUnusable(
+                str(error), step='verify start', peer=connection.peer
+            ) from error
+
     async def _connect(self, job: Job, state: EndpointState) -> EndpointConnection:
         max_idle_s = float('inf') if job.route.is_repeatable else NON_REPEATABLE_MAX_IDLE_S
         timeout_s = max(0.01, min(CONNECT_TIMEOUT_S, job.remaining_s))
--- a/shallotmux/forwarding/_endpoint.py
+++ b/shallotmux/forwarding/_endpoint.py
@@ -61,6 +61,14 @@
     is_answer_complete: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class CallAnswer:
+    """Whole answer to a call of the system itself."""
+
+    status: int
+    content: bytes
+
+
 class EndpointConnection:
     """Exchanges one request and answer at a time with an endpoint.
 
@@ -74,7 +82,10 @@
         self._request: OutgoingRequest | None = None
         self._protocol = _new_protocol()
         self._progress = _Progress()
-        self.idle_since = trio.current_time()
+        self.opened_at = trio.current_time()
+        self.idle_since = self.opened_at
+        #: Whether the endpoint said on this connection that it is the start that was listed.
+        self.is_start_verified = False
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
 
     @property
@@ -123,6 +134,19 @@
             raise self._error('send', error) from error
         self._progress.is_request_complete = True
 
+    async def call(self, request: OutgoingRequest) -> CallAnswer:
+        """Send a request for the system itself, whose answer need not repeat a request id.
+
+        :raises EndpointError: if the connection breaks, or the answer is too long.
+        """
+        await self.send_request(request)
+        head = await self._receive_any_head()
+        return CallAnswer(head.status, await self.receive_body())
+
+    def retire(self) -> None:
+        """Keep the connection from being used again."""
+        self._progress = _Progress()
+
     async def receive_head(self) -> AnswerHead:
         """Return the head of the answer to the current request.
 
--- a/shallotmux/forwarding/_job.py
+++ b/shallotmux/forwarding/_job.py
@@ -11,6 +11,7 @@
 from shallotmux.forwarding._headers import Headers, drop_connection_headers, drop_named
 from shallotmux.forwarding._messages import CallerRequest, OutgoingRequest, Reply
 from shallotmux.forwarding._names import HeaderNames
+from shallotmux.origins import make_origin_key
 from shallotmux.placement import Prompt
 from shallotmux.routes import ForwardedRoute, RouteKind
 
@@ -80,10 +81,9 @@
     def origin_key(self, request_id: bytes) -> int:
         """Return the key under which the beginning of a stream is known.
 
-        :param request_id: id of the request that brought its first event. Customer and target are part
-            of the key, so that ids of others are not known.
+        :param request_id: id of the request that brought its first event.
         """
-        return digest_subject(b'\n'.join((request_id, self.request.target, self.customer.encode())))
+        return make_origin_key(request_id, self.request.target, self.customer)
 
     def after_event(self, names: HeaderNames) -> str:
         """Return the id of the event after which the next endpoint continues; empty for a new stream."""
--- a/shallotmux/origins/__init__.py
+++ b/shallotmux/origins/__init__.py
@@ -22,7 +22,7 @@
     decode_origin_call,
     encode_origin_message,
 )
-from shallotmux.origins._store import UNCERTAIN_VERSION, Origin, OriginStore
+from shallotmux.origins._store import UNCERTAIN_VERSION, Origin, OriginStore, make_origin_key
 from shallotmux.origins._streams import StreamOrigins
 
 __all__ = (
@@ -48,4 +48,5 @@
     'choose_version',
     'decode_origin_call',
     'encode_origin_message',
+    'make_origin_key',
 )
--- a/shallotmux/origins/_store.py
+++ b/shallotmux/origins/_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -14,11 +15,25 @@
 #: Beginnings that are remembered; the oldest are forgotten.
 MAX_ORIGINS = 65_536
 
+#: Size of a key. It must fit into a 64-bit integer of a message.
+KEY_BYTES = 8
+
 #: Version of a stream whose beginning is not certain. No endpoint has it, so nothing continues such a
 #: stream.
 UNCERTAIN_VERSION = '?'
 
 
+def make_origin_key(request_id: bytes, target: bytes, customer: str) -> int:
+    """Return the key under which the beginning of a stream is known.
+
+    Customer and target are part of it, so that callers who guess ids of others find nothing.
+
+    :param request_id: id of the request that brought the first event.
+    """
+    content = b'\n'.join((request_id, target, customer.encode()))
+    return int.from_bytes(hashlib.blake2b(content, digest_size=KEY_BYTES).digest())
+
+
 @dataclass(frozen=True, slots=True)
 class Origin:
     """Beginning of a stream.
--- a/shallotmux/platform/_dialect.py
+++ b/shallotmux/platform/_dialect.py
@@ -5,6 +5,7 @@
 from shallotmux.forwarding import Dialect
 from shallotmux.platform._names import HEADERS
 from shallotmux.platform._prompts import read_handle, read_prompt
+from shallotmux.platform._worker_reports import REPORT_PATH, read_start
 
 DIALECT = Dialect(
     names=HEADERS,
@@ -12,4 +13,6 @@
     read_prompt=read_prompt,
     read_handle=read_handle,
     prefill_headers=((HEADERS.role, b'prefill'),),
+    report_path=REPORT_PATH,
+    read_start=read_start,
 )
--- a/tests/forwarding/_harness.py
+++ b/tests/forwarding/_harness.py
@@ -26,7 +26,7 @@
     SharedRetryBudget,
     build_forwarder,
 )
-from shallotmux.origins import StreamOrigins
+from shallotmux.origins import StreamOrigins, make_origin_key
 from shallotmux.routes import (
     CallerLimits,
     DocumentCustomer,
@@ -172,6 +172,10 @@
     pool: ConnectionPool
     started_customers: list[str] = field(default_factory=list)
 
+    def origin_key(self, request_id: str) -> int:
+        """Return the key of a stream that a request to ``/resume/`` began."""
+        return make_origin_key(request_id.encode(), b'/resume/', 'tailors')
+
     async def connect(self) -> trio.SocketStream:
         """Open a connection as a caller."""
         host, _, port = self.address.rpartition(':')
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -237,3 +237,13 @@
     assert DIALECT.read_handle(b'{"kv-handle":"3fa0","tokens":1460,"version":1}') == '3fa0'
     assert DIALECT.read_handle(b'{"tokens":1460}') is None
     assert DIALECT.read_handle(b'not json') is None
+
+
+def test_start_of_a_worker_is_read_from_its_report() -> None:
+    """Guards against a worker that restarted and is taken for the one that was listed."""
+    report = b'{"stage":"decode","models":[],"busy":false,"seq":2,"born":1767821970570}'
+    assert DIALECT.read_start(report) == 1767821970570
+    assert DIALECT.read_start(b'{"stage":"decode"}') is None
+    for invalid in (b'not json', b'{"born":"today"}', b'[]', b'\xff'):
+        with pytest.raises(ValueError):
+            DIALECT.read_start(invalid)
