--- a/shallotmux/origins/_client.py
+++ b/shallotmux/origins/_client.py
@@ -30,14 +30,15 @@
 MAX_IN_CALL = 256
 
 #: Timeout of a call, after which its peer is passed over for a while.
-CALL_TIMEOUT_S = 0.3
+CALL_TIMEOUT_S = 0.6
 RETRY_PEER_AFTER_S = 2.0
 
 #: Time for which the first event of a stream waits until a control instance knows its beginning.
 ACK_TIMEOUT_S = 0.2
 
-#: Time for which a retry waits for the answers of control instances.
-ASK_TIMEOUT_S = 0.25
+#: Time for which a retry waits for the answers of control instances. Those that answer usually do so
+#: within milliseconds; the time is for slow links.
+ASK_TIMEOUT_S = 0.6
 
 #: Sends an encoded call to a control instance; returns its encoded answer.
 CallControl = Callable[[str, bytes, float], Awaitable[bytes]]
