Do not start a stream without event ids again within one answer

Callers could get events twice: a stream whose events have no ids broke off, and another endpoint sent all of it again, as it was not told where to go on.

Evidence: test_stream_without_event_ids_is_not_started_again failed before.

--- a/shallotmux/forwarding/_events.py
+++ b/shallotmux/forwarding/_events.py
@@ -34,30 +34,37 @@
         self.last_id = b''
         #: Whether an event of the present attempt was complete.
         self.has_events = False
+        self._has_returned = False
         #: Whether the start of the present event was returned, since it is too long to be held back.
-        self.is_partly_returned = False
+        self._is_partly_returned = False
+
+    @property
+    def can_be_continued(self) -> bool:
+        """Return whether another endpoint can send just what was not returned yet."""
+        return not self._is_partly_returned and (bool(self.last_id) or not self._has_returned)
 
     @property
     def is_whole(self) -> bool:
         """Return whether no event is incomplete."""
-        return not self.is_partly_returned and _NO_EVENT.fullmatch(self._pending) is not None
+        return not self._is_partly_returned and _NO_EVENT.fullmatch(self._pending) is not None
 
     def feed(self, content: bytes) -> bytes:
         """Append content; returns the events that are now complete."""
         pending = self._pending + content
         end = _end_of_events(pending)
-        if not (end or self.is_partly_returned):
+        if not (end or self._is_partly_returned):
             # These line ends belong to the event before.
             end = len(pending) - len(pending.lstrip(b'\r\n'))
         if end:
-            self.is_partly_returned = False
+            self._is_partly_returned = False
             self.has_events = self.has_events or _NO_EVENT.fullmatch(pending[:end]) is None
         elif len(pending) > MAX_EVENT_BYTES:
-            self.is_partly_returned = True
+            self._is_partly_returned = True
             # The end of the event may be split across parts, and is looked for in what is kept.
             end = len(pending) - MAX_SPLIT_END_BYTES
         complete = pending[:end]
         self._pending = pending[end:]
+        self._has_returned |= bool(complete)
         self._record_ids(complete)
         return complete
 
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -180,7 +180,7 @@
 
     def _may_retry(self, job: Job, result: AttemptResult) -> bool:
         """Return whether another attempt is allowed after a failed one."""
-        if job.reply.is_started and (job.events is None or job.events.is_partly_returned):
+        if job.reply.is_started and (job.events is None or not job.events.can_be_continued):
             # Only a stream of events with ids can be resumed, after a complete event.
             return False
         if result.outcome is not Outcome.NOT_RUN:
--- a/tests/forwarding/test_broken_streams.py
+++ b/tests/forwarding/test_broken_streams.py
@@ -213,3 +213,12 @@
     if ending == 'shutdown':
         with pytest.raises(trio.BrokenResourceError):
             await stream.receive_some()
+
+
+async def test_stream_without_event_ids_is_not_started_again() -> None:
+    """Guards against events that come twice, as a stream without ids cannot be resumed."""
+    second = serve(b'data: 1\n\ndata: 2\n\n', 'chunked')
+    async with run_forwarder(serve(b'data: 1\n\ndata', 'none'), second) as harness:
+        got = await harness.make_request('/resume/')
+    assert (got.is_complete, got.body) == (False, b'data: 1\n\n')
+    assert not second.received
--- a/tests/guards/forwarded.py
+++ b/tests/guards/forwarded.py
@@ -28,7 +28,7 @@
     Guard(
         'answer-of-one-run',
         'shallotmux/forwarding/_forwarder.py',
-        '(job.events is None or job.events.is_partly_returned)',
+        '(job.events is None or not job.events.can_be_continued)',
         'False',
         (
             f'{WIRE}::test_truncated_chunked_answer_is_not_joined_with_another',
