--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -8,12 +8,14 @@
 import pytest
 import trio
 
+from shallotmux.forwarding._state import REFUSAL_BACKOFF_S
 from tests.forwarding._harness import (
     NAMES,
     ForwarderHarness,
     ReceivedAnswer,
     ReceivedRequest,
     ScriptedEndpoint,
+    answer,
     run_forwarder,
 )
 
@@ -55,6 +57,12 @@
     return ScriptedEndpoint(send)
 
 
+async def refuse(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
+    """Refuse a request without running it."""
+    await stream.send_all(answer(received, status=503, extra=b'X-Not-Run: 1\r\n'))
+    return True
+
+
 def versions_in(*answers: ReceivedAnswer) -> set[str]:
     """Return the versions that made the events of answers."""
     return {
@@ -94,14 +102,16 @@
 
 async def test_caller_resumes_a_stream_at_its_version() -> None:
     """Guards against a caller's retry that is joined from two versions."""
-    first = serving('v1', breaks_after=1)
-    endpoints = (first, serving('v2'), serving('v2'))
-    async with run_forwarder(*endpoints, versions=('v1', 'v2', 'v2')) as harness:
+    # The endpoint of the other version is preferred, and refuses only the request that begins.
+    preferred, first = ScriptedEndpoint(refuse), serving('v1', breaks_after=1)
+    async with run_forwarder(preferred, first, versions=('v2', 'v1')) as harness:
         began = await harness.make_request('/resume/')
+        preferred.script = serving('v2').script
         first.script = serving('v1').script
+        await trio.sleep(REFUSAL_BACKOFF_S)
         resumed = await resume(harness, 'r-1')
     assert not began.is_complete
-    assert resumed.is_complete
+    assert (resumed.status, resumed.is_complete) == (200, True)
     assert versions_in(began, resumed) == {'v1'}
 
 
--- a/tests/guards/__main__.py
+++ b/tests/guards/__main__.py
@@ -15,7 +15,7 @@
 from tests.guards.crashes import CRASH_GUARDS
 from tests.guards.forwarded import FORWARDING_GUARDS
 from tests.guards.ratelimits import LIMIT_GUARDS
-from tests.guards.streams import STREAM_GUARDS
+from tests.guards.streams import STREAM_GUARDS, VERSION_GUARDS
 
 ROOT = Path(__file__).resolve().parents[2]
 COPIED_PATHS = ('shallotmux', 'tests', 'examples', 'docs', 'pyproject.toml', 'Makefile')
@@ -57,7 +57,14 @@
 
 def main() -> int:
     """Check all guards, or those whose invariants are given as arguments."""
-    guards = (*GUARDS, *FORWARDING_GUARDS, *CRASH_GUARDS, *LIMIT_GUARDS, *STREAM_GUARDS)
+    guards = (
+        *GUARDS,
+        *FORWARDING_GUARDS,
+        *CRASH_GUARDS,
+        *LIMIT_GUARDS,
+        *STREAM_GUARDS,
+        *VERSION_GUARDS,
+    )
     selected = [each for each in guards if not sys.argv[1:] or each.invariant in sys.argv[1:]]
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
