--- a/shallotmux/cli/_history.py
+++ b/shallotmux/cli/_history.py
@@ -77,6 +77,8 @@
             return _format_placement(message)
         case 'attempt':
             return _format_attempt(message)
+        case 'stream-resumed':
+            return _format_resumed(message)
         case 'prefill-refused':
             return f'{message.get("endpoint")} refused the prefill: {message.get("status")}'
         case 'repeats-spent':
@@ -103,10 +105,25 @@
     )
 
 
+def _format_resumed(message: dict[str, Any]) -> str:
+    stream = f'stream that began as {message.get("resumes") or "an unnamed request"}'
+    if message.get('refused'):
+        return f'{stream} does not go on: {message.get("refused")}'
+    return (
+        f'{stream} goes on after event {message.get("after_event")} at version '
+        f'{message.get("software")}, known from {message.get("known_from")}'
+    )
+
+
 def _format_attempt(message: dict[str, Any]) -> str:
     result = f'{message.get("endpoint")}: {message.get("outcome")} {message.get("status")}'
     reason = message.get('reason')
-    notable = [
+    notable = []
+    if message.get('after_event'):
+        notable.append(f'after event {message["after_event"]}')
+    if message.get('software'):
+        notable.append(f'version {message["software"]}')
+    notable += [
         f'{label} {message[name]} ms'
         for name, label in (('first_ms', 'first part'), ('gap_ms', 'longest gap'))
         if message.get(name, 0) >= MIN_NOTABLE_DELAY_MS
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -83,10 +83,8 @@
         eligible = [
             state
             for state in self._states.values()
-            if state.listed.service == service
-            and not state.listed.is_leaving
+            if _takes_work(state, service, software_version)
             and state.identity not in skipped
-            and software_version in {None, state.listed.software_version}
             and self._has_room(state, max_connections)
         ]
         available = [state for state in eligible if state.is_available(now)]
@@ -126,12 +124,8 @@
 
     def has_version(self, service: str, software_version: str) -> bool:
         """Return whether an endpoint of a software version takes new work."""
-        return any(
-            state.listed.service == service
-            and not state.listed.is_leaving
-            and state.listed.software_version == software_version
-            for state in self._states.values()
-        )
+        states = self._states.values()
+        return any(_takes_work(state, service, software_version) for state in states)
 
     def find(self, identity: str) -> EndpointState | None:
         """Return an endpoint by its identity, or None if it is not listed."""
@@ -220,6 +214,13 @@
         state.listed = listed
 
 
+def _takes_work(state: EndpointState, service: str, software_version: str | None) -> bool:
+    """Return whether an endpoint of a service takes new work of a version, or of any if it is None."""
+    listed = state.listed
+    is_of_version = software_version in {None, listed.software_version}
+    return listed.service == service and not listed.is_leaving and is_of_version
+
+
 def choose_least_loaded(
     candidates: list[EndpointState], zone: str, draw: Callable[[], float]
 ) -> EndpointState | None:
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -103,7 +103,8 @@
             case Unknown():
                 reason = found.reason
             case Continuation():
-                job.service, job.stream_version = found.service, found.version
+                job.service = found.service
+                job.stream_version = found.version
                 reason = self._why_not_continued(job, found)
         self._log_resumed(job, found, reason)
         if not reason:
--- a/shallotmux/measure/origins.py
+++ b/shallotmux/measure/origins.py
@@ -209,12 +209,12 @@
     async def run(self) -> None:
         """Tell the beginnings at each poll."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(super().run)
+            nursery.start_soon(self._client.run)
             while True:
                 await trio.sleep(POLL_INTERVAL_S)
-                untold, self._untold = self._untold, []
-                for key, version in untold:
-                    nursery.start_soon(super().begin, key, version)
+                for key, version in self._untold:
+                    nursery.start_soon(self.origins.record, key, SERVICE, version, '')
+                self._untold.clear()
 
     async def begin(self, key: int, version: str) -> None:
         """Remember a beginning until the next poll."""
--- a/shallotmux/origins/_history.py
+++ b/shallotmux/origins/_history.py
@@ -66,10 +66,13 @@
             return
         for span in report.spans:
             self._extend(span.service, span.version, now - span.last_age_s)
-        if self.since == float('inf') or self.until < since - MAX_LIST_GAP_S:
-            self.since, self.until = since, until
+        is_later = self.since == float('inf') or self.until < since - MAX_LIST_GAP_S
+        if is_later:
+            self.since = since
+            self.until = until
         elif until >= self.since - MAX_LIST_GAP_S:
-            self.since, self.until = min(self.since, since), max(self.until, until)
+            self.since = min(self.since, since)
+            self.until = max(self.until, until)
         self._expire(now)
 
     def build_report(self, now: float) -> HistoryReport:
--- a/shallotmux/origins/_streams.py
+++ b/shallotmux/origins/_streams.py
@@ -39,7 +39,8 @@
         """Record the services and software versions of a list that was read at a local time."""
         named = tuple(versions)
         self.history.observe(named, at)
-        for service in {service for service, _ in named}:
+        services = {service for service, _ in named}
+        for service in services:
             if self.single_version(service) is not None:
                 self._single.add(service)
             elif service in self._single:
@@ -62,9 +63,9 @@
         if self._client is None or self.single_version(service) == version:
             return
         is_known = self._client.tell(make_report(key, origin))
-        with trio.move_on_after(ACK_TIMEOUT_S) as scope:
+        with trio.move_on_after(ACK_TIMEOUT_S):
             await is_known.wait()
-        if scope.cancelled_caught:
+        if not is_known.is_set():
             log_message(
                 message_type='shallotmux:origin-unconfirmed', request=request, software=version
             )
--- a/tests/cli/test_history.py
+++ b/tests/cli/test_history.py
@@ -77,3 +77,19 @@
     result = CliRunner().invoke(main, ['explain', '--log', str(log), REQUEST])
     assert result.exit_code
     assert REQUEST in result.output
+
+
+def test_resumed_stream_is_explained(tmp_path: Path) -> None:
+    """Guards against output that does not tell at which version a stream went on, or why not."""
+    stream = {'request': REQUEST, 'resumes': 'r-16', 'after_event': '4'}
+    output = run_explain(
+        tmp_path,
+        log_line('stream-resumed', 4, **stream, software='v1.2', known_from='control'),
+        log_line(
+            'attempt', 5, **stream, software='v1.2', endpoint='e-1', outcome='delivered', status=200
+        ),
+        log_line('stream-resumed', 6, **stream, refused='no endpoint is left'),
+    )
+    assert 'r-16 goes on after event 4 at version v1.2, known from control' in output
+    assert 'e-1: delivered 200, after event 4, version v1.2' in output
+    assert 'r-16 does not go on: no endpoint is left' in output
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -85,7 +85,9 @@
     """Guards against an answer with events of two versions after an endpoint crashed."""
     endpoints = (serving('v1', breaks_after=2), serving('v2'), serving('v1'))
     async with run_forwarder(*endpoints, versions=('v1', 'v2', 'v1')) as harness:
-        got = [await harness.make_request('/resume/', request_id=f'r-{n}') for n in range(8)]
+        got = [
+            await harness.make_request('/resume/', request_id=f'r-{number}') for number in range(8)
+        ]
     for each in got:
         assert len(versions_in(each)) == 1
     assert sum(each.is_complete for each in got) == len(got)
@@ -167,10 +169,12 @@
     """Guards against endpoints of a version that get no new requests."""
     endpoints = tuple(serving(version) for version in ('v1', 'v2', 'v3'))
     async with run_forwarder(*endpoints, versions=('v1', 'v2', 'v3')) as harness:
+
+        async def make_request(number: int) -> None:
+            await harness.make_request('/resume/', request_id=f'r-{number}')
+
         async with trio.open_nursery() as nursery:
             for number in range(30):
                 await trio.sleep(0.001)
-                nursery.start_soon(
-                    lambda n=number: harness.make_request('/resume/', request_id=f'r-{n}')
-                )
+                nursery.start_soon(make_request, number)
     assert all(each.received for each in endpoints)
--- a/tests/guards/streams.py
+++ b/tests/guards/streams.py
@@ -69,8 +69,8 @@
     Guard(
         'stream-of-one-version',
         'shallotmux/forwarding/_directory.py',
-        'and software_version in {None, state.listed.software_version}',
-        '',
+        'is_of_version = software_version in {None, listed.software_version}',
+        'is_of_version = True',
         (f'{VERSIONS}::test_stream_goes_on_at_its_version_within_one_answer',),
     ),
     Guard(
@@ -132,8 +132,8 @@
     Guard(
         'stream-of-one-version (other customer or target)',
         'shallotmux/origins/_store.py',
-        "content = b'\\n'.join((request_id, target, customer.encode()))",
-        'content = request_id',
+        '(request_id, target, customer.encode())',
+        '(request_id,)',
         (f'{VERSIONS}::test_request_id_of_another_customer_or_route_tells_nothing',),
     ),
     Guard(
