Move reservations for exclusive requests out of the admission

The endpoints that are kept free for requests on trial are a subject of their own; behaviour is the same, and the tests of requests and decisions pass.

--- a/shallotmux/requests/_admission.py
+++ b/shallotmux/requests/_admission.py
@@ -37,6 +37,7 @@
     Ticket,
 )
 from shallotmux.requests._request import RequestRefused, refuse
+from shallotmux.requests._reservations import Reservations
 from shallotmux.requests._retries import Breakers
 from shallotmux.requests._settings import RequestSettings
 from shallotmux.world import Contract, Endpoint, EndpointKind, RouteKind
@@ -86,7 +87,7 @@
         self.pool_views = PoolViews(
             lambda name: bool(self._in_flight[name]), self._has_capacity, dependencies.routing
         )
-        self._reserved: dict[str, Ticket] = {}
+        self._reservations = Reservations(self._in_flight, self.pool_views.update_capacity)
 
     def in_flight(self, endpoint: str) -> int:
         """Return the number of requests of this instance in progress on an endpoint."""
@@ -191,11 +192,8 @@
 
     def end_exclusive(self, ticket: Ticket) -> None:
         """Allow other requests on an endpoint that was reserved for an exclusive request."""
-        for name, reserved_for in list(self._reserved.items()):
-            if reserved_for is ticket:
-                self._reserved.pop(name)
-                self.pool_views.update_capacity(name)
-                self.bind()
+        if self._reservations.end(ticket):
+            self.bind()
 
     def bind(self) -> None:
         """Bind waiting requests to endpoints with free capacity, in fair order."""
@@ -355,7 +353,7 @@
         return settings.engine_slots
 
     def _has_capacity(self, endpoint: Endpoint) -> bool:
-        if endpoint.name in self._reserved:
+        if endpoint.name in self._reservations:
             return False
         own = self._in_flight[endpoint.name]
         running = self._dependencies.loads.estimate(endpoint.name, own, trio.current_time())
@@ -370,7 +368,7 @@
         if ticket.exclusive:
             unavailable = excluded | self.pool_views.draining
             usable = [each for name, each in view.live.items() if name not in unavailable]
-            return self._choose_exclusive(ticket, usable)
+            return self._reservations.choose(ticket, usable)
         features = ticket.features(excluded)
         return route_request(
             (), self._dependencies.random, features, view.router, trio.current_time()
@@ -385,20 +383,6 @@
             self._excluded[view.pool] = (now, excluded)
         return excluded
 
-    def _choose_exclusive(self, ticket: Ticket, usable: list[Endpoint]) -> RoutingDecision | None:
-        """Reserve the least loaded endpoint, preferably a cheap one, and bind once it is empty."""
-        reserved = [name for name, reserved_for in self._reserved.items() if reserved_for is ticket]
-        free = [each for each in usable if each.name not in self._reserved]
-        if not reserved and len(self._reserved) < max(1, len(usable) // 3) and free:
-            best = min(free, key=lambda each: (self._in_flight[each.name], not each.cheap))
-            self._reserved[best.name] = ticket
-            self.pool_views.update_capacity(best.name)
-            reserved = [best.name]
-        for endpoint in usable:
-            if endpoint.name in reserved and not self._in_flight[endpoint.name]:
-                return RoutingDecision(endpoint, 'alone on trial', ((endpoint.name, 0),))
-        return None
-
 
 def _refuse_busy(lifecycle: Lifecycle, message: str, code: str) -> RequestRefused:
     return refuse(lifecycle, message, code=code, status=429, retry_after_s=RETRY_AFTER_S)
