Do not resume a stream with the cache handle of its first attempt

Callers could get a stream that goes on with the KV cache that an engine of another software version made; mostly they waited for a refusal, as a handle can be used once and the first endpoint had taken it.

Evidence: test_resumed_stream_uses_no_cache_of_another_version failed before.

--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -243,6 +243,8 @@
         if job.stream_version is None:
             job.stream_version = job.attempt_version
         job.is_origin_recorded = True
+        # The endpoint has taken the cache handle, which can be used once and may be of another version.
+        job.cache_source = b''
         await self._origins.record(
             job.origin_key(job.request_id),
             job.service,
--- a/tests/forwarding/test_engines.py
+++ b/tests/forwarding/test_engines.py
@@ -91,11 +91,12 @@
     harness: ForwarderHarness,
     prefill_engines: list[ScriptedEndpoint],
     decode_engines: list[ScriptedEndpoint],
+    route: ForwardedRoute = ROUTE,
 ) -> None:
     """Apply a configuration and a listing with engines."""
     service = Service('llm', '/healthz', 8, PROFILE)
     customers = (DocumentCustomer('tailors', (KEY,)),)
-    harness.forwarder.view.apply_document(RouteDocument(2, (ROUTE,), (service,), LIMITS, customers))
+    harness.forwarder.view.apply_document(RouteDocument(2, (route,), (service,), LIMITS, customers))
     listed = [
         ListedEndpoint(f'p-{number}', 'llm', each.address, 'a', 64, role=EngineRole.PREFILL)
         for number, each in enumerate(prefill_engines)
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -5,9 +5,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 import trio
+from msgspec.structs import replace as replace_struct
 
+from shallotmux.fleet import Listing
 from shallotmux.forwarding._state import REFUSAL_BACKOFF_S
 from tests.forwarding._harness import (
     NAMES,
@@ -18,6 +22,9 @@
     answer,
     run_forwarder,
 )
+from tests.forwarding.test_engines import DIALECT as PREFILL_DIALECT
+from tests.forwarding.test_engines import ROUTE as ENGINE_ROUTE
+from tests.forwarding.test_engines import answer_prefill, configure_engines
 
 #: Events of a whole stream.
 LAST_EVENT = 4
@@ -178,3 +185,28 @@
                 await trio.sleep(0.001)
                 nursery.start_soon(make_request, number)
     assert all(each.received for each in endpoints)
+
+
+async def test_resumed_stream_uses_no_cache_of_another_version() -> None:
+    """Guards against a stream that goes on with the KV cache that an engine of another version made."""
+    prefill_engine = ScriptedEndpoint(answer_prefill)
+    decode_engines = [serving('v1', breaks_after=1), serving('v1')]
+    endpoints = (prefill_engine, *decode_engines)
+    async with run_forwarder(*endpoints, dialect=PREFILL_DIALECT) as harness:
+        route = replace(ENGINE_ROUTE, is_resumable=True, max_attempts=3)
+        configure_engines(harness, [prefill_engine], decode_engines, route=route)
+        listed = tuple(
+            replace_struct(
+                state.listed,
+                zone='b' if state.identity == 'd-1' else 'a',
+                software_version='v2' if state.identity == 'p-0' else 'v1',
+            )
+            for state in harness.forwarder.directory.usable('llm')
+        )
+        harness.forwarder.directory.update_listing(Listing(listed))
+        got = await harness.make_request('/ask/')
+    assert (got.is_complete, versions_in(got)) == (True, {'v1'})
+    first, second = (each.received[-1] for each in decode_engines)
+    assert NAMES.cache_source in first.headers
+    assert NAMES.cache_source not in second.headers
+    assert len(prefill_engine.received) == 1
