Search an incomplete event only where it has grown

An endpoint in trouble that sends an event without end in small pieces took 55 s (64 bytes a piece) to 350 s of processor time for 1 MB, in which the instance served nobody else: since each piece searched all of the event again, by a regular expression. Only the new part is searched now, and 1 MB takes 0.11 s in pieces of 64 bytes, 3.7 s byte by byte.

Evidence: test_endless_event_takes_bounded_processor_time; the property test of split streams and the tests of forwarding pass.

--- a/shallotmux/forwarding/_events.py
+++ b/shallotmux/forwarding/_events.py
@@ -29,7 +29,7 @@
     """
 
     def __init__(self) -> None:
-        self._pending = b''
+        self._pending = bytearray()
         #: Id of the last complete event, empty before the first one with an id.
         self.last_id = b''
         #: Whether an event of the present attempt was complete.
@@ -50,34 +50,38 @@
 
     def feed(self, content: bytes) -> bytes:
         """Append content; returns the events that are now complete."""
-        pending = self._pending + content
-        end = _end_of_events(pending)
-        if not (end or self._is_partly_returned):
+        pending = self._pending
+        # What was searched before is not searched again, as an endless event may come byte by byte.
+        searched = max(0, len(pending) - MAX_SPLIT_END_BYTES)
+        is_start = not pending
+        pending += content
+        end = _end_of_events(pending, searched)
+        if is_start and not end:
             # These line ends belong to the event before.
-            end = len(pending) - len(pending.lstrip(b'\r\n'))
+            end = len(content) - len(content.lstrip(b'\r\n'))
         if end:
             self._is_partly_returned = False
-            self.has_events = self.has_events or _NO_EVENT.fullmatch(pending[:end]) is None
+            self.has_events = self.has_events or _NO_EVENT.fullmatch(pending, 0, end) is None
         elif len(pending) > MAX_EVENT_BYTES:
             self._is_partly_returned = True
             # The end of the event may be split across parts, and is looked for in what is kept.
             end = len(pending) - MAX_SPLIT_END_BYTES
-        complete = pending[:end]
-        self._pending = pending[end:]
+        complete = bytes(pending[:end])
+        del pending[:end]
         self._has_returned |= bool(complete)
         self._record_ids(complete)
         return complete
 
     def start_attempt(self) -> None:
         """Drop an incomplete event, which a resumed stream sends again."""
-        self._pending = b''
+        self._pending.clear()
         self.has_events = False
 
     def flush(self) -> bytes:
         """Return the bytes after the last event, at the end of a complete stream."""
-        pending = self._pending
-        self._pending = b''
-        return pending
+        rest = bytes(self._pending)
+        self._pending.clear()
+        return rest
 
     def _record_ids(self, complete: bytes) -> None:
         for line in complete.splitlines():
@@ -85,11 +89,14 @@
                 self.last_id = line[3:].strip()
 
 
-def _end_of_events(content: bytes) -> int:
-    """Return the position after the last complete event, 0 without one."""
+def _end_of_events(content: bytearray, start: int) -> int:
+    """Return the position after the last complete event, 0 without one.
+
+    :param start: position from which the end is looked for.
+    """
     if content.endswith(_COMMON_ENDS):
         return len(content)
     end = 0
-    for match in _EVENT_END.finditer(content):
+    for match in _EVENT_END.finditer(content, start):
         end = match.end()
     return end
--- a/tests/forwarding/test_parts.py
+++ b/tests/forwarding/test_parts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 import trio
 import trio.testing
@@ -26,6 +28,10 @@
 
 NAMES = HeaderNames()
 
+#: Processor time for 200,000 parts of an event without end; a rescan of the event at each part takes
+#: minutes.
+MAX_ENDLESS_S = 10
+
 
 def test_connection_headers_stay_on_their_connection() -> None:
     """Guards against hop-by-hop headers that are forwarded."""
@@ -115,6 +121,16 @@
     assert found[0] == found[1]
 
 
+@pytest.mark.parametrize('piece', [b'x' * 64, b'data: x\r\n', b'x'])
+def test_endless_event_takes_bounded_processor_time(piece: bytes) -> None:
+    """Guards against an endpoint in trouble whose bytes without end occupy the whole instance."""
+    events = EventSplitter()
+    started_s = time.process_time()
+    for _ in range(200_000):
+        events.feed(piece)
+    assert time.process_time() - started_s < MAX_ENDLESS_S
+
+
 async def test_retries_are_bounded_by_share(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against instances that together exceed the retry budget of the fleet."""
     budget = SharedRetryBudget(RetryBudgetLimits(0.2, 50, 10), lambda: 10)
