--- a/shallotmux/measure/origins.py
+++ b/shallotmux/measure/origins.py
@@ -241,6 +241,7 @@
     rule: Rule | None = None
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     versions: frozenset[str] = frozenset()
+    killed: trio.Event = field(default_factory=trio.Event)
 
 
 def serving_versions(at: float) -> frozenset[str]:
@@ -282,6 +283,7 @@
     def _start(self, entry: Entry) -> None:
         entry.rule = self._rule_type(self._call, tuple(self._stores))
         entry.scope = trio.CancelScope()
+        entry.killed = trio.Event()
         entry.versions = frozenset()
         self._nursery.start_soon(self._run_entry, entry, entry.rule, entry.scope)
 
@@ -349,9 +351,9 @@
             await self._resume(key, version)
 
     async def _sleep_unless_killed(self, entry: Entry, rule: Rule, seconds: float) -> None:
-        ends_at = trio.current_time() + seconds
-        while trio.current_time() < ends_at and entry.rule is rule:
-            await trio.sleep(min(0.02, ends_at - trio.current_time()))
+        if entry.rule is rule:
+            with trio.move_on_after(seconds):
+                await entry.killed.wait()
 
     async def _resume(self, key: int, version: str) -> None:
         """Take a stream up again at any instance, as its caller does."""
@@ -374,6 +376,7 @@
 
     def _kill(self, entry: Entry) -> None:
         entry.rule = None
+        entry.killed.set()
         entry.scope.cancel()
 
     async def _kill_all(self) -> None:
