--- a/tests/measure/test_origins.py
+++ b/tests/measure/test_origins.py
@@ -4,16 +4,8 @@
 
 import pytest
 
-from shallotmux.measure.origins import (
-    LARGE,
-    SLOW,
-    SMALL,
-    Fleet,
-    ForgetfulRule,
-    OwnMemoryRule,
-    TrustingMemoryRule,
-    run_workload,
-)
+from shallotmux.measure._origin_rules import ForgetfulRule, OwnMemoryRule, TrustingMemoryRule
+from shallotmux.measure.origins import LARGE, SLOW, SMALL, Fleet, run_workload
 
 #: Streams that may be joined from two versions, and the share of the retries that must go on while
 #: their version serves.
