Use the existing digest for streams, and one place for connections that fail a check

From reading the change again: the key of a stream was a second copy of digest_subject; errors of the call that asks an endpoint for its start were turned into one kind in the attempt, the rest in the verifier; whether a route has resumable streams was spelled out twice; the reason beside MAX_LIST_GAP_S claimed a delay before new endpoints serve that the code does not have.

No decision changes; the reason in the log of an endpoint that could not be verified now begins with "no valid report". Tests of forwarding, origins, programs, platform, crashes, routes and fleet, the linter and mypy pass.

--- a/shallotmux/crashes/_subjects.py
+++ b/shallotmux/crashes/_subjects.py
@@ -1,4 +1,4 @@
-"""Numbers that identify requests and prompt parts in the records of crashes."""
+"""Numbers that identify requests, prompt parts and streams in messages between instances."""
 
 from __future__ import annotations
 
@@ -9,5 +9,5 @@
 
 
 def digest_subject(content: bytes) -> int:
-    """Return the number of a request or of a prompt part."""
+    """Return the number of a request, of a prompt part or of a stream."""
     return int.from_bytes(hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest())
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -140,7 +140,7 @@
             self._directory.record_unreachable(state, str(error))
             return AttemptResult(Outcome.NOT_RUN, str(error))
         try:
-            await self._verify_start(attempt, connection)
+            await self._starts.verify(attempt.job, state, connection)
             return await self._send_and_receive(attempt, connection)
         except ConnectionUnusable as error:
             self._directory.record_unreachable(state, str(error))
@@ -153,22 +153,6 @@
         finally:
             self._pool.release(state.identity, connection)
 
-    async def _verify_start(self, attempt: _Attempt, connection: EndpointConnection) -> None:
-        """Verify that a connection leads to the start of the endpoint that was chosen.
-
-        :raises ConnectionUnusable: if it does not.
-        """
-        state = attempt.target.state
-        try:
-            await self._starts.verify(attempt.job, state, connection)
-        except ConnectionUnusable:
-            raise
-        except EndpointError as error:
-            # No byte of the request itself was sent.
-            raise ConnectionUnusable(
-                str(error), step='verify start', peer=connection.peer
-            ) from error
-
     async def _connect(self, job: Job, state: EndpointState) -> EndpointConnection:
         max_idle_s = float('inf') if job.route.is_repeatable else NON_REPEATABLE_MAX_IDLE_S
         timeout_s = max(0.01, min(CONNECT_TIMEOUT_S, job.remaining_s))
--- a/shallotmux/forwarding/_relay.py
+++ b/shallotmux/forwarding/_relay.py
@@ -123,7 +123,7 @@
     headers = drop_connection_headers(head.headers)
     if is_stream:
         headers = drop_named(headers, frozenset((b'content-length',)))
-        if job.route.kind is RouteKind.STREAMING and job.route.is_resumable:
+        if job.route.has_resumable_streams:
             job.events = EventSplitter()
     await job.reply.send_head(head.status, headers)
 
--- a/shallotmux/forwarding/_starts.py
+++ b/shallotmux/forwarding/_starts.py
@@ -6,13 +6,13 @@
 
 import trio
 
+from shallotmux.errors import EndpointError
 from shallotmux.forwarding._admission import Dialect
 from shallotmux.forwarding._endpoint import ConnectionUnusable, EndpointConnection
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._messages import OutgoingRequest
 from shallotmux.forwarding._state import EndpointState
 from shallotmux.origins import StreamOrigins
-from shallotmux.routes import RouteKind
 
 #: Longest time after the start of an endpoint for which the list may still name an earlier one.
 MAX_LIST_LAG_S = 2.0
@@ -47,14 +47,13 @@
         """
         if not self._matters(job, state) or self._is_certain(connection):
             return
-        started_ms = await self._ask(state, connection)
+        try:
+            started_ms = await self._ask(state, connection)
+        except (EndpointError, ValueError) as error:
+            raise _retire(connection, f'no valid report: {error}') from error
         if started_ms not in {None, state.listed.started_ms}:
-            connection.retire()
-            raise ConnectionUnusable(
-                f'started at {started_ms}, not at {state.listed.started_ms} as listed',
-                step='verify start',
-                peer=connection.peer,
-            )
+            reason = f'started at {started_ms}, not at {state.listed.started_ms} as listed'
+            raise _retire(connection, reason)
         connection.is_start_verified = True
 
     def _matters(self, job: Job, state: EndpointState) -> bool:
@@ -63,15 +62,18 @@
             return False
         if job.stream_version is not None:
             return True
-        is_resumable = job.route.kind is RouteKind.STREAMING and job.route.is_resumable
-        return is_resumable and self._origins.single_version(job.service) is None
+        return job.route.has_resumable_streams and self._origins.single_version(job.service) is None
 
     def _is_certain(self, connection: EndpointConnection) -> bool:
         is_older = connection.opened_at <= self._listed_at() - MAX_LIST_LAG_S
         return connection.is_start_verified or is_older
 
     async def _ask(self, state: EndpointState, connection: EndpointConnection) -> int | None:
-        """Return the start that an endpoint names; None if it names none."""
+        """Return the start that an endpoint names; None if it names none.
+
+        :raises EndpointError: if the connection breaks, or there is no answer to read.
+        :raises ValueError: if the report is not valid.
+        """
         names = self._dialect.names
         call = OutgoingRequest(
             b'',
@@ -86,15 +88,11 @@
         with trio.move_on_after(REPORT_TIMEOUT_S):
             answer = await connection.call(call)
             if answer.status == ACCEPTED_STATUS and connection.is_reusable:
-                return self._read(answer.content, connection)
-        connection.retire()
-        raise ConnectionUnusable('no report', step='verify start', peer=connection.peer)
+                return self._dialect.read_start(answer.content)
+        raise EndpointError('no report', step='verify start', peer=connection.peer)
 
-    def _read(self, content: bytes, connection: EndpointConnection) -> int | None:
-        try:
-            return self._dialect.read_start(content)
-        except ValueError as error:
-            connection.retire()
-            raise ConnectionUnusable(
-                f'invalid report: {error}', step='verify start', peer=connection.peer
-            ) from error
+
+def _retire(connection: EndpointConnection, reason: str) -> ConnectionUnusable:
+    """Keep a connection from being used again, and return the error for it."""
+    connection.retire()
+    return ConnectionUnusable(reason, step='verify start', peer=connection.peer)
--- a/shallotmux/origins/_history.py
+++ b/shallotmux/origins/_history.py
@@ -12,8 +12,8 @@
 #: callers several times.
 MAX_STREAM_LIFE_S = 120.0
 
-#: Longest time between two lists for which the versions in between are taken as known. A new endpoint
-#: serves only after a time in which the list names it.
+#: Longest time between two lists for which the versions in between are taken as known. It exceeds the
+#: interval of the polls and the lag of the list; a version that comes and goes within it is not noticed.
 MAX_LIST_GAP_S = 2.5
 
 #: Spans that are remembered. While there are more, no version can be derived.
--- a/shallotmux/origins/_store.py
+++ b/shallotmux/origins/_store.py
@@ -2,22 +2,19 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 import trio
 
+from shallotmux.crashes import digest_subject
 from shallotmux.origins._history import MAX_STREAM_LIFE_S
 from shallotmux.origins._messages import OriginReport
 
 #: Beginnings that are remembered; the oldest are forgotten.
 MAX_ORIGINS = 65_536
 
-#: Size of a key. It must fit into a 64-bit integer of a message.
-KEY_BYTES = 8
-
 #: Version of a stream whose beginning is not certain. No endpoint has it, so nothing continues such a
 #: stream.
 UNCERTAIN_VERSION = '?'
@@ -30,8 +27,7 @@
 
     :param request_id: id of the request that brought the first event.
     """
-    content = b'\n'.join((request_id, target, customer.encode()))
-    return int.from_bytes(hashlib.blake2b(content, digest_size=KEY_BYTES).digest())
+    return digest_subject(b'\n'.join((request_id, target, customer.encode())))
 
 
 @dataclass(frozen=True, slots=True)
--- a/shallotmux/routes/_document.py
+++ b/shallotmux/routes/_document.py
@@ -64,6 +64,11 @@
         """Return whether a request of this route may run more than once."""
         return self.kind is RouteKind.SAFE or self.is_resumable
 
+    @property
+    def has_resumable_streams(self) -> bool:
+        """Return whether its answers are streams that another endpoint may continue."""
+        return self.kind is RouteKind.STREAMING and self.is_resumable
+
 
 @dataclass(frozen=True, slots=True)
 class EngineProfile:
