--- a/tests/programs/_fleet.py
+++ b/tests/programs/_fleet.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
+import msgspec
 import trio
 
 from shallotmux.control import DutyHolder, DutyOutcome, FleetOrder, UsageReport
@@ -46,7 +47,8 @@
 def decode(content: bytes) -> RouteDocument:
     """Decode a test document: a version, and routes that all lead to one service.
 
-    Routes under ``/stream`` are streams that can be resumed.
+    Routes under ``/stream`` are streams that can be resumed, and those under ``/once`` must not run
+    twice.
     """
     parsed = json.loads(content)
     routes = tuple(
@@ -54,7 +56,7 @@
             prefix,
             'shop.example',
             prefix,
-            RouteKind.STREAMING if prefix.startswith('/stream') else RouteKind.SAFE,
+            _find_kind(prefix),
             (ServiceShare('desk', 1),),
             2000,
             200,
@@ -71,6 +73,12 @@
     )
 
 
+def _find_kind(prefix: str) -> RouteKind:
+    if prefix.startswith('/stream'):
+        return RouteKind.STREAMING
+    return RouteKind.UNSAFE if prefix.startswith('/once') else RouteKind.SAFE
+
+
 @dataclass(slots=True)
 class FakePlatform:
     """Lists endpoints, records usage reports and refuses orders.
@@ -118,6 +126,7 @@
     folder: Path
     platform: FakePlatform
     controls: dict[int, ControlProgram] = field(default_factory=dict)
+    entries: dict[int, EntryProgram] = field(default_factory=dict)
     scopes: dict[int, trio.CancelScope] = field(default_factory=dict)
 
     def settings(self, number: int, role: ProgramRole, *, bootstrap: bool) -> ProgramSettings:
@@ -156,17 +165,42 @@
             task_status.started()
             await program.run(ProgramLifecycle(lambda: settings))
 
-    async def run_entry(self, number: int) -> None:
-        """Run an entry program until cancelled."""
+    async def run_entry(self, number: int, links: Mapping[str, str] | None = None) -> None:
+        """Run an entry program until cancelled.
+
+        :param links: addresses at which this instance reaches the endpoints, by listed address.
+        """
         settings = self.settings(number, ProgramRole.ENTRY, bootstrap=False)
         adapter = EntryAdapter(Dialect(), decode, self.platform)
-        await EntryProgram(settings, adapter).run(ProgramLifecycle(lambda: settings))
+        program = EntryProgram(settings, adapter)
+        self.entries[number] = program
+        if links:
+            _translate_addresses(program, links)
+        await program.run(ProgramLifecycle(lambda: settings))
 
     def url(self, number: int, port: int) -> str:
         """Return the address of a listener."""
         return f'http://{self.base}.{number}:{port}'
 
 
+def _translate_addresses(program: EntryProgram, links: Mapping[str, str]) -> None:
+    """Let the listeners to the list of endpoints see other addresses."""
+    callbacks = program.view.on_listing
+    original = tuple(callbacks)
+
+    def notify(listing: Listing) -> None:
+        endpoints = (
+            msgspec.structs.replace(each, address=links.get(each.address, each.address))
+            for each in listing.endpoints
+        )
+        translated = Listing(tuple(endpoints))
+        for each in original:
+            each(translated)
+
+    callbacks.clear()
+    callbacks.append(notify)
+
+
 @asynccontextmanager
 async def run_fleet(base: str, folder: Path, endpoint: str) -> AsyncIterator[Fleet]:
     """Run three control instances and one entry instance, number 9."""
