--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -10,6 +10,7 @@
 from eliot import log_message
 
 from shallotmux.authority import GroupState
+from shallotmux.control._entry_reach import EntryReach
 from shallotmux.control._sizing import FleetDemand, sum_demands
 from shallotmux.crashes import CrashRecords
 from shallotmux.fleet import (
@@ -91,6 +92,7 @@
         self._listed_at = float('-inf')
         self._polled_at: dict[str, float] = {}
         self._demands: dict[str, tuple[ServiceDemand, ...]] = {}
+        self._entry_reach = EntryReach()
 
     def update_listing(self, listing: Listing, listed_at: float) -> None:
         """Store the platform's list of endpoints.
@@ -146,6 +148,8 @@
         self._polled_at[poll.sender] = now
         self.usage.merge(poll.sender, poll.counts)
         self._demands[poll.sender] = poll.demands
+        self._entry_reach.record(poll)
+        entries = self.entries()
         self._crashes.merge(poll.crash_news)
         self.limits.merge(poll.limits)
         document = self._state.zone.document
@@ -156,11 +160,13 @@
             self._peers(),
             self.listing,
             max(0.0, now - self._listed_at) if self.listing else 0.0,
-            self.entries(),
+            entries,
             self._clock.local_estimate(),
             self._crashes.build_news(poll.crashes_known),
             self.limits.build_reports(),
             self.history.build_report(now),
+            self._entry_reach.neighbours(poll.zone, entries),
+            self._entry_reach.cut_off(entries),
         )
         return ForwardAnswer(encode_fleet_message(knowledge))
 
--- a/shallotmux/fleet/__init__.py
+++ b/shallotmux/fleet/__init__.py
@@ -8,7 +8,9 @@
 from shallotmux.fleet._messages import (
     JOIN_GROUP,
     KNOWLEDGE_GROUP,
+    MAX_NEIGHBOURS,
     CustomerCount,
+    CutOff,
     Join,
     JoinAnswer,
     Knowledge,
@@ -25,7 +27,9 @@
 __all__ = (
     'JOIN_GROUP',
     'KNOWLEDGE_GROUP',
+    'MAX_NEIGHBOURS',
     'CustomerCount',
+    'CutOff',
     'DecodeDocument',
     'EngineRole',
     'FleetPoller',
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -16,6 +16,10 @@
 JOIN_GROUP = 'join'
 
 
+#: Maximum number of entry instances of its own zone that an instance is told of.
+MAX_NEIGHBOURS = 16
+
+
 class CustomerCount(msgspec.Struct, frozen=True):
     """Number of requests of one customer that started in one window at one instance.
 
@@ -53,6 +57,8 @@
     :param crash_news: what the sender learned of crashes after its last poll of the receiver.
     :param crashes_known: position of the receiver's news of crashes that the sender has.
     :param limits: limits of endpoints that the sender knows of.
+    :param zone: availability zone of the sender.
+    :param cut_off: services of which the sender reaches no endpoint.
     """
 
     sender: str
@@ -62,6 +68,15 @@
     crash_news: CrashNews = CrashNews()
     crashes_known: Position = Position()
     limits: tuple[LimitReport, ...] = ()
+    zone: str = ''
+    cut_off: tuple[str, ...] = ()
+
+
+class CutOff(msgspec.Struct, frozen=True):
+    """Entry instances that reach no endpoint of a service."""
+
+    service: str
+    entries: tuple[str, ...]
 
 
 class Knowledge(msgspec.Struct, frozen=True):
@@ -77,6 +92,9 @@
     :param crash_news: what the answering instance learned of crashes after the position in the poll.
     :param limits: limits of endpoints as reported by all instances.
     :param versions: software versions that the answering instance itself saw in lists of endpoints.
+    :param neighbours: live entry instances in the zone of the poll's sender, at most
+        :data:`MAX_NEIGHBOURS`.
+    :param cut_off: what entry instances reported a moment ago.
     """
 
     version: int
@@ -89,6 +107,8 @@
     crash_news: CrashNews = CrashNews()
     limits: tuple[LimitReport, ...] = ()
     versions: HistoryReport = NO_HISTORY
+    neighbours: tuple[str, ...] = ()
+    cut_off: tuple[CutOff, ...] = ()
 
 
 class Join(msgspec.Struct, frozen=True):
--- a/shallotmux/fleet/_poller.py
+++ b/shallotmux/fleet/_poller.py
@@ -57,6 +57,10 @@
     listed_at: float = float('-inf')
     #: Names of the live entry instances.
     entries: tuple[str, ...] = ()
+    #: Names of live entry instances in the zone of this one.
+    neighbours: tuple[str, ...] = ()
+    #: Names of the entry instances that reach no endpoint of a service, by service.
+    cut_off: dict[str, frozenset[str]] = field(default_factory=dict)
     #: Callbacks for each changed list.
     on_listing: list[Callable[[Listing], None]] = field(default_factory=list)
     #: Callbacks for each newer list, changed or not, with the services and software versions in it.
@@ -105,6 +109,8 @@
     :param demands: returns the demand at this instance, by service.
     :param limits: limits of endpoints, exchanged with the control instances.
     :param history: software versions in service, extended by what the control instances saw.
+    :param zone: availability zone of this instance.
+    :param cut_off: returns the services of which this instance reaches no endpoint.
     """
 
     def __init__(
@@ -118,7 +124,11 @@
         demands: Callable[[], tuple[ServiceDemand, ...]] = tuple,
         limits: KnownLimits | None = None,
         history: VersionHistory | None = None,
+        zone: str = '',
+        cut_off: Callable[[], tuple[str, ...]] = tuple,
     ) -> None:
+        self._zone = zone
+        self._cut_off = cut_off
         self._limits = limits or KnownLimits()
         self._history = history or VersionHistory()
         self.view = FleetView()
@@ -181,6 +191,8 @@
             crash_news,
             crashes_known,
             self._limits.build_reports(),
+            self._zone,
+            self._cut_off(),
         )
         sent_at = trio.current_time()
         try:
@@ -204,6 +216,8 @@
             log_message(message_type='shallotmux:control-regained', peer=peer)
         self._clock.record_peer_estimate(peer, knowledge.true_time_s)
         self.view.entries = knowledge.entries
+        self.view.neighbours = knowledge.neighbours
+        self.view.cut_off = {each.service: frozenset(each.entries) for each in knowledge.cut_off}
         self._crash_exchange.apply(peer, sent, knowledge.crash_news)
         self._limits.merge(knowledge.limits)
         self._history.merge(knowledge.versions, sent_at)
--- a/shallotmux/forwarding/__init__.py
+++ b/shallotmux/forwarding/__init__.py
@@ -24,6 +24,7 @@
 from shallotmux.forwarding._names import HeaderNames
 from shallotmux.forwarding._pool import ConnectionPool
 from shallotmux.forwarding._refusals import Refusal
+from shallotmux.forwarding._relayed import RelayedRequests
 from shallotmux.forwarding._state import EndpointState
 
 __all__ = (
@@ -48,6 +49,7 @@
     'OutgoingRequest',
     'Refusal',
     'SharedRetryBudget',
+    'RelayedRequests',
     'Reply',
     'RequestCounter',
     'admit_request',
--- a/shallotmux/forwarding/_admission.py
+++ b/shallotmux/forwarding/_admission.py
@@ -76,7 +76,15 @@
     if not request_id:
         return Refusal(400, 'the request has no id')
     return Admitted(
-        _build_job(request, reply, route, customer, dialect, choose_service(route, draw()))
+        _build_job(
+            request,
+            reply,
+            route,
+            customer,
+            dialect,
+            choose_service(route, draw()),
+            table.document.version,
+        )
     )
 
 
@@ -87,6 +95,7 @@
     customer: DocumentCustomer | None,
     dialect: Dialect,
     service: str,
+    document_version: int,
 ) -> Job:
     caller_timeout_ms = parse_duration_ms(request.header(dialect.names.deadline))
     limit_ms = (
@@ -105,6 +114,7 @@
         customer='' if customer is None else customer.name,
         priority=priority,
         prompt=dialect.read_prompt(request) if route.has_prompt else None,
+        document_version=document_version,
     )
 
 
--- a/shallotmux/forwarding/_assembly.py
+++ b/shallotmux/forwarding/_assembly.py
@@ -15,9 +15,11 @@
 from shallotmux.forwarding._forwarder import Forwarder
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._metrics import ForwardingMetrics
+from shallotmux.forwarding._paths import DirectPath, PeerPath
 from shallotmux.forwarding._pool import ConnectionPool
 from shallotmux.forwarding._starts import StartVerifier
 from shallotmux.origins import StreamOrigins
+from shallotmux.relaying import RelayPeers
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,23 +43,24 @@
     metrics: ForwardingMetrics = field(default_factory=ForwardingMetrics)
     random: Random = field(default_factory=Random)
     origins: StreamOrigins = field(default_factory=StreamOrigins)
+    peers: RelayPeers = field(default_factory=RelayPeers)
 
 
 def build_forwarder(parts: ForwarderParts) -> Forwarder:
     """Return a forwarder with its attempt runner and engine placer."""
     dialect, pool, directory, budget = parts.dialect, parts.pool, parts.directory, parts.budget
+    directory.reach.watch(pool)
+    starts = StartVerifier(dialect, parts.origins, lambda: parts.view.listed_at)
     return Forwarder(
         parts.zone,
         parts.view,
         dialect,
         directory,
         AttemptRunner(
-            dialect.names,
-            pool,
-            directory,
             parts.on_run_started,
             parts.origins,
-            StartVerifier(dialect, parts.origins, lambda: parts.view.listed_at),
+            DirectPath(dialect.names, pool, directory, starts),
+            PeerPath(dialect.names, parts.peers),
         ),
         EnginePlacer(
             parts.zone,
@@ -71,5 +74,6 @@
         budget,
         parts.metrics,
         parts.origins,
+        parts.peers,
         parts.random,
     )
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -10,7 +10,6 @@
 import trio
 
 from shallotmux.errors import CallerDisconnected, EndpointError, ShallotmuxError
-from shallotmux.forwarding._directory import EndpointDirectory
 from shallotmux.forwarding._endpoint import (
     CONNECT_TIMEOUT_S,
     ConnectionUnusable,
@@ -18,8 +17,8 @@
 )
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._messages import OutgoingRequest
-from shallotmux.forwarding._names import HeaderNames
-from shallotmux.forwarding._outcome import Outcome, classify_answer, classify_missing_answer
+from shallotmux.forwarding._outcome import Outcome, classify_missing_answer
+from shallotmux.forwarding._paths import AttemptPath, DirectPath, PeerPath
 from shallotmux.forwarding._pool import ConnectionPool
 from shallotmux.forwarding._relay import (
     MIN_ERROR_STATUS,
@@ -30,15 +29,10 @@
     is_event_stream,
     may_continue_stream,
 )
-from shallotmux.forwarding._starts import StartVerifier
-from shallotmux.forwarding._state import EndpointState, InFlightWork, Target
+from shallotmux.forwarding._state import InFlightWork, Target
 from shallotmux.origins import StreamOrigins
 from shallotmux.routes import RouteKind
 
-#: Longest idle time of a connection that is reused for a request that must not run twice. The longer
-#: a connection was idle, the likelier the peer has closed it without notice.
-NON_REPEATABLE_MAX_IDLE_S = 1.0
-
 #: Lowest status that counts as a failure of the endpoint.
 MIN_SERVER_ERROR_STATUS = 500
 
@@ -52,6 +46,7 @@
     :param is_failure: whether it counts as a failure of the endpoint.
     :param status: status of the answer, 0 if there was none.
     :param is_end_certain: whether more than the end of its connection marked the end of a stream.
+    :param retry_after_s: time that a peer names in a refusal that is final; None otherwise.
     """
 
     outcome: Outcome
@@ -59,6 +54,7 @@
     is_failure: bool = False
     status: int = 0
     is_end_certain: bool = True
+    retry_after_s: float | None = None
 
     @property
     def is_delivered(self) -> bool:
@@ -74,16 +70,20 @@
 #: Reason of an attempt whose answer was delivered.
 DELIVERED = ''
 
+#: Reason of an attempt that was given up because its service is out of reach.
+OUT_OF_REACH = 'the service is out of reach'
+
 
 @dataclass(slots=True)
 class _Attempt:
-    """Arguments of :meth:`AttemptRunner.run` and the load that the attempt adds."""
+    """Arguments of :meth:`AttemptRunner.run`, its path and the load that the attempt adds."""
 
     job: Job
     target: Target
     timeout_scope: trio.CancelScope
     may_retry: bool
     work: InFlightWork
+    path: AttemptPath
 
 
 class AttemptRunner:
@@ -91,25 +91,28 @@
 
     :param on_run_started: called once for each job, when an endpoint has started to run it.
     :param origins: is told at which software version streams began.
+    :param direct: is used for endpoints.
+    :param through_peer: is used for peers.
     """
 
     def __init__(
         self,
-        names: HeaderNames,
-        pool: ConnectionPool,
-        directory: EndpointDirectory,
         on_run_started: Callable[[Job], None],
         origins: StreamOrigins,
-        starts: StartVerifier,
+        direct: DirectPath,
+        through_peer: PeerPath,
     ) -> None:
-        self._names = names
-        self._pool = pool
-        self._directory = directory
         self._on_run_started = on_run_started
         self._origins = origins
-        self._starts = starts
+        self._direct = direct
+        self._through_peer = through_peer
         self._relay = AnswerRelay(self._record_run_started, self._record_events)
 
+    @property
+    def peer_pool(self) -> ConnectionPool:
+        """Return the pool of connections to peers."""
+        return self._through_peer.pool
+
     async def run(
         self, job: Job, target: Target, timeout_scope: trio.CancelScope, *, may_retry: bool = False
     ) -> AttemptResult:
@@ -120,10 +123,16 @@
             so that another endpoint can be tried.
         """
         state = target.state
-        with InFlightWork(state, target.uncached_tokens) as work:
-            result = await self._exchange(_Attempt(job, target, timeout_scope, may_retry, work))
+        path: AttemptPath = self._through_peer if target.peer else self._direct
+        with InFlightWork(state, target.uncached_tokens, may_abandon=may_retry) as work:
+            attempt = _Attempt(job, target, timeout_scope, may_retry, work, path)
+            result: AttemptResult | None = None
+            with work.scope:
+                result = await self._exchange(attempt)
+            if result is None:
+                return AttemptResult(classify_missing_answer(was_sent=work.was_sent), OUT_OF_REACH)
         if result.is_failure:
-            self._directory.record_failure(state, result.reason)
+            path.record_failure(target, result.reason)
         elif result.outcome is Outcome.DONE:
             state.record_success()
         elif result.status:
@@ -131,42 +140,41 @@
         return result
 
     async def _exchange(self, attempt: _Attempt) -> AttemptResult:
-        state = attempt.target.state
-        if not self._directory.take_permit(state):
+        target, path = attempt.target, attempt.path
+        if not path.take_permit(target):
             return AttemptResult(Outcome.NOT_RUN, 'the limit of the endpoint is reached')
         try:
-            connection = await self._connect(attempt.job, state)
+            connection = await self._connect(attempt)
         except ConnectionUnusable as error:
-            self._directory.record_unreachable(state, str(error))
+            path.record_unreachable(target, str(error))
             return AttemptResult(Outcome.NOT_RUN, str(error))
+        attempt.work.connection = connection
         try:
-            await self._starts.verify(attempt.job, state, connection)
+            await path.verify(attempt.job, target, connection)
             return await self._send_and_receive(attempt, connection)
         except ConnectionUnusable as error:
-            self._directory.record_unreachable(state, str(error))
+            path.record_unreachable(target, str(error))
             return AttemptResult(Outcome.NOT_RUN, str(error))
         except EndpointError as error:
             outcome = classify_missing_answer(was_sent=connection.was_sent)
             if connection.was_sent:
-                self._directory.record_suspected_crash(state, attempt.job, attempt.work.sent_at)
+                path.record_broken(attempt.job, target, attempt.work)
             return AttemptResult(outcome, str(error), is_failure=True)
         finally:
-            self._pool.release(state.identity, connection)
+            path.pool.release(target.state.identity, connection)
 
-    async def _connect(self, job: Job, state: EndpointState) -> EndpointConnection:
-        max_idle_s = float('inf') if job.route.is_repeatable else NON_REPEATABLE_MAX_IDLE_S
+    async def _connect(self, attempt: _Attempt) -> EndpointConnection:
+        job, listed = attempt.job, attempt.target.state.listed
         timeout_s = max(0.01, min(CONNECT_TIMEOUT_S, job.remaining_s))
-        listed = state.listed
-        return await self._pool.acquire(listed.identity, listed.address, max_idle_s, timeout_s)
+        return await attempt.path.pool.acquire(
+            listed.identity, listed.address, job.max_idle_s, timeout_s
+        )
 
     async def _send_and_receive(
         self, attempt: _Attempt, connection: EndpointConnection
     ) -> AttemptResult:
         target = attempt.target
-        outgoing = attempt.job.build_outgoing(self._names, target.state.identity, target.extra)
-        attempt.job.sends += 1
-        attempt.job.attempt_version = target.state.listed.software_version
-        attempt.job.cache_source_uses += bool(attempt.job.cache_source)
+        outgoing = attempt.path.begin(attempt.job, target)
         result: AttemptResult | None = None
         failure: ShallotmuxError | None = None
         async with trio.open_nursery() as nursery:
@@ -191,14 +199,17 @@
             await trio.lowlevel.checkpoint()
         attempt.timeout_scope.deadline = math.inf
         attempt.work.record_answer()
-        limit = head.header(self._names.limit)
-        self._directory.record_answer(attempt.target.state, attempt.work.sent_at, limit)
-        attempt.target.state.record_load(head.header(self._names.load), trio.current_time())
-        outcome = classify_answer(head, self._names)
+        verdict = attempt.path.judge(job, attempt.target, attempt.work, head)
+        outcome, head = verdict.outcome, verdict.head
         if outcome is not Outcome.DONE:
             await connection.discard_body()
-            reason = f'status {head.status}'
-            return AttemptResult(outcome, reason, outcome is Outcome.UNKNOWN, head.status)
+            return AttemptResult(
+                outcome,
+                verdict.reason,
+                verdict.is_failure,
+                head.status,
+                retry_after_s=verdict.retry_after_s,
+            )
         if job.route.kind is not RouteKind.STREAMING:
             self._record_run_started(job)
         is_error = head.status >= MIN_SERVER_ERROR_STATUS
@@ -219,7 +230,7 @@
         await self._relay.relay(job, head, connection, start)
         is_end_certain = not ends_with_connection(job, head)
         if not is_end_certain:
-            self._directory.record_uncertain_end(attempt.target.state, job)
+            attempt.path.record_uncertain_end(job, attempt.target)
         return AttemptResult(outcome, DELIVERED, is_error, head.status, is_end_certain)
 
     async def _record_events(self, job: Job) -> None:
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from math import inf
 
 import trio
 from eliot import log_message
@@ -10,6 +11,9 @@
 from shallotmux.crashes import CrashRecords
 from shallotmux.fleet import ListedEndpoint, Listing
 from shallotmux.forwarding._job import Job
+from shallotmux.forwarding._messages import AnswerHead
+from shallotmux.forwarding._names import HeaderNames
+from shallotmux.forwarding._reach import ReachMonitor
 from shallotmux.forwarding._state import FAILURE_THRESHOLD, EndpointState
 from shallotmux.ratelimits import EndpointLimits, parse_limit
 
@@ -45,6 +49,8 @@
         self.crashes = crashes or CrashRecords()
         self.limits = limits or EndpointLimits()
         self._states: dict[str, EndpointState] = {}
+        #: Tells which services are out of reach.
+        self.reach = ReachMonitor(self._states.values)
 
     def update_listing(self, listing: Listing) -> None:
         """Replace the list of endpoints, keeping the state of those still listed."""
@@ -65,17 +71,26 @@
 
     def usable_for(self, job: Job) -> list[EndpointState]:
         """Return the endpoints that a job may be sent to, by its service and software version."""
-        return self.usable(job.service, job.excluded, job.stream_version)
+        return self.usable(job.service, job.excluded, job.stream_version, job.max_idle_s)
+
+    def is_out_of_reach(self, job: Job) -> bool:
+        """Return whether no endpoint that a job may be sent to accepts connections."""
+        return self.reach.cut_since(job.service, job.stream_version) is not None
 
     def usable(
-        self, service: str, excluded: Iterable[str] = (), software_version: str | None = None
+        self,
+        service: str,
+        excluded: Iterable[str] = (),
+        software_version: str | None = None,
+        max_idle_s: float = inf,
     ) -> list[EndpointState]:
         """Return the endpoints of a service that a request may be sent to.
 
         :param software_version: version that the endpoints must have; None for any.
+        :param max_idle_s: longest idle time of a connection that may be reused.
 
         Endpoints that are avoided after failures or refusals are included only if no other endpoint
-        could answer.
+        could answer, and those that accept no connection only if others do.
         """
         now = trio.current_time()
         skipped = frozenset(excluded)
@@ -87,11 +102,28 @@
             and state.identity not in skipped
             and self._has_room(state, max_connections)
         ]
-        available = [state for state in eligible if state.is_available(now)]
+        cut_since = self.reach.cut_since(service, software_version)
+        in_reach = [
+            state for state in eligible if self.reach.may_send(state, cut_since, max_idle_s)
+        ]
+        available = [state for state in in_reach if state.is_available(now)]
         if any(state.may_answer for state in available):
             return available
+        others = [state for state in in_reach if state.may_answer]
+        if others or cut_since is not None:
+            return available + others
         return available + [state for state in eligible if state.may_answer]
 
+    def untried(self, job: Job) -> list[EndpointState]:
+        """Return the endpoints that a job was not sent to, whether they accept connections or not."""
+        return [
+            state
+            for state in self._states.values()
+            if _takes_work(state, job.service, job.stream_version)
+            and state.may_answer
+            and state.identity not in job.excluded
+        ]
+
     def take_permit(self, state: EndpointState) -> bool:
         """Return whether a request may be sent to an endpoint, and count it under its limit."""
         return self.limits.known.is_empty or self.limits.take(state.start_number)
@@ -137,9 +169,24 @@
         self.record_failure(state, reason)
 
     def record_unreachable(self, state: EndpointState, reason: str) -> None:
-        """Avoid an endpoint that accepts no connection, and has perhaps crashed."""
+        """Record that no connection to an endpoint can be used; it has perhaps crashed.
+
+        An endpoint that accepts no connection is left out until it does. One that does, but leads to
+        another start, is avoided for a time.
+        """
         self.crashes.record_unreachable(state.start_number)
-        self.record_unresponsive(state, reason)
+        if state.reach.failing_since is None:
+            self.record_unresponsive(state, reason)
+
+    def record_head(
+        self, state: EndpointState, sent_at: float, head: AnswerHead, names: HeaderNames
+    ) -> None:
+        """Record what the head of an answer tells of its endpoint.
+
+        :param sent_at: local time at which the request was sent.
+        """
+        self.record_answer(state, sent_at, head.header(names.limit))
+        state.record_load(head.header(names.load), trio.current_time())
 
     def record_uncertain_end(self, state: EndpointState, job: Job) -> None:
         """Record that a stream ended with its connection, after an event, as in a crash."""
--- a/shallotmux/forwarding/_endpoint.py
+++ b/shallotmux/forwarding/_endpoint.py
@@ -84,6 +84,8 @@
         self._progress = _Progress()
         self.opened_at = trio.current_time()
         self.idle_since = self.opened_at
+        #: Local time at which bytes last arrived.
+        self.received_at = float('-inf')
         #: Whether the endpoint said on this connection that it is the start that was listed.
         self.is_start_verified = False
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
@@ -258,7 +260,9 @@
         try:
             event = self._protocol.next_event()
             while event is h11.NEED_DATA:
-                self._protocol.receive_data(bytes(await self._stream.receive_some(MAX_READ_BYTES)))
+                content = bytes(await self._stream.receive_some(MAX_READ_BYTES))
+                self.received_at = trio.current_time()
+                self._protocol.receive_data(content)
                 event = self._protocol.next_event()
         except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError) as error:
             raise self._error('receive', error) from error
@@ -287,18 +291,19 @@
 
 
 async def connect_endpoint(
-    address: str, peer: str, request_id_header: bytes, timeout_s: float
+    address: str, peer: str, request_id_header: bytes, timeout_s: float, source: str | None = None
 ) -> EndpointConnection:
     """Open a connection to an endpoint.
 
     :param address: IP address and port.
+    :param source: IP address to connect from; None lets the system choose.
     :raises ConnectionUnusable: if that fails or takes longer than ``timeout_s``.
     """
     try:
         target = split_address(address)
         with trio.fail_after(timeout_s):
             stream = await trio.open_tcp_stream(
-                target.host, target.port, happy_eyeballs_delay=timeout_s
+                target.host, target.port, happy_eyeballs_delay=timeout_s, local_address=source
             )
     except (OSError, ValueError, trio.TooSlowError) as error:
         raise ConnectionUnusable(f'{address}: {error!r}', step='connect', peer=peer) from error
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from contextlib import nullcontext
 from dataclasses import dataclass, field
 from random import Random
 
 import trio
 from eliot import log_message
 
-from shallotmux.fleet import FleetView
+from shallotmux.fleet import FleetView, ListedEndpoint
 from shallotmux.forwarding._admission import Admitted, Dialect, admit_request
 from shallotmux.forwarding._attempt import AttemptResult, AttemptRunner
 from shallotmux.forwarding._budget import SharedRetryBudget
@@ -22,6 +23,7 @@
 from shallotmux.forwarding._refusals import Refusal, refuse_not_run, refuse_unknown
 from shallotmux.forwarding._state import EndpointState, Target
 from shallotmux.origins import Continuation, StreamOrigins, Unknown
+from shallotmux.relaying import RelayPeers
 
 #: Time after the deadline for which an endpoint's own timeout answer is still awaited.
 DEADLINE_GRACE_S = 0.1
@@ -33,6 +35,9 @@
 #: connect timeout.
 MAX_ENDPOINTS_TRIED = 6
 
+#: Peers that are asked to relay a request. Each one may cost the connect timeout.
+MAX_PEERS_TRIED = 3
+
 #: Retry-after time when there was no endpoint, or all refused.
 RETRY_AFTER_S = 0.5
 
@@ -56,19 +61,41 @@
     budget: SharedRetryBudget
     metrics: ForwardingMetrics
     origins: StreamOrigins
+    peers: RelayPeers = field(default_factory=RelayPeers)
     random: Random = field(default_factory=Random)
 
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
         """Answer one request."""
-        admitted = admit_request(request, reply, self.view.table, self.dialect, self.random.random)
+        admitted = self.admit(request, reply)
         with self.metrics.in_flight.track_inprogress():
             match admitted:
                 case Refusal():
-                    self._log_refusal(request, admitted)
                     await admitted.send(reply, self.dialect.names.retry_after)
                 case Admitted(job=job):
                     await self._run(job)
 
+    def admit(self, request: CallerRequest, reply: Reply) -> Admitted | Refusal:
+        """Return the job for a request, or its refusal."""
+        admitted = admit_request(request, reply, self.view.table, self.dialect, self.random.random)
+        if isinstance(admitted, Refusal):
+            self._log_refusal(request, admitted)
+        return admitted
+
+    async def run_relayed(self, job: Job) -> Refusal | None:
+        """Forward a job for another instance; returns a refusal if it was not answered.
+
+        The instance that took the request has counted it, and has bound a resumed stream.
+        """
+        refusal: Refusal | None = None
+        deadline_scope = trio.move_on_at(job.deadline + DEADLINE_GRACE_S)
+        with deadline_scope:
+            refusal = await self._try_endpoints(job)
+        if deadline_scope.cancelled_caught:
+            refusal = _refuse_late(job)
+        if refusal is not None:
+            self._log_failure(job, refusal)
+        return refusal
+
     async def _run(self, job: Job) -> None:
         refusal: Refusal | None = None
         deadline_scope = trio.move_on_at(job.deadline + DEADLINE_GRACE_S)
@@ -78,9 +105,7 @@
             if refusal is None:
                 refusal = await self._try_endpoints(job)
         if deadline_scope.cancelled_caught:
-            refusal = refuse_unknown('deadline reached', is_late=True)
-            if not job.sends:
-                refusal = refuse_not_run('deadline reached', RETRY_AFTER_S)
+            refusal = _refuse_late(job)
         if refusal is None:
             return
         self._log_failure(job, refusal)
@@ -129,12 +154,13 @@
             if isinstance(target, Refusal):
                 return target
             result = await self._attempt_once(job, target)
-            self._log_attempt(job, target.state, result)
+            self._log_attempt(job, target, result)
             if result.is_delivered:
                 self._record_delivered(job, result)
                 return None
             reason = result.reason
-            job.excluded.add(target.state.identity)
+            if target.peer is None:
+                job.excluded.add(target.state.identity)
             if not self._may_retry(job, result):
                 return _final_refusal(job, result)
         return _refuse(job, reason, RETRY_AFTER_S)
@@ -163,10 +189,13 @@
         answer_timeout_s = self._answer_timeout_s(job) if may_retry else float('inf')
         result = AttemptResult(Outcome.UNKNOWN, 'no answer in time', is_failure=True)
         timeout_scope = trio.move_on_after(answer_timeout_s)
-        with timeout_scope:
+        with timeout_scope, target.peer or nullcontext():
             result = await self.runner.run(job, target, timeout_scope, may_retry=may_retry)
         if timeout_scope.cancelled_caught:
-            self.directory.record_failure(target.state, result.reason)
+            if target.peer is None:
+                self.directory.record_failure(target.state, result.reason)
+            else:
+                self.peers.record_unreachable(target.peer)
         if result.outcome is not Outcome.NOT_RUN:
             job.runs += 1
         return result
@@ -184,6 +213,11 @@
         if job.reply.is_started and (job.events is None or not job.events.can_be_continued):
             # Only a stream of events with ids can be resumed, after a complete event.
             return False
+        if job.reply.is_started and job.relayed_for:
+            # The instance that took the request resumes the stream, as it knows what the caller has.
+            return False
+        if result.retry_after_s is not None:
+            return False
         if result.outcome is not Outcome.NOT_RUN:
             if not job.route.is_repeatable or job.runs >= job.route.max_attempts:
                 return False
@@ -194,12 +228,44 @@
         return not job.sends or self.budget.try_spend(job.service)
 
     async def _choose_target(self, job: Job) -> Target | LoadShed | None:
-        usable = self.directory.usable_for(job)
-        if job.prompt is not None and usable:
+        target = await self._choose_endpoint(job, self.directory.usable_for(job))
+        if target is not None or job.relayed_for or not self.directory.is_out_of_reach(job):
+            return target
+        if self.peers.has_peers:
+            return self._choose_peer(job)
+        return await self._choose_endpoint(job, self.directory.untried(job))
+
+    async def _choose_endpoint(
+        self, job: Job, usable: list[EndpointState]
+    ) -> Target | LoadShed | None:
+        """Return the endpoint for the next attempt; None if none of those given answers requests."""
+        if not any(each.may_answer for each in usable):
+            return None
+        if job.prompt is not None:
             return await self.placer.place(job, usable)
         state = choose_least_loaded(usable, self.zone, self.random.random)
         return None if state is None else Target(state)
 
+    def _choose_peer(self, job: Job) -> Target | None:
+        """Return a peer that relays a job whose service is out of reach; None if none may reach it."""
+        peer = None
+        if len(job.peers_tried) < MAX_PEERS_TRIED:
+            peer = self.peers.choose(job.service, job.peers_tried)
+        log_message(
+            message_type='shallotmux:relay',
+            request=job.request_id.decode('latin-1'),
+            service=job.service,
+            software=job.stream_version,
+            peer=peer.name if peer else None,
+            load=peer.in_flight + peer.load if peer else None,
+            tried=len(job.peers_tried),
+        )
+        if peer is None:
+            return None
+        job.peers_tried.add(peer.name)
+        listed = ListedEndpoint(peer.name, job.service, self.peers.address_of(peer), '')
+        return Target(EndpointState(listed), peer=peer)
+
     def _record_delivered(self, job: Job, result: AttemptResult) -> None:
         if result.is_success:
             self.directory.record_served(job)
@@ -220,22 +286,26 @@
             refused=reason or None,
         )
 
-    def _log_attempt(self, job: Job, state: EndpointState, result: AttemptResult) -> None:
+    def _log_attempt(self, job: Job, target: Target, result: AttemptResult) -> None:
         outcome = 'delivered' if result.is_delivered else result.outcome.value
         self.metrics.attempts.labels(job.route.name, outcome).inc()
+        if target.peer is not None:
+            self.metrics.relayed.labels('sent', outcome).inc()
         log_message(
             message_type='shallotmux:attempt',
             request=job.request_id.decode('latin-1'),
             route=job.route.name,
-            endpoint=state.identity,
+            endpoint=None if target.peer else target.state.identity,
+            peer=target.peer.name if target.peer else None,
             outcome=outcome,
             status=result.status,
             reason=result.reason,
             number=job.sends,
             version=self.view.version,
-            software=state.listed.software_version,
+            software=target.state.listed.software_version or job.attempt_version,
             after_event=job.after_event(self.dialect.names),
             resumes=job.request.text(self.dialect.names.resumed_request),
+            relayed_for=job.relayed_for or None,
             first_ms=int(job.first_part_s * 1000),
             gap_ms=int(job.longest_gap_s * 1000),
             left_ms=int(job.remaining_s * 1000),
@@ -269,10 +339,18 @@
 def _final_refusal(job: Job, result: AttemptResult) -> Refusal:
     """Return the refusal for a job that is not retried."""
     if result.outcome is Outcome.NOT_RUN and not job.runs:
-        return refuse_not_run(result.reason, RETRY_AFTER_S)
+        retry_after_s = RETRY_AFTER_S if result.retry_after_s is None else result.retry_after_s
+        return refuse_not_run(result.reason, retry_after_s)
     return refuse_unknown(result.reason, is_late=False)
 
 
+def _refuse_late(job: Job) -> Refusal:
+    """Return the refusal for a job whose deadline has passed."""
+    if job.sends:
+        return refuse_unknown('deadline reached', is_late=True)
+    return refuse_not_run('deadline reached', RETRY_AFTER_S)
+
+
 def _refuse(job: Job, reason: str, retry_after_s: float) -> Refusal:
     """Return the refusal for a job that is sent to no other endpoint."""
     if job.runs:
--- a/shallotmux/forwarding/_job.py
+++ b/shallotmux/forwarding/_job.py
@@ -13,11 +13,16 @@
 from shallotmux.forwarding._names import HeaderNames
 from shallotmux.origins import make_origin_key
 from shallotmux.placement import Prompt
+from shallotmux.relaying import RELAY_HEADER
 from shallotmux.routes import ForwardedRoute, RouteKind
 
 #: Least urgent priority that engines accept; 0 is the most urgent.
 LOWEST_PRIORITY = 9
 
+#: Longest idle time of a connection that is reused for a request that must not run twice. The longer
+#: a connection was idle, the likelier the peer has closed it without notice.
+NON_REPEATABLE_MAX_IDLE_S = 1.0
+
 #: Parts of a prompt that are recorded when an endpoint crashes.
 MAX_BLAMED_PARTS = 256
 
@@ -31,6 +36,9 @@
     :param runs: number of endpoints that may have run it.
     :param sends: number of times it was sent to an endpoint.
     :param excluded: identities of endpoints that are not tried again.
+    :param document_version: version of the route document by which it was admitted.
+    :param relayed_for: instance that took the request, if a peer relays it here.
+    :param peers_tried: names of peers that were asked to relay it.
     """
 
     request: CallerRequest
@@ -46,6 +54,9 @@
     sends: int = 0
     has_run_started: bool = False
     excluded: set[str] = field(default_factory=set)
+    document_version: int = 0
+    relayed_for: str = ''
+    peers_tried: set[str] = field(default_factory=set)
     #: Address and handle from which the KV cache of the prompt is fetched; empty without a prefill.
     cache_source: bytes = b''
     #: Number of engines to which the handle was sent.
@@ -72,6 +83,11 @@
         """Return the time until the deadline."""
         return self.deadline - trio.current_time()
 
+    @property
+    def max_idle_s(self) -> float:
+        """Return the longest idle time of a connection that is reused for the request."""
+        return float('inf') if self.route.is_repeatable else NON_REPEATABLE_MAX_IDLE_S
+
     def resumes_stream(self, names: HeaderNames) -> bool:
         """Return whether the caller already has events of the stream."""
         return self.route.kind is RouteKind.STREAMING and bool(
@@ -126,26 +142,37 @@
             refuses the request.
         :param extra: further headers to set.
         """
-        dropped = names.reserved | {names.deadline, b'authorization', b'content-length'}
-        kept = drop_named(drop_connection_headers(self.request.headers), dropped)
-        own: Headers = (
-            (names.deadline, str(max(1, int(self.remaining_s * 1000))).encode()),
-            (names.expected_endpoint, endpoint.encode()),
-        )
+        dropped = names.reserved | {b'authorization'}
+        own: Headers = ((names.expected_endpoint, endpoint.encode()),)
         if self.customer:
             own = (*own, (names.customer, self.customer.encode()))
         if self.prompt is not None:
             own = (*own, (names.priority, str(min(self.priority, LOWEST_PRIORITY)).encode()))
+        request = self.request
+        headers = (*self._pass_headers(names, dropped), *own, *extra)
+        return OutgoingRequest(
+            self.request_id, request.method, request.target, headers, request.body
+        )
+
+    def build_relayed_headers(self, names: HeaderNames) -> Headers:
+        """Return the headers with which a peer is asked to relay the request.
+
+        They contain the caller's key: the peer admits the request itself.
+        """
+        return self._pass_headers(names, names.reserved)
+
+    def _pass_headers(self, names: HeaderNames, dropped: frozenset[bytes]) -> Headers:
+        """Return the caller's headers with the remaining time, the framing and the last event."""
+        replaced = {names.deadline, b'content-length', RELAY_HEADER}
+        kept = drop_named(drop_connection_headers(self.request.headers), dropped | replaced)
+        own: Headers = ((names.deadline, str(max(1, int(self.remaining_s * 1000))).encode()),)
         if self.events is not None and self.events.last_id:
             kept = drop_named(kept, frozenset((names.last_event_id,)))
             own = (*own, (names.last_event_id, self.events.last_id))
         request = self.request
         if request.body or request.header(b'content-length') or _is_chunked(request):
             own = (*own, (b'content-length', str(len(request.body)).encode()))
-        headers = (*kept, *own, *extra)
-        return OutgoingRequest(
-            self.request_id, request.method, request.target, headers, request.body
-        )
+        return (*kept, *own)
 
 
 def _is_chunked(request: CallerRequest) -> bool:
--- a/shallotmux/forwarding/_listener.py
+++ b/shallotmux/forwarding/_listener.py
@@ -64,6 +64,7 @@
 
     :param address: IP address and port; port 0 lets the operating system choose.
     :param limits: returns the limits in force.
+    :param accepts: tells by the host of a connection's other end whether it is taken.
     :param is_draining: whether answers carry ``Connection: close``.
     :param is_closed: whether no further request is taken, on any connection.
     """
@@ -71,6 +72,7 @@
     address: str
     handle: Handler
     limits: Callable[[], CallerLimits] = CallerLimits
+    accepts: Callable[[str], bool] = lambda _: True
     is_draining: bool = False
     is_closed: bool = False
     #: Requests being read or answered.
@@ -101,6 +103,10 @@
             connection.close_if_idle()
 
     async def _serve(self, stream: trio.SocketStream) -> None:
+        with contextlib.suppress(OSError):
+            if not self.accepts(stream.socket.getpeername()[0]):
+                await trio.aclose_forcefully(stream)
+                return
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = CallerConnection(self, stream)
         self._connections.add(connection)
--- a/shallotmux/forwarding/_metrics.py
+++ b/shallotmux/forwarding/_metrics.py
@@ -28,6 +28,10 @@
     quarantine_refusals: Counter = field(init=False)
     #: Streams that callers resumed, by where the version that began them was known from, or refused.
     resumptions: Counter = field(init=False)
+    #: Services of which this instance reaches no endpoint.
+    cut_off_services: Gauge = field(init=False)
+    #: Requests that a peer relayed for this instance, or this one for a peer, by result.
+    relayed: Counter = field(init=False)
     #: Present quarantines.
     quarantines: Gauge = field(init=False)
     #: Endpoints that name a limit, and permits under their limits since the start.
@@ -66,6 +70,17 @@
             ('route', 'known_from'),
             registry=registry,
         )
+        self.cut_off_services = Gauge(
+            'shallotmux_cut_off_services',
+            'Services of which this instance reaches no endpoint.',
+            registry=registry,
+        )
+        self.relayed = Counter(
+            'shallotmux_relayed',
+            'Requests relayed by a peer (sent) or for one (taken).',
+            ('direction', 'result'),
+            registry=registry,
+        )
         self.quarantines = Gauge(
             'shallotmux_quarantines', 'Quarantined requests and prompt parts.', registry=registry
         )
--- a/shallotmux/forwarding/_pool.py
+++ b/shallotmux/forwarding/_pool.py
@@ -4,10 +4,15 @@
 
 from collections import Counter, defaultdict, deque
 from collections.abc import Callable
+from math import inf
 
 import trio
 
-from shallotmux.forwarding._endpoint import EndpointConnection, connect_endpoint
+from shallotmux.forwarding._endpoint import (
+    ConnectionUnusable,
+    EndpointConnection,
+    connect_endpoint,
+)
 
 #: Idle connections kept per endpoint.
 MAX_IDLE_CONNECTIONS = 16
@@ -21,13 +26,20 @@
 
     :param request_id_header: header by which answers are matched to requests.
     :param max_connections: returns the connection limit of this instance to an endpoint.
+    :param source: IP address to connect from; None lets the system choose.
     """
 
     def __init__(
-        self, request_id_header: bytes, max_connections: Callable[[str], float] | None = None
+        self,
+        request_id_header: bytes,
+        max_connections: Callable[[str], float] | None = None,
+        source: str | None = None,
     ) -> None:
+        self._source = source
         self._request_id_header = request_id_header
         self._max_connections = max_connections or (lambda _: float('inf'))
+        #: Called after each connect with the endpoint, the time at which it began, and its success.
+        self.on_connect: list[Callable[[str, float, bool], None]] = []
         self._in_use: Counter[str] = Counter()
         self._idle: dict[str, deque[EndpointConnection]] = defaultdict(deque)
 
@@ -49,12 +61,23 @@
                 self._in_use[endpoint] += 1
                 return connection
             connection.close()
-        connection = await connect_endpoint(
-            address, endpoint, self._request_id_header, connect_timeout_s
-        )
+        connection = await self._connect(endpoint, address, connect_timeout_s)
         self._in_use[endpoint] += 1
         return connection
 
+    async def add_connection(self, endpoint: str, address: str, connect_timeout_s: float) -> None:
+        """Open a connection and keep it for the next request, as far as the limits allow.
+
+        :raises ConnectionUnusable: if no connection can be opened.
+        """
+        connection = await self._connect(endpoint, address, connect_timeout_s)
+        idle = self._idle[endpoint]
+        others = len(idle) + self._in_use[endpoint]
+        if len(idle) < MAX_IDLE_CONNECTIONS and others < self._max_connections(endpoint):
+            idle.append(connection)
+        else:
+            connection.close()
+
     def release(self, endpoint: str, connection: EndpointConnection) -> None:
         """Return a connection to the pool, or close it if it cannot or need not be kept."""
         idle = self._idle[endpoint]
@@ -67,9 +90,10 @@
         connection.idle_since = trio.current_time()
         idle.append(connection)
 
-    def idle_count(self, endpoint: str) -> int:
-        """Return the number of idle connections to an endpoint."""
-        return len(self._idle.get(endpoint, ()))
+    def idle_count(self, endpoint: str, max_idle_s: float = inf) -> int:
+        """Return the number of connections to an endpoint that were idle for at most a time."""
+        oldest = trio.current_time() - max_idle_s
+        return sum(each.idle_since >= oldest for each in self._idle.get(endpoint, ()))
 
     def forget(self, endpoint: str) -> None:
         """Close the idle connections to an endpoint that was removed."""
@@ -83,6 +107,24 @@
             await trio.sleep(SWEEP_INTERVAL_S)
             self._sweep(trio.current_time())
 
+    async def _connect(
+        self, endpoint: str, address: str, connect_timeout_s: float
+    ) -> EndpointConnection:
+        began_at = trio.current_time()
+        try:
+            connection = await connect_endpoint(
+                address, endpoint, self._request_id_header, connect_timeout_s, self._source
+            )
+        except ConnectionUnusable:
+            self._notify(endpoint, began_at, is_connected=False)
+            raise
+        self._notify(endpoint, began_at, is_connected=True)
+        return connection
+
+    def _notify(self, endpoint: str, began_at: float, *, is_connected: bool) -> None:
+        for notify in self.on_connect:
+            notify(endpoint, began_at, is_connected)
+
     def _sweep(self, now: float) -> None:
         for endpoint, idle in tuple(self._idle.items()):
             kept = deque(each for each in idle if each.is_alive(now))
--- a/shallotmux/forwarding/_prefill.py
+++ b/shallotmux/forwarding/_prefill.py
@@ -96,17 +96,22 @@
         outgoing = job.build_outgoing(self._dialect.names, state.identity, extra)
         connection: EndpointConnection | None = None
         sent_at = trio.current_time()
+        work = InFlightWork(state, call.uncached_tokens, may_abandon=True)
         try:
-            with InFlightWork(state, call.uncached_tokens) as work:
+            with work, work.scope:
                 connection = await self._pool.acquire(
                     state.identity, state.listed.address, float('inf'), CONNECT_TIMEOUT_S
                 )
+                work.connection = connection
                 sent_at = trio.current_time()
                 await connection.send_request(outgoing)
                 handle = await self._read_answer(job, state, connection, work)
                 if handle is not None:
                     self._measure(job, call, sent_at)
                 return handle
+            if work.was_sent:
+                # Given up since the service is out of reach; the engine may still have accepted it.
+                self._budget.charge(job.service)
         except ConnectionUnusable as error:
             self._directory.record_unreachable(state, str(error))
         except EndpointError as error:
--- /dev/null
+++ b/shallotmux/forwarding/_reach.py
@@ -0,0 +1,206 @@
+"""Watch which endpoints this instance reaches, and end what waits for those that it does not."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Iterator
+from contextlib import suppress
+from math import inf
+from random import Random
+
+import trio
+from eliot import log_message
+
+from shallotmux.forwarding._endpoint import CONNECT_TIMEOUT_S, ConnectionUnusable
+from shallotmux.forwarding._pool import ConnectionPool
+from shallotmux.forwarding._state import EndpointState
+from shallotmux.reachability import TrialConnector, TrialTarget, find_cut, may_connect
+
+#: Time without an answer from any endpoint of a service after which those with unanswered requests are
+#: tried. It is shorter than the silence of a sound endpoint, as a trial does no harm.
+SUSPECT_AFTER_S = 0.5
+
+#: Time without a byte after which a request that may run elsewhere is given up, once its service is out
+#: of reach.
+ABANDON_AFTER_S = 0.6
+
+
+class ReachMonitor:
+    """Tells whether this instance is cut off from a service.
+
+    :param states: returns the listed endpoints.
+    """
+
+    def __init__(self, states: Callable[[], Collection[EndpointState]]) -> None:
+        self._states = states
+        self._random = Random()  # noqa: S311
+        self._pool: ConnectionPool | None = None
+        #: Time since when each service that is out of reach is so.
+        self._cuts: dict[str, float] = {}
+
+    @property
+    def cut_off_services(self) -> tuple[str, ...]:
+        """Return the services of which no endpoint is in reach."""
+        return tuple(sorted(self._cuts))
+
+    def watch(self, pool: ConnectionPool) -> None:
+        """Follow the connects of a pool."""
+        self._pool = pool
+        pool.on_connect.append(self._record_connect)
+
+    async def run(self) -> None:
+        """Try endpoints that accepted no connection, until cancelled."""
+        await TrialConnector(self._trial_targets, self._try, self._update_cuts).run()
+
+    def cut_since(self, service: str, software_version: str | None = None) -> float | None:
+        """Return since when no endpoint of a service accepts connections; None if one may.
+
+        :param software_version: version that the endpoints must have; None for any.
+        """
+        return find_cut([each.reach for each in self._answering(service, software_version)])
+
+    def may_send(
+        self, state: EndpointState, cut_since: float | None, max_idle_s: float = inf
+    ) -> bool:
+        """Return whether a request can be sent to an endpoint.
+
+        :param max_idle_s: longest idle time of a connection that may be reused.
+        """
+        if cut_since is None and state.reach.failing_since is None:
+            return True
+        idle = self._pool.idle_count(state.identity, max_idle_s) if self._pool else 0
+        return may_connect(state.reach, cut_since, has_idle_connection=bool(idle))
+
+    def _answering(
+        self, service: str, software_version: str | None = None
+    ) -> Iterator[EndpointState]:
+        """Return the endpoints of a service that answer requests and take new ones."""
+        return (
+            state
+            for state in self._states()
+            if state.listed.service == service
+            and software_version in {None, state.listed.software_version}
+            and state.may_answer
+            and not state.listed.is_leaving
+        )
+
+    def _trial_targets(self) -> list[TrialTarget]:
+        now = trio.current_time()
+        silent = self._silent_services(now)
+        return [
+            TrialTarget(
+                state.identity,
+                state.listed.service,
+                state.reach,
+                state.listed.service in silent and _is_suspect(state, now),
+            )
+            for state in self._states()
+            if not state.listed.is_leaving
+        ]
+
+    def _silent_services(self, now: float) -> set[str]:
+        """Return the services from which nothing has arrived for a time."""
+        services = {each.listed.service for each in self._states()}
+        return services - {
+            each.listed.service
+            for each in self._states()
+            if _heard_at(each) > now - SUSPECT_AFTER_S
+        }
+
+    async def _try(self, identity: str) -> None:
+        state = next((each for each in self._states() if each.identity == identity), None)
+        if state is None or self._pool is None:
+            return
+        with suppress(ConnectionUnusable):
+            await self._pool.add_connection(identity, state.listed.address, CONNECT_TIMEOUT_S)
+
+    def _record_connect(self, identity: str, began_at: float, is_connected: bool) -> None:  # noqa: FBT001
+        state = next((each for each in self._states() if each.identity == identity), None)
+        if state is None:
+            return
+        reach, now = state.reach, trio.current_time()
+        was_failing = reach.failing_since is not None
+        if is_connected:
+            reach.record_connected(now)
+        else:
+            reach.record_failed(began_at, now, self._random.random())
+        if was_failing != (reach.failing_since is not None):
+            log_message(
+                message_type='shallotmux:endpoint-reach',
+                endpoint=identity,
+                service=state.listed.service,
+                is_reached=is_connected,
+                answered_age_s=_age(reach.answered_at, now),
+                connected_age_s=_age(reach.connected_at, now),
+            )
+        if is_connected and was_failing:
+            self._hasten_trials(state.listed.service, now)
+        self._update_cuts()
+
+    def _hasten_trials(self, service: str, now: float) -> None:
+        """Try the other endpoints of a service soon, since one of them is reached again."""
+        for state in self._states():
+            if state.listed.service == service and state.reach.failing_since is not None:
+                soon = now + 0.2 * self._random.random()
+                state.reach.next_trial_at = min(state.reach.next_trial_at, soon)
+
+    def _update_cuts(self) -> None:
+        """Log which services got out of reach or are back, and give up what waits for them."""
+        now = trio.current_time()
+        services = {state.listed.service for state in self._states()}
+        for service in services | self._cuts.keys():
+            since = self.cut_since(service)
+            if since is None:
+                self._end_cut(service, now)
+                continue
+            if service not in self._cuts:
+                self._begin_cut(service, since, now)
+            self._abandon_work(service, now)
+
+    def _abandon_work(self, service: str, now: float) -> None:
+        """Give up what waits for the endpoints of a service and may run elsewhere."""
+        for state in self._states():
+            if state.listed.service == service:
+                for work in tuple(state.in_progress):
+                    work.abandon(now, ABANDON_AFTER_S)
+
+    def _begin_cut(self, service: str, since: float, now: float) -> None:
+        self._cuts[service] = since
+        states = tuple(self._answering(service))
+        log_message(
+            message_type='shallotmux:cut-off',
+            service=service,
+            since_age_s=_age(since, now),
+            endpoints=len(states),
+            failing=sum(each.reach.failing_since is not None for each in states),
+            in_progress=sum(len(each.in_progress) for each in states),
+            answered_age_s=_age(max(each.reach.answered_at for each in states), now),
+        )
+
+    def _end_cut(self, service: str, now: float) -> None:
+        since = self._cuts.pop(service, None)
+        if since is not None:
+            log_message(
+                message_type='shallotmux:cut-off-ended',
+                service=service,
+                lasted_s=round(now - since, 2),
+                endpoints=sum(1 for _ in self._answering(service)),
+            )
+
+
+def _heard_at(state: EndpointState) -> float:
+    """Return when bytes last arrived from an endpoint."""
+    return max(
+        [state.reach.answered_at]
+        + [each.connection.received_at for each in state.in_progress if each.connection]
+    )
+
+
+def _is_suspect(state: EndpointState, now: float) -> bool:
+    """Return whether an endpoint has left a request without a byte for a time."""
+    oldest = min((each.heard_at for each in state.in_progress), default=now)
+    return now - oldest > SUSPECT_AFTER_S
+
+
+def _age(at: float, now: float) -> float | None:
+    """Return the age of an event for a log line; None if there was none."""
+    return None if at == float('-inf') else round(now - at, 2)
--- a/shallotmux/forwarding/_refusals.py
+++ b/shallotmux/forwarding/_refusals.py
@@ -7,6 +7,9 @@
 from shallotmux.forwarding._headers import Headers
 from shallotmux.forwarding._messages import Reply, send_response
 
+#: Status of refusals that guarantee that a request did not run and will not.
+NOT_RUN_STATUS = 503
+
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
@@ -32,7 +35,7 @@
 
 def refuse_not_run(reason: str, retry_after_s: float) -> Refusal:
     """Return a refusal that guarantees that the request did not run and will not."""
-    return Refusal(503, reason, retry_after_s)
+    return Refusal(NOT_RUN_STATUS, reason, retry_after_s)
 
 
 def refuse_unknown(reason: str, *, is_late: bool) -> Refusal:
--- a/shallotmux/forwarding/_state.py
+++ b/shallotmux/forwarding/_state.py
@@ -4,12 +4,18 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 import trio
 
 from shallotmux.fleet import EngineRole, ListedEndpoint
 from shallotmux.forwarding._headers import Headers
 from shallotmux.placement import Prompt
+from shallotmux.reachability import Reach
+from shallotmux.relaying import Peer
+
+if TYPE_CHECKING:
+    from shallotmux.forwarding._endpoint import EndpointConnection
 
 #: Consecutive failures after which an endpoint is avoided.
 FAILURE_THRESHOLD = 3
@@ -54,28 +60,58 @@
     """Context manager that counts a request or prefill as load of an endpoint.
 
     The request counts until the context ends, its prompt tokens until the answer begins.
+
+    :param may_abandon: whether the request may run elsewhere if this endpoint gets out of reach.
     """
 
-    def __init__(self, state: EndpointState, uncached_tokens: float) -> None:
+    def __init__(
+        self, state: EndpointState, uncached_tokens: float, *, may_abandon: bool = False
+    ) -> None:
         self._state = state
         self._uncached_tokens = uncached_tokens
+        self._may_abandon = may_abandon
         self.sent_at = trio.current_time()
+        #: Connection of the request, once there is one.
+        self.connection: EndpointConnection | None = None
+        #: Scope that :meth:`abandon` cancels; the owner of this object enters it.
+        self.scope = trio.CancelScope()
+
+    @property
+    def heard_at(self) -> float:
+        """Return when bytes last arrived on the connection, or when the request was sent."""
+        received_at = self.connection.received_at if self.connection else self.sent_at
+        return max(self.sent_at, received_at)
+
+    @property
+    def was_sent(self) -> bool:
+        """Return whether any byte of the request may have left this instance."""
+        return self.connection is not None and self.connection.was_sent
 
     def __enter__(self) -> InFlightWork:
         """Add the request to the load of the endpoint."""
         self._state.in_flight += 1
         self._state.queued_prefill_tokens += self._uncached_tokens
         self._state.unanswered.add(self)
+        self._state.in_progress.add(self)
         return self
 
     def __exit__(self, *_: object) -> None:
         """Remove the request from the load of the endpoint."""
         self._state.in_flight -= 1
+        self._state.in_progress.discard(self)
+        if self.heard_at > self.sent_at:
+            self._state.reach.answered_at = max(self._state.reach.answered_at, self.heard_at)
         self._end_wait()
 
+    def abandon(self, now: float, silent_s: float) -> None:
+        """End the attempt if it may run elsewhere and nothing has arrived for a time."""
+        if self._may_abandon and now - self.heard_at >= silent_s:
+            self.scope.cancel()
+
     def record_answer(self) -> None:
         """Record that the answer has begun, which means that prefill is complete."""
         self._state.answered_at = trio.current_time()
+        self._state.reach.answered_at = self._state.answered_at
         self._end_wait()
 
     def _end_wait(self) -> None:
@@ -102,7 +138,10 @@
     refused_until: float = float('-inf')
     #: Requests whose answer has not begun.
     unanswered: set[InFlightWork] = field(default_factory=set)
+    in_progress: set[InFlightWork] = field(default_factory=set)
     answered_at: float = float('-inf')
+    #: What connections to it showed.
+    reach: Reach = field(default_factory=Reach)
 
     @property
     def identity(self) -> str:
@@ -161,9 +200,10 @@
         return now - oldest > UNRESPONSIVE_AFTER_S and self.answered_at < oldest
 
     def is_available(self, now: float) -> bool:
-        """Return whether it is neither avoided, nor backing off after a refusal, nor unresponsive."""
+        """Return whether it accepts connections and answers, and is neither avoided nor backing off."""
         is_avoided = max(self.avoided_until, self.refused_until) > now
-        return not is_avoided and not self.is_unresponsive(now)
+        is_failing = self.reach.failing_since is not None
+        return not (is_avoided or is_failing or self.is_unresponsive(now))
 
     def record_refusal(self, now: float) -> None:
         """Record that it refused a request without running it."""
@@ -192,8 +232,10 @@
 
     :param extra: further headers of the request.
     :param uncached_tokens: prompt tokens that need prefill before the answer begins.
+    :param peer: instance that relays the request, if the attempt is not at an endpoint itself.
     """
 
     state: EndpointState
     extra: Headers = ()
     uncached_tokens: float = 0.0
+    peer: Peer | None = None
--- a/shallotmux/platform/_settings.py
+++ b/shallotmux/platform/_settings.py
@@ -107,6 +107,7 @@
             file.listen.ready,
             file.listen.control,
             f'{file.ip}:{METRICS_PORT}',
+            f'{file.ip}:{peer_port + 1}',
         ),
         tuple(f'{split_address(seed).host}:{peer_port}' for seed in file.seeds),
         file.bootstrap,
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import SystemRandom
 
 import trio
 from eliot import log_message
 
+from shallotmux.addresses import split_address
 from shallotmux.control import ListingPoller, PlatformApi
 from shallotmux.errors import ShallotmuxError
 from shallotmux.fleet import DecodeDocument, FleetPoller, LoadSharing, ServiceDemand, TrueClock
@@ -19,6 +20,7 @@
     ForwardingMetrics,
     HttpListener,
     Job,
+    RelayedRequests,
     RequestCounter,
     SharedRetryBudget,
     build_forwarder,
@@ -32,6 +34,7 @@
 from shallotmux.programs._pages import MetricsPage, ReadinessPage
 from shallotmux.programs._settings import ProgramSettings
 from shallotmux.ratelimits import EndpointLimits
+from shallotmux.relaying import RelayPeers
 from shallotmux.routes import CallerLimits
 from shallotmux.transport import (
     ForwardAnswer,
@@ -54,6 +57,9 @@
 #: accepted later has less time to finish.
 DEREGISTRATION_DELAY_S = 2.6
 
+#: Header bytes that an instance adds to a request that it relays.
+RELAY_HEADER_BYTES = 4096
+
 #: Part of the grace period that is reserved for the exit of the process.
 SHUTDOWN_MARGIN_S = 0.7
 DRAIN_POLL_INTERVAL_S = 0.05
@@ -95,6 +101,8 @@
             self._service_demands,
             self._endpoint_limits.known,
             self._origins.history,
+            settings.zone,
+            lambda: self._directory.reach.cut_off_services,
         )
         self.view = self._poller.view
         self._directory = EndpointDirectory(
@@ -111,6 +119,8 @@
         self.metrics = ForwardingMetrics()
         self.metrics.document_version.set_function(lambda: self.view.version)
         self.metrics.quarantines.set_function(lambda: len(self._poller.crashes.quarantines()))
+        reach = self._directory.reach
+        self.metrics.cut_off_services.set_function(lambda: len(reach.cut_off_services))
         limits = self._endpoint_limits
         self.metrics.limited_endpoints.set_function(lambda: len(limits.known.limited()))
         self.metrics.permits.labels('granted').set_function(lambda: limits.total_granted)
@@ -134,8 +144,16 @@
                 self._load_sharing.tokens_at,
                 self.metrics,
                 origins=self._origins,
+                peers=self._build_peers(settings),
             )
         )
+        self._relayed = RelayedRequests(self._forwarder, lambda: self._is_draining)
+        self._relay_listener = HttpListener(
+            settings.listen.relayed,
+            self._relayed.handle,
+            self._relay_limits,
+            self._forwarder.peers.accepts,
+        )
         self._listener = HttpListener(settings.listen.callers, self._forwarder.handle, self._limits)
 
     def apply_settings(self, settings: ProgramSettings) -> None:
@@ -165,12 +183,16 @@
         # Calls to peers must end before the network shuts down.
         async with run_with_network(self._network, self) as nursery:
             await nursery.start(self._listener.run)
+            if listen.relayed:
+                listeners.append(self._relay_listener)
             for listener in listeners:
                 await nursery.start(listener.run)
             for task in (
                 self._poller.run,
                 self._load_sharing.run,
                 self._pool.run,
+                self._forwarder.runner.peer_pool.run,
+                self._directory.reach.run,
                 self._origin_client.run,
             ):
                 nursery.start_soon(task)
@@ -196,6 +218,16 @@
             raise ShallotmuxError(answer.detail, step='origins', peer=peer)
         return answer.result
 
+    def _build_peers(self, settings: ProgramSettings) -> RelayPeers:
+        relayed = settings.listen.relayed
+        return RelayPeers(
+            settings.listen.peers,
+            split_address(relayed).port if relayed else 0,
+            lambda: self.view.entries,
+            lambda: self.view.neighbours,
+            lambda service: self.view.cut_off.get(service, ()),
+        )
+
     def _service_demands(self) -> tuple[ServiceDemand, ...]:
         return self._forwarder.placer.demands()
 
@@ -215,6 +247,11 @@
         table = self.view.table
         return table.document.limits if table else CallerLimits()
 
+    def _relay_limits(self) -> CallerLimits:
+        """Return the limits of relayed requests, which have a header more."""
+        limits = self._limits()
+        return replace(limits, header_bytes=limits.header_bytes + RELAY_HEADER_BYTES)
+
     async def _refresh_stale_listing(self) -> None:
         """Poll the platform's list while no control instance provides a recent one."""
         poller = ListingPoller(
@@ -229,9 +266,12 @@
         """Finish the open requests while the load balancer removes this instance."""
         started_at = trio.current_time()
         self._is_draining = True
-        self._listener.drain()
+        listeners = (self._listener, self._relay_listener)
+        for listener in listeners:
+            listener.drain()
         deadline = started_at + self.settings.times.grace_s - SHUTDOWN_MARGIN_S
         await trio.sleep_until(min(started_at + DEREGISTRATION_DELAY_S, deadline))
-        self._listener.close_idle()
-        while self._listener.open_requests and trio.current_time() < deadline:
+        for listener in listeners:
+            listener.close_idle()
+        while any(each.open_requests for each in listeners) and trio.current_time() < deadline:
             await trio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/shallotmux/programs/_settings.py
+++ b/shallotmux/programs/_settings.py
@@ -27,6 +27,7 @@
     :param operators: configuration documents.
     :param metrics: metrics of this program.
     :param peers: messages of other instances; also identifies this instance to its peers.
+    :param relayed: requests that other entry instances relay. All use the same port.
     """
 
     peers: str
@@ -34,6 +35,7 @@
     readiness: str = ''
     operators: str = ''
     metrics: str = ''
+    relayed: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -230,6 +230,7 @@
 
     was_sent = True
     is_reusable = False
+    received_at = float('-inf')
 
     def __init__(self, timeout_scope: trio.CancelScope) -> None:
         self._timeout_scope = timeout_scope
--- a/tests/programs/_fleet.py
+++ b/tests/programs/_fleet.py
@@ -42,6 +42,7 @@
 CALLER_PORT = 17_781
 OPERATOR_PORT = 17_782
 READINESS_PORT = 17_783
+RELAY_PORT = 17_784
 
 
 def decode(content: bytes) -> RouteDocument:
@@ -141,6 +142,7 @@
                 f'{host}:{CALLER_PORT}',
                 f'{host}:{READINESS_PORT}',
                 f'{host}:{OPERATOR_PORT}',
+                relayed=f'{host}:{RELAY_PORT}',
             ),
             tuple(f'{self.base}.{seed}:{PEER_PORT}' for seed in (1, 2, 3)),
             bootstrap,
--- a/tests/programs/test_drain.py
+++ b/tests/programs/test_drain.py
@@ -46,7 +46,10 @@
     listener = FakeListener()
     times = ProgramTimes(grace_s=8.0)
     program = SimpleNamespace(
-        settings=SimpleNamespace(times=times), _listener=listener, _is_draining=False
+        settings=SimpleNamespace(times=times),
+        _listener=listener,
+        _relay_listener=FakeListener(),
+        _is_draining=False,
     )
     began_at = trio.current_time()
     await EntryProgram._drain(program)  # type: ignore[arg-type]  # noqa: SLF001
