Give endpoints the rest that they ask for

Cause: the header was read nowhere; any refusal kept an instance away for 0.4 s, and an endpoint that had refused was chosen again if no other was left.

Change: the heads of all answers on a connection to an endpoint pass one place, whatever client sent the request. A 503 or 429 with Retry-After there sets the time until which nothing is sent to that start of the endpoint; a gap in the list does not end it, nor does a shorter time of another answer. Attempts, prefills and retries look right before the choice and before the send. If all endpoints rest, callers are refused at once with the time until the first returns, spread over half a second; an endpoint that is back gets two requests of an instance until it has served one.

--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -142,7 +142,7 @@
     async def _exchange(self, attempt: _Attempt) -> AttemptResult:
         target, path = attempt.target, attempt.path
         if not path.take_permit(target):
-            return AttemptResult(Outcome.NOT_RUN, 'the limit of the endpoint is reached')
+            return AttemptResult(Outcome.NOT_RUN, 'the endpoint takes no request now')
         try:
             connection = await self._connect(attempt)
         except ConnectionUnusable as error:
@@ -151,6 +151,9 @@
         attempt.work.connection = connection
         try:
             await path.verify(attempt.job, target, connection)
+            if target.state.is_resting(trio.current_time()):
+                # It asked for rest while the connection was opened.
+                return AttemptResult(Outcome.NOT_RUN, 'the endpoint rests')
             return await self._send_and_receive(attempt, connection)
         except ConnectionUnusable as error:
             path.record_unreachable(target, str(error))
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Iterable
+from functools import partial
 from math import inf
+from random import Random
 
 import trio
 from eliot import log_message
@@ -15,12 +18,19 @@
 from shallotmux.forwarding._names import HeaderNames
 from shallotmux.forwarding._reach import ReachMonitor
 from shallotmux.forwarding._state import FAILURE_THRESHOLD, EndpointState
+from shallotmux.notices import RestRecords, parse_rest_s
 from shallotmux.ratelimits import EndpointLimits, parse_limit
 
 #: Added to the load per slot of endpoints in other zones, so that they are chosen only if those of
 #: the own zone are busier by this fraction of their slots.
 CROSS_ZONE_LOAD_PENALTY = 0.5
 
+#: Statuses with which an endpoint that asks for rest turns a request away.
+RESTING_STATUSES = frozenset((429, 503))
+
+#: Time over which the requests of the instances and the callers return after a rest.
+RETURN_SPREAD_S = 0.5
+
 #: Parts of a prompt that a log line names.
 MAX_LOGGED_PARTS = 16
 
@@ -33,6 +43,7 @@
     :param max_connections: returns the connection limit of this instance to each endpoint of a
         service.
     :param limits: limits of requests per second that endpoints name.
+    :param names: names of the headers of answers.
     """
 
     def __init__(
@@ -41,7 +52,9 @@
         crashes: CrashRecords | None = None,
         max_connections: Callable[[str], float] | None = None,
         limits: EndpointLimits | None = None,
+        names: HeaderNames | None = None,
     ) -> None:
+        self._names = names or HeaderNames()
         self._forget = forget
         #: Called with the identity of each endpoint that is not listed any more.
         self.on_removed: list[Callable[[str], None]] = []
@@ -49,6 +62,8 @@
         self.crashes = crashes or CrashRecords()
         self.limits = limits or EndpointLimits()
         self._states: dict[str, EndpointState] = {}
+        self._rests = RestRecords()
+        self._random = Random()  # noqa: S311
         #: Tells which services are out of reach.
         self.reach = ReachMonitor(self._states.values)
 
@@ -65,7 +80,7 @@
             state = self._states.get(identity)
             if state is None or state.listed.started_ms != each.started_ms:
                 self._forget(identity)
-                self._states[identity] = EndpointState(each)
+                self._states[identity] = self._build_state(each)
             else:
                 self._update_entry(state, each)
 
@@ -126,15 +141,23 @@
 
     def take_permit(self, state: EndpointState) -> bool:
         """Return whether a request may be sent to an endpoint, and count it under its limit."""
+        if state.is_resting(trio.current_time()):
+            return False
         return self.limits.known.is_empty or self.limits.take(state.start_number)
 
     def returns_in(self, service: str) -> float | None:
-        """Return when an endpoint of a service may have room, if limits keep requests off now."""
-        return self.limits.returns_in(
-            state.start_number
+        """Return when an endpoint of a service may have room, if rest or limits keep requests off now."""
+        now = trio.current_time()
+        states = [
+            state
             for state in self._states.values()
-            if state.listed.service == service and not state.listed.is_leaving
-        )
+            if _takes_work(state, service, None) and state.may_answer
+        ]
+        awake = [state.start_number for state in states if not state.is_resting(now)]
+        if states and not awake:
+            first = min(state.rest_until for state in states) - now
+            return first + RETURN_SPREAD_S * self._random.random()
+        return self.limits.returns_in(awake)
 
     def connection_limit(self, identity: str) -> float:
         """Return the connection limit of this instance to an endpoint; 0 if it is not listed."""
@@ -178,6 +201,14 @@
         if state.reach.failing_since is None:
             self.record_unresponsive(state, reason)
 
+    def observe_heads(self, identity: str) -> Callable[[AnswerHead], None] | None:
+        """Return what records the notices in answers on a new connection to an endpoint.
+
+        It is bound to the start of the endpoint to which the connection leads.
+        """
+        state = self._states.get(identity)
+        return None if state is None else partial(self._record_notices, state)
+
     def record_head(
         self, state: EndpointState, sent_at: float, head: AnswerHead, names: HeaderNames
     ) -> None:
@@ -247,8 +278,38 @@
                 for_s=avoided_s,
             )
 
+    def _build_state(self, listed: ListedEndpoint) -> EndpointState:
+        """Return the state of a new entry, with what its start said before it dropped out of the list."""
+        state = EndpointState(listed)
+        rest_until = self._rests.until(listed.start_number)
+        if rest_until > trio.current_time():
+            state.record_rest(rest_until)
+        return state
+
+    def _record_notices(self, state: EndpointState, head: AnswerHead) -> None:
+        """Record for how long an endpoint that turned a request away wants none."""
+        if head.status not in RESTING_STATUSES:
+            return
+        rest_s = parse_rest_s(head.header(self._names.retry_after), time.time())
+        if not rest_s:
+            return
+        now = trio.current_time()
+        is_new = not state.is_resting(now)
+        until = now + rest_s + RETURN_SPREAD_S * self._random.random()
+        state.record_rest(self._rests.extend(state.start_number, until))
+        if is_new:
+            log_message(
+                message_type='shallotmux:endpoint-rests',
+                endpoint=state.identity,
+                start=f'{state.start_number:08x}',
+                status=head.status,
+                asked_s=rest_s,
+                for_s=round(state.rest_until - now, 2),
+                in_flight=state.in_flight,
+            )
+
     def _has_room(self, state: EndpointState, max_connections: float) -> bool:
-        if state.in_flight >= max_connections:
+        if state.is_resting(trio.current_time()) or not state.has_room(max_connections):
             return False
         return self.limits.known.is_empty or self.limits.has_room(state.start_number)
 
--- a/shallotmux/forwarding/_endpoint.py
+++ b/shallotmux/forwarding/_endpoint.py
@@ -4,6 +4,7 @@
 
 import select
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import h11
@@ -89,6 +90,8 @@
         #: Whether the endpoint said on this connection that it is the start that was listed.
         self.is_start_verified = False
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
+        #: Called with the head of each answer that belongs to the request.
+        self.on_head: Callable[[AnswerHead], None] = _ignore_head
 
     @property
     def peer(self) -> str:
@@ -143,6 +146,7 @@
         """
         await self.send_request(request)
         head = await self._receive_any_head()
+        self.on_head(head)
         return CallAnswer(head.status, await self.receive_body())
 
     def retire(self) -> None:
@@ -163,6 +167,7 @@
                 find_header(head.headers, self._request_id_header) == self._request.request_id
             ):
                 self._record_keep_alive(head)
+                self.on_head(head)
                 return head
             await self._skip_answer()
         raise EndpointError('only answers to other requests', step='receive head', peer=self._peer)
@@ -287,6 +292,10 @@
         return EndpointError(f'connection broke: {error!r}', step=step, peer=self._peer)
 
 
+def _ignore_head(_: AnswerHead) -> None:
+    """Record nothing."""
+
+
 _SKIP_HEADERS = ((b'host', b'skipped'),)
 
 
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -162,8 +162,12 @@
             if target.peer is None:
                 job.excluded.add(target.state.identity)
             if not self._may_retry(job, result):
-                return _final_refusal(job, result)
-        return _refuse(job, reason, RETRY_AFTER_S)
+                return _final_refusal(job, result, self._returns_in(job))
+        return _refuse(job, reason, self._returns_in(job))
+
+    def _returns_in(self, job: Job) -> float:
+        """Return the time after which a caller may come back."""
+        return self.directory.returns_in(job.service) or RETRY_AFTER_S
 
     async def _find_target(self, job: Job, reason: str) -> Target | Refusal:
         """Return the endpoint for the next attempt.
@@ -182,7 +186,7 @@
                 return target
             case LoadShed():
                 return refuse_not_run('engines are busy', target.retry_after_s)
-        return _refuse(job, reason, self.directory.returns_in(job.service) or RETRY_AFTER_S)
+        return _refuse(job, reason, self._returns_in(job))
 
     async def _attempt_once(self, job: Job, target: Target) -> AttemptResult:
         may_retry = job.route.is_repeatable and self._has_attempts_left(job, job.runs + 1)
@@ -336,10 +340,10 @@
         )
 
 
-def _final_refusal(job: Job, result: AttemptResult) -> Refusal:
+def _final_refusal(job: Job, result: AttemptResult, returns_in_s: float) -> Refusal:
     """Return the refusal for a job that is not retried."""
     if result.outcome is Outcome.NOT_RUN and not job.runs:
-        retry_after_s = RETRY_AFTER_S if result.retry_after_s is None else result.retry_after_s
+        retry_after_s = returns_in_s if result.retry_after_s is None else result.retry_after_s
         return refuse_not_run(result.reason, retry_after_s)
     return refuse_unknown(result.reason, is_late=False)
 
--- a/shallotmux/forwarding/_pool.py
+++ b/shallotmux/forwarding/_pool.py
@@ -13,6 +13,7 @@
     EndpointConnection,
     connect_endpoint,
 )
+from shallotmux.forwarding._messages import AnswerHead
 
 #: Idle connections kept per endpoint.
 MAX_IDLE_CONNECTIONS = 16
@@ -40,6 +41,8 @@
         self._max_connections = max_connections or (lambda _: float('inf'))
         #: Called after each connect with the endpoint, the time at which it began, and its success.
         self.on_connect: list[Callable[[str, float, bool], None]] = []
+        #: Returns for an endpoint what is called with the heads of answers on a new connection to it.
+        self.observe_heads: Callable[[str], Callable[[AnswerHead], None] | None] = lambda _: None
         self._in_use: Counter[str] = Counter()
         self._idle: dict[str, deque[EndpointConnection]] = defaultdict(deque)
 
@@ -119,6 +122,7 @@
             self._notify(endpoint, began_at, is_connected=False)
             raise
         self._notify(endpoint, began_at, is_connected=True)
+        connection.on_head = self.observe_heads(endpoint) or connection.on_head
         return connection
 
     def _notify(self, endpoint: str, began_at: float, *, is_connected: bool) -> None:
--- a/shallotmux/forwarding/_prefill.py
+++ b/shallotmux/forwarding/_prefill.py
@@ -103,6 +103,8 @@
                     state.identity, state.listed.address, float('inf'), CONNECT_TIMEOUT_S
                 )
                 work.connection = connection
+                if state.is_resting(trio.current_time()):
+                    return None
                 sent_at = trio.current_time()
                 await connection.send_request(outgoing)
                 handle = await self._read_answer(job, state, connection, work)
--- a/shallotmux/forwarding/_state.py
+++ b/shallotmux/forwarding/_state.py
@@ -44,6 +44,10 @@
 REFUSAL_BACKOFF_S = 0.4
 
 
+#: Requests of this instance at an endpoint from the end of its rest until it has served one.
+MAX_RETURNING_REQUESTS = 2
+
+
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
     """Load that an endpoint reported in a header of an answer.
@@ -140,6 +144,10 @@
     unanswered: set[InFlightWork] = field(default_factory=set)
     in_progress: set[InFlightWork] = field(default_factory=set)
     answered_at: float = float('-inf')
+    #: Local time until which it wants no request from this instance.
+    rest_until: float = float('-inf')
+    #: Whether it has not served a request since its last rest.
+    is_returning: bool = False
     #: What connections to it showed.
     reach: Reach = field(default_factory=Reach)
 
@@ -199,6 +207,20 @@
         oldest = min((work.sent_at for work in self.unanswered), default=now)
         return now - oldest > UNRESPONSIVE_AFTER_S and self.answered_at < oldest
 
+    def is_resting(self, now: float) -> bool:
+        """Return whether it has asked this instance for rest, and the time has not passed."""
+        return self.rest_until > now
+
+    def has_room(self, max_requests: float) -> bool:
+        """Return whether this instance may have one more request there.
+
+        Few requests come first when a rest ends, so that it does not get all that was kept away.
+
+        :param max_requests: connection limit of this instance to the endpoint.
+        """
+        limit = min(max_requests, MAX_RETURNING_REQUESTS) if self.is_returning else max_requests
+        return self.in_flight < limit
+
     def is_available(self, now: float) -> bool:
         """Return whether it accepts connections and answers, and is neither avoided nor backing off."""
         is_avoided = max(self.avoided_until, self.refused_until) > now
@@ -209,8 +231,14 @@
         """Record that it refused a request without running it."""
         self.refused_until = now + REFUSAL_BACKOFF_S
 
+    def record_rest(self, until: float) -> None:
+        """Record until when it wants no request."""
+        self.rest_until = until
+        self.is_returning = True
+
     def record_success(self) -> None:
         """Reset the failure count after a valid answer."""
+        self.is_returning = False
         self.failures = 0
         self.avoid_s = INITIAL_AVOID_S
 
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -110,6 +110,7 @@
             self._poller.crashes,
             self._connection_limit,
             self._endpoint_limits,
+            adapter.dialect.names,
         )
         self._pool = ConnectionPool(
             adapter.dialect.names.request_id, self._directory.connection_limit
