Do not use a connection again after a refusal, or with bytes behind the answer

Report of other operators: a faulty endpoint writes an earlier refusal once more on a kept connection, and callers are told that a request did not run which runs. At the border to the product's own engines and services that can happen: a refusal is not matched with its attempt, so a copy answered the next request (409 instead of 200), and half of an answer behind the end of a chunked body was dropped while the rest stayed on the connection.

Change: both HTTP clients close a connection after an answer of 400 or more, and the relay client after excess bytes.

--- a/shallotmux/http/_chunked.py
+++ b/shallotmux/http/_chunked.py
@@ -27,6 +27,11 @@
         self._in_trailers = False
         self.done = False
 
+    @property
+    def has_excess(self) -> bool:
+        """Return whether bytes have arrived behind the end of the body."""
+        return self.done and bool(self._buffer)
+
     def feed(self, received: bytes) -> bytes:
         """Decode received bytes and return the body bytes that they complete.
 
--- a/shallotmux/http/_client.py
+++ b/shallotmux/http/_client.py
@@ -10,6 +10,7 @@
 
 import httpcore
 
+from shallotmux.addresses import split_address
 from shallotmux.calls import HttpRequest
 from shallotmux.errors import EndpointError, EndpointRefused
 
@@ -18,6 +19,9 @@
 MAX_CONNECTIONS = 4096
 MAX_KEEPALIVE_CONNECTIONS = 256
 
+#: Lowest status of an answer after which a connection is not used again.
+MIN_REFUSAL_STATUS = 400
+
 
 class HttpResponse(Protocol):
     """A response whose body is read in chunks."""
@@ -126,11 +130,25 @@
             )
         finally:
             await stream_context.__aexit__(None, None, None)
+            if response.status >= MIN_REFUSAL_STATUS:
+                await self._close_idle(request.address)
 
     async def close(self) -> None:
         """Close all pooled connections."""
         await self._pool.aclose()
 
+    async def _close_idle(self, address: str) -> None:
+        """Close the idle connections to an address.
+
+        An endpoint may write an earlier refusal once more, which would answer the next request.
+        """
+        target = split_address(address)
+        scheme = self._scheme.encode()
+        origin = httpcore.Origin(scheme, target.host.encode(), target.port)
+        for connection in self._pool.connections:
+            if connection.is_idle() and connection.can_handle_request(origin):
+                await connection.aclose()
+
 
 async def fetch(client: HttpClient, request: HttpRequest, limit_bytes: int) -> tuple[int, bytes]:
     """Send a request and read its complete response.
--- a/shallotmux/http/_relay_client.py
+++ b/shallotmux/http/_relay_client.py
@@ -14,7 +14,7 @@
 from shallotmux.calls import HttpRequest
 from shallotmux.errors import EndpointError, EndpointRefused
 from shallotmux.http._chunked import ChunkedDecoder
-from shallotmux.http._client import CONNECT_TIMEOUT_S, READ_TIMEOUT_S
+from shallotmux.http._client import CONNECT_TIMEOUT_S, MIN_REFUSAL_STATUS, READ_TIMEOUT_S
 from shallotmux.http._multiplexing import Accept, IteratorRelay, ReadMultiplexer
 
 MAX_READ_BYTES = 65_536
@@ -100,6 +100,13 @@
     _unchunked_relay: IteratorRelay | None = None
     _started: bool = False
 
+    @property
+    def has_excess(self) -> bool:
+        """Return whether bytes have arrived behind the end of the body."""
+        if self._started or 'chunked' in self.headers.get('transfer-encoding', ''):
+            return self._decoder.has_excess
+        return bool(self.connection.protocol.trailing_data[0])
+
     async def relay(self, accept: Accept, *, coalesce: bool) -> bool:
         """Pass on the body until the function returns False.
 
@@ -326,7 +333,13 @@
 
 
 def _may_reuse(response: _RelayResponse) -> bool:
-    return response.complete and response.headers.get('connection', '').lower() != 'close'
+    """Return whether a connection can take another request.
+
+    An endpoint may write an earlier refusal once more, which would answer the next request.
+    """
+    is_refusal = response.status >= MIN_REFUSAL_STATUS
+    is_closing = response.headers.get('connection', '').lower() == 'close'
+    return response.complete and not (is_refusal or is_closing or response.has_excess)
 
 
 def _keep_unless_expired(connection: _Connection, now: float) -> bool:
--- a/tests/http/test_relay_client.py
+++ b/tests/http/test_relay_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from functools import partial
 
 import pytest
@@ -13,7 +14,7 @@
 from trio.testing import MockClock
 
 from shallotmux.errors import EndpointError, EndpointRefused
-from shallotmux.http import HttpRequest, RelayClient, fetch, open_relay
+from shallotmux.http import HttpcoreClient, HttpRequest, RelayClient, fetch, open_relay
 from shallotmux.http._chunked import ChunkedDecoder
 
 MAX_RESPONSE_BYTES = 1_000_000
@@ -102,6 +103,97 @@
     assert not isinstance(caught.value, EndpointRefused)
 
 
+REFUSAL = b'HTTP/1.1 409 X\r\ncontent-length: 17\r\n\r\n{"not_run": true}'
+
+
+async def receive_request(stream: trio.SocketStream) -> bool:
+    """Wait for a request whose body is an empty object; returns whether one has arrived."""
+    content = b''
+    while not content.endswith(b'{}'):
+        received = await stream.receive_some()
+        if not received:
+            return False
+        content += received
+    return True
+
+
+async def refuse_again_and_again(stream: trio.SocketStream, delay_s: float) -> None:
+    """Refuse the first request, and write that again: at once, and as answer to each later one."""
+    await receive_request(stream)
+    copies = 1 if delay_s else 2
+    await stream.send_all(b''.join(REFUSAL for _ in range(copies)))
+    with suppress(trio.BrokenResourceError):
+        while await receive_request(stream):
+            await stream.send_all(REFUSAL)
+
+
+@pytest.mark.parametrize('client_type', [RelayClient, HttpcoreClient])
+@pytest.mark.parametrize('delay_s', [0.0, 0.05])
+async def test_refusal_written_again_answers_no_later_request(
+    nursery: trio.Nursery, client_type: type[RelayClient | HttpcoreClient], delay_s: float
+) -> None:
+    """Guards against a request that runs, and whose caller is told that it did not.
+
+    A faulty endpoint writes an earlier refusal once more, right behind it or when the next request
+    has arrived.
+    """
+
+    handled: list[int] = []
+
+    async def handle(stream: trio.SocketStream) -> None:
+        handled.append(0)
+        if len(handled) == 1:
+            await refuse_again_and_again(stream, delay_s)
+        else:
+            await receive_request(stream)
+            await stream.send_all(b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok')
+        await stream.aclose()
+
+    client = client_type()
+    request = HttpRequest('POST', await serve_raw(nursery, handle), '/run', b'{}')
+    refused, _ = await fetch(client, request, MAX_RESPONSE_BYTES)
+    await trio.sleep(delay_s)
+    served, _ = await fetch(client, request, MAX_RESPONSE_BYTES)
+    assert (refused, served) == (409, 200)
+    await client.close()
+
+
+async def test_connection_with_bytes_behind_the_answer_is_not_kept(nursery: trio.Nursery) -> None:
+    """Guards against half of a second answer that is dropped, while the rest answers a later request."""
+    opened: list[int] = []
+
+    async def handle(stream: trio.SocketStream) -> None:
+        opened.append(0)
+        while await stream.receive_some():
+            await stream.send_all(b'%b2\r\nab\r\n0\r\n\r\nHTTP/1.1 200' % RESPONSE_HEAD)
+
+    client = RelayClient()
+    request = HttpRequest('POST', await serve_raw(nursery, handle), '/run', b'{}')
+    for _ in range(3):
+        assert await fetch(client, request, MAX_RESPONSE_BYTES) == (200, b'ab')
+    assert len(opened) == 3
+    await client.close()
+
+
+@pytest.mark.parametrize('client_type', [RelayClient, HttpcoreClient])
+@pytest.mark.parametrize('length', [1, 8, 17, 20, 44, 46, len(RESPONSE_HEAD) - 1])
+async def test_connection_closed_inside_the_head_is_an_error(
+    nursery: trio.Nursery, client_type: type[RelayClient | HttpcoreClient], length: int
+) -> None:
+    """Guards against an endpoint that stops inside the head of its answer, and an empty success."""
+
+    async def handle(stream: trio.SocketStream) -> None:
+        await stream.receive_some()
+        await stream.send_all(RESPONSE_HEAD[:length])
+        await stream.aclose()
+
+    request = HttpRequest('POST', await serve_raw(nursery, handle), '/run', b'{}')
+    client = client_type()
+    with pytest.raises(EndpointError):
+        await fetch(client, request, MAX_RESPONSE_BYTES)
+    await client.close()
+
+
 async def test_response_with_content_length_is_read(nursery: trio.Nursery) -> None:
     """Guards against losing responses with a content length, such as refusals of engines."""
 
