Let a rest hold while no connection is accepted

An endpoint that rested, or had just come back, got all requests of an instance that had no peer and had failed to connect to it: the last resort did not look at rest, room or limits. Seen in a test beside others, where a connect over loopback took over 0.4 s; test_rest_holds_while_no_connection_is_accepted fails before and passes now.

--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -124,12 +124,14 @@
 
     def untried(self, job: Job) -> list[EndpointState]:
         """Return the endpoints that a job was not sent to, whether they accept connections or not."""
+        max_connections = self._max_connections(job.service)
         return [
             state
             for state in self._states.values()
             if _takes_work(state, job.service, job.stream_version)
             and state.may_answer
             and state.identity not in job.excluded
+            and self._has_room(state, max_connections)
         ]
 
     def take_permit(self, state: EndpointState) -> bool:
--- a/tests/forwarding/test_rest.py
+++ b/tests/forwarding/test_rest.py
@@ -217,6 +217,25 @@
     assert (first.status, second.status) == (503, 200)
 
 
+async def test_rest_holds_while_no_connection_is_accepted() -> None:
+    """Guards against requests to a resting endpoint that is tried since nothing else is in reach.
+
+    On a busy machine, connects of the two requests that an endpoint gets after its rest timed out.
+    """
+    resting = RestingEndpoint('30')
+    async with run_forwarder(resting) as harness:
+        await harness.make_request('/once/')
+        state = harness.forwarder.directory.find('e-0')
+        assert state is not None
+        state.reach.record_failed(trio.current_time(), trio.current_time(), 0)
+        got = [await harness.make_request('/once/') for _ in range(3)]
+        state.rest_until = trio.current_time()
+        state.in_flight = MAX_IN_REST
+        got += [await harness.make_request('/once/') for _ in range(3)]
+    assert {each.status for each in got} == {503}
+    assert len(resting.received) == 1
+
+
 async def test_longer_of_two_times_holds() -> None:
     """Guards against a rest that a later answer with a shorter time ends."""
     times = iter((b'30', b'0.1', b'0.1', b'0.1'))
