Outlive a silence of a second or two of a sound endpoint

Sound endpoints may be silent for a second or so. The kernel closed connections to endpoints after 1.5 s without an acknowledgement, so a request sent meanwhile was lost; and a stream that only receives noticed a dead connection never.

Change: 3 s, and keep-alive probes from one idle second on, which give up after the same time. Requests that may run elsewhere are given up after 1.2 s without a byte, once no endpoint of their service accepts connections and a peer may help; without a peer they wait.

--- a/shallotmux/forwarding/_endpoint.py
+++ b/shallotmux/forwarding/_endpoint.py
@@ -19,8 +19,14 @@
 MAX_ANSWER_HEAD_BYTES = 65_536
 MAX_READ_BYTES = 65_536
 
-#: ``TCP_USER_TIMEOUT``: the kernel closes a connection whose sent data stays unacknowledged so long.
-USER_TIMEOUT_MS = 1500
+#: ``TCP_USER_TIMEOUT``: the kernel closes a connection whose sent data, or keep-alive probes, stay
+#: unacknowledged so long. Sound endpoints may be silent for up to two seconds.
+USER_TIMEOUT_MS = 3000
+
+#: Idle time of a connection before the first keep-alive probe, and interval between two. Without
+#: probes, a stream that only receives would not notice that its connection is dead. How many probes
+#: may be lost follows from :data:`USER_TIMEOUT_MS`.
+KEEP_ALIVE_PROBE_S = 1
 
 #: Timeout for opening a connection. It is shorter than the 1 s after which TCP retransmits a lost SYN;
 #: trying another endpoint is faster.
@@ -318,6 +324,9 @@
         raise ConnectionUnusable(f'{address}: {error!r}', step='connect', peer=peer) from error
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_PROBE_S)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_PROBE_S)
     return EndpointConnection(stream, peer, request_id_header)
 
 
--- a/shallotmux/forwarding/_reach.py
+++ b/shallotmux/forwarding/_reach.py
@@ -20,8 +20,8 @@
 SUSPECT_AFTER_S = 0.5
 
 #: Time without a byte after which a request that may run elsewhere is given up, once its service is out
-#: of reach.
-ABANDON_AFTER_S = 0.6
+#: of reach from here and a peer may help. Sound endpoints may be silent for about a second.
+ABANDON_AFTER_S = 1.2
 
 
 class ReachMonitor:
@@ -34,6 +34,8 @@
         self._states = states
         self._random = Random()  # noqa: S311
         self._pool: ConnectionPool | None = None
+        #: Tells whether a peer may take requests for a service.
+        self.can_relay: Callable[[str], bool] = lambda _: False
         #: Time since when each service that is out of reach is so.
         self._cuts: dict[str, float] = {}
 
@@ -154,7 +156,8 @@
                 continue
             if service not in self._cuts:
                 self._begin_cut(service, since, now)
-            self._abandon_work(service, now)
+            if self.can_relay(service):
+                self._abandon_work(service, now)
 
     def _abandon_work(self, service: str, now: float) -> None:
         """Give up what waits for the endpoints of a service and may run elsewhere."""
