Do not take requests for harmful when an instance loses its links under them

An instance whose connections to all endpoints broke took the requests on them for the cause of crashes, and told all instances.

Cause: a belief about others formed from one's own view alone. Other instances refute it only if they have used the same endpoint within a second.

Change: once a peer has reached a service that is out of reach from here, the instance tells all that the endpoints whose connections broke at that time were alive, and records no more crashes there until the end of the cut. Without such a peer the endpoints may have crashed, and the evidence stands.

--- a/shallotmux/crashes/_records.py
+++ b/shallotmux/crashes/_records.py
@@ -140,6 +140,11 @@
         if self._evidence.add_answer(endpoint, sent_at):
             self._record_change(Change(ChangeKind.ALIVE, endpoint=endpoint))
 
+    def record_alive(self, endpoint: int) -> None:
+        """Record that an endpoint has not crashed, whatever its connections to this instance showed."""
+        if self._evidence.add_alive(endpoint, trio.current_time()):
+            self._record_change(Change(ChangeKind.ALIVE, endpoint=endpoint))
+
     def merge(self, news: CrashNews) -> None:
         """Merge the news of another instance."""
         now = trio.current_time()
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -22,6 +22,9 @@
 #: the own zone are busier by this fraction of their slots.
 CROSS_ZONE_LOAD_PENALTY = 0.5
 
+#: Time before the first connect that failed in which connections may have broken by the same cause.
+BROKEN_BEFORE_CUT_S = 1.0
+
 #: Parts of a prompt that a log line names.
 MAX_LOGGED_PARTS = 16
 
@@ -244,6 +247,10 @@
 
         :param sent_at: local time at which the request was sent.
         """
+        state.broken_at = trio.current_time()
+        if self.reach.is_confirmed(job.service):
+            # This instance has lost its links; the endpoints go on.
+            return
         self.crashes.record_crash(job.subjects(), state.start_number, sent_at)
         parts = sorted(job.shared_parts(), key=self.crashes.count, reverse=True)
         log_message(
@@ -256,6 +263,19 @@
             crashes=self.crashes.count(job.fingerprint()),
         )
 
+    def record_relayed(self, service: str) -> None:
+        """Record that a peer reached a service.
+
+        If it is out of reach from here, the connections that broke at that time show nothing of the
+        endpoints, and no request must be quarantined for them.
+        """
+        since = self.reach.confirm_cut(service)
+        if since is None:
+            return
+        for state in self._states.values():
+            if state.listed.service == service and state.broken_at >= since - BROKEN_BEFORE_CUT_S:
+                self.crashes.record_alive(state.start_number)
+
     def record_failure(self, state: EndpointState, reason: str) -> None:
         """Count a failure of an endpoint, and log when it becomes avoided."""
         avoided_s = state.record_failure(trio.current_time())
--- a/shallotmux/forwarding/_paths.py
+++ b/shallotmux/forwarding/_paths.py
@@ -190,6 +190,7 @@
         if answer.result is RelayResult.UNKNOWN:
             return Verdict(Outcome.UNKNOWN, rest, reason)
         self._take_over_run(job, answer)
+        self._directory.record_relayed(job.service)
         if says_leaving(head.header(self._names.leaving)):
             self._directory.notices.record_leaving(answer.start)
         return Verdict(Outcome.DONE, rest, reason)
--- a/shallotmux/forwarding/_reach.py
+++ b/shallotmux/forwarding/_reach.py
@@ -38,6 +38,8 @@
         self.can_relay: Callable[[str], bool] = lambda _: False
         #: Time since when each service that is out of reach is so.
         self._cuts: dict[str, float] = {}
+        #: Those that a peer has reached since.
+        self._confirmed: set[str] = set()
 
     @property
     def cut_off_services(self) -> tuple[str, ...]:
@@ -60,6 +62,22 @@
         """
         return find_cut([each.reach for each in self._answering(service, software_version)])
 
+    def confirm_cut(self, service: str) -> float | None:
+        """Record that a peer reaches a service that is out of reach from here.
+
+        :returns: since when it is out of reach, if that is news; None otherwise.
+        """
+        since = self._cuts.get(service)
+        if since is None or service in self._confirmed:
+            return None
+        self._confirmed.add(service)
+        log_message(message_type='shallotmux:cut-off-confirmed', service=service)
+        return since
+
+    def is_confirmed(self, service: str) -> bool:
+        """Return whether a service is out of reach from here, and a peer reaches it."""
+        return service in self._confirmed
+
     def may_send(
         self, state: EndpointState, cut_since: float | None, max_idle_s: float = inf
     ) -> bool:
@@ -181,6 +199,7 @@
 
     def _end_cut(self, service: str, now: float) -> None:
         since = self._cuts.pop(service, None)
+        self._confirmed.discard(service)
         if since is not None:
             log_message(
                 message_type='shallotmux:cut-off-ended',
--- a/shallotmux/forwarding/_state.py
+++ b/shallotmux/forwarding/_state.py
@@ -145,6 +145,8 @@
     unanswered: set[InFlightWork] = field(default_factory=set)
     in_progress: set[InFlightWork] = field(default_factory=set)
     answered_at: float = float('-inf')
+    #: Local time at which a connection with an unanswered request last broke.
+    broken_at: float = float('-inf')
     #: Local time until which it wants no request from this instance.
     rest_until: float = float('-inf')
     #: Whether it has not served a request since its last rest.
