--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -58,7 +58,7 @@
         #: What endpoints said of themselves.
         self.notices = EndpointNotices(self._states, names or HeaderNames())
         #: Tells which services are out of reach.
-        self.reach = ReachMonitor(self._states.values)
+        self.reach = ReachMonitor(self._states)
 
     def update_listing(self, listing: Listing) -> None:
         """Replace the list of endpoints, keeping the state of those still listed."""
@@ -288,7 +288,7 @@
             )
 
     def _build_state(self, listed: ListedEndpoint) -> EndpointState:
-        state = EndpointState(listed)
+        state = EndpointState(listed, busy=self.reach.busy)
         self.notices.restore(state)
         return state
 
--- a/shallotmux/forwarding/_reach.py
+++ b/shallotmux/forwarding/_reach.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import suppress
 from math import inf
 from random import Random
@@ -27,11 +27,17 @@
 class ReachMonitor:
     """Tells whether this instance is cut off from a service.
 
-    :param states: returns the listed endpoints.
+    While all endpoints accept connections, it looks only at those with requests in progress.
+
+    :param states: the listed endpoints by identity.
     """
 
-    def __init__(self, states: Callable[[], Collection[EndpointState]]) -> None:
+    def __init__(self, states: Mapping[str, EndpointState]) -> None:
         self._states = states
+        #: Identities of the endpoints with requests in progress.
+        self.busy: set[str] = set()
+        #: Identities of endpoints that accepted no connection when last tried.
+        self._failing: set[str] = set()
         self._random = Random()  # noqa: S311
         self._pool: ConnectionPool | None = None
         #: Tells whether a peer may take requests for a service.
@@ -60,6 +66,8 @@
 
         :param software_version: version that the endpoints must have; None for any.
         """
+        if not self._failing:
+            return None
         return find_cut([each.reach for each in self._answering(service, software_version)])
 
     def confirm_cut(self, service: str) -> float | None:
@@ -96,7 +104,7 @@
         """Return the endpoints of a service that answer requests and take new ones."""
         return (
             state
-            for state in self._states()
+            for state in self._states.values()
             if state.listed.service == service
             and software_version in {None, state.listed.software_version}
             and state.may_answer
@@ -104,45 +112,61 @@
         )
 
     def _trial_targets(self) -> list[TrialTarget]:
+        """Return the endpoints of services in which some accept no connection, or are silent."""
         now = trio.current_time()
-        silent = self._silent_services(now)
+        self._forget_removed()
+        suspects = self._find_suspects(now)
+        services = {self._states[each].listed.service for each in self._failing | suspects}
+        if not services:
+            return []
         return [
-            TrialTarget(
-                state.identity,
-                state.listed.service,
-                state.reach,
-                state.listed.service in silent and _is_suspect(state, now),
-            )
-            for state in self._states()
-            if not state.listed.is_leaving
+            TrialTarget(identity, state.listed.service, state.reach, identity in suspects)
+            for identity, state in self._states.items()
+            if state.listed.service in services and not state.listed.is_leaving
         ]
 
-    def _silent_services(self, now: float) -> set[str]:
-        """Return the services from which nothing has arrived for a time."""
-        services = {each.listed.service for each in self._states()}
-        return services - {
+    def _forget_removed(self) -> None:
+        """Forget failures of starts that are not listed any more."""
+        self._failing = {
+            each
+            for each in self._failing
+            if each in self._states and self._states[each].reach.failing_since is not None
+        }
+
+    def _find_suspects(self, now: float) -> set[str]:
+        """Return the endpoints that leave a request without a byte, in services that are silent."""
+        busy = [self._states[each] for each in self.busy if each in self._states]
+        waiting = {each.identity for each in busy if _is_waiting(each, now)}
+        if not waiting:
+            return waiting
+        services = {self._states[each].listed.service for each in waiting}
+        silent = services - {
             each.listed.service
-            for each in self._states()
-            if _heard_at(each) > now - SUSPECT_AFTER_S
+            for each in self._states.values()
+            if each.listed.service in services and _heard_at(each) > now - SUSPECT_AFTER_S
         }
+        return {each for each in waiting if self._states[each].listed.service in silent}
 
     async def _try(self, identity: str) -> None:
-        state = next((each for each in self._states() if each.identity == identity), None)
+        state = self._states.get(identity)
         if state is None or self._pool is None:
             return
         with suppress(ConnectionUnusable):
             await self._pool.add_connection(identity, state.listed.address, CONNECT_TIMEOUT_S)
 
     def _record_connect(self, identity: str, began_at: float, is_connected: bool) -> None:  # noqa: FBT001
-        state = next((each for each in self._states() if each.identity == identity), None)
+        state = self._states.get(identity)
         if state is None:
             return
         reach, now = state.reach, trio.current_time()
         was_failing = reach.failing_since is not None
         if is_connected:
             reach.record_connected(now)
+            self._failing.discard(identity)
         else:
             reach.record_failed(began_at, now, self._random.random())
+        if reach.failing_since is not None:
+            self._failing.add(identity)
         if was_failing != (reach.failing_since is not None):
             log_message(
                 message_type='shallotmux:endpoint-reach',
@@ -158,15 +182,17 @@
 
     def _hasten_trials(self, service: str, now: float) -> None:
         """Try the other endpoints of a service soon, since one of them is reached again."""
-        for state in self._states():
-            if state.listed.service == service and state.reach.failing_since is not None:
+        for identity in self._failing & self._states.keys():
+            state = self._states[identity]
+            if state.listed.service == service:
                 soon = now + 0.2 * self._random.random()
                 state.reach.next_trial_at = min(state.reach.next_trial_at, soon)
 
     def _update_cuts(self) -> None:
         """Log which services got out of reach or are back, and give up what waits for them."""
         now = trio.current_time()
-        services = {state.listed.service for state in self._states()}
+        failing = self._failing & self._states.keys()
+        services = {self._states[each].listed.service for each in failing}
         for service in services | self._cuts.keys():
             since = self.cut_since(service)
             if since is None:
@@ -179,7 +205,8 @@
 
     def _abandon_work(self, service: str, now: float) -> None:
         """Give up what waits for the endpoints of a service and may run elsewhere."""
-        for state in self._states():
+        for identity in self.busy & self._states.keys():
+            state = self._states[identity]
             if state.listed.service == service:
                 for work in tuple(state.in_progress):
                     work.abandon(now, ABANDON_AFTER_S)
@@ -217,7 +244,7 @@
     )
 
 
-def _is_suspect(state: EndpointState, now: float) -> bool:
+def _is_waiting(state: EndpointState, now: float) -> bool:
     """Return whether an endpoint has left a request without a byte for a time."""
     oldest = min((each.heard_at for each in state.in_progress), default=now)
     return now - oldest > SUSPECT_AFTER_S
--- a/shallotmux/forwarding/_state.py
+++ b/shallotmux/forwarding/_state.py
@@ -98,12 +98,15 @@
         self._state.queued_prefill_tokens += self._uncached_tokens
         self._state.unanswered.add(self)
         self._state.in_progress.add(self)
+        self._state.busy.add(self._state.identity)
         return self
 
     def __exit__(self, *_: object) -> None:
         """Remove the request from the load of the endpoint."""
         self._state.in_flight -= 1
         self._state.in_progress.discard(self)
+        if not self._state.in_progress:
+            self._state.busy.discard(self._state.identity)
         if self.heard_at > self.sent_at:
             self._state.reach.answered_at = max(self._state.reach.answered_at, self.heard_at)
         self._end_wait()
@@ -144,6 +147,8 @@
     #: Requests whose answer has not begun.
     unanswered: set[InFlightWork] = field(default_factory=set)
     in_progress: set[InFlightWork] = field(default_factory=set)
+    #: Identities of the endpoints with requests in progress, shared by those of one directory.
+    busy: set[str] = field(default_factory=set)
     answered_at: float = float('-inf')
     #: Local time at which a connection with an unanswered request last broke.
     broken_at: float = float('-inf')
--- a/tests/forwarding/test_rest.py
+++ b/tests/forwarding/test_rest.py
@@ -227,7 +227,9 @@
         await harness.make_request('/once/')
         state = harness.forwarder.directory.find('e-0')
         assert state is not None
-        state.reach.record_failed(trio.current_time(), trio.current_time(), 0)
+        for notify in harness.pool.on_connect:
+            notify('e-0', trio.current_time(), False)  # noqa: FBT003
+        assert harness.forwarder.directory.reach.cut_since('desk') is not None
         got = [await harness.make_request('/once/') for _ in range(3)]
         state.rest_until = trio.current_time()
         state.in_flight = MAX_IN_REST
