Keep the port of a link that is cut in tests

The test freed a port that the system chooses for others as well, so another test's listener can take it. A link that is cut now keeps its socket, which accepts no connection.

--- a/tests/forwarding/test_relayed.py
+++ b/tests/forwarding/test_relayed.py
@@ -373,19 +373,16 @@
 
 async def test_instance_goes_direct_once_an_endpoint_is_reached_again() -> None:
     """Guards against instances that go on relaying after the end of a cut."""
-    endpoint = ScriptedEndpoint(serve)
+    endpoint, peer_endpoint = ScriptedEndpoint(serve), ScriptedEndpoint(serve)
     async with run_relay_fleet(private_network(122)) as fleet:
-        probe = await trio.open_tcp_listeners(0, host='127.0.0.1')
-        host, port = probe[0].socket.getsockname()[:2]
-        await probe[0].aclose()
-        peer_endpoint = ScriptedEndpoint(serve)
-        address = await add_endpoint(fleet, peer_endpoint)
-        cut_off = await fleet.add(1, {'e-0': f'{host}:{port}'})
-        await fleet.add(2, {'e-0': address})
+        link = Link(await add_endpoint(fleet, endpoint))
+        await fleet.nursery.start(link.run)
+        link.cut(Cut.RESET)
+        cut_off = await fleet.add(1, {'e-0': link.address})
+        await fleet.add(2, {'e-0': await add_endpoint(fleet, peer_endpoint)})
         assert (await cut_off.send('/once/')).status == 200
         assert cut_off.forwarder.directory.reach.cut_off_services == ('desk',)
-        back = await trio.open_tcp_listeners(port, host=host)
-        fleet.nursery.start_soon(trio.serve_listeners, endpoint._serve, back)  # noqa: SLF001
+        link.heal()
         with trio.fail_after(3):
             while cut_off.forwarder.directory.reach.cut_off_services:
                 await trio.sleep(0.05)
--- a/tests/support/links.py
+++ b/tests/support/links.py
@@ -11,6 +11,7 @@
 from tests.forwarding._harness import reset
 
 MAX_READ_BYTES = 65_536
+BACKLOG = 128
 
 #: Connections that fill the accept queue of a listener with a backlog of 0, so that the kernel drops
 #: further ones as a partitioned network does.
@@ -46,7 +47,10 @@
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Forward until cancelled."""
-        self._listen(('127.0.0.1', 0))
+        self._listener = socket.create_server(('127.0.0.1', 0), backlog=BACKLOG)
+        self._listener.setblocking(False)
+        host, port = self._listener.getsockname()
+        self.address = f'{host}:{port}'
         self._healed.set()
         task_status.started()
         async with trio.open_nursery() as nursery:
@@ -65,7 +69,8 @@
             listener.listen(0)
             self._fillers = [_start_connecting(self.address) for _ in range(FILLING_CONNECTIONS)]
             return
-        listener.close()
+        # The socket keeps its port, which another process could take otherwise.
+        listener.shutdown(socket.SHUT_RDWR)
         if how is Cut.RESET:
             for stream in tuple(self._open):
                 reset(stream)
@@ -76,20 +81,11 @@
         for filler in self._fillers:
             filler.close()
         self._fillers = []
-        if self._cut is not Cut.SILENT:
-            host, _, port = self.address.rpartition(':')
-            self._listen((host, int(port)))
-        elif self._listener is not None:
-            self._listener.listen(128)
+        if self._listener is not None:
+            self._listener.listen(BACKLOG)
         self._cut = None
         self._healed.set()
 
-    def _listen(self, address: tuple[str, int]) -> None:
-        self._listener = socket.create_server(address, backlog=128)
-        self._listener.setblocking(False)
-        host, port = self._listener.getsockname()
-        self.address = f'{host}:{port}'
-
     async def _accept(self, nursery: trio.Nursery) -> None:
         """Accept connections until the link is cut."""
         listener = self._listener
