--- a/tests/support/links.py
+++ b/tests/support/links.py
@@ -41,16 +41,19 @@
     connections: int = 0
     _cut: Cut | None = None
     _healed: trio.Event = field(default_factory=trio.Event)
+    _reservation: socket.socket | None = None
     _listener: socket.socket | None = None
     _fillers: list[socket.socket] = field(default_factory=list)
     _open: set[trio.SocketStream] = field(default_factory=set)
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Forward until cancelled."""
-        self._listener = socket.create_server(('127.0.0.1', 0), backlog=BACKLOG)
-        self._listener.setblocking(False)
-        host, port = self._listener.getsockname()
+        # A bound socket that never listens keeps the port, which another process could take while the
+        # link is cut.
+        self._reservation = _bind(('127.0.0.1', 0))
+        host, port = self._reservation.getsockname()
         self.address = f'{host}:{port}'
+        self._listen()
         self._healed.set()
         task_status.started()
         async with trio.open_nursery() as nursery:
@@ -69,8 +72,7 @@
             listener.listen(0)
             self._fillers = [_start_connecting(self.address) for _ in range(FILLING_CONNECTIONS)]
             return
-        # The socket keeps its port, which another process could take otherwise.
-        listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
         if how is Cut.RESET:
             for stream in tuple(self._open):
                 reset(stream)
@@ -81,11 +83,19 @@
         for filler in self._fillers:
             filler.close()
         self._fillers = []
-        if self._listener is not None:
+        if self._cut is not Cut.SILENT:
+            self._listen()
+        elif self._listener is not None:
             self._listener.listen(BACKLOG)
         self._cut = None
         self._healed.set()
 
+    def _listen(self) -> None:
+        host, _, port = self.address.rpartition(':')
+        self._listener = _bind((host, int(port)))
+        self._listener.listen(BACKLOG)
+        self._listener.setblocking(False)
+
     async def _accept(self, nursery: trio.Nursery) -> None:
         """Accept connections until the link is cut."""
         listener = self._listener
@@ -133,6 +143,14 @@
         scope.cancel()
 
 
+def _bind(address: tuple[str, int]) -> socket.socket:
+    """Return a socket that shares its address with others that do not listen."""
+    bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind(address)
+    return bound
+
+
 def _start_connecting(address: str) -> socket.socket:
     host, _, port = address.rpartition(':')
     connecting = socket.socket()
