--- a/tests/forwarding/_relay_harness.py
+++ b/tests/forwarding/_relay_harness.py
@@ -86,8 +86,12 @@
         *,
         versions: dict[str, str] | None = None,
         document_version: int = 1,
+        remote: str = '',
     ) -> RelayInstance:
-        """Run an instance that sees endpoints at the given addresses, by identity."""
+        """Run an instance that sees endpoints at the given addresses, by identity.
+
+        :param remote: endpoint that is in another zone.
+        """
         name = f'{self.base}.{number}:1'
         view = FleetView()
         customers = (DocumentCustomer('tailors', (KEY,)),)
@@ -99,7 +103,12 @@
         listing = Listing(
             tuple(
                 ListedEndpoint(
-                    identity, 'desk', address, 'a', 4, software_version=software.get(identity, 'v1')
+                    identity,
+                    'desk',
+                    address,
+                    'b' if identity == remote else 'a',
+                    4,
+                    software_version=software.get(identity, 'v1'),
                 )
                 for identity, address in endpoints.items()
             )
--- a/tests/forwarding/test_relayed.py
+++ b/tests/forwarding/test_relayed.py
@@ -69,7 +69,8 @@
 ) -> None:
     """Add instance 2, which reaches endpoints."""
     addresses = {name: await add_endpoint(fleet, each) for name, each in endpoints.items()}
-    await fleet.add(2, addresses, versions=versions)
+    # Without a version, the peer prefers the first endpoint, which is in its own zone.
+    await fleet.add(2, addresses, versions=versions, remote='e-2')
 
 
 async def add_pair(
@@ -112,6 +113,13 @@
     assert not endpoint.received
 
 
+def count_asked(instance: RelayInstance) -> float:
+    """Return how often an instance asked a peer."""
+    registry = instance.forwarder.metrics.registry
+    labels = {'direction': 'sent', 'result': 'not_run'}
+    return registry.get_sample_value('shallotmux_relayed_total', labels) or 0
+
+
 async def test_relayed_request_is_not_relayed_again() -> None:
     """Guards against requests that circle among instances that are all cut off."""
     async with run_relay_fleet(private_network(113)) as fleet:
@@ -119,6 +127,7 @@
         with trio.fail_after(2):
             got = await instances[0].send('/once/')
     assert got.status == 503
+    assert [count_asked(each) > 0 for each in instances] == [True, False, False]
     assert float(got.headers[NAMES.retry_after]) > 0
 
 
--- a/tests/guards/__main__.py
+++ b/tests/guards/__main__.py
@@ -15,6 +15,7 @@
 from tests.guards.crashes import CRASH_GUARDS
 from tests.guards.forwarded import FORWARDING_GUARDS
 from tests.guards.ratelimits import LIMIT_GUARDS
+from tests.guards.reach import REACH_GUARDS
 from tests.guards.streams import STREAM_GUARDS, VERSION_GUARDS
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -62,6 +63,7 @@
         *FORWARDING_GUARDS,
         *CRASH_GUARDS,
         *LIMIT_GUARDS,
+        *REACH_GUARDS,
         *STREAM_GUARDS,
         *VERSION_GUARDS,
     )
