Give up silent requests only while bytes are awaited

A request whose service is out of reach is given up when nothing has arrived for 1.2 s. While a part of its answer is sent to a slow caller nothing is read either, so that it could be given up in the middle of a part; the next endpoint's answer would then follow half a chunk. Found by reading; test_answer_that_a_slow_caller_does_not_read_is_not_given_up fails without the change.

--- a/shallotmux/forwarding/_endpoint.py
+++ b/shallotmux/forwarding/_endpoint.py
@@ -93,6 +93,8 @@
         self.idle_since = self.opened_at
         #: Local time at which bytes last arrived.
         self.received_at = float('-inf')
+        #: Whether bytes are awaited now; otherwise none may have been read for long.
+        self.is_receiving = False
         #: Whether the endpoint said on this connection that it is the start that was listed.
         self.is_start_verified = False
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
@@ -271,14 +273,21 @@
         try:
             event = self._protocol.next_event()
             while event is h11.NEED_DATA:
-                content = bytes(await self._stream.receive_some(MAX_READ_BYTES))
-                self.received_at = trio.current_time()
-                self._protocol.receive_data(content)
+                self._protocol.receive_data(await self._receive_some())
                 event = self._protocol.next_event()
         except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError) as error:
             raise self._error('receive', error) from error
         return event
 
+    async def _receive_some(self) -> bytes:
+        self.is_receiving = True
+        try:
+            content = bytes(await self._stream.receive_some(MAX_READ_BYTES))
+        finally:
+            self.is_receiving = False
+        self.received_at = trio.current_time()
+        return content
+
     def _record_keep_alive(self, head: AnswerHead) -> None:
         text = find_header(head.headers, b'keep-alive') or b''
         for part in text.split(b','):
--- a/shallotmux/forwarding/_state.py
+++ b/shallotmux/forwarding/_state.py
@@ -112,8 +112,13 @@
         self._end_wait()
 
     def abandon(self, now: float, silent_s: float) -> None:
-        """End the attempt if it may run elsewhere and nothing has arrived for a time."""
-        if self._may_abandon and now - self.heard_at >= silent_s:
+        """End the attempt if it may run elsewhere and nothing has arrived for a time.
+
+        While a part of the answer is sent to a slow caller, nothing is read. The attempt then goes on, as
+        a part that is sent by halves would end inside the framing of the answer.
+        """
+        is_waiting = self.connection is None or self.connection.is_receiving
+        if self._may_abandon and is_waiting and now - self.heard_at >= silent_s:
             self.scope.cancel()
 
     def record_answer(self) -> None:
--- a/tests/forwarding/test_silence.py
+++ b/tests/forwarding/test_silence.py
@@ -8,6 +8,7 @@
 import trio
 
 from shallotmux.forwarding._endpoint import USER_TIMEOUT_MS, connect_endpoint
+from shallotmux.forwarding._reach import ABANDON_AFTER_S
 from tests.forwarding._harness import ReceivedRequest, ScriptedEndpoint, answer, build_request
 from tests.forwarding._relay_harness import RelayFleet, run_relay_fleet
 from tests.forwarding.test_relayed import END, STREAM_HEAD, event, parse_body, read_until
@@ -19,6 +20,10 @@
 USED_AGAIN_S = 1.5
 
 
+#: Bytes that a slow caller has received and not read.
+MAX_UNREAD_BYTES = 65_536
+
+
 async def stream_slowly(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
     """Send six events, one every 0.1 s; answer requests for no stream at once."""
     if received.target != b'/resume/':
@@ -88,6 +93,43 @@
                 await trio.sleep(0.05)
 
 
+async def test_answer_that_a_slow_caller_does_not_read_is_not_given_up() -> None:
+    """Guards against a part of an answer sent by halves, and a second run behind it.
+
+    Nothing is read from the endpoint while the caller does not read; that is no silence of the endpoint.
+    """
+    events = [event(number, 8000 * 'x') for number in range(1, 800)]
+
+    async def send_much(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
+        head = STREAM_HEAD % received.headers[b'x-request-id']
+        await stream.send_all(b''.join((head, *events, END)))
+        return True
+
+    endpoint, other = ScriptedEndpoint(send_much), ScriptedEndpoint(send_much)
+    async with run_relay_fleet(private_network(132)) as fleet:
+        link = (await add_links(fleet, endpoint))[0]
+        instance = await fleet.add(1, {'e-0': link.address})
+        await fleet.nursery.start(other.run)
+        await fleet.add(2, {'e-0': other.address})
+        stream = await instance.connect()
+        async with stream:
+            await stream.send_all(build_request('/resume/', extra='X-Deadline-Ms: 9000\r\n'))
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_UNREAD_BYTES)
+            content = await read_until(stream, b'data: ')
+            work = next(iter(instance.forwarder.directory.usable('desk')[0].in_progress))
+            await trio.sleep(0.3)
+            assert work.connection is not None
+            work.abandon(trio.current_time() + 60, ABANDON_AFTER_S)
+            parts = [content]
+            with trio.fail_after(20):
+                while not b''.join(parts[-2:]).endswith(END):
+                    parts.append(await stream.receive_some())
+    got = parse_body(b''.join(parts))
+    assert got.is_complete
+    assert got.body.count(b'id: ') == len(events)
+    assert not other.received
+
+
 async def test_connections_notice_dead_endpoints_but_not_a_second_of_silence() -> None:
     """Guards against timeouts of the kernel that differ from what sound endpoints need.
 
