--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -265,7 +265,7 @@
 
     async def put(self, manifest: dict[str, Any], limit_s: float) -> bool:
         """Send a manifest, to one node after the other, until it is acknowledged."""
-        body = json.dumps(manifest).encode()
+        body = json.dumps(manifest, separators=(',', ':')).encode()
         version = manifest['version']
         end, pause_s = time.monotonic() + limit_s, 0.1
         while time.monotonic() < end:
