--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,16 +11,17 @@
 from typing import Any
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / 'lib'))
+sys.path.insert(0, str(HERE.parent))
 
 from standins import BOUNDS, CannotRun, Deployment, Node, Operator, run_case  # noqa: E402
 
 #: Routes of the manifest: some forty, and 1,400 more.
 ROUTES, TENANTS = 1440, 88
 
-#: Versions that are sent, as in ten storms of 1.5 s; the last one is followed by the kill.
+#: Versions that are sent, in storms of at most 25 changes with at least 0.06 s between two, and a pause after each
+#: storm. The last one is followed by the kill.
 VERSIONS = 238
-MIN_GAP_S = 0.06
+STORM, MIN_GAP_S, PAUSE_S = 25, 0.06, 1.0
 
 #: ``memory-mb`` of a core machine.
 MEMORY_BYTES = 296 << 20
@@ -130,6 +131,8 @@
         if not await operator.put(document, 20):
             raise CannotRun(f'version {version} was not acknowledged')
         await asyncio.sleep(max(0.0, began_at + MIN_GAP_S - time.monotonic()))
+        if version % STORM == 0:
+            await asyncio.sleep(PAUSE_S)
     record.write(f'peaks until then, in MB: {[each.peak >> 20 for each in machines]}')
     if any(each.kills for each in machines):
         raise CannotRun('a process used too much memory before the disruption')
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Checks the stand-ins of the review; they need no third-party package.
+# Compiles the stand-ins and the cases of the review; they need Python's standard library only.
 set -eu
 here="$(cd "$(dirname "$0")" && pwd)"
-python3 -m compileall -q "$here/lib"
+PYTHONPYCACHEPREFIX="$here/../target/review" python3 -m compileall -q "$here"
--- a/review/lib/standins.py
+++ b/review/standins.py
@@ -22,7 +22,7 @@
 from pathlib import Path
 from typing import Any
 
-REPOSITORY = Path(__file__).resolve().parents[2]
+REPOSITORY = Path(__file__).resolve().parents[1]
 
 FRONT_PORT, READY_PORT, CONTROL_PORT, PEER_PORT, METRICS_PORT = 8368, 8369, 8367, 7780, 9464
 PLATFORM_PORT, WORKER_PORT = 8362, 8080
@@ -55,6 +55,8 @@
 
     def write(self, text: str) -> None:
         """Write a line with the present time."""
+        # A record is committed, so that it holds no path of this machine.
+        text = text.replace(str(REPOSITORY), '.').replace(tempfile.gettempdir(), 'TEMP')
         self._file.write(f'{self.now():8.3f}  {text}\n')
         self._file.flush()
 
@@ -336,6 +338,7 @@
         self.nodes: list[Node] = []
         self.seeds: list[str] = []
         self.servers: list[Server] = [self.platform]
+        self._starting: set[asyncio.Task[None]] = set()
         self._tolerate = tolerate or {'machines': 1, 'zones': 1, 'regions': 0}
         roles = tomllib.loads((REPOSITORY / 'deploy' / 'system.toml').read_text())['roles']
         self._words = {each['serves'][0]: each['run'].split() for each in roles.values()}
@@ -355,12 +358,19 @@
         environment['PYTHONPATH'] = str(REPOSITORY / 'target' / 'deps')
         environment['PYTHONDONTWRITEBYTECODE'] = '1'
         environment['SHALLOTMUX_SETTINGS'] = str(settings)
+        # Shielded, so that no process is left behind by a cancellation while it starts.
+        starting = asyncio.create_task(self._launch(node, environment))
+        self._starting.add(starting)
+        starting.add_done_callback(self._starting.discard)
+        await asyncio.shield(starting)
+        self.record.write(f'{node.name} ({node.host}): starts, bootstrap {bootstrap}')
+
+    async def _launch(self, node: Node, environment: dict[str, str]) -> None:
         node.process = await asyncio.create_subprocess_exec(
             *self._words[node.role], cwd=REPOSITORY, env=environment,
             stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT, limit=1 << 24,
         )  # fmt: skip
         node.reader = asyncio.create_task(self._read_log(node, node.process))
-        self.record.write(f'{node.name} ({node.host}): starts, bootstrap {bootstrap}')
 
     def send_signal(self, node: Node, number: signal.Signals) -> None:
         """Send a signal to the process of a machine."""
@@ -387,6 +397,7 @@
 
     async def close(self) -> None:
         """End all that was started."""
+        await asyncio.gather(*self._starting, return_exceptions=True)
         for node in self.nodes:
             if node.is_running and node.process is not None:
                 node.process.kill()
@@ -428,6 +439,8 @@
             return
         async for line in process.stdout:
             text = line.decode(errors='replace').rstrip()
+            if 'membership-change' in text or 'shallotmux:leading' in text:
+                node.lines.append(text)
             if any(each in text for each in _LOGGED):
                 self.record.write(f'log of {node.name}: {text[:300]}')
 
@@ -439,13 +452,18 @@
 )  # fmt: skip
 
 
+#: Ports that a machine uses, and the last numbers of the addresses that the cases use.
+_PORTS = (FRONT_PORT, READY_PORT, CONTROL_PORT, PEER_PORT, PEER_PORT + 1, METRICS_PORT, PLATFORM_PORT, WORKER_PORT)
+_NUMBERS = (*range(1, 6), 11, 12, 101, 102, 103, 120, 250)
+
+
 def _free_network() -> str:
     """Return the first three numbers of loopback addresses on which the ports are free."""
     for _ in range(50):
         base = f'127.{random.randint(60, 120)}.{random.randint(1, 250)}'
         try:
-            for number in (1, 2, 3, 250):
-                for port in (FRONT_PORT, CONTROL_PORT, PEER_PORT, METRICS_PORT, PLATFORM_PORT):
+            for number in _NUMBERS:
+                for port in _PORTS:
                     with socket.create_server((f'{base}.{number}', port)):
                         pass
         except OSError:
@@ -463,12 +481,17 @@
         if not (REPOSITORY / 'target' / 'deps').is_dir():
             sys.stderr.write('target/deps is missing: run the build of deploy/system.toml\n')
             return 2
+        task = asyncio.current_task()
+        if task is not None:
+            for number in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         deployment = Deployment(folder)
         try:
             async with asyncio.timeout(limit_s):
                 await deployment.platform.start()
                 is_broken = await case(deployment, os.environ.get('TROUBLE', '1') != '0')
-        except (CannotRun, TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # Whatever goes wrong in the script itself is no fault of the project.
             deployment.record.write(f'cannot run: {error!r}')
             sys.stderr.write(f'cannot run: {error!r}\n')
             return 2
@@ -479,4 +502,8 @@
         print(verdict)
         return int(is_broken)
 
-    return asyncio.run(run())
+    try:
+        return asyncio.run(run())
+    except Exception as error:
+        sys.stderr.write(f'cannot run: {error!r}\n')
+        return 2
