Bound the entries kept for followers by bytes

A control process with documents of 409 KB would reach its limit of 296 MB after some 600 changes without any disruption.

Cause: GroupState kept the last 1,024 applied entries, whatever their size.

Change: at most 8 MiB of entries; the latest one is kept whatever its size. An instance further behind receives the whole state, as before.

Failed before: tests/authority/test_group_state.py, the two cases of large entries.

--- a/shallotmux/authority/_group_state.py
+++ b/shallotmux/authority/_group_state.py
@@ -17,6 +17,9 @@
 #: the whole state.
 MAX_RECENT_ENTRIES = 1024
 
+#: Payload bytes of these entries, except that the latest entry is kept whatever its size.
+MAX_RECENT_BYTES = 8 << 20
+
 #: Confirmations kept until their entries are applied. The oldest are dropped, since the newest one
 #: supersedes them once its entries are applied.
 MAX_PENDING_CONFIRMATIONS = 64
@@ -36,7 +39,8 @@
         #: Latest local time at which the state is known to have held all committed entries; minus
         #: infinity before the first confirmation.
         self.confirmed_at = float('-inf')
-        self._recent: deque[Entry] = deque(maxlen=MAX_RECENT_ENTRIES)
+        self._recent: deque[Entry] = deque()
+        self._recent_bytes = 0
         self._pending: deque[tuple[int, float]] = deque(maxlen=MAX_PENDING_CONFIRMATIONS)
         self._changed = trio.Event()
 
@@ -52,7 +56,7 @@
             result = self.zone.apply(decode_command(entry.payload))
         self.applied_index = entry.index
         self.applied_term = entry.term
-        self._recent.append(entry)
+        self._keep(entry)
         return result
 
     def restore(self, index: int, term: int, payload: bytes) -> None:
@@ -63,6 +67,7 @@
         self.applied_index = index
         self.applied_term = term
         self._recent.clear()
+        self._recent_bytes = 0
 
     def entries_after(self, index: int) -> tuple[Entry, ...] | None:
         """Return the entries applied after an index, or None if some are no longer kept."""
@@ -73,6 +78,15 @@
             return None
         return tuple(self._recent)[len(self._recent) - missing :]
 
+    def _keep(self, entry: Entry) -> None:
+        """Keep an entry for instances that follow this one, and drop the oldest over the limits."""
+        self._recent.append(entry)
+        self._recent_bytes += len(entry.payload)
+        while len(self._recent) > 1 and (
+            len(self._recent) > MAX_RECENT_ENTRIES or self._recent_bytes > MAX_RECENT_BYTES
+        ):
+            self._recent_bytes -= len(self._recent.popleft().payload)
+
     def confirm(self, index: int, at: float) -> None:
         """Record that at a local time no entry beyond an index was committed."""
         self._pending.append((index, at))
