Bound by bytes what waits for a quorum, for a disk and for slow members

A control process kept, whatever their size: 2,048 entries in flight to each follower, 1,024 envelopes for each peer, 4,096 inputs while its disk stands still, and all commands of a leader that has lost its quorum, until it steps down. With documents of 4 MiB, any of these is more than the memory of an instance.

Change: 4 MiB of entries in flight to a follower; 8 MiB queued for a peer, in messages of 1 MiB; 16 MiB of messages and 8 MiB of commands that wait for the disk; 8 MiB of uncommitted entries, beyond which a leader refuses a command as not committed. One entry may always exceed a limit. What is dropped is sent again by the replication protocol; what is refused has not been committed.

--- a/shallotmux/authority/_driver.py
+++ b/shallotmux/authority/_driver.py
@@ -14,7 +14,7 @@
 
 from shallotmux.authority._group_state import GroupState
 from shallotmux.authority._state import Result, decode_command, encode_result
-from shallotmux.errors import MembershipRefused, NotLeader
+from shallotmux.errors import AuthorityUnavailable, MembershipRefused, NotLeader
 from shallotmux.replication import (
     AppendReply,
     Effects,
@@ -36,6 +36,11 @@
 #: Capacity of the input queue. When it is full, envelopes are dropped and commands are refused.
 INBOX_CAPACITY = 4096
 
+#: Bytes of replication messages, and of commands, that wait in the input queue while the disk is
+#: slow. What comes on top is dropped, or refused.
+MAX_INBOX_MESSAGE_BYTES = 16 << 20
+MAX_INBOX_COMMAND_BYTES = 8 << 20
+
 #: Tick interval of an instance that is not a member. It has no timers, so the interval only
 #: limits how late they start after it has joined the group.
 NON_MEMBER_TICK_S = 1.0
@@ -93,7 +98,18 @@
         self.done.set()
 
 
-Input = Envelope | Proposal
+@dataclass(frozen=True, slots=True)
+class ReceivedMessage:
+    """A replication message that waits to be processed.
+
+    :param size: size of its encoding in bytes.
+    """
+
+    envelope: Envelope
+    size: int
+
+
+Input = ReceivedMessage | Proposal
 
 
 class GroupDriver:
@@ -127,6 +143,9 @@
         channels = trio.open_memory_channel[Input](INBOX_CAPACITY)
         self._inbox_sender = channels[0]
         self._inbox_receiver = channels[1]
+        #: Size of the replication messages that wait to be processed.
+        self.queued_message_bytes = 0
+        self._queued_command_bytes = 0
         self._pending_proposals: dict[int, Proposal] = {}
         self._status = replica.status()
         #: Called before a reply to the leader is sent, so that other messages to the leader can be
@@ -163,6 +182,9 @@
 
     def receive(self, envelope: PeerEnvelope) -> None:
         """Queue a replication message; drop it if it is malformed or the queue is full."""
+        size = len(envelope.payload)
+        if self.queued_message_bytes + size > MAX_INBOX_MESSAGE_BYTES and self.queued_message_bytes:
+            return
         try:
             message = decode_envelope(envelope.payload)
         except msgspec.DecodeError:
@@ -170,7 +192,8 @@
         if message.sender != envelope.sender or message.recipient != self.identity:
             return
         with suppress(trio.WouldBlock):
-            self._inbox_sender.send_nowait(message)
+            self._inbox_sender.send_nowait(ReceivedMessage(message, size))
+            self.queued_message_bytes += size
 
     async def commit(self, payload: bytes, timeout_s: float) -> ForwardAnswer:
         """Commit a command on this instance if it leads."""
@@ -178,9 +201,7 @@
         if refusal is not None:
             return refusal
         proposal = Proposal(payload)
-        try:
-            self._inbox_sender.send_nowait(proposal)
-        except trio.WouldBlock:
+        if not self._queue(proposal):
             return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail='too many commands')
         with trio.move_on_after(timeout_s):
             await proposal.done.wait()
@@ -226,6 +247,19 @@
             self._confirm_as_leader()
             self._answer_pending_proposals()
 
+    def _queue(self, proposal: Proposal) -> bool:
+        """Queue a command and return whether there was room for it."""
+        size = len(proposal.payload)
+        queued = self._queued_command_bytes
+        if queued and queued + size > MAX_INBOX_COMMAND_BYTES:
+            return False
+        try:
+            self._inbox_sender.send_nowait(proposal)
+        except trio.WouldBlock:
+            return False
+        self._queued_command_bytes += size
+        return True
+
     def _next_tick_s(self) -> float:
         """Return the time to the next tick; only members of the group have timers."""
         is_member = self.identity in self._status.configuration.members
@@ -240,15 +274,18 @@
 
     def _handle(self, received: Input) -> None:
         match received:
-            case Envelope():
-                self._replica.receive(received, trio.current_time())
-            case Proposal(is_abandoned=False):
-                self._propose(received)
+            case ReceivedMessage():
+                self.queued_message_bytes -= received.size
+                self._replica.receive(received.envelope, trio.current_time())
+            case Proposal():
+                self._queued_command_bytes -= len(received.payload)
+                if not received.is_abandoned:
+                    self._propose(received)
 
     def _propose(self, proposal: Proposal) -> None:
         try:
             position = self._replica.propose(proposal.payload, trio.current_time())
-        except NotLeader as error:
+        except AuthorityUnavailable as error:
             proposal.finish(ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail=error.message))
             return
         proposal.is_proposed = True
--- a/shallotmux/authority/_group_state.py
+++ b/shallotmux/authority/_group_state.py
@@ -78,15 +78,6 @@
             return None
         return tuple(self._recent)[len(self._recent) - missing :]
 
-    def _keep(self, entry: Entry) -> None:
-        """Keep an entry for instances that follow this one, and drop the oldest over the limits."""
-        self._recent.append(entry)
-        self._recent_bytes += len(entry.payload)
-        while len(self._recent) > 1 and (
-            len(self._recent) > MAX_RECENT_ENTRIES or self._recent_bytes > MAX_RECENT_BYTES
-        ):
-            self._recent_bytes -= len(self._recent.popleft().payload)
-
     def confirm(self, index: int, at: float) -> None:
         """Record that at a local time no entry beyond an index was committed."""
         self._pending.append((index, at))
@@ -123,3 +114,12 @@
         if self.applied_index != before:
             self.apply_confirmations()
             self.notify()
+
+    def _keep(self, entry: Entry) -> None:
+        """Keep an entry for instances that follow this one, and drop the oldest over the limits."""
+        self._recent.append(entry)
+        self._recent_bytes += len(entry.payload)
+        while len(self._recent) > 1 and (
+            len(self._recent) > MAX_RECENT_ENTRIES or self._recent_bytes > MAX_RECENT_BYTES
+        ):
+            self._recent_bytes -= len(self._recent.popleft().payload)
--- a/shallotmux/errors.py
+++ b/shallotmux/errors.py
@@ -9,6 +9,7 @@
     'DocumentInvalid',
     'EndpointError',
     'EndpointRefused',
+    'LogFull',
     'MembershipRefused',
     'NotLeader',
     'OutcomeUnknown',
@@ -59,6 +60,10 @@
         self.leader = leader
 
 
+class LogFull(AuthorityUnavailable):
+    """A command was refused because too many bytes of earlier ones are not committed."""
+
+
 class MembershipRefused(ShallotmuxError):
     """A membership change or leadership transfer is currently not possible."""
 
--- a/shallotmux/replication/_log.py
+++ b/shallotmux/replication/_log.py
@@ -86,7 +86,10 @@
         return self._bytes_up_to(last) - self._bytes_up_to(first - 1) if first <= last else 0
 
     def last_within(self, first: int, limit: int) -> int:
-        """Return the last index up to which the entries from first on hold at most ``limit`` bytes."""
+        """Return the last index up to which the entries from first on hold at most ``limit`` bytes.
+
+        Entries that are no longer held count as empty.
+        """
         allowed = self._bytes_up_to(first - 1) + limit
         return self._base_index + bisect_right(self._end_bytes, allowed)
 
--- a/shallotmux/replication/_model.py
+++ b/shallotmux/replication/_model.py
@@ -77,6 +77,9 @@
     :param max_batch_bytes: maximum payload bytes in one message; a single entry may exceed it.
     :param max_in_flight_entries: maximum number of entries sent to a follower and not yet
         acknowledged.
+    :param max_in_flight_bytes: maximum payload bytes of these entries; a single entry may exceed it.
+    :param max_uncommitted_bytes: payload bytes of uncommitted entries beyond which a leader refuses
+        further commands; a single entry may exceed it.
     :param snapshot_after_entries: number of committed entries after which a snapshot is due.
     :param snapshot_after_bytes: payload bytes of committed entries after which a snapshot is due,
         unless the last snapshot is larger: then it is due after as many bytes as that has.
@@ -94,6 +97,8 @@
     max_batch_entries: int = 256
     max_batch_bytes: int = 1 << 20
     max_in_flight_entries: int = 2048
+    max_in_flight_bytes: int = 4 << 20
+    max_uncommitted_bytes: int = 8 << 20
     snapshot_after_entries: int = 10000
     snapshot_after_bytes: int = 8 << 20
     retained_entries: int = 1000
--- a/shallotmux/replication/_progress.py
+++ b/shallotmux/replication/_progress.py
@@ -73,9 +73,17 @@
             self.send_heartbeat(state, round_number)
 
     def _send_window(self, state: ReplicaState) -> int:
+        """Return how many entries may be sent now."""
+        log, options = state.log, state.options
         in_flight = self._next_index - 1 - self.match_index
-        waiting = state.log.last_index + 1 - self._next_index
-        return min(waiting, state.options.max_in_flight_entries - in_flight)
+        waiting = log.last_index + 1 - self._next_index
+        window = min(waiting, options.max_in_flight_entries - in_flight)
+        if window <= 0:
+            return window
+        last = log.last_within(self.match_index + 1, options.max_in_flight_bytes)
+        # An entry larger than the limit is sent once nothing else is in flight.
+        least = 0 if in_flight else 1
+        return min(window, max(least, last + 1 - self._next_index))
 
     def _batch(self, state: ReplicaState) -> tuple[Entry, ...]:
         count = min(self._send_window(state), state.options.max_batch_entries)
--- a/shallotmux/replication/_replica.py
+++ b/shallotmux/replication/_replica.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from shallotmux.errors import NotLeader
+from shallotmux.errors import LogFull, NotLeader
 from shallotmux.replication._election import Election
 from shallotmux.replication._following import handle_append, handle_snapshot
 from shallotmux.replication._leadership import Leadership
@@ -83,10 +83,12 @@
         term; an entry with this index and another term means that the command is lost.
 
         :raises NotLeader: if this replica does not lead or is transferring leadership.
+        :raises LogFull: if too many bytes wait for a quorum.
         """
         leadership = self._require_leadership('propose', now)
         if leadership.is_transferring:
             raise NotLeader('leadership is being transferred', step='propose')
+        self._check_uncommitted(len(payload))
         return leadership.append(EntryKind.COMMAND, payload)
 
     def read_index(self, now: float) -> int:
@@ -202,6 +204,12 @@
         leadership = self._current_leadership()
         return {} if leadership is None else leadership.followers()
 
+    def _check_uncommitted(self, added_bytes: int) -> None:
+        state = self._state
+        uncommitted = state.log.payload_bytes(state.commit_index + 1, state.log.last_index)
+        if uncommitted and uncommitted + added_bytes > state.options.max_uncommitted_bytes:
+            raise LogFull(f'{uncommitted} bytes are not committed yet', step='propose')
+
     def _current_leadership(self) -> Leadership | None:
         return self._leadership if self._state.role is Role.LEADER else None
 
--- a/shallotmux/transport/_link.py
+++ b/shallotmux/transport/_link.py
@@ -6,7 +6,7 @@
 import socket
 import ssl
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from random import Random
 from typing import Any
 
@@ -24,6 +24,11 @@
 #: resends dropped ones.
 MAX_QUEUED_ENVELOPES = 1024
 
+#: Payload bytes of the queued envelopes, and of those in one message. A single envelope may exceed
+#: either limit.
+MAX_QUEUED_BYTES = 8 << 20
+MAX_BATCH_BYTES = 1 << 20
+
 #: Maximum number of envelopes in one message.
 MAX_BATCH_ENVELOPES = 128
 
@@ -67,6 +72,7 @@
 
     def __init__(self) -> None:
         self._queued: deque[PeerEnvelope] = deque()
+        self._queued_bytes = 0
         self._flush_requested = asyncio.Event()
         self._is_flush_due = False
         #: Envelopes dropped because the queue was full.
@@ -74,10 +80,13 @@
 
     def put(self, envelope: PeerEnvelope) -> None:
         """Add an envelope, or drop it if the queue is full."""
-        if len(self._queued) >= MAX_QUEUED_ENVELOPES:
+        size = self._queued_bytes + len(envelope.payload)
+        is_full = len(self._queued) >= MAX_QUEUED_ENVELOPES or size > MAX_QUEUED_BYTES
+        if self._queued and is_full:
             self.dropped += 1
             return
         self._queued.append(envelope)
+        self._queued_bytes = size
         if not envelope.may_wait:
             self._flush_requested.set()
 
@@ -92,13 +101,23 @@
         while not self._queued or not self._flush_requested.is_set():
             self._flush_requested.clear()
             await self._flush_requested.wait()
-        count = min(len(self._queued), MAX_BATCH_ENVELOPES)
-        batch = wire.Batch(envelopes=[_to_wire(self._queued.popleft()) for _ in range(count)])
+        batch = wire.Batch(envelopes=[_to_wire(each) for each in self._take_batch()])
         self._is_flush_due = False
         if not self._queued:
             self._flush_requested.clear()
         return batch
 
+    def _take_batch(self) -> Iterator[PeerEnvelope]:
+        """Remove and yield the envelopes of one message; at least one."""
+        size = 0
+        for count in range(min(len(self._queued), MAX_BATCH_ENVELOPES)):
+            size += len(self._queued[0].payload)
+            if count and size > MAX_BATCH_BYTES:
+                return
+            envelope = self._queued.popleft()
+            self._queued_bytes -= len(envelope.payload)
+            yield envelope
+
 
 class PeerChannel(Channel):
     """gRPC channel whose connection is closed early if the peer is unresponsive.
--- a/tests/replication/_group.py
+++ b/tests/replication/_group.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from random import Random
 
 from shallotmux.replication import (
+    AppendRequest,
     Configuration,
     Entry,
     Envelope,
@@ -37,6 +39,8 @@
         self.applied: dict[str, list[Entry]] = {}
         self.reads: list[ReadReady] = []
         self.isolated: set[str] = set()
+        #: Payload bytes of entries sent to each member, delivered or not.
+        self.sent_bytes: Counter[str] = Counter()
         self._in_flight: list[Envelope] = []
         for name in sorted(configuration.voters):
             self.start(name, bootstrap_group(configuration))
@@ -80,6 +84,9 @@
             self.applied[name].extend(effects.committed)
             self.reads.extend(effects.reads)
             for envelope in effects.messages:
+                if isinstance(envelope.message, AppendRequest):
+                    size = sum(len(each.payload) for each in envelope.message.entries)
+                    self.sent_bytes[envelope.recipient] += size
                 if not self.isolated & {name, envelope.recipient}:
                     self._in_flight.append(decode_envelope(encode_envelope(envelope)))
 
--- a/tests/replication/test_log_bytes.py
+++ b/tests/replication/test_log_bytes.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from shallotmux.errors import LogFull
 from shallotmux.replication import Entry, EntryKind, ReplicaOptions, StoredGroup
 from shallotmux.replication._log import ReplicaLog
 from tests.replication._group import Group, voters
@@ -92,3 +93,46 @@
         group.run(0.1)
         sizes_when_due.extend([number] if leader.is_snapshot_due() else [])
     assert sizes_when_due == [3]
+
+
+@pytest.mark.parametrize('size', (100, 900, 5_000))
+def test_entries_in_flight_are_bounded_by_bytes(size: int) -> None:
+    """Guards against a leader that queues its whole log, once for each member that is silent."""
+    group = Group(voters(3), options=ReplicaOptions(max_in_flight_bytes=4_000))
+    group.run(5)
+    leader = group.replicas[group.leader()]
+    silent = min(set(group.replicas) - {group.leader()})
+    group.isolated.add(silent)
+    group.sent_bytes.clear()
+    for _ in range(60):
+        leader.propose(bytes(size), group.now)
+        group.run(0.05)
+    assert group.sent_bytes[silent] <= max(size, 4_000)
+    group.isolated.clear()
+    group.run(5)
+    assert len(group.commands(silent)) == 60
+
+
+def test_uncommitted_entries_are_bounded_by_bytes() -> None:
+    """Guards against a leader without a quorum that takes commands until its memory is used up."""
+    options = ReplicaOptions(max_uncommitted_bytes=4_000)
+    group = Group(voters(3), options=options)
+    group.run(5)
+    name = group.leader()
+    group.isolated.add(name)
+    leader = group.replicas[name]
+    before = leader.sizes().entry_bytes
+    refused = 0
+    for _ in range(60):
+        try:
+            leader.propose(bytes(900), group.now)
+        except LogFull:
+            refused += 1
+    assert refused == 56
+    assert leader.sizes().entry_bytes - before <= options.max_uncommitted_bytes
+    group.isolated.clear()
+    group.run(5)
+    newest = group.replicas[group.leader()]
+    newest.propose(bytes(5_000), group.now)
+    group.run(1)
+    assert bytes(5_000) in group.commands(group.leader())
--- a/tests/transport/test_memory.py
+++ b/tests/transport/test_memory.py
@@ -4,12 +4,19 @@
 
 from dataclasses import dataclass, field
 from random import Random
+from typing import Any
 
 import trio
 import trio.testing
+import trio_asyncio
 
 from shallotmux.transport import Channel, MemoryPeerFabric, PeerEnvelope
-from shallotmux.transport._link import MAX_QUEUED_ENVELOPES, EnvelopeQueue
+from shallotmux.transport._link import (
+    MAX_BATCH_BYTES,
+    MAX_QUEUED_BYTES,
+    MAX_QUEUED_ENVELOPES,
+    EnvelopeQueue,
+)
 
 SEED = 7
 
@@ -57,3 +64,26 @@
     fabric.post(make_envelope(b'later'))
     await trio.sleep(1)
     assert recorder.received == [(b'held', start + 0.5), (b'later', start + 0.5)]
+
+
+async def test_queue_is_bounded_by_bytes() -> None:
+    """Guards against a queue to a silent peer that grows with the size of what is sent."""
+    size = MAX_BATCH_BYTES // 2
+    queue = EnvelopeQueue()
+    for _ in range(100):
+        queue.put(PeerEnvelope('g', 'a', 'b', Channel.REPLICATION, bytes(size)))
+    assert 100 - queue.dropped == MAX_QUEUED_BYTES // size
+    taken = 0
+    while taken < MAX_QUEUED_BYTES // size:
+        batch = await trio_asyncio_batch(queue)
+        assert sum(len(each.payload) for each in batch.envelopes) <= MAX_BATCH_BYTES
+        taken += len(batch.envelopes)
+    queue.put(PeerEnvelope('g', 'a', 'b', Channel.REPLICATION, bytes(2 * MAX_QUEUED_BYTES)))
+    batch = await trio_asyncio_batch(queue)
+    assert len(batch.envelopes[0].payload) == 2 * MAX_QUEUED_BYTES
+
+
+async def trio_asyncio_batch(queue: EnvelopeQueue) -> Any:
+    """Return the next message of a queue, which runs on an asyncio loop."""
+    async with trio_asyncio.open_loop():
+        return await trio_asyncio.aio_as_trio(queue.next_batch)()
