Count request bodies while they are read, and keep no decoded document

Cause: a body counted against the limit of 64 MiB only once it was whole, so that any number of bodies could be read at once.

Change: each part counts as it arrives, and a body whose declared length does not fit is refused before it is read: 503 with Retry-After, not run. The limit is 48 MiB for callers, 16 MiB for relayed requests and 16 MiB for documents of operators, since each listener has its own. A control program no longer holds the decoded document, several times its content, while the commit is awaited.

--- a/shallotmux/control/_documents.py
+++ b/shallotmux/control/_documents.py
@@ -29,11 +29,10 @@
         :raises AuthorityUnavailable: if the document was not committed.
         :raises OutcomeUnknown: if the document may or may not have been committed.
         """
-        document = self._decode(content)
-        check_document(document)
+        version = self._check(content)
         # Each call has a new operation id; duplicates are detected by the document version.
-        await self._authority.submit(PutDocument(uuid4().hex, document.version, content))
-        log_message(message_type='shallotmux:document-acknowledged', version=document.version)
+        await self._authority.submit(PutDocument(uuid4().hex, version, content))
+        log_message(message_type='shallotmux:document-acknowledged', version=version)
 
     async def read(self) -> bytes:
         """Return the latest document as the operator sent it; empty if there is none.
@@ -44,3 +43,13 @@
         if not isinstance(found, DocumentRead):
             raise AuthorityUnavailable(f'unexpected result {found!r}', step='read document')
         return found.content
+
+    def _check(self, content: bytes) -> int:
+        """Validate a document and return its version.
+
+        The decoded document takes several times the memory of its content, so it is not kept while
+        the commit is awaited.
+        """
+        document = self._decode(content)
+        check_document(document)
+        return document.version
--- a/shallotmux/forwarding/_listener.py
+++ b/shallotmux/forwarding/_listener.py
@@ -33,8 +33,13 @@
 #: Timeout for the next bytes of a request body.
 BODY_READ_TIMEOUT_S = 5.0
 
-#: Total bytes of request bodies that a listener keeps in memory.
-MAX_BUFFERED_BODY_BYTES = 64 << 20
+#: Total bytes of request bodies that a listener keeps in memory, whole or in part. An attempt holds
+#: the body once more while the endpoint does not read it.
+MAX_BUFFERED_BODY_BYTES = 48 << 20
+
+#: Value of ``Retry-After`` in refusals for want of memory, about the time in which a body is read and
+#: its request answered.
+FULL_RETRY_AFTER_S = 0.5
 
 #: Value of ``SO_LINGER`` with which closing a connection resets it.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -64,6 +69,7 @@
 
     :param address: IP address and port; port 0 lets the operating system choose.
     :param limits: returns the limits in force.
+    :param max_buffered_bytes: limit of ``buffered_body_bytes``.
     :param accepts: tells by the host of a connection's other end whether it is taken.
     :param is_draining: whether answers carry ``Connection: close``.
     :param is_closed: whether no further request is taken, on any connection.
@@ -75,8 +81,10 @@
     accepts: Callable[[str], bool] = lambda _: True
     is_draining: bool = False
     is_closed: bool = False
+    max_buffered_bytes: int = MAX_BUFFERED_BODY_BYTES
     #: Requests being read or answered.
     open_requests: int = 0
+    #: Bytes of request bodies that are being read or answered.
     buffered_body_bytes: int = 0
     _connections: set[CallerConnection] = field(default_factory=set)
     _accepting: trio.CancelScope = field(default_factory=trio.CancelScope)
@@ -128,6 +136,8 @@
             h11.SERVER, max_incomplete_event_size=listener.limits().header_bytes
         )
         self._is_idle = True
+        #: Bytes of the present request's body that were read.
+        self._body_bytes = 0
         self._idle_scope: trio.CancelScope | None = None
 
     async def run(self) -> None:
@@ -172,12 +182,9 @@
         if not await self._wait_for_request():
             return False
         listener.open_requests += 1
-        buffered = 0
         reply = CallerReply(self)
         try:
             request = await self._read_request()
-            buffered = len(request.body)
-            listener.buffered_body_bytes += buffered
             await self._answer(request, reply)
         except _RequestRejected as rejection:
             await reply.refuse(rejection.status)
@@ -185,7 +192,8 @@
             return False
         finally:
             listener.open_requests -= 1
-            listener.buffered_body_bytes -= buffered
+            listener.buffered_body_bytes -= self._body_bytes
+            self._body_bytes = 0
             self._is_idle = True
         states = (self.protocol.our_state, self.protocol.their_state)
         return states == (h11.DONE, h11.DONE)
@@ -218,7 +226,8 @@
         if not isinstance(head, h11.Request):
             raise _CallerDisconnected
         headers = tuple((bytes(name), bytes(text)) for name, text in head.headers)
-        _check_head(headers, limits)
+        length = _check_head(headers, limits)
+        self._check_room(length)
         body = await self._read_body(limits.body_bytes)
         return CallerRequest(bytes(head.method), bytes(head.target), headers, body, received_at)
 
@@ -226,7 +235,6 @@
         if self.protocol.they_are_waiting_for_100_continue:
             await self.send(h11.InformationalResponse(status_code=100, headers=[]))
         parts: list[bytes] = []
-        size = 0
         while True:
             try:
                 with trio.fail_after(BODY_READ_TIMEOUT_S):
@@ -237,13 +245,19 @@
                 return b''.join(parts)
             if not isinstance(event, h11.Data):
                 raise _CallerDisconnected
-            size += len(event.data)
-            if size > limit:
+            if self._body_bytes + len(event.data) > limit:
                 raise _RequestRejected(413)
-            if self.listener.buffered_body_bytes + size > MAX_BUFFERED_BODY_BYTES:
-                raise _RequestRejected(503)
+            self._check_room(len(event.data))
+            self._body_bytes += len(event.data)
+            self.listener.buffered_body_bytes += len(event.data)
             parts.append(bytes(event.data))
 
+    def _check_room(self, added_bytes: int) -> None:
+        """Reject a request whose body does not fit into memory beside those of others."""
+        listener = self.listener
+        if listener.buffered_body_bytes + added_bytes > listener.max_buffered_bytes:
+            raise _RequestRejected(503)
+
     async def _next_event(self) -> object:
         try:
             event = self.protocol.next_event()
@@ -345,14 +359,18 @@
         """Answer an invalid request with a status, and announce the end of the connection."""
         if self.is_started:
             return
-        headers = ((b'content-length', b'0'), (b'connection', b'close'))
+        headers: Headers = ((b'content-length', b'0'), (b'connection', b'close'))
+        if status == 503:
+            headers = (*headers, (b'retry-after', str(FULL_RETRY_AFTER_S).encode()))
         await self.send_head(status, headers)
         await self.finish()
 
 
-def _check_head(headers: Headers, limits: CallerLimits) -> None:
+def _check_head(headers: Headers, limits: CallerLimits) -> int:
     """Reject a request with ambiguous framing or beyond the size limits.
 
+    :returns: the length of the body that the head declares, 0 if it does not.
+
     With both ``Content-Length`` and ``Transfer-Encoding``, two receivers may disagree on where the
     request ends (request smuggling). The parser limits the size only of heads that arrive in parts.
 
@@ -366,3 +384,4 @@
     names = {name for name, _ in headers}
     if b'content-length' in names and b'transfer-encoding' in names:
         raise _RequestRejected(400)
+    return int(length or 0)
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -48,6 +48,10 @@
 #: Time for responses in flight at shutdown.
 SHUTDOWN_DELAY_S = 0.5
 
+#: Total bytes of documents that are being read or committed. Each is held several times until it is
+#: committed: as the body, as a command and in messages to other instances.
+MAX_DOCUMENT_BYTES = 16 << 20
+
 #: Interval at which the gauges are updated.
 GAUGE_INTERVAL_S = 1.0
 
@@ -107,7 +111,11 @@
         lifecycle.on_reload = watcher.check
         documents = DocumentService(self.member.authority, self._adapter.decode_document)
         page = DocumentPage(documents, self._adapter.put_path, self._adapter.get_path)
-        listeners = [HttpListener(settings.listen.operators, page.handle)]
+        listeners = [
+            HttpListener(
+                settings.listen.operators, page.handle, max_buffered_bytes=MAX_DOCUMENT_BYTES
+            )
+        ]
         if settings.listen.metrics:
             metrics = MetricsPage(self._registry)
             listeners.append(HttpListener(settings.listen.metrics, metrics.handle))
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -60,6 +60,9 @@
 #: Header bytes that an instance adds to a request that it relays.
 RELAY_HEADER_BYTES = 4096
 
+#: Total bytes of the bodies of relayed requests that are kept in memory, beside those of callers.
+MAX_RELAYED_BODY_BYTES = 16 << 20
+
 #: Part of the grace period that is reserved for the exit of the process.
 SHUTDOWN_MARGIN_S = 0.7
 DRAIN_POLL_INTERVAL_S = 0.05
@@ -154,6 +157,7 @@
             self._relayed.handle,
             self._relay_limits,
             self._forwarder.peers.accepts,
+            max_buffered_bytes=MAX_RELAYED_BODY_BYTES,
         )
         self._listener = HttpListener(settings.listen.callers, self._forwarder.handle, self._limits)
 
