Begin an exchange before its answer is awaited

An unsafe request could get 502 in place of a truthful refusal or a retry.

Cause: the tasks that send and receive start in any order. If the end of a pooled connection was read first, beginning or encoding the request raised h11's LocalProtocolError, which ended the handler; and the attempt was judged by the progress of the previous exchange on that connection.

Change: the exchange begins and its request is encoded before either task runs; bytes count as sent once the sending task has run; an end before that is not run and no failure of the endpoint.

--- a/shallotmux/bench/forwarder.py
+++ b/shallotmux/bench/forwarder.py
@@ -74,9 +74,8 @@
             (b'content-length', b'4'),
         )
         started = perf_counter()
-        await self._connection.send_request(
-            OutgoingRequest(request_id, b'POST', b'/work', headers, b'work')
-        )
+        self._connection.begin(OutgoingRequest(request_id, b'POST', b'/work', headers, b'work'))
+        await self._connection.send_request()
         await self._connection.receive_head()
         first_byte_s = perf_counter() - started
         await self._connection.receive_body()
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -16,7 +16,6 @@
     EndpointConnection,
 )
 from shallotmux.forwarding._job import Job
-from shallotmux.forwarding._messages import OutgoingRequest
 from shallotmux.forwarding._outcome import Outcome, classify_missing_answer
 from shallotmux.forwarding._paths import AttemptPath, DirectPath, PeerPath
 from shallotmux.forwarding._pool import ConnectionPool
@@ -159,10 +158,13 @@
             path.record_unreachable(target, str(error))
             return AttemptResult(Outcome.NOT_RUN, str(error))
         except EndpointError as error:
-            outcome = classify_missing_answer(was_sent=connection.was_sent)
-            if connection.was_sent:
+            # A kept connection may end before anything is sent; that is no failure of the endpoint.
+            was_sent = connection.was_sent
+            if was_sent:
                 path.record_broken(attempt.job, target, attempt.work)
-            return AttemptResult(outcome, str(error), is_failure=True)
+            return AttemptResult(
+                classify_missing_answer(was_sent=was_sent), str(error), is_failure=was_sent
+            )
         finally:
             path.pool.release(target.state.identity, connection)
 
@@ -177,12 +179,12 @@
         self, attempt: _Attempt, connection: EndpointConnection
     ) -> AttemptResult:
         target = attempt.target
-        outgoing = attempt.path.begin(attempt.job, target)
+        connection.begin(attempt.path.begin(attempt.job, target))
         result: AttemptResult | None = None
         failure: ShallotmuxError | None = None
         async with trio.open_nursery() as nursery:
             # Send and receive concurrently: an endpoint may answer before it has read a long body.
-            nursery.start_soon(_send_ignoring_errors, connection, outgoing)
+            nursery.start_soon(_send_ignoring_errors, connection)
             try:
                 result = await self._receive(attempt, connection)
             except (EndpointError, CallerDisconnected) as error:
@@ -256,7 +258,7 @@
             self._on_run_started(job)
 
 
-async def _send_ignoring_errors(connection: EndpointConnection, outgoing: OutgoingRequest) -> None:
+async def _send_ignoring_errors(connection: EndpointConnection) -> None:
     """Send a request; a broken connection is reported when the answer is read."""
     with suppress(EndpointError):
-        await connection.send_request(outgoing)
+        await connection.send_request()
--- a/shallotmux/forwarding/_endpoint.py
+++ b/shallotmux/forwarding/_endpoint.py
@@ -87,6 +87,8 @@
         self._peer = peer
         self._request_id_header = request_id_header
         self._request: OutgoingRequest | None = None
+        #: Encoding of the present request until it is sent.
+        self._unsent = b''
         self._protocol = _new_protocol()
         self._progress = _Progress()
         self.opened_at = trio.current_time()
@@ -127,19 +129,32 @@
         """Return whether an idle connection is within its keep-alive time and still open."""
         return now - self.idle_since < self.keep_alive_s and not self._has_input()
 
-    async def send_request(self, request: OutgoingRequest) -> None:
-        """Send a request.
+    def begin(self, request: OutgoingRequest) -> None:
+        """Begin an exchange; must be called before its answer is awaited.
+
+        The request is encoded here: once the end of the connection has been read, the protocol takes
+        no request any more.
+
+        :raises ConnectionUnusable: if the exchange before is not complete.
+        """
+        self._progress = _Progress()
+        try:
+            if self._request is not None:
+                self._protocol.start_next_cycle()
+            self._request = request
+            self._unsent = self._encode(request)
+        except h11.ProtocolError as error:
+            raise ConnectionUnusable(f'{error!r}', step='begin', peer=self._peer) from error
+
+    async def send_request(self) -> None:
+        """Send the request of the present exchange.
 
         :raises EndpointError: if the connection breaks.
         """
-        self._begin(request)
-        head = h11.Request(
-            method=request.method, target=request.target, headers=list(request.headers)
-        )
-        content = self._protocol.send(head) or b''
-        if request.body:
-            content += self._protocol.send(h11.Data(data=request.body)) or b''
-        content += self._protocol.send(h11.EndOfMessage()) or b''
+        # Nothing leaves this instance if the exchange was given up before this task ran.
+        await trio.lowlevel.checkpoint_if_cancelled()
+        content = self._unsent
+        self._unsent = b''
         self._progress.was_sent = True
         try:
             await self._stream.send_all(content)
@@ -152,7 +167,8 @@
 
         :raises EndpointError: if the connection breaks, or the answer is too long.
         """
-        await self.send_request(request)
+        self.begin(request)
+        await self.send_request()
         head = await self._receive_any_head()
         self.on_head(head)
         return CallAnswer(head.status, await self.receive_body())
@@ -229,11 +245,15 @@
         if isinstance(self._stream, trio.SocketStream):
             self._stream.socket.close()
 
-    def _begin(self, request: OutgoingRequest) -> None:
-        if self._request is not None:
-            self._protocol.start_next_cycle()
-        self._request = request
-        self._progress = _Progress()
+    def _encode(self, request: OutgoingRequest) -> bytes:
+        head = h11.Request(
+            method=request.method, target=request.target, headers=list(request.headers)
+        )
+        parts = [self._protocol.send(head)]
+        if request.body:
+            parts.append(self._protocol.send(h11.Data(data=request.body)))
+        parts.append(self._protocol.send(h11.EndOfMessage()))
+        return b''.join(part or b'' for part in parts)
 
     async def _receive_any_head(self) -> AnswerHead:
         event = await self._next_event()
--- a/shallotmux/forwarding/_prefill.py
+++ b/shallotmux/forwarding/_prefill.py
@@ -106,7 +106,8 @@
                 if state.is_resting(trio.current_time()):
                     return None
                 sent_at = trio.current_time()
-                await connection.send_request(outgoing)
+                connection.begin(outgoing)
+                await connection.send_request()
                 handle = await self._read_answer(job, state, connection, work)
                 if handle is not None:
                     self._measure(job, call, sent_at)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -235,7 +235,10 @@
     def __init__(self, timeout_scope: trio.CancelScope) -> None:
         self._timeout_scope = timeout_scope
 
-    async def send_request(self, request: object) -> None:
+    def begin(self, request: object) -> None:
+        """Begin nothing."""
+
+    async def send_request(self) -> None:
         """Send nothing."""
         await trio.lowlevel.checkpoint()
 
