Do not take unanswered questions for unknown beginnings of streams

Cause: an instance asks the control instances for the version of a stream that it did not begin, and used its own list's only version if none of them reported one, whether they answered or not. An endpoint that joined since its last list is not in that list.

Change: the list's only version counts if at most one of the asked instances did not answer; each beginning has two copies. Otherwise the stream is refused as not run.

Failed before: tests/origins/test_client.py, three cases.

--- a/shallotmux/origins/_client.py
+++ b/shallotmux/origins/_client.py
@@ -26,6 +26,10 @@
 #: not answer is passed over when a beginning is told.
 MAX_ASKED = 4
 
+#: Asked control instances that may leave a question unanswered while the others together still know
+#: every beginning that was told: one fewer than the copies.
+MAX_UNANSWERED = COPIES - 1
+
 #: Beginnings and questions in one call.
 MAX_IN_CALL = 256
 
@@ -56,12 +60,15 @@
     def __init__(self, key: int, asked: int) -> None:
         self.key = key
         self.reports: list[OriginReport] = []
+        #: Peers that have not answered.
+        self.unanswered = asked
         self._missing = asked
         self.is_settled = trio.Event()
 
-    def record_answer(self, report: OriginReport | None) -> None:
+    def record_answer(self, report: OriginReport | None, *, has_answered: bool) -> None:
         """Record what a peer knows, or that it knows nothing or did not answer."""
         self._missing -= 1
+        self.unanswered -= has_answered
         if report is not None:
             self.reports.append(report)
         if report is not None or self._missing <= 0:
@@ -116,8 +123,8 @@
             self._start_calling(peer)
         return is_known
 
-    async def ask(self, key: int) -> list[OriginReport]:
-        """Return what the first control instance that knows a beginning reports."""
+    async def ask(self, key: int) -> Question:
+        """Return a question with what the first control instance that knows a beginning reports."""
         peers = self._rank(key)[:MAX_ASKED]
         question = Question(key, len(peers))
         for peer in peers:
@@ -126,7 +133,7 @@
         if peers:
             with trio.move_on_after(ASK_TIMEOUT_S):
                 await question.is_settled.wait()
-        return question.reports
+        return question
 
     def _rank(self, key: int) -> list[str]:
         """Return the control instances in an order that all instances compute for a key."""
@@ -188,4 +195,4 @@
         for _, is_known in reports:
             is_known.set()
     for question in questions:
-        question.record_answer(known.get(question.key))
+        question.record_answer(known.get(question.key), has_answered=answer is not None)
--- a/shallotmux/origins/_streams.py
+++ b/shallotmux/origins/_streams.py
@@ -7,7 +7,7 @@
 import trio
 from eliot import log_message
 
-from shallotmux.origins._client import ACK_TIMEOUT_S, OriginClient
+from shallotmux.origins._client import ACK_TIMEOUT_S, MAX_UNANSWERED, OriginClient
 from shallotmux.origins._decision import Continuation, Knowledge, Unknown, choose_version
 from shallotmux.origins._history import VersionHistory
 from shallotmux.origins._store import Origin, OriginStore, make_report
@@ -73,12 +73,19 @@
     async def find(self, key: int, service: str) -> Continuation | Unknown:
         """Return at which version a stream goes on."""
         own = self._store.find(key)
+        if own is not None or self._client is None:
+            return choose_version(Knowledge(own, None, self.single_version(service), service))
+        now = trio.current_time()
+        question = await self._client.ask(key)
         told: Origin | None = None
-        if own is None and self._client is not None:
-            now = trio.current_time()
-            for each in await self._client.ask(key):
-                told = Origin(each.service, each.version, now - each.age_s)
-        return choose_version(Knowledge(own, told, self.single_version(service), service))
+        for each in question.reports:
+            told = Origin(each.service, each.version, now - each.age_s)
+        # An endpoint of another version may have joined since the last list, and begun the stream.
+        # Control instances were told so by the instance that used it, but those that answered may
+        # not be the ones.
+        is_complete = question.unanswered <= MAX_UNANSWERED
+        single = self.single_version(service) if is_complete else None
+        return choose_version(Knowledge(None, told, single, service))
 
     def _tell_recent(self, service: str) -> None:
         """Tell the beginnings that the history of versions does not tell any more."""
--- a/tests/origins/test_client.py
+++ b/tests/origins/test_client.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from itertools import combinations
 
 import pytest
 import trio
@@ -25,6 +26,7 @@
     encode_origin_message,
 )
 from shallotmux.origins import _client as client_module
+from shallotmux.rendezvous import rank_owners
 
 PEERS = ('c-1', 'c-2', 'c-3', 'c-4', 'c-5')
 VERSIONS = (('desk', 'v1'), ('desk', 'v2'))
@@ -194,3 +196,43 @@
     found = store.find(1)
     assert found is not None
     assert found.at <= trio.current_time()
+
+
+@pytest.mark.parametrize(('silent', 'expected'), ((0, True), (1, True), (2, False), (5, False)))
+async def test_instance_out_of_step_derives_nothing_from_its_list(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, silent: int, *, expected: bool
+) -> None:
+    """Guards against a stream that is continued at another version during a release.
+
+    The instance that takes it up has seen a list that is too old to name the version that began it,
+    and those control instances that were told of its beginning do not answer.
+    """
+    controls = Controls()
+    entry = start_entry(controls, nursery)
+    entry.history.assume_complete()
+    entry.observe((('desk', 'v1'),), trio.current_time())
+    await trio.sleep(0.5)
+    key = 7
+    controls.silent.update(rank_owners(key.to_bytes(8), PEERS)[:silent])
+    found = await entry.find(key, 'desk')
+    assert isinstance(found, Continuation) is expected
+
+
+async def test_version_that_joined_since_the_last_list_is_not_confused(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against joining two versions, whichever control instances an instance is cut off from."""
+    key = 11
+    ranked = rank_owners(key.to_bytes(8), PEERS)
+    for cut in combinations(PEERS, 3):
+        controls = Controls()
+        beginner, other = start_entry(controls, nursery), start_entry(controls, nursery)
+        for each in (beginner, other):
+            each.history.assume_complete()
+        other.observe((('desk', 'v1'),), trio.current_time())
+        beginner.observe(VERSIONS, trio.current_time())
+        await beginner.record(key, 'desk', 'v2', 'r-1')
+        await trio.sleep(0.1)
+        controls.silent.update(cut)
+        found = await other.find(key, 'desk')
+        assert isinstance(found, Unknown) or found.version == 'v2', (cut, ranked)
