Answer every request before the end of a drain, and take none after the close

What callers would see (reported by other operators): in a planned stop, requests that came late in the grace period were passed on and cut at its end without an answer, unsafe ones among them (LOST).

Cause: the drain waited for open requests until the process ended, and had no deadline for them; a request that was being read at the close was still passed on when its last byte came; a request that had just arrived on an idle connection was reset with it.

Change: what is complete only after the close is refused as not run; all requests in progress get an answer 0.2 s before the drain ends, 503 if they were not sent and 504 otherwise; bytes that wait on an idle connection are read before it is closed.

--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -13,6 +13,7 @@
 from shallotmux.forwarding._admission import Admitted, Dialect, admit_request
 from shallotmux.forwarding._attempt import AttemptResult, AttemptRunner
 from shallotmux.forwarding._budget import SharedRetryBudget
+from shallotmux.forwarding._deadlines import RequestDeadlines
 from shallotmux.forwarding._directory import EndpointDirectory, choose_least_loaded
 from shallotmux.forwarding._engines import EnginePlacer
 from shallotmux.forwarding._job import Job
@@ -67,6 +68,11 @@
     origins: StreamOrigins
     peers: RelayPeers = field(default_factory=RelayPeers)
     random: Random = field(default_factory=Random)
+    _deadlines: RequestDeadlines = field(default_factory=RequestDeadlines)
+
+    def close(self, end_at: float) -> None:
+        """Refuse further requests, and answer those in progress until a local time."""
+        self._deadlines.end_at(end_at)
 
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
         """Answer one request."""
@@ -80,6 +86,11 @@
 
     def admit(self, request: CallerRequest, reply: Reply) -> Admitted | Refusal:
         """Return the job for a request, or its refusal."""
+        if self._deadlines.is_ending:
+            # Its last byte came after the instance closed; it might not be finished in time.
+            leaving = refuse_not_run('the instance is leaving', 0)
+            self._log_refusal(request, leaving)
+            return leaving
         admitted = admit_request(request, reply, self.view.table, self.dialect, self.random.random)
         if isinstance(admitted, Refusal):
             self._log_refusal(request, admitted)
@@ -91,7 +102,7 @@
         The instance that took the request has counted it, and has bound a resumed stream.
         """
         refusal: Refusal | None = None
-        deadline_scope = trio.move_on_at(job.deadline + DEADLINE_GRACE_S)
+        deadline_scope = self._deadlines.open_scope(job.deadline + DEADLINE_GRACE_S)
         with deadline_scope:
             refusal = await self._try_endpoints(job)
         if deadline_scope.cancelled_caught:
@@ -102,7 +113,7 @@
 
     async def _run(self, job: Job) -> None:
         refusal: Refusal | None = None
-        deadline_scope = trio.move_on_at(job.deadline + DEADLINE_GRACE_S)
+        deadline_scope = self._deadlines.open_scope(job.deadline + DEADLINE_GRACE_S)
         with deadline_scope:
             refusal = await self._bind_resumed_stream(job)
             self.budget.record_request(job.service)
--- a/shallotmux/forwarding/_listener.py
+++ b/shallotmux/forwarding/_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 import struct
 import traceback
@@ -205,7 +206,7 @@
             return True
         if self.listener.is_closed:
             # The last answer may have begun before the drain, without announcing the close.
-            return False
+            return await self._read_waiting()
         limits = self.listener.limits()
         self._idle_scope = trio.move_on_after(limits.idle_timeout_s)
         with self._idle_scope:
@@ -213,7 +214,21 @@
             self._is_idle = False
             self.protocol.receive_data(content)
             return bool(content)
-        return False
+        return self.listener.is_closed and await self._read_waiting()
+
+    async def _read_waiting(self) -> bool:
+        """Read a request that arrived before the close; returns whether there was one.
+
+        Closing a connection with unread bytes would reset it, without an answer to the request.
+        """
+        poll = select.poll()
+        poll.register(self.stream.socket.fileno(), select.POLLIN)
+        if not poll.poll(0):
+            return False
+        content = await self.stream.receive_some(MAX_READ_BYTES)
+        self._is_idle = False
+        self.protocol.receive_data(content)
+        return bool(content)
 
     async def _read_request(self) -> CallerRequest:
         limits = self.listener.limits()
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -67,6 +67,9 @@
 SHUTDOWN_MARGIN_S = 0.7
 DRAIN_POLL_INTERVAL_S = 0.05
 
+#: Time before the end of the drain at which requests without an answer get one, so that it can be sent.
+LAST_ANSWERS_S = 0.2
+
 
 @dataclass(frozen=True, slots=True)
 class EntryAdapter:
@@ -276,6 +279,7 @@
             listener.drain()
         deadline = started_at + self.settings.times.grace_s - SHUTDOWN_MARGIN_S
         await trio.sleep_until(min(started_at + DEREGISTRATION_DELAY_S, deadline))
+        self._forwarder.close(deadline - LAST_ANSWERS_S)
         for listener in listeners:
             listener.close_idle()
         while any(each.open_requests for each in listeners) and trio.current_time() < deadline:
--- a/tests/programs/test_drain.py
+++ b/tests/programs/test_drain.py
@@ -18,6 +18,17 @@
 LAST_EXCUSED_S = 3.0
 
 
+class FakeForwarder:
+    """Records when requests end."""
+
+    def __init__(self) -> None:
+        self.end_at = -1.0
+
+    def close(self, end_at: float) -> None:
+        """Record the time."""
+        self.end_at = end_at
+
+
 class FakeListener:
     """Records when connections are closed; has one request that never ends."""
 
@@ -44,11 +55,13 @@
     period and was cut.
     """
     listener = FakeListener()
+    forwarder = FakeForwarder()
     times = ProgramTimes(grace_s=8.0)
     program = SimpleNamespace(
         settings=SimpleNamespace(times=times),
         _listener=listener,
         _relay_listener=FakeListener(),
+        _forwarder=forwarder,
         _is_draining=False,
     )
     began_at = trio.current_time()
@@ -57,3 +70,5 @@
     assert REMOVED_AFTER_S < listener.closed_at - began_at < LAST_EXCUSED_S
     ended_after_s = trio.current_time() - began_at
     assert times.grace_s - SHUTDOWN_MARGIN_S <= ended_after_s < times.grace_s
+    # What has no answer by then is answered while the connections are still open.
+    assert listener.closed_at < forwarder.end_at < began_at + ended_after_s
