--- a/Makefile
+++ b/Makefile
@@ -76,9 +76,9 @@
 	$(BIN)/ruff format shallotmux tests
 
 lint: env
-	$(BIN)/ruff format --check shallotmux tests
-	$(BIN)/ruff check shallotmux tests
-	$(BIN)/flake8 shallotmux tests
+	$(BIN)/ruff format --check shallotmux tests deploy
+	$(BIN)/ruff check shallotmux tests deploy
+	$(BIN)/flake8 shallotmux tests deploy
 	$(BIN)/mypy
 
 control-cost: env
