Let one unreadable entry hide no other of the list

Cause: a page of the list was decoded in one piece. Bytes that are not UTF-8, half a surrogate pair or a number out of range in one entry failed the page, and all instances kept the list they had.

--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -162,6 +162,7 @@
     'zone': 'a',
     'state': 'ready',
     'slots': 64,
+    'cold-remaining-ms': 0,
     'stage': 'prefill',
     'spot': True,
     'born': 1767821970570,
@@ -206,6 +207,30 @@
     assert [each.identity for each in endpoints] == ['i-1']
 
 
+@pytest.mark.parametrize(
+    'unreadable',
+    [
+        b'{"id": "\xff\xfe", "service": "llm"}',
+        b'{"id": "\\ud800", "service": "llm"}',
+        b'{"id": "x-1", "slots": %b}' % (b'9' * 400),
+        b'{"id": "x-1", "slots": }',
+        b'{"id": "x-1", "models": [{"name": "m"',
+        b'"x-{1"',
+        b'\xff',
+        b'{"id": "x-1", %b}' % bytes(range(1, 32)),
+    ],
+)
+@pytest.mark.parametrize('position', [0, 1, 2])
+def test_entry_that_cannot_be_read_hides_no_other(unreadable: bytes, position: int) -> None:
+    """Guards against a list that is refused as a whole, so that leaving workers are used on."""
+    workers = [json.dumps({**WORKER, 'id': name}).encode() for name in ('i-1', 'i-2')]
+    workers.insert(position, unreadable)
+    content = b'{"instances":[%b],"next-token":"p-50"}' % b','.join(workers)
+    endpoints, token = ListingParser().parse_page(content)
+    assert [each.identity for each in endpoints] == ['i-1', 'i-2']
+    assert token == 'p-50'
+
+
 def test_invalid_page_is_an_error() -> None:
     """Guards against an invalid page that is taken for an empty list."""
     with pytest.raises(ShallotmuxError):
