Use no list entry that lacks a field which each entry has

Cause: version, slots and remaining warm-up time had defaults, so that an entry of another writer without them was taken for an endpoint.

Change: they are required.

Failed before: three cases of tests/platform/test_adapter.py.

--- a/shallotmux/platform/_listing.py
+++ b/shallotmux/platform/_listing.py
@@ -23,15 +23,16 @@
 
 
 class _Worker(msgspec.Struct, rename='kebab'):
+    # Fields without a default are in every entry; one that lacks them comes from another writer.
     id: str
     service: str
     address: str
     zone: str
     state: str
-    slots: int = 0
-    cold_remaining_ms: float = 0.0
+    slots: int
+    cold_remaining_ms: float
     # Version of the worker's software; the versions of its model weights are listed by model.
-    version: str = ''
+    version: str
     stage: str = ''
     spot: bool = False
     # Unix time of the start in milliseconds; it changes when a worker restarts under the same id.
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -207,6 +207,14 @@
     assert [each.identity for each in endpoints] == ['i-1']
 
 
+@pytest.mark.parametrize('missing', ['version', 'slots', 'cold-remaining-ms', 'zone', 'state'])
+def test_entry_without_a_field_that_each_has_is_skipped(missing: str) -> None:
+    """Guards against a server of another writer that is used as a worker."""
+    incomplete = {name: field for name, field in WORKER.items() if name != missing}
+    endpoints, _ = ListingParser().parse_page(make_page({**incomplete, 'id': 'x-1'}, WORKER))
+    assert [each.identity for each in endpoints] == ['i-1']
+
+
 @pytest.mark.parametrize(
     'unreadable',
     [
