Promote the successor of a silent voter before that one is removed

Cause: the silent voter was removed a step before its successor was promoted. In between, the group had two voters and needed both; the one that lost its disk takes a new identity, and the one that returned was no member any more.

Change: promote first, then remove; of voters beyond the target number, the longest silent one goes.

--- a/shallotmux/control/_group_changes.py
+++ b/shallotmux/control/_group_changes.py
@@ -30,7 +30,7 @@
     """Timeouts without an answer from a member, in seconds.
 
     :param live_timeout_s: age of the last answer up to which a follower counts as live.
-    :param replace_after_s: time after which a silent voter is removed in favour of a learner. It
+    :param replace_after_s: time after which a silent voter is replaced by a learner. It
         exceeds the pauses from which machines usually recover.
     :param remove_after_s: time after which a silent learner is removed.
     """
@@ -74,6 +74,10 @@
         status = self.followers.get(identity)
         return status is not None and self.now - status.acked_at <= self.timeouts.live_timeout_s
 
+    def is_lost(self, identity: str) -> bool:
+        """Return whether a voter has been silent for so long that it is replaced."""
+        return self.silence_s(identity) >= self.timeouts.replace_after_s
+
     def is_caught_up(self, identity: str) -> bool:
         """Return whether the log of a member is nearly complete."""
         status = self.followers.get(identity)
@@ -95,12 +99,16 @@
 
     The old identity of a member that lost its disk is removed first, since its vote is lost and it
     must never vote again. New members are added as learners and promoted once they caught up.
+
+    A silent voter is removed only after its successor was promoted. With the removal first, a group of
+    three would have two voters for a moment, both of them needed: if one lost its disk then, no leader
+    could be elected again, although the silent one comes back with its disk.
     """
     steps = (
         _remove_replaced_identity,
         _add_learner,
+        _remove_surplus_voter,
         _promote_learner,
-        _remove_lost_voter,
         _remove_lost_learner,
     )
     changes = (step(view) for step in steps)
@@ -131,21 +139,21 @@
 
 
 def _promote_learner(view: ControlGroupView) -> MembershipChange | None:
+    """Promote a learner that caught up, to reach the target or to replace a lost voter."""
     ready = _ready_learners(view)
-    if ready and len(view.configuration.voters) < view.target_voters:
+    voters = view.configuration.voters
+    if ready and (len(voters) < view.target_voters or any(map(view.is_lost, voters))):
         return PromoteLearner(ready[0])
     return None
 
 
-def _remove_lost_voter(view: ControlGroupView) -> MembershipChange | None:
-    """Remove a lost voter when a learner can replace it."""
-    if not _ready_learners(view):
+def _remove_surplus_voter(view: ControlGroupView) -> MembershipChange | None:
+    """Remove the voter that has been silent for the longest time while there are too many."""
+    voters = view.configuration.voters
+    if len(voters) <= view.target_voters:
         return None
-    for voter in sorted(view.configuration.voters):
-        is_lost = view.silence_s(voter) >= view.timeouts.replace_after_s
-        if is_lost and _keeps_quorum(view, voter):
-            return RemoveMember(voter)
-    return None
+    removable = [each for each in sorted(voters) if _keeps_quorum(view, each)]
+    return RemoveMember(max(removable, key=view.silence_s)) if removable else None
 
 
 def _remove_lost_learner(view: ControlGroupView) -> MembershipChange | None:
