Divide the retry slack by the largest recent number of instances

Cause: an instance's share is the slack divided by the number of instances that a control instance names. One that has just started names one to the first that polls it, two to the second, and so on: shares of eight instances add up to 2.7 times the slack. A restarted instance took a share beside what it had used.

Change: divide by the largest number seen within a window; no share of the slack for a window after the start.

--- a/shallotmux/forwarding/_budget.py
+++ b/shallotmux/forwarding/_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -45,16 +46,31 @@
 class SharedRetryBudget:
     """Counts requests and retries by service, in a sliding window.
 
+    The slack is divided by the largest number of instances seen within a window. A control instance
+    that has just started names only those that have polled it, and a share that grew at once would be
+    added to what the instances that left have used.
+
     :param instances: returns the number of instances that share the budget.
+    :param started_at: local time at which this instance started. What it used before is not known, so
+        it has no share of the slack until a window has passed.
     """
 
-    def __init__(self, limits: RetryBudgetLimits, instances: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        limits: RetryBudgetLimits,
+        instances: Callable[[], int],
+        started_at: float = -math.inf,
+    ) -> None:
         self._limits = limits
         self._instances = instances
+        self._started_at = started_at
+        #: Times and numbers of instances, each larger than all later ones.
+        self._seen: deque[tuple[float, int]] = deque()
         self._counts: dict[str, _ServiceCounts] = defaultdict(_ServiceCounts)
 
     def record_request(self, service: str) -> None:
         """Count a request from a caller."""
+        self._largest_fleet()
         self._current_counts(service).requests.append(trio.current_time())
 
     def charge(self, service: str) -> None:
@@ -72,8 +88,7 @@
         """
         counts = self._current_counts(service)
         limits = self._limits
-        share = limits.slack / max(1, self._instances())
-        allowed = usable_fraction * (limits.ratio * len(counts.requests) + share)
+        allowed = usable_fraction * (limits.ratio * len(counts.requests) + self._slack_share())
         return len(counts.retries) + 1 <= allowed
 
     def try_spend(self, service: str) -> bool:
@@ -83,6 +98,23 @@
         self.charge(service)
         return True
 
+    def _slack_share(self) -> float:
+        """Return this instance's share of the slack."""
+        fleet = self._largest_fleet()
+        if trio.current_time() - self._started_at < self._limits.window_s:
+            return 0
+        return self._limits.slack / fleet
+
+    def _largest_fleet(self) -> int:
+        """Return the largest number of instances seen within the last window."""
+        now, count = trio.current_time(), max(1, self._instances())
+        while self._seen and self._seen[-1][1] <= count:
+            self._seen.pop()
+        self._seen.append((now, count))
+        while self._seen[0][0] < now - self._limits.window_s:
+            self._seen.popleft()
+        return self._seen[0][1]
+
     def _current_counts(self, service: str) -> _ServiceCounts:
         counts = self._counts[service]
         counts.drop_before(trio.current_time() - self._limits.window_s)
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -146,7 +146,9 @@
                 adapter.dialect,
                 self._pool,
                 self._directory,
-                SharedRetryBudget(settings.retry_budget, lambda: self.view.instances),
+                SharedRetryBudget(
+                    settings.retry_budget, lambda: self.view.instances, trio.current_time()
+                ),
                 self._count_run_started,
                 self._load_sharing.tokens_at,
                 self.metrics,
