--- a/shallotmux/checking/processes/_child.py
+++ b/shallotmux/checking/processes/_child.py
@@ -81,6 +81,11 @@
         """Return the exit code, negative for a signal, or None while the process runs."""
         return self._process.returncode
 
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._process.pid
+
     def send_signal(self, signum: int) -> None:
         """Send a signal unless the process has exited."""
         if self._process.returncode is None:
--- a/shallotmux/checking/programs/__init__.py
+++ b/shallotmux/checking/programs/__init__.py
@@ -2,8 +2,19 @@
 
 from __future__ import annotations
 
+from shallotmux.checking.programs._callers import Operator
+from shallotmux.checking.programs._deployment import ControlGroup
 from shallotmux.checking.programs._promises import find_violations
 from shallotmux.checking.programs._records import Arrival, Call, Disruption, Records
 from shallotmux.checking.programs._soak import run_soak
 
-__all__ = ('Arrival', 'Call', 'Disruption', 'Records', 'find_violations', 'run_soak')
+__all__ = (
+    'Arrival',
+    'Call',
+    'ControlGroup',
+    'Disruption',
+    'Operator',
+    'Records',
+    'find_violations',
+    'run_soak',
+)
--- a/shallotmux/checking/programs/_deployment.py
+++ b/shallotmux/checking/programs/_deployment.py
@@ -105,11 +105,15 @@
 
     def start_all(self) -> None:
         """Start all instances and keep them running."""
-        for instance in self.instances.values():
-            self.nursery.start_soon(self._keep_running, instance)
+        for each in self.instances:
+            self.keep_running(each)
         for name in ENTRY_NAMES:
             self.nursery.start_soon(self._watch_readiness, self.instances[name])
 
+    def keep_running(self, name: str) -> None:
+        """Start an instance, and start it again whenever it ends."""
+        self.nursery.start_soon(self._keep_running, self.instances[name])
+
     def ready_entries(self) -> list[tuple[str, str]]:
         """Return name and address of the entry instances that are in rotation."""
         entries = (self.instances[name] for name in ENTRY_NAMES)
@@ -234,3 +238,54 @@
     except (OSError, trio.BrokenResourceError):
         return False
     return False
+
+
+class ControlGroup:
+    """Control instances alone.
+
+    :param build: repository whose programs are run; None for this one.
+    """
+
+    def __init__(
+        self, nursery: trio.Nursery, folder: Path, records: Records, build: Path | None = None
+    ) -> None:
+        network = choose_network()
+        builds = (build.resolve() if build else ROOT,)
+        # Nothing listens at the address of the platform.
+        platform = f'{network}.250:9'
+        self._deployment = Deployment(
+            nursery, folder, records, platform, network, builds, Random(1)
+        )
+        self.names = CONTROL_NAMES
+
+    async def start(self) -> None:
+        """Start all instances."""
+        self._deployment.prepare()
+        for name in self.names:
+            self._deployment.keep_running(name)
+        await trio.sleep(1)
+
+    def operator_addresses(self) -> list[str]:
+        """Return the addresses for operators."""
+        return self._deployment.operator_addresses()
+
+    def folder(self, name: str) -> Path:
+        """Return the data folder of an instance."""
+        return Path(self._deployment.instances[name].settings.folder)
+
+    def pid(self, name: str) -> int:
+        """Return the process id of an instance, 0 if it does not run."""
+        child = self._deployment.instances[name].child
+        return child.pid if child is not None and child.exit_code is None else 0
+
+    def kill(self, name: str) -> None:
+        """Kill the process of an instance; it starts again."""
+        self._deployment.kill(name)
+
+    async def pause(self, name: str, duration_s: float) -> None:
+        """Let the process of an instance stand still for a time."""
+        await self._deployment.pause(name, duration_s)
+
+    def close(self) -> None:
+        """End all processes."""
+        self._deployment.close()
