--- a/shallotmux/measure/control_memory.py
+++ b/shallotmux/measure/control_memory.py
@@ -33,9 +33,7 @@
     except OSError:
         return 0
     sizes = {
-        name: int(text.split()[0]) << 10
-        for name, _, text in (each.partition(':') for each in lines)
-        if text.endswith('kB')
+        line.partition(':')[0]: int(line.split()[1]) << 10 for line in lines if line.endswith('kB')
     }
     return max(0, sizes.get('VmHWM', 0) - sizes.get('RssFile', 0) - sizes.get('RssShmem', 0))
 
@@ -81,8 +79,7 @@
             peaks = Peaks(group)
             nursery.start_soon(peaks.watch)
             await group.start()
-            click.echo('| phase | peak memory, MB | data folder, MB |')
-            click.echo('| --- | --- | --- |')
+            click.echo('| phase | peak memory, MB | data folder, MB |\n| --- | --- | --- |')
             await _put(operator, size, changes)
             peaks.report(f'{changes} changes of {size / MEBIBYTE:.2f} MB')
             await _restart_all(group, operator, records)
