Follow changed header limits on kept connections

Cause: the parser got the limit of the moment at which the connection was opened.

Change: a request whose first bytes arrive under another limit gets a new parser; bytes that were read ahead move on to it.

Failed before: tests/forwarding/test_header_limits.py, the raised limit.

--- a/shallotmux/forwarding/_listener.py
+++ b/shallotmux/forwarding/_listener.py
@@ -133,9 +133,8 @@
     def __init__(self, listener: HttpListener, stream: trio.SocketStream) -> None:
         self.listener = listener
         self.stream = stream
-        self.protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=listener.limits().header_bytes
-        )
+        self._header_bytes = listener.limits().header_bytes
+        self.protocol = _new_protocol(self._header_bytes)
         self._is_idle = True
         #: Bytes of the present request's body that were read.
         self._body_bytes = 0
@@ -203,6 +202,7 @@
         """Wait for the first byte of a request; returns whether it arrived."""
         if self.protocol.trailing_data[0]:
             self._is_idle = False
+            self._adopt_limits()
             return True
         if self.listener.is_closed:
             # The last answer may have begun before the drain, without announcing the close.
@@ -211,8 +211,7 @@
         self._idle_scope = trio.move_on_after(limits.idle_timeout_s)
         with self._idle_scope:
             content = await self.stream.receive_some(MAX_READ_BYTES)
-            self._is_idle = False
-            self.protocol.receive_data(content)
+            self._begin(content)
             return bool(content)
         return self.listener.is_closed and await self._read_waiting()
 
@@ -226,9 +225,25 @@
         if not poll.poll(0):
             return False
         content = await self.stream.receive_some(MAX_READ_BYTES)
+        self._begin(content)
+        return bool(content)
+
+    def _begin(self, content: bytes | bytearray) -> None:
+        """Take the first bytes of a request."""
         self._is_idle = False
+        self._adopt_limits()
         self.protocol.receive_data(content)
-        return bool(content)
+
+    def _adopt_limits(self) -> None:
+        """Replace the parser if the limit of a head has changed since the connection was opened."""
+        header_bytes = self.listener.limits().header_bytes
+        if header_bytes == self._header_bytes:
+            return
+        self._header_bytes = header_bytes
+        ahead = self.protocol.trailing_data[0]
+        self.protocol = _new_protocol(header_bytes)
+        if ahead:
+            self.protocol.receive_data(ahead)
 
     async def _read_request(self) -> CallerRequest:
         limits = self.listener.limits()
@@ -340,6 +355,10 @@
 _LINGER_S = 0.5
 
 
+def _new_protocol(header_bytes: int) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
+
+
 class CallerReply:
     """Sends the answer to one request of a caller."""
 
