--- a/shallotmux/forwarding/_listener.py
+++ b/shallotmux/forwarding/_listener.py
@@ -232,7 +232,7 @@
         """Take the first bytes of a request."""
         self._is_idle = False
         self._adopt_limits()
-        self.protocol.receive_data(content)
+        self.protocol.receive_data(bytes(content))
 
     def _adopt_limits(self) -> None:
         """Replace the parser if the limit of a head has changed since the connection was opened."""
