Give up error bodies of engines that do not end

What callers would see: an instance of the daemon that runs out of memory, and all requests on it with that (reported by other operators; not met here).

Cause: the client of the engine protocol read the body of an error response whatever its length, to find out whether the request ran. It was the last place that read an answer of an endpoint without a limit; reports, pages, orders and the forwarding path have had one.

Change: 64 KiB, beyond which the response says nothing; the request counts as possibly run.

--- a/shallotmux/engines/_client.py
+++ b/shallotmux/engines/_client.py
@@ -10,9 +10,19 @@
 import msgspec
 
 from shallotmux.errors import EndpointError, EndpointRefused
-from shallotmux.http import JSON_TYPE, HttpClient, HttpRequest, HttpResponse, fetch
+from shallotmux.http import (
+    JSON_TYPE,
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    fetch,
+    read_response_body,
+)
 from shallotmux.world import Endpoint
 
+#: Maximum size of the body of an error response. An engine in trouble may send bytes without end.
+MAX_ERROR_BYTES = 64 << 10
+
 #: Maximum size of a load report or a page of cache events.
 MAX_REPORT_BYTES = 1_048_576
 
@@ -162,11 +172,11 @@
 
 async def _build_error(endpoint: Endpoint, response: HttpResponse) -> EndpointError:
     """Return the exception for an error response, by whether the request certainly did not run."""
-    body = b''.join([chunk async for chunk in response.chunks()])
     message = f'engine answered {response.status}'
     try:
+        body = await read_response_body(response, MAX_ERROR_BYTES, endpoint.name)
         not_run = msgspec.json.decode(body).get('not_run') is True
-    except (msgspec.MsgspecError, AttributeError):
+    except (EndpointError, msgspec.MsgspecError, AttributeError):
         not_run = False
     if not_run:
         return EndpointRefused(message, step='dispatch', peer=endpoint.name)
--- a/shallotmux/http/__init__.py
+++ b/shallotmux/http/__init__.py
@@ -27,6 +27,7 @@
     HttpcoreClient,
     HttpResponse,
     fetch,
+    read_response_body,
 )
 from shallotmux.http._multiplexing import BodyRelay, open_relay
 from shallotmux.http._relay_client import RelayClient
@@ -53,6 +54,7 @@
     'Scope',
     'Send',
     'fetch',
+    'read_response_body',
     'find_header',
     'open_relay',
     'read_body',
--- a/shallotmux/http/_client.py
+++ b/shallotmux/http/_client.py
@@ -158,14 +158,21 @@
     :raises EndpointRefused: if no byte of the request was sent.
     :raises EndpointError: if the connection fails or the body exceeds the limit.
     """
+    async with client.stream(request) as response:
+        return response.status, await read_response_body(response, limit_bytes, request.address)
+
+
+async def read_response_body(response: HttpResponse, limit_bytes: int, peer: str) -> bytes:
+    """Return the body of a response.
+
+    :param limit_bytes: its maximum size.
+    :raises EndpointError: if the connection fails or the body exceeds the limit.
+    """
     chunks: list[bytes] = []
     size = 0
-    async with client.stream(request) as response:
-        async for chunk in response.chunks():
-            size += len(chunk)
-            if size > limit_bytes:
-                raise EndpointError(
-                    f'response exceeds {limit_bytes} bytes', step='stream', peer=request.address
-                )
-            chunks.append(chunk)
-        return response.status, b''.join(chunks)
+    async for chunk in response.chunks():
+        size += len(chunk)
+        if size > limit_bytes:
+            raise EndpointError(f'response exceeds {limit_bytes} bytes', step='stream', peer=peer)
+        chunks.append(chunk)
+    return b''.join(chunks)
