--- a/tests/guards/__main__.py
+++ b/tests/guards/__main__.py
@@ -16,10 +16,11 @@
 from tests.guards.forwarded import FORWARDING_GUARDS
 from tests.guards.ratelimits import LIMIT_GUARDS
 from tests.guards.reach import REACH_GUARDS
+from tests.guards.sizes import SIZE_GUARDS
 from tests.guards.streams import STREAM_GUARDS, VERSION_GUARDS
 
 ROOT = Path(__file__).resolve().parents[2]
-COPIED_PATHS = ('shallotmux', 'tests', 'examples', 'docs', 'pyproject.toml', 'Makefile')
+COPIED_PATHS = ('shallotmux', 'deploy', 'tests', 'examples', 'docs', 'pyproject.toml', 'Makefile')
 TEST_TIMEOUT_S = 120
 
 
@@ -64,6 +65,7 @@
         *CRASH_GUARDS,
         *LIMIT_GUARDS,
         *REACH_GUARDS,
+        *SIZE_GUARDS,
         *STREAM_GUARDS,
         *VERSION_GUARDS,
     )
