Let the kill check take a stream with its end marker for finished

Cause: the check's own reader. The caller had the whole stream with its end marker, so that nothing was missing or doubled.

--- a/shallotmux/checking/processes/_callers.py
+++ b/shallotmux/checking/processes/_callers.py
@@ -74,22 +74,34 @@
     response_id: str = ''
     events: list[bytes] = field(default_factory=list)
     problem: str = ''
+    #: Instances through which the stream was read, with the events received before.
+    attempts: list[tuple[str, int]] = field(default_factory=list)
 
     async def attempt(self, name: str) -> Outcome:
         """Start or resume the stream through one instance, and read it to its end."""
+        self.attempts.append((name, len(self.events)))
         try:
             async with self.cluster.client.stream(self._request(name)) as response:
                 return await self._read(name, response)
         except EndpointRefused as error:
             return self._record_failure(Outcome.NOT_RUN, error.message)
         except EndpointError as error:
+            if self.events and self.events[-1] == DONE_MARKER:
+                # The connection broke between the end marker and the last chunk; nothing is missing.
+                return Outcome.DONE
             return self._record_failure(Outcome.BROKEN, f'{name}: {error.message}')
 
-    def is_expected(self) -> bool:
-        """Return whether the received events are the output of the engine."""
+    def find_difference(self) -> str:
+        """Return how the received events differ from the output of the engine; empty if they do not."""
         body = chat_body(self.prompt, self.tokens)
-        joined = b''.join(event + EVENT_SEPARATOR for event in self.events)
-        return joined == expected_stream(body, self.response_id, self.tokens)
+        expected = expected_stream(body, self.response_id, self.tokens).split(EVENT_SEPARATOR)[:-1]
+        if self.events == expected:
+            return ''
+        pairs = enumerate(zip(self.events, expected, strict=False))
+        first = next((number for number, (one, other) in pairs if one != other), None)
+        position = min(len(self.events), len(expected)) if first is None else first
+        found, wanted = self.events[position : position + 1], expected[position : position + 1]
+        return f'{len(self.events)} events, event {position} is {found} and not {wanted}'
 
     def _request(self, name: str) -> HttpRequest:
         headers = {'authorization': f'Bearer {self.secret}'}
@@ -171,8 +183,12 @@
 
     def _check(self, reader: StreamReader) -> None:
         self.finished += 1
-        if not reader.is_expected():
-            self.violations.append(f'{reader.prompt} differs from the output of the engine')
+        difference = reader.find_difference()
+        if difference:
+            self.violations.append(
+                f'{reader.prompt} differs from the output of the engine: {difference}, '
+                f'attempts {reader.attempts}'
+            )
 
     def _may_retry(self, reader: StreamReader, outcome: Outcome, name: str) -> bool:
         if reader.problem == 'invalid_api_key':
