--- a/shallotmux/forwarding/_budget.py
+++ b/shallotmux/forwarding/_budget.py
@@ -13,6 +13,10 @@
 #: windows that are not aligned and changes in the number of instances.
 USABLE_FRACTION = 0.6
 
+#: Fraction of its usual share that an instance reaches at the end of its first window. Together with
+#: what its predecessor may have used in that window, it is the whole share.
+START_FRACTION = (1 - USABLE_FRACTION) / USABLE_FRACTION
+
 #: Fraction of the budget up to which prompts are still sent to prefill engines. A refused prefill
 #: counts as a retry, but few are refused, and prefill on a decode engine delays all its streams.
 PREFILL_FRACTION = 0.9
@@ -52,7 +56,7 @@
 
     :param instances: returns the number of instances that share the budget.
     :param started_at: local time at which this instance started. What it used before is not known, so
-        it has no share of the slack until a window has passed.
+        its share of the slack grows from nothing until a window has passed.
     """
 
     def __init__(
@@ -101,9 +105,9 @@
     def _slack_share(self) -> float:
         """Return this instance's share of the slack."""
         fleet = self._largest_fleet()
-        if trio.current_time() - self._started_at < self._limits.window_s:
-            return 0
-        return self._limits.slack / fleet
+        share = self._limits.slack / fleet
+        age = (trio.current_time() - self._started_at) / self._limits.window_s
+        return share if age >= 1 else share * age * START_FRACTION
 
     def _largest_fleet(self) -> int:
         """Return the largest number of instances seen within the last window."""
--- a/tests/guards/sizes.py
+++ b/tests/guards/sizes.py
@@ -112,8 +112,8 @@
     Guard(
         'retry-budget (start)',
         'shallotmux/forwarding/_budget.py',
-        'if trio.current_time() - self._started_at < self._limits.window_s:',
-        'if False:',
+        'return share if age >= 1 else share * age * START_FRACTION',
+        'return share',
         (BUDGET,),
     ),
     Guard(
