Bound the search for objects without an end in a list page

Found on reading the change: a page of many unclosed braces made the tolerant parser read the whole page once for each, on the event loop. After 64 of them the page is refused as a whole, as any page that cannot be read was before. tests/platform/test_adapter.py has a page of 200,000.

--- a/shallotmux/platform/_listing.py
+++ b/shallotmux/platform/_listing.py
@@ -22,6 +22,10 @@
 STATES = {'ready': False, 'draining': True}
 
 
+#: Objects without an end that are passed over in a page. The search for each end reads the whole page.
+MAX_UNENDED_OBJECTS = 64
+
+
 class _Worker(msgspec.Struct, rename='kebab'):
     # Fields without a default are in every entry; one that lacks them comes from another writer.
     id: str
@@ -123,10 +127,17 @@
 
 
 def _find_objects(content: bytes, position: int) -> Iterator[bytes]:
-    """Yield the outermost objects from a position on; an object without an end is passed over."""
+    """Yield the outermost objects from a position on; an object without an end is passed over.
+
+    :raises msgspec.DecodeError: if more than :data:`MAX_UNENDED_OBJECTS` have no end.
+    """
+    unended = 0
     start = content.find(b'{', position)
     while start != -1:
         end = _find_end(content, start)
+        unended += end is None
+        if unended > MAX_UNENDED_OBJECTS:
+            raise msgspec.DecodeError('too many objects have no end')
         if end is not None:
             yield content[start:end]
         start = content.find(b'{', start + 1 if end is None else end)
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -240,6 +240,13 @@
     assert token == 'p-50'
 
 
+def test_page_of_unended_objects_is_given_up() -> None:
+    """Guards against a page whose parsing occupies an instance for minutes."""
+    content = b'{"instances":[%b],"next-token":null}' % (b'{' * 200_000)
+    with pytest.raises(ShallotmuxError, match='have no end'):
+        ListingParser().parse_page(content)
+
+
 def test_invalid_page_is_an_error() -> None:
     """Guards against an invalid page that is taken for an empty list."""
     with pytest.raises(ShallotmuxError):
