Take the peer ports of test clusters from outside the system's range

Peer ports were reserved by the system and released again, and the listeners of daemons that start earlier get their ports by the system too, so that one of them may take it.

--- a/shallotmux/checking/processes/_cluster.py
+++ b/shallotmux/checking/processes/_cluster.py
@@ -5,10 +5,9 @@
 import json
 import re
 import signal
-import socket
 from collections import Counter
-from collections.abc import AsyncIterator, Iterator
-from contextlib import ExitStack, asynccontextmanager, contextmanager
+from collections.abc import AsyncIterator, Iterator, Sequence
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 from itertools import count
 from pathlib import Path
@@ -47,6 +46,9 @@
 #: Number of values of an address byte; the first and the last value are not used.
 BYTE_VALUES = 256
 
+#: Port of the first instance for its peers, below the range from which systems choose ports.
+FIRST_PEER_PORT = 17_700
+
 #: Attempts to start a daemon before its ports are considered unavailable.
 START_ATTEMPTS = 5
 
@@ -64,15 +66,13 @@
     return '127.{0}.{1}.{2}'.format(*parts)
 
 
-def reserve_addresses(host: str, count: int) -> list[str]:
-    """Return addresses with ports that are currently free."""
-    with ExitStack() as stack:
-        addresses = []
-        for _ in range(count):
-            reserved = stack.enter_context(socket.socket())
-            reserved.bind((host, 0))
-            addresses.append('{0}:{1}'.format(*reserved.getsockname()))
-        return addresses
+def choose_peer_addresses(host: str, names: Sequence[str]) -> dict[str, str]:
+    """Return the address of each instance for its peers.
+
+    Daemons choose their other ports by the system. If a peer port came from the same range, a daemon
+    that starts earlier could take the one of a later daemon, which then could not start.
+    """
+    return {name: f'{host}:{FIRST_PEER_PORT + number}' for number, name in enumerate(names)}
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,10 +128,8 @@
         self.engines = addresses
 
     async def start_daemons(self) -> None:
-        """Start all daemons with empty data folders on reserved peer ports."""
-        self.peers = dict(
-            zip(INSTANCE_NAMES, reserve_addresses(self.host, len(INSTANCE_NAMES)), strict=True)
-        )
+        """Start all daemons with empty data folders."""
+        self.peers = choose_peer_addresses(self.host, INSTANCE_NAMES)
         await self.start(INSTANCE_NAMES[0], *GROUP_NAMES)
         for name in INSTANCE_NAMES[1:]:
             await self.start(name)
