Survive a peer whose connection ends while it is opened

The traceback on standard error: AttributeError: 'Connection' object has no attribute '_transport'.

Cause: grpclib removes the transport of a connection that has ended. If a peer is killed, or resets the connection, between the moment at which it is open and the one at which the channel sets its socket option, the access raises AttributeError. The caller named OSError and errors of gRPC, so the error went through the poll and its nursery and ended the process. The same holds for streams between control instances.

Change: a connection that has ended while it was opened raises ConnectionResetError. And every error that grpclib raises during a call or a stream counts as the failure of that call or stream: beside its own errors, it passes on those of h2 and protobuf, and an error about one peer must not end a process that serves others.

--- a/shallotmux/transport/_grpc.py
+++ b/shallotmux/transport/_grpc.py
@@ -10,7 +10,7 @@
 import trio
 import trio_asyncio
 from grpclib.const import Status
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 
 from shallotmux.addresses import split_address
@@ -185,14 +185,15 @@
         headers = {NAME_HEADER: self._name}
         try:
             stub = await asyncio.wait_for(link.open_call_stub(), timeout_s)
-        except (OSError, asyncio.TimeoutError) as error:
+        except Exception as error:
+            # See PeerLink.connect: grpclib raises errors of many kinds.
             link.close_call_channel()
             raise AuthorityUnavailable(
                 f'cannot connect: {error!r}', step='forward', peer=peer
             ) from error
         try:
             return await stub.Forward(request, timeout=timeout_s, metadata=headers)
-        except (OSError, GRPCError, StreamTerminatedError, asyncio.TimeoutError) as error:
+        except Exception as error:
             # The connection may be dead, so close it; this also ends other calls on it.
             link.close_call_channel()
             raise OutcomeUnknown(f'no answer: {error!r}', step='forward', peer=peer) from error
--- a/shallotmux/transport/_link.py
+++ b/shallotmux/transport/_link.py
@@ -13,7 +13,7 @@
 from eliot import log_message
 from grpclib.client import Channel
 from grpclib.config import Configuration
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import StreamTerminatedError
 
 from shallotmux.addresses import split_address
 from shallotmux.transport import _peer_pb2 as wire
@@ -55,15 +55,6 @@
 #: Header with the sender's name; a certificate, if there is one, must contain the same name.
 NAME_HEADER = 'shallotmux-instance'
 
-#: Errors that end a stream or prevent it from being opened.
-STREAM_ERRORS = (
-    OSError,
-    GRPCError,
-    StreamTerminatedError,
-    ssl.SSLError,
-    asyncio.TimeoutError,
-)
-
 Deliver = Callable[[str, Any], None]
 
 
@@ -141,6 +132,9 @@
         if self._is_closed:
             protocol.processor.close()
             raise ConnectionAbortedError('the channel was closed')
+        if protocol.connection.is_closing():
+            # A connection that has ended does not have a transport any more.
+            raise ConnectionResetError('the connection ended while it was opened')
         sock = protocol.connection.get_peer()._transport.get_extra_info('socket')  # noqa: SLF001
         set_user_timeout(sock)
         return protocol
@@ -218,7 +212,9 @@
                 try:
                     await self._open_and_run_stream()
                     backoff = INITIAL_BACKOFF_S
-                except STREAM_ERRORS as error:
+                except Exception as error:
+                    # Beside its own errors, grpclib raises AttributeError and those of the libraries
+                    # below it when a connection ends, or a peer sends something else than HTTP/2.
                     log_message(
                         message_type='shallotmux:peer-stream-broken',
                         peer=self._peer,
