Log the errors that end a process

An error that left the program was written to standard error by the interpreter, as a traceback, and nowhere else. The log, which is what the on-call engineer has, showed a process that stops after an ordinary line.

Refused settings, which end the process with exit code 2, have one as well.

Before, on and on, the three cases of tests/platform/test_process.py fail: AssertionError: process exited before it logged shallotmux:process-failed

--- a/shallotmux/platform/__main__.py
+++ b/shallotmux/platform/__main__.py
@@ -23,6 +23,7 @@
     ProgramLifecycle,
     ProgramRole,
     ProgramSettings,
+    log_fatal_errors,
     run_control,
     write_log_lines,
 )
@@ -58,7 +59,8 @@
     exit_code = 0
     with write_log_lines(sys.stdout.fileno()):
         try:
-            trio.run(run, signals)
+            with log_fatal_errors():
+                trio.run(run, signals)
         except* SettingsError as errors:
             sys.stderr.write(f'{errors.exceptions[0]}\n')
             exit_code = 2
--- a/shallotmux/programs/__init__.py
+++ b/shallotmux/programs/__init__.py
@@ -4,6 +4,7 @@
 
 from shallotmux.programs._control import ControlAdapter, ControlProgram, run_control
 from shallotmux.programs._entry import EntryAdapter, EntryProgram
+from shallotmux.programs._failures import log_fatal_errors
 from shallotmux.programs._lifecycle import LoadSettings, ProgramLifecycle
 from shallotmux.programs._log_lines import write_log_lines
 from shallotmux.programs._settings import (
@@ -24,6 +25,7 @@
     'ProgramRole',
     'ProgramSettings',
     'ProgramTimes',
+    'log_fatal_errors',
     'run_control',
     'write_log_lines',
 )
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -133,6 +133,30 @@
             assert await process.exit_code() == 0
 
 
+@pytest.mark.parametrize('role', ['control', 'front'])
+async def test_error_that_ends_the_process_is_a_log_line(tmp_path: Path, role: str) -> None:
+    """Guards against a process that ends without a cause in its log.
+
+    The interpreter writes the traceback to standard error only, beside the log.
+    """
+    # An address for documentation, which no machine has.
+    with start_program(tmp_path, '192.0.2.1', role) as process:
+        entry = await process.read_message('shallotmux:process-failed')
+        assert await process.exit_code() == 1
+    assert entry['error_type'] == 'OSError'
+    assert 'assign requested address' in entry['error']
+    assert 'create_server' in entry['place']
+
+
+async def test_invalid_settings_that_end_the_process_are_a_log_line(tmp_path: Path) -> None:
+    """Guards against a process that refuses its settings without a cause in its log."""
+    variables = {'SHALLOTMUX_SETTINGS': str(tmp_path / 'missing.json')}
+    with start_process(LAUNCHER, environment=variables) as process:
+        entry = await process.read_message('shallotmux:process-failed')
+        assert await process.exit_code() == 2
+    assert entry['error_type'] == 'SettingsError'
+
+
 async def put_document(host: str) -> None:
     """Submit a document, whose write to the disk fails; no answer is awaited."""
     body = json.dumps({'version': 1, 'routes': [], 'services': []}).encode()
