Keep one odd entry of the list from ending a process

Callers saw: with one odd entry in the platform's list, all control processes ended, again after each restart, and entry processes with them once they read the list themselves; then no request and no change was answered. An entry of 100,000 nested arrays did it, as did a valid entry with a further field of 50,000 nested objects.

Cause: the decoder raises RecursionError beyond a nesting of about a thousand. The parser of the list named two kinds of error and not this one, and nothing above it caught the rest. The same class of fault: what others send decides how deep, long or large something of ours gets.

Change: the errors that decoding can raise are named once, in shallotmux/decoding.py. A page that cannot be decoded as a whole is read by platform/_entries.py, which follows strings, braces and brackets without recursion, in time linear in the page, and takes an object for an entry only where an element of the list can stand. A page of 64 KiB or more is parsed in a thread. The lines for odd entries are bounded for each page. The token of the next page is quoted in the URL and bounded.

--- a/shallotmux/platform/_client.py
+++ b/shallotmux/platform/_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from urllib.parse import quote
 
 import httpcore
 import trio
@@ -10,7 +11,7 @@
 from shallotmux.calls import read_bounded
 from shallotmux.errors import ShallotmuxError
 from shallotmux.fleet import ListedEndpoint, Listing
-from shallotmux.platform._listing import ListingParser
+from shallotmux.platform._listing import ParsedPage, RefusalLog, parse_page
 
 #: Timeout of each phase of a call: connect, read, write and acquiring a connection.
 CALL_TIMEOUT_S = 1.0
@@ -20,6 +21,9 @@
 PAGE_TIMEOUT_S = 2.0
 MAX_PAGE_BYTES = 4 << 20
 
+#: Size from which a page is parsed beside the event loop. Smaller ones take a few milliseconds at most.
+LARGE_PAGE_BYTES = 65_536
+
 #: Number of pages beyond which a list is invalid, so that a repeating token cannot loop forever.
 MAX_PAGES = 1000
 
@@ -55,7 +59,7 @@
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=4, max_keepalive_connections=2, keepalive_expiry=KEEP_ALIVE_S
         )
-        self._parser = ListingParser()
+        self._refusals = RefusalLog()
 
     async def list_endpoints(self) -> Listing:
         """Return all pages of the list of endpoints.
@@ -65,12 +69,14 @@
         endpoints: list[ListedEndpoint] = []
         token: str | None = ''
         for _ in range(MAX_PAGES):
-            query = f'?page-token={token}' if token else ''
+            query = f'?page-token={quote(token, safe="")}' if token else ''
             response = await self._get(f'http://{self._address}/instances{query}')
             if response.status != 200:
                 raise ShallotmuxError(f'status {response.status}', step='list', peer=self._address)
-            page, token = self._parser.parse_page(response.content)
-            endpoints.extend(page)
+            page = await _parse(response.content)
+            self._refusals.write(page.refused)
+            endpoints.extend(page.endpoints)
+            token = page.next_token
             if not token:
                 return Listing(tuple(endpoints))
         raise ShallotmuxError('the list has too many pages', step='list', peer=self._address)
@@ -86,3 +92,10 @@
                     return _Page(response.status, content)
         except NO_RESPONSE_ERRORS as error:
             raise ShallotmuxError(repr(error), step=f'GET {url}', peer=self._address) from error
+
+
+async def _parse(content: bytes) -> ParsedPage:
+    """Parse a page; a large one in a thread, as an odd page of the largest size takes a second."""
+    if len(content) < LARGE_PAGE_BYTES:
+        return parse_page(content)
+    return await trio.to_thread.run_sync(parse_page, content, abandon_on_cancel=True)
--- a/shallotmux/platform/_listing.py
+++ b/shallotmux/platform/_listing.py
@@ -3,27 +3,39 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator
+from collections.abc import Iterable
+from contextlib import suppress
+from dataclasses import dataclass
 
 import msgspec
 from eliot import log_message
 
 from shallotmux.addresses import split_address
+from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import ShallotmuxError
 from shallotmux.fleet import EngineRole, ListedEndpoint
+from shallotmux.platform._entries import EntryFinder
 
 #: Invalid entries that are remembered to be logged only once; the oldest are evicted.
 MAX_LOGGED_ENTRIES = 256
 
+#: Invalid entries of one page that are logged.
+MAX_LOGGED_OF_PAGE = 16
+
+#: Bytes of an invalid entry that a log line quotes.
+MAX_QUOTED_BYTES = 200
+
 #: Roles by the platform's name of the stage; workers without a stage both prefill and decode.
 ROLES = {'prefill': EngineRole.PREFILL, 'decode': EngineRole.DECODE}
 
 #: Whether a worker is draining, by the platform's name of its state.
 STATES = {'ready': False, 'draining': True}
 
+#: Bytes of a page for each comma, below which its list has too many elements to be entries.
+MIN_BYTES_PER_COMMA = 8
 
-#: Objects without an end that are passed over in a page. The search for each end reads the whole page.
-MAX_UNENDED_OBJECTS = 64
+#: Longest token of a next page, which becomes part of a URL.
+MAX_TOKEN_CHARACTERS = 1024
 
 
 class _Worker(msgspec.Struct, rename='kebab'):
@@ -53,102 +65,132 @@
     next_token: str | None = None
 
 
-class ListingParser:
-    """Parses pages of the list, and logs each invalid entry once."""
+@dataclass(frozen=True, slots=True)
+class RefusedEntry:
+    """Entry that names no worker to use.
 
-    def __init__(self) -> None:
-        self._logged: dict[str, None] = {}
+    :param content: the first bytes of the entry.
+    """
 
-    def parse_page(self, content: bytes) -> tuple[tuple[ListedEndpoint, ...], str | None]:
-        """Return the valid entries of a page, and the token of the next page.
+    content: bytes
+    reason: str
 
-        :raises ShallotmuxError: if the page is not valid JSON or lacks the list.
-        """
-        try:
-            page = _decode_page(content)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            raise ShallotmuxError(f'invalid list: {error}', step='list') from error
-        parsed = (self._parse_entry(each) for each in page.instances)
-        return tuple(each for each in parsed if each is not None), page.next_token
 
-    def _parse_entry(self, entry: msgspec.Raw) -> ListedEndpoint | None:
-        try:
-            worker = msgspec.json.decode(entry, type=_Worker)
-            if not split_address(worker.address).port:
-                raise ValueError(f'address {worker.address!r} has no port')
-            is_leaving = STATES[worker.state]
-        except (msgspec.MsgspecError, ValueError, KeyError) as error:
-            self._log_once(entry, error)
-            return None
-        return ListedEndpoint(
-            worker.id,
-            worker.service,
-            worker.address,
-            worker.zone,
-            worker.slots,
-            is_leaving,
-            ROLES.get(worker.stage, EngineRole.MIXED),
-            worker.spot,
-            worker.cold_remaining_ms / 1000,
-            worker.born,
-            worker.version,
-        )
-
-    def _log_once(self, entry: msgspec.Raw, error: Exception) -> None:
-        text = repr(bytes(entry)[:200])
-        if text in self._logged:
-            return
-        self._logged[text] = None
-        if len(self._logged) > MAX_LOGGED_ENTRIES:
-            self._logged.pop(next(iter(self._logged)))
-        log_message(message_type='shallotmux:entry-unreadable', entry=text, reason=str(error))
+@dataclass(frozen=True, slots=True)
+class ParsedPage:
+    """The valid entries of a page.
 
+    :param next_token: token of the next page; None on the last page.
+    :param refused: the first entries that are not valid, at most :data:`MAX_LOGGED_OF_PAGE`.
+    """
 
-#: Start of the entries of a page, the token of the next page, and what decides how objects nest.
-_ENTRIES_START = re.compile(rb'"instances"\s*:\s*\[')
-_NEXT_TOKEN = re.compile(rb'"next-token"\s*:\s*("(?:[^"\\]|\\.)*"|null)')
-_STRING_OR_BRACE = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}]', re.DOTALL)
+    endpoints: tuple[ListedEndpoint, ...]
+    next_token: str | None
+    refused: tuple[RefusedEntry, ...]
 
 
-def _decode_page(content: bytes) -> ListPage:
-    """Decode a page, or what can be read of one in which an entry breaks the structure.
+def parse_page(content: bytes) -> ParsedPage:
+    """Return the valid entries of a page, and the token of the next page.
 
-    :raises msgspec.MsgspecError: if the list or the token of the next page cannot be found.
+    The time that it takes grows linearly with the size of the page, whatever the page contains.
+
+    :raises ShallotmuxError: if the page is not valid JSON or lacks the list.
     """
+    endpoints: list[ListedEndpoint] = []
+    refused: list[RefusedEntry] = []
     try:
-        return msgspec.json.decode(content, type=ListPage)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        start = _ENTRIES_START.search(content)
-        tokens = _NEXT_TOKEN.findall(content)
-        if start is None or not tokens:
-            raise
-        token = msgspec.json.decode(tokens[-1], type=str | None)
-        return ListPage([msgspec.Raw(each) for each in _find_objects(content, start.end())], token)
+        entries, next_token = _split_page(content)
+    except DECODE_ERRORS as error:
+        raise ShallotmuxError(f'invalid list: {error}', step='list') from error
+    for entry in entries:
+        try:
+            endpoints.append(_parse_entry(entry))
+        except DECODE_ERRORS as invalid:
+            if len(refused) < MAX_LOGGED_OF_PAGE:
+                quoted = bytes(memoryview(entry)[:MAX_QUOTED_BYTES])
+                refused.append(RefusedEntry(quoted, str(invalid)))
+    return ParsedPage(tuple(endpoints), next_token, tuple(refused))
+
+
+class RefusalLog:
+    """Logs each invalid entry once."""
 
+    def __init__(self) -> None:
+        self._logged: dict[bytes, None] = {}
+
+    def write(self, refused: Iterable[RefusedEntry]) -> None:
+        """Write a line for each entry that has none among the latest ones."""
+        for each in refused:
+            if each.content not in self._logged:
+                self._logged[each.content] = None
+                log_message(
+                    message_type='shallotmux:entry-unreadable',
+                    entry=repr(each.content),
+                    reason=each.reason,
+                )
+        while len(self._logged) > MAX_LOGGED_ENTRIES:
+            self._logged.pop(next(iter(self._logged)))
 
-def _find_objects(content: bytes, position: int) -> Iterator[bytes]:
-    """Yield the outermost objects from a position on; an object without an end is passed over.
 
-    :raises msgspec.DecodeError: if more than :data:`MAX_UNENDED_OBJECTS` have no end.
+def _parse_entry(entry: msgspec.Raw | bytes) -> ListedEndpoint:
+    """Return the worker that an entry names.
+
+    :raises ValueError: if it names none, as any of :data:`DECODE_ERRORS`.
+    """
+    worker = msgspec.json.decode(entry, type=_Worker)
+    if not split_address(worker.address).port:
+        raise ValueError(f'address {worker.address!r} has no port')
+    is_leaving = STATES.get(worker.state)
+    if is_leaving is None:
+        raise ValueError(f'state {worker.state!r}')
+    return ListedEndpoint(
+        worker.id,
+        worker.service,
+        worker.address,
+        worker.zone,
+        worker.slots,
+        is_leaving,
+        ROLES.get(worker.stage, EngineRole.MIXED),
+        worker.spot,
+        worker.cold_remaining_ms / 1000,
+        worker.born,
+        worker.version,
+    )
+
+
+#: Start of the entries of a page, and the token of the next page.
+_ENTRIES_START = re.compile(rb'"instances"\s*+:\s*+\[')
+_NEXT_TOKEN = re.compile(rb'"next-token"\s*+:\s*+("[^"\\]*+(?:\\.[^"\\]*+)*+"|null)', re.DOTALL)
+
+
+def _split_page(content: bytes) -> tuple[Iterable[msgspec.Raw | bytes], str | None]:
+    """Return the entries of a page, or what can be read of one in which an entry breaks the structure.
+
+    :raises ValueError: if the list or the token of the next page cannot be found, as any of
+        :data:`DECODE_ERRORS`.
     """
-    unended = 0
-    start = content.find(b'{', position)
-    while start != -1:
-        end = _find_end(content, start)
-        unended += end is None
-        if unended > MAX_UNENDED_OBJECTS:
-            raise msgspec.DecodeError('too many objects have no end')
-        if end is not None:
-            yield content[start:end]
-        start = content.find(b'{', start + 1 if end is None else end)
-
-
-def _find_end(content: bytes, start: int) -> int | None:
-    """Return the position after the object that begins at a position, or None if it has no end."""
-    depth = 0
+    if content.count(b',') <= len(content) // MIN_BYTES_PER_COMMA:
+        with suppress(*DECODE_ERRORS):
+            page = msgspec.json.decode(content, type=ListPage)
+            return page.instances, _check_token(page.next_token)
+    start = _ENTRIES_START.search(content)
+    if start is None:
+        raise ValueError('no list of entries')
     # The last brace is that of the page, not of an entry.
-    for found in _STRING_OR_BRACE.finditer(content, start, content.rfind(b'}')):
-        depth += {b'{': 1, b'}': -1}.get(found.group(), 0)
-        if not depth:
-            return found.end()
-    return None
+    finder = EntryFinder(content, content.rfind(b'}'))
+    entries = list(finder.find(start.end()))
+    # The page may name the token before or after the list. An entry may name one as well.
+    tokens = (
+        _NEXT_TOKEN.findall(content, finder.found_until)
+        or _NEXT_TOKEN.findall(content, 0, start.start())
+        or _NEXT_TOKEN.findall(content)
+    )
+    if not tokens:
+        raise ValueError('no token of the next page')
+    return entries, _check_token(msgspec.json.decode(tokens[-1], type=str | None))
+
+
+def _check_token(token: str | None) -> str | None:
+    if token is not None and len(token) > MAX_TOKEN_CHARACTERS:
+        raise ValueError('the token of the next page is too long')
+    return token
--- a/tests/guards/__main__.py
+++ b/tests/guards/__main__.py
@@ -13,6 +13,7 @@
 
 from tests.guards.catalogue import GUARDS, Guard
 from tests.guards.crashes import CRASH_GUARDS
+from tests.guards.decoding import DECODING_GUARDS
 from tests.guards.forwarded import FORWARDING_GUARDS
 from tests.guards.ratelimits import LIMIT_GUARDS
 from tests.guards.reach import REACH_GUARDS
@@ -63,6 +64,7 @@
         *GUARDS,
         *FORWARDING_GUARDS,
         *CRASH_GUARDS,
+        *DECODING_GUARDS,
         *LIMIT_GUARDS,
         *REACH_GUARDS,
         *SIZE_GUARDS,
--- /dev/null
+++ b/tests/guards/decoding.py
@@ -0,0 +1,61 @@
+"""Guards against what other programs send: odd values, sizes and nesting."""
+
+from __future__ import annotations
+
+from tests.guards.catalogue import Guard
+
+LISTING = 'tests/platform/test_listing.py'
+ENTRIES = 'tests/platform/test_adapter.py'
+ODD_ENTRY = f'{LISTING}::test_odd_entry_neither_raises_nor_hides_others'
+
+DECODING_GUARDS = (
+    Guard(
+        'listing (entries apart)',
+        'shallotmux/platform/_listing.py',
+        '    if start is None:\n        raise',
+        '    if True:\n        raise',
+        (f'{ENTRIES}::test_entry_that_cannot_be_read_hides_no_other',),
+    ),
+    Guard(
+        'listing (required fields)',
+        'shallotmux/platform/_listing.py',
+        "    version: str\n    stage: str = ''\n",
+        "    version: str = ''\n    stage: str = ''\n",
+        (f'{ENTRIES}::test_entry_without_a_field_that_each_has_is_skipped',),
+    ),
+    Guard(
+        'listing (deep nesting)',
+        'shallotmux/decoding.py',
+        ', RecursionError)',
+        ')',
+        (ODD_ENTRY,),
+    ),
+    Guard(
+        'listing (cut entries)',
+        'shallotmux/platform/_entries.py',
+        'may_open = self._open[-1] < 0 or is_field',
+        'may_open = True',
+        (f'{LISTING}::test_several_odd_entries_hide_no_other',),
+    ),
+    Guard(
+        'listing (linear time)',
+        'shallotmux/platform/_entries.py',
+        r'\{(?=\s*+")',
+        r'\{',
+        (f'{LISTING}::test_costly_page_is_read_in_linear_time',),
+    ),
+    Guard(
+        'listing (event loop)',
+        'shallotmux/platform/_client.py',
+        'if len(content) < LARGE_PAGE_BYTES:',
+        'if True:',
+        ('tests/platform/test_list_client.py',),
+    ),
+    Guard(
+        'listing (token)',
+        'shallotmux/platform/_client.py',
+        'quote(token, safe="")',
+        'token',
+        ('tests/platform/test_list_client.py',),
+    ),
+)
--- a/tests/platform/test_list_client.py
+++ b/tests/platform/test_list_client.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import json
+from contextlib import suppress
+from urllib.parse import parse_qs, urlsplit
+
 import pytest
 import trio
 
@@ -9,6 +13,10 @@
 from shallotmux.platform import PlatformClient
 from tests.platform._raw_platform import RawPlatform
 
+#: Longest time for which parsing a page may occupy the event loop; callers wait meanwhile.
+MAX_LOOP_DELAY_S = 1.0
+TICK_S = 0.02
+
 #: Bytes of a page without end that fit into the limit and the buffers of both sockets.
 MAX_SENT_BYTES = 24 << 20
 
@@ -21,3 +29,42 @@
         await client.list_endpoints()
     assert platform.sent_bytes < MAX_SENT_BYTES
     nursery.cancel_scope.cancel()
+
+
+async def test_costly_page_does_not_occupy_the_event_loop(nursery: trio.Nursery) -> None:
+    """Guards against callers that wait while an odd page is parsed, here for several seconds."""
+    content = b'{"instances":[%b],"next-token":null}' % (b'{"' * (1 << 20))
+    answer = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b' % (len(content), content)
+    client = PlatformClient(await nursery.start(RawPlatform(answer).run))
+    longest = 0.0
+    with trio.fail_after(60):
+        async with trio.open_nursery() as calling:
+            done = trio.Event()
+
+            async def call() -> None:
+                assert not (await client.list_endpoints()).endpoints
+                done.set()
+
+            calling.start_soon(call)
+            while not done.is_set():
+                began = trio.current_time()
+                await trio.sleep(TICK_S)
+                longest = max(longest, trio.current_time() - began - TICK_S)
+    assert longest < MAX_LOOP_DELAY_S
+    nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('token', ['a b', 'a&zone=b', 'a\r\nx: y', 'å', '#'])
+async def test_odd_token_of_the_next_page_is_sent_as_it_is(
+    nursery: trio.Nursery, token: str
+) -> None:
+    """Guards against a token of the platform that changes the request for the next page, or raises."""
+    content = json.dumps({'instances': [], 'next-token': token}).encode()
+    head = b'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n' % len(content)
+    platform = RawPlatform(head + content)
+    client = PlatformClient(await nursery.start(platform.run))
+    with trio.move_on_after(0.3), suppress(ShallotmuxError):
+        await client.list_endpoints()
+    target = platform.received[1].split(b' ')[1].decode()
+    assert parse_qs(urlsplit(target).query) == {'page-token': [token]}
+    nursery.cancel_scope.cancel()
