Refuse entries of the list whose numbers or texts are out of range

'OverflowError: int too large to convert to float' was raised where endpoints are ranked, and "OverflowError: can't serialize ints" where control instances hand the list to entry instances.

Cause: the model of an entry had types and no ranges. Numbers of any size came in as they stood, and were converted far from the border.

An entry out of range names no worker. It is refused rather than clamped, as workers write no such numbers.

--- a/shallotmux/addresses.py
+++ b/shallotmux/addresses.py
@@ -7,6 +7,10 @@
 __all__ = ('HostPort', 'split_address')
 
 
+#: Digits of the largest port; more would be read as a number first.
+MAX_PORT_DIGITS = 5
+
+
 class HostPort(NamedTuple):
     """A host and a port, in the order of socket addresses."""
 
@@ -20,6 +24,7 @@
     :raises ValueError: if the host is missing or the port is not from 0 to 65535.
     """
     host, _, port = address.rpartition(':')
-    if not host or not port.isdecimal() or int(port) > 65535:
+    is_number = port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_DIGITS
+    if not host or not is_number or int(port) > 65535:
         raise ValueError(f'address {address!r} is not of the form HOST:PORT')
     return HostPort(host.strip('[]'), int(port))
--- a/shallotmux/platform/_listing.py
+++ b/shallotmux/platform/_listing.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import re
+import socket
 from collections.abc import Iterable
 from contextlib import suppress
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 from eliot import log_message
@@ -31,28 +33,42 @@
 #: Whether a worker is draining, by the platform's name of its state.
 STATES = {'ready': False, 'draining': True}
 
+#: Largest number of slots of a worker. Documents name some dozens.
+MAX_SLOTS = 65_536
+
+#: Longest warm-up of a worker. Workers start within seconds.
+MAX_COLD_MS = 86_400_000.0
+
+#: Largest number in messages between instances, which hold 64 bits with a sign.
+MAX_BORN = (1 << 63) - 1
+
 #: Bytes of a page for each comma, below which its list has too many elements to be entries.
 MIN_BYTES_PER_COMMA = 8
 
 #: Longest token of a next page, which becomes part of a URL.
 MAX_TOKEN_CHARACTERS = 1024
 
+#: Identity that can be sent in a header, as each request to the worker names it.
+_Identity = Annotated[str, msgspec.Meta(pattern=r'\A[!-~]{1,256}\Z')]
+_Name = Annotated[str, msgspec.Meta(max_length=256)]
+
 
 class _Worker(msgspec.Struct, rename='kebab'):
-    # Fields without a default are in every entry; one that lacks them comes from another writer.
-    id: str
-    service: str
-    address: str
-    zone: str
+    # Fields without a default are in every entry; one that lacks them comes from another writer. An
+    # entry with a number out of range does too, so that it is refused instead of being clamped.
+    id: _Identity
+    service: _Name
+    address: _Name
+    zone: _Name
     state: str
-    slots: int
-    cold_remaining_ms: float
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)]
     # Version of the worker's software; the versions of its model weights are listed by model.
-    version: str
+    version: _Name
     stage: str = ''
     spot: bool = False
     # Unix time of the start in milliseconds; it changes when a worker restarts under the same id.
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN)] = 0
 
 
 class ListPage(msgspec.Struct, rename='kebab'):
@@ -138,8 +154,7 @@
     :raises ValueError: if it names none, as any of :data:`DECODE_ERRORS`.
     """
     worker = msgspec.json.decode(entry, type=_Worker)
-    if not split_address(worker.address).port:
-        raise ValueError(f'address {worker.address!r} has no port')
+    _check_address(worker.address)
     is_leaving = STATES.get(worker.state)
     if is_leaving is None:
         raise ValueError(f'state {worker.state!r}')
@@ -158,6 +173,20 @@
     )
 
 
+def _check_address(address: str) -> None:
+    """Check that an address is that of a worker: of IPv4, since no names are looked up.
+
+    :raises ValueError: if it is not.
+    """
+    host, port = split_address(address)
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError as error:
+        raise ValueError(f'address {address!r} is not of IPv4') from error
+    if not port:
+        raise ValueError(f'address {address!r} has no port')
+
+
 #: Start of the entries of a page, and the token of the next page.
 _ENTRIES_START = re.compile(rb'"instances"\s*+:\s*+\[')
 _NEXT_TOKEN = re.compile(rb'"next-token"\s*+:\s*+("[^"\\]*+(?:\\.[^"\\]*+)*+"|null)', re.DOTALL)
--- a/tests/guards/decoding.py
+++ b/tests/guards/decoding.py
@@ -7,6 +7,7 @@
 LISTING = 'tests/platform/test_listing.py'
 ENTRIES = 'tests/platform/test_adapter.py'
 ODD_ENTRY = f'{LISTING}::test_odd_entry_neither_raises_nor_hides_others'
+OUT_OF_RANGE = f'{LISTING}::test_entry_out_of_range_names_no_worker'
 
 DECODING_GUARDS = (
     Guard(
@@ -19,8 +20,8 @@
     Guard(
         'listing (required fields)',
         'shallotmux/platform/_listing.py',
-        "    version: str\n    stage: str = ''\n",
-        "    version: str = ''\n    stage: str = ''\n",
+        "    version: _Name\n    stage: str = ''\n",
+        "    version: _Name = ''\n    stage: str = ''\n",
         (f'{ENTRIES}::test_entry_without_a_field_that_each_has_is_skipped',),
     ),
     Guard(
@@ -44,6 +45,20 @@
         r'\{',
         (f'{LISTING}::test_costly_page_is_read_in_linear_time',),
     ),
+    Guard(
+        'listing (slots)',
+        'shallotmux/platform/_listing.py',
+        'msgspec.Meta(ge=1, le=MAX_SLOTS)',
+        'msgspec.Meta(ge=1)',
+        (OUT_OF_RANGE,),
+    ),
+    Guard(
+        'listing (address)',
+        'shallotmux/platform/_listing.py',
+        'socket.inet_pton(socket.AF_INET, host)',
+        'host.strip()',
+        (OUT_OF_RANGE,),
+    ),
     Guard(
         'listing (event loop)',
         'shallotmux/platform/_client.py',
--- a/tests/platform/test_listing.py
+++ b/tests/platform/test_listing.py
@@ -7,6 +7,7 @@
 from random import Random
 from typing import Any
 
+import msgspec
 import pytest
 from eliot import add_destinations, remove_destination
 from hypothesis import given, settings
@@ -94,6 +95,73 @@
     assert [each.identity for each in page.endpoints] == ['i-1', 'i-2']
 
 
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'slots': 10**400},
+        {'slots': 2**63},
+        {'slots': 65_537},
+        {'slots': 0},
+        {'slots': -1},
+        {'cold-remaining-ms': -1},
+        {'cold-remaining-ms': 1e308},
+        {'cold-remaining-ms': 10**300},
+        {'born': 2**63},
+        {'born': 10**400},
+        {'born': -1},
+        {'address': '10.0.0.9:0'},
+        {'address': '10.0.0.9:65536'},
+        {'address': f'10.0.0.9:{"9" * 5000}'},
+        {'address': '10.0.0.9:٨٠٨٠'},
+        {'address': '10.0.0.999:80'},
+        {'address': 'somewhere.example:80'},
+        {'address': f'{"a" * 70}:80'},
+        {'address': '10.0.0.9\0:80'},
+        {'address': '[::1]:80'},
+        {'address': '10.0.0.9:80\n'},
+        {'id': ''},
+        {'id': 'i' * 257},
+        {'id': 'i-1\r\nx: y'},
+        {'id': 'i-é'},
+        {'service': 's' * 257},
+        {'zone': 'z' * 257},
+        {'version': 'v' * 257},
+        {'state': 'READY'},
+        {'state': 'x' * 1000},
+    ],
+    ids=lambda change: f'{next(iter(change))}={str(next(iter(change.values())))[:20]}',
+)
+def test_entry_out_of_range_names_no_worker(change: dict[str, object]) -> None:
+    """Guards against a number or text that the instances can neither use nor pass on."""
+    content = b'{"instances":[%b,%b]}' % (encode_worker(**change), encode_worker())
+    page = parse_page(content)
+    assert [each.identity for each in page.endpoints] == ['i-1']
+    # What control instances hand to entry instances.
+    assert msgspec.msgpack.encode(page.endpoints)
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'slots': 1},
+        {'slots': 65_536},
+        {'cold-remaining-ms': 12.5},
+        {'cold-remaining-ms': 86_400_000},
+        {'born': 0},
+        {'born': 2**63 - 1},
+        {'address': '10.0.0.9:65535'},
+        {'id': 'i' * 256},
+        {'service': 'størrelse'},
+        {'more': {'a': [[[]]]}},
+        {'state': 'draining'},
+    ],
+    ids=str,
+)
+def test_entry_at_the_ends_of_the_ranges_names_a_worker(change: dict[str, object]) -> None:
+    """Guards against workers that are not used because their entries are taken for odd."""
+    assert len(parse_page(b'{"instances":[%b]}' % encode_worker(**change)).endpoints) == 1
+
+
 def repeat(part: bytes) -> bytes:
     """Return a page whose list repeats a part."""
     head, tail = b'{"instances":[', b'],"next-token":null}'
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -15,7 +15,13 @@
     assert split_address(address) == (host, port)
 
 
-@pytest.mark.parametrize('address', ['', ':80', 'host', 'host:', 'host:x', 'host:-1', 'host:65536'])
+@pytest.mark.parametrize(
+    'address',
+    [
+        *('', ':80', 'host', 'host:', 'host:x', 'host:-1', 'host:65536'),
+        *('host:٨٠', 'host:²', 'host:80\n', f'host:{"9" * 5000}'),
+    ],
+)
 def test_invalid_address_is_rejected(address: str) -> None:
     """Guards against invalid addresses in settings or lists that fail only on first use."""
     with pytest.raises(ValueError, match='HOST:PORT'):
