Unlock the data folder when it cannot be opened

Operators saw a control process end by itself, not when its disk was full but when the disk had room again: `StorageError: .../data: [Errno 11] Resource temporarily unavailable (step=open)`.

Cause: `GroupStore.load` locks the folder first. `run_on_disk` waits for the disk and opens the folder again in the same process, and a lock belongs to the descriptor: the process refused itself, with an error that is not temporary, and ended. The same on a start of a process on a full disk.

Class: an object whose constructor fails half way keeps what it took.

Now a load that fails closes the store, and so does a member whose disk cannot be initialized. The file system of a member is a parameter, so that tests can refuse its operations.

--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -21,7 +21,7 @@
     run_in_thread,
 )
 from shallotmux.control._group_changes import ControlGroupView, next_group_change
-from shallotmux.errors import ShallotmuxError
+from shallotmux.errors import ShallotmuxError, StorageError
 from shallotmux.fleet import (
     JOIN_GROUP,
     Join,
@@ -39,7 +39,13 @@
     StoredGroup,
     bootstrap_group,
 )
-from shallotmux.storage import GroupStore, load_identity, store_identity
+from shallotmux.storage import (
+    FileSystem,
+    GroupStore,
+    LocalFileSystem,
+    load_identity,
+    store_identity,
+)
 from shallotmux.transport import (
     ForwardAnswer,
     PeerEnvelope,
@@ -117,12 +123,19 @@
         network: PeerNetwork,
         random: Random,
         run_blocking: RunBlocking = run_in_thread,
+        files: FileSystem | None = None,
     ) -> None:
         self.settings = settings
         self._network = network
-        self._store = GroupStore(settings.folder)
+        files = files or LocalFileSystem()
+        self._store = GroupStore(settings.folder, files)
         self.state = GroupState()
-        opened = _open_disk(settings, self._store, random)
+        try:
+            opened = _open_disk(settings, self._store, files, random)
+        except StorageError:
+            # The member may be opened again in this process once the disk accepts writes.
+            self._store.close()
+            raise
         self.identity = opened.identity
         stored = opened.stored
         if stored.snapshot is not None:
@@ -293,7 +306,9 @@
     stored: StoredGroup
 
 
-def _open_disk(settings: MemberSettings, store: GroupStore, random: Random) -> _OpenedDisk:
+def _open_disk(
+    settings: MemberSettings, store: GroupStore, files: FileSystem, random: Random
+) -> _OpenedDisk:
     """Return the identity and the log on the disk; an empty disk is initialized.
 
     At the first start of a deployment, a seed uses its name as identity, since the other seeds list
@@ -301,14 +316,13 @@
     and voting again under the old identity could elect two leaders in one term. The instance
     therefore joins under a new identity.
     """
-    settings.folder.mkdir(parents=True, exist_ok=True)
-    identity = load_identity(settings.folder)
+    identity = load_identity(settings.folder, files)
     if identity is not None:
         stored = store.load()
         return _OpenedDisk(identity, stored or StoredGroup())
     is_initial_voter = settings.bootstrap and settings.name in settings.seeds
     identity = settings.name if is_initial_voter else new_identity(settings.name, random)
-    store_identity(settings.folder, identity)
+    store_identity(settings.folder, identity, files)
     store.load()
     if not is_initial_voter:
         return _OpenedDisk(identity, StoredGroup())
--- a/shallotmux/storage/_store.py
+++ b/shallotmux/storage/_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import ExitStack
 from pathlib import Path
 from typing import Protocol
 
@@ -9,7 +10,11 @@
 
 from shallotmux.errors import StorageError
 from shallotmux.replication import Effects, Entry, HardState, Snapshot, StoredGroup
-from shallotmux.storage._filesystem import AppendFile, FileSystem, LocalFileSystem
+from shallotmux.storage._filesystem import (
+    AppendFile,
+    FileSystem,
+    LocalFileSystem,
+)
 from shallotmux.storage._reading import (
     LOG_NAME,
     SNAPSHOT_NAME,
@@ -78,12 +83,17 @@
 
         A torn tail of the log is truncated, since its write was never acknowledged.
 
-        :raises StorageError: if a file is damaged, or another process uses the folder.
+        :raises StorageError: if a file is damaged, or another process uses the folder. The folder
+            is unlocked again, so that this process can load it later.
         """
-        try:
-            return self._open()
-        except OSError as error:
-            raise self._record_failure(self._folder, 'open', error) from error
+        with ExitStack() as on_failure:
+            on_failure.callback(self.close)
+            try:
+                stored = self._open()
+            except OSError as error:
+                raise self._record_failure(self._folder, 'open', error) from error
+            on_failure.pop_all()
+        return stored
 
     def initialize(self, stored: StoredGroup) -> None:
         """Store the initial state of a group in an empty folder, after :meth:`load`.
