Ignore errors of closing a file after a refused write

Operators would see a control process end by itself where a disk reports a refused write again when the file is closed, as network file systems and quotas do: the error of `close` replaced the `StorageError` of the write, and `run_on_disk` waits for a disk after a `StorageError` only. The folder that could not be created (EROFS, ENOSPC) raised a plain `OSError` as well, and an identity that is not text a `UnicodeDecodeError`.

Class: an error of the clean-up, or of a call outside the wrapper, hides the error that is handled.

Seen before the fix, on:

FAILED test_error_of_close_does_not_hide_the_refused_write OSError: [Errno 28] No space left on device

What has to be durable was synced before a file is closed, so an error of `close` is ignored in one function.

--- a/shallotmux/storage/_filesystem.py
+++ b/shallotmux/storage/_filesystem.py
@@ -4,6 +4,7 @@
 
 import fcntl
 import os
+from contextlib import suppress
 from pathlib import Path
 from typing import Protocol
 
@@ -62,6 +63,12 @@
         """Lock a file until it is closed; raises BlockingIOError if it is locked already."""
 
 
+def close_file(file: AppendFile | ReadFile) -> None:
+    """Close a file; an error is ignored, as what has to be durable was synced before."""
+    with suppress(OSError):
+        file.close()
+
+
 class LocalFile:
     """A file descriptor open for appending."""
 
--- a/shallotmux/storage/_identity.py
+++ b/shallotmux/storage/_identity.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 from shallotmux.errors import StorageError
-from shallotmux.storage._filesystem import FileSystem, LocalFileSystem
+from shallotmux.storage._filesystem import FileSystem, LocalFileSystem, close_file
 
 IDENTITY_NAME = 'identity'
 TEMPORARY_SUFFIX = '.new'
@@ -21,7 +21,10 @@
         content = files.read(folder / IDENTITY_NAME)
     except OSError as error:
         raise StorageError(f'{folder / IDENTITY_NAME}: {error}', step='read') from error
-    return content.decode() if content else None
+    try:
+        return content.decode() if content else None
+    except UnicodeDecodeError as error:
+        raise StorageError(f'{folder / IDENTITY_NAME}: damaged: {error}', step='read') from error
 
 
 def store_identity(folder: Path, identity: str, filesystem: FileSystem | None = None) -> None:
@@ -40,7 +43,7 @@
             file.write(identity.encode())
             file.sync()
         finally:
-            file.close()
+            close_file(file)
         files.replace(temporary, target)
         files.sync_folder(folder)
     except OSError as error:
--- a/shallotmux/storage/_store.py
+++ b/shallotmux/storage/_store.py
@@ -14,6 +14,7 @@
     AppendFile,
     FileSystem,
     LocalFileSystem,
+    close_file,
 )
 from shallotmux.storage._reading import (
     LOG_NAME,
@@ -120,7 +121,7 @@
         """Release the folder; further writes are refused."""
         for file in (self._log, self._lock):
             if file is not None:
-                file.close()
+                close_file(file)
         self._log = None
         self._lock = None
 
@@ -192,7 +193,7 @@
         path = self._folder / LOG_NAME
         try:
             if self._log is not None:
-                self._log.close()
+                close_file(self._log)
             self._log = self._files.append(path)
         except OSError as error:
             raise self._record_failure(path, 'open', error) from error
@@ -209,7 +210,7 @@
         try:
             self._write(temporary, file, content)
         finally:
-            file.close()
+            close_file(file)
         try:
             self._files.replace(temporary, target)
             self._files.sync_folder(self._folder)
--- a/tests/control/test_member_disk.py
+++ b/tests/control/test_member_disk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from pathlib import Path
 from random import Random
 
@@ -38,3 +39,13 @@
     assert member.identity == SEEDS[0]
     assert member.driver.status().configuration.voters == set(SEEDS)
     member.close()
+
+
+async def test_folder_that_cannot_be_created_is_a_storage_error(
+    tmp_path: Path, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a process that ends because its data folder cannot be created now."""
+    files = RefusingFileSystem()
+    files.state.fill('folder', error=errno.EROFS)
+    with pytest.raises(StorageError, match='Read-only'):
+        open_member(tmp_path, files)
--- a/tests/storage/test_refused.py
+++ b/tests/storage/test_refused.py
@@ -71,3 +71,15 @@
         GroupStore(tmp_path, files).load()
     files.state.clear()
     assert load_again(tmp_path, files) == StoredGroup(HardState(1), (), SNAPSHOT)
+
+
+def test_error_of_close_does_not_hide_the_refused_write(tmp_path: Path) -> None:
+    """Guards against a process that ends because closing a file fails after a refused write."""
+    files = RefusingFileSystem()
+    store = fill_store(tmp_path, files)
+    files.state.fill('write', 'close')
+    with pytest.raises(StorageError):
+        store.save(Effects(None, (SECOND,)))
+    store.close()
+    files.state.clear()
+    assert load_again(tmp_path, files) == STORED
