Store the group before the identity at the first start

Operators would see changes refused for ever after a first start in which the disks refused writes, or the processes were killed: each seed had an identity and no group, and such a replica waits for a leader that nobody can become. A single seed in that state waited to be found by the others.

Cause: `_open_disk` stored the identity first, and an identity on the disk meant that the group had been started. The refused or interrupted save of the group was never repeated.

Class: a record that says "done" is written before the work.

Now the group comes first and the identity last. A group as `bootstrap_group` made it, without an identity, has not voted: its owner takes its name, also when the first start is over. A folder with the name as identity and no group is left by an earlier build; no vote was given with it either, since a vote would have created the log, so a first start of the deployment starts the group. Three seeds that are killed before any of them stored a group, and are then told that the first start is over, still form no group; they cannot be told from three wiped disks.

--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -38,6 +38,7 @@
     Role,
     StoredGroup,
     bootstrap_group,
+    initial_voters,
 )
 from shallotmux.storage import (
     FileSystem,
@@ -315,18 +316,20 @@
     it as an initial voter. At any other time, an empty disk may have been wiped: its vote is lost,
     and voting again under the old identity could elect two leaders in one term. The instance
     therefore joins under a new identity.
+
+    The group is stored before the identity: an initial voter whose identity is stored is able to
+    elect a leader, even if the start was interrupted and the deployment's first start is over.
     """
     identity = load_identity(settings.folder, files)
-    if identity is not None:
-        stored = store.load()
-        return _OpenedDisk(identity, stored or StoredGroup())
+    stored = store.load()
     is_initial_voter = settings.bootstrap and settings.name in settings.seeds
-    identity = settings.name if is_initial_voter else new_identity(settings.name, random)
-    store_identity(settings.folder, identity, files)
-    store.load()
-    if not is_initial_voter:
-        return _OpenedDisk(identity, StoredGroup())
-    voters = frozenset(settings.seeds)
-    started = bootstrap_group(Configuration(voters, disks=voters))
-    store.save(Effects(started.hard_state, started.entries))
-    return _OpenedDisk(identity, started)
+    # An identity without a group is left by earlier builds, which stored the identity first.
+    if stored is None and is_initial_voter and identity in {None, settings.name}:
+        voters = frozenset(settings.seeds)
+        stored = bootstrap_group(Configuration(voters, disks=voters))
+        store.save(Effects(stored.hard_state, stored.entries))
+    if identity is None:
+        may_use_name = stored is not None and settings.name in initial_voters(stored)
+        identity = settings.name if may_use_name else new_identity(settings.name, random)
+        store_identity(settings.folder, identity, files)
+    return _OpenedDisk(identity, stored or StoredGroup())
--- a/shallotmux/replication/__init__.py
+++ b/shallotmux/replication/__init__.py
@@ -36,6 +36,7 @@
     bootstrap_group,
     decode_configuration,
     encode_configuration,
+    initial_voters,
 )
 from shallotmux.replication._recovery import recover_group
 from shallotmux.replication._replica import Replica
@@ -73,5 +74,6 @@
     'decode_envelope',
     'encode_configuration',
     'encode_envelope',
+    'initial_voters',
     'recover_group',
 )
--- a/shallotmux/replication/_model.py
+++ b/shallotmux/replication/_model.py
@@ -268,3 +268,17 @@
         FIRST_INDEX, FIRST_TERM, EntryKind.CONFIGURATION, encode_configuration(configuration)
     )
     return StoredGroup(HardState(FIRST_TERM), (first,))
+
+
+def initial_voters(stored: StoredGroup) -> frozenset[str]:
+    """Return the voters of a group that is as :func:`bootstrap_group` made it, otherwise none.
+
+    No voter has voted in such a state.
+    """
+    if stored.hard_state != HardState(FIRST_TERM) or stored.snapshot is not None:
+        return frozenset()
+    match stored.entries:
+        case (Entry(index=1, kind=EntryKind.CONFIGURATION, payload=payload),):
+            return decode_configuration(payload).voters
+        case _:
+            return frozenset()
