Make durable what a store reads before it is used

What operators would see: a change that was acknowledged is gone after a power loss, or two leaders are elected in one term, on machines whose disk failed a sync shortly before, or whose process was killed between a write and its sync.

Cause: after a failed sync the member is rebuilt from its files. The last batch was still in memory of the system, so it was read back, counted as durable and acknowledged to the leader, without a write: there was nothing left to save. The system takes pages of a failed sync for written, so no later sync makes them durable. The same holds for a batch that a killed process wrote and did not sync, and for a log whose rename was not synced: what was appended to it went with it.

Class: reading a file proves what the system holds, not what the disk holds.

Each batch is synced before the next one is written, so only the last one may not be on the disk. Loading writes it again in place, with the same bytes, syncs it, and syncs the folder. Nothing that is durable can get lost by it, and the format is unchanged.

--- a/shallotmux/storage/_filesystem.py
+++ b/shallotmux/storage/_filesystem.py
@@ -50,6 +50,13 @@
     def truncate(self, path: Path, size: int) -> None:
         """Truncate a file to a size in bytes, durably."""
 
+    def rewrite_tail(self, path: Path, start: int) -> None:
+        """Write the content from an offset on again in place, and make it durable.
+
+        Content that was read back may be in memory only: after a failed sync the system may take it
+        for written, so that syncing it again does nothing.
+        """
+
     def remove(self, path: Path) -> None:
         """Remove a file if it exists."""
 
@@ -132,6 +139,17 @@
         finally:
             file.close()
 
+    def rewrite_tail(self, path: Path, start: int) -> None:
+        """Write the content from an offset on again in place, and make it durable."""
+        with path.open('r+b', buffering=0) as file:
+            file.seek(start)
+            content = file.readall()
+            file.seek(start)
+            view = memoryview(content)
+            while view:
+                view = view[file.write(view) :]
+            os.fsync(file.fileno())
+
     def remove(self, path: Path) -> None:
         """Remove a file if it exists."""
         path.unlink(missing_ok=True)
--- a/shallotmux/storage/_reading.py
+++ b/shallotmux/storage/_reading.py
@@ -48,6 +48,7 @@
 
     :param start: position before the first entry of the log.
     :param log_size: size of the complete records of the log in bytes.
+    :param last_record_start: offset of the last complete record.
     :param next_sequence: sequence number of the next record of the log.
     :param has_torn_tail: whether an incompletely written record follows the complete ones.
     """
@@ -55,6 +56,7 @@
     stored: StoredGroup
     start: LogStart
     log_size: int
+    last_record_start: int
     next_sequence: int
     has_torn_tail: bool
 
@@ -80,7 +82,12 @@
             # The file is renamed into place with its first record, so this one cannot be torn.
             return _raise_error(path, 'no complete record')
         return GroupFiles(
-            replay.stored(), replay.start, reader.size, reader.count, reader.has_torn_tail
+            replay.stored(),
+            replay.start,
+            reader.size,
+            reader.last_start,
+            reader.count,
+            reader.has_torn_tail,
         )
 
 
--- a/shallotmux/storage/_records.py
+++ b/shallotmux/storage/_records.py
@@ -48,6 +48,8 @@
         self.count = 0
         #: Size of the complete records in bytes.
         self.size = 0
+        #: Offset of the last complete record.
+        self.last_start = 0
         #: Whether a torn tail follows the complete records; valid after the last one.
         self.has_torn_tail = False
 
@@ -72,6 +74,7 @@
                 self._check_torn(header + payload)
                 return
             self.count += 1
+            self.last_start = self.size
             self.size += len(header) + len(payload)
             yield payload
 
--- a/shallotmux/storage/_store.py
+++ b/shallotmux/storage/_store.py
@@ -82,7 +82,8 @@
     def load(self) -> StoredGroup | None:
         """Lock the folder and return the stored state, or None if there is none.
 
-        A torn tail of the log is truncated, since its write was never acknowledged.
+        A torn tail of the log is truncated, since its write was never acknowledged. What is returned
+        is durable: a process that was killed, or whose sync failed, may have left it in memory only.
 
         :raises StorageError: if a file is damaged, or another process uses the folder. The folder
             is unlocked again, so that this process can load it later.
@@ -139,7 +140,12 @@
         self._log = self._files.append(path)
         self._sequence = group_files.next_sequence
         self._set_state(group_files.stored)
-        if self._start != group_files.start:
+        if self._start == group_files.start:
+            # Each record is synced before the next, so only the last one may not be durable. The
+            # rename of the log or of the snapshot may not be either.
+            self._files.rewrite_tail(path, group_files.last_record_start)
+            self._files.sync_folder(self._folder)
+        else:
             self._rewrite_log()
         return group_files.stored
 
--- a/tests/storage/_memory.py
+++ b/tests/storage/_memory.py
@@ -16,6 +16,9 @@
     def __init__(self, files: MemoryFileSystem) -> None:
         self.content = b''
         self.synced = 0
+        #: Offset from which a failed sync dropped content: it is read back, but a later sync does
+        #: not make it durable.
+        self.dropped: int | None = None
         self._files = files
 
     def write(self, content: bytes) -> None:
@@ -29,7 +32,11 @@
 
     def sync(self) -> None:
         """Make the content durable."""
-        self._files.count_operation('sync')
+        try:
+            self._files.count_operation('sync')
+        except OSError:
+            self.dropped = self.synced if self.dropped is None else min(self.dropped, self.synced)
+            raise
         self.synced = len(self.content)
 
     def close(self) -> None:
@@ -59,6 +66,10 @@
         self.visible = dict(self.durable)
         self.locked = False
         for file in self.visible.values():
+            if file.dropped is not None:
+                file.content = file.content[: file.dropped]
+                file.synced = min(file.synced, file.dropped)
+                file.dropped = None
             unsynced = len(file.content) - file.synced
             retained = file.synced + random.randint(0, unsynced)
             if unsynced > BLOCK_SIZE and random.randint(0, 1):
@@ -90,6 +101,15 @@
         self.visible[path].content = self.visible[path].content[:size]
         self.visible[path].synced = size
 
+    def rewrite_tail(self, path: Path, start: int) -> None:
+        """Write content again, which a failed sync may have dropped."""
+        file = self.visible[path]
+        self.count_operation('write')
+        if file.dropped is not None and start <= file.dropped:
+            file.synced = min(file.synced, file.dropped)
+            file.dropped = None
+        file.sync()
+
     def remove(self, path: Path) -> None:
         """Remove a file."""
         self.visible.pop(path, None)
--- a/tests/storage/_refusing.py
+++ b/tests/storage/_refusing.py
@@ -97,6 +97,11 @@
         self.state.check('truncate')
         super().truncate(path, size)
 
+    def rewrite_tail(self, path: Path, start: int) -> None:
+        """Write content again in place."""
+        self.state.check('write')
+        super().rewrite_tail(path, start)
+
     def replace(self, source: Path, target: Path) -> None:
         """Rename a file."""
         self.state.check('rename')
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -221,6 +221,45 @@
         model = new
 
 
+@pytest.mark.parametrize('seed', range(300))
+def test_state_that_was_read_survives_a_power_loss(seed: int) -> None:
+    """Guards against a vote or entries that are read back, acknowledged and then lost.
+
+    A write or sync fails, and the store is loaded again without a power loss. What is read then may
+    never have reached the disk.
+    """
+    random = Random(seed)
+    files = MemoryFileSystem()
+    store, _ = open_store(files)
+    model = StoredGroup()
+    store.save(Effects(HardState(0)))
+    for _ in range(30):
+        effects = random_effects(random, model)
+        files.fail_at = files.operations + random.randint(1, 12)
+        try:
+            store.save(effects)
+        except StorageError:
+            files.fail_at = files.operations + random.randint(1, 8)
+            model = load_until_accepted(files)
+            files.crash(random)
+            store, recovered = open_store(files)
+            assert recovered == model
+        else:
+            model = apply_effects(model, effects)
+
+
+def load_until_accepted(files: MemoryFileSystem) -> StoredGroup:
+    """Load a store again and again, as the program does while its disk refuses operations."""
+    while True:
+        try:
+            _, stored = open_store(files)
+        except StorageError:
+            continue
+        files.fail_at = -1
+        assert stored is not None
+        return stored
+
+
 def test_backup_is_verified_before_use() -> None:
     """Guards against importing a damaged backup, or importing one over an existing group."""
     files = MemoryFileSystem()
