Wait for a disk after every error by which it refuses writes for now

Operators saw a control process end with each write that a limit of the file size refused (EFBIG), and changes unanswered for 7 s; the same with a disk that became read-only, and with a system that lacks memory or descriptors. A first start whose folder could not be created would have waited for ever, as the probe wrote into the missing folder.

Cause: the program knew three error numbers (ENOSPC, EDQUOT, EIO); each other one ended it. Class: a list of known errors whose default is the end of the process.

Seen before the fix, on:

FAILED test_refused_write_is_retried[EFBIG, EMFILE, ENOBUFS, ENOMEM, EROFS, ETIMEDOUT] FAILED test_folder_that_could_not_be_created_is_waited_for

A damaged file, a folder that is missing, forbidden or used by another process, and errors of the program still end the process. The probe creates the folder.

--- a/shallotmux/programs/_disk.py
+++ b/shallotmux/programs/_disk.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -10,10 +9,7 @@
 from eliot import log_message
 
 from shallotmux.errors import StorageError
-from shallotmux.storage import FileSystem, LocalFileSystem
-
-#: Disk errors that may be temporary: no space left, quota exceeded, input/output error.
-TRANSIENT_ERRNOS = frozenset((errno.ENOSPC, errno.EDQUOT, errno.EIO))
+from shallotmux.storage import FileSystem, LocalFileSystem, is_refusal
 
 #: Interval between write probes of a disk.
 PROBE_INTERVAL_S = 0.5
@@ -58,10 +54,7 @@
         if isinstance(error, BaseExceptionGroup):
             if not _is_transient(error):
                 return False
-        elif (
-            not isinstance(error.__cause__, OSError)
-            or error.__cause__.errno not in TRANSIENT_ERRNOS
-        ):
+        elif not is_refusal(error):
             return False
     return True
 
@@ -79,6 +72,8 @@
     """Return whether a file can be written and synced."""
     path = folder / PROBE_NAME
     try:
+        # A first start may have failed before the folder existed.
+        files.make_folder(folder)
         file = files.append(path)
         try:
             file.write(bytes(PROBE_BYTES))
--- a/tests/programs/test_disk.py
+++ b/tests/programs/test_disk.py
@@ -50,7 +50,47 @@
     assert not list(tmp_path.iterdir())
 
 
-@pytest.mark.parametrize('number', [errno.ENOENT, errno.EACCES])
+@pytest.mark.parametrize(
+    'number',
+    [
+        errno.EDQUOT,
+        errno.EFBIG,
+        errno.EIO,
+        errno.EMFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EROFS,
+        errno.ETIMEDOUT,
+    ],
+)
+async def test_refused_write_is_retried(tmp_path: Path, number: int) -> None:
+    """Guards against a process that ends while its disk, or the system, refuses a write."""
+    errors = [refused_write(number)]
+
+    async def run() -> None:
+        if errors:
+            raise ExceptionGroup('tasks', [errors.pop()])
+
+    await run_on_disk(tmp_path, run, trio.Event())
+    assert not errors
+
+
+async def test_folder_that_could_not_be_created_is_waited_for(
+    tmp_path: Path, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a first start that waits for ever for a folder that nobody creates."""
+    runs: list[float] = []
+
+    async def run() -> None:
+        runs.append(trio.current_time())
+        if len(runs) == 1:
+            raise refused_write(errno.EROFS)
+
+    with trio.fail_after(30):
+        await run_on_disk(tmp_path / 'data', run, trio.Event())
+
+
+@pytest.mark.parametrize('number', [errno.ENOENT, errno.EACCES, errno.EAGAIN, errno.EINVAL])
 async def test_other_errors_end_the_process(tmp_path: Path, number: int) -> None:
     """Guards against endless retries on a damaged or missing folder."""
 
