Return to the group only with room for the write that was refused

Operators would see a control process that leaves and returns for as long as its disk has room for small files only: the probe wrote 64 KB, the document of 1 MB did not fit, and the program was rebuilt, refused and rebuilt without a pause. Each time it closed the connections of its callers, took part in the group for a moment and left it again.

Cause: the probe says nothing about the write that failed. Class: a check of health that is easier than the work, and a retry without a pause.

The error now carries the size of the refused write, and the probe writes as much. Where a probe succeeds and the program's own file is refused again within 10 s, the next probe waits 0.5 s, then twice as long each time, up to 8 s. The first refusal after a longer run is probed at once, as before.

--- a/shallotmux/errors.py
+++ b/shallotmux/errors.py
@@ -69,7 +69,14 @@
 
 
 class StorageError(ShallotmuxError):
-    """A file in the data folder cannot be read or made durable; the store stops."""
+    """A file in the data folder cannot be read or made durable; the store stops.
+
+    :param size: number of bytes that were to be written, if a write failed.
+    """
+
+    def __init__(self, message: str, *, step: str = '', size: int = 0) -> None:
+        super().__init__(message, step=step)
+        self.size = size
 
 
 class OutcomeUnknown(ShallotmuxError):
--- a/shallotmux/storage/_store.py
+++ b/shallotmux/storage/_store.py
@@ -230,11 +230,11 @@
             step = 'sync'
             file.sync()
         except OSError as error:
-            raise self._record_failure(path, step, error) from error
+            raise self._record_failure(path, step, error, len(content)) from error
 
-    def _record_failure(self, path: Path, step: str, error: OSError) -> StorageError:
+    def _record_failure(self, path: Path, step: str, error: OSError, size: int = 0) -> StorageError:
         self._failure = f'after a failure: {path}: {error}'
-        return StorageError(f'{path}: {error}', step=step)
+        return StorageError(f'{path}: {error}', step=step, size=size)
 
 
 def _log_start_after(snapshot: Snapshot | None) -> LogStart:
--- a/tests/programs/test_disk.py
+++ b/tests/programs/test_disk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import itertools
 from pathlib import Path
 
 import pytest
@@ -12,6 +13,7 @@
 from shallotmux.errors import StorageError
 from shallotmux.programs._disk import run_on_disk
 from shallotmux.storage import AppendFile, LocalFileSystem
+from tests.storage._refusing import RefusingFileSystem
 
 
 class FullDisk(LocalFileSystem):
@@ -28,9 +30,14 @@
         return super().append(path)
 
 
-def refused_write(number: int) -> StorageError:
+def wait_for_threads(clock: trio.testing.MockClock) -> None:
+    """Keep the clock from jumping while a thread probes the disk."""
+    clock.autojump_threshold = 0.05
+
+
+def refused_write(number: int, size: int = 0) -> StorageError:
     """Return the error of a write that failed with an errno."""
-    error = StorageError('/data/log', step='write')
+    error = StorageError('/data/log', step='write', size=size)
     error.__cause__ = OSError(number, 'refused')
     return error
 
@@ -75,6 +82,66 @@
     assert not errors
 
 
+async def test_room_for_small_writes_does_not_count(
+    tmp_path: Path, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a member that leaves and returns with each document that is too large."""
+    wait_for_threads(autojump_clock)
+    files = RefusingFileSystem()
+    files.state.fill('write', room=400_000)
+    runs: list[float] = []
+
+    async def run() -> None:
+        runs.append(trio.current_time())
+        if files.state.steps:
+            raise refused_write(errno.ENOSPC, 2_000_000)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run_on_disk, tmp_path, run, trio.Event(), files)
+        await trio.sleep(20)
+        files.state.clear()
+    assert len(runs) == 2
+    assert runs[1] - runs[0] == pytest.approx(20, abs=1)
+
+
+async def test_writes_that_fail_after_each_probe_are_retried_less_often(
+    tmp_path: Path, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a member that is rebuilt without a pause while its own file refuses writes."""
+    wait_for_threads(autojump_clock)
+    runs: list[float] = []
+    stop = trio.Event()
+
+    async def run() -> None:
+        runs.append(trio.current_time())
+        raise refused_write(errno.EFBIG)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run_on_disk, tmp_path, run, stop)
+        await trio.sleep(60)
+        stop.set()
+    pauses = [later - earlier for earlier, later in itertools.pairwise(runs)]
+    assert pauses[:7] == pytest.approx([0, 0.5, 1, 2, 4, 8, 8], abs=0.1)
+
+
+async def test_short_refusals_far_apart_are_not_delayed(
+    tmp_path: Path, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a member that waits for long after many refusals in a day."""
+    wait_for_threads(autojump_clock)
+    refusals: list[float] = []
+
+    async def run() -> None:
+        if len(refusals) == 9:
+            return
+        await trio.sleep(60)
+        refusals.append(trio.current_time())
+        raise refused_write(errno.ENOSPC)
+
+    await run_on_disk(tmp_path, run, trio.Event())
+    assert refusals[-1] - refusals[0] < 8 * 61
+
+
 async def test_folder_that_could_not_be_created_is_waited_for(
     tmp_path: Path, autojump_clock: trio.testing.MockClock
 ) -> None:
