--- a/tests/forwarding/test_closed_connection.py
+++ b/tests/forwarding/test_closed_connection.py
@@ -49,5 +49,5 @@
     def record(message_type: str, **_: object) -> None:
         kinds.append(message_type)
 
-    monkeypatch.setattr('shallotmux.forwarding._listener.log_message', record)
+    monkeypatch.setattr('shallotmux.forwarding._caller_connection.log_message', record)
     return kinds
--- a/tests/guards/forwarded.py
+++ b/tests/guards/forwarded.py
@@ -198,7 +198,7 @@
     ),
     Guard(
         'shutdown-safe (late requests)',
-        'shallotmux/forwarding/_listener.py',
+        'shallotmux/forwarding/_caller_connection.py',
         'if self.listener.is_closed:',
         'if False:',
         ('tests/forwarding/test_shutdown.py',),
--- a/tests/guards/sizes.py
+++ b/tests/guards/sizes.py
@@ -68,7 +68,7 @@
     ),
     Guard(
         'memory-bounded (bodies)',
-        'shallotmux/forwarding/_listener.py',
+        'shallotmux/forwarding/_caller_connection.py',
         '            self._check_room(len(event.data))\n',
         '',
         ('tests/forwarding/test_body_memory.py',),
@@ -96,7 +96,7 @@
     ),
     Guard(
         'drain (waiting bytes)',
-        'shallotmux/forwarding/_listener.py',
+        'shallotmux/forwarding/_caller_connection.py',
         'return self.listener.is_closed and await self._read_waiting()',
         'return False',
         (f'{SHUTDOWN}::test_request_that_waits_in_the_kernel_at_the_close_gets_an_answer',),
@@ -124,7 +124,7 @@
     ),
     Guard(
         'header limit (kept connections)',
-        'shallotmux/forwarding/_listener.py',
+        'shallotmux/forwarding/_caller_connection.py',
         'if header_bytes == self._header_bytes:',
         'if True:',
         ('tests/forwarding/test_header_limits.py',),
--- a/tests/guards/streams.py
+++ b/tests/guards/streams.py
@@ -45,7 +45,7 @@
     ),
     Guard(
         'broken-stream-incomplete (HTTP/1.0)',
-        'shallotmux/forwarding/_listener.py',
+        'shallotmux/forwarding/_caller_connection.py',
         "if is_open and self.protocol.their_http_version != b'1.1':",
         'if False:',
         (f'{BROKEN}::test_broken_stream_is_reset_for_callers_without_chunks',),
