Bound the load that an endpoint reports in an answer

Callers got no answer: an answer with X-Endpoint-Load of 400 digits was delivered, and each later request of the service ended with its connection, until an answer replaced the load. The integer was kept as it came, and expected_requests multiplies it by a float: OverflowError in each choice of an endpoint. Negative numbers, 1_0 and loads of any size were taken as well.

Numbers in answers now have a range where they are read (parse_count), and a load out of it is ignored like a missing one.

--- a/shallotmux/forwarding/_headers.py
+++ b/shallotmux/forwarding/_headers.py
@@ -38,6 +38,19 @@
     return tuple(each for each in headers if each[0].replace(b'_', b'-') not in names)
 
 
+def parse_count(text: bytes, most: int) -> int | None:
+    """Return the decimal number in a header, or None if it is invalid or larger than ``most``.
+
+    Numbers of other systems are bounded here, as larger ones cannot be used as floating point numbers,
+    and those of thousands of digits cannot be converted.
+    """
+    digits = text.strip()
+    if not digits.isdigit() or len(digits) > len(str(most)):
+        return None
+    number = int(digits)
+    return number if number <= most else None
+
+
 def parse_duration_ms(text: bytes | None) -> float | None:
     """Return a duration in milliseconds, or None if it is missing or invalid."""
     if text is None:
--- a/shallotmux/forwarding/_state.py
+++ b/shallotmux/forwarding/_state.py
@@ -10,7 +10,7 @@
 import trio
 
 from shallotmux.fleet import EngineRole, ListedEndpoint
-from shallotmux.forwarding._headers import Headers
+from shallotmux.forwarding._headers import Headers, parse_count
 from shallotmux.placement import Prompt
 from shallotmux.reachability import Reach
 from shallotmux.relaying import Peer
@@ -28,6 +28,12 @@
 #: Half-life of a reported load.
 LOAD_HALF_LIFE_S = 0.5
 
+#: Numbers in a reported load.
+LOAD_COUNTS = 3
+
+#: Largest number in a reported load that is believed.
+MAX_REPORTED_REQUESTS = 1_000_000
+
 #: Cached prefixes remembered per engine.
 MAX_REMEMBERED_PREFIXES = 512
 
@@ -191,12 +197,11 @@
 
         A missing or invalid header is ignored.
         """
-        if text is None:
-            return
-        try:
-            running, waiting, _ = (int(each) for each in text.split(b','))
-        except ValueError:
+        counts = [parse_count(each, MAX_REPORTED_REQUESTS) for each in (text or b'').split(b',')]
+        known = [each for each in counts if each is not None]
+        if len(counts) != LOAD_COUNTS or len(known) != LOAD_COUNTS:
             return
+        running, waiting, _ = known
         other_requests = max(0, running + waiting - self.in_flight)
         self.load = ReportedLoad(other_requests, now)
 
--- /dev/null
+++ b/tests/forwarding/test_odd_answers.py
@@ -0,0 +1,52 @@
+"""Tests of endpoints' answers with odd numbers and framings, and what they do to requests."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from shallotmux.fleet import ListedEndpoint
+from shallotmux.forwarding._state import EndpointState, ReportedLoad
+from tests.forwarding._harness import ReceivedRequest, ScriptedEndpoint, answer, run_forwarder
+
+LONG = b'9' * 400
+LISTED = ListedEndpoint('e-0', 'desk', '10.0.0.1:1', 'a', 4)
+TOO_LONG_TO_PARSE = b'9' * 5000
+
+
+@pytest.mark.parametrize(
+    'load',
+    [
+        b','.join((LONG, LONG, LONG)),
+        b','.join((LONG, b'1', b'1')),
+        b','.join((b'1', TOO_LONG_TO_PARSE, b'1')),
+    ],
+)
+@pytest.mark.parametrize('path', ['/once/', '/safe/'])
+async def test_load_out_of_range_ends_no_later_request(load: bytes, path: str) -> None:
+    """Guards against requests without an answer because one endpoint reported a huge load.
+
+    The load was kept, and each later choice of an endpoint of the service raised OverflowError.
+    """
+
+    async def report(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
+        await stream.send_all(answer(received, extra=b'X-Endpoint-Load: %s\r\n' % load))
+        return True
+
+    async with run_forwarder(ScriptedEndpoint(report), ScriptedEndpoint(report)) as harness:
+        statuses = [
+            (await harness.make_request(path, request_id=f'r-{number}')).status
+            for number in range(4)
+        ]
+    assert statuses == [200] * 4
+
+
+@pytest.mark.parametrize(
+    'text', [b'-5,1,4', b'1,-5,4', b'1_0,1,4', b'1000001,1,4', b'1,1', b'', '٣,٣,٣'.encode()]
+)
+def test_load_that_is_no_count_is_ignored(text: bytes) -> None:
+    """Guards against a load that no endpoint can have, which attracts or repels all requests."""
+    state = EndpointState(LISTED)
+    state.record_load(b'3,2,4', 7.0)
+    state.record_load(text, 8.0)
+    assert state.load == ReportedLoad(5, 7.0)
