Keep answers whose keep-alive time is out of range

Callers got no answer, though the endpoint had run the request and sent it: Keep-Alive: timeout= with 400 digits raised OverflowError, with 5,000 digits ValueError, in the connection to the endpoint. No caller of it expects these, so the handler failed and the connection was closed.

Before: test_keep_alive_out_of_range_loses_no_answer, 4 of 10 failed, (0, b'', False) instead of (200, b'done', True). The number now has a range where it is read, and is ignored out of it.

--- a/shallotmux/forwarding/_endpoint.py
+++ b/shallotmux/forwarding/_endpoint.py
@@ -12,7 +12,7 @@
 
 from shallotmux.addresses import split_address
 from shallotmux.errors import EndpointError
-from shallotmux.forwarding._headers import find_header
+from shallotmux.forwarding._headers import find_header, parse_count
 from shallotmux.forwarding._messages import AnswerHead, OutgoingRequest
 
 #: Largest answer head that is accepted from an endpoint.
@@ -38,6 +38,9 @@
 #: Subtracted from the keep-alive time that an endpoint states, to allow for network delay.
 KEEP_ALIVE_MARGIN_S = 1.0
 
+#: Longest keep-alive time that is believed; others are ignored.
+MAX_KEEP_ALIVE_S = 1_000_000_000
+
 #: Interim answers (status 1xx) that are skipped before a connection counts as broken.
 MAX_INTERIM_ANSWERS = 8
 
@@ -309,11 +312,12 @@
         return content
 
     def _record_keep_alive(self, head: AnswerHead) -> None:
-        text = find_header(head.headers, b'keep-alive') or b''
-        for part in text.split(b','):
-            name, _, seconds = part.strip().partition(b'=')
-            if name.lower() == b'timeout' and seconds.isdigit():
-                self.keep_alive_s = max(0, int(seconds) - KEEP_ALIVE_MARGIN_S)
+        header = find_header(head.headers, b'keep-alive') or b''
+        for part in header.split(b','):
+            name, _, text = part.strip().partition(b'=')
+            seconds = parse_count(text, MAX_KEEP_ALIVE_S)
+            if name.lower() == b'timeout' and seconds is not None:
+                self.keep_alive_s = max(0, seconds - KEEP_ALIVE_MARGIN_S)
 
     def _has_input(self) -> bool:
         """Return whether the endpoint closed an idle connection or sent unsolicited data."""
--- a/tests/forwarding/test_odd_answers.py
+++ b/tests/forwarding/test_odd_answers.py
@@ -38,7 +38,7 @@
             (await harness.make_request(path, request_id=f'r-{number}')).status
             for number in range(4)
         ]
-    assert statuses == [200] * 4
+    assert statuses == [200, 200, 200, 200]
 
 
 @pytest.mark.parametrize(
@@ -50,3 +50,17 @@
     state.record_load(b'3,2,4', 7.0)
     state.record_load(text, 8.0)
     assert state.load == ReportedLoad(5, 7.0)
+
+
+@pytest.mark.parametrize('seconds', [LONG, TOO_LONG_TO_PARSE, b'-1', b'1e9', b''])
+@pytest.mark.parametrize('path', ['/once/', '/safe/'])
+async def test_keep_alive_out_of_range_loses_no_answer(path: str, seconds: bytes) -> None:
+    """Guards against answers that are dropped because their keep-alive time cannot be converted."""
+
+    async def announce(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
+        await stream.send_all(answer(received, extra=b'Keep-Alive: timeout=%s\r\n' % seconds))
+        return True
+
+    async with run_forwarder(ScriptedEndpoint(announce)) as harness:
+        got = await harness.make_request(path)
+    assert (got.status, got.body, got.is_complete) == (200, b'done', True)
