Wait for a port that the process before still holds

The peer network and the listeners bound once, and the error ended the process.

Measured: tests/test_binding.py holds the port for 0.3 s; the listener and the peer network failed with OSError 98 before and start now.

--- a/shallotmux/forwarding/_listener.py
+++ b/shallotmux/forwarding/_listener.py
@@ -10,6 +10,7 @@
 import trio
 
 from shallotmux.addresses import split_address
+from shallotmux.binding import bind_when_free
 from shallotmux.forwarding._caller_connection import CallerConnection, Handler
 from shallotmux.routes import CallerLimits
 
@@ -49,8 +50,7 @@
 
     async def run(self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled; ``task_status`` receives the bound address."""
-        bound = split_address(self.address)
-        listeners = await trio.open_tcp_listeners(bound.port, host=bound.host, backlog=BACKLOG)
+        listeners = await bind_when_free(self.address, self._open)
         async with trio.open_nursery() as nursery:
             with self._accepting:
                 name = listeners[0].socket.getsockname()
@@ -68,6 +68,10 @@
         for connection in tuple(self._connections):
             connection.close_if_idle()
 
+    async def _open(self) -> list[trio.SocketListener]:
+        bound = split_address(self.address)
+        return await trio.open_tcp_listeners(bound.port, host=bound.host, backlog=BACKLOG)
+
     async def _serve(self, stream: trio.SocketStream) -> None:
         with contextlib.suppress(OSError):
             if not self.accepts(stream.socket.getpeername()[0]):
--- a/shallotmux/transport/_grpc.py
+++ b/shallotmux/transport/_grpc.py
@@ -14,6 +14,7 @@
 from grpclib.server import Server
 
 from shallotmux.addresses import split_address
+from shallotmux.binding import bind_when_free
 from shallotmux.errors import AuthorityUnavailable, OutcomeUnknown
 from shallotmux.transport import _peer_pb2 as wire
 from shallotmux.transport._link import (
@@ -89,7 +90,7 @@
     ) -> None:
         """Exchange messages until cancelled; the bound address is given to ``task_status``."""
         self._handler = handler
-        sock = socket.create_server(split_address(self._bind))
+        sock = await bind_when_free(self._bind, self._create_socket)
         set_user_timeout(sock)
         context = self._tls.server_context() if self._tls else None
         async with trio_asyncio.open_loop() as self._loop:
@@ -177,6 +178,9 @@
             detail=answer.detail,
         )
 
+    async def _create_socket(self) -> socket.socket:
+        return socket.create_server(split_address(self._bind))
+
     def _open_channel(self, peer: str) -> PeerChannel:
         return make_channel(self._addresses[peer], peer, self._client_context)
 
