Let the soak judge changes, reads, streams and requests after a pause

The soak of the programs excused each answer that was lost at an instance that had stood still, never asked whether a change was in force, read the configuration back only at the end, and sent no invalid or conflicting one.

Invalid configurations, other content under a version, changes sent again and side by side, odd entries in the list beside an endpoint that joins, streams, slow, chunked and pipelined requests, long idle connections, stops that overlap, second stop signals, reload signals from the first moment, short turns and a wiped disk are new.

--- a/shallotmux/checking/programs/__init__.py
+++ b/shallotmux/checking/programs/__init__.py
@@ -2,19 +2,31 @@
 
 from __future__ import annotations
 
-from shallotmux.checking.programs._callers import Operator
 from shallotmux.checking.programs._deployment import ControlGroup
+from shallotmux.checking.programs._operator import Operator
 from shallotmux.checking.programs._promises import find_violations
-from shallotmux.checking.programs._records import Arrival, Call, Disruption, Records
-from shallotmux.checking.programs._soak import run_soak
+from shallotmux.checking.programs._records import (
+    Arrival,
+    Call,
+    Change,
+    Disruption,
+    Reading,
+    Records,
+    Trouble,
+)
+from shallotmux.checking.programs._soak import SoakPlan, run_soak
 
 __all__ = (
     'Arrival',
     'Call',
+    'Change',
     'ControlGroup',
     'Disruption',
     'Operator',
+    'Reading',
     'Records',
+    'SoakPlan',
+    'Trouble',
     'find_violations',
     'run_soak',
 )
--- a/shallotmux/checking/programs/_callers.py
+++ b/shallotmux/checking/programs/_callers.py
@@ -1,4 +1,4 @@
-"""Callers with kept connections, and an operator."""
+"""Callers with kept connections."""
 
 from __future__ import annotations
 
@@ -10,9 +10,15 @@
 import h11
 import trio
 
-from shallotmux.checking.programs._records import SAFE, UNSAFE, Call, Records
-from shallotmux.platform import GET_PATH, HEADERS, PUT_PATH
-from shallotmux.platform._samples import encode_document, read_document_version
+from shallotmux.checking.programs._exchange import (
+    FAILURES,
+    Connection,
+    connect,
+    encode_request,
+    read_answer,
+)
+from shallotmux.checking.programs._records import SAFE, STREAM, UNSAFE, Call, Records
+from shallotmux.platform import HEADERS
 
 #: Time after which a caller gives a request up, beyond the timeout of its route.
 PATIENCE_S = 8.0
@@ -21,24 +27,21 @@
 MAX_PAUSE_S = 0.1
 NEW_CONNECTION_SHARE = 0.1
 
-#: Time for one call of the operator, and pause before it is repeated.
-OPERATOR_TIMEOUT_S = 1.5
-OPERATOR_PAUSE_S = 0.1
+#: Share of the pauses that are long, and the longest one: four fifths of the idle timeout.
+LONG_PAUSE_SHARE = 0.01
+LONG_PAUSE_S = 12.0
 
-_FAILURES = (
-    trio.TooSlowError,
-    OSError,
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-    h11.ProtocolError,
-)
+#: Share of bodies that are sent in chunks, and of those that are sent slowly; longest pause in one.
+CHUNKED_SHARE = 0.3
+SLOW_SHARE = 0.1
+MAX_BODY_PAUSE_S = 0.6
+BODY_PARTS = 3
 
+#: Share of requests that follow one another without waiting for the answer.
+PIPELINED_SHARE = 0.1
 
-@dataclass(slots=True)
-class _Connection:
-    entry: str
-    stream: trio.SocketStream
-    protocol: h11.Connection
+CONNECT_TIMEOUT_S = 1.0
+MAX_BODY_BYTES = 4000
 
 
 @dataclass(slots=True)
@@ -61,9 +64,9 @@
                 nursery.start_soon(self._call_repeatedly)
 
     async def _call_repeatedly(self) -> None:
-        connection: _Connection | None = None
+        connection: Connection | None = None
         while not self.is_stopping:
-            await trio.sleep(self.random.uniform(0, MAX_PAUSE_S))
+            await self._pause()
             if connection is None or self.random.random() < NEW_CONNECTION_SHARE:
                 await _close(connection)
                 connection = await self._connect()
@@ -72,119 +75,105 @@
                 connection = None
         await _close(connection)
 
-    async def _connect(self) -> _Connection | None:
+    async def _pause(self) -> None:
+        if self.random.random() < LONG_PAUSE_SHARE:
+            until = trio.current_time() + self.random.uniform(1, LONG_PAUSE_S)
+            while trio.current_time() < until and not self.is_stopping:
+                await trio.sleep(MAX_PAUSE_S)
+        await trio.sleep(self.random.uniform(0, MAX_PAUSE_S))
+
+    async def _connect(self) -> Connection | None:
         chosen = self.choose_entry()
         if chosen is None:
             return None
         name, address = chosen
-        host, _, port = address.rpartition(':')
         try:
-            with trio.fail_after(1):
-                stream = await trio.open_tcp_stream(host, int(port))
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                return await connect(address, name)
         except (OSError, trio.TooSlowError):
             return None
-        return _Connection(name, stream, h11.Connection(h11.CLIENT))
 
-    async def _call(self, connection: _Connection) -> bool:
-        """Send a request and read its answer; returns whether the connection can be used again."""
-        kind = self.random.choice((SAFE, UNSAFE))
-        call = Call(f'q-{next(self._numbers)}', kind, connection.entry)
-        self.records.calls.append(call)
+    async def _call(self, connection: Connection) -> bool:
+        """Send requests and read their answers; returns whether the connection can be used again."""
+        length = 2 if self.random.random() < PIPELINED_SHARE else 1
+        # An answer may come, and the connection end, while a second request is still being sent.
+        is_slow = length == 1 and self.random.random() < SLOW_SHARE
+        calls = [self._make_call(connection) for _ in range(length)]
+        protocols = [connection.protocol, *(h11.Connection(h11.CLIENT) for _ in calls[1:])]
         try:
             with trio.move_on_after(PATIENCE_S):
-                await self._send(connection, call)
-                await _read_answer(connection, call)
-        except _FAILURES:
+                for call, protocol in zip(calls, protocols, strict=True):
+                    connection.protocol = protocol
+                    await self._send(connection, call, is_slow=is_slow)
+                for call, protocol in zip(calls, protocols, strict=True):
+                    _hand_over(connection, protocol)
+                    await _receive(connection, call)
+        except FAILURES:
             return False
         finally:
-            call.ended_at = trio.current_time()
-        protocol = connection.protocol
-        if (protocol.our_state, protocol.their_state) != (h11.DONE, h11.DONE):
+            _end_calls(calls)
+        last = connection.protocol
+        if (last.our_state, last.their_state) != (h11.DONE, h11.DONE):
             return False
-        protocol.start_next_cycle()
+        last.start_next_cycle()
         return True
 
-    async def _send(self, connection: _Connection, call: Call) -> None:
-        body = bytes(self.random.randint(0, 4000))
+    def _make_call(self, connection: Connection) -> Call:
+        kind = self.random.choice((SAFE, UNSAFE, STREAM))
+        call = Call(f'q-{next(self._numbers)}', kind, connection.entry)
+        call.is_kept = connection.answered > 0
+        self.records.calls.append(call)
+        return call
+
+    async def _send(self, connection: Connection, call: Call, *, is_slow: bool) -> None:
+        body = bytes(self.random.randint(0, MAX_BODY_BYTES))
+        is_chunked = self.random.random() < CHUNKED_SHARE
+        framing = (b'content-length', str(len(body)).encode())
         headers = [
             (b'host', b'checks.example'),
             (HEADERS.request_id, call.request_id.encode()),
             (HEADERS.deadline, b'3000'),
-            (b'content-length', str(len(body)).encode()),
+            (b'transfer-encoding', b'chunked') if is_chunked else framing,
         ]
         head = h11.Request(method=b'POST', target=f'/{call.kind}/1'.encode(), headers=headers)
-        events = (head, h11.Data(data=body), h11.EndOfMessage())
-        content = b''.join(connection.protocol.send(event) or b'' for event in events)
+        content = encode_request(connection, head, body)
+        call.began_at = trio.current_time()
+        if is_slow:
+            size = len(content) // BODY_PARTS
+            for _ in range(BODY_PARTS - 1):
+                await connection.stream.send_all(content[:size])
+                content = content[size:]
+                await trio.sleep(self.random.uniform(0, MAX_BODY_PAUSE_S))
         await connection.stream.send_all(content)
         call.sent_at = trio.current_time()
 
 
-async def _read_answer(connection: _Connection, call: Call) -> None:
-    status, parts = 0, []
-    while True:
-        event = connection.protocol.next_event()
-        if event is h11.NEED_DATA:
-            connection.protocol.receive_data(await connection.stream.receive_some())
-        elif isinstance(event, h11.Response):
-            status = event.status_code
-        elif isinstance(event, h11.Data):
-            parts.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            call.status = status
-            call.body = b''.join(parts)
-            return
-        else:
-            raise ConnectionResetError('no answer')
-
-
-async def _close(connection: _Connection | None) -> None:
-    if connection is not None:
-        await trio.aclose_forcefully(connection.stream)
+def _hand_over(connection: Connection, protocol: h11.Connection) -> None:
+    """Let the state of the next request go on with the bytes behind the answer before it."""
+    if connection.protocol is protocol:
+        return
+    received = connection.protocol.trailing_data[0]
+    connection.protocol = protocol
+    if received:
+        protocol.receive_data(received)
 
 
-@dataclass(slots=True)
-class Operator:
-    """Changes the configuration and reads it back, at any control instance."""
+async def _receive(connection: Connection, call: Call) -> None:
+    try:
+        answer = await read_answer(connection)
+    except FAILURES:
+        call.is_closed = True
+        raise
+    call.status = answer.status
+    call.body = answer.body
+    call.ended_at = trio.current_time()
 
-    records: Records
-    random: Random
-    addresses: Callable[[], list[str]]
-    service: str
-    version: int = 0
-
-    async def put(self, padding_routes: int = 0) -> None:
-        """Send the next version until it is acknowledged."""
-        self.version += 1
-        version = self.version
-        content = encode_document(version, self.service, padding_routes)
-        while await self._exchange(b'POST', PUT_PATH, content) is None:
-            await trio.sleep(OPERATOR_PAUSE_S)
-        self.records.acknowledged = max(self.records.acknowledged, version)
-
-    async def read_back(self, timeout_s: float) -> None:
-        """Read the configuration until the acknowledged version is found, or the time is over."""
-        with trio.move_on_after(timeout_s):
-            while self.records.read_back < self.records.acknowledged:
-                content = await self._exchange(b'GET', GET_PATH, b'')
-                if content is not None:
-                    version = read_document_version(content)
-                    self.records.read_back = max(self.records.read_back, version)
-                await trio.sleep(OPERATOR_PAUSE_S)
-
-    async def _exchange(self, method: bytes, path: str, body: bytes) -> bytes | None:
-        """Return the body of a 200; None for anything else."""
-        host, _, port = self.random.choice(self.addresses()).rpartition(':')
-        protocol = h11.Connection(h11.CLIENT)
-        headers = [(b'host', host.encode()), (b'content-length', str(len(body)).encode())]
-        head = h11.Request(method=method, target=path.encode(), headers=headers)
-        events = (head, h11.Data(data=body), h11.EndOfMessage())
-        content = b''.join(protocol.send(event) or b'' for event in events)
-        call = Call('operator', '', host)
-        try:
-            with trio.fail_after(OPERATOR_TIMEOUT_S):
-                async with await trio.open_tcp_stream(host, int(port)) as stream:
-                    await stream.send_all(content)
-                    await _read_answer(_Connection(host, stream, protocol), call)
-        except _FAILURES:
-            return None
-        return call.body if call.status == 200 else None
+
+def _end_calls(calls: list[Call]) -> None:
+    for call in calls:
+        call.ended_at = min(call.ended_at, trio.current_time())
+
+
+async def _close(connection: Connection | None) -> None:
+    if connection is not None:
+        await trio.aclose_forcefully(connection.stream)
--- a/shallotmux/checking/programs/_deployment.py
+++ b/shallotmux/checking/programs/_deployment.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import os
+import shutil
 import signal
 import sys
 import tomllib
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from random import Random
 from secrets import randbelow
@@ -14,13 +15,13 @@
 import trio
 
 from shallotmux.checking.processes import Child, start_command
-from shallotmux.checking.programs._records import Disruption, Records
+from shallotmux.checking.programs._records import Disruption, Records, Trouble
 from shallotmux.platform._samples import SampleInstance, encode_settings
 
 ROOT = Path(__file__).resolve().parents[3]
 
-CONTROL_NAMES = ('control-1', 'control-2', 'control-3')
-ENTRY_NAMES = ('entry-1', 'entry-2', 'entry-3')
+#: Control instances that every instance knows from the start.
+SEEDS = 3
 
 #: Time from a start within which an instance has to be ready, and interval of the checks of that.
 READY_TIMEOUT_S = 12.0
@@ -32,7 +33,10 @@
 #: Time beyond the grace period after which a process that was asked to stop is killed.
 STOP_MARGIN_S = 2.0
 
-GRACE_S = 4.0
+GRACE_S = 8.0
+
+#: Time from a start in which a reload signal may reach the interpreter before the program.
+EARLY_S = 0.15
 
 SUCCESS = b' 200 '
 
@@ -46,10 +50,14 @@
 class Instance:
     """One instance and its present process.
 
+    :param starts: starts so far.
+    :param is_wiped: whether the next process starts with an empty data folder.
     :param is_asked_to_end: whether the present process was asked to end, or killed.
     """
 
     settings: SampleInstance
+    starts: int = 0
+    is_wiped: bool = False
     child: Child | None = None
     is_asked_to_end: bool = False
     is_ready: bool = False
@@ -80,16 +88,29 @@
     network: str
     builds: tuple[Path, ...]
     random: Random
+    controls: int = 3
+    entries: int = 3
     instances: dict[str, Instance] = field(default_factory=dict)
     is_closing: bool = False
 
+    @property
+    def control_names(self) -> tuple[str, ...]:
+        """Return the names of the control instances."""
+        return tuple(f'control-{number}' for number in range(1, self.controls + 1))
+
+    @property
+    def entry_names(self) -> tuple[str, ...]:
+        """Return the names of the entry instances."""
+        return tuple(f'entry-{number}' for number in range(1, self.entries + 1))
+
     def prepare(self) -> None:
         """Write the settings of all instances."""
-        seeds = tuple(f'{self.network}.{number}' for number in range(1, len(CONTROL_NAMES) + 1))
-        names = (*CONTROL_NAMES, *ENTRY_NAMES)
+        seeds = tuple(f'{self.network}.{number}' for number in range(1, SEEDS + 1))
+        names = (*self.control_names, *self.entry_names)
+        self.records.controls = self.control_names
         for number, name in enumerate(names, start=1):
             folder = ''
-            if name in CONTROL_NAMES:
+            if name in self.control_names:
                 folder = str(self.folder / name)
             settings = SampleInstance(
                 name,
@@ -107,7 +128,7 @@
         """Start all instances and keep them running."""
         for each in self.instances:
             self.keep_running(each)
-        for name in ENTRY_NAMES:
+        for name in self.entry_names:
             self.nursery.start_soon(self._watch_readiness, self.instances[name])
 
     def keep_running(self, name: str) -> None:
@@ -116,12 +137,16 @@
 
     def ready_entries(self) -> list[tuple[str, str]]:
         """Return name and address of the entry instances that are in rotation."""
-        entries = (self.instances[name] for name in ENTRY_NAMES)
+        entries = self.entry_instances()
         return [(each.name, each.settings.callers) for each in entries if each.is_ready]
 
+    def entry_instances(self) -> list[Instance]:
+        """Return the entry instances."""
+        return [self.instances[name] for name in self.entry_names]
+
     def operator_addresses(self) -> list[str]:
         """Return the addresses of the control instances."""
-        return [self.instances[name].settings.operators for name in CONTROL_NAMES]
+        return [self.instances[name].settings.operators for name in self.control_names]
 
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to the process of an instance, if there is one."""
@@ -131,15 +156,22 @@
 
     def kill(self, name: str) -> None:
         """Kill the process of an instance."""
-        now = trio.current_time()
-        self.records.disruptions.append(Disruption(name, now, now))
+        self._note(name, Trouble.KILL)
         self.instances[name].is_asked_to_end = True
         self.send_signal(name, signal.SIGKILL)
 
+    def wipe(self, name: str) -> None:
+        """Kill the process of an instance; its next one finds an empty data folder."""
+        instance = self.instances[name]
+        instance.settings = replace(instance.settings, bootstrap=False)
+        self._settings_path(name).write_bytes(encode_settings(instance.settings))
+        instance.is_wiped = True
+        self.kill(name)
+
     async def pause(self, name: str, duration_s: float) -> None:
         """Let the process of an instance stand still for a time."""
-        disruption = Disruption(name, trio.current_time())
-        self.records.disruptions.append(disruption)
+        disruption = self._note(name, Trouble.PAUSE)
+        disruption.ended_at = float('inf')
         self.send_signal(name, signal.SIGSTOP)
         try:
             await trio.sleep(duration_s)
@@ -156,6 +188,7 @@
             return
         is_started = any(b'shallotmux:started' in line for line in child.lines)
         instance.is_asked_to_end = True
+        self._note(name, Trouble.STOP)
         child.send_signal(signal.SIGTERM)
         with trio.move_on_after(GRACE_S + STOP_MARGIN_S):
             code = await child.wait()
@@ -172,6 +205,12 @@
         for name in self.instances:
             self.send_signal(name, signal.SIGKILL)
 
+    def _note(self, name: str, trouble: Trouble) -> Disruption:
+        now = trio.current_time()
+        disruption = Disruption(name, now, now, trouble)
+        self.records.disruptions.append(disruption)
+        return disruption
+
     async def _keep_running(self, instance: Instance) -> None:
         while not self.is_closing:
             instance.is_asked_to_end = False
@@ -182,9 +221,18 @@
             }
             build = self.random.choice(self.builds)
             words = _read_words(build, instance)
+            if instance.is_wiped:
+                instance.is_wiped = False
+                shutil.rmtree(instance.settings.folder, ignore_errors=True)
+            instance.starts += 1
+            self._note(instance.name, Trouble.START)
             instance.child = await start_command(self.nursery, words, environment, build)
+            started_at = trio.current_time()
             code = await instance.child.wait()
-            if not instance.is_asked_to_end and not self.is_closing:
+            if code == -signal.SIGHUP and trio.current_time() - started_at < EARLY_S:
+                # The interpreter itself, which starts first, cannot ignore the signal.
+                self.records.early_reload_ends += 1
+            elif not instance.is_asked_to_end and not self.is_closing:
                 last = b'\n'.join(instance.child.lines[-3:]).decode(errors='replace')
                 self.records.problems.append(
                     f'{instance.name}: ended by itself with {code}: {last}'
@@ -211,7 +259,10 @@
     def _is_disrupted(self, name: str) -> bool:
         oldest = trio.current_time() - READY_TIMEOUT_S
         return any(
-            each.instance == name and each.ended_at >= oldest for each in self.records.disruptions
+            each.instance == name
+            and each.ended_at >= oldest
+            and each.trouble in {Trouble.KILL, Trouble.PAUSE}
+            for each in self.records.disruptions
         )
 
     def _settings_path(self, name: str) -> Path:
@@ -256,7 +307,7 @@
         self._deployment = Deployment(
             nursery, folder, records, platform, network, builds, Random(1)
         )
-        self.names = CONTROL_NAMES
+        self.names = self._deployment.control_names
 
     async def start(self) -> None:
         """Start all instances."""
--- a/shallotmux/checking/programs/_main.py
+++ b/shallotmux/checking/programs/_main.py
@@ -9,26 +9,45 @@
 import trio
 
 from shallotmux.checking.programs._deployment import ROOT
-from shallotmux.checking.programs._soak import run_soak
+from shallotmux.checking.programs._soak import SoakPlan, run_soak
 
 
 @click.command()
 @click.option('--seed', type=int, default=1, show_default=True, help='Seed of the first run.')
 @click.option('--runs', type=click.IntRange(1), default=1, show_default=True)
 @click.option('--seconds', type=float, default=20.0, show_default=True, help='Length of a run.')
+@click.option(
+    '--build',
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    default=ROOT,
+    help='Repository whose programs are run; this one by default.',
+)
 @click.option(
     '--other-build',
     type=click.Path(exists=True, file_okay=False, path_type=Path),
-    help='Repository with another build, which runs beside this one.',
+    help='Repository with another build, which runs beside the first one.',
 )
-def main(seed: int, runs: int, seconds: float, other_build: Path | None) -> None:
+@click.option('--controls', type=click.IntRange(3), default=3, show_default=True)
+@click.option('--entries', type=click.IntRange(2), default=3, show_default=True)
+@click.option('--load', type=click.IntRange(0), default=0, help='Busy processes beside the run.')
+def main(
+    seed: int,
+    runs: int,
+    seconds: float,
+    build: Path,
+    other_build: Path | None,
+    controls: int,
+    entries: int,
+    load: int,
+) -> None:
     """Disrupt real processes of the deploy file at random; exit code 1 after a violation."""
     violations = 0
     click.echo('| check | runs | violations | figures |')
     click.echo('| --- | --- | --- | --- |')
+    builds = tuple(each.resolve() for each in (build, other_build) if each is not None)
     for number in range(seed, seed + runs):
-        builds = (ROOT,) if other_build is None else (ROOT, other_build.resolve())
-        result = trio.run(run_soak, number, seconds, builds)
+        plan = SoakPlan(number, seconds, builds, controls, entries, load)
+        result = trio.run(run_soak, plan)
         violations += len(result.violations)
         click.echo(result.render())
     sys.exit(1 if violations else 0)
--- a/shallotmux/checking/programs/_schedule.py
+++ b/shallotmux/checking/programs/_schedule.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import signal
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from random import Random
 
 import trio
 
-from shallotmux.checking.programs._callers import Operator
-from shallotmux.checking.programs._deployment import CONTROL_NAMES, ENTRY_NAMES, Deployment
-from shallotmux.checking.programs._standins import StandInEndpoint
+from shallotmux.checking.programs._deployment import Deployment
+from shallotmux.checking.programs._fleet import EndpointFleet
+from shallotmux.checking.programs._operator import Operator
 
 #: Longest pause between two disruptions.
 MAX_PAUSE_S = 1.2
@@ -19,6 +20,10 @@
 PAUSE_S = (0.2, 2.5)
 TROUBLE_S = (1.0, 4.0)
 
+#: Longest time for which a process runs, and stands still, in each turn while it shares a core.
+TURN_S = (0.05, 0.2)
+TURNS = 20
+
 #: Reload signals in one series, and longest pause between two.
 MAX_SIGNALS = 12
 MAX_SIGNAL_PAUSE_S = 0.05
@@ -27,82 +32,142 @@
 MAX_PADDING_ROUTES = 600
 MAX_CHANGES = 4
 
+#: Share of the runs in which control instances are disrupted. Time limits hold in the others.
+DISRUPTED_CONTROL_SHARE = 0.5
+
+#: A disruption that runs until it is over.
+Action = Callable[[], Awaitable[None]]
+
 
 @dataclass(slots=True)
 class Schedule:
-    """Disrupts a deployment at random until cancelled."""
+    """Disrupts a deployment at random until cancelled.
+
+    :param disrupts_control: whether control instances are disrupted too.
+    :param is_wiped: whether a control instance has lost its disk.
+    """
 
     deployment: Deployment
-    endpoints: list[StandInEndpoint]
+    fleet: EndpointFleet
     operator: Operator
     random: Random
+    disrupts_control: bool
+    is_wiped: bool = False
 
     async def run(self) -> None:
         """Draw one disruption after the other; those that last overlap with the next ones."""
-        actions = (
-            self._stop_entry,
+        actions = (*self._instance_actions(), *self._endpoint_actions(), *self._operator_actions())
+        if self.disrupts_control:
+            actions = (*actions, *self._control_actions())
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(self.random.uniform(0, MAX_PAUSE_S))
+                nursery.start_soon(self.random.choice(actions))
+
+    def _instance_actions(self) -> list[Action]:
+        return [
             self._stop_entry,
+            self._stop_entries,
             self._kill_any,
-            self._kill_all_controls,
             self._reload_in_series,
             self._restart_with_reloads,
             self._pause_any,
+            self._slow_any,
+        ]
+
+    def _control_actions(self) -> tuple[Action, ...]:
+        return (self._kill_all_controls, self._wipe_control)
+
+    def _endpoint_actions(self) -> tuple[Action, ...]:
+        return (
             self._trouble_endpoint,
             self._trouble_endpoint,
             self._drain_endpoint,
-            self._change_configuration,
+            self.fleet.join_beside_odd_entries,
         )
-        async with trio.open_nursery() as nursery:
-            while True:
-                await trio.sleep(self.random.uniform(0, MAX_PAUSE_S))
-                nursery.start_soon(self.random.choice(actions))
+
+    def _operator_actions(self) -> list[Action]:
+        return [
+            self._change_configuration,
+            self._change_configuration,
+            self._change_at_once,
+            self.operator.put_again,
+            self.operator.put_conflicting,
+            self.operator.put_invalid,
+        ]
+
+    def _choose_entry(self) -> str:
+        return self.random.choice(self.deployment.entry_names)
+
+    def _choose_any(self) -> str:
+        deployment = self.deployment
+        if not self.disrupts_control:
+            return self._choose_entry()
+        return self.random.choice((*deployment.control_names, *deployment.entry_names))
 
     async def _stop_entry(self) -> None:
-        await self.deployment.stop(self.random.choice(ENTRY_NAMES))
+        await self.deployment.stop(self._choose_entry())
+
+    async def _stop_entries(self) -> None:
+        """Stop two instances at once, and ask one of them a second time while it drains."""
+        first, second = self.random.sample(self.deployment.entry_names, 2)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.deployment.stop, first)
+            nursery.start_soon(self.deployment.stop, second)
+            await trio.sleep(self.random.uniform(0, 2))
+            if self.deployment.instances[first].is_asked_to_end:
+                self.deployment.send_signal(first, signal.SIGTERM)
 
     async def _kill_any(self) -> None:
-        self.deployment.kill(self.random.choice((*CONTROL_NAMES, *ENTRY_NAMES)))
+        self.deployment.kill(self._choose_any())
 
     async def _kill_all_controls(self) -> None:
-        for name in CONTROL_NAMES:
+        for name in self.deployment.control_names:
             self.deployment.kill(name)
 
+    async def _wipe_control(self) -> None:
+        """Start a control instance with an empty data folder, as after the loss of its disk.
+
+        The group bears the loss of one disk until the instance has caught up, so there is one in a run.
+        """
+        if not self.is_wiped:
+            self.is_wiped = True
+            self.deployment.wipe(self.random.choice(self.deployment.control_names))
+
     async def _reload_in_series(self) -> None:
-        name = self.random.choice((*CONTROL_NAMES, *ENTRY_NAMES))
+        name = self._choose_any()
         for _ in range(self.random.randint(1, MAX_SIGNALS)):
             await trio.sleep(self.random.uniform(0, MAX_SIGNAL_PAUSE_S))
-            self._reload(name)
+            self.deployment.send_signal(name, signal.SIGHUP)
 
     async def _restart_with_reloads(self) -> None:
         """Stop an instance, and send it reload signals while it drains, exits and starts."""
-        name = self.random.choice((*CONTROL_NAMES, *ENTRY_NAMES))
+        name = self._choose_any()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.deployment.stop, name)
             for _ in range(MAX_SIGNALS):
                 await trio.sleep(self.random.uniform(0, MAX_SIGNAL_PAUSE_S))
-                self._reload(name)
-
-    def _reload(self, name: str) -> None:
-        """Send a reload signal once the process has had the time to ignore it.
-
-        In the first milliseconds of an interpreter nothing can; a platform sends none then.
-        """
-        child = self.deployment.instances[name].child
-        if child is not None and child.lines:
-            self.deployment.send_signal(name, signal.SIGHUP)
+                self.deployment.send_signal(name, signal.SIGHUP)
 
     async def _pause_any(self) -> None:
-        name = self.random.choice((*CONTROL_NAMES, *ENTRY_NAMES))
-        await self.deployment.pause(name, self.random.uniform(*PAUSE_S))
+        await self.deployment.pause(self._choose_any(), self.random.uniform(*PAUSE_S))
+
+    async def _slow_any(self) -> None:
+        """Let a process run in short turns, as with a share of a core."""
+        name = self._choose_any()
+        running_s, still_s = (self.random.uniform(*TURN_S) for _ in range(2))
+        for _ in range(TURNS):
+            await self.deployment.pause(name, still_s)
+            await trio.sleep(running_s)
 
     async def _trouble_endpoint(self) -> None:
-        endpoint = self.random.choice(self.endpoints)
+        endpoint = self.random.choice(self.fleet.endpoints)
         endpoint.is_in_trouble = True
         await trio.sleep(self.random.uniform(*TROUBLE_S))
         endpoint.is_in_trouble = False
 
     async def _drain_endpoint(self) -> None:
-        endpoint = self.random.choice(self.endpoints)
+        endpoint = self.random.choice(self.fleet.endpoints)
         endpoint.is_leaving = True
         await trio.sleep(self.random.uniform(*TROUBLE_S))
         endpoint.is_leaving = False
@@ -110,3 +175,9 @@
     async def _change_configuration(self) -> None:
         for _ in range(self.random.randint(1, MAX_CHANGES)):
             await self.operator.put(self.random.randint(0, MAX_PADDING_ROUTES))
+
+    async def _change_at_once(self) -> None:
+        """Send changes side by side, as two operators do."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(self.random.randint(2, MAX_CHANGES)):
+                nursery.start_soon(self.operator.put)
--- a/shallotmux/checking/programs/_soak.py
+++ b/shallotmux/checking/programs/_soak.py
@@ -4,31 +4,28 @@
 
 import tempfile
 from collections import Counter
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 
 import trio
 
 from shallotmux.checking.processes import CheckResult, wait_until
-from shallotmux.checking.programs._callers import Callers, Operator
-from shallotmux.checking.programs._deployment import (
-    ENTRY_NAMES,
-    ROOT,
-    Deployment,
-    choose_network,
-)
+from shallotmux.checking.programs._callers import Callers
+from shallotmux.checking.programs._configuration_promises import count_judged_probes
+from shallotmux.checking.programs._deployment import ROOT, Deployment, choose_network
+from shallotmux.checking.programs._fleet import PLATFORM_NUMBER, STANDIN_PORT, EndpointFleet
+from shallotmux.checking.programs._load import start_load
+from shallotmux.checking.programs._operator import Operator
+from shallotmux.checking.programs._probes import Probes
 from shallotmux.checking.programs._promises import find_violations
 from shallotmux.checking.programs._records import Records
-from shallotmux.checking.programs._schedule import Schedule
-from shallotmux.checking.programs._standins import SERVICE, StandInEndpoint, StandInPlatform
+from shallotmux.checking.programs._schedule import DISRUPTED_CONTROL_SHARE, Schedule
+from shallotmux.checking.programs._standins import SERVICE, StandInPlatform
 from shallotmux.forwarding import RetryBudgetLimits
 
 ENDPOINTS = 4
-CALLERS = 16
-
-#: Last numbers of the addresses of the platform and of the first endpoint, and their port.
-PLATFORM_NUMBER, FIRST_ENDPOINT_NUMBER = 250, 100
-STANDIN_PORT = 8080
+CALLERS = 24
 
 #: Time for the first start, and for the group to have a leader again after the last disruption.
 START_TIMEOUT_S = 30.0
@@ -38,62 +35,95 @@
 BUDGET = RetryBudgetLimits()
 
 
-async def run_soak(seed: int, duration_s: float, builds: tuple[Path, ...] = (ROOT,)) -> CheckResult:
-    """Run a deployment for a time, and check what callers and endpoints saw.
+@dataclass(frozen=True, slots=True)
+class SoakPlan:
+    """What a run consists of.
 
     :param builds: repositories whose programs are run side by side.
+    :param load: busy processes beside the run.
     """
-    random = Random(seed)
+
+    seed: int = 1
+    duration_s: float = 20.0
+    builds: tuple[Path, ...] = (ROOT,)
+    controls: int = 3
+    entries: int = 3
+    load: int = 0
+
+
+async def run_soak(plan: SoakPlan) -> CheckResult:
+    """Run a deployment for a time, and check what callers and endpoints saw."""
     records = Records()
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
-            await _run(nursery, Path(folder), records, random, duration_s, builds)
+            await start_load(nursery, plan.load)
+            await _run(nursery, Path(folder), records, plan)
             nursery.cancel_scope.cancel()
-    result = CheckResult(f'seed {seed}', 1, find_violations(records, BUDGET))
+    result = CheckResult(f'seed {plan.seed}', 1, find_violations(records, BUDGET))
+    result.figures.extend(_describe(records))
+    return result
+
+
+def _describe(records: Records) -> list[str]:
     answers = Counter(str(each.status) for each in records.calls)
     counts = ', '.join(f'{name}: {count}' for name, count in sorted(answers.items()))
     runs = sum(each.has_run for each in records.arrivals)
-    result.figures.append(f'{len(records.calls)} requests ({counts}), {runs} runs')
-    result.figures.append(f'{records.acknowledged} changes of the configuration')
-    return result
+    valid = sum(each.is_valid for each in records.changes)
+    return [
+        f'{len(records.calls)} requests ({counts}), {runs} runs',
+        f'{len(records.changes)} changes, {valid} of them valid, {len(records.readings)} reads',
+        f'{count_judged_probes(records)} probes with a time limit',
+        f'{records.early_reload_ends} ended by a reload signal before the program began',
+    ]
 
 
-async def _run(
-    nursery: trio.Nursery,
-    folder: Path,
-    records: Records,
-    random: Random,
-    duration_s: float,
-    builds: tuple[Path, ...],
-) -> None:
+async def _run(nursery: trio.Nursery, folder: Path, records: Records, plan: SoakPlan) -> None:
+    random = Random(plan.seed)
     network = choose_network()
     platform = StandInPlatform(f'{network}.{PLATFORM_NUMBER}:{STANDIN_PORT}')
-    for number in range(ENDPOINTS):
-        address = f'{network}.{FIRST_ENDPOINT_NUMBER + number}:{STANDIN_PORT}'
-        endpoint = StandInEndpoint(f'e-{number}', address, records, Random(random.random()))
-        platform.endpoints.append(endpoint)
-        await nursery.start(endpoint.run)
+    fleet = EndpointFleet(nursery, network, records, random, platform)
+    await fleet.start(ENDPOINTS)
     await nursery.start(platform.run)
     deployment = Deployment(
-        nursery, folder, records, platform.address, network, builds, Random(random.random())
+        nursery,
+        folder,
+        records,
+        platform.address,
+        network,
+        plan.builds,
+        Random(random.random()),
+        plan.controls,
+        plan.entries,
     )
     deployment.prepare()
     deployment.start_all()
     operator = Operator(records, random, deployment.operator_addresses, SERVICE)
     with trio.fail_after(START_TIMEOUT_S):
         await operator.put()
-        await wait_until(lambda: len(deployment.ready_entries()) == len(ENTRY_NAMES))
+        await wait_until(lambda: len(deployment.ready_entries()) == plan.entries)
+    disrupts_control = random.random() < DISRUPTED_CONTROL_SHARE
+    schedule = Schedule(deployment, fleet, operator, random, disrupts_control)
+    await _disrupt(schedule, records, plan.duration_s)
+    await operator.read_back(RECOVERY_S)
+    records.ended_at = trio.current_time()
+    deployment.close()
+
+
+async def _disrupt(schedule: Schedule, records: Records, duration_s: float) -> None:
+    deployment, random = schedule.deployment, schedule.random
 
     def choose_entry() -> tuple[str, str] | None:
         ready = deployment.ready_entries()
         return random.choice(ready) if ready else None
 
     callers = Callers(records, random, choose_entry)
+    probes = Probes(records, Random(random.random()), deployment.entry_instances)
     async with trio.open_nursery() as traffic:
         traffic.start_soon(callers.run, CALLERS)
-        schedule = Schedule(deployment, platform.endpoints, operator, random)
-        with trio.move_on_after(duration_s):
-            await schedule.run()
+        async with trio.open_nursery() as watchers:
+            watchers.start_soon(probes.run)
+            watchers.start_soon(schedule.operator.read_repeatedly)
+            with trio.move_on_after(duration_s):
+                await schedule.run()
+            watchers.cancel_scope.cancel()
         callers.is_stopping = True
-    await operator.read_back(RECOVERY_S)
-    deployment.close()
--- a/shallotmux/checking/programs/_standins.py
+++ b/shallotmux/checking/programs/_standins.py
@@ -7,10 +7,11 @@
 
 import trio
 
-from shallotmux.checking.programs._records import Arrival, Records
+from shallotmux.checking.programs._records import STREAM, Arrival, Records, stream_body
 from shallotmux.fleet import ListedEndpoint
 from shallotmux.forwarding import CallerRequest, HttpListener, Reply, send_response
 from shallotmux.platform import HEADERS
+from shallotmux.platform._odd_samples import odd_entries
 from shallotmux.platform._samples import encode_listing
 
 SERVICE = 'desk'
@@ -23,6 +24,9 @@
 WORK_S = (0.002, 0.12)
 HANG_S = 6.0
 
+#: Longest pause between two events of a stream.
+MAX_EVENT_PAUSE_S = 0.12
+
 
 @dataclass(slots=True)
 class StandInEndpoint:
@@ -57,9 +61,8 @@
         trouble = self._choose_trouble()
         is_refused = trouble == 'refuse' or expected not in {'', self.identity}
         has_run = not is_refused and trouble != 'reset'
-        self.records.arrivals.append(
-            Arrival(request_id, self.identity, trio.current_time(), has_run)
-        )
+        arrival = Arrival(request_id, self.identity, trio.current_time(), has_run, not trouble)
+        self.records.arrivals.append(arrival)
         if is_refused:
             await self._answer(request, reply, 503, b'', (HEADERS.not_run, b'1'))
             return
@@ -67,11 +70,28 @@
             reply.abort()
             return
         await trio.sleep(HANG_S if trouble == 'hang' else self.random.uniform(*WORK_S))
+        if request.path.startswith(f'/{STREAM}/'):
+            await self._stream(request, reply, is_broken_off=trouble == 'lose')
+            return
         if trouble == 'lose':
             reply.abort()
             return
         await self._answer(request, reply, 200, request_id.encode())
 
+    async def _stream(self, request: CallerRequest, reply: Reply, *, is_broken_off: bool) -> None:
+        request_id = request.header(HEADERS.request_id) or b''
+        headers = ((HEADERS.request_id, request_id), (b'content-type', b'text/event-stream'))
+        await reply.send_head(200, (*headers, (b'transfer-encoding', b'chunked')))
+        *events, last = stream_body(request_id.decode()).splitlines(keepends=True)
+        for event in events:
+            await reply.send_part(event)
+            await trio.sleep(self.random.uniform(0, MAX_EVENT_PAUSE_S))
+        if is_broken_off:
+            reply.abort()
+            return
+        await reply.send_part(last)
+        await reply.finish()
+
     async def _answer(
         self,
         request: CallerRequest,
@@ -96,17 +116,25 @@
 
 @dataclass(slots=True)
 class StandInPlatform:
-    """The platform's list of endpoints; all other calls are accepted."""
+    """The platform's list of endpoints; all other calls are accepted.
+
+    :param odd: entries of other writers that stand in the list.
+    """
 
     address: str
     endpoints: list[StandInEndpoint] = field(default_factory=list)
+    odd: tuple[bytes, ...] = ()
 
     async def run(self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
         await HttpListener(self.address, self._handle).run(task_status=task_status)
 
+    def add_odd_entries(self, random: Random, most: int) -> None:
+        """Put some entries of other writers into the list."""
+        self.odd = tuple(random.sample(odd_entries(), random.randint(1, most)))
+
     async def _handle(self, request: CallerRequest, reply: Reply) -> None:
         content = b'{}'
         if request.method == b'GET':
-            content = encode_listing(tuple(each.listed() for each in self.endpoints))
+            content = encode_listing(tuple(each.listed() for each in self.endpoints), self.odd)
         await send_response(reply, 200, content, ())
--- a/shallotmux/platform/_samples.py
+++ b/shallotmux/platform/_samples.py
@@ -70,8 +70,11 @@
     return msgspec.json.encode(msgspec.convert(fields, PlatformFile))
 
 
-def encode_listing(endpoints: tuple[ListedEndpoint, ...]) -> bytes:
-    """Return the platform's list of endpoints, on one page."""
+def encode_listing(endpoints: tuple[ListedEndpoint, ...], odd: tuple[bytes, ...] = ()) -> bytes:
+    """Return the platform's list of endpoints, on one page.
+
+    :param odd: encoded entries of other writers, which come first.
+    """
     entries = [
         {
             'id': each.identity,
@@ -85,33 +88,89 @@
         }
         for each in endpoints
     ]
-    return msgspec.json.encode({'instances': entries, 'next-token': None})
+    content = b','.join((*odd, *(msgspec.json.encode(each) for each in entries)))
+    return b'{"instances":[%b],"next-token":null}' % content
+
 
+def encode_document(
+    version: int,
+    service: str,
+    padding_routes: int = 0,
+    prefixes: tuple[str, ...] = (),
+    keys: tuple[str, ...] = (),
+) -> bytes:
+    """Return a configuration with a route for each kind, ``/safe/``, ``/unsafe/`` and ``/stream/``.
 
-def encode_document(version: int, service: str, padding_routes: int = 0) -> bytes:
-    """Return a configuration with a route for each kind, ``/safe/`` and ``/unsafe/``.
+    A fourth route, ``/keyed/``, needs one of the keys.
 
     :param padding_routes: further routes, which nobody uses.
+    :param prefixes: further routes, for safe requests.
     """
-    kinds = ['safe', 'unsafe', *('safe' for _ in range(padding_routes))]
     routes = [
-        {
-            'name': f'r-{number}',
-            'host': 'checks.example' if number < 2 else f'padding-{number}.example',
-            'path-prefix': f'/{kind}/',
-            'kind': kind,
-            'timeout-ms': 3000,
-            'target-latency-ms': 1000,
-            'max-attempts': 3,
-            'public': True,
-            'service': service,
-        }
-        for number, kind in enumerate(kinds)
+        _sample_route('safe', '/safe/', service),
+        _sample_route('unsafe', '/unsafe/', service),
+        {**_sample_route('streaming', '/stream/', service), 'target-gap-ms': 2000},
+        {**_sample_route('safe', '/keyed/', service), 'public': False},
+        *(_sample_route('safe', prefix, service) for prefix in prefixes),
+        *(
+            _sample_route('safe', '/safe/', service, f'padding-{number}.example')
+            for number in range(padding_routes)
+        ),
     ]
     services = [{'name': service, 'health-path': '/healthz', 'max-conns': 400}]
-    return msgspec.json.encode({'version': version, 'routes': routes, 'services': services})
+    customers = [{'name': 'customer-1', 'api-keys': keys}] if keys else []
+    return msgspec.json.encode(
+        {'version': version, 'routes': routes, 'services': services, 'tenants': customers}
+    )
+
+
+def _sample_route(
+    kind: str, prefix: str, service: str, host: str = 'checks.example'
+) -> dict[str, Any]:
+    return {
+        'name': f'r-{host}{prefix}',
+        'host': host,
+        'path-prefix': prefix,
+        'kind': kind,
+        'timeout-ms': 3000,
+        'target-latency-ms': 1000,
+        'max-attempts': 3,
+        'public': True,
+        'service': service,
+    }
+
+
+def encode_invalid_documents(version: int, service: str, prefix: str) -> list[bytes]:
+    """Return configurations that must be refused; each one would add a route."""
+    valid: dict[str, Any] = msgspec.json.decode(encode_document(version, service, 0, (prefix,)))
+    route = valid['routes'][-1]
+    customer = {'name': 'customer-1', 'api-keys': ['key-shared']}
+
+    def replace_route(**fields: Any) -> bytes:
+        changed = {name.replace('_', '-'): value for name, value in fields.items()}
+        return msgspec.json.encode(
+            {**valid, 'routes': [*valid['routes'][:-1], {**route, **changed}]}
+        )
+
+    return [
+        msgspec.json.encode(valid)[:-9],
+        replace_route(service='missing'),
+        replace_route(timeout_ms=0),
+        replace_route(split=[{'service': service, 'weight': 0}]),
+        msgspec.json.encode({**valid, 'routes': [*valid['routes'], {**route, 'name': 'r-other'}]}),
+        msgspec.json.encode({**valid, 'tenants': [customer, {**customer, 'name': 'customer-2'}]}),
+    ]
 
 
 def read_document_version(content: bytes) -> int:
     """Return the version of a configuration."""
     return int(msgspec.json.decode(content)['version'])
+
+
+def read_document_items(content: bytes) -> frozenset[str]:
+    """Return the keys of a configuration, and the prefixes of its routes apart from padding."""
+    document = msgspec.json.decode(content)
+    routes = (each for each in document['routes'] if each['host'] == 'checks.example')
+    customers = document.get('tenants') or ()
+    keys = (key for each in customers for key in each['api-keys'])
+    return frozenset((*(each['path-prefix'] for each in routes), *keys))
--- a/tests/checking/programs/test_promises.py
+++ b/tests/checking/programs/test_promises.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from shallotmux.checking.programs import Arrival, Call, Disruption, Records, find_violations
+from shallotmux.checking.programs import (
+    Arrival,
+    Call,
+    Disruption,
+    Records,
+    Trouble,
+    find_violations,
+)
 from shallotmux.forwarding import RetryBudgetLimits
 
 BUDGET = RetryBudgetLimits(ratio=0.2, slack=2, window_s=10)
@@ -55,6 +62,45 @@
     assert find(make_call(None), make_arrival(), disruptions=other)
 
 
+def test_request_of_an_instance_that_stood_still_is_excused_for_a_while() -> None:
+    """Guards against a pause that excuses each answer that was lost after it."""
+    paused = [Disruption('entry-1', 1.5, 1.6, Trouble.PAUSE)]
+    call, late = make_call(None), make_call(None)
+    late.ended_at = 4.7
+    assert not find(call, make_arrival(), disruptions=paused)
+    assert find(late, make_arrival(), disruptions=paused)
+
+
+def test_closed_connection_is_not_excused_by_a_pause() -> None:
+    """Guards against a kept connection that is closed on a request for a sound endpoint."""
+    paused = [Disruption('entry-1', 1.5, 1.6, Trouble.PAUSE)]
+    call = make_call(None)
+    call.is_kept = True
+    call.is_closed = True
+    assert find(call, make_arrival(), disruptions=paused)
+    unsound = make_arrival()
+    unsound.is_sound = False
+    assert not find(call, unsound, disruptions=paused)
+
+
+def test_planned_stop_excuses_nothing() -> None:
+    """Guards against a stop that is taken for a kill."""
+    stopped = [Disruption('entry-1', 1.5, 1.5, Trouble.STOP)]
+    assert find(make_call(None), make_arrival(), disruptions=stopped)
+
+
+def test_broken_stream_is_found() -> None:
+    """Guards against streams with missing events, and against the blame for an endpoint's own end."""
+    stream = make_call(kind='stream', body=b'id: 0\ndata: q-1\n\n')
+    assert find(stream, make_arrival())
+    cut = make_call(None, 'stream')
+    cut.began_at = 1.0
+    assert find(cut, make_arrival())
+    unsound = make_arrival()
+    unsound.is_sound = False
+    assert not find(cut, unsound)
+
+
 def test_repeats_beyond_the_budget_are_found() -> None:
     """Guards against a window that is not looked at."""
     repeats = [make_arrival(1 + number / 10, has_run=False) for number in range(4)]
