Let builds run side by side, and replace the libraries in one step

Of three builds in one empty checkout, 0.7 s apart, two ended with FileNotFoundError, and the folder that the first one vouched for lacked modules: all of them installed into target/deps.new, and each removed what was there. A rebuild also removed target/deps first, from which running programs import.

Each build now installs into a folder of its own and puts it in place by one rename, or by an exchange of both folders (renameat2). A replaced folder stays beside it; later builds remove those older than an hour.

A thread that looked at one file during 200 rebuilds found it missing before, and never now.

--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import importlib.util
+import os
 import platform
+import threading
 from pathlib import Path
 from types import ModuleType
 
@@ -71,6 +73,62 @@
     assert script.build(requirements, folder, install)
 
 
+def test_builds_side_by_side_do_not_disturb_each_other(tmp_path: Path, requirements: Path) -> None:
+    """Guards against a build that removes what another one is installing (FileNotFoundError)."""
+    script, install, folder = load_script(), Installer(), tmp_path / 'deps'
+    outer_runs: list[bool] = []
+
+    def install_slowly(requirements: Path, temporary: Path) -> None:
+        install(requirements, temporary)
+        outer_runs.append(script.build(requirements, folder, install))
+
+    assert script.build(requirements, folder, install_slowly)
+    assert outer_runs == [True]
+    assert (folder / 'library.py').is_file()
+    assert not script.build(requirements, folder, install)
+    assert {each.name for each in tmp_path.iterdir()} == {'deps', 'requirements.txt'}
+
+
+def test_rebuild_never_takes_a_library_away(tmp_path: Path, requirements: Path) -> None:
+    """Guards against a running program that imports a module late, while a build replaces the folder."""
+    script, install, folder = load_script(), Installer(), tmp_path / 'deps'
+    script.build(requirements, folder, install)
+    missing: list[int] = []
+    is_over = threading.Event()
+
+    def watch() -> None:
+        while not is_over.is_set():
+            missing.append(not (folder / 'library.py').is_file())
+
+    watcher = threading.Thread(target=watch)
+    watcher.start()
+    for number in range(200):
+        requirements.write_text(f'library=={number + 2}\n', encoding='ascii')
+        script.build(requirements, folder, install)
+    is_over.set()
+    watcher.join()
+    assert not sum(missing)
+
+
+def test_what_old_builds_left_is_removed(tmp_path: Path, requirements: Path) -> None:
+    """Guards against replaced folders that pile up, and against the removal of what may be in use."""
+    script, install, folder = load_script(), Installer(), tmp_path / 'deps'
+    old, recent = tmp_path / 'deps.new-old', tmp_path / 'deps.new-recent'
+    for each in (old, recent):
+        each.mkdir()
+    os.utime(old, (0, 0))
+    script.build(requirements, folder, install)
+    assert not old.exists()
+    assert recent.exists()
+
+
+def test_installation_can_be_read_by_others(tmp_path: Path, requirements: Path) -> None:
+    """Guards against a folder that only the user who ran the build can read."""
+    script, folder = load_script(), tmp_path / 'deps'
+    script.build(requirements, folder, Installer())
+    assert folder.stat().st_mode & 0o777 == 0o755
+
+
 @pytest.mark.parametrize('change', ('requirements', 'machine', 'python'))
 def test_installation_for_something_else_is_replaced(
     tmp_path: Path, requirements: Path, monkeypatch: pytest.MonkeyPatch, change: str
