--- a/shallotmux/checking/programs/_probes.py
+++ b/shallotmux/checking/programs/_probes.py
@@ -75,6 +75,10 @@
                     call.status = answer.status
                     call.body = answer.body
         except FAILURES:
-            return
+            call.is_closed = True
+        except trio.Cancelled:
+            # The run is over, and nobody reads the answer.
+            call.sent_at = float('inf')
+            raise
         finally:
             call.ended_at = trio.current_time()
