Drop datagrams and messages that are nested too deep

One datagram of 1,390 bytes to the port for instances, from anybody, ended an entry process: a message of the sharing of load or of permits with one more element, nested lists. Decoders of arrays skip further elements by recursion and raise RecursionError; the receivers of datagrams caught msgspec's errors alone, and no task boundary stands above them. The same holds for the messages between entry and control instances (polls, answers, joins), for the report and the prefill answer of an endpoint, and for the header of a relayed request.

All decoders of messages now raise msgspec.DecodeError for whatever they cannot decode, which their callers handle, and the others name the errors of shallotmux/decoding.py.

Before, on and on, 12 cases of tests/test_decoding.py fail: RecursionError: maximum recursion depth exceeded while deserializing an object

--- a/shallotmux/fleet/_load_sharing.py
+++ b/shallotmux/fleet/_load_sharing.py
@@ -13,6 +13,7 @@
 import trio
 
 from shallotmux.addresses import split_address
+from shallotmux.decoding import guard_decoder
 
 #: Minimum interval between two messages of an instance, and its increase per peer. With these, an
 #: instance receives at most 200 messages per second, however many peers there are.
@@ -49,7 +50,7 @@
     tokens: dict[int, int]
 
 
-_decode = msgspec.msgpack.Decoder(LoadMessage).decode
+_decode = guard_decoder(msgspec.msgpack.Decoder(LoadMessage).decode)
 
 
 def engine_checksum(identity: str) -> int:
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from shallotmux.crashes import CrashNews, Position
+from shallotmux.decoding import guard_decoder
 from shallotmux.fleet._listing import Listing
 from shallotmux.origins import NO_HISTORY, HistoryReport
 from shallotmux.ratelimits import LimitReport
@@ -136,7 +137,7 @@
     return msgspec.msgpack.encode(message)
 
 
-decode_poll = msgspec.msgpack.Decoder(Poll).decode
-decode_knowledge = msgspec.msgpack.Decoder(Knowledge).decode
-decode_join = msgspec.msgpack.Decoder(Join).decode
-decode_join_answer = msgspec.msgpack.Decoder(JoinAnswer).decode
+decode_poll = guard_decoder(msgspec.msgpack.Decoder(Poll).decode)
+decode_knowledge = guard_decoder(msgspec.msgpack.Decoder(Knowledge).decode)
+decode_join = guard_decoder(msgspec.msgpack.Decoder(Join).decode)
+decode_join_answer = guard_decoder(msgspec.msgpack.Decoder(JoinAnswer).decode)
--- a/shallotmux/origins/_messages.py
+++ b/shallotmux/origins/_messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from shallotmux.decoding import guard_decoder
+
 #: Group name under which these calls are forwarded to a control instance.
 ORIGIN_GROUP = 'origins'
 
@@ -70,5 +72,5 @@
     return msgspec.msgpack.encode(message)
 
 
-decode_origin_call = msgspec.msgpack.Decoder(OriginCall).decode
-decode_origin_answer = msgspec.msgpack.Decoder(OriginAnswer).decode
+decode_origin_call = guard_decoder(msgspec.msgpack.Decoder(OriginCall).decode)
+decode_origin_answer = guard_decoder(msgspec.msgpack.Decoder(OriginAnswer).decode)
--- a/shallotmux/platform/_configuration.py
+++ b/shallotmux/platform/_configuration.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import DocumentInvalid
 from shallotmux.routes import (
     CallerLimits,
@@ -99,7 +100,7 @@
     """
     try:
         parsed = msgspec.json.decode(content, type=_Configuration)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise DocumentInvalid(str(error), step='read document') from error
     return RouteDocument(
         parsed.version,
--- a/shallotmux/platform/_prompts.py
+++ b/shallotmux/platform/_prompts.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.forwarding import CallerRequest
 from shallotmux.placement import Prompt, build_prompt
 from shallotmux.platform._names import HEADERS
@@ -38,7 +39,7 @@
     """Return the KV cache handle in a response to a prefill request, or None without one."""
     try:
         return msgspec.json.decode(content, type=_PrefillAnswer).kv_handle
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/shallotmux/platform/_settings.py
+++ b/shallotmux/platform/_settings.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from shallotmux.addresses import split_address
+from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import SettingsError
 from shallotmux.forwarding import RetryBudgetLimits
 from shallotmux.programs import ListenAddresses, ProgramRole, ProgramSettings, ProgramTimes
@@ -88,7 +89,7 @@
         return msgspec.json.decode(path.read_bytes(), type=PlatformFile)
     except OSError as error:
         raise SettingsError(f'{path}: {error.strerror}', step='settings') from error
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise SettingsError(f'{path}: {error}', step='settings') from error
 
 
--- a/shallotmux/platform/_worker_reports.py
+++ b/shallotmux/platform/_worker_reports.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from shallotmux.decoding import DECODE_ERRORS
+
 #: Path at which a worker reports its state.
 REPORT_PATH = '/report'
 
@@ -20,5 +22,5 @@
     """
     try:
         return msgspec.json.decode(content, type=_WorkerReport).born
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise ValueError(str(error)) from error
--- a/shallotmux/ratelimits/_endpoint_limits.py
+++ b/shallotmux/ratelimits/_endpoint_limits.py
@@ -9,6 +9,7 @@
 import trio
 from eliot import log_message
 
+from shallotmux.decoding import guard_decoder
 from shallotmux.ratelimits._granting import PermitGranter, choose_granter
 from shallotmux.ratelimits._known import KnownLimits
 from shallotmux.ratelimits._messages import PermitGrant, PermitRequest
@@ -40,7 +41,7 @@
 #: Sends a message to an instance.
 SendMessage = Callable[[str, bytes], Awaitable[None]]
 
-_decode = msgspec.msgpack.Decoder(PermitRequest | PermitGrant).decode
+_decode = guard_decoder(msgspec.msgpack.Decoder(PermitRequest | PermitGrant).decode)
 
 
 class EndpointLimits:
--- a/shallotmux/relaying/_messages.py
+++ b/shallotmux/relaying/_messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import EndpointError
 
 #: Header that marks a relayed request and its answer. Only the listener for peers reads it; it is
@@ -82,7 +83,7 @@
     """Return the message in a request's header, or None if it has no valid one."""
     try:
         return _request_decoder.decode(text or b'')
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
 
 
@@ -93,5 +94,5 @@
     """
     try:
         return _answer_decoder.decode(text or b'')
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise EndpointError(f'no valid relay header: {error}', step='relay', peer=peer) from error
--- a/tests/guards/decoding.py
+++ b/tests/guards/decoding.py
@@ -73,4 +73,11 @@
         'token',
         ('tests/platform/test_list_client.py',),
     ),
+    Guard(
+        'decoding (messages)',
+        'shallotmux/decoding.py',
+        'except DECODE_ERRORS as error:',
+        'except ValueError as error:',
+        ('tests/test_decoding.py::test_deeply_nested_datagram_is_dropped',),
+    ),
 )
