--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -9,12 +9,12 @@
 import trio
 from eliot import log_message
 
-from shallotmux.fleet import FleetView, ListedEndpoint
+from shallotmux.fleet import FleetView
 from shallotmux.forwarding._admission import Admitted, Dialect, admit_request
 from shallotmux.forwarding._attempt import AttemptResult, AttemptRunner
 from shallotmux.forwarding._budget import SharedRetryBudget
 from shallotmux.forwarding._deadlines import RequestDeadlines
-from shallotmux.forwarding._directory import EndpointDirectory, choose_least_loaded
+from shallotmux.forwarding._directory import EndpointDirectory
 from shallotmux.forwarding._engines import EnginePlacer
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._load_shedding import LoadShed
@@ -22,33 +22,22 @@
 from shallotmux.forwarding._metrics import ForwardingMetrics
 from shallotmux.forwarding._outcome import Outcome
 from shallotmux.forwarding._refusals import Refusal, refuse_not_run, refuse_unknown
-from shallotmux.forwarding._state import EndpointState, Target
+from shallotmux.forwarding._retries import MAX_SENDS, RetryPolicy
+from shallotmux.forwarding._state import Target
+from shallotmux.forwarding._targets import TargetChooser
 from shallotmux.origins import Continuation, StreamOrigins, Unknown
 from shallotmux.relaying import RelayPeers
 
 #: Time after the deadline for which an endpoint's own timeout answer is still awaited.
 DEADLINE_GRACE_S = 0.1
 
-#: Times that a request is sent to endpoints before it is refused.
-MAX_SENDS = 4
-
 #: Endpoints that are tried for a request, unreachable ones included. Each of those may cost the
 #: connect timeout.
 MAX_ENDPOINTS_TRIED = 6
 
-#: Endpoints that accepted no connection for a request, after which a peer is asked before others are
-#: tried. An instance may have lost its links to many endpoints of a service, and not to all.
-MAX_UNREACHED = 3
-
-#: Peers that are asked to relay a request. Each one may cost the connect timeout.
-MAX_PEERS_TRIED = 3
-
 #: Retry-after time when there was no endpoint, or all refused.
 RETRY_AFTER_S = 0.5
 
-#: Multiple of a route's latency objective after which a repeatable request is tried elsewhere.
-ANSWER_TIMEOUT_FACTOR = 2.0
-
 
 @dataclass(slots=True)
 class Forwarder:
@@ -69,6 +58,15 @@
     peers: RelayPeers = field(default_factory=RelayPeers)
     random: Random = field(default_factory=Random)
     _deadlines: RequestDeadlines = field(default_factory=RequestDeadlines)
+    _targets: TargetChooser = field(init=False)
+    _retries: RetryPolicy = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Build the parts that choose endpoints and allow retries."""
+        self._targets = TargetChooser(
+            self.zone, self.directory, self.placer, self.peers, self.random
+        )
+        self._retries = RetryPolicy(self.directory, self.budget)
 
     def close(self, end_at: float) -> None:
         """Refuse further requests, and answer those in progress until a local time."""
@@ -177,7 +175,7 @@
             if target.peer is None:
                 job.excluded.add(target.state.identity)
                 job.unreached += target.state.reach.failing_since is not None
-            if not self._may_retry(job, result):
+            if not self._retries.may_retry(job, result):
                 return _final_refusal(job, result, self._returns_in(job))
         return _refuse(job, reason, self._returns_in(job))
 
@@ -191,7 +189,7 @@
         :param reason: why the attempt before failed.
         """
         quarantine_s = self.directory.quarantine_ends_in(job)
-        target = None if quarantine_s else await self._choose_target(job)
+        target = None if quarantine_s else await self._targets.choose(job)
         # A prompt may have been prefilled meanwhile, which takes long enough for more crashes.
         quarantine_s = quarantine_s or self.directory.quarantine_ends_in(job)
         if quarantine_s:
@@ -205,8 +203,8 @@
         return _refuse(job, reason, self._returns_in(job))
 
     async def _attempt_once(self, job: Job, target: Target) -> AttemptResult:
-        may_retry = job.route.is_repeatable and self._has_attempts_left(job, job.runs + 1)
-        answer_timeout_s = self._answer_timeout_s(job) if may_retry else float('inf')
+        may_retry = job.route.is_repeatable and self._retries.has_attempts_left(job, job.runs + 1)
+        answer_timeout_s = self._retries.answer_timeout_s(job) if may_retry else float('inf')
         result = AttemptResult(Outcome.UNKNOWN, 'no answer in time', is_failure=True)
         timeout_scope = trio.move_on_after(answer_timeout_s)
         with timeout_scope, target.peer or nullcontext():
@@ -220,77 +218,6 @@
             job.runs += 1
         return result
 
-    def _answer_timeout_s(self, job: Job) -> float:
-        """Return the time to the start of an answer after which another endpoint is tried."""
-        objective_s = job.route.latency_objective_ms / 1000
-        return ANSWER_TIMEOUT_FACTOR * objective_s if objective_s else float('inf')
-
-    def _has_attempts_left(self, job: Job, runs: int) -> bool:
-        return runs < job.route.max_attempts and job.sends + 1 < MAX_SENDS
-
-    def _may_retry(self, job: Job, result: AttemptResult) -> bool:
-        """Return whether another attempt is allowed after a failed one."""
-        if job.reply.is_started and (job.events is None or not job.events.can_be_continued):
-            # Only a stream of events with ids can be resumed, after a complete event.
-            return False
-        if job.reply.is_started and job.relayed_for:
-            # The instance that took the request resumes the stream, as it knows what the caller has.
-            return False
-        if result.retry_after_s is not None:
-            return False
-        if result.outcome is not Outcome.NOT_RUN:
-            if not job.route.is_repeatable or job.runs >= job.route.max_attempts:
-                return False
-        version = job.stream_version
-        if version is not None and not self.directory.has_version(job.service, version):
-            return False
-        # The next attempt is no retry if nothing was sent so far.
-        return not job.sends or self.budget.try_spend(job.service)
-
-    async def _choose_target(self, job: Job) -> Target | LoadShed | None:
-        may_relay = self.peers.has_peers and not job.relayed_for
-        if may_relay and job.unreached >= MAX_UNREACHED:
-            relay = self._choose_peer(job)
-            if relay is not None:
-                return relay
-        target = await self._choose_endpoint(job, self.directory.usable_for(job))
-        if target is not None or job.relayed_for or not self.directory.is_out_of_reach(job):
-            return target
-        if may_relay:
-            return self._choose_peer(job)
-        return await self._choose_endpoint(job, self.directory.untried(job))
-
-    async def _choose_endpoint(
-        self, job: Job, usable: list[EndpointState]
-    ) -> Target | LoadShed | None:
-        """Return the endpoint for the next attempt; None if none of those given answers requests."""
-        if not any(each.may_answer for each in usable):
-            return None
-        if job.prompt is not None:
-            return await self.placer.place(job, usable)
-        state = choose_least_loaded(usable, self.zone, self.random.random)
-        return None if state is None else Target(state)
-
-    def _choose_peer(self, job: Job) -> Target | None:
-        """Return a peer that relays a job whose service is out of reach; None if none may reach it."""
-        peer = None
-        if len(job.peers_tried) < MAX_PEERS_TRIED:
-            peer = self.peers.choose(job.service, job.peers_tried)
-        log_message(
-            message_type='shallotmux:relay',
-            request=job.request_id.decode('latin-1'),
-            service=job.service,
-            software=job.stream_version,
-            peer=peer.name if peer else None,
-            load=peer.in_flight + peer.load if peer else None,
-            tried=len(job.peers_tried),
-        )
-        if peer is None:
-            return None
-        job.peers_tried.add(peer.name)
-        listed = ListedEndpoint(peer.name, job.service, self.peers.address_of(peer), '')
-        return Target(EndpointState(listed), peer=peer)
-
     def _record_delivered(self, job: Job, result: AttemptResult) -> None:
         if result.is_success:
             self.directory.record_served(job)
--- /dev/null
+++ b/shallotmux/forwarding/_targets.py
@@ -0,0 +1,82 @@
+"""Choose the endpoint, or the peer, for the next attempt of a request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+
+from eliot import log_message
+
+from shallotmux.fleet import ListedEndpoint
+from shallotmux.forwarding._directory import EndpointDirectory, choose_least_loaded
+from shallotmux.forwarding._engines import EnginePlacer
+from shallotmux.forwarding._job import Job
+from shallotmux.forwarding._load_shedding import LoadShed
+from shallotmux.forwarding._state import EndpointState, Target
+from shallotmux.relaying import RelayPeers
+
+#: Endpoints that accepted no connection for a request, after which a peer is asked before others are
+#: tried. An instance may have lost its links to many endpoints of a service, and not to all.
+MAX_UNREACHED = 3
+
+#: Peers that are asked to relay a request. Each one may cost the connect timeout.
+MAX_PEERS_TRIED = 3
+
+
+@dataclass(slots=True)
+class TargetChooser:
+    """Chooses endpoints by load, and peers if the endpoints are out of reach.
+
+    :param zone: availability zone of this instance.
+    """
+
+    zone: str
+    directory: EndpointDirectory
+    placer: EnginePlacer
+    peers: RelayPeers
+    random: Random = field(default_factory=Random)
+
+    async def choose(self, job: Job) -> Target | LoadShed | None:
+        """Return the endpoint or peer for the next attempt; None if there is none."""
+        may_relay = self.peers.has_peers and not job.relayed_for
+        if may_relay and job.unreached >= MAX_UNREACHED:
+            relay = self._choose_peer(job)
+            if relay is not None:
+                return relay
+        target = await self._choose_endpoint(job, self.directory.usable_for(job))
+        if target is not None or job.relayed_for or not self.directory.is_out_of_reach(job):
+            return target
+        if may_relay:
+            return self._choose_peer(job)
+        return await self._choose_endpoint(job, self.directory.untried(job))
+
+    async def _choose_endpoint(
+        self, job: Job, usable: list[EndpointState]
+    ) -> Target | LoadShed | None:
+        """Return the endpoint for the next attempt; None if none of those given answers requests."""
+        if not any(each.may_answer for each in usable):
+            return None
+        if job.prompt is not None:
+            return await self.placer.place(job, usable)
+        state = choose_least_loaded(usable, self.zone, self.random.random)
+        return None if state is None else Target(state)
+
+    def _choose_peer(self, job: Job) -> Target | None:
+        """Return a peer that relays a job whose service is out of reach; None if none may reach it."""
+        peer = None
+        if len(job.peers_tried) < MAX_PEERS_TRIED:
+            peer = self.peers.choose(job.service, job.peers_tried)
+        log_message(
+            message_type='shallotmux:relay',
+            request=job.request_id.decode('latin-1'),
+            service=job.service,
+            software=job.stream_version,
+            peer=peer.name if peer else None,
+            load=peer.in_flight + peer.load if peer else None,
+            tried=len(job.peers_tried),
+        )
+        if peer is None:
+            return None
+        job.peers_tried.add(peer.name)
+        listed = ListedEndpoint(peer.name, job.service, self.peers.address_of(peer), '')
+        return Target(EndpointState(listed), peer=peer)
--- a/tests/guards/forwarded.py
+++ b/tests/guards/forwarded.py
@@ -27,7 +27,7 @@
     ),
     Guard(
         'answer-of-one-run',
-        'shallotmux/forwarding/_forwarder.py',
+        'shallotmux/forwarding/_retries.py',
         '(job.events is None or not job.events.can_be_continued)',
         'False',
         (
@@ -44,7 +44,7 @@
     ),
     Guard(
         'runs-once',
-        'shallotmux/forwarding/_forwarder.py',
+        'shallotmux/forwarding/_retries.py',
         'if not job.route.is_repeatable or job.runs >= job.route.max_attempts:',
         'if job.runs >= job.route.max_attempts:',
         (f'{FORWARDER}::test_only_repeatable_requests_run_again',),
@@ -65,7 +65,7 @@
     ),
     Guard(
         'repeats-bounded',
-        'shallotmux/forwarding/_forwarder.py',
+        'shallotmux/forwarding/_retries.py',
         'return not job.sends or self.budget.try_spend(job.service)',
         'return True',
         (f'{FORWARDER}::test_exhausted_budget_stops_retries',),
--- a/tests/guards/reach.py
+++ b/tests/guards/reach.py
@@ -41,7 +41,7 @@
     ),
     Guard(
         'relay-once',
-        'shallotmux/forwarding/_forwarder.py',
+        'shallotmux/forwarding/_targets.py',
         'if target is not None or job.relayed_for or not self.directory.is_out_of_reach(job):',
         'if target is not None or not self.directory.is_out_of_reach(job):',
         (f'{RELAYED}::test_relayed_request_is_not_relayed_again',),
--- a/tests/guards/streams.py
+++ b/tests/guards/streams.py
@@ -52,7 +52,7 @@
     ),
     Guard(
         'event-of-one-run',
-        'shallotmux/forwarding/_forwarder.py',
+        'shallotmux/forwarding/_retries.py',
         '(job.events is None or not job.events.can_be_continued)',
         'job.events is None',
         (f'{BROKEN}::test_event_that_was_relayed_in_part_is_not_sent_again',),
