Give no attempt up before it is certain that another one follows

An attempt that is silent for that time now goes on. If the budget allows a retry and a sound endpoint has room, a second attempt of a safe request runs beside it, and the first answer that can be delivered goes to the caller and ends the others. The number of arrivals stays as it was: one for each retry that the budget allows. Event streams and prompts hold an engine, and peers run a request at an unknown number of endpoints; there the attempt is replaced, after the retry is charged and another endpoint is known. A peer gets half of the remaining time, as it tries other endpoints itself. The same reservation is made before an attempt is given up as its service is out of reach.

The test of an answer in the scheduler step of the timeout now gives the attempt up by its new scope, and by the reach monitor as well; it checks the same mix of two answers.

--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 
@@ -16,6 +15,7 @@
     EndpointConnection,
 )
 from shallotmux.forwarding._job import Job
+from shallotmux.forwarding._messages import AnswerHead
 from shallotmux.forwarding._outcome import Outcome, classify_missing_answer
 from shallotmux.forwarding._paths import AttemptPath, DirectPath, PeerPath
 from shallotmux.forwarding._pool import ConnectionPool
@@ -66,6 +66,33 @@
         return self.is_delivered and self.status < MIN_ERROR_STATUS and self.is_end_certain
 
 
+def _reserve_none() -> bool:
+    return False
+
+
+def _ignore_delivery() -> None:
+    """Record nothing."""
+
+
+@dataclass(slots=True, eq=False)
+class AttemptControl:
+    """What an attempt and its owner tell each other.
+
+    :param may_retry: whether to withhold a server error or a truncated answer from the caller, so that
+        another endpoint can be tried.
+    :param reserve_retry: asked before the attempt is given up; returns whether another one follows.
+    :param on_delivery: called before the first byte of the answer goes to the caller.
+    :param scope: scope around the attempt, by which its owner gives it up.
+    """
+
+    may_retry: bool = False
+    reserve_retry: Callable[[], bool] = _reserve_none
+    on_delivery: Callable[[], None] = _ignore_delivery
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    #: Whether the head of an answer has arrived.
+    is_answered: bool = False
+
+
 #: Reason of an attempt whose answer was delivered.
 DELIVERED = ''
 
@@ -79,8 +106,7 @@
 
     job: Job
     target: Target
-    timeout_scope: trio.CancelScope
-    may_retry: bool
+    control: AttemptControl
     work: InFlightWork
     path: AttemptPath
 
@@ -113,18 +139,14 @@
         return self._through_peer.pool
 
     async def run(
-        self, job: Job, target: Target, timeout_scope: trio.CancelScope, *, may_retry: bool = False
+        self, job: Job, target: Target, control: AttemptControl | None = None
     ) -> AttemptResult:
-        """Send a job to an endpoint and relay the answer if it is final.
-
-        :param timeout_scope: scope around this call; its deadline is lifted once the answer begins.
-        :param may_retry: whether to withhold a server error or a truncated answer from the caller,
-            so that another endpoint can be tried.
-        """
+        """Send a job to an endpoint and relay the answer if it is final."""
         state = target.state
+        control = control or AttemptControl()
         path: AttemptPath = self._through_peer if target.peer else self._direct
-        with InFlightWork(state, target.uncached_tokens, may_abandon=may_retry) as work:
-            attempt = _Attempt(job, target, timeout_scope, may_retry, work, path)
+        with InFlightWork(state, target.uncached_tokens, control.reserve_retry) as work:
+            attempt = _Attempt(job, target, control, work, path)
             result: AttemptResult | None = None
             with work.scope:
                 result = await self._exchange(attempt)
@@ -198,11 +220,7 @@
     async def _receive(self, attempt: _Attempt, connection: EndpointConnection) -> AttemptResult:
         job = attempt.job
         head = await connection.receive_head()
-        if attempt.timeout_scope.cancel_called:
-            # The timeout expired in the same scheduler step in which the head arrived. Another
-            # endpoint is tried, so nothing of this answer may be relayed.
-            await trio.lowlevel.checkpoint()
-        attempt.timeout_scope.deadline = math.inf
+        attempt.control.is_answered = True
         attempt.work.record_answer()
         verdict = attempt.path.judge(job, attempt.target, attempt.work, head)
         outcome, head = verdict.outcome, verdict.head
@@ -218,7 +236,7 @@
         if job.route.kind is not RouteKind.STREAMING:
             self._record_run_started(job)
         is_error = head.status >= MIN_SERVER_ERROR_STATUS
-        if is_error and attempt.may_retry:
+        if is_error and attempt.control.may_retry:
             await connection.discard_body()
             return AttemptResult(outcome, f'status {head.status}', True, head.status)
         if job.reply.is_started and not may_continue_stream(job, head):
@@ -226,12 +244,12 @@
             reason = f'status {head.status} instead of the rest of a stream'
             return AttemptResult(outcome, reason, is_error, head.status)
         start = BufferedStart()
-        if (
-            attempt.may_retry
-            and job.route.kind is RouteKind.SAFE
-            and not is_event_stream(job, head)
-        ):
+        if _is_buffered(attempt, head):
             start = await buffer_start(connection)
+        # The attempt may have been given up in the scheduler step in which the answer arrived. Another
+        # one goes on then, so nothing of this answer may be relayed.
+        await trio.lowlevel.checkpoint_if_cancelled()
+        attempt.control.on_delivery()
         await self._relay.relay(job, head, connection, start)
         is_end_certain = not ends_with_connection(job, head)
         if not is_end_certain:
@@ -258,6 +276,13 @@
             self._on_run_started(job)
 
 
+def _is_buffered(attempt: _Attempt, head: AnswerHead) -> bool:
+    """Return whether an answer is read ahead, so that another endpoint can replace a truncated one."""
+    job = attempt.job
+    is_safe = job.route.kind is RouteKind.SAFE
+    return attempt.control.may_retry and is_safe and not is_event_stream(job, head)
+
+
 async def _send_ignoring_errors(connection: EndpointConnection) -> None:
     """Send a request; a broken connection is reported when the answer is read."""
     with suppress(EndpointError):
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -10,12 +10,16 @@
 
 from shallotmux.crashes import CrashRecords
 from shallotmux.fleet import ListedEndpoint, Listing
-from shallotmux.forwarding._job import Job
+from shallotmux.forwarding._job import Job, SilentAttempt
 from shallotmux.forwarding._messages import AnswerHead
 from shallotmux.forwarding._names import HeaderNames
 from shallotmux.forwarding._notices import EndpointNotices
 from shallotmux.forwarding._reach import ReachMonitor
-from shallotmux.forwarding._state import FAILURE_THRESHOLD, EndpointState
+from shallotmux.forwarding._state import (
+    FAILURE_THRESHOLD,
+    UNRESPONSIVE_AFTER_S,
+    EndpointState,
+)
 from shallotmux.ratelimits import EndpointLimits, parse_limit
 
 #: Added to the load per slot of endpoints in other zones, so that they are chosen only if those of
@@ -25,6 +29,10 @@
 #: Time before the first connect that failed in which connections may have broken by the same cause.
 BROKEN_BEFORE_CUT_S = 1.0
 
+#: Multiple of the time in which another endpoint answered a request after which silence counts as a
+#: failure.
+SILENCE_FACTOR = 2.0
+
 #: Parts of a prompt that a log line names.
 MAX_LOGGED_PARTS = 16
 
@@ -287,6 +295,21 @@
                 for_s=avoided_s,
             )
 
+    def record_overtaken(self, silent: SilentAttempt, took_s: float) -> None:
+        """Count a failure if an endpoint was silent for far longer than another one took to answer.
+
+        A slow endpoint does not fail: one that answered another request meanwhile is only busy, and one
+        that took as long as the other keeps its pace.
+
+        :param took_s: time in which another endpoint answered the same request.
+        """
+        state = self._states.get(silent.endpoint)
+        if state is None or state.answered_at >= silent.started_at:
+            return
+        is_far_slower = silent.waited_s >= SILENCE_FACTOR * took_s
+        if is_far_slower or silent.waited_s > max(took_s, UNRESPONSIVE_AFTER_S):
+            self.record_failure(state, f'no answer in {silent.waited_s:.2f} s')
+
     def _build_state(self, listed: ListedEndpoint) -> EndpointState:
         state = EndpointState(listed, busy=self.reach.busy)
         self.notices.restore(state)
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from contextlib import nullcontext
 from dataclasses import dataclass, field
 from random import Random
 
-import trio
 from eliot import log_message
 
 from shallotmux.fleet import FleetView
@@ -24,17 +22,14 @@
 from shallotmux.forwarding._refusals import Refusal, refuse_not_run, refuse_unknown
 from shallotmux.forwarding._retries import MAX_SENDS, RetryPolicy
 from shallotmux.forwarding._state import Target
-from shallotmux.forwarding._targets import TargetChooser
+from shallotmux.forwarding._supervision import AttemptSupervisor
+from shallotmux.forwarding._targets import MAX_ENDPOINTS_TRIED, TargetChooser
 from shallotmux.origins import Continuation, StreamOrigins, Unknown
 from shallotmux.relaying import RelayPeers
 
 #: Time after the deadline for which an endpoint's own timeout answer is still awaited.
 DEADLINE_GRACE_S = 0.1
 
-#: Endpoints that are tried for a request, unreachable ones included. Each of those may cost the
-#: connect timeout.
-MAX_ENDPOINTS_TRIED = 6
-
 #: Retry-after time when there was no endpoint, or all refused.
 RETRY_AFTER_S = 0.5
 
@@ -60,6 +55,7 @@
     _deadlines: RequestDeadlines = field(default_factory=RequestDeadlines)
     _targets: TargetChooser = field(init=False)
     _retries: RetryPolicy = field(init=False)
+    _supervisor: AttemptSupervisor = field(init=False)
 
     def __post_init__(self) -> None:
         """Build the parts that choose endpoints and allow retries."""
@@ -67,6 +63,9 @@
             self.zone, self.directory, self.placer, self.peers, self.random
         )
         self._retries = RetryPolicy(self.directory, self.budget)
+        self._supervisor = AttemptSupervisor(
+            self.directory, self.runner, self._targets, self._retries, self._log_attempt
+        )
 
     def close(self, end_at: float) -> None:
         """Refuse further requests, and answer those in progress until a local time."""
@@ -166,15 +165,11 @@
             target = await self._find_target(job, reason)
             if isinstance(target, Refusal):
                 return target
-            result = await self._attempt_once(job, target)
-            self._log_attempt(job, target, result)
+            result = await self._supervisor.run(job, target)
             if result.is_delivered:
                 self._record_delivered(job, result)
                 return None
             reason = result.reason
-            if target.peer is None:
-                job.excluded.add(target.state.identity)
-                job.unreached += target.state.reach.failing_since is not None
             if not self._retries.may_retry(job, result):
                 return _final_refusal(job, result, self._returns_in(job))
         return _refuse(job, reason, self._returns_in(job))
@@ -202,22 +197,6 @@
                 return refuse_not_run('engines are busy', target.retry_after_s)
         return _refuse(job, reason, self._returns_in(job))
 
-    async def _attempt_once(self, job: Job, target: Target) -> AttemptResult:
-        may_retry = job.route.is_repeatable and self._retries.has_attempts_left(job, job.runs + 1)
-        answer_timeout_s = self._retries.answer_timeout_s(job) if may_retry else float('inf')
-        result = AttemptResult(Outcome.UNKNOWN, 'no answer in time', is_failure=True)
-        timeout_scope = trio.move_on_after(answer_timeout_s)
-        with timeout_scope, target.peer or nullcontext():
-            result = await self.runner.run(job, target, timeout_scope, may_retry=may_retry)
-        if timeout_scope.cancelled_caught:
-            if target.peer is None:
-                self.directory.record_failure(target.state, result.reason)
-            else:
-                self.peers.record_unreachable(target.peer)
-        if result.outcome is not Outcome.NOT_RUN:
-            job.runs += 1
-        return result
-
     def _record_delivered(self, job: Job, result: AttemptResult) -> None:
         if result.is_success:
             self.directory.record_served(job)
--- a/shallotmux/forwarding/_job.py
+++ b/shallotmux/forwarding/_job.py
@@ -7,6 +7,7 @@
 import trio
 
 from shallotmux.crashes import digest_subject
+from shallotmux.fleet import ListedEndpoint
 from shallotmux.forwarding._events import EventSplitter
 from shallotmux.forwarding._headers import Headers, drop_connection_headers, drop_named
 from shallotmux.forwarding._messages import CallerRequest, OutgoingRequest, Reply
@@ -27,6 +28,18 @@
 MAX_BLAMED_PARTS = 256
 
 
+@dataclass(frozen=True, slots=True)
+class SilentAttempt:
+    """An attempt that was given up before its answer began.
+
+    :param endpoint: identity of the endpoint.
+    """
+
+    endpoint: str
+    started_at: float
+    waited_s: float
+
+
 @dataclass(slots=True)
 class Job:
     """A request that was admitted.
@@ -80,6 +93,10 @@
     attempt_start: int = 0
     #: Whether the beginning of the stream was recorded for this request.
     is_origin_recorded: bool = False
+    #: Whether the next retry was charged to the budget already.
+    is_retry_reserved: bool = False
+    #: Attempts that were given up since their endpoints stayed silent.
+    silent_attempts: list[SilentAttempt] = field(default_factory=list)
     _subjects: frozenset[int] = frozenset()
 
     @property
@@ -128,6 +145,11 @@
         parts = self.prompt.shared_parts if self.prompt else ()
         return frozenset(part.digest for part in parts[:MAX_BLAMED_PARTS])
 
+    def record_attempt(self, listed: ListedEndpoint) -> None:
+        """Record the endpoint whose answer the caller gets, or may get."""
+        self.attempt_version = listed.software_version
+        self.attempt_start = listed.start_number
+
     def record_part(self) -> None:
         """Record the time at which a part of the answer body arrived."""
         now = trio.current_time()
--- a/shallotmux/forwarding/_paths.py
+++ b/shallotmux/forwarding/_paths.py
@@ -102,8 +102,7 @@
         """Count the request, and return it with the headers for the endpoint."""
         outgoing = job.build_outgoing(self._names, target.state.identity, target.extra)
         job.sends += 1
-        job.attempt_version = target.state.listed.software_version
-        job.attempt_start = target.state.start_number
+        job.record_attempt(target.state.listed)
         job.cache_source_uses += bool(job.cache_source)
         return outgoing
 
--- a/shallotmux/forwarding/_prefill.py
+++ b/shallotmux/forwarding/_prefill.py
@@ -96,7 +96,7 @@
         outgoing = job.build_outgoing(self._dialect.names, state.identity, extra)
         connection: EndpointConnection | None = None
         sent_at = trio.current_time()
-        work = InFlightWork(state, call.uncached_tokens, may_abandon=True)
+        work = InFlightWork(state, call.uncached_tokens, lambda: True)
         try:
             with work, work.scope:
                 connection = await self._pool.acquire(
--- a/shallotmux/forwarding/_retries.py
+++ b/shallotmux/forwarding/_retries.py
@@ -9,6 +9,7 @@
 from shallotmux.forwarding._directory import EndpointDirectory
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._outcome import Outcome
+from shallotmux.forwarding._state import Target
 
 #: Times that a request is sent to endpoints before it is refused.
 MAX_SENDS = 4
@@ -16,6 +17,13 @@
 #: Multiple of a route's latency objective after which a repeatable request is tried elsewhere.
 ANSWER_TIMEOUT_FACTOR = 2.0
 
+#: Multiple of the time of an endpoint that a peer gets, as it tries another endpoint itself.
+PEER_TIMEOUT_FACTOR = 2.0
+
+#: Part of the remaining time that a peer gets at least. Each peer may run the request several times,
+#: so that only one that has stopped answering is replaced.
+PEER_TIME_SHARE = 0.5
+
 
 @dataclass(frozen=True, slots=True)
 class RetryPolicy:
@@ -24,30 +32,50 @@
     directory: EndpointDirectory
     budget: SharedRetryBudget
 
-    def answer_timeout_s(self, job: Job) -> float:
+    def answer_timeout_s(self, job: Job, target: Target) -> float:
         """Return the time to the start of an answer after which another endpoint is tried."""
         objective_s = job.route.latency_objective_ms / 1000
-        return ANSWER_TIMEOUT_FACTOR * objective_s if objective_s else float('inf')
+        timeout_s = ANSWER_TIMEOUT_FACTOR * objective_s if objective_s else float('inf')
+        if target.peer is None:
+            return timeout_s
+        return max(PEER_TIMEOUT_FACTOR * timeout_s, PEER_TIME_SHARE * job.remaining_s)
 
     def has_attempts_left(self, job: Job, runs: int) -> bool:
         """Return whether another attempt is allowed after a number of runs."""
         return runs < job.route.max_attempts and job.sends + 1 < MAX_SENDS
 
+    def reserve(self, job: Job, runs: int) -> bool:
+        """Charge the next retry to the budget, before the attempt that it replaces is given up.
+
+        :param runs: runs of the job, those in progress included.
+        """
+        if job.is_retry_reserved:
+            return True
+        is_allowed = job.route.is_repeatable and self._may_follow(job)
+        if is_allowed and self.has_attempts_left(job, runs):
+            job.is_retry_reserved = self.budget.try_spend(job.service)
+        return job.is_retry_reserved
+
     def may_retry(self, job: Job, result: AttemptResult) -> bool:
         """Return whether another attempt is allowed after a failed one."""
+        if not self._may_follow(job) or result.retry_after_s is not None:
+            return False
+        if result.outcome is not Outcome.NOT_RUN:
+            if not job.route.is_repeatable or job.runs >= job.route.max_attempts:
+                return False
+        if job.is_retry_reserved:
+            job.is_retry_reserved = False
+            return True
+        # The next attempt is no retry if nothing was sent so far.
+        return not job.sends or self.budget.try_spend(job.service)
+
+    def _may_follow(self, job: Job) -> bool:
+        """Return whether another answer may follow what the caller already has."""
         if job.reply.is_started and (job.events is None or not job.events.can_be_continued):
             # Only a stream of events with ids can be resumed, after a complete event.
             return False
         if job.reply.is_started and job.relayed_for:
             # The instance that took the request resumes the stream, as it knows what the caller has.
             return False
-        if result.retry_after_s is not None:
-            return False
-        if result.outcome is not Outcome.NOT_RUN:
-            if not job.route.is_repeatable or job.runs >= job.route.max_attempts:
-                return False
         version = job.stream_version
-        if version is not None and not self.directory.has_version(job.service, version):
-            return False
-        # The next attempt is no retry if nothing was sent so far.
-        return not job.sends or self.budget.try_spend(job.service)
+        return version is None or self.directory.has_version(job.service, version)
--- a/shallotmux/forwarding/_state.py
+++ b/shallotmux/forwarding/_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -67,16 +68,25 @@
     at: float
 
 
+def _stay() -> bool:
+    """Return that a request is not given up."""
+    return False
+
+
 class InFlightWork:
     """Context manager that counts a request or prefill as load of an endpoint.
 
     The request counts until the context ends, its prompt tokens until the answer begins.
 
-    :param may_abandon: whether the request may run elsewhere if this endpoint gets out of reach.
+    :param may_abandon: asked before the request is given up since this endpoint is out of reach; returns
+        whether it may run elsewhere.
     """
 
     def __init__(
-        self, state: EndpointState, uncached_tokens: float, *, may_abandon: bool = False
+        self,
+        state: EndpointState,
+        uncached_tokens: float,
+        may_abandon: Callable[[], bool] = _stay,
     ) -> None:
         self._state = state
         self._uncached_tokens = uncached_tokens
@@ -124,7 +134,8 @@
         a part that is sent by halves would end inside the framing of the answer.
         """
         is_waiting = self.connection is None or self.connection.is_receiving
-        if self._may_abandon and is_waiting and now - self.heard_at >= silent_s:
+        is_silent = is_waiting and now - self.heard_at >= silent_s
+        if is_silent and not self.scope.cancel_called and self._may_abandon():
             self.scope.cancel()
 
     def record_answer(self) -> None:
--- a/shallotmux/forwarding/_targets.py
+++ b/shallotmux/forwarding/_targets.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+import trio
 from eliot import log_message
 
 from shallotmux.fleet import ListedEndpoint
@@ -15,6 +16,10 @@
 from shallotmux.forwarding._state import EndpointState, Target
 from shallotmux.relaying import RelayPeers
 
+#: Endpoints that are tried for a request, unreachable ones included. Each of those may cost the
+#: connect timeout.
+MAX_ENDPOINTS_TRIED = 6
+
 #: Endpoints that accepted no connection for a request, after which a peer is asked before others are
 #: tried. An instance may have lost its links to many endpoints of a service, and not to all.
 MAX_UNREACHED = 3
@@ -50,6 +55,33 @@
             return self._choose_peer(job)
         return await self._choose_endpoint(job, self.directory.untried(job))
 
+    def choose_beside(self, job: Job) -> Target | None:
+        """Return an endpoint for an attempt beside those in progress, if a sound one has room.
+
+        :param job: one without a prompt, that excludes the endpoints of those attempts.
+        """
+        if len(job.excluded) >= MAX_ENDPOINTS_TRIED:
+            return None
+        state = choose_least_loaded(self._available(job), self.zone, self.random.random)
+        return None if state is None else Target(state)
+
+    def has_other(self, job: Job) -> bool:
+        """Return whether an attempt that is given up can be followed by one elsewhere."""
+        if self.directory.quarantine_ends_in(job) or len(job.excluded) >= MAX_ENDPOINTS_TRIED:
+            return False
+        if self._available(job):
+            return True
+        may_relay = not job.relayed_for and len(job.peers_tried) < MAX_PEERS_TRIED
+        if not may_relay or not self.directory.is_out_of_reach(job):
+            return False
+        return self.peers.choose(job.service, job.peers_tried) is not None
+
+    def _available(self, job: Job) -> list[EndpointState]:
+        """Return the endpoints that may answer a job and are neither avoided nor out of reach."""
+        now = trio.current_time()
+        usable = self.directory.usable_for(job)
+        return [each for each in usable if each.may_answer and each.is_available(now)]
+
     async def _choose_endpoint(
         self, job: Job, usable: list[EndpointState]
     ) -> Target | LoadShed | None:
--- a/tests/forwarding/_harness.py
+++ b/tests/forwarding/_harness.py
@@ -154,6 +154,7 @@
     route('once', RouteKind.UNSAFE),
     route('stream', RouteKind.STREAMING),
     route('resume', RouteKind.STREAMING, is_resumable=True, max_attempts=3),
+    route('live', RouteKind.STREAMING, is_resumable=True, latency_objective_ms=50, max_attempts=3),
     route('short', RouteKind.UNSAFE, timeout_ms=100),
     route('open', RouteKind.SAFE, is_open=True),
 )
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import pytest
 import trio
 
 from shallotmux.crashes import CrashNews, CrashReport
 from shallotmux.fleet import ListedEndpoint, Listing
 from shallotmux.forwarding import AnswerHead, Forwarder, RetryBudgetLimits
+from shallotmux.forwarding._attempt import AttemptControl
 from shallotmux.forwarding._state import Target
 from tests.forwarding._harness import (
     NAMES,
@@ -226,14 +229,14 @@
 
 
 class HeadAtTimeoutConnection:
-    """A connection whose head arrives in the scheduler step in which the timeout expires."""
+    """A connection whose head arrives in the scheduler step in which the attempt is given up."""
 
     was_sent = True
     is_reusable = False
     received_at = float('-inf')
 
-    def __init__(self, timeout_scope: trio.CancelScope) -> None:
-        self._timeout_scope = timeout_scope
+    def __init__(self, give_up: Callable[[], None]) -> None:
+        self._give_up = give_up
 
     def begin(self, request: object) -> None:
         """Begin nothing."""
@@ -243,8 +246,8 @@
         await trio.lowlevel.checkpoint()
 
     async def receive_head(self) -> AnswerHead:
-        """Return a head after the timeout has expired."""
-        self._timeout_scope.cancel()
+        """Return a head after the attempt was given up."""
+        self._give_up()
         return AnswerHead(200, ())
 
     def close(self) -> None:
@@ -263,25 +266,31 @@
         return self._connection
 
 
+@pytest.mark.parametrize('by', ['its owner', 'the reach monitor'])
 async def test_answer_at_timeout_is_not_mixed_with_another(
-    monkeypatch: pytest.MonkeyPatch,
+    by: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a mix of two answers.
 
-    The head arrived in the step in which the timeout expired, so the first answer was started while
+    The head arrived in the step in which the attempt was given up, so the first answer was started while
     another endpoint was tried.
     """
-    timeout_scope = trio.CancelScope()
+    control = AttemptControl()
     reply = RecordingReply()
     async with run_forwarder(ScriptedEndpoint(serve)) as harness:
         state = harness.forwarder.directory.find('e-0')
         assert state is not None
-        monkeypatch.setattr(
-            harness.pool, 'acquire', AcquireStub(HeadAtTimeoutConnection(timeout_scope))
-        )
-        with timeout_scope:
-            await harness.forwarder.runner.run(make_job(reply), Target(state), timeout_scope)
-    assert timeout_scope.cancelled_caught
+
+        def give_up() -> None:
+            scopes = [each.scope for each in state.in_progress]
+            for scope in [control.scope] if by == 'its owner' else scopes:
+                scope.cancel()
+
+        monkeypatch.setattr(harness.pool, 'acquire', AcquireStub(HeadAtTimeoutConnection(give_up)))
+        with control.scope:
+            result = await harness.forwarder.runner.run(make_job(reply), Target(state), control)
+            assert not result.is_delivered
+    assert control.scope.cancelled_caught is (by == 'its owner')
     assert not reply.is_started
 
 
--- a/tests/guards/__main__.py
+++ b/tests/guards/__main__.py
@@ -11,6 +11,7 @@
 import tempfile
 from pathlib import Path
 
+from tests.guards.attempts import ATTEMPT_GUARDS
 from tests.guards.catalogue import GUARDS, Guard
 from tests.guards.crashes import CRASH_GUARDS
 from tests.guards.decoding import DECODING_GUARDS
@@ -63,6 +64,7 @@
     guards = (
         *GUARDS,
         *FORWARDING_GUARDS,
+        *ATTEMPT_GUARDS,
         *CRASH_GUARDS,
         *DECODING_GUARDS,
         *LIMIT_GUARDS,
--- /dev/null
+++ b/tests/guards/attempts.py
@@ -0,0 +1,82 @@
+"""Guards of attempts that are slow, given up, or run beside each other."""
+
+from __future__ import annotations
+
+from tests.guards.catalogue import Guard
+
+SLOW = 'tests/forwarding/test_slow_endpoints.py'
+SUPERVISION = 'shallotmux/forwarding/_supervision.py'
+DIRECTORY = 'shallotmux/forwarding/_directory.py'
+
+ATTEMPT_GUARDS = (
+    Guard(
+        'attempts (retry is reserved first)',
+        SUPERVISION,
+        'if self._reserve_retry(first.target):',
+        'if True:',
+        (f'{SLOW}::test_endpoint_is_awaited_once_the_budget_is_spent',),
+    ),
+    Guard(
+        'attempts (endpoint is found first)',
+        SUPERVISION,
+        'return parts.targets.has_other(job) and parts.retries.reserve(job, runs)',
+        'return parts.retries.reserve(job, runs)',
+        (f'{SLOW}::test_only_endpoint_is_awaited',),
+    ),
+    Guard(
+        'attempts (budget of one beside another)',
+        SUPERVISION,
+        'if target is None or not parts.retries.reserve(job, job.runs + len(self.running)):',
+        'if target is None:',
+        (f'{SLOW}::test_endpoint_is_awaited_once_the_budget_is_spent',),
+    ),
+    Guard(
+        'attempts (limit counts those in progress)',
+        SUPERVISION,
+        'parts.retries.reserve(job, job.runs + len(self.running))',
+        'parts.retries.reserve(job, job.runs)',
+        (f'{SLOW}::test_attempts_go_on_when_no_further_one_is_allowed',),
+    ),
+    Guard(
+        'attempts (first one goes on)',
+        SUPERVISION,
+        'return is_plain and not self.parts.directory.is_on_trial(job)',
+        'return False',
+        (f'{SLOW}::test_first_attempt_outlives_a_second_one_that_fails',),
+    ),
+    Guard(
+        'attempts (streams run at one endpoint)',
+        SUPERVISION,
+        'is_plain = job.route.kind is RouteKind.SAFE and',
+        'is_plain =',
+        (f'{SLOW}::test_stream_runs_at_one_endpoint_at_a_time',),
+    ),
+    Guard(
+        'attempts (others end with the first answer)',
+        SUPERVISION,
+        'self.job.silent_attempts.append(each.as_silent())\n                each.control.scope.cancel()',
+        'self.job.silent_attempts.append(each.as_silent())',
+        (f'{SLOW}::test_first_whole_answer_is_taken_and_the_other_attempt_ends',),
+    ),
+    Guard(
+        'attempts (silent endpoint is found)',
+        SUPERVISION,
+        'self.parts.directory.record_overtaken(silent, took_s)',
+        'pass',
+        (f'{SLOW}::test_silent_endpoint_is_found',),
+    ),
+    Guard(
+        'attempts (slow endpoint is not failing)',
+        DIRECTORY,
+        'if is_far_slower or silent.waited_s > max(took_s, UNRESPONSIVE_AFTER_S):',
+        'if True:',
+        (f'{SLOW}::test_endpoints_of_an_even_pace_are_not_avoided',),
+    ),
+    Guard(
+        'attempts (busy endpoint is not failing)',
+        DIRECTORY,
+        'if state is None or state.answered_at >= silent.started_at:',
+        'if state is None:',
+        (f'{SLOW}::test_busy_endpoint_is_not_taken_for_a_failing_one',),
+    ),
+)
--- a/tests/guards/forwarded.py
+++ b/tests/guards/forwarded.py
@@ -38,8 +38,8 @@
     Guard(
         'answer-of-one-run (patience)',
         'shallotmux/forwarding/_attempt.py',
-        'if attempt.timeout_scope.cancel_called:',
-        'if False:',
+        'await trio.lowlevel.checkpoint_if_cancelled()',
+        'pass',
         (f'{FORWARDER}::test_answer_at_timeout_is_not_mixed_with_another',),
     ),
     Guard(
