Answer a request whose handler fails

Callers got a closed connection without an answer, and requests that were pipelined behind were lost too, whenever an error that nobody had named reached the listener. The log line named no request.

The caller now gets 502 if no answer has begun, as the request may have run; the connection is kept, and the log line names the request. An answer whose head cannot be encoded has not begun. test_handler_exception_ends_only_its_connection expected no complete answer; it now expects the whole 502, and is renamed.

--- a/shallotmux/forwarding/_caller_connection.py
+++ b/shallotmux/forwarding/_caller_connection.py
@@ -242,7 +242,7 @@
             self.protocol.send_failed()
 
     async def _handle(self, request: CallerRequest, reply: CallerReply) -> None:
-        """Call the handler; an exception in it ends only this connection."""
+        """Call the handler; an exception in it ends only this request."""
         try:
             await self.listener.handle(request, reply)
         except CallerDisconnected:
@@ -251,9 +251,12 @@
             log_message(
                 message_type='shallotmux:handler-fault',
                 level='error',
+                request=request.text(self.listener.request_id_header),
                 error=repr(error),
                 at=traceback.format_exc().splitlines()[-TRACEBACK_LINES:],
             )
+            with contextlib.suppress(CallerDisconnected, h11.ProtocolError):
+                await reply.send_fault()
 
     async def _watch_caller(self, scope: trio.CancelScope) -> None:
         """Read pipelined requests ahead; cancel the handler when the connection ends."""
--- a/shallotmux/forwarding/_caller_reply.py
+++ b/shallotmux/forwarding/_caller_reply.py
@@ -15,6 +15,9 @@
 #: its request answered.
 FULL_RETRY_AFTER_S = 0.5
 
+#: Status of answers to requests whose handler failed.
+FAULT_STATUS = 502
+
 
 class CallerReply:
     """Sends the answer to one request of a caller."""
@@ -28,8 +31,9 @@
         """Send status and headers."""
         if self._connection.listener.is_draining:
             headers = (*headers, (b'connection', b'close'))
+        head = h11.Response(status_code=status, headers=list(headers))
         self.is_started = True
-        await self._connection.send(h11.Response(status_code=status, headers=list(headers)))
+        await self._connection.send(head)
 
     async def send_part(self, content: bytes) -> None:
         """Send a part of the body."""
@@ -46,6 +50,15 @@
         self._connection.reset_unless_end_is_marked()
         self._connection.stream.socket.close()
 
+    async def send_fault(self) -> None:
+        """Answer a request whose handler failed, unless an answer has begun.
+
+        The request may have run, so the status promises nothing.
+        """
+        if not self.is_started:
+            await self.send_head(FAULT_STATUS, ((b'content-length', b'0'),))
+            await self.finish()
+
     async def refuse(self, status: int) -> None:
         """Answer an invalid request with a status, and announce the end of the connection."""
         if self.is_started:
--- a/shallotmux/forwarding/_listener.py
+++ b/shallotmux/forwarding/_listener.py
@@ -12,6 +12,7 @@
 from shallotmux.addresses import split_address
 from shallotmux.binding import bind_when_free
 from shallotmux.forwarding._caller_connection import CallerConnection, Handler
+from shallotmux.forwarding._names import HeaderNames
 from shallotmux.routes import CallerLimits
 
 #: Listen backlog.
@@ -32,6 +33,7 @@
     :param accepts: tells by the host of a connection's other end whether it is taken.
     :param is_draining: whether answers carry ``Connection: close``.
     :param is_closed: whether no further request is taken, on any connection.
+    :param request_id_header: name of the header by which faults are logged.
     """
 
     address: str
@@ -41,6 +43,7 @@
     is_draining: bool = False
     is_closed: bool = False
     max_buffered_bytes: int = MAX_BUFFERED_BODY_BYTES
+    request_id_header: bytes = HeaderNames().request_id
     #: Requests being read or answered.
     open_requests: int = 0
     #: Bytes of request bodies that are being read or answered.
--- /dev/null
+++ b/tests/forwarding/test_faults.py
@@ -0,0 +1,70 @@
+"""Tests of requests whose handler fails: the caller gets an answer, and everything else goes on."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping
+
+import pytest
+import trio
+
+from shallotmux.forwarding import CallerRequest, HttpListener, Reply, send_response
+from tests.forwarding._harness import (
+    build_request,
+    read_answer,
+)
+
+#: Runs the handler of a test.
+Handle = Callable[[CallerRequest, Reply], Awaitable[None]]
+
+
+async def fail(request: CallerRequest, reply: Reply) -> None:
+    """Fail before any answer."""
+    raise OverflowError('int too large to convert to float')
+
+
+async def fail_in_nursery(request: CallerRequest, reply: Reply) -> None:
+    """Fail with an exception group."""
+    async with trio.open_nursery():
+        raise OverflowError('int too large to convert to float')
+
+
+async def fail_with_invalid_head(request: CallerRequest, reply: Reply) -> None:
+    """Fail since the head is not one that can be sent."""
+    await reply.send_head(200, ((b'x-text', b'a\nb'),))
+
+
+@pytest.mark.parametrize('handle', [fail, fail_in_nursery, fail_with_invalid_head])
+async def test_request_whose_handler_fails_gets_an_answer(
+    handle: Handle, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a request that ends without an answer, and whose fault names no request.
+
+    The request may have run, so the answer promises nothing. The connection is kept, since requests
+    that were pipelined behind it wait there.
+    """
+    messages: list[Mapping[str, object]] = []
+
+    def record(**fields: object) -> None:
+        messages.append(fields)
+
+    async def fail_first(request: CallerRequest, reply: Reply) -> None:
+        if request.target == b'/first':
+            await handle(request, reply)
+        else:
+            await send_response(reply, 200, b'done')
+
+    monkeypatch.setattr('shallotmux.forwarding._caller_connection.log_message', record)
+    async with trio.open_nursery() as nursery:
+        listener = HttpListener('127.0.0.1:0', fail_first)
+        host, _, port = (await nursery.start(listener.run)).rpartition(':')
+        stream = await trio.open_tcp_stream(host, int(port))
+        await stream.send_all(build_request('/first', request_id='r-7'))
+        first = await read_answer(stream)
+        await stream.send_all(build_request('/second'))
+        second = await read_answer(stream)
+        nursery.cancel_scope.cancel()
+    assert (first.status, first.is_complete) == (502, True)
+    assert (second.status, second.body) == (200, b'done')
+    assert [(each['message_type'], each['request']) for each in messages] == [
+        ('shallotmux:handler-fault', 'r-7')
+    ]
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -312,7 +312,7 @@
                     content += await stream.receive_some()
 
 
-async def test_handler_exception_ends_only_its_connection(
+async def test_handler_exception_ends_only_its_request(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against an exception in one request that ends the process."""
@@ -324,7 +324,7 @@
     async with run_forwarder(ScriptedEndpoint(serve)) as harness:
         monkeypatch.setattr(Forwarder, '_run', fail_once)
         failed = await harness.make_request('/once/')
-        assert not failed.is_complete
+        assert (failed.status, failed.is_complete) == (502, True)
         assert (await harness.make_request('/once/')).status == 200
 
 
