Keep the listener when a handler fails while it is cancelled

An entry program could end by itself: when a caller disconnects, its handler is cancelled, and an error raised meanwhile leaves it in a BaseExceptionGroup with the cancellation. That is no Exception, so it passed the handler's boundary and ended the listener, and with it the process.

Before: test_fault_while_a_request_is_cancelled_ends_only_its_connection failed, listener.run raised ExceptionGroup([ValueError('fault')]). The task of a connection is now a boundary of its own: the error is logged as connection-fault and ends that connection.

--- a/shallotmux/forwarding/_listener.py
+++ b/shallotmux/forwarding/_listener.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 import trio
+from eliot import log_message
 
 from shallotmux.addresses import split_address
 from shallotmux.binding import bind_when_free
@@ -85,6 +86,12 @@
         self._connections.add(connection)
         try:
             await connection.run()
+        except* Exception as error:
+            # A fault that ends a handler while it is cancelled arrives here, in a group with the
+            # cancellation. It must not end the listener, and with it the process.
+            log_message(
+                message_type='shallotmux:connection-fault', level='error', error=repr(error)
+            )
         finally:
             self._connections.discard(connection)
             connection.reset_unless_end_is_marked()
--- a/tests/forwarding/test_faults.py
+++ b/tests/forwarding/test_faults.py
@@ -68,3 +68,37 @@
     assert [(each['message_type'], each['request']) for each in messages] == [
         ('shallotmux:handler-fault', 'r-7')
     ]
+
+
+async def test_fault_while_a_request_is_cancelled_ends_only_its_connection() -> None:
+    """Guards against the end of the process when a handler fails as its caller disconnects.
+
+    The cancellation and the error leave the handler in one exception group, which is no Exception.
+    """
+    has_failed = trio.Event()
+
+    async def fail_when_cancelled(request: CallerRequest, reply: Reply) -> None:
+        if request.target != b'/first':
+            await send_response(reply, 200, b'done')
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.sleep_forever)
+            try:
+                await trio.sleep_forever()
+            finally:
+                has_failed.set()
+                raise ValueError('fault')
+
+    async with trio.open_nursery() as nursery:
+        listener = HttpListener('127.0.0.1:0', fail_when_cancelled)
+        host, _, port = (await nursery.start(listener.run)).rpartition(':')
+        stream = await trio.open_tcp_stream(host, int(port))
+        await stream.send_all(build_request('/first'))
+        await trio.sleep(0.05)
+        await stream.aclose()
+        await has_failed.wait()
+        stream = await trio.open_tcp_stream(host, int(port))
+        await stream.send_all(build_request('/second'))
+        got = await read_answer(stream)
+        nursery.cancel_scope.cancel()
+    assert (got.status, got.body) == (200, b'done')
