Send no body with a refusal of a HEAD request

Callers lost the connection after a refused HEAD request, unannounced, with the request that followed on it: the body of the refusal was passed to the protocol, which takes none for HEAD (LocalProtocolError, handler-fault).

--- a/shallotmux/forwarding/_caller_connection.py
+++ b/shallotmux/forwarding/_caller_connection.py
@@ -117,6 +117,7 @@
         reply = CallerReply(self)
         try:
             request = await self._read_request()
+            reply.has_body = request.method != b'HEAD'
             await self._answer(request, reply)
         except _RequestRejected as rejection:
             await reply.refuse(rejection.status)
--- a/shallotmux/forwarding/_caller_reply.py
+++ b/shallotmux/forwarding/_caller_reply.py
@@ -24,6 +24,8 @@
 
     def __init__(self, connection: CallerConnection) -> None:
         self._connection = connection
+        #: Whether the answer has a body; what is sent as one is left out otherwise.
+        self.has_body = True
         self.is_started = False
         self.is_finished = False
 
@@ -37,7 +39,7 @@
 
     async def send_part(self, content: bytes) -> None:
         """Send a part of the body."""
-        if content:
+        if content and self.has_body:
             await self._connection.send(h11.Data(data=content))
 
     async def finish(self) -> None:
--- a/tests/forwarding/test_faults.py
+++ b/tests/forwarding/test_faults.py
@@ -9,8 +9,12 @@
 
 from shallotmux.forwarding import CallerRequest, HttpListener, Reply, send_response
 from tests.forwarding._harness import (
+    ReceivedRequest,
+    ScriptedEndpoint,
+    answer,
     build_request,
     read_answer,
+    run_forwarder,
 )
 
 #: Runs the handler of a test.
@@ -102,3 +106,23 @@
         got = await read_answer(stream)
         nursery.cancel_scope.cancel()
     assert (got.status, got.body) == (200, b'done')
+
+
+@pytest.mark.parametrize(('path', 'key', 'status'), [('/none/', 'k1', 404), ('/once/', 'k9', 401)])
+async def test_refused_head_request_keeps_its_connection(path: str, key: str, status: int) -> None:
+    """Guards against a refusal with a body to HEAD, after which the connection ended unannounced."""
+
+    async def serve(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
+        await stream.send_all(answer(received))
+        return True
+
+    async with run_forwarder(ScriptedEndpoint(serve)) as harness:
+        stream = await harness.connect()
+        await stream.send_all(build_request(path, method='HEAD', body=b'', key=key))
+        with trio.fail_after(2):
+            head = await stream.receive_some()
+        assert head.startswith(b'HTTP/1.1 %d' % status)
+        assert head.endswith(b'\r\n\r\n')
+        await stream.send_all(build_request('/once/', request_id='r-2'))
+        assert (await read_answer(stream)).status == 200
+        await stream.aclose()
