Pass on host and request id whatever a caller's Connection header lists

One request with 'Connection: host' made an instance avoid all endpoints of the service for a second (with repetitions up to eight), and got 503 itself: without a host the request could not be encoded, which counted as an endpoint that is out of reach, one after another. With 'Connection: x-request-id' the endpoint's answer could not be matched, and the caller waited until the deadline for a 504.

Both headers are meant for the receiver of the request, not for one connection.

--- a/shallotmux/forwarding/_headers.py
+++ b/shallotmux/forwarding/_headers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from shallotmux.forwarding._names import CONNECTION_HEADERS
 
@@ -15,16 +15,19 @@
     return next((text for each, text in headers if each == name), None)
 
 
-def drop_connection_headers(headers: Headers) -> Headers:
+def drop_connection_headers(headers: Headers, kept: Container[bytes] = ()) -> Headers:
     """Return the headers without hop-by-hop ones.
 
     That includes the headers that the ``Connection`` header lists.
+
+    :param kept: headers that the receiver needs, whatever the sender lists.
     """
     named = {
         token.strip().lower()
         for name, text in headers
         if name == b'connection'
         for token in text.split(b',')
+        if token.strip().lower() not in kept
     }
     dropped = CONNECTION_HEADERS | named
     return tuple(each for each in headers if each[0] not in dropped)
--- a/shallotmux/forwarding/_job.py
+++ b/shallotmux/forwarding/_job.py
@@ -190,7 +190,9 @@
     def _pass_headers(self, names: HeaderNames, dropped: frozenset[bytes]) -> Headers:
         """Return the caller's headers with the remaining time, the framing and the last event."""
         replaced = {names.deadline, b'content-length', RELAY_HEADER}
-        kept = drop_named(drop_connection_headers(self.request.headers), dropped | replaced)
+        needed = (b'host', names.request_id)
+        passed = drop_connection_headers(self.request.headers, needed)
+        kept = drop_named(passed, dropped | replaced)
         own: Headers = ((names.deadline, str(max(1, int(self.remaining_s * 1000))).encode()),)
         if self.events is not None and self.events.last_id:
             kept = drop_named(kept, frozenset((names.last_event_id,)))
