Restart background tasks that fail instead of ending the process

Callers saw: an error in a poll of the list, or in any other background task, ended an entry process with the requests in it, and a control process with its vote, although both could have gone on serving with what they knew. After the restart the same input was read again.

Cause: all tasks of a program ran in one nursery, so that an error of one cancelled all.

Restarted are the polls, the sharing of load and limits, the pools, the reach monitor, the client of stream origins, usage, sizing, roles, gauges and the settings watcher. The process still ends with the member of the replication group, the network between instances and the listeners, whose state cannot be trusted after an error, and with an error of the storage in any task, after which the state is rebuilt from the disk.

--- a/shallotmux/fleet/_load_sharing.py
+++ b/shallotmux/fleet/_load_sharing.py
@@ -164,9 +164,12 @@
         with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as sock:
             await sock.bind(split_address(self._address))
             self._sock = sock
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._receive, sock)
-                nursery.start_soon(self._send, sock)
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._receive, sock)
+                    nursery.start_soon(self._send, sock)
+            finally:
+                self._sock = None
 
     async def send_to(self, peer: str, content: bytes) -> None:
         """Send a message of another kind; it is dropped if that is not possible now."""
--- a/shallotmux/origins/_client.py
+++ b/shallotmux/origins/_client.py
@@ -110,7 +110,11 @@
         """Send calls until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            await trio.sleep_forever()
+            try:
+                await trio.sleep_forever()
+            finally:
+                # A request must not start a call in a nursery that has ended.
+                self._nursery = None
 
     def tell(self, report: OriginReport) -> trio.Event:
         """Send a beginning; returns an event that is set once a control instance knows it."""
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -36,6 +36,7 @@
 )
 from shallotmux.programs._pages import DocumentPage, MetricsPage
 from shallotmux.programs._settings import ProgramSettings
+from shallotmux.programs._supervision import Supervisor
 from shallotmux.routes import RouteTable
 from shallotmux.transport import (
     ForwardAnswer,
@@ -70,6 +71,28 @@
     get_path: str
 
 
+class _ControlGauges:
+    """Gauges of a control instance.
+
+    :param registry: registry to which they are added.
+    """
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.term = Gauge('shallotmux_term', 'Term of the group.', registry=registry)
+        self.leads = Gauge(
+            'shallotmux_leads', 'Whether this instance is the leader.', registry=registry
+        )
+        self.version = Gauge(
+            'shallotmux_document_version', 'Version in the local state.', registry=registry
+        )
+        self.entry_bytes = Gauge(
+            'shallotmux_log_entry_bytes', 'Log entries in memory.', registry=registry
+        )
+        self.snapshot_bytes = Gauge(
+            'shallotmux_snapshot_bytes', 'Size of the latest snapshot.', registry=registry
+        )
+
+
 class ControlProgram:
     """Listeners, group member and background tasks of one control instance."""
 
@@ -97,6 +120,7 @@
         if settings.bootstrap and not self.member.state.applied_index:
             self._knowledge.history.assume_complete()
         self._registry = CollectorRegistry()
+        self._gauges = _ControlGauges(self._registry)
         self._cached_table_version = 0
         self._cached_table: RouteTable | None = None
 
@@ -123,8 +147,11 @@
         async with run_with_network(self._network, self) as nursery:
             for each in listeners:
                 await nursery.start(each.run)
-            for task in (self.member.run, watcher.run, self._set_gauges, *self._control_tasks()):
-                nursery.start_soon(task)
+            # Without its member, an instance must not answer for the state of the group.
+            nursery.start_soon(self.member.run)
+            supervisor = Supervisor(self._registry)
+            for name, task in (*self._background_tasks().items(), ('settings', watcher.run)):
+                nursery.start_soon(supervisor.run, name, task)
             log_message(
                 message_type='shallotmux:started',
                 role='control',
@@ -159,23 +186,27 @@
                 return await self.member.driver.commit(command, FORWARDED_COMMIT_TIMEOUT_S)
         return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail=f'no group {group!r}')
 
-    def _control_tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
+    def _background_tasks(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return the tasks that are restarted when they fail, by name."""
         settings = self.settings
         platform = self._adapter.platform
         poller = ListingPoller(platform, self._knowledge.update_listing, settings.times.listing_s)
-        tasks: list[Callable[[], Awaitable[None]]] = [poller.run]
         term = self._term
+        dependencies = LeaderDependencies(self._knowledge, platform, term, self._route_table)
+        tasks: dict[str, Callable[[], Awaitable[None]]] = {
+            'listing': poller.run,
+            'gauges': self._set_gauges,
+            'roles': RoleBalancer(dependencies).run,
+        }
         if settings.reports_usage:
             window_s = settings.times.usage_window_s
             reporter = WindowReporter(
                 self.member, self._knowledge, platform, self._clock, term, window_s
             )
-            tasks.append(reporter.run)
-        dependencies = LeaderDependencies(self._knowledge, platform, term, self._route_table)
+            tasks['usage'] = reporter.run
         if settings.orders_endpoints:
-            tasks.append(Autoscaler(dependencies).run)
-        tasks.append(RoleBalancer(dependencies).run)
-        return tuple(tasks)
+            tasks['fleet-size'] = Autoscaler(dependencies).run
+        return tasks
 
     def _route_table(self) -> RouteTable | None:
         """Return the route table of the local document, which may lag behind the leader's."""
@@ -186,26 +217,13 @@
         return self._cached_table
 
     async def _set_gauges(self) -> None:
-        term = Gauge('shallotmux_term', 'Term of the group.', registry=self._registry)
-        leads = Gauge(
-            'shallotmux_leads', 'Whether this instance is the leader.', registry=self._registry
-        )
-        version = Gauge(
-            'shallotmux_document_version', 'Version in the local state.', registry=self._registry
-        )
-        entry_bytes = Gauge(
-            'shallotmux_log_entry_bytes', 'Log entries in memory.', registry=self._registry
-        )
-        snapshot_bytes = Gauge(
-            'shallotmux_snapshot_bytes', 'Size of the latest snapshot.', registry=self._registry
-        )
         while True:
             sizes = self.member.driver.sizes()
-            entry_bytes.set(sizes.entry_bytes)
-            snapshot_bytes.set(sizes.snapshot_bytes)
-            term.set(self.member.driver.status().term)
-            leads.set(self.member.driver.is_leader())
-            version.set(self.member.state.zone.document.version)
+            self._gauges.entry_bytes.set(sizes.entry_bytes)
+            self._gauges.snapshot_bytes.set(sizes.snapshot_bytes)
+            self._gauges.term.set(self.member.driver.status().term)
+            self._gauges.leads.set(self.member.driver.is_leader())
+            self._gauges.version.set(self.member.state.zone.document.version)
             await trio.sleep(GAUGE_INTERVAL_S)
 
 
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
+from functools import partial
 from random import SystemRandom
 
 import trio
@@ -33,6 +35,7 @@
 )
 from shallotmux.programs._pages import MetricsPage, ReadinessPage
 from shallotmux.programs._settings import ProgramSettings
+from shallotmux.programs._supervision import Supervisor
 from shallotmux.ratelimits import EndpointLimits
 from shallotmux.relaying import RelayPeers
 from shallotmux.routes import CallerLimits
@@ -197,18 +200,9 @@
                 listeners.append(self._relay_listener)
             for listener in listeners:
                 await nursery.start(listener.run)
-            for task in (
-                self._poller.run,
-                self._load_sharing.run,
-                self._pool.run,
-                self._forwarder.runner.peer_pool.run,
-                self._directory.reach.run,
-                self._origin_client.run,
-            ):
-                nursery.start_soon(task)
-            nursery.start_soon(self._endpoint_limits.run, self._load_sharing.send_to)
-            nursery.start_soon(self._refresh_stale_listing)
-            nursery.start_soon(watcher.run)
+            supervisor = Supervisor(self.metrics.registry)
+            for name, task in (*self._background_tasks().items(), ('settings', watcher.run)):
+                nursery.start_soon(supervisor.run, name, task)
             log_message(message_type='shallotmux:started', role='entry', name=self.settings.name)
             await lifecycle.stop.wait()
             await self._drain()
@@ -221,6 +215,19 @@
         """Refuse a forwarded command."""
         return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail='an entry instance')
 
+    def _background_tasks(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return the tasks that are restarted when they fail, by name."""
+        return {
+            'fleet-poll': self._poller.run,
+            'load-sharing': self._load_sharing.run,
+            'connection-pool': self._pool.run,
+            'peer-connection-pool': self._forwarder.runner.peer_pool.run,
+            'reach': self._directory.reach.run,
+            'stream-origins': self._origin_client.run,
+            'endpoint-limits': partial(self._endpoint_limits.run, self._load_sharing.send_to),
+            'listing': self._refresh_stale_listing,
+        }
+
     async def _call_control(self, peer: str, content: bytes, timeout_s: float) -> bytes:
         """Call a control instance about the beginnings of streams; returns its answer."""
         answer = await self._network.forward(peer, ORIGIN_GROUP, content, timeout_s)
--- a/shallotmux/programs/_failures.py
+++ b/shallotmux/programs/_failures.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import traceback
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -51,11 +50,10 @@
 
 def _find_place(error: BaseException) -> str:
     """Return file, line and function of the innermost frame; empty if there is none."""
-    # Only the last frame is needed: a recursion may have left many.
-    innermost = None
-    for innermost in traceback.walk_tb(error.__traceback__):
-        pass
+    innermost = error.__traceback__
     if innermost is None:
         return ''
-    frame, line = innermost
+    while innermost.tb_next is not None:
+        innermost = innermost.tb_next
+    frame, line = innermost.tb_frame, innermost.tb_lineno
     return f'{frame.f_code.co_filename}:{line} {frame.f_code.co_qualname}'
--- a/tests/guards/decoding.py
+++ b/tests/guards/decoding.py
@@ -80,4 +80,32 @@
         'except ValueError as error:',
         ('tests/test_decoding.py::test_deeply_nested_datagram_is_dropped',),
     ),
+    Guard(
+        'supervision (restart)',
+        'shallotmux/programs/_supervision.py',
+        'if _concerns_storage(error):',
+        'if True:',
+        ('tests/programs/test_supervision.py::test_failed_task_is_restarted_beside_the_others',),
+    ),
+    Guard(
+        'supervision (storage)',
+        'shallotmux/programs/_supervision.py',
+        'if _concerns_storage(error):',
+        'if False:',
+        ('tests/programs/test_supervision.py::test_error_of_the_storage_is_not_held_back',),
+    ),
+    Guard(
+        'supervision (programs)',
+        'shallotmux/programs/_control.py',
+        'nursery.start_soon(supervisor.run, name, task)',
+        'nursery.start_soon(task)',
+        ('tests/programs/test_supervision.py::test_programs_serve_while_reading_the_list_fails',),
+    ),
+    Guard(
+        'process-failed',
+        'shallotmux/platform/__main__.py',
+        'with log_fatal_errors():',
+        'if True:',
+        ('tests/platform/test_process.py::test_error_that_ends_the_process_is_a_log_line',),
+    ),
 )
--- a/tests/programs/_fleet.py
+++ b/tests/programs/_fleet.py
@@ -85,6 +85,7 @@
     """Lists endpoints, records usage reports and refuses orders.
 
     :param address: address of the only endpoint, unless there is a list.
+    :param failure: error that reading the list raises.
     """
 
     address: str
@@ -92,11 +93,16 @@
     reports: dict[int, dict[str, int]] = field(default_factory=dict)
     holders: list[DutyHolder] = field(default_factory=list)
     is_down: bool = False
+    failure: Exception | None = None
+    failed_calls: int = 0
 
     async def list_endpoints(self) -> Listing:
         """Return the list."""
         if self.is_down:
             raise ShallotmuxError('down', step='list')
+        if self.failure is not None:
+            self.failed_calls += 1
+            raise self.failure
         return self.listing or Listing((ListedEndpoint('e-1', 'desk', self.address, 'a', 4),))
 
     async def report_usage(self, report: UsageReport, holder: DutyHolder) -> DutyOutcome:
