Disrupt starts in the soak: ports in use, restarts in a row, half a settings file

All instances started at once, with a settings file that was whole and said bootstrap at every start, on machines without limits. Control instances may now start 4 s after the others, an instance is killed ten times in ten seconds, its ports stay in use for up to 3 s, its settings file is half written for up to 1.5 s, a control instance is replaced by one at a new address, bootstrap is true at the first start alone, and processes have the descriptors and the private memory of small machines. A start lasts until the program says it has started.

--- a/shallotmux/checking/programs/_deployment.py
+++ b/shallotmux/checking/programs/_deployment.py
@@ -7,7 +7,9 @@
 import signal
 import sys
 import tomllib
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from itertools import count
 from pathlib import Path
 from random import Random
 from secrets import randbelow
@@ -15,6 +17,7 @@
 import trio
 
 from shallotmux.checking.processes import Child, start_command
+from shallotmux.checking.programs._machine import NO_LIMITS, ResourceLimits, hold_ports
 from shallotmux.checking.programs._records import Disruption, Records, Trouble
 from shallotmux.platform._samples import SampleInstance, encode_settings
 
@@ -52,12 +55,16 @@
 
     :param starts: starts so far.
     :param is_wiped: whether the next process starts with an empty data folder.
+    :param is_removed: whether no further process is started.
+    :param held_s: time for which the ports stay in use beside the next process.
     :param is_asked_to_end: whether the present process was asked to end, or killed.
     """
 
     settings: SampleInstance
     starts: int = 0
     is_wiped: bool = False
+    is_removed: bool = False
+    held_s: float = 0.0
     child: Child | None = None
     is_asked_to_end: bool = False
     is_ready: bool = False
@@ -90,50 +97,72 @@
     random: Random
     controls: int = 3
     entries: int = 3
+    limits: ResourceLimits = field(default_factory=ResourceLimits)
     instances: dict[str, Instance] = field(default_factory=dict)
     is_closing: bool = False
+    _numbers: count[int] = field(default_factory=count)
 
     @property
     def control_names(self) -> tuple[str, ...]:
-        """Return the names of the control instances."""
-        return tuple(f'control-{number}' for number in range(1, self.controls + 1))
+        """Return the names of the control instances that were not removed."""
+        return tuple(
+            name
+            for name, each in self.instances.items()
+            if each.settings.folder and not each.is_removed
+        )
 
     @property
     def entry_names(self) -> tuple[str, ...]:
         """Return the names of the entry instances."""
-        return tuple(f'entry-{number}' for number in range(1, self.entries + 1))
+        return tuple(name for name, each in self.instances.items() if not each.settings.folder)
 
     def prepare(self) -> None:
         """Write the settings of all instances."""
         seeds = tuple(f'{self.network}.{number}' for number in range(1, SEEDS + 1))
-        names = (*self.control_names, *self.entry_names)
-        self.records.controls = self.control_names
-        for number, name in enumerate(names, start=1):
-            folder = ''
-            if name in self.control_names:
-                folder = str(self.folder / name)
-            settings = SampleInstance(
-                name,
-                f'{self.network}.{number}',
-                seeds,
-                self.platform,
-                folder,
-                bootstrap=True,
-                grace_s=GRACE_S,
-            )
-            self._settings_path(name).write_bytes(encode_settings(settings))
-            self.instances[name] = Instance(settings)
-
-    def start_all(self) -> None:
-        """Start all instances and keep them running."""
-        for each in self.instances:
-            self.keep_running(each)
+        for number in range(1, self.controls + 1):
+            self.add_instance(f'control-{number}', seeds, has_disk=True, bootstrap=True)
+        for number in range(1, self.entries + 1):
+            self.add_instance(f'entry-{number}', seeds, bootstrap=True)
+
+    def add_instance(
+        self, name: str, seeds: tuple[str, ...], *, has_disk: bool = False, bootstrap: bool = False
+    ) -> None:
+        """Write the settings of an instance at a new address."""
+        folder = str(self.folder / name) if has_disk else ''
+        host = f'{self.network}.{next(self._numbers) + 1}'
+        settings = SampleInstance(
+            name, host, seeds, self.platform, folder, bootstrap, grace_s=GRACE_S
+        )
+        self.instances[name] = Instance(settings)
+        self.write_settings(name, settings)
+        if has_disk:
+            self.records.controls = (*self.records.controls, name)
+
+    def settings_path(self, name: str) -> Path:
+        """Return the path of the settings of an instance."""
+        return self.folder / f'{name}.json'
+
+    def write_settings(self, name: str, settings: SampleInstance) -> None:
+        """Replace the settings of an instance."""
+        self.instances[name].settings = settings
+        path = self.settings_path(name)
+        temporary = path.with_suffix('.new')
+        temporary.write_bytes(encode_settings(settings))
+        temporary.rename(path)
+
+    def start_all(self, delay: Callable[[str], float]) -> None:
+        """Start all instances and keep them running.
+
+        :param delay: returns the time after which an instance is started.
+        """
+        for name in self.instances:
+            self.keep_running(name, delay(name))
         for name in self.entry_names:
             self.nursery.start_soon(self._watch_readiness, self.instances[name])
 
-    def keep_running(self, name: str) -> None:
+    def keep_running(self, name: str, delay_s: float = 0.0) -> None:
         """Start an instance, and start it again whenever it ends."""
-        self.nursery.start_soon(self._keep_running, self.instances[name])
+        self.nursery.start_soon(self._keep_running, self.instances[name], delay_s)
 
     def ready_entries(self) -> list[tuple[str, str]]:
         """Return name and address of the entry instances that are in rotation."""
@@ -162,10 +191,7 @@
 
     def wipe(self, name: str) -> None:
         """Kill the process of an instance; its next one finds an empty data folder."""
-        instance = self.instances[name]
-        instance.settings = replace(instance.settings, bootstrap=False)
-        self._settings_path(name).write_bytes(encode_settings(instance.settings))
-        instance.is_wiped = True
+        self.instances[name].is_wiped = True
         self.kill(name)
 
     async def pause(self, name: str, duration_s: float) -> None:
@@ -186,7 +212,7 @@
         child = instance.child
         if child is None or not instance.is_running:
             return
-        is_started = any(b'shallotmux:started' in line for line in child.lines)
+        is_started = _is_started(child)
         instance.is_asked_to_end = True
         self._note(name, Trouble.STOP)
         child.send_signal(signal.SIGTERM)
@@ -211,22 +237,29 @@
         self.records.disruptions.append(disruption)
         return disruption
 
-    async def _keep_running(self, instance: Instance) -> None:
-        while not self.is_closing:
+    async def _keep_running(self, instance: Instance, delay_s: float) -> None:
+        await trio.sleep(delay_s)
+        while not (self.is_closing or instance.is_removed):
             instance.is_asked_to_end = False
             environment = {
                 'PATH': os.environ.get('PATH', ''),
                 'PYTHONPATH': os.pathsep.join(each for each in sys.path if each),
-                'SHALLOTMUX_SETTINGS': str(self._settings_path(instance.name)),
+                'SHALLOTMUX_SETTINGS': str(self.settings_path(instance.name)),
             }
             build = self.random.choice(self.builds)
             words = _read_words(build, instance)
             if instance.is_wiped:
                 instance.is_wiped = False
                 shutil.rmtree(instance.settings.folder, ignore_errors=True)
+            if instance.held_s:
+                self.nursery.start_soon(hold_ports, instance.settings, instance.held_s)
+                instance.held_s = 0
             instance.starts += 1
-            self._note(instance.name, Trouble.START)
+            start = self._note(instance.name, Trouble.START)
+            start.ended_at = float('inf')
             instance.child = await start_command(self.nursery, words, environment, build)
+            self.limits.apply(instance.child.pid)
+            self.nursery.start_soon(_note_started, instance.child, start)
             started_at = trio.current_time()
             code = await instance.child.wait()
             if code == -signal.SIGHUP and trio.current_time() - started_at < EARLY_S:
@@ -238,6 +271,7 @@
                     f'{instance.name}: ended by itself with {code}: {last}'
                 )
             await trio.sleep(RESTART_DELAY_S)
+            self.write_settings(instance.name, replace(instance.settings, bootstrap=False))
 
     async def _watch_readiness(self, instance: Instance) -> None:
         """Ask an entry instance for its readiness, as the load balancer does."""
@@ -265,9 +299,6 @@
             for each in self.records.disruptions
         )
 
-    def _settings_path(self, name: str) -> Path:
-        return self.folder / f'{name}.json'
-
 
 def _read_words(build: Path, instance: Instance) -> list[str]:
     """Return the command by which a build runs an instance, with the present interpreter."""
@@ -277,6 +308,18 @@
     return [sys.executable, *role['run'].split()[1:]]
 
 
+async def _note_started(child: Child, start: Disruption) -> None:
+    """End the disruption by a start once the program says that it has started, or has ended."""
+    with trio.move_on_after(READY_TIMEOUT_S):
+        while not _is_started(child) and child.exit_code is None:
+            await trio.sleep(READY_INTERVAL_S)
+    start.ended_at = trio.current_time()
+
+
+def _is_started(child: Child) -> bool:
+    return any(b'shallotmux:started' in line for line in child.lines)
+
+
 async def _is_ready(address: str) -> bool:
     host, _, port = address.rpartition(':')
     try:
@@ -305,13 +348,13 @@
         # Nothing listens at the address of the platform.
         platform = f'{network}.250:9'
         self._deployment = Deployment(
-            nursery, folder, records, platform, network, builds, Random(1)
+            nursery, folder, records, platform, network, builds, Random(1), limits=NO_LIMITS
         )
+        self._deployment.prepare()
         self.names = self._deployment.control_names
 
     async def start(self) -> None:
         """Start all instances."""
-        self._deployment.prepare()
         for name in self.names:
             self._deployment.keep_running(name)
         await trio.sleep(1)
--- a/shallotmux/checking/programs/_schedule.py
+++ b/shallotmux/checking/programs/_schedule.py
@@ -12,6 +12,7 @@
 from shallotmux.checking.programs._deployment import Deployment
 from shallotmux.checking.programs._fleet import EndpointFleet
 from shallotmux.checking.programs._operator import Operator
+from shallotmux.checking.programs._starts import Starts
 
 #: Longest pause between two disruptions.
 MAX_PAUSE_S = 1.2
@@ -35,6 +36,9 @@
 #: Share of the runs in which control instances are disrupted. Time limits hold in the others.
 DISRUPTED_CONTROL_SHARE = 0.5
 
+#: Share of lost disks whose instance is replaced by another one.
+REPLACED_SHARE = 0.5
+
 #: A disruption that runs until it is over.
 Action = Callable[[], Awaitable[None]]
 
@@ -44,15 +48,20 @@
     """Disrupts a deployment at random until cancelled.
 
     :param disrupts_control: whether control instances are disrupted too.
-    :param is_wiped: whether a control instance has lost its disk.
+    :param is_disk_lost: whether a control instance has lost its disk.
     """
 
-    deployment: Deployment
+    starts: Starts
     fleet: EndpointFleet
     operator: Operator
     random: Random
     disrupts_control: bool
-    is_wiped: bool = False
+    is_disk_lost: bool = False
+
+    @property
+    def deployment(self) -> Deployment:
+        """Return the deployment that is disrupted."""
+        return self.starts.deployment
 
     async def run(self) -> None:
         """Draw one disruption after the other; those that last overlap with the next ones."""
@@ -73,10 +82,13 @@
             self._restart_with_reloads,
             self._pause_any,
             self._slow_any,
+            self._restart_often,
+            self._start_beside_used_ports,
+            self._write_settings_in_parts,
         ]
 
     def _control_actions(self) -> tuple[Action, ...]:
-        return (self._kill_all_controls, self._wipe_control)
+        return (self._kill_all_controls, self._lose_disk)
 
     def _endpoint_actions(self) -> tuple[Action, ...]:
         return (
@@ -125,15 +137,28 @@
         for name in self.deployment.control_names:
             self.deployment.kill(name)
 
-    async def _wipe_control(self) -> None:
-        """Start a control instance with an empty data folder, as after the loss of its disk.
+    async def _lose_disk(self) -> None:
+        """Start a control instance with an empty data folder, at its address or at a new one.
 
         The group bears the loss of one disk until the instance has caught up, so there is one in a run.
         """
-        if not self.is_wiped:
-            self.is_wiped = True
+        if self.is_disk_lost:
+            return
+        self.is_disk_lost = True
+        if self.random.random() < REPLACED_SHARE:
+            await self.starts.replace_control()
+        else:
             self.deployment.wipe(self.random.choice(self.deployment.control_names))
 
+    async def _restart_often(self) -> None:
+        await self.starts.restart_often(self._choose_any())
+
+    async def _start_beside_used_ports(self) -> None:
+        await self.starts.start_beside_used_ports(self._choose_any())
+
+    async def _write_settings_in_parts(self) -> None:
+        await self.starts.write_settings_in_parts(self._choose_any())
+
     async def _reload_in_series(self) -> None:
         name = self._choose_any()
         for _ in range(self.random.randint(1, MAX_SIGNALS)):
--- a/shallotmux/checking/programs/_soak.py
+++ b/shallotmux/checking/programs/_soak.py
@@ -22,6 +22,7 @@
 from shallotmux.checking.programs._records import Records
 from shallotmux.checking.programs._schedule import DISRUPTED_CONTROL_SHARE, Schedule
 from shallotmux.checking.programs._standins import SERVICE, StandInPlatform
+from shallotmux.checking.programs._starts import Starts
 from shallotmux.forwarding import RetryBudgetLimits
 
 ENDPOINTS = 4
@@ -96,13 +97,14 @@
         plan.entries,
     )
     deployment.prepare()
-    deployment.start_all()
+    starts = Starts(deployment, random)
+    starts.start_all()
     operator = Operator(records, random, deployment.operator_addresses, SERVICE)
     with trio.fail_after(START_TIMEOUT_S):
         await operator.put()
         await wait_until(lambda: len(deployment.ready_entries()) == plan.entries)
     disrupts_control = random.random() < DISRUPTED_CONTROL_SHARE
-    schedule = Schedule(deployment, fleet, operator, random, disrupts_control)
+    schedule = Schedule(starts, fleet, operator, random, disrupts_control)
     await _disrupt(schedule, records, plan.duration_s)
     await operator.read_back(RECOVERY_S)
     records.ended_at = trio.current_time()
--- a/shallotmux/platform/_samples.py
+++ b/shallotmux/platform/_samples.py
@@ -38,6 +38,11 @@
         """Return the address for callers."""
         return f'{self.host}:{CALLER_PORT}'
 
+    @property
+    def peers(self) -> str:
+        """Return the address for other instances."""
+        return f'{self.host}:{PEER_PORTS[0]}'
+
     @property
     def readiness(self) -> str:
         """Return the address of the readiness page."""
