--- a/shallotmux/checking/programs/_deployment.py
+++ b/shallotmux/checking/programs/_deployment.py
@@ -238,7 +238,7 @@
         return disruption
 
     async def _keep_running(self, instance: Instance, delay_s: float) -> None:
-        await trio.sleep(delay_s)
+        await self._wait_for_first_start(instance.name, delay_s)
         while not (self.is_closing or instance.is_removed):
             instance.is_asked_to_end = False
             environment = {
@@ -273,6 +273,12 @@
             await trio.sleep(RESTART_DELAY_S)
             self.write_settings(instance.name, replace(instance.settings, bootstrap=False))
 
+    async def _wait_for_first_start(self, name: str, delay_s: float) -> None:
+        start = self._note(name, Trouble.START)
+        start.ended_at = float('inf')
+        await trio.sleep(delay_s)
+        start.ended_at = trio.current_time()
+
     async def _watch_readiness(self, instance: Instance) -> None:
         """Ask an entry instance for its readiness, as the load balancer does."""
         child: Child | None = None
