Deliver the error of an endpoint if no other one answers

A server error was discarded whenever another attempt was allowed by the route, before the retry budget and the other endpoints were asked.

An error that can be read within 0.25 s and 64 KB is kept with the job and is delivered unchanged if nothing better comes; the log line withheld-answer says instead of which refusal. A longer or slower one is given up only once a retry is reserved, and is relayed otherwise.

--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -14,7 +14,7 @@
     ConnectionUnusable,
     EndpointConnection,
 )
-from shallotmux.forwarding._job import Job
+from shallotmux.forwarding._job import Job, WithheldAnswer
 from shallotmux.forwarding._messages import AnswerHead
 from shallotmux.forwarding._outcome import Outcome, classify_missing_answer
 from shallotmux.forwarding._paths import AttemptPath, DirectPath, PeerPath
@@ -23,6 +23,7 @@
     MIN_ERROR_STATUS,
     AnswerRelay,
     BufferedStart,
+    buffer_error,
     buffer_start,
     ends_with_connection,
     is_event_stream,
@@ -236,15 +237,18 @@
         if job.route.kind is not RouteKind.STREAMING:
             self._record_run_started(job)
         is_error = head.status >= MIN_SERVER_ERROR_STATUS
-        if is_error and attempt.control.may_retry:
-            await connection.discard_body()
-            return AttemptResult(outcome, f'status {head.status}', True, head.status)
         if job.reply.is_started and not may_continue_stream(job, head):
             await connection.discard_body()
             reason = f'status {head.status} instead of the rest of a stream'
             return AttemptResult(outcome, reason, is_error, head.status)
         start = BufferedStart()
-        if _is_buffered(attempt, head):
+        if is_error and attempt.control.may_retry:
+            start = await buffer_error(connection)
+            if start.is_complete:
+                job.withheld = WithheldAnswer(head, start.content)
+            if start.is_complete or attempt.control.reserve_retry():
+                return AttemptResult(outcome, f'status {head.status}', True, head.status)
+        elif _is_buffered(attempt, head):
             start = await buffer_start(connection)
         # The attempt may have been given up in the scheduler step in which the answer arrived. Another
         # one goes on then, so nothing of this answer may be relayed.
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -20,6 +20,7 @@
 from shallotmux.forwarding._metrics import ForwardingMetrics
 from shallotmux.forwarding._outcome import Outcome
 from shallotmux.forwarding._refusals import Refusal, refuse_not_run, refuse_unknown
+from shallotmux.forwarding._relay import send_withheld
 from shallotmux.forwarding._retries import MAX_SENDS, RetryPolicy
 from shallotmux.forwarding._state import Target
 from shallotmux.forwarding._supervision import AttemptSupervisor
@@ -104,6 +105,8 @@
             refusal = await self._try_endpoints(job)
         if deadline_scope.cancelled_caught:
             refusal = _refuse_late(job)
+        if refusal is not None and await self._send_withheld(job, refusal):
+            return None
         if refusal is not None:
             self._log_failure(job, refusal)
         return refusal
@@ -118,7 +121,7 @@
                 refusal = await self._try_endpoints(job)
         if deadline_scope.cancelled_caught:
             refusal = _refuse_late(job)
-        if refusal is None:
+        if refusal is None or await self._send_withheld(job, refusal):
             return
         self._log_failure(job, refusal)
         if job.reply.is_started:
@@ -126,6 +129,27 @@
         else:
             await refusal.send(job.reply, self.dialect.names.retry_after)
 
+    async def _send_withheld(self, job: Job, refusal: Refusal) -> bool:
+        """Send the answer of an endpoint that was withheld for a retry, instead of a refusal.
+
+        :returns: whether there was one.
+        """
+        withheld = job.withheld
+        if withheld is None or job.reply.is_started:
+            return False
+        status = withheld.head.status
+        self.metrics.requests.labels(job.route.name, status).inc()
+        log_message(
+            message_type='shallotmux:withheld-answer',
+            request=job.request_id.decode('latin-1'),
+            route=job.route.name,
+            status=status,
+            instead_of=refusal.reason,
+            left_ms=int(job.remaining_s * 1000),
+        )
+        await send_withheld(job, withheld)
+        return True
+
     async def _bind_resumed_stream(self, job: Job) -> Refusal | None:
         """Bind a stream of which the caller has events to the software version that began it.
 
--- a/shallotmux/forwarding/_job.py
+++ b/shallotmux/forwarding/_job.py
@@ -10,7 +10,7 @@
 from shallotmux.fleet import ListedEndpoint
 from shallotmux.forwarding._events import EventSplitter
 from shallotmux.forwarding._headers import Headers, drop_connection_headers, drop_named
-from shallotmux.forwarding._messages import CallerRequest, OutgoingRequest, Reply
+from shallotmux.forwarding._messages import AnswerHead, CallerRequest, OutgoingRequest, Reply
 from shallotmux.forwarding._names import HeaderNames
 from shallotmux.origins import make_origin_key
 from shallotmux.placement import Prompt
@@ -28,6 +28,14 @@
 MAX_BLAMED_PARTS = 256
 
 
+@dataclass(frozen=True, slots=True)
+class WithheldAnswer:
+    """An error answer that the caller gets if no other endpoint answers."""
+
+    head: AnswerHead
+    content: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class SilentAttempt:
     """An attempt that was given up before its answer began.
@@ -93,6 +101,8 @@
     attempt_start: int = 0
     #: Whether the beginning of the stream was recorded for this request.
     is_origin_recorded: bool = False
+    #: Answer that is delivered if there is no better one.
+    withheld: WithheldAnswer | None = None
     #: Whether the next retry was charged to the budget already.
     is_retry_reserved: bool = False
     #: Attempts that were given up since their endpoints stayed silent.
--- a/shallotmux/forwarding/_relay.py
+++ b/shallotmux/forwarding/_relay.py
@@ -5,11 +5,13 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+import trio
+
 from shallotmux.errors import EndpointError
-from shallotmux.forwarding._endpoint import EndpointConnection
+from shallotmux.forwarding._endpoint import DISCARD_TIMEOUT_S, EndpointConnection
 from shallotmux.forwarding._events import EventSplitter
 from shallotmux.forwarding._headers import drop_connection_headers, drop_named
-from shallotmux.forwarding._job import Job
+from shallotmux.forwarding._job import Job, WithheldAnswer
 from shallotmux.forwarding._messages import AnswerHead
 from shallotmux.routes import RouteKind
 
@@ -59,13 +61,38 @@
 
 async def buffer_start(connection: EndpointConnection) -> BufferedStart:
     """Read an answer up to its end or :data:`MAX_BUFFERED_BYTES`."""
-    content = b''
-    while len(content) < MAX_BUFFERED_BYTES:
+    parts: list[bytes] = []
+    is_complete = await _fill(parts, connection)
+    return BufferedStart(b''.join(parts), is_complete=is_complete)
+
+
+async def buffer_error(connection: EndpointConnection) -> BufferedStart:
+    """Read an error answer for a short time, up to its end or :data:`MAX_BUFFERED_BYTES`."""
+    parts: list[bytes] = []
+    is_complete = False
+    with trio.move_on_after(DISCARD_TIMEOUT_S):
+        is_complete = await _fill(parts, connection)
+    return BufferedStart(b''.join(parts), is_complete=is_complete)
+
+
+async def send_withheld(job: Job, withheld: WithheldAnswer) -> None:
+    """Send an answer that was withheld in favour of another one, which has not come."""
+    head = withheld.head
+    await job.reply.send_head(head.status, drop_connection_headers(head.headers))
+    await job.reply.send_part(withheld.content)
+    await job.reply.finish()
+
+
+async def _fill(parts: list[bytes], connection: EndpointConnection) -> bool:
+    """Append the parts of an answer to a list; returns whether its end was reached."""
+    size = 0
+    while size < MAX_BUFFERED_BYTES:
         part = await connection.receive_part()
         if part is None:
-            return BufferedStart(content, is_complete=True)
-        content += part
-    return BufferedStart(content)
+            return True
+        parts.append(part)
+        size += len(part)
+    return False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/guards/attempts.py
+++ b/tests/guards/attempts.py
@@ -6,6 +6,9 @@
 
 SLOW = 'tests/forwarding/test_slow_endpoints.py'
 SUPERVISION = 'shallotmux/forwarding/_supervision.py'
+WITHHELD = 'tests/forwarding/test_withheld_answers.py'
+FORWARDER = 'shallotmux/forwarding/_forwarder.py'
+ATTEMPT = 'shallotmux/forwarding/_attempt.py'
 DIRECTORY = 'shallotmux/forwarding/_directory.py'
 
 ATTEMPT_GUARDS = (
@@ -79,4 +82,18 @@
         'if state is None:',
         (f'{SLOW}::test_busy_endpoint_is_not_taken_for_a_failing_one',),
     ),
+    Guard(
+        'attempts (withheld error is delivered)',
+        FORWARDER,
+        'if refusal is None or await self._send_withheld(job, refusal):',
+        'if refusal is None:',
+        (f'{WITHHELD}::test_error_is_delivered_if_the_retry_fails',),
+    ),
+    Guard(
+        'attempts (long error is not withheld for nothing)',
+        ATTEMPT,
+        'if start.is_complete or attempt.control.reserve_retry():',
+        'if True:',
+        (f'{WITHHELD}::test_slow_error_is_delivered_once_the_budget_is_spent',),
+    ),
 )
