Continue no stream after an event id that cannot be sent in a header

When a resumable stream broke after an event whose id held a NUL, a vertical tab or 70,000 digits, the instance avoided the sound endpoints of the service, one after another: the next request carries the id in Last-Event-Id and could not be encoded, which counted as an endpoint out of reach; an id that was too long was sent, and the other endpoint refused it or closed.

Ids get their range where they are read, and a stream is not continued until a usable id follows. EndpointConnection.begin tells a request that cannot be encoded from a connection that cannot be used, whatever the header is.

--- a/shallotmux/forwarding/_endpoint.py
+++ b/shallotmux/forwarding/_endpoint.py
@@ -139,15 +139,19 @@
         no request any more.
 
         :raises ConnectionUnusable: if the exchange before is not complete.
+        :raises EndpointError: if the request cannot be encoded, which shows nothing of the endpoint.
         """
         self._progress = _Progress()
         try:
             if self._request is not None:
                 self._protocol.start_next_cycle()
-            self._request = request
-            self._unsent = self._encode(request)
         except h11.ProtocolError as error:
             raise ConnectionUnusable(f'{error!r}', step='begin', peer=self._peer) from error
+        self._request = request
+        try:
+            self._unsent = self._encode(request)
+        except h11.ProtocolError as error:
+            raise EndpointError(f'{error!r}', step='encode', peer=self._peer) from error
 
     async def send_request(self) -> None:
         """Send the request of the present exchange.
--- a/shallotmux/forwarding/_events.py
+++ b/shallotmux/forwarding/_events.py
@@ -10,6 +10,9 @@
 #: Bytes of a line end and a blank line, which end an event, that may precede the last one of them.
 MAX_SPLIT_END_BYTES = 3
 
+#: Longest event id after which a stream is continued. The id is sent in a header of the next request.
+MAX_ID_BYTES = 1024
+
 #: A line end and a blank line. Lines end with LF, CR or both; a CR at the end of the content counts, as
 #: a sender of CR alone would otherwise be held back until its next event.
 _EVENT_END = re.compile(rb'(?:\r\n|\n|\r(?!\n))(?:\r\n|[\r\n])[\r\n]*')
@@ -18,6 +21,9 @@
 #: exponential time.
 _NO_EVENT = re.compile(rb'(?:(?::[^\r\n]*+)?(?>\r\n|[\r\n]))*+')
 
+#: An event id that can be sent in a header.
+_USABLE_ID = re.compile(rb'[\t\x20-\x7e\x80-\xff]{0,%d}' % MAX_ID_BYTES)
+
 _COMMON_ENDS = (b'\n\n', b'\r\n\r\n')
 
 
@@ -30,7 +36,8 @@
 
     def __init__(self) -> None:
         self._pending = bytearray()
-        #: Id of the last complete event, empty before the first one with an id.
+        #: Id of the last complete event, empty before the first one with an id, and after one whose id
+        #: cannot be sent in a header.
         self.last_id = b''
         #: Whether an event of the present attempt was complete.
         self.has_events = False
@@ -86,7 +93,8 @@
     def _record_ids(self, complete: bytes) -> None:
         for line in complete.splitlines():
             if line.startswith(b'id:'):
-                self.last_id = line[3:].strip()
+                event_id = line[3:].strip()
+                self.last_id = event_id if _USABLE_ID.fullmatch(event_id) else b''
 
 
 def _end_of_events(content: bytearray, start: int) -> int:
