Bound limits and numbers of permits that other instances send

One datagram with a limit of NaN or infinity ended an entry process, and with it all its requests: run_round computes math.ceil of the limit, in a task of the process.

Limits get one range, in headers and in reports of others, and reports out of it are ignored one by one, so that messages of older builds stay valid. A message asks for 4,096 permits at most.

--- a/shallotmux/ratelimits/_endpoint_limits.py
+++ b/shallotmux/ratelimits/_endpoint_limits.py
@@ -28,6 +28,9 @@
 #: Maximum number of permits for one endpoint in one message.
 MAX_GRANTED = 64
 
+#: Maximum number of permits for one endpoint that one message may ask for.
+MAX_WANTED = 4096
+
 #: Instances that a log line names.
 MAX_LOGGED_INSTANCES = 16
 
@@ -187,7 +190,8 @@
             self._granter.refund(endpoint, max(0, min(count, MAX_GRANTED)), now)
         for endpoint, count in request.wanted.items():
             if self._is_granter(endpoint) and self.known.limit_of(endpoint) is not None:
-                self._granter.request(endpoint, request.sender, count, now)
+                wanted = max(1, min(count, MAX_WANTED))
+                self._granter.request(endpoint, request.sender, wanted, now)
 
     def _receive_grant(self, grant: PermitGrant) -> None:
         if grant.number <= self._received.get(grant.sender, 0):
--- a/shallotmux/ratelimits/_known.py
+++ b/shallotmux/ratelimits/_known.py
@@ -22,6 +22,9 @@
 #: newer by the time of each transfer, and would otherwise circulate for ever.
 MIN_NEWER_S = 0.25
 
+#: Largest limit that is believed; an endpoint with a larger one needs none.
+MAX_LIMIT_PER_S = 1e6
+
 #: Limit of an endpoint that names none any more.
 LIFTED = -1.0
 
@@ -34,11 +37,18 @@
 
 def parse_limit(text: bytes | None) -> float | None:
     """Return the limit in a header of an answer; None if there is none, or it is no such number."""
+    if text is None or b'_' in text:
+        return None
     try:
-        limit = float(text) if text else math.nan
+        limit = float(text)
     except ValueError:
         return None
-    return limit if math.isfinite(limit) and limit >= 0 else None
+    return limit if 0 <= limit <= MAX_LIMIT_PER_S else None
+
+
+def _is_in_range(report: LimitReport) -> bool:
+    is_limit = report.limit == LIFTED or 0 <= report.limit <= MAX_LIMIT_PER_S
+    return is_limit and math.isfinite(report.age_s)
 
 
 class KnownLimits:
@@ -77,9 +87,9 @@
         self._set(endpoint, LIFTED if limit is None else limit, trio.current_time())
 
     def merge(self, reports: Iterable[LimitReport]) -> None:
-        """Merge the observations of another instance."""
+        """Merge the observations of another instance; those out of range are ignored."""
         now = trio.current_time()
-        for each in reports:
+        for each in filter(_is_in_range, reports):
             at = now - max(0.0, each.age_s)
             known = self._observations.get(each.endpoint)
             if known is None or at > known.at + MIN_NEWER_S:
