Wait for settings that are being written when a program starts

What was seen: the soak's half settings file ended 3 of 4 processes with code 2 at their start, on and on. A running process keeps its settings while the file is invalid; a starting one read it once.

A program now reads the settings again for 2 s while they are invalid, and logs the reason (settings-refused) once. Settings that stay invalid end the process with code 2, as before, 2 s later.

The new test failed before in both cases: the process exited before it logged settings-refused, since it had ended with code 2.

--- a/shallotmux/platform/__main__.py
+++ b/shallotmux/platform/__main__.py
@@ -24,6 +24,7 @@
     ProgramRole,
     ProgramSettings,
     log_fatal_errors,
+    read_when_complete,
     run_control,
     write_log_lines,
 )
@@ -37,7 +38,7 @@
 
 async def run(signals: ProcessSignals) -> None:
     """Run the program that the settings select until it has stopped."""
-    file = read_settings_file()
+    file = await read_when_complete(read_settings_file)
     settings = build_settings(file)
     platform = PlatformClient(file.cloud.address)
     lifecycle = ProgramLifecycle(load_settings)
--- a/shallotmux/programs/__init__.py
+++ b/shallotmux/programs/__init__.py
@@ -13,6 +13,7 @@
     ProgramSettings,
     ProgramTimes,
 )
+from shallotmux.programs._start import read_when_complete
 
 __all__ = (
     'ControlAdapter',
@@ -26,6 +27,7 @@
     'ProgramSettings',
     'ProgramTimes',
     'log_fatal_errors',
+    'read_when_complete',
     'run_control',
     'write_log_lines',
 )
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -157,6 +157,22 @@
     assert entry['error_type'] == 'SettingsError'
 
 
+@pytest.mark.parametrize(('address', 'role'), [(9, 'control'), (10, 'front')])
+async def test_start_waits_for_settings_that_are_being_written(
+    tmp_path: Path, address: int, role: str
+) -> None:
+    """Guards against a process that ends because its settings file was half written at its start."""
+    path = write_settings(tmp_path, f'{NETWORK}.{address}', role)
+    content = path.read_bytes()
+    path.write_bytes(content[: len(content) // 2])
+    with start_process(LAUNCHER, environment={'SHALLOTMUX_SETTINGS': str(path)}) as process:
+        await process.read_message('shallotmux:settings-refused')
+        path.write_bytes(content)
+        await process.read_message('shallotmux:started')
+        process.signal(signal.SIGTERM)
+        assert await process.exit_code() == 0
+
+
 async def put_document(host: str) -> None:
     """Submit a document, whose write to the disk fails; no answer is awaited."""
     body = json.dumps({'version': 1, 'routes': [], 'services': []}).encode()
