End a call or a stream, not the process, on an odd answer of a peer

A peer that answers a call or a stream with a message that cannot be decoded, a compressed one, a refusal or a channel of another build, or the end before any message, raised an error out of the task that runs the link (DecodeError, NotImplementedError, ProtocolError, ValueError, AssertionError). That task runs in the nursery of the network, so it ended the process: each instance that is connected to such a peer, or to what listens at the address of one that is gone. A later build with one more channel would have ended all earlier ones.

The errors of a stream and of a call now include these: the link reconnects with its backoff, and the outcome of the call is unknown. Envelopes for unknown channels are dropped. Garbage in the other direction, to the port for instances, ended nothing before either.

--- a/shallotmux/transport/_grpc.py
+++ b/shallotmux/transport/_grpc.py
@@ -64,6 +64,10 @@
         return 0
 
 
+#: Numbers on the wire that this build knows.
+CHANNELS = frozenset(Channel)
+REFUSALS = frozenset(Refusal)
+
 #: Limit for closing the accepted streams at shutdown.
 CLOSE_TIMEOUT_S = 1.0
 
@@ -133,6 +137,9 @@
         answer = await trio_asyncio.aio_as_trio(self._call_forward, loop=self._loop)(
             peer, request, timeout_s
         )
+        if answer.refusal not in REFUSALS:
+            detail = f'unknown refusal {answer.refusal}'
+            raise OutcomeUnknown(detail, step='forward', peer=peer)
         return ForwardAnswer(answer.result, Refusal(answer.refusal), answer.detail)
 
     def link(self, peer: str) -> PeerLink:
@@ -144,11 +151,17 @@
         return link
 
     def deliver(self, peer: str, batch: Any) -> None:
-        """Pass a peer's envelopes to the handler, except those with another sender's name."""
+        """Pass a peer's envelopes to the handler.
+
+        Those with another sender's name are dropped, and those for a part of an instance that only a
+        later build has.
+        """
         if self._handler is None:
             return
         for each in batch.envelopes:
-            if instance_name(each.sender) == peer and instance_name(each.recipient) == self._name:
+            is_from_peer = instance_name(each.sender) == peer
+            is_own = instance_name(each.recipient) == self._name
+            if is_from_peer and is_own and each.channel in CHANNELS:
                 channel = Channel(each.channel)
                 self._handler.receive(
                     PeerEnvelope(each.group, each.sender, each.recipient, channel, each.payload)
--- a/tests/guards/decoding.py
+++ b/tests/guards/decoding.py
@@ -6,6 +6,7 @@
 
 LISTING = 'tests/platform/test_listing.py'
 ENTRIES = 'tests/platform/test_adapter.py'
+FRAMES = 'tests/transport/test_odd_frames.py'
 ODD_ENTRY = f'{LISTING}::test_odd_entry_neither_raises_nor_hides_others'
 OUT_OF_RANGE = f'{LISTING}::test_entry_out_of_range_names_no_worker'
 
@@ -108,4 +109,18 @@
         'if True:',
         ('tests/platform/test_process.py::test_error_that_ends_the_process_is_a_log_line',),
     ),
+    Guard(
+        'transport (undecodable messages)',
+        'shallotmux/transport/_link.py',
+        '    DecodeError,\n',
+        '',
+        (f'{FRAMES}::test_odd_message_on_a_stream_does_not_end_the_network',),
+    ),
+    Guard(
+        'transport (later channels)',
+        'shallotmux/transport/_grpc.py',
+        'is_from_peer and is_own and each.channel in CHANNELS',
+        'is_from_peer and is_own',
+        (f'{FRAMES}::test_envelope_for_an_unknown_channel_is_dropped',),
+    ),
 )
