Refuse settings that are out of range instead of ending the process on them

A process reads its settings file each second and on SIGHUP. A seed with port 99999 or a newline passed the pattern of an address; split_address then raised ValueError, which the watcher does not catch, out of the task of the signals or of the watcher: the process ended, and again at each start. The same held for a file of nested lists (RecursionError). Numbers had types and no ranges: a usage window of 0 s divides by zero, a peer port of 65536 cannot be bound, and a lease of 1e300 ms never lets a leader act.

--- a/shallotmux/platform/_settings.py
+++ b/shallotmux/platform/_settings.py
@@ -31,8 +31,15 @@
 MAX_CONTROL_INSTANCES = 8
 
 
-#: IP address and port.
-_Address = Annotated[str, msgspec.Meta(pattern=r'^.+:\d{1,5}$')]
+#: Ranges of the numbers. None is near its end in any deployment; beyond, a calculation would overflow or
+#: divide by zero.
+_Seconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=86_400_000)]
+_Number = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=1000)]
+
+#: Port of messages between instances. The next one is that of relayed requests.
+_PeerPort = Annotated[int, msgspec.Meta(ge=1, le=65_534)]
 
 
 class _Listen(msgspec.Struct, rename='kebab'):
@@ -42,23 +49,23 @@
 
 
 class _Tolerate(msgspec.Struct, rename='kebab'):
-    machines: int = 1
+    machines: _Count = 1
 
 
 class _Bounds(msgspec.Struct, rename='kebab'):
-    grace_s: float = 8.0
-    retry_budget_ratio: float = 0.2
-    budget_window_s: float = 10.0
+    grace_s: _Seconds = 8.0
+    retry_budget_ratio: _Number = 0.2
+    budget_window_s: _Seconds = 10.0
     # Number of retries allowed beyond the ratio, not a duration.
-    retry_slack: float = 50.0
-    report_window_s: float = 5.0
+    retry_slack: _Number = 50.0
+    report_window_s: _Seconds = 5.0
     # Not the length of our lease: holders must not take turns within this time.
-    lease_ms: float = 3000.0
+    lease_ms: _Milliseconds = 3000.0
 
 
 class _Cloud(msgspec.Struct, rename='kebab'):
     address: str = ''
-    rate_per_s: float = 20.0
+    rate_per_s: _Number = 20.0
     duties: list[str] = []
 
 
@@ -70,14 +77,24 @@
     zone: str
     serves: list[str]
     listen: _Listen
-    port_range: tuple[int, int]
-    seeds: list[_Address]
+    port_range: tuple[_PeerPort, int]
+    seeds: list[str]
     cloud: _Cloud
     bootstrap: bool = False
     data_dir: str | None = None
     tolerate: _Tolerate = msgspec.field(default_factory=_Tolerate)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
+    def __post_init__(self) -> None:
+        """Check the addresses.
+
+        :raises ValueError: naming one that is not of the form HOST:PORT.
+        """
+        listen = self.listen
+        named = (listen.front, listen.ready, listen.control, self.cloud.address)
+        for address in (*self.seeds, *(each for each in named if each)):
+            split_address(address)
+
 
 def read_settings_file(environment: Mapping[str, str] = os.environ) -> PlatformFile:
     """Load the settings file that the environment variable names.
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -22,6 +22,9 @@
 from shallotmux.programs import ProgramRole
 from shallotmux.routes import RouteKind
 
+#: Nesting far beyond what decoders follow.
+DEEP = 100_000
+
 SETTINGS: dict[str, Any] = {
     'node-name': 'core-a-1',
     'role': 'control',
@@ -102,7 +105,29 @@
 
 @pytest.mark.parametrize(
     ('changes', 'named'),
-    [({'seeds': 'none'}, 'seeds'), ({'ip': 5}, 'ip'), ({'cloud': {'duties': [1]}}, 'duties')],
+    [
+        ({'seeds': 'none'}, 'seeds'),
+        ({'ip': 5}, 'ip'),
+        ({'cloud': {'duties': [1]}}, 'duties'),
+        ({'seeds': ['10.1.0.33:99999']}, '99999'),
+        ({'seeds': ['10.1.0.33:8367\n']}, 'HOST:PORT'),
+        ({'seeds': ['10.1.0.33']}, 'HOST:PORT'),
+        ({'listen': {'control': '10.1.0.33:x'}}, 'HOST:PORT'),
+        ({'cloud': {'address': 'nowhere'}}, 'HOST:PORT'),
+        ({'port-range': [0, 7795]}, 'port-range'),
+        ({'port-range': [65_535, 65_536]}, 'port-range'),
+        ({'port-range': [10**400, 7795]}, 'port-range'),
+        ({'bounds': {'grace-s': 1e308}}, 'grace-s'),
+        ({'bounds': {'report-window-s': 0}}, 'report-window-s'),
+        ({'bounds': {'budget-window-s': -1}}, 'budget-window-s'),
+        ({'bounds': {'budget-window-s': 0}}, 'budget-window-s'),
+        ({'bounds': {'retry-budget-ratio': -1}}, 'retry-budget-ratio'),
+        ({'bounds': {'retry-slack': 10**400}}, 'retry-slack'),
+        ({'bounds': {'lease-ms': 1e300}}, 'lease-ms'),
+        ({'bounds': {'lease-ms': float('nan')}}, 'malformed'),
+        ({'cloud': {'rate-per-s': -5}}, 'rate-per-s'),
+        ({'tolerate': {'machines': 10**20}}, 'machines'),
+    ],
 )
 def test_invalid_settings_are_refused_by_name(
     tmp_path: Path, changes: dict[str, object], named: str
@@ -113,6 +138,17 @@
     assert 'boot.json' in str(caught.value)
 
 
+@pytest.mark.parametrize(
+    'content', [b'', b'{"node-name": "co', b'\xff', b'{"more":' + b'[' * DEEP, b'[' * DEEP]
+)
+def test_unreadable_settings_are_refused(tmp_path: Path, content: bytes) -> None:
+    """Guards against a file that is half written, or odd, and ends a process as it is reloaded."""
+    path = tmp_path / 'boot.json'
+    path.write_bytes(content)
+    with pytest.raises(SettingsError, match='boot.json'):
+        build_settings(read_settings_file({'SHALLOTMUX_SETTINGS': str(path)}))
+
+
 def test_missing_settings_file_is_named(tmp_path: Path) -> None:
     """Guards against an error that does not name the missing file."""
     with pytest.raises(SettingsError, match='nowhere'):
