--- a/shallotmux/checking/programs/_probes.py
+++ b/shallotmux/checking/programs/_probes.py
@@ -77,8 +77,9 @@
         except FAILURES:
             call.is_closed = True
         except trio.Cancelled:
-            # The run is over, and nobody reads the answer.
+            # The run is over, and nobody waits for the answer.
             call.sent_at = float('inf')
+            call.status = None
             raise
         finally:
             call.ended_at = trio.current_time()
