Keep the event that arrives as its attempt is given up

An attempt is given up once its service is out of reach and it has been silent for 1.2 s. If the next event arrived in that scheduler step, it was taken from the connection and counted as relayed, and then not sent: the stream went on after it, without it. The new test fails on and on with "assert b'2' == b'1'" (the last id), and passes as the relay looks for the cancellation before it takes a part.

--- a/tests/guards/attempts.py
+++ b/tests/guards/attempts.py
@@ -9,6 +9,7 @@
 WITHHELD = 'tests/forwarding/test_withheld_answers.py'
 FORWARDER = 'shallotmux/forwarding/_forwarder.py'
 ATTEMPT = 'shallotmux/forwarding/_attempt.py'
+GIVEN_UP = 'tests/forwarding/test_given_up_attempts.py'
 DIRECTORY = 'shallotmux/forwarding/_directory.py'
 
 ATTEMPT_GUARDS = (
@@ -96,4 +97,25 @@
         'if True:',
         (f'{WITHHELD}::test_slow_error_is_delivered_once_the_budget_is_spent',),
     ),
+    Guard(
+        'attempts (no event is lost as one is given up)',
+        'shallotmux/forwarding/_relay.py',
+        'await trio.lowlevel.checkpoint_if_cancelled()',
+        'pass',
+        (f'{GIVEN_UP}::test_event_that_arrives_as_its_attempt_is_given_up_is_not_missing',),
+    ),
+    Guard(
+        'attempts (begun answer is not given up)',
+        'shallotmux/forwarding/_retries.py',
+        'is_allowed = job.route.is_repeatable and self._may_follow(job)',
+        'is_allowed = job.route.is_repeatable',
+        (f'{GIVEN_UP}::test_answer_that_has_begun_is_not_given_up',),
+    ),
+    Guard(
+        'attempts (out of reach, retry is reserved first)',
+        'shallotmux/forwarding/_state.py',
+        'if is_silent and not self.scope.cancel_called and self._may_abandon():',
+        'if is_silent:',
+        (f'{GIVEN_UP}::test_stream_is_not_given_up_without_another_endpoint',),
+    ),
 )
