Tell a lack of own descriptors from an endpoint out of reach

When an entry process had no descriptor left, callers with open connections got 503 for every request, though idle connections to other endpoints held descriptors, and each failed connect was recorded as an endpoint that accepts none: the services counted as cut off from this instance for as long as it lasted and until a trial succeeded.

The pool now closes its idle connections and connects once more; if that fails too, nothing is recorded of the endpoint's reach. Listeners were sound before: they retry every 0.1 s and go on.

--- a/shallotmux/forwarding/_endpoint.py
+++ b/shallotmux/forwarding/_endpoint.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import select
 import socket
 from collections.abc import Callable
@@ -59,6 +60,19 @@
     """The connection could not be opened or used, and no byte of a request was sent."""
 
 
+class LocalResourcesSpent(ConnectionUnusable):
+    """This instance has no descriptor, port or memory for a further connection.
+
+    That shows nothing of the endpoint.
+    """
+
+
+#: Errors of the operating system for :exc:`LocalResourcesSpent`.
+LOCAL_ERRORS = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+)
+
+
 @dataclass(slots=True)
 class _Progress:
     """Progress of an exchange.
@@ -349,6 +363,7 @@
 
     :param address: IP address and port.
     :param source: IP address to connect from; None lets the system choose.
+    :raises LocalResourcesSpent: if this instance cannot open a further connection.
     :raises ConnectionUnusable: if that fails or takes longer than ``timeout_s``.
     """
     try:
@@ -358,7 +373,8 @@
                 target.host, target.port, happy_eyeballs_delay=timeout_s, local_address=source
             )
     except (OSError, ValueError, trio.TooSlowError) as error:
-        raise ConnectionUnusable(f'{address}: {error!r}', step='connect', peer=peer) from error
+        kind = LocalResourcesSpent if _is_local(error) else ConnectionUnusable
+        raise kind(f'{address}: {error!r}', step='connect', peer=peer) from error
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -367,5 +383,15 @@
     return EndpointConnection(stream, peer, request_id_header)
 
 
+def _is_local(error: Exception) -> bool:
+    """Return whether a connect failed for want of resources of this instance.
+
+    :param error: error of the connect; the one of the operating system may be its cause.
+    """
+    causes = error.__cause__
+    found = causes.exceptions if isinstance(causes, BaseExceptionGroup) else (causes, error)
+    return any(isinstance(each, OSError) and each.errno in LOCAL_ERRORS for each in found)
+
+
 def _new_protocol() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES)
--- a/shallotmux/forwarding/_pool.py
+++ b/shallotmux/forwarding/_pool.py
@@ -7,10 +7,12 @@
 from math import inf
 
 import trio
+from eliot import log_message
 
 from shallotmux.forwarding._endpoint import (
     ConnectionUnusable,
     EndpointConnection,
+    LocalResourcesSpent,
     connect_endpoint,
 )
 from shallotmux.forwarding._messages import AnswerHead
@@ -115,9 +117,9 @@
     ) -> EndpointConnection:
         began_at = trio.current_time()
         try:
-            connection = await connect_endpoint(
-                address, endpoint, self._request_id_header, connect_timeout_s, self._source
-            )
+            connection = await self._open(endpoint, address, connect_timeout_s)
+        except LocalResourcesSpent:
+            raise
         except ConnectionUnusable:
             self._notify(endpoint, began_at, is_connected=False)
             raise
@@ -125,6 +127,36 @@
         connection.on_head = self.observe_heads(endpoint) or connection.on_head
         return connection
 
+    async def _open(
+        self, endpoint: str, address: str, connect_timeout_s: float
+    ) -> EndpointConnection:
+        """Open a connection; idle ones are closed for it if descriptors have run out."""
+        try:
+            return await self._connect_once(endpoint, address, connect_timeout_s)
+        except LocalResourcesSpent:
+            closed = self._close_idle()
+            log_message(
+                message_type='shallotmux:connections-spent', endpoint=endpoint, closed=closed
+            )
+            if not closed:
+                raise
+        return await self._connect_once(endpoint, address, connect_timeout_s)
+
+    async def _connect_once(
+        self, endpoint: str, address: str, connect_timeout_s: float
+    ) -> EndpointConnection:
+        return await connect_endpoint(
+            address, endpoint, self._request_id_header, connect_timeout_s, self._source
+        )
+
+    def _close_idle(self) -> int:
+        """Close all idle connections, and return their number."""
+        connections = [each for idle in self._idle.values() for each in idle]
+        self._idle.clear()
+        for each in connections:
+            each.close()
+        return len(connections)
+
     def _notify(self, endpoint: str, began_at: float, *, is_connected: bool) -> None:
         for notify in self.on_connect:
             notify(endpoint, began_at, is_connected)
