Refuse requests with two ids, and CONNECT

A request with two different ids was sent on; the endpoint's answer carries one of them or both, so it was not matched, and the caller waited until the deadline for a 504 although the endpoint had run it. CONNECT with a path reached an endpoint, whose 2xx ends HTTP on that connection for the protocol, and the caller got the head of a tunnel and a closed connection.

Both now get 400 before anything is sent.

--- a/shallotmux/forwarding/_admission.py
+++ b/shallotmux/forwarding/_admission.py
@@ -62,7 +62,7 @@
     """
     if table is None:
         return refuse_not_run('no configuration yet', RETRY_UNCONFIGURED_S)
-    if not request.target.startswith(b'/'):
+    if request.method == b'CONNECT' or not request.target.startswith(b'/'):
         return Refusal(400, 'the target is no path')
     route = table.find_route(request.text(b'host'), request.path)
     if route is None:
@@ -75,6 +75,10 @@
     request_id = request.header(dialect.names.request_id)
     if not request_id:
         return Refusal(400, 'the request has no id')
+    if any(
+        name == dialect.names.request_id and text != request_id for name, text in request.headers
+    ):
+        return Refusal(400, 'the request has two ids')
     return Admitted(
         _build_job(
             request,
--- a/tests/forwarding/test_odd_requests.py
+++ b/tests/forwarding/test_odd_requests.py
@@ -37,3 +37,30 @@
         available = [each.is_available(now) for each in harness.forwarder.directory.usable('desk')]
     assert (got.status, got.body) == (200, b'done')
     assert available == [True, True]
+
+
+@pytest.mark.parametrize('path', ['/once/', '/safe/'])
+async def test_request_with_two_ids_is_refused(path: str) -> None:
+    """Guards against a request whose answer cannot be matched, so that its caller waits in vain.
+
+    Endpoints echo the last of two ids, or both in one header.
+    """
+    endpoint = ScriptedEndpoint(serve)
+    async with run_forwarder(endpoint) as harness:
+        got = await harness.make_request(path, extra='X-Request-Id: r-2\r\n')
+        again = await harness.make_request(path, extra='X-Request-Id: r-1\r\n')
+    assert got.status == 400
+    assert len(endpoint.received) == 1
+    assert again.status == 200
+
+
+async def test_connect_request_is_refused() -> None:
+    """Guards against a request for a tunnel that reaches endpoints, and gets the head of its answer.
+
+    A path is no valid target of CONNECT.
+    """
+    endpoint = ScriptedEndpoint(serve)
+    async with run_forwarder(endpoint) as harness:
+        got = await harness.make_request('/once/', method='CONNECT')
+    assert (got.status, got.is_complete) == (400, True)
+    assert not endpoint.received
