Bound the numbers of the operators' document where it is decoded

Callers saw, after an acknowledged document with 'header-timeout-ms' below 0: each connection closed without an answer. The number reached trio.fail_after, which raises ValueError. Others did harm elsewhere: priorities and slots of hundreds of digits cannot be converted to a float or sent, a bandwidth of 0 is divided by, weights near the largest number add up to infinity and send everything to the last service. A version of 0 or less was acknowledged and never reached an entry instance, and one beyond 64 bits raised OverflowError where it is stored.

Stored documents are decoded as before.

--- a/shallotmux/platform/_configuration.py
+++ b/shallotmux/platform/_configuration.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+from typing import TypeVar
+
 import msgspec
 
 from shallotmux.decoding import DECODE_ERRORS
@@ -18,6 +21,11 @@
     ServiceShare,
 )
 
+#: Scale of weights whose sum is not finite.
+MAX_WEIGHT = 1e308
+
+_Number = TypeVar('_Number', int, float)
+
 
 class _Split(msgspec.Struct, rename='kebab'):
     service: str
@@ -89,6 +97,16 @@
     tenants: list[_Tenant] = []
 
 
+#: Largest numbers that have an effect; larger ones are valid and taken as these. A day is longer than any
+#: request and any connection, and no service, fleet or limit comes near the others.
+MAX_MS = 86_400_000.0
+MAX_COUNT = 1 << 31
+MAX_SIZE = 1 << 53
+MAX_RATE = 1e12
+
+#: Smallest bandwidth of a link, since times of transfers are divided by it.
+MIN_LINK_MBPS = 1e-3
+
 #: Kinds of route by their name in the configuration.
 KINDS = {'safe': RouteKind.SAFE, 'unsafe': RouteKind.UNSAFE, 'streaming': RouteKind.STREAMING}
 
@@ -107,34 +125,51 @@
         tuple(_build_route(each) for each in parsed.routes),
         tuple(_build_service(each) for each in parsed.services),
         CallerLimits(
-            parsed.limits.max_header_bytes,
-            parsed.limits.max_body_bytes,
-            parsed.limits.header_timeout_ms / 1000,
-            parsed.limits.idle_timeout_ms / 1000,
+            _bound(parsed.limits.max_header_bytes, MAX_COUNT),
+            _bound(parsed.limits.max_body_bytes, MAX_COUNT),
+            _bound(parsed.limits.header_timeout_ms, MAX_MS) / 1000,
+            _bound(parsed.limits.idle_timeout_ms, MAX_MS) / 1000,
         ),
         tuple(
-            DocumentCustomer(each.name, tuple(each.api_keys), each.priority)
+            DocumentCustomer(
+                each.name,
+                tuple(each.api_keys),
+                None if each.priority is None else _bound(each.priority, MAX_COUNT),
+            )
             for each in parsed.tenants
         ),
     )
 
 
+def _bound(number: _Number, most: _Number, least: _Number | None = None) -> _Number:
+    """Return a number, or the nearest one in a range that begins with 0 unless ``least`` is given."""
+    return min(max(number, type(number)(0) if least is None else least), most)
+
+
+def _build_shares(split: list[_Split]) -> tuple[ServiceShare, ...]:
+    """Return the shares of a route; only the ratios of their weights matter."""
+    total = sum(each.weight for each in split)
+    # Weights near the largest number add up to infinity.
+    scale = 1.0 if math.isfinite(total) else 1 / MAX_WEIGHT
+    return tuple(ServiceShare(each.service, each.weight * scale) for each in split)
+
+
 def _build_route(route: _Route) -> ForwardedRoute:
     kind = KINDS.get(route.kind)
     if kind is None:
         raise DocumentInvalid(f'route {route.name!r}: kind {route.kind!r}', step='read document')
-    shares = tuple(ServiceShare(each.service, each.weight) for each in route.split)
+    shares = _build_shares(route.split)
     return ForwardedRoute(
         route.name,
         route.host,
         route.path_prefix,
         kind,
         shares or (ServiceShare(route.service, 1),),
-        route.timeout_ms,
-        route.target_latency_ms,
-        route.target_gap_ms,
-        route.priority,
-        route.max_attempts,
+        min(route.timeout_ms, MAX_MS),
+        _bound(route.target_latency_ms, MAX_MS),
+        _bound(route.target_gap_ms, MAX_MS),
+        _bound(route.priority, MAX_COUNT),
+        _bound(route.max_attempts, MAX_COUNT),
         route.public,
         route.sticky,
         route.resumable,
@@ -147,15 +182,21 @@
     bounds: FleetBounds | None = None
     if engine is not None:
         profile = EngineProfile(
-            engine.slots,
-            engine.kv_capacity_tokens,
-            engine.kv_token_bytes,
-            engine.link_mbps,
-            engine.handle_ttl_s,
-            engine.role_switch_s,
+            _bound(engine.slots, MAX_COUNT),
+            _bound(engine.kv_capacity_tokens, MAX_SIZE),
+            _bound(engine.kv_token_bytes, MAX_SIZE),
+            _bound(engine.link_mbps, MAX_RATE, MIN_LINK_MBPS),
+            _bound(engine.handle_ttl_s, MAX_MS / 1000),
+            _bound(engine.role_switch_s, MAX_MS / 1000),
         )
     if scaling is not None:
         bounds = FleetBounds(
-            scaling.min, scaling.max, scaling.boot_s, scaling.spot_price, scaling.zone_prices
+            _bound(scaling.min, MAX_COUNT),
+            _bound(scaling.max, MAX_COUNT),
+            _bound(scaling.boot_s, MAX_MS / 1000),
+            _bound(scaling.spot_price, MAX_RATE),
+            {zone: _bound(price, MAX_RATE) for zone, price in scaling.zone_prices.items()},
         )
-    return Service(service.name, service.health_path, service.max_conns, profile, bounds)
+    return Service(
+        service.name, service.health_path, _bound(service.max_conns, MAX_COUNT), profile, bounds
+    )
--- a/tests/guards/decoding.py
+++ b/tests/guards/decoding.py
@@ -123,4 +123,25 @@
         'is_from_peer and is_own',
         (f'{FRAMES}::test_envelope_for_an_unknown_channel_is_dropped',),
     ),
+    Guard(
+        'document (numbers)',
+        'shallotmux/platform/_configuration.py',
+        '_bound(parsed.limits.header_timeout_ms, MAX_MS)',
+        'parsed.limits.header_timeout_ms',
+        ('tests/platform/test_odd_documents.py::test_number_far_out_of_the_usual_can_be_used',),
+    ),
+    Guard(
+        'document (versions)',
+        'shallotmux/routes/_checks.py',
+        'if not 1 <= document.version <= MAX_VERSION:',
+        'if False:',
+        ('tests/routes/test_checks.py::test_version_that_cannot_take_effect_is_refused',),
+    ),
+    Guard(
+        'settings (addresses)',
+        'shallotmux/platform/_settings.py',
+        '            split_address(address)\n',
+        '            address.strip()\n',
+        ('tests/platform/test_adapter.py::test_invalid_settings_are_refused_by_name',),
+    ),
 )
