Check a control group whose disks refuse operations in turn

Changes have to be acknowledged within 4 s all the while, and at the end every instance is a member and reads the last change.

The pause before a probe is now at most 2 s: with 8 s a member could still wait when the disk of the next one failed.

--- a/shallotmux/programs/_disk.py
+++ b/shallotmux/programs/_disk.py
@@ -24,9 +24,10 @@
 
 #: A disk that refuses writes again within this time of running is probed after a pause, which is
 #: doubled each time up to the maximum: a probe may succeed although the program's own files cannot
-#: be written, and each attempt disturbs the group.
+#: be written, and each attempt disturbs the group. The maximum is short, as a member that waits
+#: without need is missing when the disk of another one fails.
 STEADY_RUN_S = 10.0
-MAX_PAUSE_S = 8.0
+MAX_PAUSE_S = 2.0
 
 
 async def run_on_disk(
--- a/tests/guards/__main__.py
+++ b/tests/guards/__main__.py
@@ -15,6 +15,7 @@
 from tests.guards.catalogue import GUARDS, Guard
 from tests.guards.crashes import CRASH_GUARDS
 from tests.guards.decoding import DECODING_GUARDS
+from tests.guards.disks import DISK_GUARDS
 from tests.guards.forwarded import FORWARDING_GUARDS
 from tests.guards.ratelimits import LIMIT_GUARDS
 from tests.guards.reach import REACH_GUARDS
@@ -67,6 +68,7 @@
         *ATTEMPT_GUARDS,
         *CRASH_GUARDS,
         *DECODING_GUARDS,
+        *DISK_GUARDS,
         *LIMIT_GUARDS,
         *REACH_GUARDS,
         *SIZE_GUARDS,
