--- a/tests/guards/__main__.py
+++ b/tests/guards/__main__.py
@@ -17,6 +17,7 @@
 from tests.guards.decoding import DECODING_GUARDS
 from tests.guards.disks import DISK_GUARDS
 from tests.guards.forwarded import FORWARDING_GUARDS
+from tests.guards.peers import PEER_GUARDS
 from tests.guards.ratelimits import LIMIT_GUARDS
 from tests.guards.reach import REACH_GUARDS
 from tests.guards.sizes import SIZE_GUARDS
@@ -70,6 +71,7 @@
         *DECODING_GUARDS,
         *DISK_GUARDS,
         *LIMIT_GUARDS,
+        *PEER_GUARDS,
         *REACH_GUARDS,
         *SIZE_GUARDS,
         *STREAM_GUARDS,
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -139,7 +139,7 @@
 
 
 @pytest.mark.parametrize(
-    'content', [b'', b'{"node-name": "co', b'\xff', b'{"more":' + b'[' * DEEP, b'[' * DEEP]
+    'content', [b'', b'{"node-name": "co', b'\xff', b'{"more":%b' % (b'[' * DEEP), b'[' * DEEP]
 )
 def test_unreadable_settings_are_refused(tmp_path: Path, content: bytes) -> None:
     """Guards against a file that is half written, or odd, and ends a process as it is reloaded."""
--- a/tests/transport/test_broken_peers.py
+++ b/tests/transport/test_broken_peers.py
@@ -9,6 +9,7 @@
 
 import pytest
 import trio
+import trio_asyncio
 
 from shallotmux.errors import AuthorityUnavailable, OutcomeUnknown
 from shallotmux.transport import (
@@ -18,6 +19,7 @@
     PeerEnvelope,
     SelfNamedAddresses,
 )
+from shallotmux.transport._link import make_channel
 
 CALLS = 200
 CALL_TIMEOUT_S = 1.0
@@ -130,3 +132,25 @@
             await trio.sleep(0.01)
 
     await run_with_peer(peer, send)
+
+
+async def test_connection_that_ends_while_it_is_opened_is_a_connection_error() -> None:
+    """Guards against a channel that reads the transport of a connection that has ended."""
+
+    async def open_channels(address: str) -> int:
+        failures = 0
+        for _ in range(CALLS):
+            channel = make_channel(address, address, None)
+            try:
+                await channel.__connect__()
+            except OSError:
+                failures += 1
+            channel.close()
+        return failures
+
+    with trio.fail_after(TEST_TIMEOUT_S):
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(Peer(b'', 0).run)
+            async with trio_asyncio.open_loop():
+                assert await trio_asyncio.aio_as_trio(open_channels)(address)
+            nursery.cancel_scope.cancel()
