Answer a request that arrives as the idle time of its connection ends

Callers got a reset instead of an answer: if the idle time ended while the request already waited in the kernel, as on a busy instance, the connection was closed with it unread. At a planned shutdown such requests were read before.

--- a/shallotmux/forwarding/_caller_connection.py
+++ b/shallotmux/forwarding/_caller_connection.py
@@ -146,10 +146,10 @@
             content = await self.stream.receive_some(MAX_READ_BYTES)
             self._begin(content)
             return bool(content)
-        return self.listener.is_closed and await self._read_waiting()
+        return await self._read_waiting()
 
     async def _read_waiting(self) -> bool:
-        """Read a request that arrived before the close; returns whether there was one.
+        """Read a request that arrived before the close or the end of the idle time, if there is one.
 
         Closing a connection with unread bytes would reset it, without an answer to the request.
         """
