Refuse payloads that are no commands before they enter the log

What would be seen: a payload that decodes to something else than a command, forwarded to a control instance, is appended and committed. Each replica then fails on the entry, again after each start, so that the group is lost until somebody edits the logs. Found by the review; nobody sends such payloads, but any program that reaches the port for peers can.

Cause: the leader asked only whether a payload can be decoded. A number, a map, a result, or a command whose required field is None can, and all fail when they are applied. Values nested deeper than the decoder follows raised RecursionError out of the call.

Change: the leader refuses what is not one of the commands, or lacks a field that must not be None. Envelopes are dropped for every error of their decoder.

--- a/shallotmux/authority/_codec.py
+++ b/shallotmux/authority/_codec.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 from functools import cache
-from typing import Any, get_type_hints
+from typing import Any, get_args, get_type_hints
 
 import msgspec
 
@@ -108,6 +108,27 @@
     return msgspec.convert(item, hint)
 
 
+def find_missing_field(item: Any) -> str | None:
+    """Return the name of a field that is None and must not be, in a data class or one inside it."""
+    if isinstance(item, (list, tuple)):
+        return next((name for each in item if (name := find_missing_field(each))), None)
+    if not dataclasses.is_dataclass(item):
+        return None
+    hints = _field_types(type(item))  # type: ignore[arg-type]
+    for each in dataclasses.fields(item):
+        content = getattr(item, each.name)
+        if content is None and not _may_be_none(hints[each.name]):
+            return each.name
+        missing = find_missing_field(content)
+        if missing:
+            return missing
+    return None
+
+
+def _may_be_none(hint: Any) -> bool:
+    return hint is None or hint is Any or type(None) in get_args(hint)
+
+
 def _contains_data_class(item: object) -> bool:
     if isinstance(item, list):
         return any(_contains_data_class(each) for each in item)
--- a/shallotmux/authority/_driver.py
+++ b/shallotmux/authority/_driver.py
@@ -8,12 +8,13 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-import msgspec
 import trio
 from eliot import log_message
 
+from shallotmux.authority._codec import find_missing_field
 from shallotmux.authority._group_state import GroupState
-from shallotmux.authority._state import Result, decode_command, encode_result
+from shallotmux.authority._state import Command, Result, decode_command, encode_result
+from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import AuthorityUnavailable, MembershipRefused, NotLeader
 from shallotmux.replication import (
     AppendReply,
@@ -46,7 +47,7 @@
 NON_MEMBER_TICK_S = 1.0
 
 #: Exceptions raised by decoding a command of another program version.
-DECODE_ERRORS = (msgspec.MsgspecError, KeyError, TypeError, ValueError)
+COMMAND_ERRORS = (*DECODE_ERRORS, KeyError, TypeError, AttributeError)
 
 #: Inputs handled before their effects are executed, so that they share one append and one sync.
 MAX_INPUTS_PER_BATCH = 512
@@ -187,7 +188,7 @@
             return
         try:
             message = decode_envelope(envelope.payload)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             return
         if message.sender != envelope.sender or message.recipient != self.identity:
             return
@@ -382,9 +383,14 @@
 
 
 def _check_command(payload: bytes) -> ForwardAnswer | None:
-    """Refuse a command that cannot be decoded, since every replica would fail on its entry."""
+    """Refuse what is not a command, since every replica would fail on its entry, at each start."""
     try:
-        decode_command(payload)
-    except DECODE_ERRORS as error:
+        command = decode_command(payload)
+    except COMMAND_ERRORS as error:
         return ForwardAnswer(refusal=Refusal.INVALID, detail=repr(error))
+    if not isinstance(command, Command):
+        return ForwardAnswer(refusal=Refusal.INVALID, detail=f'{type(command)!r} is no command')
+    missing = find_missing_field(command)
+    if missing:
+        return ForwardAnswer(refusal=Refusal.INVALID, detail=f'no {missing}')
     return None
--- a/tests/guards/peers.py
+++ b/tests/guards/peers.py
@@ -1,4 +1,4 @@
-"""Guards of calls to peers whose connections end, and of prompts out of range."""
+"""Guards against odd input: peers whose connections end, payloads, prompts and settings."""
 
 from __future__ import annotations
 
@@ -33,4 +33,18 @@
         'if True:',
         ('tests/platform/test_process.py',),
     ),
+    Guard(
+        'commands (types)',
+        'shallotmux/authority/_driver.py',
+        '    if not isinstance(command, Command):\n',
+        '    if False:\n',
+        ('tests/authority/test_odd_commands.py',),
+    ),
+    Guard(
+        'commands (required fields)',
+        'shallotmux/authority/_driver.py',
+        '    if missing:\n',
+        '    if False:\n',
+        ('tests/authority/test_odd_commands.py',),
+    ),
 )
