--- a/shallotmux/checking/programs/__init__.py
+++ b/shallotmux/checking/programs/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from shallotmux.checking.programs._deployment import ControlGroup
+from shallotmux.checking.programs._control_group import ControlGroup
 from shallotmux.checking.programs._operator import Operator
 from shallotmux.checking.programs._promises import find_violations
 from shallotmux.checking.programs._records import (
--- a/shallotmux/checking/programs/_deployment.py
+++ b/shallotmux/checking/programs/_deployment.py
@@ -17,7 +17,7 @@
 import trio
 
 from shallotmux.checking.processes import Child, start_command
-from shallotmux.checking.programs._machine import NO_LIMITS, ResourceLimits, hold_ports
+from shallotmux.checking.programs._machine import ResourceLimits, hold_ports
 from shallotmux.checking.programs._records import Disruption, Records, Trouble
 from shallotmux.platform._samples import SampleInstance, encode_settings
 
@@ -54,6 +54,7 @@
     """One instance and its present process.
 
     :param starts: starts so far.
+    :param lines: output of the processes that have ended.
     :param is_wiped: whether the next process starts with an empty data folder.
     :param is_removed: whether no further process is started.
     :param held_s: time for which the ports stay in use beside the next process.
@@ -62,6 +63,7 @@
 
     settings: SampleInstance
     starts: int = 0
+    lines: list[bytes] = field(default_factory=list)
     is_wiped: bool = False
     is_removed: bool = False
     held_s: float = 0.0
@@ -225,6 +227,14 @@
             self.records.problems.append(f'{name}: did not stop within its grace period')
         self.kill(name)
 
+    def write_logs(self, folder: Path) -> None:
+        """Write the output of all processes, one file for each instance."""
+        folder.mkdir(parents=True, exist_ok=True)
+        for name, instance in self.instances.items():
+            present = instance.child.lines if instance.is_running and instance.child else []
+            content = b'\n'.join((*instance.lines, *present))
+            (folder / f'{name}.log').write_bytes(content)
+
     def close(self) -> None:
         """End all processes, also those that stand still."""
         self.is_closing = True
@@ -270,6 +280,7 @@
                 self.records.problems.append(
                     f'{instance.name}: ended by itself with {code}: {last}'
                 )
+            instance.lines.extend(instance.child.lines)
             await trio.sleep(RESTART_DELAY_S)
             self.write_settings(instance.name, replace(instance.settings, bootstrap=False))
 
@@ -338,54 +349,3 @@
     except (OSError, trio.BrokenResourceError):
         return False
     return False
-
-
-class ControlGroup:
-    """Control instances alone.
-
-    :param build: repository whose programs are run; None for this one.
-    """
-
-    def __init__(
-        self, nursery: trio.Nursery, folder: Path, records: Records, build: Path | None = None
-    ) -> None:
-        network = choose_network()
-        builds = (build.resolve() if build else ROOT,)
-        # Nothing listens at the address of the platform.
-        platform = f'{network}.250:9'
-        self._deployment = Deployment(
-            nursery, folder, records, platform, network, builds, Random(1), limits=NO_LIMITS
-        )
-        self._deployment.prepare()
-        self.names = self._deployment.control_names
-
-    async def start(self) -> None:
-        """Start all instances."""
-        for name in self.names:
-            self._deployment.keep_running(name)
-        await trio.sleep(1)
-
-    def operator_addresses(self) -> list[str]:
-        """Return the addresses for operators."""
-        return self._deployment.operator_addresses()
-
-    def folder(self, name: str) -> Path:
-        """Return the data folder of an instance."""
-        return Path(self._deployment.instances[name].settings.folder)
-
-    def pid(self, name: str) -> int:
-        """Return the process id of an instance, 0 if it does not run."""
-        child = self._deployment.instances[name].child
-        return child.pid if child is not None and child.exit_code is None else 0
-
-    def kill(self, name: str) -> None:
-        """Kill the process of an instance; it starts again."""
-        self._deployment.kill(name)
-
-    async def pause(self, name: str, duration_s: float) -> None:
-        """Let the process of an instance stand still for a time."""
-        await self._deployment.pause(name, duration_s)
-
-    def close(self) -> None:
-        """End all processes."""
-        self._deployment.close()
--- a/shallotmux/checking/programs/_main.py
+++ b/shallotmux/checking/programs/_main.py
@@ -30,6 +30,11 @@
 @click.option('--controls', type=click.IntRange(3), default=3, show_default=True)
 @click.option('--entries', type=click.IntRange(2), default=3, show_default=True)
 @click.option('--load', type=click.IntRange(0), default=0, help='Busy processes beside the run.')
+@click.option(
+    '--logs',
+    type=click.Path(file_okay=False, path_type=Path),
+    help='Folder for the output of the processes.',
+)
 def main(
     seed: int,
     runs: int,
@@ -39,6 +44,7 @@
     controls: int,
     entries: int,
     load: int,
+    logs: Path | None,
 ) -> None:
     """Disrupt real processes of the deploy file at random; exit code 1 after a violation."""
     violations = 0
@@ -46,7 +52,7 @@
     click.echo('| --- | --- | --- | --- |')
     builds = tuple(each.resolve() for each in (build, other_build) if each is not None)
     for number in range(seed, seed + runs):
-        plan = SoakPlan(number, seconds, builds, controls, entries, load)
+        plan = SoakPlan(number, seconds, builds, controls, entries, load, logs)
         result = trio.run(run_soak, plan)
         violations += len(result.violations)
         click.echo(result.render())
--- a/shallotmux/checking/programs/_probes.py
+++ b/shallotmux/checking/programs/_probes.py
@@ -17,7 +17,7 @@
 from shallotmux.platform import HEADERS
 
 #: Longest pause between two probes of an instance, and time for one.
-MAX_PAUSE_S = 0.3
+MAX_PAUSE_S = 0.2
 PROBE_TIMEOUT_S = 4.0
 
 #: Newest changes whose routes and keys are probed.
--- a/shallotmux/checking/programs/_records.py
+++ b/shallotmux/checking/programs/_records.py
@@ -123,7 +123,7 @@
     """Everything that a run has shown.
 
     :param controls: names of the control instances.
-    :param ended_at: time at which the run ended.
+    :param ended_at: time at which no change was sent any more.
     :param acknowledged: highest version of the configuration that was acknowledged.
     :param read_back: highest version that was read at the end.
     :param problems: broken promises that were seen while the run lasted.
--- a/shallotmux/checking/programs/_schedule.py
+++ b/shallotmux/checking/programs/_schedule.py
@@ -4,7 +4,7 @@
 
 import signal
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 import trio
@@ -17,6 +17,13 @@
 #: Longest pause between two disruptions.
 MAX_PAUSE_S = 1.2
 
+#: Share of disruptions that a calm time follows, and its length, after which time limits hold again.
+CALM_SHARE = 0.2
+CALM_S = 6.0
+
+#: Longest time after changes in which no other change is sent, so that each may have to be in force.
+MAX_SETTLE_S = 5.0
+
 #: Shortest and longest time for which a process stands still, or an endpoint is in trouble.
 PAUSE_S = (0.2, 2.5)
 TROUBLE_S = (1.0, 4.0)
@@ -48,6 +55,7 @@
     """Disrupts a deployment at random until cancelled.
 
     :param disrupts_control: whether control instances are disrupted too.
+    :param changing: held while changes are sent and settle.
     :param is_disk_lost: whether a control instance has lost its disk.
     """
 
@@ -57,6 +65,7 @@
     random: Random
     disrupts_control: bool
     is_disk_lost: bool = False
+    changing: trio.Lock = field(default_factory=trio.Lock)
 
     @property
     def deployment(self) -> Deployment:
@@ -64,14 +73,22 @@
         return self.starts.deployment
 
     async def run(self) -> None:
-        """Draw one disruption after the other; those that last overlap with the next ones."""
-        actions = (*self._instance_actions(), *self._endpoint_actions(), *self._operator_actions())
+        """Disrupt and change until cancelled."""
+        actions = [*self._instance_actions(), *self._endpoint_actions()]
         if self.disrupts_control:
-            actions = (*actions, *self._control_actions())
+            actions.extend(self._control_actions())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._draw, actions, CALM_SHARE)
+            nursery.start_soon(self._draw, self._operator_actions(), 0)
+
+    async def _draw(self, actions: list[Action], calm_share: float) -> None:
+        """Draw one action after the other; those that last overlap with the next ones."""
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(self.random.uniform(0, MAX_PAUSE_S))
                 nursery.start_soon(self.random.choice(actions))
+                if self.random.random() < calm_share:
+                    await trio.sleep(CALM_S)
 
     def _instance_actions(self) -> list[Action]:
         return [
@@ -103,7 +120,7 @@
             self._change_configuration,
             self._change_configuration,
             self._change_at_once,
-            self.operator.put_again,
+            self._change_again,
             self.operator.put_conflicting,
             self.operator.put_invalid,
         ]
@@ -198,11 +215,20 @@
         endpoint.is_leaving = False
 
     async def _change_configuration(self) -> None:
-        for _ in range(self.random.randint(1, MAX_CHANGES)):
-            await self.operator.put(self.random.randint(0, MAX_PADDING_ROUTES))
+        async with self.changing:
+            for _ in range(self.random.randint(1, MAX_CHANGES)):
+                await self.operator.put(self.random.randint(0, MAX_PADDING_ROUTES))
+            await trio.sleep(self.random.uniform(0, MAX_SETTLE_S))
+
+    async def _change_again(self) -> None:
+        async with self.changing:
+            await self.operator.put_again()
+            await trio.sleep(self.random.uniform(0, MAX_SETTLE_S))
 
     async def _change_at_once(self) -> None:
         """Send changes side by side, as two operators do."""
-        async with trio.open_nursery() as nursery:
-            for _ in range(self.random.randint(2, MAX_CHANGES)):
-                nursery.start_soon(self.operator.put)
+        async with self.changing:
+            async with trio.open_nursery() as nursery:
+                for _ in range(self.random.randint(2, MAX_CHANGES)):
+                    nursery.start_soon(self.operator.put)
+            await trio.sleep(self.random.uniform(0, MAX_SETTLE_S))
--- a/shallotmux/checking/programs/_soak.py
+++ b/shallotmux/checking/programs/_soak.py
@@ -42,6 +42,7 @@
 
     :param builds: repositories whose programs are run side by side.
     :param load: busy processes beside the run.
+    :param logs: folder for the output of all processes; None to keep none.
     """
 
     seed: int = 1
@@ -50,6 +51,7 @@
     controls: int = 3
     entries: int = 3
     load: int = 0
+    logs: Path | None = None
 
 
 async def run_soak(plan: SoakPlan) -> CheckResult:
@@ -107,7 +109,8 @@
     schedule = Schedule(starts, fleet, operator, random, disrupts_control)
     await _disrupt(schedule, records, plan.duration_s)
     await operator.read_back(RECOVERY_S)
-    records.ended_at = trio.current_time()
+    if plan.logs is not None:
+        deployment.write_logs(plan.logs / f'seed-{plan.seed}')
     deployment.close()
 
 
@@ -127,5 +130,6 @@
             watchers.start_soon(schedule.operator.read_repeatedly)
             with trio.move_on_after(duration_s):
                 await schedule.run()
+            records.ended_at = trio.current_time()
             watchers.cancel_scope.cancel()
         callers.is_stopping = True
