Wait for the usual time of a route before another attempt

Where all endpoints need longer than twice the objective, each request was repeated until the retry budget was spent, although the repeat could not be sooner, and a request at an endpoint that is silent for good then had no retry left. Another attempt now starts after twice the objective or twice the usual time of the route's answers, whichever is later, but after half of the remaining time at the latest.

--- a/shallotmux/forwarding/_retries.py
+++ b/shallotmux/forwarding/_retries.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import OrderedDict
+from dataclasses import dataclass, field
 
 from shallotmux.forwarding._attempt import AttemptResult
 from shallotmux.forwarding._budget import SharedRetryBudget
@@ -25,19 +26,57 @@
 PEER_TIME_SHARE = 0.5
 
 
+#: Multiple of the usual time to an answer after which another endpoint is tried, if that is later.
+USUAL_TIME_FACTOR = 2.0
+
+#: Part of the remaining time that is waited at most on account of the usual time, so that another
+#: attempt can still answer.
+MAX_TIME_SHARE = 0.5
+
+#: Weight of the newest answer in the usual time.
+NEWEST_WEIGHT = 0.1
+
+#: Routes of which the usual time is remembered.
+MAX_ROUTES = 2048
+
+
+@dataclass(slots=True)
+class AnswerTimes:
+    """Tells how long answers usually take, by route.
+
+    Where all endpoints are slow, a repeat is no sooner than the first attempt. It would use up the retry
+    budget, which the requests at an endpoint that is silent for good need.
+    """
+
+    _usual: OrderedDict[str, float] = field(default_factory=OrderedDict)
+
+    def record(self, route: str, took_s: float) -> None:
+        """Record the time from the start of an attempt to the start of its answer."""
+        usual_s = self._usual.pop(route, took_s)
+        self._usual[route] = usual_s + NEWEST_WEIGHT * (took_s - usual_s)
+        if len(self._usual) > MAX_ROUTES:
+            self._usual.popitem(last=False)
+
+    def of(self, route: str) -> float:
+        """Return the usual time of a route; 0 if it is not known."""
+        return self._usual.get(route, 0.0)
+
+
 @dataclass(frozen=True, slots=True)
 class RetryPolicy:
     """Applies the limits of routes and the retry budget."""
 
     directory: EndpointDirectory
     budget: SharedRetryBudget
+    answer_times: AnswerTimes = field(default_factory=AnswerTimes)
 
     def answer_timeout_s(self, job: Job, target: Target) -> float:
         """Return the time to the start of an answer after which another endpoint is tried."""
         objective_s = job.route.latency_objective_ms / 1000
         timeout_s = ANSWER_TIMEOUT_FACTOR * objective_s if objective_s else float('inf')
         if target.peer is None:
-            return timeout_s
+            usual_s = USUAL_TIME_FACTOR * self.answer_times.of(job.route.name)
+            return max(timeout_s, min(usual_s, MAX_TIME_SHARE * job.remaining_s))
         return max(PEER_TIMEOUT_FACTOR * timeout_s, PEER_TIME_SHARE * job.remaining_s)
 
     def has_attempts_left(self, job: Job, runs: int) -> bool:
--- a/shallotmux/forwarding/_supervision.py
+++ b/shallotmux/forwarding/_supervision.py
@@ -159,10 +159,11 @@
 
     def _take_reply(self, winner: _Running) -> None:
         """End the other attempts, as the answer of one goes to the caller."""
+        took_s = trio.current_time() - winner.started_at
         if winner.target.peer is None:
             # Another attempt may have begun since.
             self.job.record_attempt(winner.target.state.listed)
-        took_s = trio.current_time() - winner.started_at
+            self.parts.retries.answer_times.record(self.job.route.name, took_s)
         for each in self.running:
             if each is not winner:
                 self.job.runs += 1
--- a/tests/forwarding/test_slow_endpoints.py
+++ b/tests/forwarding/test_slow_endpoints.py
@@ -242,6 +242,19 @@
     assert all(state is not None and state.avoided_until < 0 for state in states)
 
 
+@pytest.mark.parametrize('path', ['/quick/', '/live/'])
+async def test_slow_fleet_costs_few_repeats(path: str) -> None:
+    """Guards against a retry budget that is spent on repeats which are no sooner than the first run."""
+    script = serve_after(0.2) if path == '/quick/' else stream_after(0.2, 'x')
+    endpoints = [ScriptedEndpoint(script) for _ in range(3)]
+    async with run_forwarder(*endpoints) as harness:
+        for number in range(12):
+            got = await harness.make_request(path, request_id=f'r-{number}')
+            assert (got.status, got.is_complete) == (200, True)
+    # The usual time is known after the first answer, to which further attempts may contribute.
+    assert count_runs(*endpoints) <= 12 + 2
+
+
 async def test_silent_endpoint_is_found() -> None:
     """Guards against a dead endpoint that goes on getting its share of the requests."""
     silent = ScriptedEndpoint(never_answer)
--- a/tests/guards/attempts.py
+++ b/tests/guards/attempts.py
@@ -118,4 +118,11 @@
         'if is_silent:',
         (f'{GIVEN_UP}::test_stream_is_not_given_up_without_another_endpoint',),
     ),
+    Guard(
+        'attempts (usual time is waited)',
+        'shallotmux/forwarding/_retries.py',
+        'return max(timeout_s, min(usual_s, MAX_TIME_SHARE * job.remaining_s))',
+        'return timeout_s',
+        (f'{SLOW}::test_slow_fleet_costs_few_repeats',),
+    ),
 )
