--- a/tests/guards/__main__.py
+++ b/tests/guards/__main__.py
@@ -22,6 +22,7 @@
 from tests.guards.reach import REACH_GUARDS
 from tests.guards.sizes import SIZE_GUARDS
 from tests.guards.streams import STREAM_GUARDS, VERSION_GUARDS
+from tests.guards.wire import WIRE_GUARDS
 
 ROOT = Path(__file__).resolve().parents[2]
 COPIED_PATHS = ('shallotmux', 'deploy', 'tests', 'examples', 'docs', 'pyproject.toml', 'Makefile')
@@ -76,6 +77,7 @@
         *SIZE_GUARDS,
         *STREAM_GUARDS,
         *VERSION_GUARDS,
+        *WIRE_GUARDS,
     )
     selected = [each for each in guards if not sys.argv[1:] or each.invariant in sys.argv[1:]]
     with tempfile.TemporaryDirectory() as name:
