Refuse CONNECT on every listener

A run of the real programs with odd requests logged one handler fault: CONNECT to the readiness page. The refusal of CONNECT stood in the admission of forwarded requests; it now stands where requests are read, for pages of an instance and for relayed requests as well.

Before: test_connect_request_to_a_page_is_refused failed, (200, False).

--- a/shallotmux/forwarding/_admission.py
+++ b/shallotmux/forwarding/_admission.py
@@ -62,7 +62,7 @@
     """
     if table is None:
         return refuse_not_run('no configuration yet', RETRY_UNCONFIGURED_S)
-    if request.method == b'CONNECT' or not request.target.startswith(b'/'):
+    if not request.target.startswith(b'/'):
         return Refusal(400, 'the target is no path')
     route = table.find_route(request.text(b'host'), request.path)
     if route is None:
--- a/shallotmux/forwarding/_caller_connection.py
+++ b/shallotmux/forwarding/_caller_connection.py
@@ -188,6 +188,9 @@
         received_at = trio.current_time()
         if not isinstance(head, h11.Request):
             raise _CallerDisconnected
+        if head.method == b'CONNECT':
+            # A successful answer would end HTTP on the connection.
+            raise _RequestRejected(400)
         headers = tuple((bytes(name), bytes(text)) for name, text in head.headers)
         length = _check_head(headers, limits)
         self._check_room(length)
--- a/tests/forwarding/test_odd_requests.py
+++ b/tests/forwarding/test_odd_requests.py
@@ -5,11 +5,14 @@
 import pytest
 import trio
 
+from shallotmux.forwarding import CallerRequest, HttpListener, Reply, send_response
 from tests.forwarding._harness import (
     NAMES,
     ReceivedRequest,
     ScriptedEndpoint,
     answer,
+    build_request,
+    read_answer,
     run_forwarder,
 )
 
@@ -64,3 +67,19 @@
         got = await harness.make_request('/once/', method='CONNECT')
     assert (got.status, got.is_complete) == (400, True)
     assert not endpoint.received
+
+
+async def test_connect_request_to_a_page_is_refused() -> None:
+    """Guards against the head of a tunnel from the pages of an instance, such as readiness."""
+
+    async def show(request: CallerRequest, reply: Reply) -> None:
+        await send_response(reply, 200, b'ready')
+
+    async with trio.open_nursery() as nursery:
+        listener = HttpListener('127.0.0.1:0', show)
+        host, _, port = (await nursery.start(listener.run)).rpartition(':')
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            await stream.send_all(build_request('/ready', method='CONNECT'))
+            got = await read_answer(stream)
+        nursery.cancel_scope.cancel()
+    assert (got.status, got.is_complete) == (400, True)
--- a/tests/guards/wire.py
+++ b/tests/guards/wire.py
@@ -77,10 +77,10 @@
     ),
     Guard(
         'no-tunnel',
-        'shallotmux/forwarding/_admission.py',
-        "if request.method == b'CONNECT' or not",
-        'if not',
-        (f'{REQUESTS}::test_connect_request_is_refused',),
+        'shallotmux/forwarding/_caller_connection.py',
+        "if head.method == b'CONNECT':",
+        'if False:',
+        (f'{REQUESTS}::test_connect_request_to_a_page_is_refused',),
     ),
     Guard(
         'stream-continued (usable id)',
