Give a replaced folder of libraries its new age before it is replaced

Found by the review: between the exchange and the new time stamp, the replaced folder had the age of its build, so that a build beside this one could remove it while programs were reading from it. The new test failed before.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -82,8 +82,10 @@
     if is_built(folder, description):
         shutil.rmtree(temporary, ignore_errors=True)
         return
+    # The replaced folder counts as old from now on. A build beside this one may look at it right after
+    # the exchange.
+    os.utime(folder)
     _exchange(temporary, folder)
-    os.utime(temporary)
 
 
 def _exchange(one: Path, other: Path) -> None:
--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -6,6 +6,7 @@
 import os
 import platform
 import threading
+import time
 from pathlib import Path
 from types import ModuleType
 
@@ -146,3 +147,24 @@
             monkeypatch.setattr(platform, 'python_version', lambda: '3.11.99')
     assert script.build(requirements, folder, install)
     assert not (folder / 'outdated.py').exists()
+
+
+def test_replaced_folder_is_recent_from_the_first_moment(
+    tmp_path: Path, requirements: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a build beside that removes the replaced folder, as it was built long ago."""
+    script, install, folder = load_script(), Installer(), tmp_path / 'deps'
+    script.build(requirements, folder, install)
+    os.utime(folder, (0, 0))
+    exchange = script._exchange
+    ages: list[float] = []
+
+    def exchange_and_look(one: Path, other: Path) -> None:
+        exchange(one, other)
+        ages.append(time.time() - one.stat().st_mtime)
+
+    monkeypatch.setattr(script, '_exchange', exchange_and_look)
+    requirements.write_text('library==9\n', encoding='ascii')
+    script.build(requirements, folder, install)
+    assert len(ages) == 1
+    assert ages[0] < script.LEFTOVER_AGE_S
