--- a/shallotmux/measure/ratelimits.py
+++ b/shallotmux/measure/ratelimits.py
@@ -159,8 +159,10 @@
             step = min(at, min(next_rounds))
             await trio.sleep(max(0.0, step - trio.current_time()))
             exchange.deliver()
+            # The virtual clock stands still between two steps.
+            now = trio.current_time()
             for number, due in enumerate(next_rounds):
-                if due <= trio.current_time():
+                if due <= now:
                     exchange.run_round(number)
                     next_rounds[number] = due + ROUND_INTERVAL_S
         if restarts and at >= restarts[0]:
