Ignore numbers in messages that nothing can be calculated with

A datagram of anybody to an entry instance that asks for 2^60 permits of an endpoint under a limit of 1e300 a second made the instance that grants them loop for ever: it did not hand back the processor, and no caller was answered. An endpoint that names such a limit in an answer led to the same. A demand that is not a number made the leader's sizing raise ValueError, and an estimate of the time of infinity left an instance without a time. Datagrams under many names filled the memory of an instance that handles no prompts, and of one that grants no permits.

Limits above 100,000 a second are no limit. Limits, demands, loads and times out of range are ignored where they are merged, not refused with the message, so that instances of both builds still understand each other. What datagrams can name is bounded in number.

--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -36,6 +36,9 @@
 #: Time after its last poll for which an entry instance counts as live.
 INSTANCE_TTL_S = 5.0
 
+#: Largest number in a reported demand, far beyond the whole fleet's.
+MAX_DEMAND = 1e12
+
 #: Number of the latest windows for which counts are kept.
 MAX_WINDOWS = 16
 
@@ -147,7 +150,7 @@
         now = trio.current_time()
         self._polled_at[poll.sender] = now
         self.usage.merge(poll.sender, poll.counts)
-        self._demands[poll.sender] = poll.demands
+        self._demands[poll.sender] = tuple(each for each in poll.demands if _is_plausible(each))
         self._entry_reach.record(poll)
         entries = self.entries()
         self._crashes.merge(poll.crash_news)
@@ -181,6 +184,17 @@
         return ForwardAnswer(encode_origin_message(answer))
 
 
+def _is_plausible(demand: ServiceDemand) -> bool:
+    """Return whether the numbers of a demand can be calculated with."""
+    numbers = (
+        demand.tokens_per_s,
+        demand.prefill_tokens_per_s,
+        demand.requests_per_s,
+        demand.in_flight,
+    )
+    return all(0 <= each <= MAX_DEMAND for each in numbers)
+
+
 def _describe_endpoint(endpoint: ListedEndpoint) -> str:
     """Return the key under which a log line counts an endpoint."""
     kind = 'cheap' if endpoint.is_cheap else 'regular'
--- a/shallotmux/fleet/_clock.py
+++ b/shallotmux/fleet/_clock.py
@@ -10,6 +10,9 @@
 #: Number of peers whose estimates are kept.
 MAX_PEERS = 16
 
+#: Latest time that an estimate can name, in the year 2286.
+MAX_TIME_S = 1e10
+
 
 def read_boot_time() -> float:
     """Return seconds of a monotonic clock that includes time in suspension."""
@@ -48,7 +51,12 @@
         return self._monotonic_clock() + self._local_offset
 
     def record_peer_estimate(self, peer: str, estimate: float) -> None:
-        """Record a peer's local estimate; the network delay of a few milliseconds is ignored."""
+        """Record a peer's local estimate; the network delay of a few milliseconds is ignored.
+
+        One that is no time since 1970 is not recorded.
+        """
+        if not 0 <= estimate <= MAX_TIME_S:
+            return
         self._peer_offsets[peer] = estimate - self._monotonic_clock()
         self._peer_offsets.move_to_end(peer)
         if len(self._peer_offsets) > MAX_PEERS:
--- a/shallotmux/fleet/_load_sharing.py
+++ b/shallotmux/fleet/_load_sharing.py
@@ -26,6 +26,13 @@
 #: Age after which the load of a peer is ignored.
 LOAD_TTL_S = 1.0
 
+#: Maximum number of senders whose load is remembered, far more than send to one instance. Datagrams may
+#: name any.
+MAX_SENDERS = 1024
+
+#: Largest number of queued tokens in a message, far beyond what an engine can hold.
+MAX_TOKENS = 1 << 40
+
 #: Maximum size of a message; larger ones are not sent.
 MAX_MESSAGE_BYTES = 1400
 
@@ -78,6 +85,8 @@
             message = _decode(content)
         except msgspec.MsgspecError:
             return
+        if any(not 0 <= tokens <= MAX_TOKENS for tokens in message.tokens.values()):
+            return
         known = self._loads.get(message.sender)
         if known is not None:
             if message.number <= known.number:
@@ -86,6 +95,8 @@
         now = trio.current_time()
         self._loads[message.sender] = _PeerLoad(message.number, now, message.tokens)
         self._totals.update(message.tokens)
+        if len(self._loads) > MAX_SENDERS:
+            self._remove(next(iter(self._loads)))
 
     def tokens_at(self, identity: str) -> float:
         """Return the queued prefill tokens of other instances at an engine."""
@@ -193,7 +204,8 @@
             if message is None:
                 continue
             for peer in peers:
-                with suppress(OSError):
+                # The names of instances come from their polls.
+                with suppress(OSError, ValueError):
                     await sock.sendto(message, split_address(peer))
 
     def _next_message(self) -> bytes | None:
--- a/shallotmux/fleet/_poller.py
+++ b/shallotmux/fleet/_poller.py
@@ -225,7 +225,8 @@
             self._replace_peers(knowledge.peers)
         if knowledge.document:
             self._apply_document(peer, knowledge.document)
-        if knowledge.listing is not None:
+        is_dated = 0 <= knowledge.listing_age_s < float('inf')
+        if knowledge.listing is not None and is_dated:
             # The answer may have been delayed, also by a suspension of this machine. The list is at least
             # as new as its age at the time of the poll.
             self.view.update_listing(knowledge.listing, sent_at - knowledge.listing_age_s)
--- a/shallotmux/ratelimits/_endpoint_limits.py
+++ b/shallotmux/ratelimits/_endpoint_limits.py
@@ -31,6 +31,9 @@
 #: Maximum number of permits for one endpoint that one message may ask for.
 MAX_WANTED = 4096
 
+#: Endpoints whose granter is remembered. Datagrams may name any.
+MAX_CHOSEN = 4096
+
 #: Instances that a log line names.
 MAX_LOGGED_INSTANCES = 16
 
@@ -229,7 +232,7 @@
 
     def _choose_granter(self, endpoint: int) -> str:
         instances = frozenset((self._instance, *self._instances()))
-        if instances != self._chosen_among:
+        if instances != self._chosen_among or len(self._granters) >= MAX_CHOSEN:
             self._chosen_among = instances
             self._granters.clear()
         if endpoint not in self._granters:
--- a/shallotmux/ratelimits/_granting.py
+++ b/shallotmux/ratelimits/_granting.py
@@ -17,6 +17,9 @@
 #: Time after which a request for permits that was not granted is dropped. Instances repeat theirs.
 WANT_TTL_S = 0.3
 
+#: Instances that can wait for permits of one endpoint, more than a deployment has. Datagrams may name any.
+MAX_WAITING = 1024
+
 #: Permits that may be granted at once after a pause, in seconds of the limit; at least one.
 BURST_S = 0.25
 
@@ -70,6 +73,8 @@
             self._buckets[endpoint] = bucket
         bucket.asked_at = now
         bucket.waiting[instance] = (count, now)
+        if len(bucket.waiting) > MAX_WAITING:
+            bucket.waiting.popitem(last=False)
 
     def refund(self, endpoint: int, count: int, now: float) -> None:
         """Add permits back that expired unused, unless the former granter granted them."""
--- a/shallotmux/ratelimits/_known.py
+++ b/shallotmux/ratelimits/_known.py
@@ -23,7 +23,7 @@
 MIN_NEWER_S = 0.25
 
 #: Largest limit that is believed; an endpoint with a larger one needs none.
-MAX_LIMIT_PER_S = 1e6
+MAX_LIMIT_PER_S = 1e5
 
 #: Limit of an endpoint that names none any more.
 LIFTED = -1.0
--- a/tests/control/test_knowledge.py
+++ b/tests/control/test_knowledge.py
@@ -7,6 +7,7 @@
 
 from shallotmux.authority import GroupState, PutDocument
 from shallotmux.control import KnowledgeService, UsageTotals
+from shallotmux.control._sizing import FleetDemand
 from shallotmux.fleet import (
     CustomerCount,
     ListedEndpoint,
@@ -66,6 +67,17 @@
     assert not service.demand_of('llm').tokens_per_s
 
 
+async def test_implausible_demand_is_ignored(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against one poll after which no number of endpoints can be calculated."""
+    service = make_service()
+    poll(service, 'a~1', demands=(ServiceDemand('llm', 100, 10.0, 2, 1.0),))
+    odd = (float('nan'), float('inf'), -1.0, 1e300)
+    for number, each in enumerate(odd):
+        for demand in (ServiceDemand('llm', each), ServiceDemand('llm', 1, each, 1, each)):
+            poll(service, f'x-{number}~1', demands=(demand,))
+    assert service.demand_of('llm') == FleetDemand(100.0, 10.0, 2, 1.0)
+
+
 async def test_unreadable_poll_is_refused(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against a poll of another release that crashes the process."""
     assert make_service().answer(b'\xc1').refusal is Refusal.INVALID
--- a/tests/fleet/test_clock.py
+++ b/tests/fleet/test_clock.py
@@ -27,6 +27,14 @@
     assert abs(clock.local_estimate() - 3000) < NEAR_S
 
 
+def test_estimate_that_is_no_time_is_ignored() -> None:
+    """Guards against a message that leaves an instance without a time, so that nothing is counted."""
+    clock = TrueClock(lambda: 1000.0, lambda: 10.0)
+    for number, estimate in enumerate((float('nan'), float('inf'), -float('inf'), 1e300, -1.0)):
+        clock.record_peer_estimate(f'peer-{number}', estimate)
+    assert abs(clock.now() - 1000) < NEAR_S
+
+
 def test_one_wrong_peer_has_no_effect() -> None:
     """Guards against a fleet that adopts the time of one instance whose clock stepped."""
     clock = TrueClock(lambda: 1000.0, lambda: 10.0)
--- a/tests/fleet/test_load_sharing.py
+++ b/tests/fleet/test_load_sharing.py
@@ -14,6 +14,7 @@
 from shallotmux.fleet._load_sharing import (
     LOAD_TTL_S,
     MAX_PEERS,
+    MAX_SENDERS,
     LoadMessage,
     choose_peers,
     engine_checksum,
@@ -59,6 +60,24 @@
     assert not loads.tokens_at('e-1')
 
 
+@pytest.mark.parametrize('tokens', [-1, 2**41, 2**63])
+async def test_load_out_of_range_is_dropped(
+    autojump_clock: trio.testing.MockClock, tokens: int
+) -> None:
+    """Guards against a datagram that attracts all prompts to one engine, or keeps them off it."""
+    loads = PeerLoads()
+    loads.receive(message('a', 1, tokens))
+    assert not loads.tokens_at('e-1')
+
+
+async def test_senders_are_bounded(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against datagrams under many names that fill the memory of an instance without prompts."""
+    loads = PeerLoads()
+    for number in range(2 * MAX_SENDERS):
+        loads.receive(message(f'x-{number}', 1, 1))
+    assert loads.tokens_at('e-1') == MAX_SENDERS
+
+
 @pytest.mark.parametrize('count', [2, 33, 75, 380])
 def test_each_instance_hears_from_as_many_peers_as_it_sends_to(count: int) -> None:
     """Guards against a large fleet in which some hear all others and the rest hear nobody."""
--- a/tests/guards/__main__.py
+++ b/tests/guards/__main__.py
@@ -56,7 +56,8 @@
         return 1, f'tests did not finish within {TEST_TIMEOUT_S} s'
     lines = [line.strip(' |') for line in completed.stdout.splitlines()]
     causes = [line for line in lines if line.startswith(('E ', 'AssertionError', 'Failed'))]
-    return completed.returncode, causes[0] if causes else lines[-1]
+    # A test that is ended by its timeout leaves no line.
+    return completed.returncode, [*causes, *reversed(lines), 'no output'][0]
 
 
 def check_guard(folder: Path, guard: Guard) -> bool:
--- a/tests/guards/decoding.py
+++ b/tests/guards/decoding.py
@@ -137,4 +137,28 @@
         '            address.strip()\n',
         ('tests/platform/test_adapter.py::test_invalid_settings_are_refused_by_name',),
     ),
+    Guard(
+        'messages (limits)',
+        'shallotmux/ratelimits/_known.py',
+        'if is_newer and LIFTED <= each.limit <= MAX_LIMIT:',
+        'if is_newer:',
+        (
+            'tests/ratelimits/test_endpoint_limits.py'
+            '::test_limit_out_of_range_from_another_instance_is_ignored',
+        ),
+    ),
+    Guard(
+        'messages (demands)',
+        'shallotmux/control/_knowledge.py',
+        'tuple(each for each in poll.demands if _is_plausible(each))',
+        'poll.demands',
+        ('tests/control/test_knowledge.py::test_implausible_demand_is_ignored',),
+    ),
+    Guard(
+        'messages (times)',
+        'shallotmux/fleet/_clock.py',
+        'if not 0 <= estimate <= MAX_TIME_S:',
+        'if False:',
+        ('tests/fleet/test_clock.py::test_estimate_that_is_no_time_is_ignored',),
+    ),
 )
--- a/tests/programs/test_supervision.py
+++ b/tests/programs/test_supervision.py
@@ -114,7 +114,7 @@
     autojump_clock: trio.testing.MockClock, error: Exception
 ) -> None:
     """Guards against an instance that goes on with a state that its disk does not have."""
-    with pytest.raises(type(error)):
+    with pytest.raises(type(error)), trio.fail_after(LONG_S):
         await Supervisor(CollectorRegistry()).run('odd', FailingTask(error).run)
 
 
--- a/tests/ratelimits/test_endpoint_limits.py
+++ b/tests/ratelimits/test_endpoint_limits.py
@@ -17,8 +17,8 @@
     choose_granter,
     parse_limit,
 )
-from shallotmux.ratelimits._endpoint_limits import MAX_RETURN_S, MIN_RETURN_S
-from shallotmux.ratelimits._granting import HANDOVER_S
+from shallotmux.ratelimits._endpoint_limits import MAX_CHOSEN, MAX_RETURN_S, MIN_RETURN_S
+from shallotmux.ratelimits._granting import HANDOVER_S, MAX_WAITING
 from shallotmux.ratelimits._known import LIMIT_TTL_S, MAX_LIMITS
 from shallotmux.ratelimits._stock import PERMIT_TTL_S
 
@@ -54,6 +54,8 @@
         (b'-1', None),
         (b'nan', None),
         (b'inf', None),
+        (b'1e300', None),
+        (b'9' * 400, None),
         (b'many', None),
     ],
 )
@@ -184,6 +186,35 @@
     limits.run_round()
 
 
+@pytest.mark.parametrize('limit', [1e300, float('inf'), float('nan'), -7.0])
+async def test_limit_out_of_range_from_another_instance_is_ignored(
+    autojump_clock: trio.testing.MockClock, limit: float
+) -> None:
+    """Guards against a datagram that makes an instance grant permits for ever."""
+    name = granter_of(NAMES)
+    limits = EndpointLimits(name, f'{name}~1', lambda: NAMES)
+    report = LimitReport(ENDPOINT, limit, 0.0)
+    forged = PermitRequest(other_than(name), {ENDPOINT: 2**60}, (report,), {})
+    assert limits.receive(msgspec.msgpack.encode(forged))
+    await trio.sleep(HANDOVER_S + 1)
+    assert limits.receive(msgspec.msgpack.encode(forged))
+    limits.run_round()
+    assert limits.known.limit_of(ENDPOINT) is None
+    assert not limits.total_granted
+
+
+async def test_waiting_instances_are_bounded(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against datagrams under many names that fill the memory."""
+    limits = make_limits(granter_of(NAMES))
+    for number in range(2 * MAX_WAITING):
+        forged = PermitRequest(f'x-{number}', {ENDPOINT: 1}, (), {})
+        limits.receive(msgspec.msgpack.encode(forged))
+    for number in range(2 * MAX_CHOSEN):
+        limits.receive(msgspec.msgpack.encode(PermitGrant('x~1', number + 1, {number: 1})))
+    assert len(limits._granter._buckets[ENDPOINT].waiting) <= MAX_WAITING
+    assert len(limits._granters) <= MAX_CHOSEN
+
+
 async def test_return_time_follows_the_limit(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against callers that are told to return before there can be room."""
     limits = make_limits(NAMES[0])
