Check versions in one place, and acknowledge those of 0 or less

An operator may send an older version again, which is acknowledged and changes nothing; before version 1 that is a version of 0. So only versions that cannot be stored are refused, by the checks of documents.

--- a/shallotmux/control/_documents.py
+++ b/shallotmux/control/_documents.py
@@ -8,13 +8,9 @@
 from eliot import log_message
 
 from shallotmux.authority import Authority, DocumentRead, PutDocument, ReadDocument
-from shallotmux.errors import AuthorityUnavailable, DocumentInvalid
+from shallotmux.errors import AuthorityUnavailable
 from shallotmux.routes import RouteDocument, check_document
 
-#: Range of versions. Commands are encoded as MessagePack, which holds no other integers.
-MIN_VERSION = -(1 << 63)
-MAX_VERSION = (1 << 64) - 1
-
 
 class DocumentService:
     """Validates, commits and reads configuration documents.
@@ -56,6 +52,4 @@
         """
         document = self._decode(content)
         check_document(document)
-        if not MIN_VERSION <= document.version <= MAX_VERSION:
-            raise DocumentInvalid('version: out of range', step='check document')
         return document.version
--- a/shallotmux/routes/_checks.py
+++ b/shallotmux/routes/_checks.py
@@ -7,8 +7,9 @@
 from shallotmux.errors import DocumentInvalid
 from shallotmux.routes._document import DocumentCustomer, ForwardedRoute, RouteDocument
 
-#: Largest version that messages between instances and stored records can hold.
-MAX_VERSION = (1 << 64) - 1
+#: Versions that messages between instances and stored records can hold. One of 0 or less is older than
+#: any that is stored, and is acknowledged without effect like all older ones.
+MIN_VERSION, MAX_VERSION = -(1 << 63), (1 << 64) - 1
 
 
 def check_document(document: RouteDocument) -> None:
@@ -22,8 +23,8 @@
 
 
 def _find_faults(document: RouteDocument) -> Iterator[str]:
-    if not 1 <= document.version <= MAX_VERSION:
-        yield f'version {str(document.version)[:40]} is not from 1 to {MAX_VERSION}'
+    if not MIN_VERSION <= document.version <= MAX_VERSION:
+        yield 'version: out of range'
     services = {each.name for each in document.services}
     for route in document.routes:
         yield from _route_faults(route, services)
