--- a/tests/guards/decoding.py
+++ b/tests/guards/decoding.py
@@ -161,4 +161,18 @@
         'if False:',
         ('tests/fleet/test_clock.py::test_estimate_that_is_no_time_is_ignored',),
     ),
+    Guard(
+        'transport (cancelled links)',
+        'shallotmux/transport/_link.py',
+        'if _is_cancelled():',
+        'if False:',
+        ('tests/transport/test_link.py',),
+    ),
+    Guard(
+        'real programs (odd entries)',
+        'shallotmux/decoding.py',
+        ', RecursionError)',
+        ')',
+        ('tests/platform/test_odd_entries.py',),
+    ),
 )
