Keep errors that the loop of the network reports from ending the process

A process ended by itself when it had no descriptor or memory left for one more connection from a peer (EMFILE, ENFILE, ENOBUFS, ENOMEM), and when the error of an abandoned task was noticed: the default handler of trio-asyncio raises what the loop reports in the task group of the loop.

Such errors concern one connection, which the loop closes, or a task that was given up. They are now logged (shallotmux:peer-loop-error).

--- a/shallotmux/transport/_grpc.py
+++ b/shallotmux/transport/_grpc.py
@@ -9,6 +9,7 @@
 
 import trio
 import trio_asyncio
+from eliot import log_message
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server
@@ -98,6 +99,7 @@
         set_user_timeout(sock)
         context = self._tls.server_context() if self._tls else None
         async with trio_asyncio.open_loop() as self._loop:
+            self._loop.set_exception_handler(_log_loop_error)
             server = Server([_PeerService(self)])
             await trio_asyncio.aio_as_trio(server.start)(sock=sock, ssl=context)
             try:
@@ -216,6 +218,20 @@
             raise OutcomeUnknown(f'no answer: {error!r}', step='forward', peer=peer) from error
 
 
+def _log_loop_error(_loop: Any, context: Mapping[str, Any]) -> None:
+    """Log an error that no task awaits, such as a connection that cannot be accepted.
+
+    The default handler of trio-asyncio raises it in the task group of the loop, which ends the process.
+    It concerns one connection, which the loop closes, or a task that was given up.
+    """
+    log_message(
+        message_type='shallotmux:peer-loop-error',
+        level='error',
+        reason=str(context.get('message', '')),
+        error=repr(context.get('exception')),
+    )
+
+
 async def _close_server(server: Server) -> None:
     """End the accepted streams, so that peers notice at once and need not wait for a timeout."""
     server.close()
