Stop a link to a peer at any moment of an attempt to connect

A process that was asked to stop while an attempt to connect to a peer ended went on for ever: asyncio.wait_for returns the error of the attempt and loses the cancellation that comes in the same turn, and the link tried again.

asyncio.timeout takes its place.

--- a/shallotmux/transport/_grpc.py
+++ b/shallotmux/transport/_grpc.py
@@ -203,7 +203,9 @@
         link = self.link(peer)
         headers = {NAME_HEADER: self._name}
         try:
-            stub = await asyncio.wait_for(link.open_call_stub(), timeout_s)
+            # asyncio.wait_for would lose a cancellation in the turn in which an attempt fails.
+            async with asyncio.timeout(timeout_s):
+                stub = await link.open_call_stub()
         except Exception as error:
             # See PeerLink.connect: grpclib raises errors of many kinds.
             link.close_call_channel()
--- a/shallotmux/transport/_link.py
+++ b/shallotmux/transport/_link.py
@@ -276,7 +276,10 @@
     async def _open_and_run_stream(self) -> None:
         headers = {NAME_HEADER: self._own_name}
         self._channel = self._open_channel(self._peer)
-        await asyncio.wait_for(self._channel.__connect__(), CONNECT_TIMEOUT_S)
+        # wait_for loses a cancellation that comes as the connection opens or fails, and with it the stop of
+        # the process.
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            await self._channel.__connect__()
         stub = PeerStub(self._channel)
         async with stub.Exchange.open(metadata=headers) as stream:
             await stream.send_request()
