Tell by the disk whether a member starts for the first time

The setting stays true in a process that is rebuilt from its disk after a refused write, and in each restart for as long as the platform repeats it. A member now says itself whether its group was used before: only the first state of a group, in which nobody voted, counts as a first start.

--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -138,6 +138,9 @@
             self._store.close()
             raise
         self.identity = opened.identity
+        #: Whether the deployment starts for the first time, by what the disk holds. The setting
+        #: stays true in a process that is rebuilt from its disk later.
+        self.is_first_start = opened.is_first_start
         stored = opened.stored
         if stored.snapshot is not None:
             snapshot = stored.snapshot
@@ -301,10 +304,14 @@
 
 @dataclass(frozen=True, slots=True)
 class _OpenedDisk:
-    """Identity stored on a disk, and the log on it."""
+    """Identity stored on a disk, and the log on it.
+
+    :param is_first_start: whether the group was not used before.
+    """
 
     identity: str
     stored: StoredGroup
+    is_first_start: bool
 
 
 def _open_disk(
@@ -328,8 +335,8 @@
         voters = frozenset(settings.seeds)
         stored = bootstrap_group(Configuration(voters, disks=voters))
         store.save(Effects(stored.hard_state, stored.entries))
+    is_unused = stored is not None and settings.name in initial_voters(stored)
     if identity is None:
-        may_use_name = stored is not None and settings.name in initial_voters(stored)
-        identity = settings.name if may_use_name else new_identity(settings.name, random)
+        identity = settings.name if is_unused else new_identity(settings.name, random)
         store_identity(settings.folder, identity, files)
-    return _OpenedDisk(identity, stored or StoredGroup())
+    return _OpenedDisk(identity, stored or StoredGroup(), is_unused)
--- a/tests/control/test_member_disk.py
+++ b/tests/control/test_member_disk.py
@@ -72,6 +72,22 @@
     member.close()
 
 
+async def test_first_start_is_over_once_the_group_was_used(
+    tmp_path: Path, autojump_clock: trio.testing.MockClock, nursery: trio.Nursery
+) -> None:
+    """Guards against a process that takes each rebuild from its disk for the first start."""
+    group = ControlGroup(nursery, tmp_path)
+    nursery.start_soon(group.fabric.run)
+    for name in SEEDS:
+        instance = await group.start(name, bootstrap=True)
+        assert instance.member.is_first_start
+    await group.wait_for_leader()
+    await trio.sleep(1)
+    await group.kill(FIRST)
+    instance = await group.start(FIRST, bootstrap=True)
+    assert not instance.member.is_first_start
+
+
 async def test_new_identity_without_group_starts_no_group(
     tmp_path: Path, autojump_clock: trio.testing.MockClock
 ) -> None:
--- a/tests/guards/disks.py
+++ b/tests/guards/disks.py
@@ -48,8 +48,8 @@
     Guard(
         'disk (group before identity)',
         'shallotmux/control/_member.py',
-        'may_use_name = stored is not None and settings.name in initial_voters(stored)',
-        'may_use_name = is_initial_voter',
+        'settings.name if is_unused else',
+        'settings.name if is_initial_voter else',
         (f'{MEMBER_DISK}::test_group_forms_after_all_first_starts_were_interrupted',),
     ),
     Guard(
