--- a/tests/forwarding/test_faulty_answers.py
+++ b/tests/forwarding/test_faulty_answers.py
@@ -97,3 +97,21 @@
     assert got.status == 200
     assert not got.is_complete
     assert got.body == b'id: 1\ndata: 1\n\n'
+
+
+@pytest.mark.parametrize('length', [3, 30])
+@pytest.mark.parametrize('status', [200, 500])
+@pytest.mark.parametrize('path', ['/once/', '/safe/'])
+async def test_chunks_override_a_length(path: str, status: int, length: int) -> None:
+    """Guards against an answer that is cut in the middle since a length beside its chunks is wrong."""
+
+    async def send_both(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
+        head = b'HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n'
+        head %= (status, received.headers[NAMES.request_id], length)
+        chunks = b'Transfer-Encoding: chunked\r\n\r\n8\r\nabcdefgh\r\n0\r\n\r\n'
+        await stream.send_all(head + chunks)
+        return True
+
+    async with run_forwarder(ScriptedEndpoint(send_both)) as harness:
+        got = await harness.make_request(path)
+    assert (got.status, got.body, got.is_complete) == (status, b'abcdefgh', True)
