Answer a request in which an unexpected exception is raised

An exception that nobody names, such as the OverflowError in the choice of an endpoint with slots of 400 digits, ended the caller's connection without an answer, also where the request had been passed on to a sound endpoint and others waited behind it on the kept connection.

The exception is logged as before, with the id of the request, and the caller gets 503 if nothing was sent to an endpoint and 502 otherwise; the connection goes on. The listener keeps its own boundary for what happens outside.

--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import traceback
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from random import Random
 
 from eliot import log_message
 
+from shallotmux.errors import CallerDisconnected
 from shallotmux.fleet import FleetView
 from shallotmux.forwarding._admission import Admitted, Dialect, admit_request
 from shallotmux.forwarding._attempt import AttemptResult, AttemptRunner
@@ -31,10 +34,17 @@
 #: Time after the deadline for which an endpoint's own timeout answer is still awaited.
 DEADLINE_GRACE_S = 0.1
 
+#: Lines at the end of a traceback that are logged.
+TRACEBACK_LINES = 6
+
 #: Retry-after time when there was no endpoint, or all refused.
 RETRY_AFTER_S = 0.5
 
 
+#: Answers a job, or returns a refusal.
+_Run = Callable[[Job], Awaitable[Refusal | None]]
+
+
 @dataclass(slots=True)
 class Forwarder:
     """Admits requests, chooses endpoints and retries requests that may run again.
@@ -99,35 +109,52 @@
 
         The instance that took the request has counted it, and has bound a resumed stream.
         """
-        refusal: Refusal | None = None
-        deadline_scope = self._deadlines.open_scope(job.deadline + DEADLINE_GRACE_S)
-        with deadline_scope:
-            refusal = await self._try_endpoints(job)
-        if deadline_scope.cancelled_caught:
-            refusal = _refuse_late(job)
-        if refusal is not None and await self._send_withheld(job, refusal):
-            return None
-        if refusal is not None:
-            self._log_failure(job, refusal)
-        return refusal
+        return await self._limit(job, self._try_endpoints)
 
     async def _run(self, job: Job) -> None:
+        refusal = await self._limit(job, self._bind_and_try)
+        if refusal is None:
+            return
+        if job.reply.is_started:
+            job.reply.abort()
+        else:
+            await refusal.send(job.reply, self.dialect.names.retry_after)
+
+    async def _limit(self, job: Job, run: _Run) -> Refusal | None:
+        """Run a job until its deadline; returns a refusal if it was not answered."""
         refusal: Refusal | None = None
         deadline_scope = self._deadlines.open_scope(job.deadline + DEADLINE_GRACE_S)
         with deadline_scope:
-            refusal = await self._bind_resumed_stream(job)
-            self.budget.record_request(job.service)
-            if refusal is None:
-                refusal = await self._try_endpoints(job)
+            refusal = await self._contain_faults(job, run)
         if deadline_scope.cancelled_caught:
             refusal = _refuse_late(job)
         if refusal is None or await self._send_withheld(job, refusal):
-            return
+            return None
         self._log_failure(job, refusal)
-        if job.reply.is_started:
-            job.reply.abort()
-        else:
-            await refusal.send(job.reply, self.dialect.names.retry_after)
+        return refusal
+
+    async def _contain_faults(self, job: Job, run: _Run) -> Refusal | None:
+        """Run a job; an unexpected exception is logged, and its caller still gets an answer."""
+        try:
+            return await run(job)
+        except CallerDisconnected:
+            raise
+        except Exception as error:  # noqa: BLE001
+            log_message(
+                message_type='shallotmux:handler-fault',
+                level='error',
+                request=job.request_id.decode('latin-1'),
+                error=repr(error),
+                at=traceback.format_exc().splitlines()[-TRACEBACK_LINES:],
+            )
+        if job.sends:
+            return refuse_unknown('internal error', is_late=False)
+        return refuse_not_run('internal error', RETRY_AFTER_S)
+
+    async def _bind_and_try(self, job: Job) -> Refusal | None:
+        refusal = await self._bind_resumed_stream(job)
+        self.budget.record_request(job.service)
+        return refusal or await self._try_endpoints(job)
 
     async def _send_withheld(self, job: Job, refusal: Refusal) -> bool:
         """Send the answer of an endpoint that was withheld for a retry, instead of a refusal.
--- a/tests/guards/attempts.py
+++ b/tests/guards/attempts.py
@@ -132,4 +132,11 @@
         'if True:',
         ('tests/forwarding/test_faulty_answers.py::test_chunks_override_a_length',),
     ),
+    Guard(
+        'answer (unexpected exception)',
+        FORWARDER,
+        'refusal = await self._contain_faults(job, run)',
+        'refusal = await run(job)',
+        ('tests/forwarding/test_handler_faults.py::test_unexpected_exception_ends_in_an_answer',),
+    ),
 )
