Log what is done about attempts without an answer

A silent attempt that is awaited left no line, and one that got another beside it could be told only from the line of its end. attempt-silent names the decision, once for each wait.

--- a/shallotmux/forwarding/_supervision.py
+++ b/shallotmux/forwarding/_supervision.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 import trio
+from eliot import log_message
 
 from shallotmux.errors import CallerDisconnected
 from shallotmux.forwarding._attempt import AttemptControl, AttemptResult, AttemptRunner
@@ -79,6 +80,7 @@
     has_ended: trio.Event = field(default_factory=trio.Event)
     result: AttemptResult = OVERTAKEN
     failure: CallerDisconnected | None = None
+    is_wait_logged: bool = False
 
     async def run_last(self, target: Target) -> AttemptResult:
         """Run an attempt that no other one may follow."""
@@ -115,13 +117,22 @@
 
     def _act_on_silence(self) -> _Running | None:
         """Return another attempt to be run beside the present ones, or replace the present one."""
-        job, parts = self.job, self.parts
         first = self.running[0]
-        if not self._may_run_beside(first.target):
-            if self._reserve_retry(first.target):
-                first.given_up = REPLACED
-                first.control.scope.cancel()
-            return None
+        if self._may_run_beside(first.target):
+            added = self._add_beside()
+            self._log_silence('beside' if added else 'awaited', added)
+            return added
+        if not first.control.scope.cancel_called and self._reserve_retry(first.target):
+            first.given_up = REPLACED
+            first.control.scope.cancel()
+            self._log_silence('replaced')
+        else:
+            self._log_silence('awaited')
+        return None
+
+    def _add_beside(self) -> _Running | None:
+        """Return another attempt, if the budget allows it and a sound endpoint has room."""
+        job, parts = self.job, self.parts
         job.excluded |= {each.target.state.identity for each in self.running}
         target = parts.targets.choose_beside(job)
         if target is None or not parts.retries.reserve(job, job.runs + len(self.running)):
@@ -129,6 +140,22 @@
         job.is_retry_reserved = False
         return self._add(target)
 
+    def _log_silence(self, decision: str, added: _Running | None = None) -> None:
+        """Log what is done about attempts without an answer, and once that they are awaited."""
+        if decision == 'awaited' and self.is_wait_logged:
+            return
+        self.is_wait_logged = decision == 'awaited'
+        waiting = [each for each in self.running if each is not added]
+        log_message(
+            message_type='shallotmux:attempt-silent',
+            request=self.job.request_id.decode('latin-1'),
+            endpoints=[each.target.state.identity for each in waiting],
+            waited_ms=int(1000 * waiting[0].as_silent().waited_s),
+            decision=decision,
+            added=added.target.state.identity if added else None,
+            left_ms=int(self.job.remaining_s * 1000),
+        )
+
     def _may_run_beside(self, target: Target) -> bool:
         """Return whether the request may run at two endpoints at once.
 
--- a/tests/forwarding/test_slow_endpoints.py
+++ b/tests/forwarding/test_slow_endpoints.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+from eliot import add_destinations, remove_destination
 
 from shallotmux.fleet import ListedEndpoint
 from shallotmux.forwarding import RetryBudgetLimits
@@ -291,3 +292,31 @@
         state = harness.forwarder.directory.find('e-0')
     assert state is not None
     assert (state.failures, state.avoided_until < 0) == (0, True)
+
+
+@pytest.mark.parametrize(
+    ('path', 'budget', 'decisions'),
+    [
+        ('/quick/', None, [('beside', 'e-1'), ('awaited', None)]),
+        ('/quick/', SPENT, [('awaited', None)]),
+        ('/live/', None, [('replaced', None), ('awaited', None)]),
+    ],
+)
+async def test_decisions_about_silent_attempts_are_logged(
+    path: str, budget: RetryBudgetLimits | None, decisions: list[tuple[str, str | None]]
+) -> None:
+    """Guards against a repeat, a replaced attempt or a wait of which the log does not tell."""
+    script = serve_after(SLOW_S) if path == '/quick/' else stream_after(SLOW_S, 'x')
+    endpoints = [ScriptedEndpoint(script) for _ in range(2)]
+    lines: list[dict[str, object]] = []
+    add_destinations(lines.append)
+    # The first destination also gets the lines that were written before it was added.
+    lines.clear()
+    try:
+        async with run_forwarder(*endpoints, budget=budget) as harness:
+            await harness.make_request(path, request_id='logged')
+    finally:
+        remove_destination(lines.append)
+    logged = [each for each in lines if each['message_type'] == 'shallotmux:attempt-silent']
+    assert [(each['decision'], each['added']) for each in logged] == decisions
+    assert logged[0]['endpoints'] == ['e-0']
