Test the judgement of silence by itself, and name the moved guard

With the usual time waited for, the test of endpoints of an even pace has no second attempt any more, so that it did not notice a judgement that calls each silence a failure.

--- a/tests/forwarding/test_slow_endpoints.py
+++ b/tests/forwarding/test_slow_endpoints.py
@@ -8,6 +8,7 @@
 
 from shallotmux.fleet import ListedEndpoint
 from shallotmux.forwarding import RetryBudgetLimits
+from shallotmux.forwarding._job import SilentAttempt
 from tests.forwarding._harness import (
     NAMES,
     ForwarderHarness,
@@ -320,3 +321,21 @@
     logged = [each for each in lines if each['message_type'] == 'shallotmux:attempt-silent']
     assert [(each['decision'], each['added']) for each in logged] == decisions
     assert logged[0]['endpoints'] == ['e-0']
+
+
+@pytest.mark.parametrize(
+    ('waited_s', 'took_s', 'answered_s_ago', 'failures'),
+    [(0.4, 0.2, 5, 1), (0.4, 0.3, 5, 0), (1.3, 1, 5, 1), (1, 1.2, 5, 0), (0.4, 0.1, 0.1, 0)],
+)
+async def test_silence_is_judged_by_the_pace_of_others(
+    waited_s: float, took_s: float, answered_s_ago: float, failures: int
+) -> None:
+    """Guards against slow endpoints that are left out, and dead ones that are not."""
+    async with run_forwarder(ScriptedEndpoint(never_answer)) as harness:
+        directory = harness.forwarder.directory
+        state = directory.find('e-0')
+        assert state is not None
+        now = trio.current_time()
+        state.answered_at = now - answered_s_ago
+        directory.record_overtaken(SilentAttempt('e-0', now - waited_s, waited_s), took_s)
+    assert state.failures == failures
--- a/tests/guards/attempts.py
+++ b/tests/guards/attempts.py
@@ -16,7 +16,7 @@
     Guard(
         'attempts (retry is reserved first)',
         SUPERVISION,
-        'if self._reserve_retry(first.target):',
+        'if not first.control.scope.cancel_called and self._reserve_retry(first.target):',
         'if True:',
         (f'{SLOW}::test_endpoint_is_awaited_once_the_budget_is_spent',),
     ),
@@ -74,7 +74,7 @@
         DIRECTORY,
         'if is_far_slower or silent.waited_s > max(took_s, UNRESPONSIVE_AFTER_S):',
         'if True:',
-        (f'{SLOW}::test_endpoints_of_an_even_pace_are_not_avoided',),
+        (f'{SLOW}::test_silence_is_judged_by_the_pace_of_others',),
     ),
     Guard(
         'attempts (busy endpoint is not failing)',
