Shorten the reasons that are sent to callers and peers

An endpoint's answer that is no HTTP made a 502 whose text quoted all of it, 60,102 bytes for 60,000, and the same text stood in the header for a peer.

Before: test_reason_of_a_refusal_is_short, 2 of 2 failed, assert 60102 <= 301.

--- a/shallotmux/forwarding/_refusals.py
+++ b/shallotmux/forwarding/_refusals.py
@@ -10,6 +10,9 @@
 #: Status of refusals that guarantee that a request did not run and will not.
 NOT_RUN_STATUS = 503
 
+#: Characters of a reason that are sent. It may quote what an endpoint sent, which may be long.
+MAX_REASON_CHARS = 300
+
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
@@ -24,9 +27,14 @@
     reason: str
     retry_after_s: float | None = None
 
+    @property
+    def short_reason(self) -> str:
+        """Return the reason as it is sent to callers and peers."""
+        return self.reason[:MAX_REASON_CHARS]
+
     async def send(self, reply: Reply, retry_after_header: bytes) -> None:
         """Send the answer to the caller."""
-        content = f'{self.reason}\n'.encode()
+        content = f'{self.short_reason}\n'.encode()
         headers: Headers = ((b'content-type', b'text/plain; charset=utf-8'),)
         if self.retry_after_s is not None:
             headers = (*headers, (retry_after_header, f'{self.retry_after_s:.2f}'.encode()))
--- a/shallotmux/forwarding/_relayed.py
+++ b/shallotmux/forwarding/_relayed.py
@@ -133,7 +133,7 @@
         admitted = self._forwarder.admit(request, reply)
         match admitted:
             case Refusal():
-                return f'not admitted here: {admitted.reason}'
+                return f'not admitted here: {admitted.short_reason}'
             case Admitted(job=job):
                 return self._take_over(job, message)
 
@@ -170,7 +170,7 @@
             job.runs,
             job.sends,
             load=self.in_progress,
-            reason=refusal.reason,
+            reason=refusal.short_reason,
             retry_after_s=refusal.retry_after_s,
         )
         await reply.refuse(self._id_header(job.request), refusal.status, answer)
--- a/tests/forwarding/test_odd_answers.py
+++ b/tests/forwarding/test_odd_answers.py
@@ -6,7 +6,9 @@
 import trio
 
 from shallotmux.fleet import ListedEndpoint
+from shallotmux.forwarding._refusals import MAX_REASON_CHARS, Refusal
 from shallotmux.forwarding._state import EndpointState, ReportedLoad
+from shallotmux.relaying import RelayedAnswer, RelayResult, encode_relay_header
 from tests.forwarding._harness import ReceivedRequest, ScriptedEndpoint, answer, run_forwarder
 
 LONG = b'9' * 400
@@ -84,3 +86,27 @@
         got = await harness.make_request(path)
     assert (got.status, got.body, got.is_complete) == (200, b'done', True)
     assert b'content-length' not in got.headers
+
+
+@pytest.mark.parametrize('path', ['/once/', '/safe/'])
+async def test_reason_of_a_refusal_is_short(path: str) -> None:
+    """Guards against refusals that carry all of an odd answer, in the header for a peer as well.
+
+    A header longer than a peer reads makes it take this instance for one out of reach.
+    """
+
+    async def send_line(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
+        await stream.send_all(b'HTTP/1.1 200 OK\r\n%b\r\n\r\n' % (b'x' * 60_000))
+        return False
+
+    async with run_forwarder(ScriptedEndpoint(send_line)) as harness:
+        got = await harness.make_request(path)
+    assert got.status == 502
+    assert len(got.body) <= MAX_REASON_CHARS + 1
+
+
+def test_header_for_a_peer_is_short() -> None:
+    """Guards against a header for a peer that it does not read."""
+    refusal = Refusal(502, 'x' * 60_000)
+    answer_to_peer = RelayedAnswer(RelayResult.UNKNOWN, reason=refusal.short_reason)
+    assert len(encode_relay_header(answer_to_peer)) < 1000
--- a/tests/guards/wire.py
+++ b/tests/guards/wire.py
@@ -75,6 +75,13 @@
         'pass',
         (f'{REQUESTS}::test_request_with_two_ids_is_refused',),
     ),
+    Guard(
+        'reason-short',
+        'shallotmux/forwarding/_refusals.py',
+        'return self.reason[:MAX_REASON_CHARS]',
+        'return self.reason',
+        (f'{ANSWERS}::test_reason_of_a_refusal_is_short',),
+    ),
     Guard(
         'no-tunnel',
         'shallotmux/forwarding/_caller_connection.py',
