--- a/shallotmux/checking/programs/_schedule.py
+++ b/shallotmux/checking/programs/_schedule.py
@@ -15,10 +15,10 @@
 from shallotmux.checking.programs._starts import Starts
 
 #: Longest pause between two disruptions.
-MAX_PAUSE_S = 1.2
+MAX_PAUSE_S = 0.8
 
 #: Share of disruptions that a calm time follows, and its length, after which time limits hold again.
-CALM_SHARE = 0.2
+CALM_SHARE = 0.15
 CALM_S = 6.0
 
 #: Longest time after changes in which no other change is sent, so that each may have to be in force.
@@ -98,6 +98,7 @@
             self._reload_in_series,
             self._restart_with_reloads,
             self._pause_any,
+            self._pause_any,
             self._slow_any,
             self._restart_often,
             self._start_beside_used_ports,
