Abandon a probe that hangs once the process is asked to stop

Operators would see a control process that does not exit within its grace period where its disk hangs: the stop was noticed after the probe's thread had returned.

Class: a call that nothing can interrupt.

Seen before the fix: FAILED test_stop_does_not_wait_for_a_disk_that_hangs (AssertionError, the stop waited 5 s for the disk).

--- a/shallotmux/programs/_disk.py
+++ b/shallotmux/programs/_disk.py
@@ -93,10 +93,23 @@
         """Return when the disk accepts writes again, after a pause, or once asked to stop."""
         await self._pause(pause_s)
         while not self._stop.is_set():
-            if await trio.to_thread.run_sync(self._is_writable):
+            if await self._is_writable_or_stopped():
                 return
             await self._pause(PROBE_INTERVAL_S)
 
+    async def _is_writable_or_stopped(self) -> bool:
+        """Probe the disk; a probe that hangs is abandoned once asked to stop."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_when_stopped, nursery.cancel_scope)
+            is_writable = await trio.to_thread.run_sync(self._is_writable, abandon_on_cancel=True)
+            nursery.cancel_scope.cancel()
+            return is_writable
+        return self._stop.is_set()
+
+    async def _cancel_when_stopped(self, scope: trio.CancelScope) -> None:
+        await self._stop.wait()
+        scope.cancel()
+
     async def _pause(self, duration_s: float) -> None:
         with trio.move_on_after(duration_s):
             await self._stop.wait()
--- a/tests/guards/disks.py
+++ b/tests/guards/disks.py
@@ -94,4 +94,11 @@
         '0',
         (f'{PROGRAM_DISK}::test_writes_that_fail_after_each_probe_are_retried_less_often',),
     ),
+    Guard(
+        'disk (stop while it hangs)',
+        'shallotmux/programs/_disk.py',
+        'abandon_on_cancel=True',
+        'abandon_on_cancel=False',
+        (f'{PROGRAM_DISK}::test_stop_does_not_wait_for_a_disk_that_hangs',),
+    ),
 )
--- a/tests/programs/test_disk.py
+++ b/tests/programs/test_disk.py
@@ -4,6 +4,7 @@
 
 import errno
 import itertools
+import threading
 from pathlib import Path
 
 import pytest
@@ -142,10 +143,44 @@
     assert refusals[-1] - refusals[0] < 8 * 61
 
 
+class HangingDisk(LocalFileSystem):
+    """Answers once it is released, or after 5 s."""
+
+    def __init__(self) -> None:
+        self.is_probed = threading.Event()
+        self.is_released = threading.Event()
+        self.has_answered = False
+
+    def append(self, path: Path) -> AppendFile:
+        """Wait for the release."""
+        self.is_probed.set()
+        self.is_released.wait(5)
+        self.has_answered = True
+        return super().append(path)
+
+
+async def test_stop_does_not_wait_for_a_disk_that_hangs(tmp_path: Path) -> None:
+    """Guards against a process that does not exit within its grace period."""
+    disk = HangingDisk()
+    stop = trio.Event()
+
+    async def run() -> None:
+        raise refused_write(errno.EIO)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run_on_disk, tmp_path, run, stop, disk)
+        await trio.to_thread.run_sync(disk.is_probed.wait)
+        stop.set()
+    is_abandoned = not disk.has_answered
+    disk.is_released.set()
+    assert is_abandoned
+
+
 async def test_folder_that_could_not_be_created_is_waited_for(
     tmp_path: Path, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against a first start that waits for ever for a folder that nobody creates."""
+    wait_for_threads(autojump_clock)
     runs: list[float] = []
 
     async def run() -> None:
