Give no answer in delivery up for a retry that was reserved before

Of two attempts of a safe request, one was given up as out of reach, which reserved a retry; the other then delivered its answer and paused in it while it counted as out of reach as well. The reservation was taken for permission to give that one up too, and no attempt could follow what the caller had.

Cause: a reserved retry was returned without asking whether another attempt may follow at all.

The test failed before, with 99,939 bytes.

--- a/shallotmux/forwarding/_retries.py
+++ b/shallotmux/forwarding/_retries.py
@@ -88,10 +88,11 @@
 
         :param runs: runs of the job, those in progress included.
         """
-        if job.is_retry_reserved:
-            return True
         is_allowed = job.route.is_repeatable and self._may_follow(job)
-        if is_allowed and self.has_attempts_left(job, runs):
+        if not (is_allowed and self.has_attempts_left(job, runs)):
+            # A retry that was reserved for another attempt does not help this one.
+            return False
+        if not job.is_retry_reserved:
             job.is_retry_reserved = self.budget.try_spend(job.service)
         return job.is_retry_reserved
 
--- a/tests/guards/peers.py
+++ b/tests/guards/peers.py
@@ -47,4 +47,11 @@
         '    if False:\n',
         ('tests/authority/test_odd_commands.py',),
     ),
+    Guard(
+        'attempts (reservation for another attempt)',
+        'shallotmux/forwarding/_retries.py',
+        '        if not (is_allowed and self.has_attempts_left(job, runs)):\n',
+        '        if not job.is_retry_reserved and not is_allowed:\n',
+        ('tests/forwarding/test_unused_reservations.py',),
+    ),
 )
