Search bodies for escaped keys without decoding them as a whole

A call of a service failed without an answer of ours if its body held a JSON escape and was nested deeper than the decoder follows (RecursionError). And a key with an escape was forwarded to the endpoint if the body held a number of 1e400 or of 5,000 digits, or was no valid JSON: what could not be decoded was not searched.

Cause: the content of callers went through a decoder only to undo escapes.

--- a/shallotmux/callers/_request_checks.py
+++ b/shallotmux/callers/_request_checks.py
@@ -7,7 +7,6 @@
 from collections.abc import Awaitable, Callable
 from urllib.parse import unquote_to_bytes
 
-import msgspec
 import trio
 
 from shallotmux.authority import Authority, digest_secret
@@ -30,6 +29,9 @@
 #: Start of a JSON escape that gives a character by its code point.
 JSON_ESCAPE = bytes((0x5C, 0x75))
 
+#: Visible characters of ASCII by the last two digits of their JSON escapes.
+_CHARACTERS = {b'%02x' % code: bytes((code,)) for code in range(0x21, 0x7F)}
+
 #: Levels of percent-encoding that are decoded in the search for keys.
 MAX_PERCENT_DECODINGS = 2
 
@@ -113,10 +115,14 @@
 
 
 def _unescape_json(content: bytes) -> bytes:
-    try:
-        return msgspec.json.encode(msgspec.json.decode(content))
-    except (msgspec.MsgspecError, UnicodeError):
-        return b''
+    """Return JSON with its escapes of visible ASCII decoded.
+
+    It is not decoded as a whole: it may be nested too deep, or hold a number that is too large for a
+    decoder here, and not for that of the endpoint.
+    """
+    first, *others = content.split(JSON_ESCAPE + b'00')
+    decoded = (_CHARACTERS.get(each[:2].lower(), b' ') + each[2:] for each in others)
+    return b''.join((first, *decoded))
 
 
 async def run_until_disconnect(
--- a/tests/callers/test_request_checks.py
+++ b/tests/callers/test_request_checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Awaitable, Callable, MutableMapping
 
 import msgspec
@@ -9,7 +10,12 @@
 import trio
 import trio.testing
 
-from shallotmux.callers._request_checks import JSON_ESCAPE, run_until_disconnect
+from shallotmux.callers._request_checks import (
+    JSON_ESCAPE,
+    MAX_BODY_BYTES,
+    _unescape_json,  # noqa: PLC2701
+    run_until_disconnect,
+)
 from shallotmux.http import HttpRequest, fetch
 from tests.requests._zone import PEPPER, Zone, ZoneLayout, run_zone
 
@@ -92,6 +98,50 @@
         assert not zone.engines[0].runs
 
 
+#: Numbers that JSON allows and some decoders refuse.
+ODD_NUMBERS = (b'1e400', b'9' * 5000)
+
+
+#: Content that no JSON decoder of this program reads, before and after a string with an escape.
+UNREADABLE = [(b'[' * 100_000, b']' * 100_000), *((b'[%b,' % each, b']') for each in ODD_NUMBERS)]
+
+
+@pytest.mark.parametrize(('before', 'after'), [*UNREADABLE, (b'{', b'')])
+def test_escaped_key_is_found_in_content_that_cannot_be_decoded(
+    before: bytes, after: bytes
+) -> None:
+    """Guards against a key that is forwarded since something else in the body is odd."""
+    body = b'%b"ESCAPED"%b' % (before, after)
+    status, error, zone = send('/v1/services/stock/x', body)
+    assert (status, error.get('code')) == (400, 'key_in_request')
+    assert not zone.services[0].history
+
+
+def test_key_of_which_all_is_escaped_is_found() -> None:
+    """Guards against a key that is found only if it has few escapes, or those in lower case."""
+    secret = 'sk-shallot-azAZ09_-kKoO' + 20 * 'x'
+    for form in ('%04x', '%04X'):
+        escaped = b''.join(JSON_ESCAPE + (form % each).encode() for each in secret.encode())
+        assert _unescape_json(b'[%b' % escaped) == b'[%b' % secret.encode()
+
+
+def test_search_for_escaped_keys_takes_little_time() -> None:
+    """Guards against a body whose search stops the other requests of an instance."""
+    for part in (JSON_ESCAPE + b'0073', JSON_ESCAPE + b'00', JSON_ESCAPE):
+        began_at = time.process_time()
+        _unescape_json(part * (MAX_BODY_BYTES // len(part)))
+        assert time.process_time() - began_at < 1
+
+
+@pytest.mark.parametrize(('before', 'after'), UNREADABLE)
+def test_service_gets_content_that_cannot_be_decoded(before: bytes, after: bytes) -> None:
+    """Guards against a call that fails as its body is searched for keys."""
+    body = b'%b"%be9"%b' % (before, JSON_ESCAPE + b'00', after)
+    status, _, zone = send('/v1/services/stock/x', body)
+    assert status == 200
+    assert len(zone.services[0].history) == 1
+
+
 @pytest.mark.parametrize(
     ('path', 'method', 'headers', 'status', 'code'),
     [
