Refuse a completion with a number that cannot be forwarded

A completion with 1e400 in a field of its own, such as seed, got no answer of ours (500 of the server): one decoder validates the body, another one, which refuses that number, decodes it for the engine.

Before: test_number_that_cannot_be_forwarded_is_refused failed in 2 of 4 cases, msgspec.ValidationError: Number out of range.

--- a/shallotmux/callers/_completions.py
+++ b/shallotmux/callers/_completions.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from shallotmux.authority import Authority
 from shallotmux.callers._authentication import authenticate, authorize, require_fresh
 from shallotmux.callers._errors import encode_error_event
@@ -11,6 +9,7 @@
 from shallotmux.callers._models import (
     ChatCompletionRequest,
     CompletionRequest,
+    decode_payload,
     parse_chat,
     parse_completion,
 )
@@ -103,7 +102,7 @@
             customer=caller.customer,
             key_id=caller.key_id,
             route=route,
-            payload=msgspec.json.decode(body),
+            payload=decode_payload(body),
             body_hash=body_hash,
             offset=read_offset(scope) if parsed.stream else 0,
             chat=chat,
--- a/shallotmux/callers/_models.py
+++ b/shallotmux/callers/_models.py
@@ -4,8 +4,10 @@
 
 from typing import Any, Literal
 
+import msgspec
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import CallerError
 
 MAX_TOKENS = 131_072
@@ -66,6 +68,18 @@
         raise build_validation_error(error) from error
 
 
+def decode_payload(body: bytes) -> dict[str, Any]:
+    """Return all fields of a body that was validated, as they are sent to engines.
+
+    :raises CallerError: if it cannot be decoded, for example for a number that is too large.
+    """
+    try:
+        payload: dict[str, Any] = msgspec.json.decode(body)
+    except DECODE_ERRORS as error:
+        raise CallerError(f'body: {error}', status=400, code='invalid_body') from error
+    return payload
+
+
 def build_validation_error(error: ValidationError) -> CallerError:
     """Return the error for an invalid body; it does not quote the content of the body."""
     first = error.errors(include_input=False, include_url=False)[0]
--- a/shallotmux/callers/_request_checks.py
+++ b/shallotmux/callers/_request_checks.py
@@ -120,7 +120,7 @@
     It is not decoded as a whole: it may be nested too deep, or hold a number that is too large for a
     decoder here, and not for that of the endpoint.
     """
-    first, *others = content.split(JSON_ESCAPE + b'00')
+    first, *others = content.split(b'%b00' % JSON_ESCAPE)
     decoded = (_CHARACTERS.get(each[:2].lower(), b' ') + each[2:] for each in others)
     return b''.join((first, *decoded))
 
--- a/tests/callers/test_request_checks.py
+++ b/tests/callers/test_request_checks.py
@@ -102,6 +102,17 @@
 ODD_NUMBERS = (b'1e400', b'9' * 5000)
 
 
+@pytest.mark.parametrize('number', ODD_NUMBERS)
+@pytest.mark.parametrize('place', ['body', 'message'])
+def test_number_that_cannot_be_forwarded_is_refused(number: bytes, place: str) -> None:
+    """Guards against a number that fails where the request is sent, instead of where it is read."""
+    message = {'role': 'user', 'content': 'x', 'seed': 'NUMBER'}
+    body = encode(seed='NUMBER') if place == 'body' else encode(messages=[message, message])
+    status, error, zone = send(CHAT, body.replace(b'"NUMBER"', number))
+    assert (status, error.get('code')) == (400, 'invalid_body')
+    assert not zone.engines[0].runs
+
+
 #: Content that no JSON decoder of this program reads, before and after a string with an escape.
 UNREADABLE = [(b'[' * 100_000, b']' * 100_000), *((b'[%b,' % each, b']') for each in ODD_NUMBERS)]
 
@@ -119,15 +130,16 @@
 
 def test_key_of_which_all_is_escaped_is_found() -> None:
     """Guards against a key that is found only if it has few escapes, or those in lower case."""
-    secret = 'sk-shallot-azAZ09_-kKoO' + 20 * 'x'
+    secret = b'sk-shallot-azAZ09_-kKoOxxxxxxxxxxxxxxxxxxxx'
     for form in ('%04x', '%04X'):
-        escaped = b''.join(JSON_ESCAPE + (form % each).encode() for each in secret.encode())
-        assert _unescape_json(b'[%b' % escaped) == b'[%b' % secret.encode()
+        escaped = b''.join(b'%b%b' % (JSON_ESCAPE, (form % each).encode()) for each in secret)
+        assert _unescape_json(b'[%b' % escaped) == b'[%b' % secret
 
 
 def test_search_for_escaped_keys_takes_little_time() -> None:
     """Guards against a body whose search stops the other requests of an instance."""
-    for part in (JSON_ESCAPE + b'0073', JSON_ESCAPE + b'00', JSON_ESCAPE):
+    for digits in (b'0073', b'00', b''):
+        part = b'%b%b' % (JSON_ESCAPE, digits)
         began_at = time.process_time()
         _unescape_json(part * (MAX_BODY_BYTES // len(part)))
         assert time.process_time() - began_at < 1
@@ -136,7 +148,7 @@
 @pytest.mark.parametrize(('before', 'after'), UNREADABLE)
 def test_service_gets_content_that_cannot_be_decoded(before: bytes, after: bytes) -> None:
     """Guards against a call that fails as its body is searched for keys."""
-    body = b'%b"%be9"%b' % (before, JSON_ESCAPE + b'00', after)
+    body = b'%b"%be9"%b' % (before, b'%b00' % JSON_ESCAPE, after)
     status, _, zone = send('/v1/services/stock/x', body)
     assert status == 200
     assert len(zone.services[0].history) == 1
