Keep odd reports of one engine from ending an instance

An instance would end, with all requests on it, when one engine answered a load report or a page of cache events that is nested deeper than the decoder follows: the pollers name EndpointError, and nothing above them catches the rest. Integers had no range either: a queue of 400 digits came in as it stood and is compared with floats (OverflowError). A nested error body failed in the request (RecursionError).

The reports have ranges where they are read, and all errors of decoding make a report invalid.

--- a/shallotmux/engines/_client.py
+++ b/shallotmux/engines/_client.py
@@ -5,10 +5,11 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
+from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import EndpointError, EndpointRefused
 from shallotmux.http import (
     JSON_TYPE,
@@ -26,6 +27,15 @@
 #: Maximum size of a load report or a page of cache events.
 MAX_REPORT_BYTES = 1_048_576
 
+#: Largest number in a report. Floats hold all smaller integers exactly.
+MAX_REPORTED = 1 << 53
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_REPORTED)]
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_REPORTED)]
+
+#: Errors of reading a body that is not a JSON object, or breaks off.
+NO_OBJECT_ERRORS = (EndpointError, AttributeError, *DECODE_ERRORS)
+
 ReportT = TypeVar('ReportT')
 
 _JSON_HEADERS = {'content-type': JSON_TYPE}
@@ -67,12 +77,12 @@
 
     role: str
     model: str
-    queued_prefill_tokens: int
-    running: int
-    free_cache_blocks: int
-    prefill_tokens_per_s: float
-    step_s: float
-    as_of: float
+    queued_prefill_tokens: _Count
+    running: _Count
+    free_cache_blocks: _Count
+    prefill_tokens_per_s: _Amount
+    step_s: _Amount
+    as_of: Annotated[float, msgspec.Meta(ge=-MAX_REPORTED, le=MAX_REPORTED)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,7 +94,7 @@
     :param stored: True if the block was stored, False if it was evicted.
     """
 
-    sequence: int
+    sequence: _Count
     block: int
     stored: bool
 
@@ -98,7 +108,7 @@
     """
 
     events: tuple[CacheEvent, ...]
-    last: int
+    last: _Count
 
 
 class EngineClient:
@@ -164,7 +174,7 @@
             raise EndpointError(f'{step}: status {status}', step=step, peer=endpoint.name)
         try:
             return msgspec.json.decode(body, type=response_type)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise EndpointError(
                 f'{step}: invalid answer: {error}', step=step, peer=endpoint.name
             ) from error
@@ -176,7 +186,7 @@
     try:
         body = await read_response_body(response, MAX_ERROR_BYTES, endpoint.name)
         not_run = msgspec.json.decode(body).get('not_run') is True
-    except (EndpointError, msgspec.MsgspecError, AttributeError):
+    except NO_OBJECT_ERRORS:
         not_run = False
     if not_run:
         return EndpointRefused(message, step='dispatch', peer=endpoint.name)
--- a/shallotmux/engines/_service.py
+++ b/shallotmux/engines/_service.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from shallotmux.engines._client import NO_OBJECT_ERRORS
 from shallotmux.errors import EndpointError, EndpointRefused
 from shallotmux.http import JSON_TYPE, HttpClient, HttpRequest, HttpResponse
 from shallotmux.world import Endpoint
@@ -92,5 +93,5 @@
         return False
     try:
         return msgspec.json.decode(body).get('not_run') is True
-    except (msgspec.MsgspecError, AttributeError):
+    except NO_OBJECT_ERRORS:
         return False
