Refuse requests to an address that is none

One odd address in the platform's list of endpoints, or in a configured pool, would end every instance of the zone, again after each start, as the list is in the replicated state: the poller of load reports asks each listed engine, and the clients raised ValueError, TypeError or UnicodeError for a port out of range, a host that is no name, or text that is no ASCII. Their callers name EndpointError.

Nothing was sent in these cases, so they are EndpointRefused. The same holds for orders of the leader.

--- a/shallotmux/calls/__init__.py
+++ b/shallotmux/calls/__init__.py
@@ -12,7 +12,7 @@
     SendGuard,
     read_bounded,
 )
-from shallotmux.calls._request import HttpRequest
+from shallotmux.calls._request import HttpRequest, build_url
 
 __all__ = (
     'MAX_ANSWER_BYTES',
@@ -20,5 +20,6 @@
     'HttpRequest',
     'LeaseExpired',
     'SendGuard',
+    'build_url',
     'read_bounded',
 )
--- a/shallotmux/calls/_guarded.py
+++ b/shallotmux/calls/_guarded.py
@@ -11,7 +11,7 @@
 import httpcore
 import trio
 
-from shallotmux.calls._request import HttpRequest
+from shallotmux.calls._request import HttpRequest, build_url
 from shallotmux.errors import EndpointError, EndpointRefused
 
 #: Largest answer to a guarded request, in bytes.
@@ -144,7 +144,7 @@
         httpcore.AsyncConnectionPool(network_backend=backend, retries=0) as pool,
         pool.stream(
             request.method,
-            f'http://{request.address}{request.path}',
+            build_url('http', request),
             headers=[(name.encode(), text.encode()) for name, text in request.headers.items()],
             content=request.body,
             extensions={'timeout': timeouts},
--- a/shallotmux/http/_client.py
+++ b/shallotmux/http/_client.py
@@ -11,7 +11,7 @@
 import httpcore
 
 from shallotmux.addresses import split_address
-from shallotmux.calls import HttpRequest
+from shallotmux.calls import HttpRequest, build_url
 from shallotmux.errors import EndpointError, EndpointRefused
 
 CONNECT_TIMEOUT_S = 1.0
@@ -103,7 +103,7 @@
         """Send a request and open its response."""
         stream_context = self._pool.stream(
             request.method,
-            f'{self._scheme}://{request.address}{request.path}',
+            build_url(self._scheme, request),
             headers=[(name.encode(), text.encode()) for name, text in request.headers.items()],
             content=request.body or None,
             extensions={'timeout': self._timeouts},
--- a/shallotmux/http/_relay_client.py
+++ b/shallotmux/http/_relay_client.py
@@ -266,13 +266,16 @@
 
 
 async def _connect(address: str) -> _Connection:
-    target = split_address(address)
+    try:
+        target = split_address(address)
+    except ValueError as error:
+        raise EndpointRefused(str(error), step='connect', peer=address) from error
     family = trio.socket.AF_INET6 if ':' in target.host else trio.socket.AF_INET
     socket = trio.socket.socket(family)
     try:
         with trio.fail_after(CONNECT_TIMEOUT_S):
             await socket.connect(target)
-    except (OSError, trio.TooSlowError) as error:
+    except (OSError, UnicodeError, trio.TooSlowError) as error:
         socket.close()
         raise EndpointRefused(f'cannot connect: {error!r}', step='connect', peer=address) from error
     except BaseException:
--- a/tests/http/test_relay_client.py
+++ b/tests/http/test_relay_client.py
@@ -14,10 +14,20 @@
 from trio.testing import MockClock
 
 from shallotmux.errors import EndpointError, EndpointRefused
-from shallotmux.http import HttpcoreClient, HttpRequest, RelayClient, fetch, open_relay
+from shallotmux.http import HttpClient, HttpcoreClient, HttpRequest, RelayClient, fetch, open_relay
 from shallotmux.http._chunked import ChunkedDecoder
 
 MAX_RESPONSE_BYTES = 1_000_000
+#: Addresses of which no resolver or socket is asked.
+ODD_ADDRESSES = (
+    '127.0.0.1:65536',
+    '127.0.0.1:http',
+    '[::1',
+    f'{64 * "a"}:80',
+    'a..b:80',
+    '\ud800:80',
+)
+
 RESPONSE_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 
 
@@ -211,6 +221,14 @@
         await fetch(RelayClient(), HttpRequest('GET', '127.0.0.1:1', '/'), MAX_RESPONSE_BYTES)
 
 
+@pytest.mark.parametrize('client', [RelayClient(), HttpcoreClient()])
+@pytest.mark.parametrize('address', ODD_ADDRESSES)
+async def test_request_to_an_odd_address_is_refused(client: HttpClient, address: str) -> None:
+    """Guards against one odd address in a list that ends the instances that read it."""
+    with pytest.raises(EndpointRefused):
+        await fetch(client, HttpRequest('GET', address, '/'), MAX_RESPONSE_BYTES)
+
+
 async def test_silent_engine_times_out(nursery: trio.Nursery, mock_clock: MockClock) -> None:
     """Guards against waiting forever for an engine that sends nothing."""
     received = trio.Event()
--- a/tests/orders/test_sender.py
+++ b/tests/orders/test_sender.py
@@ -42,3 +42,14 @@
         request = HttpRequest('POST', address, '/orders', b'{}')
         with pytest.raises(EndpointRefused):
             await SENDER.send(request, LeaseGuard(group.member('entry-1'), 1))
+
+
+@pytest.mark.parametrize('address', ['127.0.0.1:65536', '[::1', 'a..b:80'])
+async def test_order_to_an_odd_address_counts_as_not_sent(address: str) -> None:
+    """Guards against an odd address in a list that ends the leader, which sends orders to it."""
+    group = SharedGroup()
+    group.elect('entry-1')
+    with pytest.raises(EndpointRefused):
+        await SENDER.send(
+            HttpRequest('POST', address, '/orders'), LeaseGuard(group.member('entry-1'), 1)
+        )
