Refuse operators' values that are out of range

A request of an operator ended without an answer of ours if If-Match had more than 4,300 digits (ValueError) or a revision beyond 64 bits (OverflowError where the command is encoded), if a contract had connections beyond 64 bits, or if the body of a new key was nested too deep (RecursionError). A weight of 1e308 was taken and replicated.

Amounts are at most 2**53, revisions have at most 18 digits, and all errors of decoding a body are named.

--- a/shallotmux/operators/_app.py
+++ b/shallotmux/operators/_app.py
@@ -38,6 +38,9 @@
 OPERATION_HEADER = b'shallotmux-operation-id'
 MAX_OPERATION_ID_LENGTH = 128
 
+#: Digits of the largest revision, which fits into 64 bits with a margin.
+MAX_REVISION_DIGITS = 18
+
 #: Decisions returned when the query names no subject.
 MAX_RECENT_DECISIONS = 100
 
@@ -192,7 +195,8 @@
             )
             return versioned.revision if versioned else 0
         digits = header.strip().strip('"')
-        if not (digits.isascii() and digits.isdigit()):
+        is_number = digits.isascii() and digits.isdigit()
+        if not is_number or len(digits) > MAX_REVISION_DIGITS:
             raise CallerError(
                 f'{object_name}: If-Match: the quoted revision of the ETag or * is expected',
                 status=400,
--- a/shallotmux/operators/_client.py
+++ b/shallotmux/operators/_client.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import EndpointError, EndpointRefused, OutcomeUnknown, ShallotmuxError
 from shallotmux.http import JSON_TYPE, HttpClient, HttpRequest, fetch
 from shallotmux.operators._objects import ObjectName
@@ -170,7 +171,7 @@
     """
     try:
         decoded = msgspec.json.decode(body)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         decoded = None
     if not isinstance(decoded, dict):
         raise OperatorError(
--- a/shallotmux/operators/_keys.py
+++ b/shallotmux/operators/_keys.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from shallotmux.authority import SECRET_PREFIX, digest_secret
+from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import CallerError
 from shallotmux.world import CustomerKey
 
@@ -33,7 +34,7 @@
         return secrets.token_hex(MIN_SEED_LENGTH)
     try:
         decoded: Any = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise _build_error('body', f'not valid JSON: {error}') from error
     if not isinstance(decoded, dict) or decoded.keys() - {'seed'}:
         raise _build_error('body', "a JSON object is expected whose only key is 'seed'")
--- a/shallotmux/operators/_objects.py
+++ b/shallotmux/operators/_objects.py
@@ -11,6 +11,7 @@
 from pydantic import TypeAdapter, ValidationError
 
 from shallotmux.authority import ConfigItem, Versioned
+from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import CallerError
 from shallotmux.operators._rules import check_item
 from shallotmux.world import Customer, Defaults, EndpointPool, PolicyException, Route
@@ -49,7 +50,7 @@
     """
     try:
         decoded = msgspec.json.decode(body)
-    except (msgspec.DecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise build_body_error(object_name, '', f'not valid JSON: {error}') from error
     return build_object(object_name, decoded)
 
--- a/shallotmux/operators/_rules.py
+++ b/shallotmux/operators/_rules.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 import re
 from collections.abc import Iterator
 
@@ -20,6 +19,9 @@
     RouteKind,
 )
 
+#: Largest amount. Floats hold all smaller integers exactly, and commands those of 64 bits.
+MAX_AMOUNT = 1 << 53
+
 #: Path of a field and a description of the error.
 FieldError = tuple[str, str]
 
@@ -27,6 +29,7 @@
 #: Model routes have the names of models, which often contain a slash.
 _ROUTE_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._:/-]{0,199}')
 _NAME_HELP = 'letters, digits and . _ : - are allowed, at most 100'
+_AMOUNT_HELP = 'must be a finite number of at least 0 and at most 2**53'
 _SUBJECT = re.compile('(customer|route|pool|zone)/.+')
 
 #: Defaults that an exception may override.
@@ -56,7 +59,7 @@
     for each in dataclasses.fields(item):
         amount = getattr(item, each.name)
         if isinstance(amount, (int, float)) and not _is_valid_amount(amount):
-            yield f'{prefix}{each.name}', f'must be a finite number of at least 0, not {amount}'
+            yield f'{prefix}{each.name}', f'{_AMOUNT_HELP}, not {amount}'
 
 
 def _check_defaults(item: Defaults) -> Iterator[FieldError]:
@@ -98,4 +101,4 @@
 
 
 def _is_valid_amount(amount: float) -> bool:
-    return math.isfinite(amount) and amount >= 0
+    return 0 <= amount <= MAX_AMOUNT
--- a/tests/operators/test_app.py
+++ b/tests/operators/test_app.py
@@ -264,6 +264,35 @@
     assert harness.authority.read().revision == 0
 
 
+@pytest.mark.parametrize(
+    ('method', 'path', 'body', 'extra'),
+    [
+        ('PUT', '/v1/customer/tailors', b'{"contract":{"connections":%b}}' % (b'9' * 400), {}),
+        ('PUT', '/v1/customer/tailors', b'{"contract":{"connections":%b}}' % (b'9' * 20), {}),
+        ('PUT', '/v1/customer/tailors', b'{"contract":{"weight":1e308}}', {}),
+        ('PUT', '/v1/customer/tailors', b'{"contract":{"weight":1e400}}', {}),
+        ('PUT', '/v1/customer/tailors', b'[' * 1900, {}),
+        ('PUT', '/v1/customer/tailors', b'{}', {'if-match': '9' * 5000}),
+        ('PUT', '/v1/customer/tailors', b'{}', {'if-match': '9' * 400}),
+        ('PUT', '/v1/customer/tailors', b'{}', {'if-match': '9' * 20}),
+        ('POST', '/v1/customer/tailors/keys', b'[' * 1900, {}),
+    ],
+)
+async def test_value_out_of_range_is_refused(
+    harness: OperatorApiHarness,
+    method: str,
+    path: str,
+    body: bytes,
+    extra: dict[str, str],
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a request that ends without an answer, or fails where it is replicated."""
+    operation = {'shallotmux-operation-id': 'a', **extra}
+    status, answer = await harness.send_raw(method, path, body, **operation)
+    assert (status, b'"not_run":true' in answer) == (400, True)
+    assert harness.authority.read().revision == 0
+
+
 async def test_oversized_body_is_refused(
     harness: OperatorApiHarness, autojump_clock: trio.testing.MockClock
 ) -> None:
