Drop membership messages that are nested too deep

A message of a peer with one more element, nested lists, raised RecursionError where the group names msgspec.DecodeError, and ended the stream on which it came, with the messages behind it.

--- a/shallotmux/membership/_messages.py
+++ b/shallotmux/membership/_messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from shallotmux.decoding import guard_decoder
 from shallotmux.replication import Entry
 
 # Messages are encoded as arrays without field names. Reports make up most of the traffic of a
@@ -87,7 +88,7 @@
 
 MembershipMessage: TypeAlias = Report | Poll | Update | Probe
 
-_decoder = msgspec.msgpack.Decoder(MembershipMessage)
+_decode = guard_decoder(msgspec.msgpack.Decoder(MembershipMessage).decode)
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -101,4 +102,4 @@
 
     :raises msgspec.DecodeError: if the payload is not a valid message.
     """
-    return _decoder.decode(payload)
+    return _decode(payload)
