Refuse odd events of an engine as its error

A request ended without an answer of ours if an engine sent an event that is no JSON, lacks a choice or is nested too deep (the stream is collected without any check), or one whose number has more than 4,300 digits (ValueError instead of a fault of the stream, so that no other engine was tried).

--- a/shallotmux/callers/_event_stream.py
+++ b/shallotmux/callers/_event_stream.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
+from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import EndpointError
 from shallotmux.requests import CallerRequest
 
@@ -23,6 +24,20 @@
     return None
 
 
+class _Delta(msgspec.Struct, frozen=True):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta = _Delta()
+    text: str | None = None
+    finish_reason: str | None = None
+
+
+class _Event(msgspec.Struct):
+    choices: Annotated[tuple[_Choice, ...], msgspec.Meta(min_length=1)]
+
+
 async def iterate_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
     """Yield the data of each complete server-sent event.
 
@@ -42,20 +57,33 @@
 ) -> dict[str, Any]:
     """Join the deltas of a stream into a completion object.
 
-    :raises EndpointError: if the stream ends before the ``[DONE]`` marker.
+    :raises EndpointError: if the stream ends before the ``[DONE]`` marker, or has an event that cannot
+        be decoded.
     """
     texts: list[str] = []
     finish_reason = 'stop'
     async for content in iterate_events(chunks):
         if content == DONE_MARKER:
             return build_completion(request, ''.join(texts), finish_reason, len(texts))
-        choice = msgspec.json.decode(content)['choices'][0]
-        text = choice['delta'].get('content') if request.chat else choice['text']
+        choice = _read_choice(content)
+        text = choice.delta.content if request.chat else choice.text
         texts.append(text or '')
-        finish_reason = choice.get('finish_reason') or finish_reason
+        finish_reason = choice.finish_reason or finish_reason
     raise EndpointError('stream ended before its end marker', step='stream')
 
 
+def _read_choice(content: bytes) -> _Choice:
+    """Return the first choice of an event.
+
+    :raises EndpointError: if there is none.
+    """
+    try:
+        event = msgspec.json.decode(content, type=_Event)
+    except DECODE_ERRORS as error:
+        raise EndpointError(f'invalid event: {error}', step='stream') from error
+    return event.choices[0]
+
+
 def build_completion(
     request: CallerRequest, text: str, finish_reason: str, tokens: int
 ) -> dict[str, Any]:
--- a/shallotmux/requests/_events.py
+++ b/shallotmux/requests/_events.py
@@ -18,6 +18,10 @@
     """An engine's stream does not continue the response."""
 
 
+#: Digits of the number of an event; more than any response has events.
+MAX_NUMBER_DIGITS = 18
+
+
 class EventSplitter:
     """Extracts the complete events of one response without decoding them.
 
@@ -113,7 +117,8 @@
         if not event.startswith(ID_PREFIX) or self._quoted_id not in event:
             raise self._fault('event belongs to another response')
         number = event[len(ID_PREFIX) :].split(b'\n', 1)[0]
-        if not number.isdigit() or int(number) > self._delivered:
+        is_number = number.isdigit() and len(number) <= MAX_NUMBER_DIGITS
+        if not is_number or int(number) > self._delivered:
             raise self._fault(f'event after {self._delivered} is missing')
         return False
 
--- a/tests/requests/test_events.py
+++ b/tests/requests/test_events.py
@@ -39,8 +39,9 @@
         (event(1) + DONE, event(1)),
         (b'%bdata: {}\n\n' % event(1), event(1)),
         (b'x' * (MAX_EVENT_BYTES + 1), b''),
+        (event(1) + event(2).replace(b'id: 2', b'id: %b' % (b'9' * 5000)), event(1)),
     ],
-    ids=('missing', 'crossed', 'truncated', 'without id', 'endless'),
+    ids=('missing', 'crossed', 'truncated', 'without id', 'endless', 'long number'),
 )
 def test_wrong_stream_is_a_fault(stream: bytes, kept: bytes) -> None:
     """Guards against delivering an invalid event, and against losing valid ones before it."""
