Ignore reports of crashes that are older than all evidence

A poll with a crash of infinite age, which MessagePack can hold, failed in the control instance that received it (KeyError: it seemed to be refuted by a served request that nobody had reported), after a part of the poll was taken. One of NaN counted as a crash of now.

Before: test_crash_of_an_odd_age_is_no_evidence failed in 4 of 4 cases.

--- a/shallotmux/crashes/_records.py
+++ b/shallotmux/crashes/_records.py
@@ -14,7 +14,7 @@
     find_culprits,
     may_run_trial,
 )
-from shallotmux.crashes._evidence import UNCERTAIN_END_S, Addition, Evidence
+from shallotmux.crashes._evidence import EVIDENCE_TTL_S, UNCERTAIN_END_S, Addition, Evidence
 from shallotmux.crashes._history import Change, ChangeKind, History
 from shallotmux.crashes._messages import CrashNews, Position
 
@@ -154,8 +154,9 @@
             if self._evidence.add_alive(alive.endpoint, now - max(0.0, alive.age_s)):
                 self._record_change(Change(ChangeKind.ALIVE, endpoint=alive.endpoint))
         for crash in news.crashes:
-            at = now - max(0.0, crash.age_s)
-            self._add_crash(crash.subject, crash.endpoint, at, is_repeated=crash.is_repeated)
+            if crash.age_s < EVIDENCE_TTL_S:
+                at = now - max(0.0, crash.age_s)
+                self._add_crash(crash.subject, crash.endpoint, at, is_repeated=crash.is_repeated)
 
     def build_news(self, after: Position) -> CrashNews:
         """Return what was learned after a position, at most as much as fits one message."""
--- a/tests/crashes/test_records.py
+++ b/tests/crashes/test_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 import trio
 import trio.testing
 
@@ -258,6 +259,19 @@
             assert not is_quarantined(records, 7)
 
 
+@pytest.mark.parametrize('age_s', [float('inf'), 1e308, EVIDENCE_TTL_S, float('nan')])
+async def test_crash_of_an_odd_age_is_no_evidence(
+    age_s: float, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a report that fails where it is received, and is answered with an error."""
+    records = CrashRecords()
+    await trio.sleep(1)
+    for endpoint in range(4):
+        records.merge(CrashNews(crashes=(CrashReport(7, endpoint, age_s, is_repeated=True),)))
+    assert not records.has_crashes
+    assert records.build_news(Position()).crashes == ()
+
+
 async def test_quarantine_tells_when_it_ends(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against callers that are told to return while their request is still refused."""
     records = CrashRecords()
