--- a/shallotmux/forwarding/_supervision.py
+++ b/shallotmux/forwarding/_supervision.py
@@ -186,8 +186,6 @@
 
     def _take_reply(self, winner: _Running) -> None:
         """End the other attempts, as the answer of one goes to the caller."""
-        # No attempt follows this answer unless it breaks off, which is charged anew.
-        self.job.is_retry_reserved = False
         took_s = trio.current_time() - winner.started_at
         if winner.target.peer is None:
             # Another attempt may have begun since.
