--- a/shallotmux/checking/programs/_standins.py
+++ b/shallotmux/checking/programs/_standins.py
@@ -69,16 +69,18 @@
         if trouble == 'reset':
             reply.abort()
             return
-        await trio.sleep(HANG_S if trouble == 'hang' else self.random.uniform(*WORK_S))
         if request.path.startswith(f'/{STREAM}/'):
-            await self._stream(request, reply, is_broken_off=trouble == 'lose')
+            await trio.sleep(self.random.uniform(*WORK_S))
+            await self._stream(request, reply, trouble)
             return
+        await trio.sleep(HANG_S if trouble == 'hang' else self.random.uniform(*WORK_S))
         if trouble == 'lose':
             reply.abort()
             return
         await self._answer(request, reply, 200, request_id.encode())
 
-    async def _stream(self, request: CallerRequest, reply: Reply, *, is_broken_off: bool) -> None:
+    async def _stream(self, request: CallerRequest, reply: Reply, trouble: str) -> None:
+        """Send a stream; one in trouble stalls or is broken off before its last event is complete."""
         request_id = request.header(HEADERS.request_id) or b''
         headers = ((HEADERS.request_id, request_id), (b'content-type', b'text/event-stream'))
         await reply.send_head(200, (*headers, (b'transfer-encoding', b'chunked')))
@@ -86,7 +88,9 @@
         for event in events:
             await reply.send_part(event)
             await trio.sleep(self.random.uniform(0, MAX_EVENT_PAUSE_S))
-        if is_broken_off:
+        if trouble == 'hang':
+            await trio.sleep(HANG_S)
+        if trouble == 'lose':
             reply.abort()
             return
         await reply.send_part(last)
