--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -85,7 +85,15 @@
 
 
 @pytest.mark.parametrize(
-    ('path', 'status'), (('/once/', 504), ('/safe/', 504), ('/stream/', 504), ('/resume/', 504))
+    ('path', 'status'),
+    (
+        ('/once/', 504),
+        ('/safe/', 504),
+        ('/quick/', 504),
+        ('/stream/', 504),
+        ('/resume/', 504),
+        ('/live/', 504),
+    ),
 )
 async def test_request_that_outlasts_the_drain_gets_an_answer(path: str, status: int) -> None:
     """Guards against requests that are cut without an answer at the end of the grace period."""
@@ -101,7 +109,7 @@
         while not endpoint.received:
             await trio.sleep(0.001)
         harness.listener.drain()
-        harness.forwarder.close(trio.current_time() + 0.1)
+        harness.forwarder.close(trio.current_time() + 0.3)
         harness.listener.close_idle()
         with trio.fail_after(1):
             got = await read_answer(stream)
