Try the endpoint of a replaced attempt again if no other one serves

A stream whose first endpoint was slow and sound got 502 with its time left, if the endpoint that replaced it refused or broke and no third one was there: the first one was excluded.

The endpoint of a replaced attempt may be chosen again once no other one is left, within the limits of attempts and of the retry budget.

--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -235,7 +235,7 @@
         :param reason: why the attempt before failed.
         """
         quarantine_s = self.directory.quarantine_ends_in(job)
-        target = None if quarantine_s else await self._targets.choose(job)
+        target = None if quarantine_s else await self._choose_target(job)
         # A prompt may have been prefilled meanwhile, which takes long enough for more crashes.
         quarantine_s = quarantine_s or self.directory.quarantine_ends_in(job)
         if quarantine_s:
@@ -248,6 +248,14 @@
                 return refuse_not_run('engines are busy', target.retry_after_s)
         return _refuse(job, reason, self._returns_in(job))
 
+    async def _choose_target(self, job: Job) -> Target | LoadShed | None:
+        target = await self._targets.choose(job)
+        if target is not None or not job.silent_attempts:
+            return target
+        # The endpoint of an attempt that was replaced may be slow and sound.
+        job.excluded -= {each.endpoint for each in job.silent_attempts}
+        return await self._targets.choose(job)
+
     def _record_delivered(self, job: Job, result: AttemptResult) -> None:
         if result.is_success:
             self.directory.record_served(job)
--- a/tests/forwarding/test_slow_endpoints.py
+++ b/tests/forwarding/test_slow_endpoints.py
@@ -233,6 +233,16 @@
     assert len(quick.received) == 1
 
 
+@pytest.mark.parametrize('script', [refuse, close_unanswered])
+async def test_replaced_endpoint_is_tried_again_if_no_other_serves(script: Script) -> None:
+    """Guards against a stream that gets no answer since the endpoint that replaced a sound one failed."""
+    slow, other = ScriptedEndpoint(stream_after(0.3, 'slow')), ScriptedEndpoint(script)
+    async with run_forwarder(slow, other) as harness:
+        got = await harness.make_request('/live/')
+    assert (got.status, got.is_complete) == (200, True)
+    assert (len(slow.received), len(other.received)) == (2, 1)
+
+
 async def test_endpoints_of_an_even_pace_are_not_avoided() -> None:
     """Guards against sound endpoints that are left out since all need long."""
     endpoints = [ScriptedEndpoint(serve_after(0.2)) for _ in range(3)]
--- a/tests/guards/attempts.py
+++ b/tests/guards/attempts.py
@@ -139,4 +139,11 @@
         'refusal = await run(job)',
         ('tests/forwarding/test_handler_faults.py::test_unexpected_exception_ends_in_an_answer',),
     ),
+    Guard(
+        'attempts (replaced endpoint is tried again)',
+        FORWARDER,
+        'if target is not None or not job.silent_attempts:',
+        'if True:',
+        (f'{SLOW}::test_replaced_endpoint_is_tried_again_if_no_other_serves',),
+    ),
 )
