Keep odd polls, and a lack of own descriptors, from harming others

- An instance that names itself by what is no address, in one poll, ended all entry processes: control instances hand the name on, and the next connection to the port for relayed requests raised ValueError outside of the boundary of a connection.
Names that are no addresses are ignored where the answer arrives, and everything that concerns one connection is inside its boundary.
- One poll with 16 windows far in the future displaced the real windows of usage, so that no usage was reported any more.
Windows more than 16 from the present one are ignored, and numbers of requests that cannot be stored.
- A lack of descriptors of this instance had every endpoint avoided, and counted towards quarantines.
- The line handler-fault named no request on the platform, as the listeners did not know the name of the header.

tests: fleet/test_poller.py, forwarding/test_faults.py, test_descriptors.py, control/test_knowledge.py, one new case each.

--- a/shallotmux/addresses.py
+++ b/shallotmux/addresses.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-__all__ = ('HostPort', 'split_address')
+__all__ = ('HostPort', 'is_address', 'split_address')
 
 
 #: Digits of the largest port; more would be read as a number first.
@@ -28,3 +28,12 @@
     if not host or not is_number or int(port) > 65535:
         raise ValueError(f'address {address!r} is not of the form HOST:PORT')
     return HostPort(host.strip('[]'), int(port))
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is of the form HOST:PORT."""
+    try:
+        split_address(text)
+    except ValueError:
+        return False
+    return True
--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -42,6 +42,10 @@
 #: Number of the latest windows for which counts are kept.
 MAX_WINDOWS = 16
 
+#: Largest number of requests that is believed of one instance, customer and window. Sums of larger ones
+#: do not fit into a command.
+MAX_REQUESTS = 1_000_000_000
+
 
 class UsageTotals:
     """Usage counts of all entry instances by window.
@@ -52,9 +56,19 @@
     def __init__(self) -> None:
         self._counts: dict[int, dict[str, dict[str, int]]] = defaultdict(dict)
 
-    def merge(self, sender: str, counts: tuple[CustomerCount, ...]) -> None:
-        """Merge the running totals of one sender."""
+    def merge(
+        self, sender: str, counts: tuple[CustomerCount, ...], present: int | None = None
+    ) -> None:
+        """Merge the running totals of one sender.
+
+        :param present: number of the present window; windows far from it are ignored, as they would take
+            the place of the real ones. None if it is not known.
+        """
         for each in counts:
+            if present is not None and abs(each.window - present) > MAX_WINDOWS:
+                continue
+            if not 0 <= each.requests <= MAX_REQUESTS:
+                continue
             sender_counts = self._counts[each.window].setdefault(sender, {})
             # Polls can arrive out of order; totals never decrease, so the maximum is the latest.
             sender_counts[each.customer] = max(each.requests, sender_counts.get(each.customer, 0))
@@ -77,11 +91,17 @@
     """Answers the polls of entry instances from the local state of this control instance.
 
     :param peers: returns the names of the control instances.
+    :param window_s: length of a usage window in seconds; 0 if no usage is reported.
     """
 
     def __init__(
-        self, state: GroupState, clock: TrueClock, peers: Callable[[], tuple[str, ...]]
+        self,
+        state: GroupState,
+        clock: TrueClock,
+        peers: Callable[[], tuple[str, ...]],
+        window_s: float = 0,
     ) -> None:
+        self._window_s = window_s
         self._state = state
         self._clock = clock
         self._peers = peers
@@ -149,7 +169,8 @@
             return ForwardAnswer(refusal=Refusal.INVALID, detail=str(error))
         now = trio.current_time()
         self._polled_at[poll.sender] = now
-        self.usage.merge(poll.sender, poll.counts)
+        present = int(self._clock.now() / self._window_s) if self._window_s else None
+        self.usage.merge(poll.sender, poll.counts, present)
         self._demands[poll.sender] = tuple(each for each in poll.demands if _is_plausible(each))
         self._entry_reach.record(poll)
         entries = self.entries()
--- a/shallotmux/fleet/_poller.py
+++ b/shallotmux/fleet/_poller.py
@@ -9,6 +9,7 @@
 import trio
 from eliot import log_message
 
+from shallotmux.addresses import is_address
 from shallotmux.crashes import CrashExchange, CrashNews, CrashRecords
 from shallotmux.errors import DocumentInvalid, ShallotmuxError
 from shallotmux.fleet._clock import TrueClock
@@ -215,8 +216,9 @@
         if self._retry_at.pop(peer, None) is not None:
             log_message(message_type='shallotmux:control-regained', peer=peer)
         self._clock.record_peer_estimate(peer, knowledge.true_time_s)
-        self.view.entries = knowledge.entries
-        self.view.neighbours = knowledge.neighbours
+        # Names come from whoever polls a control instance.
+        self.view.entries = tuple(filter(is_address, knowledge.entries))
+        self.view.neighbours = tuple(filter(is_address, knowledge.neighbours))
         self.view.cut_off = {each.service: frozenset(each.entries) for each in knowledge.cut_off}
         self._crash_exchange.apply(peer, sent, knowledge.crash_news)
         self._limits.merge(knowledge.limits)
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -13,6 +13,7 @@
     CONNECT_TIMEOUT_S,
     ConnectionUnusable,
     EndpointConnection,
+    LocalResourcesSpent,
 )
 from shallotmux.forwarding._job import Job, WithheldAnswer
 from shallotmux.forwarding._messages import AnswerHead
@@ -167,6 +168,8 @@
             return AttemptResult(Outcome.NOT_RUN, 'the endpoint takes no request now')
         try:
             connection = await self._connect(attempt)
+        except LocalResourcesSpent as error:
+            return AttemptResult(Outcome.NOT_RUN, str(error))
         except ConnectionUnusable as error:
             path.record_unreachable(target, str(error))
             return AttemptResult(Outcome.NOT_RUN, str(error))
--- a/shallotmux/forwarding/_listener.py
+++ b/shallotmux/forwarding/_listener.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -77,22 +76,32 @@
         return await trio.open_tcp_listeners(bound.port, host=bound.host, backlog=BACKLOG)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
-        with contextlib.suppress(OSError):
-            if not self.accepts(stream.socket.getpeername()[0]):
-                await trio.aclose_forcefully(stream)
-                return
-        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = CallerConnection(self, stream)
-        self._connections.add(connection)
+        """Serve a connection; no fault on one must end the listener, and with it the process."""
         try:
-            await connection.run()
+            if self._is_accepted(stream):
+                stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                await self._run_connection(stream)
         except* Exception as error:
-            # A fault that ends a handler while it is cancelled arrives here, in a group with the
-            # cancellation. It must not end the listener, and with it the process.
+            # A fault that ends a handler while it is cancelled arrives in a group with the cancellation.
             log_message(
                 message_type='shallotmux:connection-fault', level='error', error=repr(error)
             )
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    def _is_accepted(self, stream: trio.SocketStream) -> bool:
+        try:
+            host = stream.socket.getpeername()[0]
+        except OSError:
+            # The other end has closed the connection already.
+            return False
+        return self.accepts(host)
+
+    async def _run_connection(self, stream: trio.SocketStream) -> None:
+        connection = CallerConnection(self, stream)
+        self._connections.add(connection)
+        try:
+            await connection.run()
         finally:
             self._connections.discard(connection)
             connection.reset_unless_end_is_marked()
-            await trio.aclose_forcefully(stream)
--- a/shallotmux/forwarding/_prefill.py
+++ b/shallotmux/forwarding/_prefill.py
@@ -15,6 +15,7 @@
     CONNECT_TIMEOUT_S,
     ConnectionUnusable,
     EndpointConnection,
+    LocalResourcesSpent,
 )
 from shallotmux.forwarding._headers import Headers
 from shallotmux.forwarding._job import Job
@@ -115,6 +116,8 @@
             if work.was_sent:
                 # Given up since the service is out of reach; the engine may still have accepted it.
                 self._budget.charge(job.service)
+        except LocalResourcesSpent:
+            return None
         except ConnectionUnusable as error:
             self._directory.record_unreachable(state, str(error))
         except EndpointError as error:
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -116,7 +116,9 @@
             SystemRandom(),
         )
         self._term = LeaderTerm(self.member, settings.name, settings.times.alternation_s)
-        self._knowledge = KnowledgeService(self.member.state, self._clock, self.member.peers)
+        self._knowledge = KnowledgeService(
+            self.member.state, self._clock, self.member.peers, settings.times.usage_window_s
+        )
         if settings.bootstrap and not self.member.state.applied_index:
             self._knowledge.history.assume_complete()
         self._registry = CollectorRegistry()
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -166,8 +166,14 @@
             self._relay_limits,
             self._forwarder.peers.accepts,
             max_buffered_bytes=MAX_RELAYED_BODY_BYTES,
+            request_id_header=adapter.dialect.names.request_id,
+        )
+        self._listener = HttpListener(
+            settings.listen.callers,
+            self._forwarder.handle,
+            self._limits,
+            request_id_header=adapter.dialect.names.request_id,
         )
-        self._listener = HttpListener(settings.listen.callers, self._forwarder.handle, self._limits)
 
     def apply_settings(self, settings: ProgramSettings) -> None:
         """Apply changed settings; only the seeds can change while the program runs."""
--- a/tests/control/test_knowledge.py
+++ b/tests/control/test_knowledge.py
@@ -107,3 +107,18 @@
     assert answer.limits == (LimitReport(limited.start_number, 3.5, 0.0),)  # type: ignore[attr-defined]
     assert service.limits_of('desk') == (3.5,)
     assert service.limits_of('llm') == ()
+
+
+async def test_usage_of_windows_far_away_displaces_no_real_one() -> None:
+    """Guards against one odd poll after which no usage is reported any more."""
+    window_s = 5.0
+    clock = TrueClock()
+    service = KnowledgeService(GroupState(), clock, tuple, window_s)
+    present = int(clock.now() / window_s)
+    poll(service, 'a~1', counts=(CustomerCount('c', present, 7),))
+    odd = [CustomerCount('c', 2**62 + number, 1) for number in range(16)]
+    poll(
+        service, 'x~1', counts=(*odd, CustomerCount('c', 0, 1), CustomerCount('c', present, 2**63))
+    )
+    assert service.usage.totals(present) == {'c': 7}
+    assert service.usage.first_window() == present
--- a/tests/fleet/test_poller.py
+++ b/tests/fleet/test_poller.py
@@ -2,8 +2,20 @@
 
 from __future__ import annotations
 
-from shallotmux.fleet import FleetView, ListedEndpoint, Listing
+import trio
+import trio.testing
+
+from shallotmux.fleet import (
+    FleetPoller,
+    FleetView,
+    Knowledge,
+    ListedEndpoint,
+    Listing,
+    TrueClock,
+    encode_fleet_message,
+)
 from shallotmux.routes import CallerLimits, RouteDocument
+from shallotmux.transport import ForwardAnswer
 
 
 def document(version: int) -> RouteDocument:
@@ -38,3 +50,28 @@
     view.update_listing(listing, 1)
     view.update_listing(listing, 2)
     assert notified == [listing]
+
+
+class OddNetwork:
+    """Answers each poll with names of entry instances that no address can have."""
+
+    async def forward(
+        self, peer: str, group: str, command: bytes, timeout_s: float
+    ) -> ForwardAnswer:
+        """Return names of which one is an address."""
+        names = ('10.0.0.1:7', 'x', '', '10.0.0.2:99999')
+        knowledge = Knowledge(0, b'', (), None, 0, names, 0, neighbours=names)
+        return ForwardAnswer(encode_fleet_message(knowledge))
+
+
+async def test_names_that_are_no_addresses_are_ignored(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a process that ends because another one named itself oddly in a poll."""
+    poller = FleetPoller(
+        '10.0.0.1:7~1', OddNetwork(), ('10.0.0.9:7',), lambda _: document(1), TrueClock(), tuple
+    )
+    with trio.move_on_after(2):
+        await poller.run()
+    assert poller.view.entries == ('10.0.0.1:7',)
+    assert poller.view.neighbours == ('10.0.0.1:7',)
--- a/tests/forwarding/test_descriptors.py
+++ b/tests/forwarding/test_descriptors.py
@@ -13,6 +13,7 @@
 
 from shallotmux.forwarding._endpoint import LocalResourcesSpent
 from shallotmux.forwarding._pool import ConnectionPool
+from tests.forwarding._harness import ReceivedRequest, ScriptedEndpoint, answer, run_forwarder
 
 #: Descriptors that stay free below the limit until the test takes them.
 FREE_DESCRIPTORS = 20
@@ -46,6 +47,12 @@
     return f'{host}:{port}'
 
 
+async def serve_at_once(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
+    """Answer a request."""
+    await stream.send_all(answer(received))
+    return True
+
+
 async def test_idle_connections_make_room_for_a_request() -> None:
     """Guards against requests that are refused while idle connections hold the descriptors."""
     pool = ConnectionPool(b'x-request-id')
@@ -74,3 +81,18 @@
         connection.close()
     assert connects == ['e-0']
     await trio.lowlevel.checkpoint()
+
+
+async def test_lack_of_descriptors_avoids_no_endpoint(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against endpoints that are avoided, or blamed, for a lack of this instance."""
+
+    async def acquire(*_: object) -> None:
+        raise LocalResourcesSpent('Too many open files', step='connect', peer='e-0')
+
+    async with run_forwarder(ScriptedEndpoint(serve_at_once)) as harness:
+        monkeypatch.setattr(harness.pool, 'acquire', acquire)
+        refused = await harness.make_request('/safe/')
+        state = harness.forwarder.directory.find('e-0')
+        assert state is not None
+        assert refused.status == 503
+        assert state.is_available(trio.current_time())
--- a/tests/forwarding/test_faults.py
+++ b/tests/forwarding/test_faults.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Mapping
+from contextlib import suppress
 
 import pytest
 import trio
 
+from shallotmux.addresses import split_address
 from shallotmux.forwarding import CallerRequest, HttpListener, Reply, send_response
 from tests.forwarding._harness import (
     ReceivedRequest,
@@ -126,3 +128,22 @@
         await stream.send_all(build_request('/once/', request_id='r-2'))
         assert (await read_answer(stream)).status == 200
         await stream.aclose()
+
+
+async def test_fault_before_a_connection_is_taken_ends_only_that_connection() -> None:
+    """Guards against a listener, and a process, that ends as it cannot judge where a connection is from."""
+
+    def fail(host: str) -> bool:
+        raise ValueError('fault')
+
+    async def handle(request: CallerRequest, reply: Reply) -> None:
+        """Handle nothing."""
+
+    async with trio.open_nursery() as nursery:
+        listener = HttpListener('127.0.0.1:0', handle, accepts=fail)
+        address = await nursery.start(listener.run)
+        for _ in range(2):
+            async with await trio.open_tcp_stream(*split_address(address)) as stream:
+                with trio.fail_after(1), suppress(trio.BrokenResourceError):
+                    assert await stream.receive_some() == b''
+        nursery.cancel_scope.cancel()
--- a/tests/guards/peers.py
+++ b/tests/guards/peers.py
@@ -19,6 +19,15 @@
         '                except OSError as error:\n',
         ('tests/transport/test_odd_frames.py',),
     ),
+    Guard(
+        'peer (any error of a call)',
+        'shallotmux/transport/_grpc.py',
+        '        except Exception as error:\n            # The connection may',
+        '        except OSError as error:\n            # The connection may',
+        (
+            'tests/transport/test_odd_frames.py::test_odd_answer_to_a_call_leaves_its_outcome_unknown',
+        ),
+    ),
     Guard(
         'prompt (range of token counts)',
         'shallotmux/platform/_prompts.py',
--- a/tests/guards/test_catalogue.py
+++ b/tests/guards/test_catalogue.py
@@ -12,4 +12,9 @@
 def test_guard_is_found_in_the_code(guard: Guard) -> None:
     """Guards against a mutation that removes nothing, as the code has changed since."""
     assert (ROOT / guard.path).read_text(encoding='utf-8').count(guard.code) == 1
-    assert all((ROOT / each.partition('::')[0]).is_file() for each in guard.tests)
+    for each in guard.tests:
+        path, _, name = each.partition('::')
+        tests = ROOT / path
+        assert tests.exists()
+        if name:
+            assert f'def {name.partition("[")[0]}(' in tests.read_text(encoding='utf-8')
