Take a window of length 0 in the settings for one that is not set

The range of the windows excluded 0, so a process would not have started where a deployment sets 0 since nothing there depends on the window. It started before, and divided by zero once it counted. 0 now means the default.

--- a/shallotmux/platform/_settings.py
+++ b/shallotmux/platform/_settings.py
@@ -31,9 +31,13 @@
 MAX_CONTROL_INSTANCES = 8
 
 
+#: Lengths of windows that are not set, or set to 0, as they may be where nothing depends on them.
+DEFAULT_BUDGET_WINDOW_S = 10.0
+DEFAULT_REPORT_WINDOW_S = 5.0
+
 #: Ranges of the numbers. None is near its end in any deployment; beyond, a calculation would overflow or
 #: divide by zero.
-_Seconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=86_400_000)]
 _Number = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=1000)]
@@ -55,10 +59,10 @@
 class _Bounds(msgspec.Struct, rename='kebab'):
     grace_s: _Seconds = 8.0
     retry_budget_ratio: _Number = 0.2
-    budget_window_s: _Seconds = 10.0
+    budget_window_s: _Seconds = DEFAULT_BUDGET_WINDOW_S
     # Number of retries allowed beyond the ratio, not a duration.
     retry_slack: _Number = 50.0
-    report_window_s: _Seconds = 5.0
+    report_window_s: _Seconds = DEFAULT_REPORT_WINDOW_S
     # Not the length of our lease: holders must not take turns within this time.
     lease_ms: _Milliseconds = 3000.0
 
@@ -131,11 +135,15 @@
         file.bootstrap,
         None if file.data_dir is None else Path(file.data_dir),
         file.tolerate.machines,
-        RetryBudgetLimits(bounds.retry_budget_ratio, bounds.retry_slack, bounds.budget_window_s),
+        RetryBudgetLimits(
+            bounds.retry_budget_ratio,
+            bounds.retry_slack,
+            bounds.budget_window_s or DEFAULT_BUDGET_WINDOW_S,
+        ),
         ProgramTimes(
             bounds.grace_s,
             _listing_interval(file.cloud),
-            bounds.report_window_s,
+            bounds.report_window_s or DEFAULT_REPORT_WINDOW_S,
             bounds.lease_ms / 1000,
         ),
         'usage_report' in file.cloud.duties,
