Offer no document from the disk before a leader told what is committed

Operators could see an entry instance that was started together with all control instances serve an older document than the confirmed one: a route that was added answers 404, one that was dropped is served.

Class: state that was restored is taken for current.

Seen before the fix, on:

FAILED test_document_older_than_acknowledged_is_not_offered_after_a_restart AssertionError: assert {b'254', b'300'} == {b'', b'300'}

The state now tells since when it may be outdated, until it holds an entry of the present leader's term, which is committed after all earlier ones. Till then the instance answers polls without a document, for 5 s at most: a group without a majority offers what it has. An entry instance without a document answers 503 and is not ready, as it did before its first document.

--- a/shallotmux/authority/_driver.py
+++ b/shallotmux/authority/_driver.py
@@ -245,7 +245,7 @@
             self._status = self._replica.status()
             await self._execute_effects()
             self._status = self._replica.status()
-            self._confirm_as_leader()
+            self._confirm_state()
             self._answer_pending_proposals()
 
     def _queue(self, proposal: Proposal) -> bool:
@@ -362,12 +362,19 @@
                 snapshot_bytes=after.snapshot_bytes,
             )
 
-    def _confirm_as_leader(self) -> None:
-        """Confirm the local state as of the last round that a majority answered."""
+    def _confirm_state(self) -> None:
+        """Confirm the local state once it holds an entry of the present leader's term.
+
+        A leader commits such an entry after all earlier ones. Its own state is current as of the
+        last round that a majority answered.
+        """
         status = self.status()
-        if status.role is Role.LEADER and self.state.applied_term == status.term:
-            if status.last_leader_contact > -math.inf:
-                self.state.confirm(status.commit_index, status.last_leader_contact)
+        if self.state.applied_term != status.term:
+            return
+        if status.leader is not None:
+            self.state.outdated_since = None
+        if status.role is Role.LEADER and status.last_leader_contact > -math.inf:
+            self.state.confirm(status.commit_index, status.last_leader_contact)
 
     def _answer_pending_proposals(self) -> None:
         """Answer pending proposals after a loss of leadership; their commands may still commit."""
--- a/shallotmux/authority/_group_state.py
+++ b/shallotmux/authority/_group_state.py
@@ -39,6 +39,9 @@
         #: Latest local time at which the state is known to have held all committed entries; minus
         #: infinity before the first confirmation.
         self.confirmed_at = float('-inf')
+        #: Local time since which the state is one that was read from the disk, and may lack entries
+        #: committed since; None once a leader has told what is committed.
+        self.outdated_since: float | None = None
         self._recent: deque[Entry] = deque()
         self._recent_bytes = 0
         self._pending: deque[tuple[int, float]] = deque(maxlen=MAX_PENDING_CONFIRMATIONS)
--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -39,6 +39,10 @@
 #: Largest number in a reported demand, far beyond the whole fleet's.
 MAX_DEMAND = 1e12
 
+#: Time after a start for which a document that was read from the disk is not offered, as newer ones
+#: may have been committed. It exceeds an election; a group that elects no leader offers what it has.
+OUTDATED_OFFER_S = 5.0
+
 #: Number of the latest windows for which counts are kept.
 MAX_WINDOWS = 16
 
@@ -177,7 +181,9 @@
         self._crashes.merge(poll.crash_news)
         self.limits.merge(poll.limits)
         document = self._state.zone.document
-        is_newer = document.version > poll.version and bool(document.content)
+        is_newer = (
+            document.version > poll.version and bool(document.content) and self._may_offer(now)
+        )
         knowledge = Knowledge(
             document.version,
             document.content if is_newer else b'',
@@ -204,6 +210,11 @@
         answer = OriginAnswer(self._origins.build_reports(call.wanted))
         return ForwardAnswer(encode_origin_message(answer))
 
+    def _may_offer(self, now: float) -> bool:
+        """Return whether the local document is offered to instances that have an older one or none."""
+        since = self._state.outdated_since
+        return since is None or now - since >= OUTDATED_OFFER_S
+
 
 def _is_plausible(demand: ServiceDemand) -> bool:
     """Return whether the numbers of a demand can be calculated with."""
--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -145,6 +145,7 @@
         if stored.snapshot is not None:
             snapshot = stored.snapshot
             self.state.restore(snapshot.index, snapshot.term, snapshot.payload)
+            self.state.outdated_since = trio.current_time()
         options = replica_options()
         now = trio.current_time()
         self.driver = GroupDriver(
--- a/tests/guards/disks.py
+++ b/tests/guards/disks.py
@@ -101,4 +101,14 @@
         'abandon_on_cancel=False',
         (f'{PROGRAM_DISK}::test_stop_does_not_wait_for_a_disk_that_hangs',),
     ),
+    Guard(
+        'disk (outdated document)',
+        'shallotmux/control/_knowledge.py',
+        'since is None or now - since >= OUTDATED_OFFER_S',
+        'True',
+        (
+            'tests/control/test_outdated_document.py'
+            '::test_document_older_than_acknowledged_is_not_offered_after_a_restart',
+        ),
+    ),
 )
