--- a/shallotmux/forwarding/_supervision.py
+++ b/shallotmux/forwarding/_supervision.py
@@ -110,7 +110,9 @@
         with trio.move_on_after(timeout_s):
             await self.has_ended.wait()
             return None
-        return None if self._is_answered() else self._act_on_silence()
+        # An attempt may have ended in the scheduler step in which the time has passed.
+        is_over = self.has_ended.is_set() or self._is_answered()
+        return None if is_over else self._act_on_silence()
 
     def _is_answered(self) -> bool:
         return any(each.control.is_answered for each in self.running)
--- a/tests/forwarding/test_slow_endpoints.py
+++ b/tests/forwarding/test_slow_endpoints.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+from typing import cast
+
 import pytest
 import trio
 from eliot import add_destinations, remove_destination
+from trio.testing import MockClock
 
 from shallotmux.fleet import ListedEndpoint
 from shallotmux.forwarding import RetryBudgetLimits
 from shallotmux.forwarding._job import SilentAttempt
+from shallotmux.forwarding._state import EndpointState, Target
+from shallotmux.forwarding._supervision import AttemptSupervisor, _Attempts
 from tests.forwarding._harness import (
     NAMES,
     ForwarderHarness,
@@ -20,6 +25,7 @@
     read_answer,
     run_forwarder,
 )
+from tests.forwarding._jobs import RecordingReply, make_job
 from tests.forwarding._streams import END, STREAM_HEAD, event
 
 #: Time that a slow endpoint needs. Requests to ``/quick/`` and ``/live/`` may be repeated after 0.1 s.
@@ -370,3 +376,27 @@
             await endpoint.closed.wait()
     assert (got.status, got.is_complete) == (200, False)
     assert 400 < took_s * 1000 < 1000
+
+
+async def test_attempt_that_ends_as_its_timeout_expires_is_over(
+    autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a decision about an attempt that ended in the same scheduler step."""
+    decided_among: list[int] = []
+    monkeypatch.setattr(
+        _Attempts, '_act_on_silence', lambda each: decided_among.append(len(each.running))
+    )
+    for _ in range(40):
+        attempts = _Attempts(make_job(RecordingReply()), cast(AttemptSupervisor, None))
+        target = Target(EndpointState(ListedEndpoint('e-0', 'desk', '127.0.0.1:1', 'a', 4)))
+        attempts._add(target)  # noqa: SLF001
+
+        async def end_attempt(ended: _Attempts = attempts) -> None:
+            await trio.sleep(1)
+            ended.running.clear()
+            ended.has_ended.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(end_attempt)
+            assert await attempts._wait(1) is None  # noqa: SLF001
+    assert 0 not in decided_among
--- a/tests/guards/attempts.py
+++ b/tests/guards/attempts.py
@@ -146,4 +146,11 @@
         'if True:',
         (f'{SLOW}::test_replaced_endpoint_is_tried_again_if_no_other_serves',),
     ),
+    Guard(
+        'attempts (ended one is not judged)',
+        SUPERVISION,
+        'is_over = self.has_ended.is_set() or self._is_answered()',
+        'is_over = self._is_answered()',
+        (f'{SLOW}::test_attempt_that_ends_as_its_timeout_expires_is_over',),
+    ),
 )
