Refuse a key that two customers of one name share, and tell first starts apart

- Two entries of the same name that share a key were acknowledged (200); two customers that share a key are invalid.
Found with three control processes; the new case failed before.
- A control process that builds its state anew after a refused write took that for the first start of the deployment, as `bootstrap` is still set in its settings, and claimed to know of all software versions in service.
It asks the disk now whether the group was used before.
An instance that is no seed counts as started for the first time if its disk was empty.

--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -330,6 +330,7 @@
     """
     identity = load_identity(settings.folder, files)
     stored = store.load()
+    is_empty_disk = identity is None and stored is None
     is_initial_voter = settings.bootstrap and settings.name in settings.seeds
     # An identity without a group is left by earlier builds, which stored the identity first.
     if stored is None and is_initial_voter and identity in {None, settings.name}:
@@ -340,4 +341,5 @@
     if identity is None:
         identity = settings.name if is_unused else new_identity(settings.name, random)
         store_identity(settings.folder, identity, files)
-    return _OpenedDisk(identity, stored or StoredGroup(), is_unused)
+    is_first_start = is_unused or (settings.bootstrap and is_empty_disk)
+    return _OpenedDisk(identity, stored or StoredGroup(), is_first_start)
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -119,7 +119,7 @@
         self._knowledge = KnowledgeService(
             self.member.state, self._clock, self.member.peers, settings.times.usage_window_s
         )
-        if settings.bootstrap and not self.member.state.applied_index:
+        if self.member.is_first_start:
             self._knowledge.history.assume_complete()
         self._registry = CollectorRegistry()
         self._gauges = _ControlGauges(self._registry)
--- a/shallotmux/routes/_checks.py
+++ b/shallotmux/routes/_checks.py
@@ -56,8 +56,10 @@
 
 
 def _shared_keys(customers: Iterable[DocumentCustomer]) -> Iterator[str]:
-    names_by_key: dict[str, str] = {}
+    owners: dict[str, DocumentCustomer] = {}
     for customer in customers:
         for key in customer.keys:
-            if names_by_key.setdefault(key, customer.name) != customer.name:
-                yield f'customers {names_by_key[key]!r} and {customer.name!r} share a key'
+            # Two entries are two customers, also if they have one name.
+            owner = owners.setdefault(key, customer)
+            if owner is not customer:
+                yield f'customers {owner.name!r} and {customer.name!r} share a key'
--- a/tests/routes/test_checks.py
+++ b/tests/routes/test_checks.py
@@ -51,13 +51,19 @@
         check_document(replace(DOCUMENT, routes=(ROUTE, duplicate)))
 
 
-def test_shared_key_is_refused() -> None:
+@pytest.mark.parametrize('other', ['b', 'a'])
+def test_shared_key_is_refused(other: str) -> None:
     """Guards against a key whose requests could be attributed to another customer."""
-    customers = (DocumentCustomer('a', ('k1', 'k2')), DocumentCustomer('b', ('k2',)))
-    with pytest.raises(DocumentInvalid, match="'a' and 'b' share a key"):
+    customers = (DocumentCustomer('a', ('k1', 'k2')), DocumentCustomer(other, ('k2',)))
+    with pytest.raises(DocumentInvalid, match=f"'a' and '{other}' share a key"):
         check_document(replace(DOCUMENT, customers=customers))
 
 
+def test_customer_may_name_a_key_twice() -> None:
+    """Guards against a valid document that is refused, as no other customer has the key."""
+    check_document(replace(DOCUMENT, customers=(DocumentCustomer('a', ('k1', 'k1')),)))
+
+
 @pytest.mark.parametrize('version', [-(2**63) - 1, 2**64, 10**400])
 def test_version_that_cannot_be_stored_is_refused(version: int) -> None:
     """Guards against a change whose connection is closed each time, without an answer."""
