--- a/tests/forwarding/test_endless.py
+++ b/tests/forwarding/test_endless.py
@@ -14,6 +14,7 @@
     answer,
     run_forwarder,
 )
+from tests.forwarding._streams import STREAM_HEAD, event
 
 PART_BYTES = 16_384
 
@@ -94,3 +95,24 @@
             await harness.make_request('/once/', request_id=f'r-{number}') for number in range(3)
         ]
     assert [each.body for each in got] == [b'done', b'done', b'done']
+
+
+@pytest.mark.parametrize('path', ['/stream/', '/resume/', '/live/', '/once/'])
+async def test_answer_that_trickles_ends_at_its_timeout(path: str) -> None:
+    """Guards against an answer of which a byte comes now and then, and that never ends."""
+
+    async def trickle(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
+        await stream.send_all(STREAM_HEAD % received.headers[b'x-request-id'] + event(1, 'x'))
+        while True:
+            await stream.send_all(b'1\r\n:\r\n')
+            await trio.sleep(0.05)
+
+    endpoint = ScriptedEndpoint(trickle)
+    async with run_forwarder(endpoint) as harness:
+        began_at = trio.current_time()
+        got = await harness.make_request(path, extra='X-Deadline-Ms: 500\r\n')
+        took_s = trio.current_time() - began_at
+        with trio.fail_after(0.5):
+            await endpoint.closed.wait()
+    assert (got.status, got.is_complete) == (200, False)
+    assert 400 < took_s * 1000 < 1000
--- a/tests/forwarding/test_slow_endpoints.py
+++ b/tests/forwarding/test_slow_endpoints.py
@@ -357,27 +357,6 @@
     assert state.failures == failures
 
 
-@pytest.mark.parametrize('path', ['/stream/', '/resume/', '/live/', '/once/'])
-async def test_answer_that_trickles_ends_at_its_timeout(path: str) -> None:
-    """Guards against an answer of which a byte comes now and then, and that never ends."""
-
-    async def trickle(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
-        await stream.send_all(STREAM_HEAD % received.headers[b'x-request-id'] + event(1, 'x'))
-        while True:
-            await stream.send_all(b'1\r\n:\r\n')
-            await trio.sleep(0.05)
-
-    endpoint = ScriptedEndpoint(trickle)
-    async with run_forwarder(endpoint) as harness:
-        began_at = trio.current_time()
-        got = await harness.make_request(path, extra='X-Deadline-Ms: 500\r\n')
-        took_s = trio.current_time() - began_at
-        with trio.fail_after(0.5):
-            await endpoint.closed.wait()
-    assert (got.status, got.is_complete) == (200, False)
-    assert 400 < took_s * 1000 < 1000
-
-
 async def test_attempt_that_ends_as_its_timeout_expires_is_over(
     autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
