Record when the soak itself did not run

The stand-ins, callers and operator are tasks of the soak, which did not run: its schedstat shows 2.65 s of waiting for a processor in 10 s.

A time of more than 0.5 s without a turn of the soak now counts as a pause of all instances, and the figures name such times. What is excused so is what standing still excuses: a kept connection that is closed on a request for a sound endpoint is not.

--- a/shallotmux/checking/programs/_records.py
+++ b/shallotmux/checking/programs/_records.py
@@ -128,6 +128,7 @@
     :param read_back: highest version that was read at the end.
     :param problems: broken promises that were seen while the run lasted.
     :param early_reload_ends: processes that a reload signal ended before their program began.
+    :param own_delays: times in which the soak itself did not run.
     """
 
     calls: list[Call] = field(default_factory=list)
@@ -138,6 +139,7 @@
     controls: tuple[str, ...] = ()
     ended_at: float = float('inf')
     acknowledged: int = 0
+    own_delays: list[float] = field(default_factory=list)
     read_back: int = 0
     problems: list[str] = field(default_factory=list)
     early_reload_ends: int = 0
--- a/shallotmux/checking/programs/_soak.py
+++ b/shallotmux/checking/programs/_soak.py
@@ -13,6 +13,7 @@
 from shallotmux.checking.processes import CheckResult, wait_until
 from shallotmux.checking.programs._callers import Callers
 from shallotmux.checking.programs._configuration_promises import count_judged_probes
+from shallotmux.checking.programs._delays import record_own_delays
 from shallotmux.checking.programs._deployment import ROOT, Deployment, choose_network
 from shallotmux.checking.programs._fleet import PLATFORM_NUMBER, STANDIN_PORT, EndpointFleet
 from shallotmux.checking.programs._load import start_load
@@ -77,6 +78,7 @@
         f'{len(records.changes)} changes, {valid} of them valid, {len(records.readings)} reads',
         f'{count_judged_probes(records)} probes with a time limit',
         f'{records.early_reload_ends} ended by a reload signal before the program began',
+        f'{len(records.own_delays)} times without a turn of the soak, {sum(records.own_delays):.1f} s',
     ]
 
 
@@ -99,6 +101,7 @@
         plan.entries,
     )
     deployment.prepare()
+    nursery.start_soon(record_own_delays, records, deployment.instances)
     starts = Starts(deployment, random)
     starts.start_all()
     operator = Operator(records, random, deployment.operator_addresses, SERVICE)
