Keep one of two fixes for a length beside chunks, and split a long module

- Both the head of an answer and its relay dropped the length; the second had nothing left to do, and its guard goes with it.
The tests of both stay.
- The guard of strangers at the port for relayed requests names the moved line.
- A test with names of the platform moved to tests/platform.

--- a/shallotmux/authority/_driver.py
+++ b/shallotmux/authority/_driver.py
@@ -11,9 +11,9 @@
 import trio
 from eliot import log_message
 
-from shallotmux.authority._codec import find_missing_field
+from shallotmux.authority._commands import check_command
 from shallotmux.authority._group_state import GroupState
-from shallotmux.authority._state import Command, Result, decode_command, encode_result
+from shallotmux.authority._state import Result, encode_result
 from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import AuthorityUnavailable, MembershipRefused, NotLeader
 from shallotmux.replication import (
@@ -46,9 +46,6 @@
 #: limits how late they start after it has joined the group.
 NON_MEMBER_TICK_S = 1.0
 
-#: Exceptions raised by decoding a command of another program version.
-COMMAND_ERRORS = (*DECODE_ERRORS, KeyError, TypeError, AttributeError)
-
 #: Inputs handled before their effects are executed, so that they share one append and one sync.
 MAX_INPUTS_PER_BATCH = 512
 
@@ -198,7 +195,7 @@
 
     async def commit(self, payload: bytes, timeout_s: float) -> ForwardAnswer:
         """Commit a command on this instance if it leads."""
-        refusal = _check_command(payload)
+        refusal = check_command(payload)
         if refusal is not None:
             return refusal
         proposal = Proposal(payload)
@@ -387,17 +384,3 @@
 
 def _do_nothing() -> None:
     """Serve as the default of a hook that is not set."""
-
-
-def _check_command(payload: bytes) -> ForwardAnswer | None:
-    """Refuse what is not a command, since every replica would fail on its entry, at each start."""
-    try:
-        command = decode_command(payload)
-    except COMMAND_ERRORS as error:
-        return ForwardAnswer(refusal=Refusal.INVALID, detail=repr(error))
-    if not isinstance(command, Command):
-        return ForwardAnswer(refusal=Refusal.INVALID, detail=f'{type(command)!r} is no command')
-    missing = find_missing_field(command)
-    if missing:
-        return ForwardAnswer(refusal=Refusal.INVALID, detail=f'no {missing}')
-    return None
--- a/shallotmux/forwarding/_relay.py
+++ b/shallotmux/forwarding/_relay.py
@@ -10,7 +10,7 @@
 from shallotmux.errors import EndpointError
 from shallotmux.forwarding._endpoint import DISCARD_TIMEOUT_S, EndpointConnection
 from shallotmux.forwarding._events import EventSplitter
-from shallotmux.forwarding._headers import Headers, drop_connection_headers, drop_named
+from shallotmux.forwarding._headers import drop_connection_headers, drop_named
 from shallotmux.forwarding._job import Job, WithheldAnswer
 from shallotmux.forwarding._messages import AnswerHead
 from shallotmux.routes import RouteKind
@@ -78,7 +78,7 @@
 async def send_withheld(job: Job, withheld: WithheldAnswer) -> None:
     """Send an answer that was withheld in favour of another one, which has not come."""
     head = withheld.head
-    await job.reply.send_head(head.status, _pass_headers(head))
+    await job.reply.send_head(head.status, drop_connection_headers(head.headers))
     await job.reply.send_part(withheld.content)
     await job.reply.finish()
 
@@ -150,7 +150,7 @@
     """
     if job.reply.is_started:
         return
-    headers = _pass_headers(head)
+    headers = drop_connection_headers(head.headers)
     if is_stream:
         headers = drop_named(headers, frozenset((b'content-length',)))
         if job.route.has_resumable_streams:
@@ -158,17 +158,6 @@
     await job.reply.send_head(head.status, headers)
 
 
-def _pass_headers(head: AnswerHead) -> Headers:
-    """Return the headers of an answer as the caller gets them.
-
-    Chunks override a length that is sent beside them, so the length may be wrong.
-    """
-    headers = drop_connection_headers(head.headers)
-    if head.header(b'transfer-encoding') is None:
-        return headers
-    return drop_named(headers, frozenset((b'content-length',)))
-
-
 def _check_end(head: AnswerHead, splitter: EventSplitter, peer: str) -> None:
     has_end = head.has_length or splitter.has_events
     if not (splitter.is_whole and has_end):
--- a/tests/guards/attempts.py
+++ b/tests/guards/attempts.py
@@ -125,13 +125,6 @@
         'return timeout_s',
         (f'{SLOW}::test_slow_fleet_costs_few_repeats',),
     ),
-    Guard(
-        'answer (chunks override a length)',
-        'shallotmux/forwarding/_relay.py',
-        "if head.header(b'transfer-encoding') is None:",
-        'if True:',
-        ('tests/forwarding/test_faulty_answers.py::test_chunks_override_a_length',),
-    ),
     Guard(
         'answer (unexpected exception)',
         FORWARDER,
--- a/tests/guards/peers.py
+++ b/tests/guards/peers.py
@@ -44,14 +44,14 @@
     ),
     Guard(
         'commands (types)',
-        'shallotmux/authority/_driver.py',
+        'shallotmux/authority/_commands.py',
         '    if not isinstance(command, Command):\n',
         '    if False:\n',
         ('tests/authority/test_odd_commands.py',),
     ),
     Guard(
         'commands (required fields)',
-        'shallotmux/authority/_driver.py',
+        'shallotmux/authority/_commands.py',
         '    if missing:\n',
         '    if False:\n',
         ('tests/authority/test_odd_commands.py',),
--- a/tests/guards/reach.py
+++ b/tests/guards/reach.py
@@ -49,8 +49,8 @@
     Guard(
         'relay-strangers',
         'shallotmux/forwarding/_listener.py',
-        'if not self.accepts(stream.socket.getpeername()[0]):',
-        'if False:',
+        'return self.accepts(host)',
+        'return True',
         (f'{RELAYED}::test_only_instances_of_the_fleet_are_relayed_for',),
     ),
     Guard(
--- a/tests/platform/test_prompts.py
+++ b/tests/platform/test_prompts.py
@@ -38,3 +38,12 @@
     prompt = read(f'{MAX_TOKENS},0', f'a:{MAX_TOKENS}')
     assert prompt is not None
     assert prompt.tokens == MAX_TOKENS
+
+
+@pytest.mark.parametrize('depth', [1_200, 100_000])
+def test_deeply_nested_answers_are_refused(depth: int) -> None:
+    """Guards against an endpoint whose answer fails in another way than an invalid one."""
+    nested = b'{"kv-handle":"h","born":1,"more":%b%b}' % (b'[' * depth, b']' * depth)
+    assert DIALECT.read_handle(nested) is None
+    with pytest.raises(ValueError, match='recursion'):
+        DIALECT.read_start(nested)
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -71,12 +71,9 @@
 
 
 @pytest.mark.parametrize('depth', DEPTHS)
-def test_deeply_nested_answers_are_refused(depth: int) -> None:
-    """Guards against an endpoint or a peer whose answer fails in another way than an invalid one."""
-    nested = b'{"kv-handle":"h","born":1,"more":%b%b}' % (b'[' * depth, b']' * depth)
-    assert DIALECT.read_handle(nested) is None
-    with pytest.raises(ValueError, match='recursion'):
-        DIALECT.read_start(nested)
+def test_deeply_nested_relayed_messages_are_refused(depth: int) -> None:
+    """Guards against a peer whose answer fails in another way than an invalid one."""
+    nested = b'{"more":%b%b}' % (b'[' * depth, b']' * depth)
     assert decode_relayed_request(nested) is None
     with pytest.raises(EndpointError):
         decode_relayed_answer(nested, 'peer')
