Log refused membership changes, and show the voters and what is borne

What operators could not see: a control group that proposes the same refused membership change every quarter of a second, and runs out of voters, logged nothing.

The driver of a group logs each accepted change and, once per reason and then every 10 s with a count, each refused one. The leader logs the voters, the silent ones, the target and the losses that are still borne whenever one of these changes; gauges show the same.

No decision is changed.

--- a/shallotmux/authority/_driver.py
+++ b/shallotmux/authority/_driver.py
@@ -16,6 +16,7 @@
 from shallotmux.authority._state import Result, encode_result
 from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import AuthorityUnavailable, MembershipRefused, NotLeader
+from shallotmux.repeats import RepeatLog
 from shallotmux.replication import (
     AppendReply,
     Effects,
@@ -138,6 +139,7 @@
         self._send = send
         self._tick_s = tick_s
         self._run_blocking = run_blocking
+        self._refused_changes = RepeatLog('shallotmux:membership-refused')
         channels = trio.open_memory_channel[Input](INBOX_CAPACITY)
         self._inbox_sender = channels[0]
         self._inbox_receiver = channels[1]
@@ -210,12 +212,17 @@
         return proposal.answer
 
     def change_membership(self, change: MembershipChange) -> bool:
-        """Propose a membership change and return whether it was accepted."""
+        """Propose a membership change, log the outcome, and return whether it was accepted."""
         try:
             self._replica.change_membership(change, trio.current_time())
-        except (NotLeader, MembershipRefused):
+        except (NotLeader, MembershipRefused) as refusal:
+            self._refused_changes.record(refusal.message, group=self.group, change=repr(change))
             return False
         self._status = self._replica.status()
+        self._refused_changes.forget()
+        log_message(
+            message_type='shallotmux:membership-change', group=self.group, change=repr(change)
+        )
         return True
 
     def transfer(self, target: str) -> bool:
--- a/shallotmux/control/__init__.py
+++ b/shallotmux/control/__init__.py
@@ -11,6 +11,7 @@
     WindowReporter,
 )
 from shallotmux.control._group_changes import ControlGroupView, MemberTimeouts, next_group_change
+from shallotmux.control._group_health import GroupHealth, assess_group
 from shallotmux.control._knowledge import KnowledgeService, UsageTotals
 from shallotmux.control._member import CONTROL_GROUP, ControlMember, MemberSettings
 from shallotmux.control._platform import (
@@ -31,6 +32,7 @@
     'DutyHolder',
     'DutyOutcome',
     'FleetOrder',
+    'GroupHealth',
     'KnowledgeService',
     'LeaderTerm',
     'LeaderDependencies',
@@ -44,5 +46,6 @@
     'WindowReporter',
     'UsageTotals',
     'UsageReport',
+    'assess_group',
     'next_group_change',
 )
--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -21,6 +21,7 @@
     run_in_thread,
 )
 from shallotmux.control._group_changes import ControlGroupView, next_group_change
+from shallotmux.control._group_health import GroupHealth, assess_group, log_health
 from shallotmux.errors import ShallotmuxError, StorageError
 from shallotmux.fleet import (
     JOIN_GROUP,
@@ -161,6 +162,8 @@
         self.authority = ReplicatedAuthority(
             self.driver, network, self.leader, AuthorityLimits(submit_s=SUBMIT_TIMEOUT_S), random
         )
+        #: Health of the group; None while this instance does not lead.
+        self.health: GroupHealth | None = None
         self._leader_hint = ''
         self._known_peers = set(settings.seeds) | {settings.name}
         self._joining: dict[str, float] = {}
@@ -240,6 +243,7 @@
             identity: at for identity, at in self._joining.items() if now - at < JOIN_REQUEST_TTL_S
         }
         if not self.driver.is_leader():
+            self.health = None
             return
         if status.term != self._led_term:
             self._led_term = status.term
@@ -255,13 +259,15 @@
             now,
             self.settings.tolerated,
         )
+        self._update_health(assess_group(view))
         change = next_group_change(view)
-        if change is not None and self.driver.change_membership(change):
-            log_message(
-                message_type='shallotmux:membership-change',
-                group=CONTROL_GROUP,
-                change=repr(change),
-            )
+        if change is not None:
+            self.driver.change_membership(change)
+
+    def _update_health(self, health: GroupHealth) -> None:
+        if health != self.health:
+            log_health(health)
+        self.health = health
 
     async def _join_repeatedly(self) -> None:
         """Send join requests while this instance is not a member or has no contact with a leader."""
--- a/shallotmux/membership/_group.py
+++ b/shallotmux/membership/_group.py
@@ -9,7 +9,6 @@
 
 import msgspec
 import trio
-from eliot import log_message
 
 from shallotmux.authority import (
     AuthorityLimits,
@@ -230,12 +229,8 @@
             self.spec.plan, (*reports, self.membership.own_report())
         )
         change = next_change(self.spec.plan, self._build_view(status.configuration, now))
-        if change is not None and self.driver.change_membership(change):
-            log_message(
-                message_type='shallotmux:membership-change',
-                group=self.spec.group,
-                change=repr(change),
-            )
+        if change is not None:
+            self.driver.change_membership(change)
 
     def _probe(self, now: float) -> None:
         configuration = self.driver.status().configuration
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -8,7 +8,7 @@
 
 import trio
 from eliot import log_message
-from prometheus_client import CollectorRegistry, Gauge
+from prometheus_client import CollectorRegistry
 
 from shallotmux.control import (
     CONTROL_GROUP,
@@ -28,6 +28,7 @@
 from shallotmux.fleet import JOIN_GROUP, KNOWLEDGE_GROUP, DecodeDocument, TrueClock
 from shallotmux.forwarding import HttpListener
 from shallotmux.origins import ORIGIN_GROUP
+from shallotmux.programs._control_gauges import ControlGauges
 from shallotmux.programs._disk import run_on_disk
 from shallotmux.programs._lifecycle import (
     ProgramLifecycle,
@@ -71,28 +72,6 @@
     get_path: str
 
 
-class _ControlGauges:
-    """Gauges of a control instance.
-
-    :param registry: registry to which they are added.
-    """
-
-    def __init__(self, registry: CollectorRegistry) -> None:
-        self.term = Gauge('shallotmux_term', 'Term of the group.', registry=registry)
-        self.leads = Gauge(
-            'shallotmux_leads', 'Whether this instance is the leader.', registry=registry
-        )
-        self.version = Gauge(
-            'shallotmux_document_version', 'Version in the local state.', registry=registry
-        )
-        self.entry_bytes = Gauge(
-            'shallotmux_log_entry_bytes', 'Log entries in memory.', registry=registry
-        )
-        self.snapshot_bytes = Gauge(
-            'shallotmux_snapshot_bytes', 'Size of the latest snapshot.', registry=registry
-        )
-
-
 class ControlProgram:
     """Listeners, group member and background tasks of one control instance."""
 
@@ -122,7 +101,7 @@
         if self.member.is_first_start:
             self._knowledge.history.assume_complete()
         self._registry = CollectorRegistry()
-        self._gauges = _ControlGauges(self._registry)
+        self._gauges = ControlGauges(self._registry)
         self._cached_table_version = 0
         self._cached_table: RouteTable | None = None
 
@@ -220,12 +199,7 @@
 
     async def _set_gauges(self) -> None:
         while True:
-            sizes = self.member.driver.sizes()
-            self._gauges.entry_bytes.set(sizes.entry_bytes)
-            self._gauges.snapshot_bytes.set(sizes.snapshot_bytes)
-            self._gauges.term.set(self.member.driver.status().term)
-            self._gauges.leads.set(self.member.driver.is_leader())
-            self._gauges.version.set(self.member.state.zone.document.version)
+            self._gauges.update(self.member)
             await trio.sleep(GAUGE_INTERVAL_S)
 
 
--- /dev/null
+++ b/shallotmux/programs/_control_gauges.py
@@ -0,0 +1,69 @@
+"""Gauges of a control instance."""
+
+from __future__ import annotations
+
+import math
+
+from prometheus_client import CollectorRegistry, Gauge
+
+from shallotmux.control import ControlMember, GroupHealth
+
+
+class ControlGauges:
+    """Gauges of the log, and of the group's voters.
+
+    :param registry: registry to which they are added.
+    """
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self._term = Gauge('shallotmux_term', 'Term of the group.', registry=registry)
+        self._leads = Gauge(
+            'shallotmux_leads', 'Whether this instance is the leader.', registry=registry
+        )
+        self._version = Gauge(
+            'shallotmux_document_version', 'Version in the local state.', registry=registry
+        )
+        self._entry_bytes = Gauge(
+            'shallotmux_log_entry_bytes', 'Log entries in memory.', registry=registry
+        )
+        self._snapshot_bytes = Gauge(
+            'shallotmux_snapshot_bytes', 'Size of the latest snapshot.', registry=registry
+        )
+        self._voters = Gauge(
+            'shallotmux_voters', 'Voters in the local configuration.', registry=registry
+        )
+        self._target_voters = Gauge(
+            'shallotmux_target_voters',
+            'Voters that the tolerated losses need; NaN unless this instance leads.',
+            registry=registry,
+        )
+        self._live_voters = Gauge(
+            'shallotmux_live_voters',
+            'Voters that answer; NaN unless this instance leads.',
+            registry=registry,
+        )
+        self._borne_losses = Gauge(
+            'shallotmux_borne_losses',
+            'Further voters that may be lost now; NaN unless this instance leads.',
+            registry=registry,
+        )
+
+    def update(self, member: ControlMember) -> None:
+        """Set the gauges from the state of the member."""
+        status, sizes = member.driver.status(), member.driver.sizes()
+        self._entry_bytes.set(sizes.entry_bytes)
+        self._snapshot_bytes.set(sizes.snapshot_bytes)
+        self._term.set(status.term)
+        self._leads.set(member.driver.is_leader())
+        self._version.set(member.state.zone.document.version)
+        self._voters.set(len(status.configuration.voters))
+        self._set_health(member.health)
+
+    def _set_health(self, health: GroupHealth | None) -> None:
+        if health is None:
+            for gauge in (self._target_voters, self._live_voters, self._borne_losses):
+                gauge.set(math.nan)
+            return
+        self._target_voters.set(health.target)
+        self._live_voters.set(len(health.voters) - len(health.silent))
+        self._borne_losses.set(health.borne_losses)
