--- a/tests/control/_instances.py
+++ b/tests/control/_instances.py
@@ -46,17 +46,22 @@
 
     nursery: trio.Nursery
     folder: Path
+    tolerated: int = 1
     fabric: MemoryPeerFabric = field(default_factory=lambda: MemoryPeerFabric(Random(1)))
     running: dict[str, ControlInstance] = field(default_factory=dict)
+    #: Instances that were paused for good; they still have their files open.
+    stood_still: dict[str, ControlInstance] = field(default_factory=dict)
 
     def data(self, name: str) -> Path:
         """Return the data folder of an instance."""
         return self.folder / name.replace(':', '-')
 
-    async def start(self, name: str, *, bootstrap: bool = False) -> ControlInstance:
+    async def start(
+        self, name: str, *, bootstrap: bool = False, seeds: tuple[str, ...] = SEEDS
+    ) -> ControlInstance:
         """Start an instance with the present content of its folder."""
         network = self.fabric.network(name)
-        settings = MemberSettings(name, self.data(name), SEEDS, bootstrap)
+        settings = MemberSettings(name, self.data(name), seeds, bootstrap, self.tolerated)
         random = Random(f'{name}/{trio.current_time()}')
         scope = trio.CancelScope()
         instance = ControlInstance(ControlMember(settings, network, random, run_inline), scope)
@@ -82,10 +87,10 @@
         if wipe:
             shutil.rmtree(self.data(name))
 
-    async def bootstrap(self) -> None:
-        """Start the three seeds with empty folders and wait for a leader."""
+    async def bootstrap(self, *others: str) -> None:
+        """Start the three seeds and others with empty folders, and wait for a leader."""
         self.nursery.start_soon(self.fabric.run)
-        for name in SEEDS:
+        for name in (*SEEDS, *others):
             await self.start(name, bootstrap=True)
         await self.wait_for_leader()
 
