Let the successor of a lost voter be promoted at the largest group

Cause: the decision promotes the successor of a silent voter before that one is removed, which needs six voters where the target is five. The replica refused a sixth, by a constant of its own with the same name. So no voter was ever replaced with two or three tolerated losses, and with three the target was five instead of seven.

Change: the replication package owns the number: seven voters at rest, one more while a voter is exchanged.

The desired number of voters of zone groups is another matter and keeps its value under its own name.

--- a/shallotmux/control/_group_changes.py
+++ b/shallotmux/control/_group_changes.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from shallotmux.replication import (
+    MAX_VOTERS,
     AddLearner,
     Configuration,
     FollowerStatus,
@@ -18,9 +19,6 @@
 #: Minimum target number of voters; three keep a majority after the loss of one.
 MIN_VOTERS = 3
 
-#: Maximum target number of voters; more would slow commits down.
-MAX_VOTERS = 5
-
 #: Lag in log entries up to which a learner counts as caught up.
 MAX_LEARNER_LAG_ENTRIES = 32
 
@@ -90,6 +88,7 @@
         """Return the target number of voters.
 
         Every majority must include at least one disk more than the tolerated number of lost disks.
+        More than :data:`MAX_VOTERS` can bear is not reached; the health of the group shows it.
         """
         return min(max(MIN_VOTERS, 2 * self.tolerated + 1), MAX_VOTERS)
 
@@ -139,10 +138,15 @@
 
 
 def _promote_learner(view: ControlGroupView) -> MembershipChange | None:
-    """Promote a learner that caught up, to reach the target or to replace a lost voter."""
+    """Promote a learner that caught up, to reach the target or to replace a lost voter.
+
+    The successor of a lost voter makes one voter more than the target, until that one is removed.
+    """
     ready = _ready_learners(view)
     voters = view.configuration.voters
-    if ready and (len(voters) < view.target_voters or any(map(view.is_lost, voters))):
+    vacancies = view.target_voters - len(voters)
+    is_exchange_due = vacancies == 0 and any(map(view.is_lost, voters))
+    if ready and (vacancies > 0 or is_exchange_due):
         return PromoteLearner(ready[0])
     return None
 
--- a/shallotmux/membership/_policy.py
+++ b/shallotmux/membership/_policy.py
@@ -15,9 +15,9 @@
 )
 from shallotmux.transport import instance_name
 
-#: Maximum number of voters in a group. Five tolerate two failures; more would slow down commits
-#: to guard against failures that are unlikely to coincide.
-MAX_VOTERS = 5
+#: Maximum number of voters that is desired for a zone group or the fleet group. Five tolerate two
+#: failures; more would slow down commits to guard against failures that are unlikely to coincide.
+MAX_DESIRED_VOTERS = 5
 
 #: From this number of instances with a disk, only they vote, so that the log survives a restart
 #: of all instances.
@@ -130,7 +130,7 @@
 
 def _choose_one_per_zone(plan: GroupPlan, candidates: list[str]) -> frozenset[str]:
     chosen: set[str] = set()
-    for zone in sorted(plan.zones)[:MAX_VOTERS]:
+    for zone in sorted(plan.zones)[:MAX_DESIRED_VOTERS]:
         in_zone = (each for each in candidates if instance_name(each) in plan.zones[zone])
         chosen.update(list(in_zone)[:1])
     return frozenset(chosen)
@@ -141,7 +141,7 @@
 
     It is odd from three on, since one more voter would tolerate no more failures.
     """
-    limited = min(available, MAX_VOTERS)
+    limited = min(available, MAX_DESIRED_VOTERS)
     return limited if limited % 2 or limited <= 2 else limited - 1
 
 
--- a/shallotmux/replication/__init__.py
+++ b/shallotmux/replication/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from shallotmux.replication._membership import MAX_VOTERS, MAX_VOTERS_IN_EXCHANGE
 from shallotmux.replication._messages import (
     AppendReply,
     AppendRequest,
@@ -54,6 +55,8 @@
     'HardState',
     'LogOffer',
     'LogSizes',
+    'MAX_VOTERS',
+    'MAX_VOTERS_IN_EXCHANGE',
     'MembershipChange',
     'Message',
     'PromoteLearner',
--- a/shallotmux/replication/_membership.py
+++ b/shallotmux/replication/_membership.py
@@ -11,8 +11,12 @@
     RemoveMember,
 )
 
-#: Maximum number of voters. Further members stay learners, since more voters slow down commits.
-MAX_VOTERS = 5
+#: Maximum number of voters of a group at rest; seven bear the loss of three disks. Further members
+#: stay learners, since more voters slow down commits.
+MAX_VOTERS = 7
+
+#: Maximum number of voters while one is exchanged: its successor is promoted before it is removed.
+MAX_VOTERS_IN_EXCHANGE = MAX_VOTERS + 1
 
 
 def change_configuration(configuration: Configuration, change: MembershipChange) -> Configuration:
@@ -44,9 +48,10 @@
 def _promote(configuration: Configuration, name: str) -> Configuration:
     if name not in configuration.learners:
         raise MembershipRefused(f'{name!r} is not a learner', step='change membership')
-    if len(configuration.voters) >= MAX_VOTERS:
+    if len(configuration.voters) >= MAX_VOTERS_IN_EXCHANGE:
         raise MembershipRefused(
-            f'{name!r} would be one voter more than {MAX_VOTERS}', step='change membership'
+            f'{name!r} would be one voter more than {MAX_VOTERS_IN_EXCHANGE}',
+            step='change membership',
         )
     return Configuration(
         configuration.voters | {name},
--- a/tests/control/test_group_changes.py
+++ b/tests/control/test_group_changes.py
@@ -113,6 +113,14 @@
     assert (steps, voters) == (2, {*names, 'x:1'} - {silent})
 
 
+@pytest.mark.parametrize('tolerated', (1, 2, 3))
+def test_no_more_than_one_voter_is_exchanged_at_a_time(tolerated: int) -> None:
+    """Guards against voters beyond the target plus one, which the replica refuses."""
+    names = [f'{letter}:1' for letter in 'abcdefgh'[: 2 * tolerated + 2]]
+    others_silent = names[1:]
+    assert next_group_change(make_view(names, ['x:1'], silent=others_silent)) is None
+
+
 def test_new_leader_waits_before_it_removes_voters() -> None:
     """Guards against a new leader that replaces voters which have not answered it yet."""
     fresh = make_view(VOTERS, ['d:1'], silent=['c:1'])
--- a/tests/control/test_replacements.py
+++ b/tests/control/test_replacements.py
@@ -57,7 +57,7 @@
     """Assert that a change is acknowledged in time, and read back at each running instance."""
     with trio.fail_after(ACKNOWLEDGED_WITHIN_S):
         while not await group.put(version):
-            pass  # noqa: WPS420
+            await trio.sleep(0.1)
     for name in group.running:
         with trio.fail_after(ACKNOWLEDGED_WITHIN_S):
             while await group.read(name) != version:
--- a/tests/replication/test_membership.py
+++ b/tests/replication/test_membership.py
@@ -6,6 +6,7 @@
 
 from shallotmux.errors import MembershipRefused
 from shallotmux.replication import (
+    MAX_VOTERS_IN_EXCHANGE,
     AddLearner,
     AppendRequest,
     Configuration,
@@ -70,6 +71,18 @@
         group.replicas[leader].change_membership(PromoteLearner('absent'), group.now)
 
 
+def test_voters_beyond_the_limit_are_refused() -> None:
+    """Guards against a group that grows without bound, each commit of which waits for more voters."""
+    group = Group(voters(MAX_VOTERS_IN_EXCHANGE))
+    group.run(3)
+    leader = group.leader()
+    group.start('new', StoredGroup())
+    group.replicas[leader].change_membership(AddLearner('new'), group.now)
+    group.run(0.5)
+    with pytest.raises(MembershipRefused, match='one voter more than 8'):
+        group.replicas[leader].change_membership(PromoteLearner('new'), group.now)
+
+
 def test_removed_leader_steps_down() -> None:
     """Guards against a removed leader that continues to lead the group."""
     group, leader = start_group()
