Forget the leader on members that may not campaign

A learner, a witness or a removed member keeps the name of the last leader: Election.start_pre_vote returns for it before it forgets the leader. It now forgets it at its election timeout, as a voter does that starts a pre-vote.

--- a/shallotmux/replication/_election.py
+++ b/shallotmux/replication/_election.py
@@ -17,10 +17,14 @@
         self._is_transfer = False
 
     def start_pre_vote(self) -> None:
-        """Ask for votes without raising the term, to learn whether an election could be won."""
+        """Ask for votes without raising the term, to learn whether an election could be won.
+
+        A member that may not lead only forgets the leader, which has been silent for too long.
+        """
         state = self._state
         state.restart_election_timer()
         if not state.configuration.may_lead(state.name):
+            state.leader = None
             return
         state.become_candidate(Role.PRE_CANDIDATE)
         state.retry_election_soon()
