Refuse operations at once while no leader can be found

Without a leader, an operation at a control instance took its whole 0.9 s. An instance asked its peers only 3 s after the last heartbeat, and what they told was neither dated nor forgotten: an answer named the leader that other peers had told, so that two instances could keep one that is gone in each other's memory, and the answer that came last counted.

An instance now asks after 1.4 s, the longest election timeout.

--- a/shallotmux/authority/_replicated.py
+++ b/shallotmux/authority/_replicated.py
@@ -21,6 +21,9 @@
 #: Mean delay between attempts, which avoids a busy loop during an election.
 RETRY_DELAY_S = 0.05
 
+#: Reason of a refusal for lack of a leader.
+NO_LEADER = 'no leader is known'
+
 
 @dataclass(frozen=True, slots=True)
 class AuthorityLimits:
@@ -38,6 +41,8 @@
     """Implements :class:`Authority` on a replication group.
 
     :param leader: returns the identity of the leader as known to this instance.
+    :param has_no_leader: returns whether commands are refused at once while no leader is known, since
+        none was found in the time of an election.
     """
 
     def __init__(
@@ -47,25 +52,27 @@
         leader: Callable[[], str | None],
         limits: AuthorityLimits,
         random: Random,
+        has_no_leader: Callable[[], bool] | None = None,
     ) -> None:
         self._driver = driver
         self._network = network
         self._leader = leader
         self._limits = limits
         self._random = random
+        self._has_no_leader = has_no_leader
 
     async def submit(self, command: Command) -> Result:
         """Commit a command, retrying with the same operation id until the time limit."""
         payload = encode_command(command)
         deadline = trio.current_time() + self._limits.submit_s
-        is_known_uncommitted, detail = True, 'no leader'
+        is_known_uncommitted, detail = True, NO_LEADER
         while trio.current_time() < deadline:
             answer = await self._attempt(payload, deadline)
             if answer.refusal is Refusal.NONE:
                 return decode_result(answer.result)
             detail = answer.detail
             is_known_uncommitted = is_known_uncommitted and answer.refusal is not Refusal.UNKNOWN
-            if answer.refusal is Refusal.INVALID:
+            if answer.refusal is Refusal.INVALID or self._is_hopeless():
                 break
             await trio.sleep(RETRY_DELAY_S * self._random.uniform(0.5, 1.5))
         message = f'operation {command.operation_id!r}: {detail}'
@@ -92,11 +99,15 @@
         """Wait until the revision of the local state exceeds the given one."""
         await self._driver.state.wait_changed(revision)
 
+    def _is_hopeless(self) -> bool:
+        """Return whether there is no leader to ask, and none is to be expected soon."""
+        return self._leader() is None and self._has_no_leader is not None and self._has_no_leader()
+
     async def _attempt(self, payload: bytes, deadline: float) -> ForwardAnswer:
         timeout_s = min(ATTEMPT_TIMEOUT_S, deadline - trio.current_time())
         leader = self._leader()
         if leader is None:
-            return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail='no leader is known')
+            return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail=NO_LEADER)
         if leader == self._driver.identity:
             return await self._driver.commit(payload, timeout_s)
         try:
--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -22,6 +22,7 @@
 )
 from shallotmux.control._group_changes import ControlGroupView, next_group_change
 from shallotmux.control._group_health import GroupHealth, assess_group, log_health
+from shallotmux.control._leader_search import LeaderSearch
 from shallotmux.errors import ShallotmuxError, StorageError
 from shallotmux.fleet import (
     JOIN_GROUP,
@@ -67,9 +68,9 @@
 JOIN_REQUEST_TTL_S = 3.0
 JOIN_TIMEOUT_S = 0.5
 
-#: Time without contact to a leader after which a member asks to join again, as it may have been
-#: removed.
-REJOIN_AFTER_S = 3.0
+#: Time without contact to a leader after which a member asks its peers for it and to join again, as it
+#: may have been removed. Most elections are over by then.
+REJOIN_AFTER_S = 1.4
 
 #: Replica ticks per heartbeat interval.
 TICKS_PER_HEARTBEAT = 4
@@ -160,11 +161,16 @@
             run_blocking=run_blocking,
         )
         self.authority = ReplicatedAuthority(
-            self.driver, network, self.leader, AuthorityLimits(submit_s=SUBMIT_TIMEOUT_S), random
+            self.driver,
+            network,
+            self.leader,
+            AuthorityLimits(submit_s=SUBMIT_TIMEOUT_S),
+            random,
+            self.has_no_leader,
         )
         #: Health of the group; None while this instance does not lead.
         self.health: GroupHealth | None = None
-        self._leader_hint = ''
+        self._search = LeaderSearch(settings.name)
         self._known_peers = set(settings.seeds) | {settings.name}
         self._joining: dict[str, float] = {}
         self._led_term = 0
@@ -174,7 +180,12 @@
     def leader(self) -> str | None:
         """Return the leader, if this instance or a peer knows it."""
         leader = self.driver.status().leader
-        return leader or self._leader_hint or None
+        return leader or self._search.leader or None
+
+    def has_no_leader(self) -> bool:
+        """Return whether neither this instance nor a peer has known a leader since an election's time."""
+        is_unknown = self.driver.status().leader is None
+        return is_unknown and self._search.has_failed(trio.current_time())
 
     def peers(self) -> tuple[str, ...]:
         """Return the names of the control instances."""
@@ -209,9 +220,13 @@
         except msgspec.DecodeError as error:
             return ForwardAnswer(refusal=Refusal.INVALID, detail=str(error))
         self._joining[join.identity] = trio.current_time()
-        leader = instance_name(self.leader() or '')
+        # What peers have told is not passed on: two instances could keep a leader that is gone in each
+        # other's memory.
+        status = self.driver.status()
+        leader = instance_name(status.leader or '')
         known = set(self.peers()) | {instance_name(join.identity)}
-        return ForwardAnswer(encode_fleet_message(JoinAnswer(leader, tuple(sorted(known)))))
+        answer = JoinAnswer(leader, tuple(sorted(known)), status.term)
+        return ForwardAnswer(encode_fleet_message(answer))
 
     async def transfer_leadership(self) -> None:
         """Transfer leadership to the voter that answered last, if this instance leads."""
@@ -274,17 +289,18 @@
         while True:
             await trio.sleep(MEMBERSHIP_INTERVAL_S)
             if not self._needs_to_join(trio.current_time()):
-                self._leader_hint = ''
+                self._search.stop()
                 continue
+            self._search.begin_round(trio.current_time())
             async with trio.open_nursery() as nursery:
                 for peer in sorted(self._known_peers - {self.settings.name}):
                     nursery.start_soon(self._send_join_request, peer)
+            self._search.end_round()
 
     def _needs_to_join(self, now: float) -> bool:
         """Return whether this instance is not a member, or has lost contact with the leader."""
         status = self.driver.status()
-        if status.role is Role.LEADER or status.leader is not None:
-            self._leader_contact_at = max(self._leader_contact_at, status.last_leader_contact)
+        self._leader_contact_at = max(self._leader_contact_at, status.last_leader_contact)
         is_member = self.identity in status.configuration.members
         return not is_member or now - self._leader_contact_at > REJOIN_AFTER_S
 
@@ -295,7 +311,7 @@
             if answer.refusal is Refusal.NONE:
                 join_answer = decode_join_answer(answer.result)
                 self._known_peers.update(join_answer.peers)
-                self._leader_hint = join_answer.leader or self._leader_hint
+                self._search.record(join_answer)
         except (ShallotmuxError, msgspec.DecodeError) as error:
             log_message(
                 message_type='shallotmux:join-unanswered',
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -126,10 +126,12 @@
 
     :param leader: name of the leader; empty if it is unknown.
     :param peers: names of the control instances.
+    :param term: term of the leader; 0 from earlier builds.
     """
 
     leader: str
     peers: tuple[str, ...]
+    term: int = 0
 
 
 def encode_fleet_message(message: Poll | Knowledge | Join | JoinAnswer) -> bytes:
