Connect to a peer once for all calls, with a limit of its own

Calls to one peer share a connection. Each call that reached its time limit while the connection opened closed it for all the others, and a call that was not answered in time ended all that were under way beside it. With a peer that takes 0.6 s until a connection is open, and calls of 0.5 s and 0.9 s at a steady rate, none of 86 calls in 3 s was answered; all failed to connect.

The attempt to connect is now a task of the connection: calls wait for it within their own limits, and it goes on for those that follow, up to the 1 s that streams have. After a call without an answer, further calls use another connection; those under way keep theirs and are answered.

Channels move to a module of their own, since two modules open them.

--- a/shallotmux/transport/_grpc.py
+++ b/shallotmux/transport/_grpc.py
@@ -18,14 +18,9 @@
 from shallotmux.binding import bind_when_free
 from shallotmux.errors import AuthorityUnavailable, OutcomeUnknown
 from shallotmux.transport import _peer_pb2 as wire
-from shallotmux.transport._link import (
-    FLUSH_INTERVAL_S,
-    NAME_HEADER,
-    PeerChannel,
-    PeerLink,
-    make_channel,
-    set_user_timeout,
-)
+from shallotmux.transport._calls import CallConnection
+from shallotmux.transport._channel import PeerChannel, make_channel, set_user_timeout
+from shallotmux.transport._link import FLUSH_INTERVAL_S, NAME_HEADER, PeerLink
 from shallotmux.transport._messages import (
     Channel,
     ForwardAnswer,
@@ -34,7 +29,7 @@
     Refusal,
     instance_name,
 )
-from shallotmux.transport._peer_grpc import PeerBase
+from shallotmux.transport._peer_grpc import PeerBase, PeerStub
 from shallotmux.transport._tls import PeerTls, certified_names
 
 #: IP address and port of each instance, by name. The mapping is shared and read whenever a
@@ -113,6 +108,8 @@
                             link.queue.flush_delayed()
             finally:
                 self._nursery = None
+                for link in self._links.values():
+                    link.calls.close()
                 await _close_server(server)
 
     def send(self, envelope: PeerEnvelope) -> None:
@@ -200,23 +197,30 @@
         return make_channel(self._addresses[peer], peer, self._client_context)
 
     async def _call_forward(self, peer: str, request: Any, timeout_s: float) -> Any:
-        link = self.link(peer)
+        connection = self.link(peer).calls.connection()
+        with connection.use():
+            try:
+                # asyncio.wait_for would lose a cancellation in the turn in which an attempt fails.
+                async with asyncio.timeout(timeout_s):
+                    await connection.wait_open()
+            except Exception as error:
+                # See PeerLink.connect: grpclib raises errors of many kinds.
+                raise AuthorityUnavailable(
+                    f'cannot connect: {error!r}', step='forward', peer=peer
+                ) from error
+            return await self._send_forward(connection, peer, request, timeout_s)
+
+    async def _send_forward(
+        self, connection: CallConnection, peer: str, request: Any, timeout_s: float
+    ) -> Any:
         headers = {NAME_HEADER: self._name}
-        try:
-            # asyncio.wait_for would lose a cancellation in the turn in which an attempt fails.
-            async with asyncio.timeout(timeout_s):
-                stub = await link.open_call_stub()
-        except Exception as error:
-            # See PeerLink.connect: grpclib raises errors of many kinds.
-            link.close_call_channel()
-            raise AuthorityUnavailable(
-                f'cannot connect: {error!r}', step='forward', peer=peer
-            ) from error
+        stub = PeerStub(connection.channel)
         try:
             return await stub.Forward(request, timeout=timeout_s, metadata=headers)
         except Exception as error:
-            # The connection may be dead, so close it; this also ends other calls on it.
-            link.close_call_channel()
+            # The connection may be dead, so further calls use another one. Those under way keep this
+            # one: it may only be the answer to this call that takes long.
+            connection.retire()
             raise OutcomeUnknown(f'no answer: {error!r}', step='forward', peer=peer) from error
 
 
--- a/shallotmux/transport/_link.py
+++ b/shallotmux/transport/_link.py
@@ -3,20 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import ssl
 from collections import deque
 from collections.abc import Callable, Iterator
 from random import Random
 from typing import Any
 
 from eliot import log_message
-from grpclib.client import Channel
-from grpclib.config import Configuration
 from grpclib.exceptions import StreamTerminatedError
 
-from shallotmux.addresses import split_address
 from shallotmux.transport import _peer_pb2 as wire
+from shallotmux.transport._calls import PeerCalls
+from shallotmux.transport._channel import CONNECT_TIMEOUT_S, PeerChannel
 from shallotmux.transport._messages import PeerEnvelope
 from shallotmux.transport._peer_grpc import PeerStub
 
@@ -39,14 +36,6 @@
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 
-#: The kernel closes a connection whose data stays unacknowledged for this time. Without it, the
-#: retransmission interval grows to minutes and delays the stream after a partition heals.
-USER_TIMEOUT_MS = 3000
-
-#: Limit for opening a connection. A peer that is powered off or partitioned does not answer, and
-#: the system's default limit is minutes.
-CONNECT_TIMEOUT_S = 1.0
-
 #: Time after which a stream counts as broken if something was sent and nothing was received. Every
 #: message of a leader is answered, and a connection may fail without a reset.
 STREAM_TIMEOUT_S = 2.5
@@ -110,41 +99,6 @@
             yield envelope
 
 
-class PeerChannel(Channel):
-    """gRPC channel whose connection is closed early if the peer is unresponsive.
-
-    A channel may be closed because of one call while another call is still connecting. The
-    connection must not outlive the channel: grpclib raises an error when an unclosed one is
-    garbage-collected.
-    """
-
-    def __init__(self, *address: Any, **options: Any) -> None:
-        super().__init__(*address, **options)
-        self._is_closed = False
-
-    def close(self) -> None:
-        """Close the channel permanently, including a connection that is still being opened."""
-        self._is_closed = True
-        super().close()
-
-    async def _create_connection(self) -> Any:
-        protocol = await super()._create_connection()
-        if self._is_closed:
-            protocol.processor.close()
-            raise ConnectionAbortedError('the channel was closed')
-        if protocol.connection.is_closing():
-            # A connection that has ended does not have a transport any more.
-            raise ConnectionResetError('the connection ended while it was opened')
-        sock = protocol.connection.get_peer()._transport.get_extra_info('socket')  # noqa: SLF001
-        set_user_timeout(sock)
-        return protocol
-
-
-def set_user_timeout(sock: socket.socket) -> None:
-    """Set ``TCP_USER_TIMEOUT``, so that the kernel closes connections to unresponsive peers."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-
 class StreamWatchdog:
     """Detects a peer that no longer answers on a stream."""
 
@@ -189,8 +143,8 @@
         self._open_channel = open_channel
         # A channel is bound to the event loop, so it is created by a task that runs in the loop.
         self._channel: PeerChannel | None = None
-        # Calls use a separate connection, which is closed if one of them is not answered in time.
-        self._call_channel: PeerChannel | None = None
+        #: Calls use a separate connection, which is replaced if one of them is not answered in time.
+        self.calls = PeerCalls(lambda: open_channel(peer))
         self._deliver = deliver
         self._watchdog = StreamWatchdog()
         self._random = Random(f'{own_name}/{peer}')  # noqa: S311
@@ -227,21 +181,7 @@
         finally:
             self._connecting = False
             self._close_channel()
-            self.close_call_channel()
-
-    async def open_call_stub(self) -> PeerStub:
-        """Return a stub for calls to the peer; the connection is opened if there is none."""
-        if self._call_channel is None:
-            self._call_channel = self._open_channel(self._peer)
-        channel = self._call_channel
-        await channel.__connect__()
-        return PeerStub(channel)
-
-    def close_call_channel(self) -> None:
-        """Close the connection for calls; the next call opens a new one."""
-        if self._call_channel is not None:
-            self._call_channel.close()
-            self._call_channel = None
+            self.calls.close()
 
     async def run_stream(self, stream: Any) -> None:
         """Send and receive on an open stream until it ends or the peer stops answering.
@@ -295,13 +235,6 @@
             await stream.send_message(batch)
 
 
-def make_channel(address: str, peer: str, context: ssl.SSLContext | None) -> PeerChannel:
-    """Return a channel that connects on first use; with TLS, it verifies the peer's name."""
-    target = split_address(address)
-    config = Configuration(ssl_target_name_override=peer if context else None)
-    return PeerChannel(target.host, target.port, ssl=context, config=config)
-
-
 def _to_wire(envelope: PeerEnvelope) -> Any:
     return wire.Envelope(
         group=envelope.group,
--- a/tests/transport/test_broken_peers.py
+++ b/tests/transport/test_broken_peers.py
@@ -19,7 +19,7 @@
     PeerEnvelope,
     SelfNamedAddresses,
 )
-from shallotmux.transport._link import make_channel
+from shallotmux.transport._channel import make_channel
 
 CALLS = 200
 CALL_TIMEOUT_S = 1.0
--- a/tests/transport/test_grpc.py
+++ b/tests/transport/test_grpc.py
@@ -19,7 +19,7 @@
     PeerEnvelope,
     PeerTls,
 )
-from shallotmux.transport._link import make_channel
+from shallotmux.transport._channel import make_channel
 
 LOOPBACK = '127.0.0.1:0'
 TEST_TIMEOUT_S = 10
