Announce the zones of control instances to their leader

Only the settings of each instance name its zone.

A join request now carries the zone, and each member announces its zone to the leader of each term, every 0.25 s until there is an answer and then every 5 s. This is a message of its own: as a join request of a member, it would let the leader add the identity of a wiped disk again. The answer holds the zones of the others, so a new leader also knows those of members that were lost before. Builds that know no zones ignore the field of the request and refuse the announcement, which counts as an answer.

Members without a zone in their settings announce nothing.

--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -23,6 +23,7 @@
 from shallotmux.control._group_changes import ControlGroupView, next_group_change
 from shallotmux.control._group_health import GroupHealth, assess_group, log_health
 from shallotmux.control._leader_search import LeaderSearch
+from shallotmux.control._member_zones import MemberZones
 from shallotmux.errors import ShallotmuxError, StorageError
 from shallotmux.fleet import (
     JOIN_GROUP,
@@ -92,6 +93,7 @@
     :param seeds: names of the control instances in the settings.
     :param bootstrap: whether the deployment starts for the first time.
     :param tolerated: number of disks that may be lost at once.
+    :param zone: availability zone of the instance; empty if it is unknown.
     """
 
     name: str
@@ -99,6 +101,7 @@
     seeds: tuple[str, ...]
     bootstrap: bool
     tolerated: int = 1
+    zone: str = ''
 
 
 def replica_options() -> ReplicaOptions:
@@ -171,6 +174,8 @@
         #: Health of the group; None while this instance does not lead.
         self.health: GroupHealth | None = None
         self._search = LeaderSearch(settings.name)
+        #: Zones of the members.
+        self.zones = MemberZones(self.identity, settings.zone, network, self.driver.status)
         self._known_peers = set(settings.seeds) | {settings.name}
         self._joining: dict[str, float] = {}
         self._led_term = 0
@@ -205,6 +210,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.driver.run)
             nursery.start_soon(self._join_repeatedly)
+            nursery.start_soon(self.zones.announce_repeatedly)
             while True:
                 await trio.sleep(MEMBERSHIP_INTERVAL_S)
                 self._update_membership(trio.current_time())
@@ -220,6 +226,7 @@
         except msgspec.DecodeError as error:
             return ForwardAnswer(refusal=Refusal.INVALID, detail=str(error))
         self._joining[join.identity] = trio.current_time()
+        self.zones.record(join.identity, join.zone)
         # What peers have told is not passed on: two instances could keep a leader that is gone in each
         # other's memory.
         status = self.driver.status()
@@ -257,6 +264,7 @@
         self._joining = {
             identity: at for identity, at in self._joining.items() if now - at < JOIN_REQUEST_TTL_S
         }
+        self.zones.retain(status.configuration.members | self._joining.keys())
         if not self.driver.is_leader():
             self.health = None
             return
@@ -305,7 +313,7 @@
         return not is_member or now - self._leader_contact_at > REJOIN_AFTER_S
 
     async def _send_join_request(self, peer: str) -> None:
-        payload = encode_fleet_message(Join(self.identity))
+        payload = encode_fleet_message(Join(self.identity, self.settings.zone))
         try:
             answer = await self._network.forward(peer, JOIN_GROUP, payload, JOIN_TIMEOUT_S)
             if answer.refusal is Refusal.NONE:
--- a/shallotmux/fleet/__init__.py
+++ b/shallotmux/fleet/__init__.py
@@ -6,9 +6,12 @@
 from shallotmux.fleet._listing import EngineRole, ListedEndpoint, Listing
 from shallotmux.fleet._load_sharing import LoadSharing, PeerLoads
 from shallotmux.fleet._messages import (
+    ANNOUNCEMENT_GROUP,
     JOIN_GROUP,
     KNOWLEDGE_GROUP,
     MAX_NEIGHBOURS,
+    Announcement,
+    AnnouncementAnswer,
     CustomerCount,
     CutOff,
     Join,
@@ -16,6 +19,8 @@
     Knowledge,
     Poll,
     ServiceDemand,
+    decode_announcement,
+    decode_announcement_answer,
     decode_join,
     decode_join_answer,
     decode_knowledge,
@@ -25,9 +30,12 @@
 from shallotmux.fleet._poller import DecodeDocument, FleetPoller, FleetView
 
 __all__ = (
+    'ANNOUNCEMENT_GROUP',
     'JOIN_GROUP',
     'KNOWLEDGE_GROUP',
     'MAX_NEIGHBOURS',
+    'Announcement',
+    'AnnouncementAnswer',
     'CustomerCount',
     'CutOff',
     'DecodeDocument',
@@ -44,6 +52,8 @@
     'Poll',
     'ServiceDemand',
     'TrueClock',
+    'decode_announcement',
+    'decode_announcement_answer',
     'decode_join',
     'decode_join_answer',
     'decode_knowledge',
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TypeAlias
+
 import msgspec
 
 from shallotmux.crashes import CrashNews, Position
@@ -16,6 +18,9 @@
 #: Group name under which join requests are forwarded to a control instance.
 JOIN_GROUP = 'join'
 
+#: Group name under which members announce their zone to the leader of the control group.
+ANNOUNCEMENT_GROUP = 'announcement'
+
 
 #: Maximum number of entry instances of its own zone that an instance is told of.
 MAX_NEIGHBOURS = 16
@@ -116,9 +121,12 @@
     """Request of a control instance to join the control group.
 
     :param identity: name of the instance and incarnation of its disk.
+    :param zone: availability zone of the instance; empty if it is unknown, as in requests of earlier
+        builds.
     """
 
     identity: str
+    zone: str = ''
 
 
 class JoinAnswer(msgspec.Struct, frozen=True):
@@ -134,7 +142,30 @@
     term: int = 0
 
 
-def encode_fleet_message(message: Poll | Knowledge | Join | JoinAnswer) -> bytes:
+class Announcement(msgspec.Struct, frozen=True):
+    """Announcement of a member of the control group to its leader.
+
+    :param identity: identity of the member in the group.
+    :param zone: availability zone of the member.
+    """
+
+    identity: str
+    zone: str
+
+
+class AnnouncementAnswer(msgspec.Struct, frozen=True):
+    """Answer to an announcement.
+
+    :param zones: zones of the members by identity, as far as the answering instance knows them.
+    """
+
+    zones: dict[str, str]
+
+
+FleetMessage: TypeAlias = Poll | Knowledge | Join | JoinAnswer | Announcement | AnnouncementAnswer
+
+
+def encode_fleet_message(message: FleetMessage) -> bytes:
     """Encode a message as MessagePack."""
     return msgspec.msgpack.encode(message)
 
@@ -142,4 +173,6 @@
 decode_poll = guard_decoder(msgspec.msgpack.Decoder(Poll).decode)
 decode_knowledge = guard_decoder(msgspec.msgpack.Decoder(Knowledge).decode)
 decode_join = guard_decoder(msgspec.msgpack.Decoder(Join).decode)
+decode_announcement = guard_decoder(msgspec.msgpack.Decoder(Announcement).decode)
+decode_announcement_answer = guard_decoder(msgspec.msgpack.Decoder(AnnouncementAnswer).decode)
 decode_join_answer = guard_decoder(msgspec.msgpack.Decoder(JoinAnswer).decode)
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -25,7 +25,13 @@
     WindowReporter,
 )
 from shallotmux.errors import SettingsError
-from shallotmux.fleet import JOIN_GROUP, KNOWLEDGE_GROUP, DecodeDocument, TrueClock
+from shallotmux.fleet import (
+    ANNOUNCEMENT_GROUP,
+    JOIN_GROUP,
+    KNOWLEDGE_GROUP,
+    DecodeDocument,
+    TrueClock,
+)
 from shallotmux.forwarding import HttpListener
 from shallotmux.origins import ORIGIN_GROUP
 from shallotmux.programs._control_gauges import ControlGauges
@@ -90,6 +96,7 @@
                 settings.seeds,
                 settings.bootstrap,
                 settings.tolerated_disk_losses,
+                settings.zone,
             ),
             self._network,
             SystemRandom(),
@@ -163,6 +170,8 @@
                 return self._knowledge.answer_origins(command)
             case _ if group == JOIN_GROUP:
                 return self.member.handle_join_request(command)
+            case _ if group == ANNOUNCEMENT_GROUP:
+                return self.member.zones.handle_announcement(command)
             case _ if group == CONTROL_GROUP:
                 return await self.member.driver.commit(command, FORWARDED_COMMIT_TIMEOUT_S)
         return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail=f'no group {group!r}')
--- a/tests/control/_instances.py
+++ b/tests/control/_instances.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import shutil
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -13,7 +14,7 @@
 from shallotmux.authority import DocumentRead, PutDocument, ReadDocument, run_inline
 from shallotmux.control import CONTROL_GROUP, ControlMember, MemberSettings
 from shallotmux.errors import ShallotmuxError
-from shallotmux.fleet import JOIN_GROUP
+from shallotmux.fleet import ANNOUNCEMENT_GROUP, JOIN_GROUP
 from shallotmux.transport import ForwardAnswer, MemoryPeerFabric, PeerEnvelope, Refusal
 
 SEEDS = ('10.0.0.1:7', '10.0.0.2:7', '10.0.0.3:7')
@@ -35,6 +36,8 @@
         """Answer a forwarded command."""
         if group == JOIN_GROUP:
             return self.member.handle_join_request(command)
+        if group == ANNOUNCEMENT_GROUP:
+            return self.member.zones.handle_announcement(command)
         if group == CONTROL_GROUP:
             return await self.member.driver.commit(command, 0.9)
         return ForwardAnswer(refusal=Refusal.NOT_COMMITTED)
@@ -42,7 +45,10 @@
 
 @dataclass(slots=True)
 class ControlGroup:
-    """A group of control instances; a stopped one keeps its folder unless it is wiped."""
+    """A group of control instances; a stopped one keeps its folder unless it is wiped.
+
+    :param zones: zone of each instance in its settings; others have none.
+    """
 
     nursery: trio.Nursery
     folder: Path
@@ -51,6 +57,7 @@
     running: dict[str, ControlInstance] = field(default_factory=dict)
     #: Instances that were paused for good; they still have their files open.
     stood_still: dict[str, ControlInstance] = field(default_factory=dict)
+    zones: Mapping[str, str] = field(default_factory=dict)
 
     def data(self, name: str) -> Path:
         """Return the data folder of an instance."""
@@ -61,7 +68,8 @@
     ) -> ControlInstance:
         """Start an instance with the present content of its folder."""
         network = self.fabric.network(name)
-        settings = MemberSettings(name, self.data(name), seeds, bootstrap, self.tolerated)
+        zone = self.zones.get(name, '')
+        settings = MemberSettings(name, self.data(name), seeds, bootstrap, self.tolerated, zone)
         random = Random(f'{name}/{trio.current_time()}')
         scope = trio.CancelScope()
         instance = ControlInstance(ControlMember(settings, network, random, run_inline), scope)
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -11,8 +11,11 @@
 
 from shallotmux.errors import EndpointError
 from shallotmux.fleet import (
+    Announcement,
     Join,
     Poll,
+    decode_announcement,
+    decode_announcement_answer,
     decode_join,
     decode_join_answer,
     decode_knowledge,
@@ -34,8 +37,10 @@
 GRANT = msgspec.msgpack.encode(['permits', 'a~1', 1, {}])
 
 DECODERS = (
+    decode_announcement_answer,
     decode_poll,
     decode_knowledge,
+    decode_announcement,
     decode_join,
     decode_join_answer,
     decode_origin_call,
@@ -95,3 +100,11 @@
     """Guards against a decoder that refuses what instances send."""
     assert decode_poll(msgspec.msgpack.encode(Poll('a~1', 1))) == Poll('a~1', 1)
     assert decode_join(msgspec.msgpack.encode(Join('a~1'))) == Join('a~1')
+
+
+def test_join_request_of_a_build_without_zones_is_read() -> None:
+    """Guards against builds side by side of which one cannot join the group that the other leads."""
+    assert decode_join(msgspec.msgpack.encode({'identity': 'a~1'})) == Join('a~1', zone='')
+    later = {'identity': 'a~1', 'zone': 'z', 'later': [1]}
+    assert decode_join(msgspec.msgpack.encode(later)) == Join('a~1', 'z')
+    assert decode_announcement(msgspec.msgpack.encode(later)) == Announcement('a~1', 'z')
