Choose the voter to promote and to remove by zone

After the loss of a voter, the learner with the lowest address was promoted, whatever its zone: of three voters, two could stand in one zone while an instance of another zone was ready, and the loss of that zone left no majority. A surplus voter was removed by the time since its last answer, which among voters that all answer is chance.

The learner whose promotion spreads the voters best is promoted: by the sum over the zones of the squared number of voters, without the lost ones first and with them second. A surplus voter that is silent is removed as before, and otherwise one of the most crowded zone. Members of unknown zones count as those of one zone, so without zones the order of addresses decides as before.

--- a/shallotmux/control/_group_changes.py
+++ b/shallotmux/control/_group_changes.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from shallotmux.control._voter_placement import choose_learner, crowding
 from shallotmux.replication import (
     MAX_VOTERS,
     AddLearner,
@@ -45,6 +46,7 @@
     :param joining: identities with a valid join request.
     :param led_since: local time at which the leadership began.
     :param tolerated: number of disks that may be lost at once.
+    :param zones: availability zones by identity, as far as they are known.
     """
 
     leader: str
@@ -56,6 +58,7 @@
     now: float
     tolerated: int = 1
     timeouts: MemberTimeouts = field(default_factory=MemberTimeouts)
+    zones: Mapping[str, str] = field(default_factory=dict)
 
     def silence_s(self, identity: str) -> float:
         """Return the time since the last answer of a member, or since the leadership began."""
@@ -145,19 +148,28 @@
     ready = _ready_learners(view)
     voters = view.configuration.voters
     vacancies = view.target_voters - len(voters)
-    is_exchange_due = vacancies == 0 and any(map(view.is_lost, voters))
-    if ready and (vacancies > 0 or is_exchange_due):
-        return PromoteLearner(ready[0])
+    lost = [each for each in voters if view.is_lost(each)]
+    if ready and (vacancies > 0 or (vacancies == 0 and lost)):
+        return PromoteLearner(choose_learner(ready, voters, lost, view.zones))
     return None
 
 
 def _remove_surplus_voter(view: ControlGroupView) -> MembershipChange | None:
-    """Remove the voter that has been silent for the longest time while there are too many."""
+    """Remove one of too many voters.
+
+    It is the one that has been silent for the longest time, if one is silent, and otherwise one of the
+    most crowded zone.
+    """
     voters = view.configuration.voters
     if len(voters) <= view.target_voters:
         return None
     removable = [each for each in sorted(voters) if _keeps_quorum(view, each)]
-    return RemoveMember(max(removable, key=view.silence_s)) if removable else None
+    silent = [each for each in removable if not view.is_live(each)]
+    if silent:
+        return RemoveMember(max(silent, key=view.silence_s))
+    if removable:
+        return RemoveMember(min(removable, key=lambda each: crowding(voters - {each}, view.zones)))
+    return None
 
 
 def _remove_lost_learner(view: ControlGroupView) -> MembershipChange | None:
--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -281,6 +281,7 @@
             self._led_since,
             now,
             self.settings.tolerated,
+            zones=self.zones.known(),
         )
         self._update_health(assess_group(view))
         change = next_group_change(view)
--- /dev/null
+++ b/tests/control/test_zone_spread.py
@@ -0,0 +1,66 @@
+"""Tests of the zones of the voters, with all parts of the control instances."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import trio
+import trio.testing
+
+from shallotmux.control import MemberTimeouts
+from shallotmux.transport import instance_name
+from tests.control._instances import SEEDS, ControlGroup
+
+FIRST, SECOND, THIRD = SEEDS
+FOURTH, FIFTH = '10.0.0.4:7', '10.0.0.5:7'
+
+#: Time from a loss until its voters are replaced, with an election before.
+REPLACED_WITHIN_S = MemberTimeouts().replace_after_s + 3.5
+
+#: Interval at which the voters are observed, far below that of changes.
+OBSERVATION_INTERVAL_S = 0.02
+
+
+def voters_by_zone(group: ControlGroup) -> Mapping[str, int]:
+    """Return the numbers of voters by zone in the leader's configuration."""
+    return Counter(group.zones[instance_name(each)] for each in group.voters())
+
+
+@asynccontextmanager
+async def observe_moments_without_majority(group: ControlGroup) -> AsyncIterator[list[object]]:
+    """Record the voters by zone when the loss of a zone would leave no majority of them."""
+    found: list[object] = []
+
+    async def observe() -> None:
+        while True:
+            counts = voters_by_zone(group)
+            total = sum(counts.values())
+            if total and total - max(counts.values()) < total // 2 + 1:
+                found.append(dict(counts))
+            await trio.sleep(OBSERVATION_INTERVAL_S)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(observe)
+        yield found
+        nursery.cancel_scope.cancel()
+
+
+async def test_voter_is_replaced_by_an_instance_of_a_zone_without_voters(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, tmp_path: Path
+) -> None:
+    """Guards against two of three voters in a zone, though another zone has an instance.
+
+    The learner with the lowest address was promoted, whatever its zone.
+    """
+    zones = dict(zip((*SEEDS, FOURTH, FIFTH), 'abcad', strict=True))
+    group = ControlGroup(nursery, tmp_path, zones=zones)
+    await group.bootstrap(FOURTH, FIFTH)
+    async with observe_moments_without_majority(group) as moments:
+        await trio.sleep(3)
+        await group.kill(THIRD)
+        await trio.sleep(REPLACED_WITHIN_S)
+    assert voters_by_zone(group) == {'a': 1, 'b': 1, 'd': 1}
+    assert not moments
