Exchange a voter of a crowded zone while nothing else is wrong

Voters were chosen only when one was missing or lost. Two of three voters in one zone, as after the loss of another zone or with seeds in one zone, stayed there for ever, and the loss of that zone left no majority.

The leader now promotes a learner of a zone with fewer voters and then removes a voter of the most crowded one, if the spread gets better and all voters and the learner have been live for 10 s with the same voters. The change goes one step at a time, never removes the leader, and makes the group at no step less able to bear the loss of a zone than before.

Two of three voters in one zone were exchanged within 15 s of the start (test clock); restarts in turn, each of 3 s with 3 s between, caused none in two rounds of four instances.

--- a/shallotmux/control/_group_changes.py
+++ b/shallotmux/control/_group_changes.py
@@ -5,7 +5,12 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from shallotmux.control._voter_placement import choose_learner, crowding
+from shallotmux.control._voter_placement import (
+    SPREAD_AFTER_S,
+    choose_exchange,
+    choose_learner,
+    crowding,
+)
 from shallotmux.replication import (
     MAX_VOTERS,
     AddLearner,
@@ -47,6 +52,7 @@
     :param led_since: local time at which the leadership began.
     :param tolerated: number of disks that may be lost at once.
     :param zones: availability zones by identity, as far as they are known.
+    :param live_since: local times since when members have been live and the voters the same.
     """
 
     leader: str
@@ -59,6 +65,7 @@
     tolerated: int = 1
     timeouts: MemberTimeouts = field(default_factory=MemberTimeouts)
     zones: Mapping[str, str] = field(default_factory=dict)
+    live_since: Mapping[str, float] = field(default_factory=dict)
 
     def silence_s(self, identity: str) -> float:
         """Return the time since the last answer of a member, or since the leadership began."""
@@ -79,6 +86,10 @@
         """Return whether a voter has been silent for so long that it is replaced."""
         return self.silence_s(identity) >= self.timeouts.replace_after_s
 
+    def is_settled(self, identity: str) -> bool:
+        """Return whether a member has been live for so long that a live voter may be exchanged."""
+        return self.now - self.live_since.get(identity, self.now) >= SPREAD_AFTER_S
+
     def is_caught_up(self, identity: str) -> bool:
         """Return whether the log of a member is nearly complete."""
         status = self.followers.get(identity)
@@ -111,6 +122,7 @@
         _add_learner,
         _remove_surplus_voter,
         _promote_learner,
+        _spread_voters,
         _remove_lost_learner,
     )
     changes = (step(view) for step in steps)
@@ -154,6 +166,19 @@
     return None
 
 
+def _spread_voters(view: ControlGroupView) -> MembershipChange | None:
+    """Promote a learner in exchange for a voter of a more crowded zone, which is removed afterwards.
+
+    Only a group whose voters have been live for some time is changed.
+    """
+    voters = view.configuration.voters
+    ready = [each for each in _ready_learners(view) if view.is_settled(each)]
+    if len(voters) != view.target_voters or not all(map(view.is_settled, voters)):
+        return None
+    learner = choose_exchange(ready, voters, view.zones)
+    return PromoteLearner(learner) if learner else None
+
+
 def _remove_surplus_voter(view: ControlGroupView) -> MembershipChange | None:
     """Remove one of too many voters.
 
--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from random import Random
 
@@ -24,6 +24,7 @@
 from shallotmux.control._group_health import GroupHealth, assess_group, log_health
 from shallotmux.control._leader_search import LeaderSearch
 from shallotmux.control._member_zones import MemberZones
+from shallotmux.control._voter_placement import MemberStability
 from shallotmux.errors import ShallotmuxError, StorageError
 from shallotmux.fleet import (
     JOIN_GROUP,
@@ -178,6 +179,7 @@
         self.zones = MemberZones(self.identity, settings.zone, network, self.driver.status)
         self._known_peers = set(settings.seeds) | {settings.name}
         self._joining: dict[str, float] = {}
+        self._stability = MemberStability()
         self._led_term = 0
         self._led_since = now
         self._leader_contact_at = now
@@ -271,6 +273,7 @@
         if status.term != self._led_term:
             self._led_term = status.term
             self._led_since = now
+            self._stability = MemberStability()
             log_message(message_type='shallotmux:leading', term=status.term)
         view = ControlGroupView(
             self.identity,
@@ -284,7 +287,9 @@
             zones=self.zones.known(),
         )
         self._update_health(assess_group(view))
-        change = next_group_change(view)
+        live = frozenset(filter(view.is_live, view.configuration.members))
+        live_since = self._stability.update(view.configuration.voters, live, now)
+        change = next_group_change(replace(view, live_since=live_since))
         if change is not None:
             self.driver.change_membership(change)
 
--- a/tests/control/_placements.py
+++ b/tests/control/_placements.py
@@ -24,12 +24,14 @@
     """Members of a control group by zone; the name of an instance starts with its zone.
 
     :param silent: members that do not answer, for longer than all timeouts.
+    :param live_s: time for which all others have been live without a change of the voters.
     """
 
     voters: set[str]
     learners: set[str] = field(default_factory=set)
     silent: set[str] = field(default_factory=set)
     tolerated: int = 1
+    live_s: float = 0.0
 
     def zones(self) -> dict[str, str]:
         """Return the zone of each member."""
@@ -70,6 +72,7 @@
             100.0,
             self.tolerated,
             zones=self.zones(),
+            live_since=dict.fromkeys(members - self.silent, 100.0 - self.live_s),
         )
 
     def settle(self) -> Iterator[str]:
--- a/tests/control/test_voter_placement.py
+++ b/tests/control/test_voter_placement.py
@@ -5,6 +5,7 @@
 import pytest
 
 from shallotmux.control import next_group_change
+from shallotmux.control._voter_placement import MemberStability, choose_exchange
 from shallotmux.replication import PromoteLearner, RemoveMember
 from tests.control._placements import PlacedGroup, zone_of
 
@@ -108,3 +109,65 @@
     group = PlacedGroup({'a1', 'a2', 'b1', 'c1'})
     assert group.leader() == 'a1'
     assert next_group_change(group.view()) == RemoveMember('a2')
+
+
+#: Time after which a live voter may be exchanged, and one that is too short.
+SETTLED_S = 11.0
+UNSETTLED_S = 9.0
+
+
+@pytest.mark.parametrize(
+    ('voters', 'learners', 'tolerated', 'expected'),
+    (
+        (('a1', 'a2', 'a3'), ('b1', 'c1', 'd1'), 1, [1, 1, 1]),
+        (('a1', 'a2', 'b1'), ('a3', 'b2', 'c1'), 1, [1, 1, 1]),
+        (('a1', 'a2', 'b1', 'b2', 'c1'), ('c2', 'd1', 'd2'), 2, [2, 1, 1, 1]),
+        (('a1', 'a2', 'a3', 'b1', 'c1'), ('b2', 'c2', 'd1'), 2, [2, 1, 1, 1]),
+        (('a1', 'a2', 'b1', 'b2', 'c1'), ('d1', 'e1', 'f1'), 2, [1, 1, 1, 1, 1]),
+        (('a1', 'a2', 'a3', 'b1', 'b2'), ('b3', 'a4'), 2, [3, 2]),
+    ),
+)
+def test_voters_are_exchanged_until_they_are_spread_best(
+    voters: tuple[str, ...], learners: tuple[str, ...], tolerated: int, expected: list[int]
+) -> None:
+    """Guards against voters that stay in a crowded zone for ever while nothing is lost.
+
+    A change never leaves a group less able to bear the loss of a zone than it was.
+    """
+    group = PlacedGroup(set(voters), set(learners), tolerated=tolerated, live_s=SETTLED_S)
+    leader, could_bear = group.leader(), group.bears_each_zone()
+    for step in group.settle():
+        assert group.bears_each_zone() or not could_bear, step
+        could_bear = group.bears_each_zone()
+        assert leader in group.voters, step
+    assert group.voters_by_zone() == expected
+
+
+def test_group_that_is_not_settled_is_left_alone() -> None:
+    """Guards against changes beside restarts and pauses, which would add losses to these."""
+    voters, learners = {'a1', 'a2', 'b1'}, {'c1'}
+    settled = PlacedGroup(voters, learners, live_s=SETTLED_S)
+    assert next_group_change(settled.view()) == PromoteLearner('c1')
+    fresh = PlacedGroup(voters, learners, live_s=UNSETTLED_S)
+    assert next_group_change(fresh.view()) is None
+    paused = PlacedGroup(voters, learners, silent={'c1'}, live_s=SETTLED_S)
+    assert next_group_change(paused.view()) == RemoveMember('c1')
+
+
+def test_voters_are_not_exchanged_while_the_zone_of_one_is_unknown() -> None:
+    """Guards against exchanges for a spread that only seems better."""
+    learners, zones = ('d1',), {'a1': 'a', 'a2': 'a', 'd1': 'd'}
+    voters = frozenset(('a1', 'a2', 'b1'))
+    assert choose_exchange(learners, voters, zones) is None
+    assert choose_exchange(learners, voters, {**zones, 'b1': 'b'}) == 'd1'
+    assert choose_exchange(('c1', 'd1'), voters, {**zones, 'b1': 'b'}) == 'd1'
+
+
+def test_member_is_live_since_the_last_silence_or_change_of_the_voters() -> None:
+    """Guards against an instance that restarts again and again and counts as live all the time."""
+    stability = MemberStability()
+    voters = frozenset(('a1', 'b1'))
+    assert stability.update(voters, ('a1', 'b1', 'c1'), 1.0) == {'a1': 1.0, 'b1': 1.0, 'c1': 1.0}
+    assert stability.update(voters, ('a1', 'c1'), 2.0) == {'a1': 1.0, 'c1': 1.0}
+    assert stability.update(voters, ('a1', 'b1'), 3.0) == {'a1': 1.0, 'b1': 3.0}
+    assert stability.update(voters | {'c1'}, ('a1', 'c1'), 4.0) == {'a1': 4.0, 'c1': 4.0}
--- a/tests/control/test_zone_spread.py
+++ b/tests/control/test_zone_spread.py
@@ -64,3 +64,33 @@
         await trio.sleep(REPLACED_WITHIN_S)
     assert voters_by_zone(group) == {'a': 1, 'b': 1, 'd': 1}
     assert not moments
+
+
+async def test_voter_is_exchanged_for_an_instance_of_a_zone_without_voters(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, tmp_path: Path
+) -> None:
+    """Guards against two of three voters in a zone for ever, since nothing else is wrong."""
+    zones = dict(zip((*SEEDS, FOURTH), 'aabc', strict=True))
+    group = ControlGroup(nursery, tmp_path, zones=zones)
+    await group.bootstrap(FOURTH)
+    await trio.sleep(8)
+    assert voters_by_zone(group) == {'a': 2, 'b': 1}
+    await trio.sleep(7)
+    assert voters_by_zone(group) == {'a': 1, 'b': 1, 'c': 1}
+    assert await group.put(1)
+
+
+async def test_restarts_in_turn_cause_no_exchange(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, tmp_path: Path
+) -> None:
+    """Guards against changes of the voters beside restarts, each of which is a loss by itself."""
+    zones = dict(zip((*SEEDS, FOURTH), 'aabc', strict=True))
+    group = ControlGroup(nursery, tmp_path, zones=zones)
+    await group.bootstrap(FOURTH)
+    await trio.sleep(3)
+    for name in (*SEEDS, FOURTH) * 2:
+        await group.kill(name)
+        await trio.sleep(3)
+        await group.start(name)
+        await trio.sleep(3)
+        assert group.voters() == set(SEEDS)
