Keep a live voter that is removed in the group as a learner

A voter that was removed while it answered, since the group had one too many or to spread the voters over the zones, was out of the group for 3.3 s (test clock) and refused operations for a part of it: a removed member is not told of its removal, and asks to join only after 3 s without a leader.

The leader now records a join request in the name of a live voter that it removes, so that the next change adds it as a learner, before it misses the leader. A request of an instance drops those under identities that its disk no longer holds; otherwise, an instance that lost its disk after its removal would be added and removed under both identities in turn until the older request expires.

Each of 29 rounds of changes through all instances after an exchange is acknowledged. Both tests failed before, the second one with the join request in the voter's name alone.

--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -22,6 +22,7 @@
 )
 from shallotmux.control._group_changes import ControlGroupView, next_group_change
 from shallotmux.control._group_health import GroupHealth, assess_group, log_health
+from shallotmux.control._join_requests import JoinRequests
 from shallotmux.control._leader_search import LeaderSearch
 from shallotmux.control._member_zones import MemberZones
 from shallotmux.control._voter_placement import MemberStability
@@ -37,6 +38,8 @@
 from shallotmux.replication import (
     Configuration,
     Effects,
+    MembershipChange,
+    RemoveMember,
     Replica,
     ReplicaOptions,
     Role,
@@ -66,8 +69,7 @@
 #: Interval at which the leader checks the membership, and at which non-members ask to join.
 MEMBERSHIP_INTERVAL_S = 0.25
 
-#: Time for which a join request is valid; instances send it again until they are members.
-JOIN_REQUEST_TTL_S = 3.0
+#: Timeout of a join request.
 JOIN_TIMEOUT_S = 0.5
 
 #: Time without contact to a leader after which a member asks its peers for it and to join again, as it
@@ -178,7 +180,7 @@
         #: Zones of the members.
         self.zones = MemberZones(self.identity, settings.zone, network, self.driver.status)
         self._known_peers = set(settings.seeds) | {settings.name}
-        self._joining: dict[str, float] = {}
+        self._joining = JoinRequests()
         self._stability = MemberStability()
         self._led_term = 0
         self._led_since = now
@@ -227,7 +229,7 @@
             join = decode_join(payload)
         except msgspec.DecodeError as error:
             return ForwardAnswer(refusal=Refusal.INVALID, detail=str(error))
-        self._joining[join.identity] = trio.current_time()
+        self._joining.record(join.identity, trio.current_time())
         self.zones.record(join.identity, join.zone)
         # What peers have told is not passed on: two instances could keep a leader that is gone in each
         # other's memory.
@@ -263,10 +265,8 @@
     def _update_membership(self, now: float) -> None:
         status = self.driver.status()
         self._known_peers.update(instance_name(each) for each in status.configuration.members)
-        self._joining = {
-            identity: at for identity, at in self._joining.items() if now - at < JOIN_REQUEST_TTL_S
-        }
-        self.zones.retain(status.configuration.members | self._joining.keys())
+        joining = self._joining.valid(now)
+        self.zones.retain(status.configuration.members | joining)
         if not self.driver.is_leader():
             self.health = None
             return
@@ -279,7 +279,7 @@
             self.identity,
             status.configuration,
             self.driver.followers(),
-            frozenset(self._joining) - {self.identity},
+            joining - {self.identity},
             status.last_index,
             self._led_since,
             now,
@@ -290,8 +290,13 @@
         live = frozenset(filter(view.is_live, view.configuration.members))
         live_since = self._stability.update(view.configuration.voters, live, now)
         change = next_group_change(replace(view, live_since=live_since))
-        if change is not None:
-            self.driver.change_membership(change)
+        if change is not None and self.driver.change_membership(change):
+            self._keep_as_learner(change, view)
+
+    def _keep_as_learner(self, change: MembershipChange, view: ControlGroupView) -> None:
+        """Let a removed voter join again at once if it is live, since it is not told of its removal."""
+        if isinstance(change, RemoveMember) and view.is_live(change.name):
+            self._joining.record_for_removed(change.name, view.now)
 
     def _update_health(self, health: GroupHealth) -> None:
         if health != self.health:
--- a/tests/control/test_zone_spread.py
+++ b/tests/control/test_zone_spread.py
@@ -94,3 +94,50 @@
         await group.start(name)
         await trio.sleep(3)
         assert group.voters() == set(SEEDS)
+
+
+async def test_voter_that_was_exchanged_stays_in_the_group(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, tmp_path: Path
+) -> None:
+    """Guards against an instance that refuses operations for seconds, since it lost its vote.
+
+    It is not told of its removal, and asked to join again only after 3 s without a leader.
+    """
+    zones = dict(zip((*SEEDS, FOURTH), 'aabc', strict=True))
+    group = ControlGroup(nursery, tmp_path, zones=zones)
+    await group.bootstrap(FOURTH)
+    with trio.fail_after(15):
+        while group.voters() >= set(SEEDS):
+            await trio.sleep(0.1)
+    for version in range(1, 30):
+        for name in group.running:
+            assert await group.put(version, through=name)
+        await trio.sleep(0.1)
+    configuration = (await group.wait_for_leader()).member.driver.status().configuration
+    assert set(SEEDS) < configuration.members
+
+
+async def test_exchanged_voter_that_loses_its_disk_joins_once(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, tmp_path: Path
+) -> None:
+    """Guards against two identities of an instance that are added and removed in turn."""
+    zones = dict(zip((*SEEDS, FOURTH), 'aabc', strict=True))
+    group = ControlGroup(nursery, tmp_path, zones=zones)
+    await group.bootstrap(FOURTH)
+    with trio.fail_after(15):
+        while group.voters() >= set(SEEDS):
+            await trio.sleep(0.1)
+    removed = min(set(SEEDS) - group.voters())
+    await group.kill(removed, wipe=True)
+    await group.start(removed)
+    members = []
+    for _ in range(60):
+        leader = await group.wait_for_leader()
+        configuration = leader.member.driver.status().configuration
+        present = {each for each in configuration.members if instance_name(each) == removed}
+        if not members or members[-1] != present:
+            members.append(present)
+        await trio.sleep(0.1)
+    assert len(members) <= 4, members
+    assert len(members[-1]) == 1
+    assert removed not in members[-1]
