Show whether the control group bears the loss of a zone

The health of the group counted the losses that are borne, whatever the zones of the voters: three voters with two in one zone looked as sound as in three zones.

--- a/shallotmux/programs/_control_gauges.py
+++ b/shallotmux/programs/_control_gauges.py
@@ -47,6 +47,11 @@
             'Further voters that may be lost now; NaN unless this instance leads.',
             registry=registry,
         )
+        self._borne_after_zone_loss = Gauge(
+            'shallotmux_borne_after_zone_loss',
+            'Voters that may be lost besides the zone with the most; NaN unless this instance leads.',
+            registry=registry,
+        )
 
     def update(self, member: ControlMember) -> None:
         """Set the gauges from the state of the member."""
@@ -61,9 +66,18 @@
 
     def _set_health(self, health: GroupHealth | None) -> None:
         if health is None:
-            for gauge in (self._target_voters, self._live_voters, self._borne_losses):
-                gauge.set(math.nan)
+            self._clear_health()
             return
         self._target_voters.set(health.target)
         self._live_voters.set(len(health.voters) - len(health.silent))
         self._borne_losses.set(health.borne_losses)
+        self._borne_after_zone_loss.set(health.borne_after_zone_loss)
+
+    def _clear_health(self) -> None:
+        for gauge in (
+            self._target_voters,
+            self._live_voters,
+            self._borne_losses,
+            self._borne_after_zone_loss,
+        ):
+            gauge.set(math.nan)
