Pass over engines that refuse a role change or never carry it out

What callers saw: roles stay as they are, so that prompts wait for prefill beside idle decode engines, as long as the engine that the plan prefers refuses, cannot be reached or does nothing.

Cause: the plan names one engine. After a refusal the balancer waited for 10 s and named the same one again; one without a connection (not sent) was asked each second, and one that never answers was counted as changed for some seconds and then ordered again. No other engine was tried.

An engine that refused, could not be reached, or did not show its role in time still counts, but gets no order for 10 s, and the plan chooses among the others. A round still ends with the first refusal.

test_engine_that_refuses_for_ever_is_passed_over (both cases) and test_engine_that_never_changes_is_passed_over failed before: 1 engine ordered, 4 orders to one engine in 5 s, and 10 orders to 4 engines.

--- a/shallotmux/control/_role_balancer.py
+++ b/shallotmux/control/_role_balancer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 import msgspec
 import trio
 from eliot import log_message
@@ -20,17 +22,29 @@
 #: same role; more at once would take too many out of service.
 MAX_CHANGES_PER_ROUND = 2
 
-#: Delay before the next order to an engine that refused one.
+#: Time for which an engine gets no order after it refused one, could not be reached, or did not
+#: change. Other engines are ordered meanwhile.
 REFUSAL_BACKOFF_S = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class _SentOrder:
+    """Order that an engine may be carrying out.
+
+    :param until: local time by which the platform's list must show the role.
+    """
+
+    role: EngineRole
+    until: float
+
+
 class RoleBalancer:
     """Keeps the ratio of prefill and decode engines near its target."""
 
     def __init__(self, dependencies: LeaderDependencies) -> None:
         self._dependencies = dependencies
-        self._ordered_roles: dict[str, EngineRole] = {}
-        self._blocked_until: dict[str, float] = {}
+        self._sent_orders: dict[str, _SentOrder] = {}
+        self._passed_over_until: dict[str, float] = {}
 
     async def run(self) -> None:
         """Balance the roles of all services until cancelled."""
@@ -51,20 +65,25 @@
             for each in self._dependencies.knowledge.endpoints_of(service.name)
             if not each.is_leaving
         ]
-        change = plan_role_change(engines)
-        if change is None or self._blocked_until.get(change.endpoint.identity, 0) > now:
+        passed_over = {each for each, until in self._passed_over_until.items() if until > now}
+        change = plan_role_change(engines, passed_over | self._sent_orders.keys())
+        if change is None:
             return False
         return await self._send(change, now + profile.role_change_s + LISTING_DELAY_S)
 
     def _with_ordered_role(self, engine: ListedEndpoint, now: float) -> ListedEndpoint:
         """Return an engine with its ordered role while the list may not show the change yet."""
-        ordered = self._ordered_roles.get(engine.identity)
-        if ordered is None or self._blocked_until.get(engine.identity, 0) <= now:
-            self._ordered_roles.pop(engine.identity, None)
+        order = self._sent_orders.get(engine.identity)
+        if order is None:
             return engine
-        return msgspec.structs.replace(engine, role=ordered)
+        if order.until > now:
+            return msgspec.structs.replace(engine, role=order.role)
+        self._sent_orders.pop(engine.identity)
+        if engine.role is not order.role:
+            self._passed_over_until[engine.identity] = now + REFUSAL_BACKOFF_S
+        return engine
 
-    async def _send(self, change: RoleChange, blocked_until: float) -> bool:
+    async def _send(self, change: RoleChange, listed_by: float) -> bool:
         holder = self._dependencies.term.holder()
         if holder is None:
             return False
@@ -74,10 +93,9 @@
         )
         self._dependencies.term.record_outcome(holder, outcome)
         if outcome in {DutyOutcome.ACCEPTED, DutyOutcome.UNKNOWN}:
-            self._ordered_roles[identity] = change.role
-            self._blocked_until[identity] = blocked_until
-        elif outcome is not DutyOutcome.NOT_SENT:
-            self._blocked_until[identity] = trio.current_time() + REFUSAL_BACKOFF_S
+            self._sent_orders[identity] = _SentOrder(change.role, listed_by)
+        else:
+            self._passed_over_until[identity] = trio.current_time() + REFUSAL_BACKOFF_S
         log_message(
             message_type='shallotmux:role-order',
             endpoint=identity,
--- a/shallotmux/control/_role_plan.py
+++ b/shallotmux/control/_role_plan.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 from dataclasses import dataclass
 
 from shallotmux.control._sizing import MIN_DECODE_ENGINES, count_decode_engines
@@ -13,6 +13,8 @@
 #: engine out of service for seconds, so roles do not follow each endpoint that comes or goes.
 DECODE_ENGINE_SLACK = 1
 
+NONE_PASSED_OVER: Set[str] = frozenset()
+
 
 @dataclass(frozen=True, slots=True)
 class RoleChange:
@@ -22,38 +24,50 @@
     role: EngineRole
 
 
-def plan_role_change(engines: Sequence[ListedEndpoint]) -> RoleChange | None:
-    """Return the next role change, or None if the roles fit.
+def plan_role_change(
+    engines: Sequence[ListedEndpoint], passed_over: Set[str] = NONE_PASSED_OVER
+) -> RoleChange | None:
+    """Return the next role change, or None if the roles fit or no engine is left to change.
 
     Cheap engines are preferred for prefill, since a lost prefill is easily repeated, and regular
     ones for decode. Decode engines are spread over the zones, since a whole zone may be lost at
     once.
+
+    :param passed_over: identities of engines that count with their roles but get no order.
     """
     prefill_engines = [each for each in engines if each.role is EngineRole.PREFILL]
     decode_engines = [each for each in engines if each.role is EngineRole.DECODE]
     target = count_decode_engines(len(prefill_engines) + len(decode_engines))
     if len(decode_engines) > target:
-        return RoleChange(_pick_from_most_crowded_zone(decode_engines), EngineRole.PREFILL)
+        engine = _pick_from_most_crowded_zone(decode_engines, passed_over)
+        return RoleChange(engine, EngineRole.PREFILL) if engine else None
     min_decode_engines = max(min(target, MIN_DECODE_ENGINES), target - DECODE_ENGINE_SLACK)
     if len(decode_engines) < min_decode_engines and len(prefill_engines) > 1:
-        return RoleChange(
-            _pick_from_least_crowded_zone(prefill_engines, decode_engines), EngineRole.DECODE
-        )
+        engine = _pick_from_least_crowded_zone(prefill_engines, decode_engines, passed_over)
+        return RoleChange(engine, EngineRole.DECODE) if engine else None
     return None
 
 
-def _pick_from_most_crowded_zone(decode_engines: Sequence[ListedEndpoint]) -> ListedEndpoint:
+def _pick_from_most_crowded_zone(
+    decode_engines: Sequence[ListedEndpoint], passed_over: Set[str]
+) -> ListedEndpoint | None:
     zone_counts = Counter(each.zone for each in decode_engines)
     # The newest has the fewest streams and the least in its cache.
     return max(
-        decode_engines, key=lambda each: (zone_counts[each.zone], each.is_cheap, each.started_ms)
+        (each for each in decode_engines if each.identity not in passed_over),
+        key=lambda each: (zone_counts[each.zone], each.is_cheap, each.started_ms),
+        default=None,
     )
 
 
 def _pick_from_least_crowded_zone(
-    prefill_engines: Sequence[ListedEndpoint], decode_engines: Sequence[ListedEndpoint]
-) -> ListedEndpoint:
+    prefill_engines: Sequence[ListedEndpoint],
+    decode_engines: Sequence[ListedEndpoint],
+    passed_over: Set[str],
+) -> ListedEndpoint | None:
     zone_counts = Counter(each.zone for each in decode_engines)
     return min(
-        prefill_engines, key=lambda each: (zone_counts[each.zone], each.is_cheap, each.identity)
+        (each for each in prefill_engines if each.identity not in passed_over),
+        key=lambda each: (zone_counts[each.zone], each.is_cheap, each.identity),
+        default=None,
     )
--- a/tests/control/test_role_balancer.py
+++ b/tests/control/test_role_balancer.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from types import SimpleNamespace
 
+import pytest
 import trio
 import trio.testing
 
@@ -11,7 +13,12 @@
 from shallotmux.control import KnowledgeService
 from shallotmux.control._duties import CONTROL_LOOP_S, LeaderDependencies
 from shallotmux.control._platform import DutyHolder, DutyOutcome
-from shallotmux.control._role_balancer import MAX_CHANGES_PER_ROUND, RoleBalancer
+from shallotmux.control._role_balancer import (
+    LISTING_DELAY_S,
+    MAX_CHANGES_PER_ROUND,
+    REFUSAL_BACKOFF_S,
+    RoleBalancer,
+)
 from shallotmux.fleet import EngineRole, ListedEndpoint, Listing, TrueClock
 from shallotmux.routes import CallerLimits, EngineProfile, RouteDocument, Service
 
@@ -25,8 +32,11 @@
     return ListedEndpoint(f'e-{number}', 'llm', address, zone, 64, role=role, started_ms=number)
 
 
-async def run_balancer(outcome: DutyOutcome, seconds: float) -> list[str]:
-    """Run the balancer on six decode engines and return the identities of those it changed."""
+async def run_balancer(answer: Callable[[str], DutyOutcome], seconds: float) -> list[str]:
+    """Run the balancer on six decode engines and return the identities of those it ordered.
+
+    :param answer: returns the outcome of an order to an engine.
+    """
     changed: list[str] = []
 
     async def change_role(
@@ -34,7 +44,7 @@
     ) -> DutyOutcome:
         assert role is EngineRole.PREFILL
         changed.append(endpoint.identity)
-        return outcome
+        return answer(endpoint.identity)
 
     knowledge = KnowledgeService(GroupState(), TrueClock(), lambda: ('10.0.0.1:7',))
     engines = tuple(make_engine(number, 'ab'[number % 2]) for number in range(1, 7))
@@ -55,7 +65,7 @@
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     """Guards against a burst that is prefilled by two engines while the others wait their turn."""
-    changed = await run_balancer(DutyOutcome.ACCEPTED, 1.5 * CONTROL_LOOP_S)
+    changed = await run_balancer(lambda _: DutyOutcome.ACCEPTED, 1.5 * CONTROL_LOOP_S)
     assert len(changed) == MAX_CHANGES_PER_ROUND
     assert set(changed) <= {'e-5', 'e-6'}
 
@@ -64,4 +74,28 @@
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     """Guards against orders to one engine after the other while engines refuse them."""
-    assert len(await run_balancer(DutyOutcome.UNAVAILABLE, 1.5 * CONTROL_LOOP_S)) == 1
+    assert len(await run_balancer(lambda _: DutyOutcome.UNAVAILABLE, 1.5 * CONTROL_LOOP_S)) == 1
+
+
+@pytest.mark.parametrize('outcome', (DutyOutcome.UNAVAILABLE, DutyOutcome.NOT_SENT))
+async def test_engine_that_refuses_for_ever_is_passed_over(
+    outcome: DutyOutcome, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against roles that stay as they are since the first choice refuses every order."""
+
+    def answer(identity: str) -> DutyOutcome:
+        return outcome if identity == 'e-6' else DutyOutcome.ACCEPTED
+
+    ordered = await run_balancer(answer, REFUSAL_BACKOFF_S / 2)
+    assert ordered.count('e-6') == 1
+    assert len(set(ordered)) > 1
+
+
+async def test_engine_that_never_changes_is_passed_over(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against orders that only one engine gets, again and again, and never carries out."""
+    change_s = 3 + LISTING_DELAY_S
+    ordered = await run_balancer(lambda _: DutyOutcome.UNKNOWN, 2.5 * change_s)
+    assert len(ordered) > 1
+    assert len(set(ordered)) == len(ordered)
