Let a release of endpoints that is under way or refused not hold up others

What callers saw: nothing; the operator pays for endpoints that are not needed as long as the platform does not carry out one order for fewer of them.

Cause: the autoscaler released at most once a second, and counted a release that is already sent and not due again as this second's. The first order in the plan took each turn, also from other services, while the platform refused it.

Whether an order is due is now decided before it takes a turn.

test_refused_release_does_not_hold_up_others failed before: the other zone kept three of three endpoints after 30 s; now none.

--- a/shallotmux/control/_autoscaler.py
+++ b/shallotmux/control/_autoscaler.py
@@ -73,13 +73,14 @@
             tracker.unavailable_zones(endpoints, now),
         )
         for order in plan_sizes(view):
+            if not self._is_due(order, service.bounds.boot_s, now):
+                continue
             if self._is_release(order, view):
                 if not self._claim_release(now):
                     continue
                 if order.is_cheap:
                     tracker.record_release(order.zone, now)
-            if self._is_due(order, service.bounds.boot_s, now):
-                await self._send(order, view.needed, tracker)
+            await self._send(order, view.needed, tracker)
 
     def _needed_engines(self, service: Service, fleets: Mapping[str, ZoneFleet]) -> int:
         demand = self._dependencies.knowledge.demand_of(service.name)
--- a/tests/control/test_autoscaler.py
+++ b/tests/control/test_autoscaler.py
@@ -46,6 +46,8 @@
     endpoints: list[ListedEndpoint] = field(default_factory=list)
     orders: list[FleetOrder] = field(default_factory=list)
     unavailable: set[str] = field(default_factory=set)
+    #: Zones in which orders for fewer endpoints are refused.
+    unreleased: set[str] = field(default_factory=set)
     number: int = 0
 
     def add(self, zone: str, *, is_cheap: bool) -> None:
@@ -92,6 +94,8 @@
         present = self.count(order.zone, is_cheap=order.is_cheap)
         if order.is_cheap and order.zone in self.unavailable and order.count > present:
             return DutyOutcome.UNAVAILABLE
+        if order.zone in self.unreleased and order.count < present:
+            return DutyOutcome.UNKNOWN
         if order.count > present:
             self.nursery.start_soon(self._start, order, order.count - present)
         for _ in range(present - order.count):
@@ -193,3 +197,16 @@
     platform.publish()
     await run_under(platform, 110_000, 11)
     assert platform.count(is_cheap=False) <= 1
+
+
+async def test_refused_release_does_not_hold_up_others(
+    platform: Platform, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against endpoints that are paid for as long as one zone refuses to release any."""
+    platform.unreleased.add('c')
+    for zone in PRICES:
+        for _ in range(3):
+            platform.add(zone, is_cheap=False)
+    await run_under(platform, 1, 30)
+    assert platform.count('c', is_cheap=False) == 3
+    assert platform.count('a', is_cheap=False) == 0
