Report later usage windows while the platform refuses one

What callers saw: usage of every window after one that the platform never accepts stays unreported, and the log's state grows by each of them.

Cause: the reporter sent the oldest window and stopped at the first that was not accepted, so the same window took each round.

The window that was refused last is now sent after the others. A round still ends with the first refusal, so a platform that is down gets one call a round.

test_refused_window_does_not_hold_up_later_ones failed before: all four windows were left after 8 s; now the refused one alone.

--- a/shallotmux/control/_duties.py
+++ b/shallotmux/control/_duties.py
@@ -158,6 +158,8 @@
         self._term = term
         self._window_s = window_s
         self._leading_since = float('inf')
+        #: Window whose report was not accepted when it was last sent.
+        self._refused_window = -1
 
     async def run(self) -> None:
         """Commit and report windows while this instance leads, until cancelled."""
@@ -190,7 +192,7 @@
         await self._member.authority.submit(FixReport(uuid4().hex, window, counts))
 
     async def _report_fixed(self) -> None:
-        for report in self._member.state.zone.reports.unaccepted():
+        for report in self._unaccepted_in_turn():
             holder = self._term.holder()
             if holder is None:
                 return
@@ -204,9 +206,18 @@
                 requests=sum(each.requests for each in report.counts),
             )
             if outcome is not DutyOutcome.ACCEPTED:
+                self._refused_window = report.window
                 return
             await self._member.authority.submit(AcceptReport(uuid4().hex, report.window))
 
+    def _unaccepted_in_turn(self) -> list[FixedReport]:
+        """Return the reports to send, the one that was refused last at the end.
+
+        Otherwise, a report that the platform never accepts would hold up those of later windows.
+        """
+        reports = self._member.state.zone.reports.unaccepted()
+        return sorted(reports, key=lambda each: (each.window <= self._refused_window, each.window))
+
 
 def _to_usage_report(report: FixedReport) -> UsageReport:
     return UsageReport(report.window, {each.customer: each.requests for each in report.counts})
