Tell when the control group has no quorum, and which voters are missing

What operators could not see: with the majority gone, the members logged nothing. No line said that there is no leader, which voters are silent and since when, and the metrics page had no gauge for it; docs/OPERATIONS.md did not lead from a refused change to its cause.

A voter names the voters that it does not hear; a member without a vote, which nobody asks for votes, names only who answers its join requests. Gauges shallotmux_leader_known and shallotmux_seconds_without_leader.

--- a/shallotmux/authority/_driver.py
+++ b/shallotmux/authority/_driver.py
@@ -145,6 +145,8 @@
         self._inbox_receiver = channels[1]
         #: Size of the replication messages that wait to be processed.
         self.queued_message_bytes = 0
+        #: Local time of the last message of each member.
+        self.heard_at: dict[str, float] = {}
         self._queued_command_bytes = 0
         self._pending_proposals: dict[int, Proposal] = {}
         self._status = replica.status()
@@ -191,6 +193,8 @@
             return
         if message.sender != envelope.sender or message.recipient != self.identity:
             return
+        if message.sender in self._status.configuration.members:
+            self.heard_at[message.sender] = trio.current_time()
         with suppress(trio.WouldBlock):
             self._inbox_sender.send_nowait(ReceivedMessage(message, size))
             self.queued_message_bytes += size
--- a/shallotmux/cli/_recovery.py
+++ b/shallotmux/cli/_recovery.py
@@ -96,7 +96,8 @@
     session.show(response, rows)
     voters = len(survey.voters)
     click.echo(
-        f'{voters - len(missing)} of {voters} voters are left; missing: {", ".join(missing) or "none"}',
+        f'{voters - len(missing)} of {voters} voters are left; missing: {", ".join(missing) or "none"};'
+        + f' the newest log ends at term {survey.last_term}, index {survey.last_index}',
         err=True,
     )
     if not survey.is_complete:
--- a/shallotmux/control/__init__.py
+++ b/shallotmux/control/__init__.py
@@ -22,6 +22,7 @@
     UsageReport,
 )
 from shallotmux.control._poller import ListingPoller
+from shallotmux.control._quorum_watch import QuorumWatch
 from shallotmux.control._recovery import DataFolders
 from shallotmux.control._role_balancer import RoleBalancer
 
@@ -42,6 +43,7 @@
     'MemberSettings',
     'Autoscaler',
     'PlatformApi',
+    'QuorumWatch',
     'RoleBalancer',
     'MemberTimeouts',
     'ControlGroupView',
--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -182,6 +182,7 @@
         self._known_peers = set(settings.seeds) | {settings.name}
         self._joining = JoinRequests()
         self._stability = MemberStability()
+        self._answered_at: dict[str, float] = {}
         self._led_term = 0
         self._led_since = now
         self._leader_contact_at = now
@@ -201,6 +202,11 @@
         members = {instance_name(each) for each in self.driver.status().configuration.members}
         return tuple(sorted(members or self._known_peers))
 
+    def answering_peers(self, max_age_s: float) -> list[str]:
+        """Return the instances that answered a join request within a time."""
+        since = trio.current_time() - max_age_s
+        return sorted(each for each, at in self._answered_at.items() if at >= since)
+
     def leads_since(self, term: int) -> float:
         """Return the local time since when this instance leads in a term; infinity before."""
         return self._led_since if self._led_term == term else math.inf
@@ -328,6 +334,7 @@
         try:
             answer = await self._network.forward(peer, JOIN_GROUP, payload, JOIN_TIMEOUT_S)
             if answer.refusal is Refusal.NONE:
+                self._answered_at[peer] = trio.current_time()
                 join_answer = decode_join_answer(answer.result)
                 self._known_peers.update(join_answer.peers)
                 self._search.record(join_answer)
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -21,6 +21,7 @@
     ListingPoller,
     MemberSettings,
     PlatformApi,
+    QuorumWatch,
     RoleBalancer,
     WindowReporter,
 )
@@ -107,6 +108,7 @@
         )
         if self.member.is_first_start:
             self._knowledge.history.assume_complete()
+        self._quorum = QuorumWatch(self.member)
         self._registry = CollectorRegistry()
         self._gauges = ControlGauges(self._registry)
         self._cached_table_version = 0
@@ -186,6 +188,7 @@
         tasks: dict[str, Callable[[], Awaitable[None]]] = {
             'listing': poller.run,
             'gauges': self._set_gauges,
+            'quorum': self._quorum.run,
             'roles': RoleBalancer(dependencies).run,
         }
         if settings.reports_usage:
@@ -208,7 +211,7 @@
 
     async def _set_gauges(self) -> None:
         while True:
-            self._gauges.update(self.member)
+            self._gauges.update(self.member, self._quorum)
             await trio.sleep(GAUGE_INTERVAL_S)
 
 
--- a/shallotmux/programs/_control_gauges.py
+++ b/shallotmux/programs/_control_gauges.py
@@ -6,7 +6,7 @@
 
 from prometheus_client import CollectorRegistry, Gauge
 
-from shallotmux.control import ControlMember, GroupHealth
+from shallotmux.control import ControlMember, GroupHealth, QuorumWatch
 
 
 class ControlGauges:
@@ -32,6 +32,16 @@
         self._voters = Gauge(
             'shallotmux_voters', 'Voters in the local configuration.', registry=registry
         )
+        self._leader_known = Gauge(
+            'shallotmux_leader_known',
+            'Whether this instance leads or had contact with a leader within an election.',
+            registry=registry,
+        )
+        self._without_leader = Gauge(
+            'shallotmux_seconds_without_leader',
+            'Time since the last contact with a leader, which is near 0 in a sound group.',
+            registry=registry,
+        )
         self._target_voters = Gauge(
             'shallotmux_target_voters',
             'Voters that the tolerated losses need; NaN unless this instance leads.',
@@ -53,8 +63,8 @@
             registry=registry,
         )
 
-    def update(self, member: ControlMember) -> None:
-        """Set the gauges from the state of the member."""
+    def update(self, member: ControlMember, quorum: QuorumWatch) -> None:
+        """Set the gauges from the state of the member and of its group."""
         status, sizes = member.driver.status(), member.driver.sizes()
         self._entry_bytes.set(sizes.entry_bytes)
         self._snapshot_bytes.set(sizes.snapshot_bytes)
@@ -62,6 +72,8 @@
         self._leads.set(member.driver.is_leader())
         self._version.set(member.state.zone.document.version)
         self._voters.set(len(status.configuration.voters))
+        self._leader_known.set(not quorum.is_lost)
+        self._without_leader.set(quorum.without_leader_s())
         self._set_health(member.health)
 
     def _set_health(self, health: GroupHealth | None) -> None:
