Order no number of endpoints below zero

What callers saw: nothing; the leader ordered -1 cheap endpoints in a zone, again and again, where the document allows none.

Cause: the regular endpoint that is kept in the cheapest zone was subtracted from a maximum of 0, and the rest, -1, was the target for cheap ones.

test_no_order_is_below_zero_or_above_the_maximum[0] failed before.

--- a/shallotmux/control/_sizing.py
+++ b/shallotmux/control/_sizing.py
@@ -177,7 +177,7 @@
     per_zone = math.ceil(view.needed / surviving_zones)
     counts: dict[str, int] = {}
     for zone, fleet in view.fleets.items():
-        room = view.bounds.max_per_zone - regular[zone]
+        room = max(0, view.bounds.max_per_zone - regular[zone])
         counts[zone] = fleet.cheap if zone in view.unavailable else min(per_zone, room)
     return counts
 
--- a/tests/control/test_sizing.py
+++ b/tests/control/test_sizing.py
@@ -87,6 +87,19 @@
         assert totals <= {1, 2, 3}
 
 
+@pytest.mark.parametrize('maximum', (0, 1, 2))
+def test_no_order_is_below_zero_or_above_the_maximum(maximum: int) -> None:
+    """Guards against orders that the platform refuses for ever, at the smallest maximum."""
+    bounds = FleetBounds(0, maximum, 4.0, 0.15, PRICES)
+    fleets = {**START, 'a': ZoneFleet(1, 1)}
+    orders = plan_sizes(SizingView('llm', bounds, 0, fleets))
+    assert orders
+    for order in orders:
+        fleet = fleets[order.zone]
+        present = fleet.cheap if order.is_cheap else fleet.regular
+        assert 0 <= order.count <= max(maximum, present)
+
+
 def test_regular_endpoints_replace_unavailable_cheap_ones() -> None:
     """Guards against a service that waits until cheap endpoints are available again."""
     fleets = {'a': ZoneFleet(0), 'b': ZoneFleet(1, 1), 'c': ZoneFleet(0, 1)}
