Order endpoints only in the zones that the document names

What callers saw: too few endpoints while some of another zone are listed, such as after an operator removed a zone from the document.

Cause: the zones of the list counted as zones to order in, with a price of 1. The target relied on endpoints there (also as the zone of the regular one, if the others cost more than 1), and the platform knows no such zone for the service.

Zones without a price get no orders for more, and their endpoints are released once others suffice; a document without any price allows all zones.

test_nothing_more_is_ordered_in_a_zone_that_the_document_does_not_name failed before: the removed zone was to have more endpoints than the one it has.

--- a/shallotmux/control/_sizing.py
+++ b/shallotmux/control/_sizing.py
@@ -77,6 +77,14 @@
     fleets: Mapping[str, ZoneFleet]
     unavailable: frozenset[str] = field(default_factory=frozenset)
 
+    @property
+    def ordered_zones(self) -> frozenset[str]:
+        """Return the zones in which endpoints may be ordered: those that the bounds name, if any.
+
+        The platform may list endpoints in other zones until all of them are released.
+        """
+        return frozenset(self.bounds.zone_prices or self.fleets)
+
 
 @dataclass(frozen=True, slots=True)
 class FleetDemand:
@@ -156,11 +164,12 @@
 
 def target_fleets(view: SizingView) -> dict[str, ZoneFleet]:
     """Return the target numbers by zone; they do not depend on the present regular endpoints."""
-    base_zones = frozenset(_zones_by_price(view)[:MIN_REGULAR_ENDPOINTS])
+    zones = [each for each in _zones_by_price(view) if each in view.ordered_zones]
+    base_zones = zones[:MIN_REGULAR_ENDPOINTS]
     regular = {zone: int(zone in base_zones) for zone in view.fleets}
     cheap = _target_cheap(view, regular)
     missing = view.needed - sum(cheap.values()) - sum(regular.values())
-    for each in _zones_by_price(view):
+    for each in zones:
         room = view.bounds.max_per_zone - cheap[each] - regular[each]
         shortfall = view.bounds.min_per_zone - cheap[each] - regular[each]
         added = max(0, shortfall, min(missing, room))
@@ -173,11 +182,12 @@
     """Return the target number of cheap endpoints by zone; the present one where unavailable."""
     if not view.bounds.cheap_price:
         return {zone: fleet.cheap for zone, fleet in view.fleets.items()}
-    surviving_zones = max(1, len(view.fleets.keys() - view.unavailable) - 1)
+    zones = view.ordered_zones & view.fleets.keys()
+    surviving_zones = max(1, len(zones - view.unavailable) - 1)
     per_zone = math.ceil(view.needed / surviving_zones)
     counts: dict[str, int] = {}
     for zone, fleet in view.fleets.items():
-        room = max(0, view.bounds.max_per_zone - regular[zone])
+        room = max(0, view.bounds.max_per_zone - regular[zone]) if zone in zones else 0
         counts[zone] = fleet.cheap if zone in view.unavailable else min(per_zone, room)
     return counts
 
--- a/tests/control/test_sizing.py
+++ b/tests/control/test_sizing.py
@@ -100,6 +100,16 @@
         assert 0 <= order.count <= max(maximum, present)
 
 
+def test_nothing_more_is_ordered_in_a_zone_that_the_document_does_not_name() -> None:
+    """Guards against a need that is never met, since it counts on a zone without orders."""
+    fleets = {'a': ZoneFleet(1), 'b': ZoneFleet(1), 'c': ZoneFleet(1), 'removed': ZoneFleet(1)}
+    for needed in (1, 4, 6, 9):
+        settled = run_until_stable(needed, fleets)
+        assert settled['removed'].total <= 1
+        named = sum(fleet.total for zone, fleet in settled.items() if zone in PRICES)
+        assert named >= needed
+
+
 def test_regular_endpoints_replace_unavailable_cheap_ones() -> None:
     """Guards against a service that waits until cheap endpoints are available again."""
     fleets = {'a': ZoneFleet(0), 'b': ZoneFleet(1, 1), 'c': ZoneFleet(0, 1)}
