Tell the longest queues if not all fit into a message

What callers saw: prompts queue behind those of other instances as soon as an instance has work at more than about 140 engines.

Cause: a message with the loads of more engines than fit into 1,400 bytes was built and not sent, each time, without a line. After 1 s the peers took this instance to have no queued tokens anywhere.

The message now names the engines with the longest queues, as many as fit.

test_more_engines_than_fit_leave_the_longest_queues failed before (no load was told within 5 s).

--- a/shallotmux/fleet/_load_sharing.py
+++ b/shallotmux/fleet/_load_sharing.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from contextlib import suppress
 from dataclasses import dataclass
+from heapq import nlargest
 
 import msgspec
 import trio
@@ -33,9 +34,13 @@
 #: Largest number of queued tokens in a message, far beyond what an engine can hold.
 MAX_TOKENS = 1 << 40
 
-#: Maximum size of a message; larger ones are not sent.
+#: Maximum size of a message. If there is more to tell, the engines with the longest queues are named.
 MAX_MESSAGE_BYTES = 1400
 
+#: Largest sizes of an engine's entry in a message, and of the rest without the sender's name.
+MAX_ENTRY_BYTES = 5 + 9
+MAX_FRAME_BYTES = 1 + 5 + 9 + 5
+
 
 class LoadMessage(msgspec.Struct, frozen=True, array_like=True):
     """Queued prefill tokens of one instance.
@@ -209,7 +214,7 @@
                     await sock.sendto(message, split_address(peer))
 
     def _next_message(self) -> bytes | None:
-        """Return the next message, or None if nothing has changed or it would be too large."""
+        """Return the next message, or None if nothing has changed."""
         tokens = {
             engine_checksum(identity): int(queued)
             for identity, queued in self._tokens().items()
@@ -220,4 +225,9 @@
         self._last_sent = tokens
         self._number += 1
         content = msgspec.msgpack.encode(LoadMessage(self._name, self._number, tokens))
-        return content if len(content) <= MAX_MESSAGE_BYTES else None
+        if len(content) <= MAX_MESSAGE_BYTES:
+            return content
+        room = MAX_MESSAGE_BYTES - MAX_FRAME_BYTES - len(self._name.encode())
+        longest = nlargest(room // MAX_ENTRY_BYTES, tokens, key=tokens.__getitem__)
+        named = {engine: tokens[engine] for engine in longest}
+        return msgspec.msgpack.encode(LoadMessage(self._name, self._number, named))
--- a/tests/fleet/test_load_sharing.py
+++ b/tests/fleet/test_load_sharing.py
@@ -130,3 +130,22 @@
             while int(second.loads.tokens_at('e-1')) != 40:
                 await trio.sleep(0.01)
         nursery.cancel_scope.cancel()
+
+
+async def test_more_engines_than_fit_leave_the_longest_queues() -> None:
+    """Guards against an instance that tells no load at all while many engines are busy."""
+    names = tuple(f'{private_network(150)}.{number}:17790' for number in (1, 2))
+    queued_tokens = {f'e-{number}': 1_000_000.0 + number for number in range(500)}
+    first = LoadSharing('a', names[0], lambda: names, lambda: queued_tokens)
+    second = LoadSharing('b', names[1], lambda: names, dict)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(first.run)
+        nursery.start_soon(second.run)
+        with trio.fail_after(5):
+            while int(second.loads.tokens_at('e-499')) != 1_000_499:
+                # A load that does not change is not sent again.
+                queued_tokens['e-0'] += 1
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+    told = sum(second.loads.tokens_at(each) > 0 for each in queued_tokens)
+    assert 90 <= told < len(queued_tokens)
