Log why a call of the leader has no known outcome

What operators could not see: an order, role change or report that the platform refuses for ever appeared as outcome unknown or not sent. The status and the error were dropped where they were known, so a 422, a timeout and a refused connection looked the same.

A line names path, address and status or error, once for each and then every 10 s with a count.

test_refused_call_is_logged_with_its_status failed before.

--- a/shallotmux/platform/_duties.py
+++ b/shallotmux/platform/_duties.py
@@ -12,6 +12,7 @@
 from shallotmux.fleet import EngineRole, ListedEndpoint
 from shallotmux.platform._client import ListClient
 from shallotmux.platform._names import FENCING_TOKEN_HEADER, HEADERS, HOLDER_HEADER
+from shallotmux.repeats import RepeatLog
 
 #: Time in which the platform or an engine must answer a call.
 ANSWER_TIMEOUT_S = 1.0
@@ -35,6 +36,7 @@
     def __init__(self, address: str) -> None:
         super().__init__(address)
         self._sender = GuardedSender(CALL_FLIGHT_S, ANSWER_TIMEOUT_S)
+        self._failures = RepeatLog('shallotmux:leader-call-failed')
 
     async def report_usage(self, report: UsageReport, holder: DutyHolder) -> DutyOutcome:
         """Report the usage of one window."""
@@ -80,12 +82,21 @@
     ) -> DutyOutcome:
         try:
             status, _ = await self._sender.send(request, holder.guard)
-        except EndpointRefused:
+        except EndpointRefused as error:
+            self._record_failure(request, error.message, DutyOutcome.NOT_SENT)
             return DutyOutcome.NOT_SENT
-        except ShallotmuxError:
+        except ShallotmuxError as error:
+            self._record_failure(request, error.message, DutyOutcome.UNKNOWN)
             return DutyOutcome.UNKNOWN
+        if status not in outcomes:
+            self._record_failure(request, f'status {status}', DutyOutcome.UNKNOWN)
         return outcomes.get(status, DutyOutcome.UNKNOWN)
 
+    def _record_failure(self, request: HttpRequest, reason: str, outcome: DutyOutcome) -> None:
+        self._failures.record(
+            f'{request.path} at {request.address}: {reason}', outcome=outcome.value
+        )
+
 
 def _build_call(
     address: str, path: str, body: dict[str, Any], headers: dict[str, str]
--- a/tests/control/test_quorum_watch.py
+++ b/tests/control/test_quorum_watch.py
@@ -8,13 +8,13 @@
 import pytest
 import trio
 import trio.testing
-from eliot import add_destinations, remove_destination
 from prometheus_client import CollectorRegistry
 
 from shallotmux.control import QuorumWatch
 from shallotmux.control._quorum_watch import LOST_AFTER_S, MAX_REPEAT_S, SILENT_AFTER_S
 from shallotmux.programs._control_gauges import ControlGauges
 from tests.control._instances import SEEDS, ControlGroup
+from tests.support.log_lines import capture_lines
 
 LEARNER = '10.0.0.4:7'
 HOUR_S = 3600.0
@@ -22,15 +22,8 @@
 
 @pytest.fixture(name='lines')
 def _capture_lines() -> Iterator[list[dict[str, Any]]]:
-    lines: list[dict[str, Any]] = []
-
-    def write(message: dict[str, Any]) -> None:
-        if message['message_type'].startswith('shallotmux:quorum-'):
-            lines.append(message)
-
-    add_destinations(write)
-    yield lines
-    remove_destination(write)
+    with capture_lines('shallotmux:quorum-lost', 'shallotmux:quorum-regained') as lines:
+        yield lines
 
 
 def watch(group: ControlGroup, nursery: trio.Nursery, name: str) -> QuorumWatch:
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -8,6 +8,7 @@
 from shallotmux.control import DutyHolder, DutyOutcome, UsageReport
 from shallotmux.platform import PlatformClient
 from tests.platform._raw_platform import RawPlatform
+from tests.support.log_lines import capture_lines
 
 REPORT = UsageReport(7, {'tailors': 3})
 #: Bytes of such an answer that fit into the buffers of both sockets.
@@ -56,3 +57,17 @@
         assert await client.report_usage(REPORT, holder) is DutyOutcome.UNKNOWN
     assert platform.sent_bytes < MAX_SENT_BYTES
     nursery.cancel_scope.cancel()
+
+
+async def test_refused_call_is_logged_with_its_status(nursery: trio.Nursery) -> None:
+    """Guards against calls that are refused for ever with nothing said but an unknown outcome."""
+    platform = RawPlatform(b'HTTP/1.1 422 Unprocessable\r\nContent-Length: 0\r\n\r\n')
+    client = PlatformClient(await nursery.start(platform.run))
+    holder = DutyHolder('core-1', 4, CountedGuard(9))
+    with capture_lines('shallotmux:leader-call-failed') as lines:
+        for _ in range(3):
+            assert await client.report_usage(REPORT, holder) is DutyOutcome.UNKNOWN
+    assert len(lines) == 1
+    assert 'status 422' in lines[0]['reason']
+    assert lines[0]['outcome'] == 'unknown'
+    nursery.cancel_scope.cancel()
