Log messages that a group drops, and refused transfers

What operators could not see: a member whose messages another one cannot read, such as of another version, or whose disk is too slow for them, was ignored for ever without a line; a leader that could not pass its leadership on at a planned stop said nothing, either.

Each is a line for a sender and reason, or a reason, and then one every 10 s with a count.

test_unreadable_messages_of_a_peer_are_told, test_refused_transfer_is_told and the line in test_messages_that_wait_are_bounded_by_bytes failed before.

--- a/shallotmux/authority/_driver.py
+++ b/shallotmux/authority/_driver.py
@@ -4,7 +4,6 @@
 
 import math
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -47,6 +46,9 @@
 #: limits how late they start after it has joined the group.
 NON_MEMBER_TICK_S = 1.0
 
+#: Reason of a message that is dropped since too much waits for the disk.
+QUEUE_FULL = 'too much is queued'
+
 #: Inputs handled before their effects are executed, so that they share one append and one sync.
 MAX_INPUTS_PER_BATCH = 512
 
@@ -140,6 +142,8 @@
         self._tick_s = tick_s
         self._run_blocking = run_blocking
         self._refused_changes = RepeatLog('shallotmux:membership-refused')
+        self._refused_transfers = RepeatLog('shallotmux:transfer-refused')
+        self._dropped_messages = RepeatLog('shallotmux:message-dropped')
         channels = trio.open_memory_channel[Input](INBOX_CAPACITY)
         self._inbox_sender = channels[0]
         self._inbox_receiver = channels[1]
@@ -186,18 +190,24 @@
         """Queue a replication message; drop it if it is malformed or the queue is full."""
         size = len(envelope.payload)
         if self.queued_message_bytes + size > MAX_INBOX_MESSAGE_BYTES and self.queued_message_bytes:
+            self._record_dropped(envelope, QUEUE_FULL)
             return
         try:
             message = decode_envelope(envelope.payload)
-        except DECODE_ERRORS:
+        except DECODE_ERRORS as error:
+            # The sender repeats it for ever; it may be of another version of the program.
+            self._record_dropped(envelope, f'unreadable: {type(error).__name__}')
             return
         if message.sender != envelope.sender or message.recipient != self.identity:
             return
         if message.sender in self._status.configuration.members:
             self.heard_at[message.sender] = trio.current_time()
-        with suppress(trio.WouldBlock):
+        try:
             self._inbox_sender.send_nowait(ReceivedMessage(message, size))
-            self.queued_message_bytes += size
+        except trio.WouldBlock:
+            self._record_dropped(envelope, QUEUE_FULL)
+            return
+        self.queued_message_bytes += size
 
     async def commit(self, payload: bytes, timeout_s: float) -> ForwardAnswer:
         """Commit a command on this instance if it leads."""
@@ -230,10 +240,11 @@
         return True
 
     def transfer(self, target: str) -> bool:
-        """Start a leadership transfer and return whether it was accepted."""
+        """Start a leadership transfer, log a refusal, and return whether it was accepted."""
         try:
             self._replica.transfer(target, trio.current_time())
-        except (NotLeader, MembershipRefused):
+        except (NotLeader, MembershipRefused) as refusal:
+            self._refused_transfers.record(refusal.message, group=self.group, target=target)
             return False
         self._status = self._replica.status()
         return True
@@ -256,6 +267,11 @@
             self._confirm_state()
             self._answer_pending_proposals()
 
+    def _record_dropped(self, envelope: PeerEnvelope, reason: str) -> None:
+        self._dropped_messages.record(
+            f'{envelope.sender}: {reason}', group=self.group, size=len(envelope.payload)
+        )
+
     def _queue(self, proposal: Proposal) -> bool:
         """Queue a command and return whether there was room for it."""
         size = len(proposal.payload)
--- a/tests/authority/test_driver_queues.py
+++ b/tests/authority/test_driver_queues.py
@@ -10,7 +10,11 @@
 import trio.testing
 
 from shallotmux.authority import GroupDriver, GroupState, PutDocument, encode_command
-from shallotmux.authority._driver import MAX_INBOX_COMMAND_BYTES, MAX_INBOX_MESSAGE_BYTES
+from shallotmux.authority._driver import (
+    MAX_INBOX_COMMAND_BYTES,
+    MAX_INBOX_MESSAGE_BYTES,
+    QUEUE_FULL,
+)
 from shallotmux.replication import (
     AppendRequest,
     Configuration,
@@ -25,6 +29,7 @@
 )
 from shallotmux.storage import VolatileStore
 from shallotmux.transport import Channel, ForwardAnswer, PeerEnvelope, Refusal
+from tests.support.log_lines import capture_lines
 
 DOCUMENT_BYTES = 1 << 20
 GROUP = 'group'
@@ -83,7 +88,35 @@
     entry = Entry(2, 2, EntryKind.COMMAND, bytes(DOCUMENT_BYTES))
     request = AppendRequest(2, 1, 1, (entry,), 1, 1, 0.0)
     payload = encode_envelope(Envelope('v2', 'v1', request))
-    for _ in range(100):
-        driver.receive(PeerEnvelope(GROUP, 'v2', 'v1', Channel.REPLICATION, payload))
+    with capture_lines('shallotmux:message-dropped') as lines:
+        for _ in range(100):
+            driver.receive(PeerEnvelope(GROUP, 'v2', 'v1', Channel.REPLICATION, payload))
+    assert [each['reason'] for each in lines] == [f'v2: {QUEUE_FULL}']
     assert driver.queued_message_bytes <= MAX_INBOX_MESSAGE_BYTES
     assert driver.queued_message_bytes > MAX_INBOX_MESSAGE_BYTES - 2 * len(payload)
+
+
+async def test_unreadable_messages_of_a_peer_are_told(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a member of another version whose messages are all dropped silently."""
+    driver = start_driver(nursery, voters=('v1', 'v2', 'v3'))
+    with capture_lines('shallotmux:message-dropped') as lines:
+        for _ in range(100):
+            driver.receive(PeerEnvelope(GROUP, 'v2', 'v1', Channel.REPLICATION, b'\xc1'))
+            await trio.sleep(0.2)
+    assert 2 <= len(lines) <= 3
+    assert lines[0]['reason'].startswith('v2: unreadable')
+    assert lines[-1]['count'] > 1
+
+
+async def test_refused_transfer_is_told(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a planned stop that keeps its leadership for a reason that nobody sees."""
+    driver = start_driver(nursery, voters=('v1', 'v2', 'v3'))
+    with capture_lines('shallotmux:transfer-refused') as lines:
+        assert not driver.transfer('v2')
+        assert not driver.transfer('v2')
+    assert [each['target'] for each in lines] == ['v2']
+    assert lines[0]['reason']
