Say while it lasts that a leader was told of a higher token

What operators could not see: a leader whose token was refused makes no calls as long as its term lasts. Usage, orders and role changes stop, and the log has one fenced line, perhaps hours old.

duties-stopped is written at once and every 10 s with a count while it leads with such a token.

test_leader_whose_token_is_refused_says_so_while_it_leads failed before.

--- a/shallotmux/control/_duties.py
+++ b/shallotmux/control/_duties.py
@@ -16,6 +16,7 @@
 from shallotmux.control._platform import DutyHolder, DutyOutcome, PlatformApi, UsageReport
 from shallotmux.errors import ShallotmuxError
 from shallotmux.fleet import TrueClock
+from shallotmux.repeats import RepeatLog
 from shallotmux.routes import RouteTable, Service
 
 #: Interval between checks for usage windows to report.
@@ -69,12 +70,14 @@
         self._name = name
         self._delay_s = takeover_delay_s(alternation_s)
         self._fenced_token = 0
+        self._stopped = RepeatLog('shallotmux:duties-stopped')
         self._is_resigned = False
 
     def holder(self) -> DutyHolder | None:
         """Return the holder, or None unless this instance has the lease and is not fenced."""
         token = self._member.driver.status().term
         if not self.may_act(token):
+            self._record_stopped(token)
             return None
         return DutyHolder(self._name, token, TermGuard(self, token))
 
@@ -96,6 +99,11 @@
             self._fenced_token = max(self._fenced_token, holder.token)
             log_message(message_type='shallotmux:fenced', token=holder.token)
 
+    def _record_stopped(self, token: int) -> None:
+        """Log that nobody performs the duties while this instance leads with a fenced token."""
+        if self._member.driver.is_leader() and token <= self._fenced_token:
+            self._stopped.record('this leader was told of a higher token', token=token)
+
 
 def takeover_delay_s(alternation_s: float) -> float:
     """Return the time for which a new leader makes no calls.
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -11,6 +11,7 @@
 from shallotmux.control._platform import DutyOutcome
 from shallotmux.suspension import read_suspended_time
 from tests.control._instances import SEEDS, ControlGroup
+from tests.support.log_lines import capture_lines
 
 #: Time within which leader-only calls must not return to an instance.
 ALTERNATION_S = 3.0
@@ -71,6 +72,25 @@
     assert term.holder() is None
 
 
+async def test_leader_whose_token_is_refused_says_so_while_it_leads(
+    group: ControlGroup, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against usage and orders that stop for good with one line, hours ago."""
+    leader = await group.wait_for_leader()
+    term = LeaderTerm(leader.member, leader.member.settings.name, ALTERNATION_S)
+    await trio.sleep(ALTERNATION_S)
+    holder = term.holder()
+    assert holder is not None
+    term.record_outcome(holder, DutyOutcome.FENCED)
+    with capture_lines('shallotmux:duties-stopped') as lines:
+        for _ in range(60):
+            assert term.holder() is None
+            await trio.sleep(0.5)
+    assert 3 <= len(lines) <= 4
+    assert lines[-1]['token'] == holder.token
+    assert lines[-1]['count'] > 10
+
+
 async def record_holders(
     terms: dict[str, LeaderTerm], seconds: float
 ) -> list[tuple[float, str, int]]:
