--- a/shallotmux/authority/_driver.py
+++ b/shallotmux/authority/_driver.py
@@ -4,13 +4,13 @@
 
 import math
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from typing import Protocol
 
 import trio
 from eliot import log_message
 
 from shallotmux.authority._commands import check_command
+from shallotmux.authority._driver_inputs import Input, Proposal, ReceivedMessage
 from shallotmux.authority._group_state import GroupState
 from shallotmux.authority._state import Result, encode_result
 from shallotmux.decoding import DECODE_ERRORS
@@ -20,7 +20,6 @@
     AppendReply,
     Effects,
     Entry,
-    Envelope,
     FollowerStatus,
     LogSizes,
     MembershipChange,
@@ -79,40 +78,6 @@
     save(effects)
 
 
-@dataclass(slots=True)
-class Proposal:
-    """A command that waits to be committed.
-
-    :param answer: result of the command; valid once ``done`` is set.
-    """
-
-    payload: bytes
-    answer: ForwardAnswer = ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail='not proposed')
-    is_proposed: bool = False
-    is_abandoned: bool = False
-    term: int = 0
-    done: trio.Event = field(default_factory=trio.Event)
-
-    def finish(self, answer: ForwardAnswer) -> None:
-        """Set the answer and wake the submitter."""
-        self.answer = answer
-        self.done.set()
-
-
-@dataclass(frozen=True, slots=True)
-class ReceivedMessage:
-    """A replication message that waits to be processed.
-
-    :param size: size of its encoding in bytes.
-    """
-
-    envelope: Envelope
-    size: int
-
-
-Input = ReceivedMessage | Proposal
-
-
 class GroupDriver:
     """Feeds ticks, messages and commands to a replica and executes its effects.
 
