Bound the lines about a document that stays unreadable

What operators saw: an entry instance that cannot read the document in force, such as one of an earlier version, wrote a line with each poll, five a second, and each poll brings the document again.

The line is written once for each reason and then every 10 s with a count.

test_document_that_stays_unreadable_does_not_fill_the_log failed before: 151 lines in 30 s, now at most 4.

--- a/shallotmux/fleet/_poller.py
+++ b/shallotmux/fleet/_poller.py
@@ -25,6 +25,7 @@
 )
 from shallotmux.origins import VersionHistory
 from shallotmux.ratelimits import KnownLimits
+from shallotmux.repeats import RepeatLog
 from shallotmux.routes import RouteDocument, RouteTable
 from shallotmux.transport import PeerNetwork, Refusal, instance_name
 
@@ -145,6 +146,7 @@
         self._peers = list(self._seeds)
         self._next_index = 0
         self._retry_at: dict[str, float] = {}
+        self._unreadable_documents = RepeatLog('shallotmux:document-unreadable')
 
     @property
     def peers(self) -> tuple[str, ...]:
@@ -237,12 +239,8 @@
         try:
             document = self._decode(content)
         except DocumentInvalid as error:
-            log_message(
-                message_type='shallotmux:document-unreadable',
-                level='error',
-                peer=peer,
-                reason=str(error),
-            )
+            # The control instances send it again with each poll.
+            self._unreadable_documents.record(str(error), peer=peer)
             return
         if self.view.apply_document(document):
             log_message(
--- a/tests/fleet/test_poller.py
+++ b/tests/fleet/test_poller.py
@@ -5,6 +5,7 @@
 import trio
 import trio.testing
 
+from shallotmux.errors import DocumentInvalid
 from shallotmux.fleet import (
     FleetPoller,
     FleetView,
@@ -16,6 +17,7 @@
 )
 from shallotmux.routes import CallerLimits, RouteDocument
 from shallotmux.transport import ForwardAnswer
+from tests.support.log_lines import capture_lines
 
 
 def document(version: int) -> RouteDocument:
@@ -75,3 +77,30 @@
         await poller.run()
     assert poller.view.entries == ('10.0.0.1:7',)
     assert poller.view.neighbours == ('10.0.0.1:7',)
+
+
+class DocumentNetwork:
+    """Answers each poll with a document."""
+
+    async def forward(
+        self, peer: str, group: str, command: bytes, timeout_s: float
+    ) -> ForwardAnswer:
+        """Return a document that another version of the program has accepted."""
+        return ForwardAnswer(encode_fleet_message(Knowledge(0, b'{}', (), None, 0, (), 0)))
+
+
+async def test_document_that_stays_unreadable_does_not_fill_the_log(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against five lines a second while an instance of another version refuses a document."""
+
+    def refuse(content: bytes) -> RouteDocument:
+        raise DocumentInvalid('routes: unknown kind', step='decode')
+
+    poller = FleetPoller(
+        '10.0.0.1:7~1', DocumentNetwork(), ('10.0.0.9:7',), refuse, TrueClock(), tuple
+    )
+    with capture_lines('shallotmux:document-unreadable') as lines, trio.move_on_after(30):
+        await poller.run()
+    assert 3 <= len(lines) <= 4
+    assert lines[-1]['count'] > 50
