Log crashes that the zone's group does not take

What operators could not see: while no leader is known, the crash of an engine is not recorded, nor a trial ended. The refusal was dropped, so a request that crashes engine after engine was never quarantined and no line said why.

A line names the command and the reason, once for each command and then every 10 s with a count. Nothing is submitted again; this is open.

--- a/shallotmux/requests/_crashes.py
+++ b/shallotmux/requests/_crashes.py
@@ -19,6 +19,7 @@
 )
 from shallotmux.engines import EngineClient
 from shallotmux.errors import AuthorityUnavailable, EndpointError, OutcomeUnknown
+from shallotmux.repeats import RepeatLog
 from shallotmux.requests._lifecycle import Lifecycle
 from shallotmux.requests._request import refuse
 from shallotmux.requests._settings import RequestSettings
@@ -86,6 +87,7 @@
         self._clock = clock
         self._name = name
         self._command_numbers = itertools.count(1)
+        self._unrecorded = RepeatLog('shallotmux:crashes:unrecorded')
         self._running: dict[str, dict[str, RunningRequest]] = {}
         self._incidents: dict[str, Incident] = {}
 
@@ -236,13 +238,17 @@
         )
 
     async def _submit(self, command: RecordCrash | StartTrial | EndTrial | ClearParts) -> bool:
+        reason = ''
         for _ in range(MAX_SUBMISSIONS):
             try:
                 return isinstance(await self._authority.submit(command), Applied)
-            except AuthorityUnavailable:
-                return False
-            except OutcomeUnknown:
+            except AuthorityUnavailable as error:
+                reason = error.message
+                break
+            except OutcomeUnknown as error:
+                reason = error.message
                 await trio.sleep(RESUBMIT_DELAY_S)
+        self._unrecorded.record(type(command).__name__, level='warning', detail=reason)
         return False
 
     def _operation_id(self) -> str:
