Log a drain that waits for streams

What operators could not see: an order waits without limit until its engine reports no streams, and later orders to the same target wait for it, such as all orders for endpoints behind a release. If an engine reports streams for ever, nothing said so.

--- a/shallotmux/controllers/_drains.py
+++ b/shallotmux/controllers/_drains.py
@@ -11,6 +11,7 @@
 from shallotmux.authority import Authority, ZoneState
 from shallotmux.engines import EngineClient
 from shallotmux.errors import EndpointError
+from shallotmux.repeats import RepeatLog
 from shallotmux.world import Endpoint, EndpointKind
 
 #: Interval at which the zone's state is polled, in seconds.
@@ -91,6 +92,7 @@
     :returns: False if a load report is missing, so that the engine may still run streams.
     """
     await trio.sleep(MIN_DRAIN_S)
+    waits = RepeatLog('shallotmux:drain:streams_running')
     idle = 0
     while endpoint.kind == EndpointKind.ENGINE and idle < IDLE_REPORTS:
         try:
@@ -103,6 +105,13 @@
                 detail=str(error),
             )
             return False
+        if report.running:
+            waits.record(
+                'streams are running',
+                level='warning',
+                endpoint=endpoint.name,
+                running=report.running,
+            )
         idle = 0 if report.running else idle + 1
         await trio.sleep(LOAD_POLL_INTERVAL_S)
     return True
