--- a/shallotmux/authority/_driver.py
+++ b/shallotmux/authority/_driver.py
@@ -209,7 +209,9 @@
         try:
             self._replica.transfer(target, trio.current_time())
         except (NotLeader, MembershipRefused) as refusal:
-            self._refused_transfers.record(refusal.message, group=self.group, target=target)
+            self._refused_transfers.record(
+                refusal.message, level='warning', group=self.group, target=target
+            )
             return False
         self._status = self._replica.status()
         return True
@@ -234,7 +236,10 @@
 
     def _record_dropped(self, envelope: PeerEnvelope, reason: str) -> None:
         self._dropped_messages.record(
-            f'{envelope.sender}: {reason}', group=self.group, size=len(envelope.payload)
+            f'{envelope.sender}: {reason}',
+            level='warning',
+            group=self.group,
+            size=len(envelope.payload),
         )
 
     def _queue(self, proposal: Proposal) -> bool:
