Give constants that two modules held one owner

Of the names that stand in two modules, four state the same matter: the time in which the platform's list shows an order (autoscaler, role balancer), the ticks per heartbeat that the replica needs (control and zone groups), the length of a caller key's secret (two ways to make one, and the pattern that finds them), and the largest request head (server, and the check behind it). A change of one would have left the other as it was. No value is changed.

--- a/shallotmux/authority/__init__.py
+++ b/shallotmux/authority/__init__.py
@@ -45,6 +45,7 @@
 )
 from shallotmux.authority._inventory import ListedEndpoint, ObserveEndpoints
 from shallotmux.authority._keys import (
+    SECRET_BYTES,
     SECRET_PREFIX,
     CreateKey,
     WithdrawKey,
@@ -117,6 +118,7 @@
     'DocumentState',
     'PutDocument',
     'ReadDocument',
+    'SECRET_BYTES',
     'SECRET_PREFIX',
     'AbandonClaims',
     'AbandonJob',
--- a/shallotmux/callers/_request_checks.py
+++ b/shallotmux/callers/_request_checks.py
@@ -9,12 +9,11 @@
 
 import trio
 
-from shallotmux.authority import Authority, digest_secret
+from shallotmux.authority import SECRET_BYTES, SECRET_PREFIX, Authority, digest_secret
 from shallotmux.errors import CallerError
-from shallotmux.http import Message, Receive, Scope, Send, find_header, read_body
+from shallotmux.http import MAX_HEADER_BYTES, Message, Receive, Scope, Send, find_header, read_body
 
 MAX_BODY_BYTES = 4_194_304
-MAX_HEADER_BYTES = 32_768
 
 #: Time within which a caller must have sent its whole body.
 BODY_TIMEOUT_S = 30.0
@@ -22,9 +21,14 @@
 #: Header with the timeout that the caller sets for its request, in seconds.
 TIMEOUT_HEADER = b'shallotmux-timeout-s'
 
+#: Characters of a secret after its prefix; base64 encodes three bytes as four characters.
+ENCODED_SECRET_LENGTH = SECRET_BYTES * 4 // 3
+
 #: Format of issued secrets; see ``authority.create_secret``. The look-ahead finds overlapping ones, and
 #: the exact length those that are directly followed by characters which may stand in a secret.
-_SECRET = re.compile(rb'(?=(sk-shallot-[A-Za-z0-9_-]{32}))')
+_SECRET = re.compile(
+    b'(?=(%b[A-Za-z0-9_-]{%d}))' % (re.escape(SECRET_PREFIX.encode()), ENCODED_SECRET_LENGTH)
+)
 
 #: Start of a JSON escape that gives a character by its code point.
 JSON_ESCAPE = bytes((0x5C, 0x75))
--- a/shallotmux/control/_autoscaler.py
+++ b/shallotmux/control/_autoscaler.py
@@ -9,7 +9,7 @@
 from eliot import log_message
 
 from shallotmux.control._duties import LeaderDependencies, run_control_loop
-from shallotmux.control._platform import DutyOutcome, FleetOrder
+from shallotmux.control._platform import LISTING_DELAY_S, DutyOutcome, FleetOrder
 from shallotmux.control._service_watch import ServiceTracker
 from shallotmux.control._sizing import (
     INITIAL_SIZE_FACTOR,
@@ -23,10 +23,6 @@
 from shallotmux.fleet import ListedEndpoint
 from shallotmux.routes import FleetBounds, Service
 
-#: Time after the boot of ordered endpoints in which the platform's list must show them. An order
-#: that does not show by then is sent again.
-LISTING_DELAY_S = 3.0
-
 #: Minimum interval between two orders that release endpoints.
 RELEASE_INTERVAL_S = 1.0
 
--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -76,9 +76,6 @@
 #: may have been removed. Most elections are over by then.
 REJOIN_AFTER_S = 1.4
 
-#: Replica ticks per heartbeat interval.
-TICKS_PER_HEARTBEAT = 4
-
 #: Timeout of the leadership transfer at shutdown.
 TRANSFER_TIMEOUT_S = 1.0
 
@@ -163,7 +160,7 @@
             self.state,
             self._store,
             network.send,
-            tick_s=options.heartbeat_s / TICKS_PER_HEARTBEAT,
+            tick_s=options.tick_s,
             run_blocking=run_blocking,
         )
         self.authority = ReplicatedAuthority(
--- a/shallotmux/control/_platform.py
+++ b/shallotmux/control/_platform.py
@@ -10,6 +10,10 @@
 from shallotmux.calls import SendGuard
 from shallotmux.fleet import EngineRole, ListedEndpoint, Listing
 
+#: Time in which the platform's list must show an order that has been carried out: endpoints that have
+#: booted, or a role that was changed. Until then the order counts; afterwards it may be repeated.
+LISTING_DELAY_S = 3.0
+
 
 class DutyOutcome(enum.Enum):
     """Outcome of a duty, which is a call that only the leader of the control group may make."""
--- a/shallotmux/control/_role_balancer.py
+++ b/shallotmux/control/_role_balancer.py
@@ -9,15 +9,11 @@
 from eliot import log_message
 
 from shallotmux.control._duties import LeaderDependencies, run_control_loop
-from shallotmux.control._platform import DutyOutcome
+from shallotmux.control._platform import LISTING_DELAY_S, DutyOutcome
 from shallotmux.control._role_plan import RoleChange, plan_role_change
 from shallotmux.fleet import EngineRole, ListedEndpoint
 from shallotmux.routes import EngineProfile, Service
 
-#: Time after a role change in which the platform's list must show it. Until then no other order is
-#: sent to the engine.
-LISTING_DELAY_S = 3.0
-
 #: Role changes in one round of the control loop. Several engines that boot together may all have the
 #: same role; more at once would take too many out of service.
 MAX_CHANGES_PER_ROUND = 2
--- a/shallotmux/http/__init__.py
+++ b/shallotmux/http/__init__.py
@@ -31,12 +31,13 @@
 )
 from shallotmux.http._multiplexing import BodyRelay, open_relay
 from shallotmux.http._relay_client import RelayClient
-from shallotmux.http._server import Listener, serve_app
+from shallotmux.http._server import MAX_HEADER_BYTES, Listener, serve_app
 from shallotmux.http._tls import Certificate
 
 __all__ = (
     'EVENT_STREAM_TYPE',
     'JSON_TYPE',
+    'MAX_HEADER_BYTES',
     'WRITER_KEY',
     'AsgiApp',
     'BodyRelay',
--- a/shallotmux/http/_server.py
+++ b/shallotmux/http/_server.py
@@ -19,6 +19,8 @@
 #: Default timeout for the completion of open requests at shutdown.
 DRAIN_TIMEOUT_S = 600.0
 KEEP_ALIVE_TIMEOUT_S = 75.0
+
+#: Default limit of the request line and the headers of a request.
 MAX_HEADER_BYTES = 32_768
 
 #: Time without an open request after which a stopping server closes its connections.
--- a/shallotmux/membership/_group.py
+++ b/shallotmux/membership/_group.py
@@ -54,9 +54,6 @@
 #: Limit for transferring leadership at shutdown; after it, the group elects the next leader.
 TRANSFER_TIMEOUT_S = 2.0
 
-#: Ticks per heartbeat interval that the replica requires.
-TICKS_PER_HEARTBEAT = 4
-
 
 @dataclass(frozen=True, slots=True)
 class MemberSpec:
@@ -124,7 +121,7 @@
             self.state,
             store,
             network.send,
-            tick_s=options.replica.heartbeat_s / TICKS_PER_HEARTBEAT,
+            tick_s=options.replica.tick_s,
             run_blocking=options.run_blocking,
         )
         self.table = MemberTable(options.timeouts, now)
--- a/shallotmux/operators/_keys.py
+++ b/shallotmux/operators/_keys.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from shallotmux.authority import SECRET_PREFIX, digest_secret
+from shallotmux.authority import SECRET_BYTES, SECRET_PREFIX, digest_secret
 from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import CallerError
 from shallotmux.world import CustomerKey
@@ -19,7 +19,6 @@
 MIN_SEED_LENGTH = 32
 MAX_SEED_LENGTH = 256
 KEY_ID_BYTES = 6
-SECRET_BYTES = 24
 
 
 def read_seed(body: bytes) -> str:
--- a/shallotmux/replication/_model.py
+++ b/shallotmux/replication/_model.py
@@ -62,6 +62,10 @@
         return name in self.voters and name not in self.witnesses
 
 
+#: Ticks per heartbeat interval.
+TICKS_PER_HEARTBEAT = 4
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicaOptions:
     """Timeouts and limits of a replica; times in seconds.
@@ -105,6 +109,11 @@
     retained_bytes: int = 8 << 20
     snapshot_retry_s: float = 5.0
 
+    @property
+    def tick_s(self) -> float:
+        """Return the longest interval between two ticks."""
+        return self.heartbeat_s / TICKS_PER_HEARTBEAT
+
     @property
     def lease_length_s(self) -> float:
         """Return the time for which an acknowledged heartbeat round extends the lease.
--- a/tests/control/test_role_balancer.py
+++ b/tests/control/test_role_balancer.py
@@ -12,9 +12,8 @@
 from shallotmux.authority import GroupState
 from shallotmux.control import KnowledgeService
 from shallotmux.control._duties import CONTROL_LOOP_S, LeaderDependencies
-from shallotmux.control._platform import DutyHolder, DutyOutcome
+from shallotmux.control._platform import LISTING_DELAY_S, DutyHolder, DutyOutcome
 from shallotmux.control._role_balancer import (
-    LISTING_DELAY_S,
     MAX_CHANGES_PER_ROUND,
     REFUSAL_BACKOFF_S,
     RoleBalancer,
