Repeat an order soon that the platform took no more calls for

What callers saw: zones without endpoints for the time of a boot and 3 s more, after a moment in which the leader had several orders to send.

Cause: the platform takes a number of calls in a second and answers further ones with 429. The client read that as an unknown outcome, and the autoscaler, which sends all due orders at once, took such an order for one that may be under way.

429 is an outcome of its own: the call was not carried out. The round ends there, and the order is due again in the next one.

--- a/shallotmux/control/_autoscaler.py
+++ b/shallotmux/control/_autoscaler.py
@@ -68,15 +68,20 @@
             fleets,
             tracker.unavailable_zones(endpoints, now),
         )
+        await self._send_due(view, tracker, now)
+
+    async def _send_due(self, view: SizingView, tracker: ServiceTracker, now: float) -> None:
+        """Send the orders that are due, until the platform takes no more calls."""
         for order in plan_sizes(view):
-            if not self._is_due(order, service.bounds.boot_s, now):
+            if not self._is_due(order, view.bounds.boot_s, now):
                 continue
             if self._is_release(order, view):
                 if not self._claim_release(now):
                     continue
                 if order.is_cheap:
                     tracker.record_release(order.zone, now)
-            await self._send(order, view.needed, tracker)
+            if await self._send(order, view.needed, tracker) is DutyOutcome.LIMITED:
+                return
 
     def _needed_engines(self, service: Service, fleets: Mapping[str, ZoneFleet]) -> int:
         demand = self._dependencies.knowledge.demand_of(service.name)
@@ -110,15 +115,18 @@
             return True
         return now - sent.at > boot_s + LISTING_DELAY_S
 
-    async def _send(self, order: FleetOrder, needed: int, tracker: ServiceTracker) -> None:
+    async def _send(
+        self, order: FleetOrder, needed: int, tracker: ServiceTracker
+    ) -> DutyOutcome | None:
+        """Send an order and return its outcome; None if this instance may not act any more."""
         holder = self._dependencies.term.holder()
         if holder is None:
-            return
+            return None
         now = trio.current_time()
         demand = self._dependencies.knowledge.demand_of(order.service)
         outcome = await self._dependencies.platform.order_endpoints(order, holder)
         self._dependencies.term.record_outcome(holder, outcome)
-        if outcome is not DutyOutcome.NOT_SENT:
+        if outcome not in {DutyOutcome.NOT_SENT, DutyOutcome.LIMITED}:
             key = (order.service, order.zone, order.is_cheap)
             self._sent_orders[key] = _SentOrder(order.count, now)
         if outcome is DutyOutcome.UNAVAILABLE and order.is_cheap:
@@ -136,6 +144,7 @@
             outcome=outcome.value,
             token=holder.token,
         )
+        return outcome
 
 
 def _count_active(bounds: FleetBounds, endpoints: Iterable[ListedEndpoint]) -> dict[str, ZoneFleet]:
--- a/shallotmux/control/_platform.py
+++ b/shallotmux/control/_platform.py
@@ -23,6 +23,8 @@
     FENCED = 'fenced'
     #: The platform has no capacity for the order at the moment.
     UNAVAILABLE = 'unavailable'
+    #: The platform takes no more calls at the moment; the call was not carried out.
+    LIMITED = 'limited'
     #: Nothing was sent, as there was no connection or the lease had expired.
     NOT_SENT = 'not sent'
     #: No answer, or an answer that does not tell the outcome.
--- a/shallotmux/platform/_duties.py
+++ b/shallotmux/platform/_duties.py
@@ -18,7 +18,12 @@
 ANSWER_TIMEOUT_S = 1.0
 
 #: Outcomes by status of the response.
-OUTCOMES_BY_STATUS = {200: DutyOutcome.ACCEPTED, 202: DutyOutcome.ACCEPTED, 409: DutyOutcome.FENCED}
+OUTCOMES_BY_STATUS = {
+    200: DutyOutcome.ACCEPTED,
+    202: DutyOutcome.ACCEPTED,
+    409: DutyOutcome.FENCED,
+    429: DutyOutcome.LIMITED,
+}
 
 #: Outcomes of a role change whose status means something else than in other calls. 412: a higher
 #: fencing token was seen; 409: another order is in progress.
--- a/tests/control/test_autoscaler.py
+++ b/tests/control/test_autoscaler.py
@@ -49,6 +49,9 @@
     #: Zones in which orders for fewer endpoints are refused.
     unreleased: set[str] = field(default_factory=set)
     number: int = 0
+    #: Calls taken in one second; further ones are refused.
+    calls_per_s: int = 1000
+    called_at: list[float] = field(default_factory=list)
 
     def add(self, zone: str, *, is_cheap: bool) -> None:
         """Add a ready endpoint."""
@@ -91,6 +94,11 @@
     async def order_endpoints(self, order: FleetOrder, holder: DutyHolder) -> DutyOutcome:
         """Carry out an order."""
         self.orders.append(order)
+        now = trio.current_time()
+        self.called_at = [each for each in self.called_at if now - each < 1]
+        if len(self.called_at) >= self.calls_per_s:
+            return DutyOutcome.LIMITED
+        self.called_at.append(now)
         present = self.count(order.zone, is_cheap=order.is_cheap)
         if order.is_cheap and order.zone in self.unavailable and order.count > present:
             return DutyOutcome.UNAVAILABLE
@@ -210,3 +218,15 @@
     await run_under(platform, 1, 30)
     assert platform.count('c', is_cheap=False) == 3
     assert platform.count('a', is_cheap=False) == 0
+
+
+async def test_order_beyond_the_limit_of_calls_is_repeated_soon(
+    platform: Platform, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against zones without endpoints for seconds after the platform took no more calls."""
+    platform.calls_per_s = 1
+    for zone in PRICES:
+        platform.add(zone, is_cheap=False)
+    await run_under(platform, 110_000, int(len(PRICES) + BOOT_S + 4))
+    assert all(platform.count(zone, is_cheap=True) for zone in PRICES)
+    assert len(platform.orders) < 30
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -59,6 +59,15 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_call_beyond_the_limit_was_not_carried_out(nursery: trio.Nursery) -> None:
+    """Guards against an order that counts as sent although the platform took no more calls."""
+    platform = RawPlatform(b'HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n')
+    client = PlatformClient(await nursery.start(platform.run))
+    holder = DutyHolder('core-1', 4, CountedGuard(9))
+    assert await client.report_usage(REPORT, holder) is DutyOutcome.LIMITED
+    nursery.cancel_scope.cancel()
+
+
 async def test_refused_call_is_logged_with_its_status(nursery: trio.Nursery) -> None:
     """Guards against calls that are refused for ever with nothing said but an unknown outcome."""
     platform = RawPlatform(b'HTTP/1.1 422 Unprocessable\r\nContent-Length: 0\r\n\r\n')
