Keep the minimum of a zone until what was ordered there is present

What callers saw: a zone without endpoints for the time of a boot, or longer.

Cause: the plan counted on the endpoints that it ordered in the same round. It released the last cheap endpoint of a zone while the regular one that takes its place was only ordered, and also if that order was refused; the platform's limits apply to both kinds together, so it may refuse the release, again and again.

A release now leaves the minimum of the zone among the endpoints that are present.

test_each_order_keeps_the_bounds_of_its_zone, 2,000 random fleets with zones that have no cheap endpoints, failed before.

--- a/shallotmux/control/_sizing.py
+++ b/shallotmux/control/_sizing.py
@@ -85,6 +85,10 @@
         """
         return frozenset(self.bounds.zone_prices or self.fleets)
 
+    def min_in(self, zone: str) -> int:
+        """Return the minimum number of endpoints in a zone."""
+        return self.bounds.min_per_zone if zone in self.ordered_zones else 0
+
 
 @dataclass(frozen=True, slots=True)
 class FleetDemand:
@@ -208,8 +212,9 @@
 def _plan_scale_down(view: SizingView, target: Mapping[str, ZoneFleet]) -> list[FleetOrder]:
     """Return the orders for fewer endpoints, as far as enough others are present.
 
-    Where a zone is full and regular endpoints leave no room for cheap ones, one regular endpoint is
-    released even if none can be spared.
+    Each zone keeps the minimum that is present, as ordered ones may be refused. Where a zone is full
+    and regular endpoints leave no room for cheap ones, one regular endpoint is released even if none
+    can be spared.
     """
     present = sum(fleet.total for fleet in view.fleets.values())
     required = min(view.needed, sum(fleet.total for fleet in target.values()))
@@ -218,14 +223,16 @@
     for zone in reversed(_zones_by_price(view)):
         fleet, goal = view.fleets[zone], target[zone]
         is_blocked = fleet.total >= view.bounds.max_per_zone and fleet.cheap < goal.cheap
+        releasable = fleet.total - view.min_in(zone)
         for is_cheap, count, target_count in (
             (False, fleet.regular, goal.regular),
             (True, fleet.cheap, goal.cheap),
         ):
             allowed = max(spare, int(is_blocked and not orders and not is_cheap))
-            released = max(0, min(count - target_count, allowed))
+            released = max(0, min(count - target_count, allowed, releasable))
             if released:
                 spare -= released
+                releasable -= released
                 orders.append(FleetOrder(view.service, zone, count - released, is_cheap))
     return orders
 
--- a/tests/control/test_sizing.py
+++ b/tests/control/test_sizing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from shallotmux.control import FleetOrder
@@ -100,6 +102,23 @@
         assert 0 <= order.count <= max(maximum, present)
 
 
+def test_each_order_keeps_the_bounds_of_its_zone() -> None:
+    """Guards against orders that the platform refuses, as others of the round were refused, too."""
+    random = Random(1)
+    for _ in range(2000):
+        fleets = {zone: ZoneFleet(random.randint(0, 2), random.randint(0, 1)) for zone in PRICES}
+        absent = [zone for zone in PRICES if random.randrange(4) == 0]
+        for order in plan_sizes(view(random.randint(0, 9), fleets, *absent)):
+            fleet = fleets[order.zone]
+            other = fleet.regular if order.is_cheap else fleet.cheap
+            present = fleet.total - other
+            total = order.count + other
+            if order.count > present:
+                assert total <= BOUNDS.max_per_zone, (fleets, order)
+            else:
+                assert total >= min(BOUNDS.min_per_zone, fleet.total), (fleets, order)
+
+
 def test_nothing_more_is_ordered_in_a_zone_that_the_document_does_not_name() -> None:
     """Guards against a need that is never met, since it counts on a zone without orders."""
     fleets = {'a': ZoneFleet(1), 'b': ZoneFleet(1), 'c': ZoneFleet(1), 'removed': ZoneFleet(1)}
