Repeat an election sooner after a split vote

What callers saw: after the loss of a leader, up to 3.28 s without one, where each candidate needs the votes of all others: with one of three voters lost, or two of five. The cause: a candidate that does not win waits for a whole election timeout, 0.8 to 1.4 s, like a follower that must not disturb a working leader.

A candidate waits for 0.4 to 0.8 s (half to one election_min_s). No voter has a leader then, and the next attempt starts with a pre-vote.

--- a/shallotmux/replication/_election.py
+++ b/shallotmux/replication/_election.py
@@ -36,9 +36,10 @@
         state = self._state
         if state.role is Role.LEADER:
             return
-        state.restart_election_timer()
         if not state.configuration.may_lead(state.name):
+            state.restart_election_timer()
             return
+        state.await_votes()
         state.enter_term(state.term + 1, state.name)
         state.become_candidate(Role.CANDIDATE)
         self._is_transfer = is_transfer
--- a/shallotmux/replication/_state.py
+++ b/shallotmux/replication/_state.py
@@ -98,6 +98,15 @@
         timeout = self._random.uniform(self.options.election_min_s, self.options.election_max_s)
         self.election_deadline = self.now + timeout
 
+    def await_votes(self) -> None:
+        """Set the timeout of an election of this replica.
+
+        If candidates split the votes, each of them waits for this time. No voter has a leader then, so
+        the time only needs to exceed that in which votes are stored and answered.
+        """
+        longest = self.options.election_min_s
+        self.election_deadline = self.now + self._random.uniform(longest / 2, longest)
+
     def retry_election_soon(self) -> None:
         """Set a short timeout for the next pre-vote.
 
