Replace a lost voter before the next loss may follow

Cause: a voter was replaced after 5 s of silence, counted anew by each leader, so leaders that change every few seconds never replaced any.

Change: the silence after which a voter is replaced follows from the time that the deployment allows (bounds.catch-up-s, replacement_s in the product) and the number of tolerated losses: 3.1 s at 4 s with one, 2.2 s at 6 s with two. A leader's heartbeats name the members that are silent, and for how long, and its followers know when it was last heard of; a new leader goes on counting from there, but waits 0.8 s for answers before it replaces a voter. After more than two election timeouts without a leader it counts anew. The leader checks the membership every 0.1 s. Older builds ignore the new field and send none.

Price: a voter frozen for 3 s or more costs three changes of the membership, a rolling restart of all with 1 s down each none.

test_new_leader_waits_before_it_removes_voters gave a voter an answer from before the leadership, which the replica never reports; it now covers a silence to earlier leaders and one that began shortly before.

--- a/shallotmux/control/__init__.py
+++ b/shallotmux/control/__init__.py
@@ -10,7 +10,7 @@
     LeaderTerm,
     WindowReporter,
 )
-from shallotmux.control._group_changes import ControlGroupView, MemberTimeouts, next_group_change
+from shallotmux.control._group_changes import ControlGroupView, next_group_change
 from shallotmux.control._group_health import GroupHealth, assess_group
 from shallotmux.control._knowledge import KnowledgeService, UsageTotals
 from shallotmux.control._member import CONTROL_GROUP, ControlMember, MemberSettings
@@ -25,6 +25,7 @@
 from shallotmux.control._quorum_watch import QuorumWatch
 from shallotmux.control._recovery import DataFolders
 from shallotmux.control._role_balancer import RoleBalancer
+from shallotmux.control._timeouts import MemberTimeouts, choose_timeouts, longest_replacement_s
 
 __all__ = (
     'CALL_FLIGHT_S',
@@ -46,6 +47,8 @@
     'QuorumWatch',
     'RoleBalancer',
     'MemberTimeouts',
+    'choose_timeouts',
+    'longest_replacement_s',
     'ControlGroupView',
     'WindowReporter',
     'UsageTotals',
--- a/shallotmux/control/_group_changes.py
+++ b/shallotmux/control/_group_changes.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from shallotmux.control._timeouts import MemberTimeouts
 from shallotmux.control._voter_placement import (
     SPREAD_AFTER_S,
     choose_exchange,
@@ -29,21 +30,6 @@
 MAX_LEARNER_LAG_ENTRIES = 32
 
 
-@dataclass(frozen=True, slots=True)
-class MemberTimeouts:
-    """Timeouts without an answer from a member, in seconds.
-
-    :param live_timeout_s: age of the last answer up to which a follower counts as live.
-    :param replace_after_s: time after which a silent voter is replaced by a learner. It
-        exceeds the pauses from which machines usually recover.
-    :param remove_after_s: time after which a silent learner is removed.
-    """
-
-    live_timeout_s: float = 1.0
-    replace_after_s: float = 5.0
-    remove_after_s: float = 20.0
-
-
 @dataclass(frozen=True, slots=True)
 class ControlGroupView:
     """State of the control group as the leader sees it.
@@ -68,12 +54,12 @@
     live_since: Mapping[str, float] = field(default_factory=dict)
 
     def silence_s(self, identity: str) -> float:
-        """Return the time since the last answer of a member, or since the leadership began."""
+        """Return the time for which neither this leader nor an earlier one has heard of a member."""
         if identity == self.leader:
             return 0
         status = self.followers.get(identity)
-        acked_at = status.acked_at if status else float('-inf')
-        return self.now - max(acked_at, self.led_since)
+        heard_at = max(status.acked_at, status.heard_at) if status else self.led_since
+        return self.now - heard_at
 
     def is_live(self, identity: str) -> bool:
         """Return whether a member answered within the live timeout."""
@@ -83,8 +69,12 @@
         return status is not None and self.now - status.acked_at <= self.timeouts.live_timeout_s
 
     def is_lost(self, identity: str) -> bool:
-        """Return whether a voter has been silent for so long that it is replaced."""
-        return self.silence_s(identity) >= self.timeouts.replace_after_s
+        """Return whether a voter has been silent for so long that it is replaced.
+
+        A voter that was silent to earlier leaders has the time to answer this one, too.
+        """
+        is_observed = self.now - self.led_since >= self.timeouts.observe_s
+        return is_observed and self.silence_s(identity) >= self.timeouts.replace_after_s
 
     def is_settled(self, identity: str) -> bool:
         """Return whether a member has been live for so long that a live voter may be exchanged."""
--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -25,6 +25,7 @@
 from shallotmux.control._join_requests import JoinRequests
 from shallotmux.control._leader_search import LeaderSearch
 from shallotmux.control._member_zones import MemberZones
+from shallotmux.control._timeouts import choose_timeouts
 from shallotmux.control._voter_placement import MemberStability
 from shallotmux.errors import ShallotmuxError, StorageError
 from shallotmux.fleet import (
@@ -66,9 +67,12 @@
 #: Name of the group of control instances.
 CONTROL_GROUP = 'control'
 
-#: Interval at which the leader checks the membership, and at which non-members ask to join.
+#: Interval at which non-members ask to join.
 MEMBERSHIP_INTERVAL_S = 0.25
 
+#: Interval at which the leader checks the membership.
+CHECK_INTERVAL_S = 0.1
+
 #: Timeout of a join request.
 JOIN_TIMEOUT_S = 0.5
 
@@ -94,6 +98,8 @@
     :param bootstrap: whether the deployment starts for the first time.
     :param tolerated: number of disks that may be lost at once.
     :param zone: availability zone of the instance; empty if it is unknown.
+    :param replacement_s: time after which a lost instance must not count any more, as another one may
+        be lost then.
     """
 
     name: str
@@ -102,6 +108,7 @@
     bootstrap: bool
     tolerated: int = 1
     zone: str = ''
+    replacement_s: float = 6.0
 
 
 def replica_options() -> ReplicaOptions:
@@ -176,6 +183,7 @@
         self._search = LeaderSearch(settings.name)
         #: Zones of the members.
         self.zones = MemberZones(self.identity, settings.zone, network, self.driver.status)
+        self._timeouts = choose_timeouts(settings.tolerated, settings.replacement_s)
         self._known_peers = set(settings.seeds) | {settings.name}
         self._joining = JoinRequests()
         self._stability = MemberStability()
@@ -219,7 +227,7 @@
             nursery.start_soon(self._join_repeatedly)
             nursery.start_soon(self.zones.announce_repeatedly)
             while True:
-                await trio.sleep(MEMBERSHIP_INTERVAL_S)
+                await trio.sleep(CHECK_INTERVAL_S)
                 self._update_membership(trio.current_time())
 
     def receive(self, envelope: PeerEnvelope) -> None:
@@ -287,6 +295,7 @@
             self._led_since,
             now,
             self.settings.tolerated,
+            self._timeouts,
             zones=self.zones.known(),
         )
         self._update_health(assess_group(view))
--- a/shallotmux/platform/_settings.py
+++ b/shallotmux/platform/_settings.py
@@ -65,6 +65,8 @@
     report_window_s: _Seconds = DEFAULT_REPORT_WINDOW_S
     # Not the length of our lease: holders must not take turns within this time.
     lease_ms: _Milliseconds = 3000.0
+    # Time for which a machine counts as lost after it is back; a successor of a lost one has it, too.
+    catch_up_s: _Seconds = 6.0
 
 
 class _Cloud(msgspec.Struct, rename='kebab'):
@@ -145,6 +147,7 @@
             _listing_interval(file.cloud),
             bounds.report_window_s or DEFAULT_REPORT_WINDOW_S,
             bounds.lease_ms / 1000,
+            bounds.catch_up_s,
         ),
         'usage_report' in file.cloud.duties,
         'autoscale' in file.cloud.duties,
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -98,6 +98,7 @@
                 settings.bootstrap,
                 settings.tolerated_disk_losses,
                 settings.zone,
+                settings.times.replacement_s,
             ),
             self._network,
             SystemRandom(),
--- a/shallotmux/programs/_settings.py
+++ b/shallotmux/programs/_settings.py
@@ -47,12 +47,15 @@
     :param usage_window_s: length of a usage window.
     :param alternation_s: time within which leader-only calls must not return to an instance after another
         one has made some.
+    :param replacement_s: time after which a lost control instance must not count any more, as another one
+        may be lost then.
     """
 
     grace_s: float = 8.0
     listing_s: float = 0.8
     usage_window_s: float = 5.0
     alternation_s: float = 3.0
+    replacement_s: float = 6.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/shallotmux/replication/_election.py
+++ b/shallotmux/replication/_election.py
@@ -65,6 +65,7 @@
     def record_vote(self, sender: str, reply: VoteReply) -> None:
         """Record a vote; a won pre-vote starts the election."""
         state = self._state
+        state.contacts.record_answer(sender, state.now)
         campaign_role = Role.PRE_CANDIDATE if reply.is_pre_vote else Role.CANDIDATE
         campaign_term = state.term + 1 if reply.is_pre_vote else state.term
         if state.role is not campaign_role or reply.term != campaign_term or not reply.granted:
--- a/shallotmux/replication/_following.py
+++ b/shallotmux/replication/_following.py
@@ -11,6 +11,7 @@
 def handle_append(state: ReplicaState, leader: str, request: AppendRequest) -> None:
     """Append the leader's entries if the log matches, and reply."""
     state.record_leader_contact(leader)
+    state.contacts.record_report(request.silences, state.now)
     if request.previous_index < state.log.first_index - 1:
         # Entries before the first index held are committed, hence equal to the leader's.
         _reply(state, leader, request, state.commit_index)
--- a/shallotmux/replication/_leadership.py
+++ b/shallotmux/replication/_leadership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from shallotmux.errors import MembershipRefused
+from shallotmux.replication._contacts import report_silences
 from shallotmux.replication._membership import change_configuration
 from shallotmux.replication._messages import AppendReply, TimeoutNow
 from shallotmux.replication._model import (
@@ -32,11 +33,14 @@
         self._round = 0
         self._heartbeat_due = state.now
         self._followers: dict[str, Progress] = {}
+        #: When each follower was last heard of before it acknowledged a heartbeat of this leader.
+        self._heard_before: dict[str, float] = {}
         self._pending_reads: list[tuple[int, int]] = []
         self._transfer_target: str | None = None
         self._transfer_deadline = NEVER
         self._has_released_lease = False
         self._update_followers()
+        self._recall_contacts()
         #: First entry of this term; once committed, all entries of earlier terms are committed.
         self._term_start_index = self.append(EntryKind.TERM_START, b'')[0]
         self.send_heartbeats()
@@ -61,6 +65,7 @@
         """Start a heartbeat round."""
         self._round += 1
         self._heartbeat_due = self._state.now + self._state.options.heartbeat_s
+        self._report_silences()
         for follower in self._followers.values():
             follower.send_heartbeat(self._state, self._round)
 
@@ -121,7 +126,7 @@
     def followers(self) -> dict[str, FollowerStatus]:
         """Return the replication status of each follower."""
         return {
-            name: FollowerStatus(each.match_index, each.acked_at)
+            name: FollowerStatus(each.match_index, each.acked_at, self._heard_at(each))
             for name, each in self._followers.items()
         }
 
@@ -181,9 +186,34 @@
     def _update_followers(self) -> None:
         others = self._state.configuration.members - {self._state.name}
         next_index = self._state.log.last_index + 1
+        known = self._followers
         self._followers = {
-            name: self._followers.get(name) or Progress(name, next_index) for name in sorted(others)
+            name: known.get(name) or Progress(name, next_index) for name in sorted(others)
         }
+        self._heard_before = {
+            name: self._heard_before.get(name, self._state.now) for name in self._followers
+        }
+
+    def _recall_contacts(self) -> None:
+        """Take over what is known of when the followers were heard of before this leadership.
+
+        After a long time without a leader, as after a cut that has healed, more than single members
+        were out of reach and may need seconds to connect again; their silence is counted anew.
+        """
+        contacts = self._state.contacts
+        longest_election_s = 2 * self._state.options.election_max_s
+        if self._state.now - contacts.reported_at <= longest_election_s:
+            self._heard_before = {name: contacts.heard_at(name) for name in self._followers}
+
+    def _heard_at(self, follower: Progress) -> float:
+        return max(follower.acked_at, self._heard_before[follower.name])
+
+    def _report_silences(self) -> None:
+        """Name the silent followers in the next heartbeats, and remember them if this term ends."""
+        state = self._state
+        heard_at = {name: self._heard_at(each) for name, each in self._followers.items()}
+        state.silences = report_silences(heard_at, state.now, state.options.election_min_s)
+        state.contacts.record_report(state.silences, state.now)
 
     def _is_term_start_committed(self) -> bool:
         return self._state.commit_index >= self._term_start_index
--- a/shallotmux/replication/_messages.py
+++ b/shallotmux/replication/_messages.py
@@ -33,11 +33,20 @@
     is_pre_vote: bool = False
 
 
+class MemberSilence(msgspec.Struct, frozen=True):
+    """Time for which a leader has not heard of a member, in seconds."""
+
+    name: str
+    silence_s: float
+
+
 class AppendRequest(msgspec.Struct, frozen=True, tag=True):
     """Heartbeat, with the entries that follow the entry at the previous index, if any.
 
     :param round_number: heartbeat round of the leader, returned in the reply.
     :param sent_at: send time on the leader's clock, returned in the reply.
+    :param silences: members that the leader has not heard of for longer than the shortest election
+        timeout. Builds that do not know the field ignore it, or leave it empty.
     """
 
     term: int
@@ -47,6 +56,7 @@
     commit_index: int
     round_number: int
     sent_at: float
+    silences: tuple[MemberSilence, ...] = ()
 
 
 class SnapshotRequest(msgspec.Struct, frozen=True, tag=True):
--- a/shallotmux/replication/_model.py
+++ b/shallotmux/replication/_model.py
@@ -226,10 +226,13 @@
     :param match_index: last index up to which the logs are known to be equal.
     :param acked_at: send time of the newest heartbeat that it acknowledged; minus infinity before
         the first.
+    :param heard_at: latest time at which this leader or an earlier one is known to have heard of it;
+        the start of the leadership, or the time when it became a member, if none is known.
     """
 
     match_index: int
     acked_at: float
+    heard_at: float = float('-inf')
 
 
 @dataclass(frozen=True, slots=True)
--- a/shallotmux/replication/_progress.py
+++ b/shallotmux/replication/_progress.py
@@ -110,6 +110,7 @@
             state.commit_index,
             round_number,
             state.now,
+            state.silences,
         )
         state.send(self.name, request)
         self._next_index += len(entries)
--- a/shallotmux/replication/_state.py
+++ b/shallotmux/replication/_state.py
@@ -4,8 +4,9 @@
 
 from random import Random
 
+from shallotmux.replication._contacts import NEVER, Contacts
 from shallotmux.replication._log import ReplicaLog
-from shallotmux.replication._messages import Envelope, Message
+from shallotmux.replication._messages import Envelope, MemberSilence, Message
 from shallotmux.replication._model import (
     Configuration,
     HardState,
@@ -16,8 +17,7 @@
     StoredGroup,
 )
 
-#: Local time of an event that has not happened.
-NEVER = float('-inf')
+__all__ = ('NEVER', 'ReplicaState')
 
 
 class ReplicaState:
@@ -39,6 +39,9 @@
         self.role = Role.FOLLOWER
         self.leader: str | None = None
         self.last_contact = NEVER
+        self.contacts = Contacts()
+        #: Silent members, as this replica reports them while it leads.
+        self.silences: tuple[MemberSilence, ...] = ()
         #: No vote is granted before this time. After a restart, a voter does not know when it last
         #: replied to a leader, which may hold a lease that depends on this reply.
         self.no_vote_until = now + options.election_min_s
--- a/tests/control/_instances.py
+++ b/tests/control/_instances.py
@@ -53,6 +53,7 @@
     nursery: trio.Nursery
     folder: Path
     tolerated: int = 1
+    replacement_s: float = 6.0
     fabric: MemoryPeerFabric = field(default_factory=lambda: MemoryPeerFabric(Random(1)))
     running: dict[str, ControlInstance] = field(default_factory=dict)
     #: Instances that were paused for good; they still have their files open.
@@ -68,8 +69,15 @@
     ) -> ControlInstance:
         """Start an instance with the present content of its folder."""
         network = self.fabric.network(name)
-        zone = self.zones.get(name, '')
-        settings = MemberSettings(name, self.data(name), seeds, bootstrap, self.tolerated, zone)
+        settings = MemberSettings(
+            name,
+            self.data(name),
+            seeds,
+            bootstrap,
+            self.tolerated,
+            self.zones.get(name, ''),
+            self.replacement_s,
+        )
         random = Random(f'{name}/{trio.current_time()}')
         scope = trio.CancelScope()
         instance = ControlInstance(ControlMember(settings, network, random, run_inline), scope)
--- a/tests/control/test_group_changes.py
+++ b/tests/control/test_group_changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import replace
 
 import pytest
 
@@ -123,11 +124,13 @@
 
 def test_new_leader_waits_before_it_removes_voters() -> None:
     """Guards against a new leader that replaces voters which have not answered it yet."""
-    fresh = make_view(VOTERS, ['d:1'], silent=['c:1'])
-    started = ControlGroupView(
-        fresh.leader, fresh.configuration, fresh.followers, frozenset(), 1000, 98.0, 100.0
-    )
-    assert next_group_change(started) is None
+    view = make_view(VOTERS, ['d:1'], silent=['c:1'])
+    # The voter was silent to earlier leaders for long enough.
+    assert next_group_change(replace(view, led_since=99.5)) is None
+    assert next_group_change(replace(view, led_since=98.0)) == PromoteLearner('d:1')
+    # It was heard of shortly before this leader was elected, and has not answered this one.
+    unanswered = {**view.followers, 'c:1': FollowerStatus(1000, float('-inf'), 98.0)}
+    assert next_group_change(replace(view, followers=unanswered, led_since=98.0)) is None
 
 
 def test_more_tolerated_disks_need_more_voters() -> None:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -37,7 +37,13 @@
     'bootstrap': True,
     'data-dir': '/data/control',
     'tolerate': {'machines': 2, 'zones': 1, 'regions': 0},
-    'bounds': {'grace-s': 7, 'retry-budget-ratio': 0.1, 'retry-slack': 12, 'report-window-s': 4},
+    'bounds': {
+        'grace-s': 7,
+        'catch-up-s': 5,
+        'retry-budget-ratio': 0.1,
+        'retry-slack': 12,
+        'report-window-s': 4,
+    },
     'cloud': {'address': '10.200.0.99:8362', 'rate-per-s': 44.0, 'duties': ['usage_report']},
     'unknown': {'ignored': [1]},
 }
@@ -101,6 +107,7 @@
     assert (settings.tolerated_disk_losses, settings.bootstrap) == (2, True)
     assert (settings.reports_usage, settings.orders_endpoints) == (True, False)
     assert (settings.times.grace_s, settings.times.usage_window_s) == (7, 4)
+    assert settings.times.replacement_s == 5
 
 
 @pytest.mark.parametrize(
@@ -124,6 +131,7 @@
         ({'bounds': {'retry-budget-ratio': -1}}, 'retry-budget-ratio'),
         ({'bounds': {'retry-slack': 10**400}}, 'retry-slack'),
         ({'bounds': {'lease-ms': 1e300}}, 'lease-ms'),
+        ({'bounds': {'catch-up-s': -1}}, 'catch-up-s'),
         ({'bounds': {'lease-ms': float('nan')}}, 'malformed'),
         ({'cloud': {'rate-per-s': -5}}, 'rate-per-s'),
         ({'tolerate': {'machines': 10**20}}, 'machines'),
