Check that an exchanged voter is never without a leader

The test of a voter that stays in the group after its exchange passed without that change since members ask their peers for the leader after 1.4 s: an operation outlasts the gap. It now also asserts that each instance knows a leader at each of the 29 rounds, and fails again without the change; its comment named the old time.

--- a/tests/control/test_zone_spread.py
+++ b/tests/control/test_zone_spread.py
@@ -124,9 +124,9 @@
 async def test_voter_that_was_exchanged_stays_in_the_group(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, tmp_path: Path
 ) -> None:
-    """Guards against an instance that refuses operations for seconds, since it lost its vote.
+    """Guards against an instance that is without a leader for seconds, since it lost its vote.
 
-    It is not told of its removal, and asked to join again only after 3 s without a leader.
+    It is not told of its removal, and asks to join again only after some time without a leader.
     """
     zones = dict(zip((*SEEDS, FOURTH), 'aabc', strict=True))
     group = ControlGroup(nursery, tmp_path, zones=zones)
@@ -135,8 +135,9 @@
         while group.voters() >= set(SEEDS):
             await trio.sleep(0.1)
     for version in range(1, 30):
-        for name in group.running:
+        for name, instance in group.running.items():
             assert await group.put(version, through=name)
+            assert instance.member.driver.status().leader is not None
         await trio.sleep(0.1)
     configuration = (await group.wait_for_leader()).member.driver.status().configuration
     assert set(SEEDS) < configuration.members
