--- a/tests/control/test_quorum_watch.py
+++ b/tests/control/test_quorum_watch.py
@@ -99,6 +99,19 @@
     assert lines[-1]['answering'] == [SEEDS[0]]
 
 
+async def test_new_instance_whose_seeds_are_gone_says_that_nobody_answers(
+    group: ControlGroup,
+    nursery: trio.Nursery,
+    lines: list[dict[str, Any]],
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a replacement that never finds the group and says nothing."""
+    await group.start(LEARNER, seeds=('10.0.0.77:7',))
+    watch(group, nursery, LEARNER)
+    await trio.sleep(2 * LOST_AFTER_S)
+    assert (lines[-1]['voters'], lines[-1]['answering']) == ([], [])
+
+
 async def test_metrics_tell_that_no_leader_is_known(
     group: ControlGroup, nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
