Answer reads once a majority confirms them, without an entry in the log

A read of the configuration was a command in the log: it needed a write that is synced on a majority of disks, and failed with it. A leader whose disk hung on that write sent no heartbeats any more and lost its term.

The driver now asks the replica for a read index, once for all reads that wait, and answers from the applied state when a majority has answered a heartbeat round that began after the request. Leases are not used for it: their clock may stand still, unnoticed, with the machine (docs/platform.md had refused that). The wire and the command are the same, so that builds of both kinds answer each other's reads, and entries of earlier builds still apply.

--- a/shallotmux/authority/_commands.py
+++ b/shallotmux/authority/_commands.py
@@ -11,8 +11,8 @@
 COMMAND_ERRORS = (*DECODE_ERRORS, KeyError, TypeError, AttributeError)
 
 
-def check_command(payload: bytes) -> ForwardAnswer | None:
-    """Refuse what is not a command, since every replica would fail on its entry, at each start."""
+def parse_command(payload: bytes) -> Command | ForwardAnswer:
+    """Return the command, or a refusal of what is none: every replica would fail on its entry."""
     try:
         command = decode_command(payload)
     except COMMAND_ERRORS as error:
@@ -22,4 +22,4 @@
     missing = find_missing_field(command)
     if missing:
         return ForwardAnswer(refusal=Refusal.INVALID, detail=f'no {missing}')
-    return None
+    return command
--- a/shallotmux/authority/_document.py
+++ b/shallotmux/authority/_document.py
@@ -25,14 +25,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadDocument:
-    """Reads the document through the log, so that the read is linearizable."""
+    """Reads the document; the read is linearizable.
+
+    The leader answers once a majority has confirmed it. Earlier builds commit the read to the log.
+    """
 
     operation_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class DocumentRead:
-    """The document as of the log entry of a read.
+    """The document as of a read.
 
     :param version: 0 if there is no document yet.
     """
--- a/shallotmux/authority/_driver.py
+++ b/shallotmux/authority/_driver.py
@@ -9,9 +9,11 @@
 import trio
 from eliot import log_message
 
-from shallotmux.authority._commands import check_command
+from shallotmux.authority._commands import parse_command
+from shallotmux.authority._document import ReadDocument
 from shallotmux.authority._driver_inputs import Input, Proposal, ReceivedMessage
 from shallotmux.authority._group_state import GroupState
+from shallotmux.authority._reads import NO_QUORUM, ConfirmedReads
 from shallotmux.authority._state import Result, encode_result
 from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import AuthorityUnavailable, MembershipRefused, NotLeader
@@ -118,6 +120,7 @@
         self.heard_at: dict[str, float] = {}
         self._queued_command_bytes = 0
         self._pending_proposals: dict[int, Proposal] = {}
+        self._reads = ConfirmedReads(replica, state)
         self._status = replica.status()
         #: Called before a reply to the leader is sent, so that other messages to the leader can be
         #: sent in the same batch.
@@ -175,11 +178,11 @@
         self.queued_message_bytes += size
 
     async def commit(self, payload: bytes, timeout_s: float) -> ForwardAnswer:
-        """Commit a command on this instance if it leads."""
-        refusal = check_command(payload)
-        if refusal is not None:
-            return refusal
-        proposal = Proposal(payload)
+        """Commit a command on this instance, or answer a read, if it leads."""
+        command = parse_command(payload)
+        if isinstance(command, ForwardAnswer):
+            return command
+        proposal = Proposal(payload, command if isinstance(command, ReadDocument) else None)
         if not self._queue(proposal):
             return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail='too many commands')
         with trio.move_on_after(timeout_s):
@@ -187,7 +190,7 @@
             return proposal.answer
         proposal.is_abandoned = True
         if proposal.is_proposed:
-            return ForwardAnswer(refusal=Refusal.UNKNOWN, detail='no quorum answered in time')
+            return ForwardAnswer(refusal=Refusal.UNKNOWN, detail=NO_QUORUM)
         return proposal.answer
 
     def change_membership(self, change: MembershipChange) -> bool:
@@ -223,6 +226,7 @@
             with trio.move_on_at(next_tick):
                 self._handle(await self._inbox_receiver.receive())
             self._handle_queued()
+            self._reads.start(trio.current_time())
             now = trio.current_time()
             if now >= next_tick:
                 self._replica.tick(now)
@@ -274,8 +278,15 @@
                 self._replica.receive(received.envelope, trio.current_time())
             case Proposal():
                 self._queued_command_bytes -= len(received.payload)
-                if not received.is_abandoned:
-                    self._propose(received)
+                self._start(received)
+
+    def _start(self, proposal: Proposal) -> None:
+        if proposal.is_abandoned:
+            return
+        if proposal.read is None:
+            self._propose(proposal)
+        else:
+            self._reads.add(proposal)
 
     def _propose(self, proposal: Proposal) -> None:
         try:
@@ -328,6 +339,7 @@
         if self.state.applied_index != before:
             self.state.apply_confirmations()
             self.state.notify()
+        self._reads.answer(effects.reads)
 
     def _answer(self, entry: Entry, result: Result | None) -> None:
         proposal = self._pending_proposals.pop(entry.index, None)
@@ -372,8 +384,9 @@
 
     def _answer_pending_proposals(self) -> None:
         """Answer pending proposals after a loss of leadership; their commands may still commit."""
-        if not self._pending_proposals or self.status().role is Role.LEADER:
+        if self.status().role is Role.LEADER:
             return
+        self._reads.drop()
         for proposal in self._pending_proposals.values():
             proposal.finish(ForwardAnswer(refusal=Refusal.UNKNOWN, detail='leadership was lost'))
         self._pending_proposals.clear()
--- a/shallotmux/authority/_driver_inputs.py
+++ b/shallotmux/authority/_driver_inputs.py
@@ -6,18 +6,21 @@
 
 import trio
 
+from shallotmux.authority._document import ReadDocument
 from shallotmux.replication import Envelope
 from shallotmux.transport import ForwardAnswer, Refusal
 
 
 @dataclass(slots=True)
 class Proposal:
-    """A command that waits to be committed.
+    """A command that waits to be committed, or a read that waits to be confirmed.
 
+    :param read: the command if it is a read, which is answered without an entry in the log.
     :param answer: result of the command; valid once ``done`` is set.
     """
 
     payload: bytes
+    read: ReadDocument | None = None
     answer: ForwardAnswer = ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail='not proposed')
     is_proposed: bool = False
     is_abandoned: bool = False
--- a/shallotmux/checking/_simulated_group.py
+++ b/shallotmux/checking/_simulated_group.py
@@ -92,6 +92,7 @@
 
     :param clock_rate_spread: largest relative difference of two nodes' clock rates.
     :param takeover_delay_s: time on its own clock for which a new leader makes no calls.
+    :param reads_use_lease: whether a valid lease answers reads; otherwise a majority confirms each.
     :param voters: number of voters; the first ``disks`` of them have a disk, and the last
         ``witnesses`` are witnesses.
     """
@@ -102,6 +103,7 @@
     witnesses: int = 0
     clock_rate_spread: float = 0.02
     takeover_delay_s: float = 0
+    reads_use_lease: bool = True
 
 
 class SimulatedGroup:
@@ -317,7 +319,8 @@
         self._proposed[node.name, index, term] = operation_number
 
     def _request_read(self, node: Node, replica: Replica) -> None:
-        token = replica.read_index(node.local_time(self.now))
+        uses_lease = self.options.reads_use_lease
+        token = replica.read_index(node.local_time(self.now), uses_lease=uses_lease)
         operation_number = -1
         if len(self.history.operations) < MAX_OPERATIONS:
             operation_number = self.history.begin('get', ())
--- a/shallotmux/replication/_leadership.py
+++ b/shallotmux/replication/_leadership.py
@@ -136,9 +136,10 @@
             return NEVER
         return self.quorum_contact() + self._state.options.lease_length_s
 
-    def add_read(self, token: int) -> None:
+    def add_read(self, token: int, *, uses_lease: bool) -> None:
         """Answer a read at once if the lease holds, otherwise after the next heartbeat round."""
-        if self._is_term_start_committed() and self._state.now < self.lease_end():
+        has_lease = uses_lease and self._state.now < self.lease_end()
+        if has_lease and self._is_term_start_committed():
             self._state.reads.append(ReadReady(token, self._state.commit_index))
             return
         self.send_heartbeats()
--- a/shallotmux/replication/_replica.py
+++ b/shallotmux/replication/_replica.py
@@ -91,16 +91,17 @@
         self._check_uncommitted(len(payload))
         return leadership.append(EntryKind.COMMAND, payload)
 
-    def read_index(self, now: float) -> int:
+    def read_index(self, now: float, *, uses_lease: bool = True) -> int:
         """Request a linearizable read and return its token.
 
         The read is ready when ``Effects.reads`` contains the token.
 
+        :param uses_lease: whether a valid lease suffices; otherwise a majority confirms each read.
         :raises NotLeader: if this replica does not lead.
         """
         leadership = self._require_leadership('read', now)
         self._last_token += 1
-        leadership.add_read(self._last_token)
+        leadership.add_read(self._last_token, uses_lease=uses_lease)
         return self._last_token
 
     def transfer(self, target: str, now: float) -> None:
--- a/tests/checking/_faults.py
+++ b/tests/checking/_faults.py
@@ -35,6 +35,15 @@
         node.start(self.options.replica, self.now)
 
 
+class ConfirmedReadsGroup(SimulatedGroup):
+    """Group whose reads a majority confirms, whatever the lease."""
+
+    def __init__(self, options: SimulatedGroupOptions, seed: int) -> None:
+        super().__init__(replace(options, reads_use_lease=False), seed)
+
+
+CONFIRMED_READS = Plan(factory=ConfirmedReadsGroup)
+
 DISKLESS = Plan(SimulatedGroupOptions(OPTIONS, 3, 0, 0, CLOCK_RATE_SPREAD))
 VOLATILE_VOTERS = replace(DISKLESS, factory=VolatileVoterGroup)
 
--- a/tests/checking/test_explorer.py
+++ b/tests/checking/test_explorer.py
@@ -15,9 +15,11 @@
     format_trace,
     shrink,
 )
+from shallotmux.replication import ReadReady
 from shallotmux.replication._election import Election
 from shallotmux.replication._leadership import Leadership
 from tests.checking._faults import (
+    CONFIRMED_READS,
     DISKLESS,
     FAILING_LEADERS,
     VOLATILE_VOTERS,
@@ -32,6 +34,7 @@
 #: What each of these seeds finds.
 MISSING_DELAY_SEEDS = {0: 'unfenced-alternation', 3: 'unfenced-token'}
 COMMIT_BY_COUNTING_SEEDS = (2000045, 3000034)
+UNCONFIRMED_READ_SEEDS = (19, 29)
 
 
 def run(plan: Plan, seed: int) -> Report:
@@ -55,6 +58,26 @@
     assert report.commits > 500
 
 
+def test_no_violation_in_exploration_with_confirmed_reads() -> None:
+    """Guards against confirmed reads that show an older state than an earlier read or commit."""
+    report = explore(5, 50_000, CONFIRMED_READS)
+    assert report.failure is None
+    assert report.commits > 500
+
+
+@pytest.mark.parametrize('seed', UNCONFIRMED_READ_SEEDS)
+def test_unconfirmed_read_is_found(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an explorer that misses reads of a leader that has been deposed."""
+
+    def answer_at_once(leadership: Leadership, token: int, *, uses_lease: bool) -> None:
+        state = leadership._state  # noqa: SLF001
+        state.reads.append(ReadReady(token, state.commit_index))
+
+    assert not find_violation(CONFIRMED_READS, seed)
+    monkeypatch.setattr(Leadership, 'add_read', answer_at_once)
+    assert find_violation(CONFIRMED_READS, seed) == 'read-linearizable'
+
+
 @pytest.mark.parametrize('seed', VOLATILE_VOTER_SEEDS)
 def test_forgotten_vote_is_found(seed: int) -> None:
     """Guards against an explorer that misses a diskless voter which keeps its identity."""
