Find the guard of opened connections in its new module

test_guard_is_found_in_the_code failed since channels have a module of their own. The guard names that module now. Two guards are new, each noticed by its tests: one attempt to connect for all calls, and reads that a majority confirms.

--- a/tests/guards/forwarded.py
+++ b/tests/guards/forwarded.py
@@ -182,6 +182,13 @@
         'and True',
         ('tests/control/test_duties.py::test_suspended_leader_makes_no_calls_until_confirmed',),
     ),
+    Guard(
+        'linearizable (reads that a majority confirms)',
+        'shallotmux/authority/_reads.py',
+        'uses_lease=False',
+        'uses_lease=True',
+        ('tests/control/test_reads.py::test_leader_without_a_majority_answers_no_read',),
+    ),
     Guard(
         'one-holder (lease at the write)',
         'shallotmux/calls/_guarded.py',
--- a/tests/guards/peers.py
+++ b/tests/guards/peers.py
@@ -7,7 +7,7 @@
 PEER_GUARDS = (
     Guard(
         'peer (connection that ends while it is opened)',
-        'shallotmux/transport/_link.py',
+        'shallotmux/transport/_channel.py',
         '        if protocol.connection.is_closing():\n',
         '        if False:\n',
         ('tests/transport/test_broken_peers.py',),
@@ -42,6 +42,13 @@
         'if True:',
         ('tests/platform/test_process.py',),
     ),
+    Guard(
+        'peer (one attempt to connect for all calls)',
+        'shallotmux/transport/_calls.py',
+        'await asyncio.shield(self._opening)',
+        'await self._opening',
+        ('tests/transport/test_calls.py', 'tests/transport/test_shared_calls.py'),
+    ),
     Guard(
         'commands (types)',
         'shallotmux/authority/_commands.py',
