Give the longest election timeout of the control group one owner

The timeout stood three times: in the options of the replica, as the time after which a member asks its peers for the leader, and as the length of that search. The last two follow from the first. No value changes.

--- a/shallotmux/control/_leader_search.py
+++ b/shallotmux/control/_leader_search.py
@@ -4,11 +4,12 @@
 
 import math
 
+from shallotmux.control._timeouts import ELECTION_MAX_S
 from shallotmux.fleet import JoinAnswer
 
 #: Time of an unsuccessful search after which there is no leader, rather than an election that is under
-#: way. It is the longest election timeout of the group.
-SEARCH_S = 1.4
+#: way.
+SEARCH_S = ELECTION_MAX_S
 
 
 class LeaderSearch:
--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -25,7 +25,7 @@
 from shallotmux.control._join_requests import JoinRequests
 from shallotmux.control._leader_search import LeaderSearch
 from shallotmux.control._member_zones import MemberZones
-from shallotmux.control._timeouts import choose_timeouts
+from shallotmux.control._timeouts import ELECTION_MAX_S, choose_timeouts
 from shallotmux.control._voter_placement import MemberStability
 from shallotmux.errors import ShallotmuxError, StorageError
 from shallotmux.fleet import (
@@ -78,7 +78,7 @@
 
 #: Time without contact to a leader after which a member asks its peers for it and to join again, as it
 #: may have been removed. Most elections are over by then.
-REJOIN_AFTER_S = 1.4
+REJOIN_AFTER_S = ELECTION_MAX_S
 
 #: Timeout of the leadership transfer at shutdown.
 TRANSFER_TIMEOUT_S = 1.0
@@ -119,7 +119,7 @@
     return ReplicaOptions(
         heartbeat_s=0.2,
         election_min_s=0.8,
-        election_max_s=1.4,
+        election_max_s=ELECTION_MAX_S,
         lease_s=0.7,
         snapshot_after_entries=SNAPSHOT_AFTER_ENTRIES,
         retained_entries=RETAINED_ENTRIES,
--- a/shallotmux/control/_timeouts.py
+++ b/shallotmux/control/_timeouts.py
@@ -4,6 +4,10 @@
 
 from dataclasses import dataclass
 
+#: Longest election timeout of the group. A member that heard of no leader for this time takes none for
+#: known, and a search of the same length finds the next one unless there is none.
+ELECTION_MAX_S = 1.4
+
 #: Time in which 99 of 100 elections after the loss of a leader are over, with the options of the group.
 TAKEOVER_S = 1.7
 
