Give the vote away when a control instance stops

What callers saw: a group that bears one loss, in which a machine was removed with SIGTERM after its successor had run for long enough, had no majority if the next machine was lost within the next seconds. The cause: a program that stops handed over leadership alone; its vote stayed with the stopped process until it had been silent for so long that it was replaced.

Change: a program that stops transfers leadership, if it leads, and tells the leader that it stops. The leader promotes a learner in its stead, which does not stop itself, removes it, and adds it as a learner again.

--- a/shallotmux/control/_group_changes.py
+++ b/shallotmux/control/_group_changes.py
@@ -38,6 +38,7 @@
     :param led_since: local time at which the leadership began.
     :param tolerated: number of disks that may be lost at once.
     :param zones: availability zones by identity, as far as they are known.
+    :param leaving: members that said that they stop.
     :param live_since: local times since when members have been live and the voters the same.
     """
 
@@ -52,6 +53,7 @@
     timeouts: MemberTimeouts = field(default_factory=MemberTimeouts)
     zones: Mapping[str, str] = field(default_factory=dict)
     live_since: Mapping[str, float] = field(default_factory=dict)
+    leaving: frozenset[str] = frozenset()
 
     def silence_s(self, identity: str) -> float:
         """Return the time for which neither this leader nor an earlier one has heard of a member."""
@@ -69,10 +71,12 @@
         return status is not None and self.now - status.acked_at <= self.timeouts.live_timeout_s
 
     def is_lost(self, identity: str) -> bool:
-        """Return whether a voter has been silent for so long that it is replaced.
+        """Return whether a voter stops, or has been silent for so long that it is replaced.
 
         A voter that was silent to earlier leaders has the time to answer this one, too.
         """
+        if identity in self.leaving:
+            return True
         is_observed = self.now - self.led_since >= self.timeouts.observe_s
         return is_observed and self.silence_s(identity) >= self.timeouts.replace_after_s
 
@@ -138,7 +142,7 @@
 
 
 def _ready_learners(view: ControlGroupView) -> list[str]:
-    learners = sorted(view.configuration.learners)
+    learners = sorted(view.configuration.learners - view.leaving)
     return [each for each in learners if view.is_live(each) and view.is_caught_up(each)]
 
 
@@ -172,13 +176,16 @@
 def _remove_surplus_voter(view: ControlGroupView) -> MembershipChange | None:
     """Remove one of too many voters.
 
-    It is the one that has been silent for the longest time, if one is silent, and otherwise one of the
-    most crowded zone.
+    It is one that stops, otherwise the one that has been silent for the longest time, if one is silent,
+    and otherwise one of the most crowded zone.
     """
     voters = view.configuration.voters
     if len(voters) <= view.target_voters:
         return None
     removable = [each for each in sorted(voters) if _keeps_quorum(view, each)]
+    leaving = [each for each in removable if each in view.leaving]
+    if leaving:
+        return RemoveMember(leaving[0])
     silent = [each for each in removable if not view.is_live(each)]
     if silent:
         return RemoveMember(max(silent, key=view.silence_s))
--- a/shallotmux/control/_member.py
+++ b/shallotmux/control/_member.py
@@ -24,6 +24,12 @@
 from shallotmux.control._group_health import GroupHealth, assess_group, log_health
 from shallotmux.control._join_requests import JoinRequests
 from shallotmux.control._leader_search import LeaderSearch
+from shallotmux.control._leaving import (
+    LEAVE_TIMEOUT_S,
+    Departures,
+    leave_group,
+    transfer_leadership,
+)
 from shallotmux.control._member_zones import MemberZones
 from shallotmux.control._timeouts import ELECTION_MAX_S, choose_timeouts
 from shallotmux.control._voter_placement import MemberStability
@@ -43,7 +49,6 @@
     RemoveMember,
     Replica,
     ReplicaOptions,
-    Role,
     StoredGroup,
     bootstrap_group,
     initial_voters,
@@ -80,9 +85,6 @@
 #: may have been removed. Most elections are over by then.
 REJOIN_AFTER_S = ELECTION_MAX_S
 
-#: Timeout of the leadership transfer at shutdown.
-TRANSFER_TIMEOUT_S = 1.0
-
 #: Replaced documents are not needed any more, so the log is compacted early.
 SNAPSHOT_AFTER_ENTRIES = 256
 RETAINED_ENTRIES = 64
@@ -186,6 +188,7 @@
         self._timeouts = choose_timeouts(settings.tolerated, settings.replacement_s)
         self._known_peers = set(settings.seeds) | {settings.name}
         self._joining = JoinRequests()
+        self._departures = Departures()
         self._stability = MemberStability()
         self._answered_at: dict[str, float] = {}
         self._led_term = 0
@@ -252,27 +255,21 @@
 
     async def transfer_leadership(self) -> None:
         """Transfer leadership to the voter that answered last, if this instance leads."""
-        with trio.move_on_after(TRANSFER_TIMEOUT_S):
-            while self.driver.status().role is Role.LEADER:
-                successor = self._find_successor()
-                if successor is None:
-                    return
-                self.driver.transfer(successor)
-                await trio.sleep(MEMBERSHIP_INTERVAL_S)
+        with trio.move_on_after(LEAVE_TIMEOUT_S):
+            await transfer_leadership(self.driver)
+
+    async def leave(self) -> None:
+        """Hand leadership and the vote over, since an instance that stops may not come back."""
+        await leave_group(self.driver, self._network)
+
+    def handle_leave_notice(self, payload: bytes) -> ForwardAnswer:
+        """Record that an instance stops, and answer whether its vote is about to be given away."""
+        return self._departures.answer(self.driver, payload)
 
     def close(self) -> None:
         """Close the files in the data folder."""
         self._store.close()
 
-    def _find_successor(self) -> str | None:
-        followers = self.driver.followers()
-        voters = self.driver.status().configuration.voters & followers.keys()
-        return max(
-            sorted(voters),
-            key=lambda each: (followers[each].acked_at, followers[each].match_index),
-            default=None,
-        )
-
     def _update_membership(self, now: float) -> None:
         status = self.driver.status()
         self._known_peers.update(instance_name(each) for each in status.configuration.members)
@@ -297,6 +294,7 @@
             self.settings.tolerated,
             self._timeouts,
             zones=self.zones.known(),
+            leaving=self._departures.valid(now),
         )
         self._update_health(assess_group(view))
         live = frozenset(filter(view.is_live, view.configuration.members))
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -18,6 +18,9 @@
 #: Group name under which join requests are forwarded to a control instance.
 JOIN_GROUP = 'join'
 
+#: Group name under which notices of stopping control instances are forwarded to the leader.
+LEAVE_GROUP = 'leave'
+
 #: Group name under which members announce their zone to the leader of the control group.
 ANNOUNCEMENT_GROUP = 'announcement'
 
@@ -129,6 +132,24 @@
     zone: str = ''
 
 
+class Leave(msgspec.Struct, frozen=True):
+    """Notice of a control instance that it stops, and may not come back.
+
+    :param identity: name of the instance and incarnation of its disk.
+    """
+
+    identity: str
+
+
+class LeaveAnswer(msgspec.Struct, frozen=True):
+    """Answer to a notice that an instance stops.
+
+    :param is_waiting: whether another member is about to get its vote, so that it should not stop yet.
+    """
+
+    is_waiting: bool
+
+
 class JoinAnswer(msgspec.Struct, frozen=True):
     """Answer to a join request.
 
@@ -162,7 +183,9 @@
     zones: dict[str, str]
 
 
-FleetMessage: TypeAlias = Poll | Knowledge | Join | JoinAnswer | Announcement | AnnouncementAnswer
+FleetMessage: TypeAlias = (
+    Poll | Knowledge | Join | JoinAnswer | Leave | LeaveAnswer | Announcement | AnnouncementAnswer
+)
 
 
 def encode_fleet_message(message: FleetMessage) -> bytes:
@@ -176,3 +199,9 @@
 decode_announcement = guard_decoder(msgspec.msgpack.Decoder(Announcement).decode)
 decode_announcement_answer = guard_decoder(msgspec.msgpack.Decoder(AnnouncementAnswer).decode)
 decode_join_answer = guard_decoder(msgspec.msgpack.Decoder(JoinAnswer).decode)
+
+#: Decodes a :class:`Leave`; raises :class:`msgspec.DecodeError` if the payload is not valid.
+decode_leave = guard_decoder(msgspec.msgpack.Decoder(Leave).decode)
+
+#: Decodes a :class:`LeaveAnswer`; raises :class:`msgspec.DecodeError` if the payload is not valid.
+decode_leave_answer = guard_decoder(msgspec.msgpack.Decoder(LeaveAnswer).decode)
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -30,6 +30,7 @@
     ANNOUNCEMENT_GROUP,
     JOIN_GROUP,
     KNOWLEDGE_GROUP,
+    LEAVE_GROUP,
     DecodeDocument,
     TrueClock,
 )
@@ -153,7 +154,7 @@
             )
             await lifecycle.stop.wait()
             self._term.resign()
-            await self.member.transfer_leadership()
+            await self.member.leave()
             for each in listeners:
                 each.drain()
             await trio.sleep(SHUTDOWN_DELAY_S)
@@ -175,6 +176,8 @@
                 return self.member.handle_join_request(command)
             case _ if group == ANNOUNCEMENT_GROUP:
                 return self.member.zones.handle_announcement(command)
+            case _ if group == LEAVE_GROUP:
+                return self.member.handle_leave_notice(command)
             case _ if group == CONTROL_GROUP:
                 return await self.member.driver.commit(command, FORWARDED_COMMIT_TIMEOUT_S)
         return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail=f'no group {group!r}')
--- a/tests/control/_instances.py
+++ b/tests/control/_instances.py
@@ -14,7 +14,7 @@
 from shallotmux.authority import DocumentRead, PutDocument, ReadDocument, run_inline
 from shallotmux.control import CONTROL_GROUP, ControlMember, MemberSettings
 from shallotmux.errors import ShallotmuxError
-from shallotmux.fleet import ANNOUNCEMENT_GROUP, JOIN_GROUP
+from shallotmux.fleet import ANNOUNCEMENT_GROUP, JOIN_GROUP, LEAVE_GROUP
 from shallotmux.transport import ForwardAnswer, MemoryPeerFabric, PeerEnvelope, Refusal
 
 SEEDS = ('10.0.0.1:7', '10.0.0.2:7', '10.0.0.3:7')
@@ -26,6 +26,8 @@
 
     member: ControlMember
     scope: trio.CancelScope
+    #: Whether the instance understands the notice of one that stops; earlier builds do not.
+    knows_leaving: bool = True
     ended: trio.Event = field(default_factory=trio.Event)
 
     def receive(self, envelope: PeerEnvelope) -> None:
@@ -38,6 +40,8 @@
             return self.member.handle_join_request(command)
         if group == ANNOUNCEMENT_GROUP:
             return self.member.zones.handle_announcement(command)
+        if group == LEAVE_GROUP and self.knows_leaving:
+            return self.member.handle_leave_notice(command)
         if group == CONTROL_GROUP:
             return await self.member.driver.commit(command, 0.9)
         return ForwardAnswer(refusal=Refusal.NOT_COMMITTED)
