--- a/tests/control/test_replacements.py
+++ b/tests/control/test_replacements.py
@@ -36,7 +36,7 @@
     remaining = tuple(sorted(group.running.keys() - {old}))
     if way is Departure.STOPPED:
         await group.start(new, seeds=remaining[:3])
-        await group.running[old].member.transfer_leadership()
+        await group.running[old].member.leave()
         await group.kill(old)
         return
     if way is Departure.KILLED:
