Explore the replacement of lost instances by the product's own decisions

The explorer did not find it: its membership changes were drawn at random, so the decision of the control plane never met the replica that refused it.

Change: `make explore ARGS='--replacements TOLERATED'`. The leader of a simulated group asks next_group_change at its interval, on a view of the real status and followers. Instances are wiped, never return, start at new addresses, restart, stand still, and are cut off or split; disks are also lost right after a change of the voters. New invariants: a leader within four election timeouts, the target number of live voters after a time that follows from the timeouts, and no learner promoted without the log. A lost disk counts for 4, 6 and 9 s at one, two and three tolerated losses, as docs/replication.md states.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	@echo "make bench    measure the relay against direct calls"
 	@echo "make bench-forwarder  measure the forwarder against direct calls"
 	@echo "make lint     check formatting, style and types"
-	@echo "make explore  explore the replication group under faults (ARGS='--seed 1 --steps 200000')"
+	@echo "make explore  explore the replication group under faults (ARGS='--seed 1 --steps 200000', or --replacements 2)"
 	@echo "make measure  measure the decisions on seeded traces (ARGS=--report=DIR draws plots)"
 	@echo "make measure-cutoffs  compare rules for instances that are cut off"
 	@echo "make measure-origins  compare rules for streams of several software versions"
--- a/shallotmux/checking/__init__.py
+++ b/shallotmux/checking/__init__.py
@@ -13,6 +13,8 @@
 )
 from shallotmux.checking._generation import FAILING_LEADERS_PROFILE, LEASE_PROFILE, Profile
 from shallotmux.checking._history import History, Operation, is_linearizable
+from shallotmux.checking._managed_group import ManagedGroup
+from shallotmux.checking._managed_plan import managed_plan
 from shallotmux.checking._shrinking import format_trace, shrink
 from shallotmux.checking._simulated_group import Action, SimulatedGroup, SimulatedGroupOptions, Step
 from shallotmux.checking._specifications import (
@@ -30,6 +32,7 @@
     'Failure',
     'History',
     'InvariantViolation',
+    'ManagedGroup',
     'Operation',
     'Plan',
     'Profile',
@@ -44,6 +47,7 @@
     'fencing_register',
     'format_trace',
     'is_linearizable',
+    'managed_plan',
     'replay',
     'shrink',
 )
--- a/shallotmux/checking/_explorer.py
+++ b/shallotmux/checking/_explorer.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
-from typing import TypeAlias
+from typing import Protocol, TypeAlias
 
 from shallotmux.checking._generation import (
     UNFENCED_PROFILE,
@@ -30,6 +30,16 @@
 GroupFactory: TypeAlias = Callable[[SimulatedGroupOptions, int], SimulatedGroup]
 
 
+class StepSource(Protocol):
+    """Generates the steps of a schedule."""
+
+    def next_step(self) -> Step:
+        """Return the next step."""
+
+
+StepSourceFactory: TypeAlias = Callable[[Random, SimulatedGroup], StepSource]
+
+
 @dataclass(frozen=True, slots=True)
 class Failure:
     """A schedule whose last step violates an invariant."""
@@ -46,6 +56,7 @@
 
     :param commits: number of entries committed over all schedules.
     :param calls: number of calls that arrived at the target without fencing.
+    :param promotions: number of learners that leaders promoted by the control plane's decisions.
     :param states: hashes of the distinct protocol states that were reached.
     """
 
@@ -53,20 +64,41 @@
     schedules: int = 0
     commits: int = 0
     calls: int = 0
+    promotions: int = 0
     states: set[int] = field(default_factory=set)
     failure: Failure | None = None
 
 
+def draw_options(random: Random) -> SimulatedGroupOptions:
+    """Return random group options with the longest lease that the clock margin allows."""
+    voters = random.choice((3, 3, 4, 5))
+    disks = random.choice((0, 1, 2, voters, voters))
+    witnesses = random.choice((0, 0, 1))
+    replica = ReplicaOptions(
+        election_max_s=random.choice((0.9, 1.6)),
+        lease_s=0.8,
+        clock_rate_margin=CLOCK_RATE_SPREAD,
+        max_batch_entries=random.choice((1, 2, 16)),
+        retained_entries=random.choice((0, 5)),
+    )
+    return SimulatedGroupOptions(replica, voters, disks, witnesses, CLOCK_RATE_SPREAD)
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """What to explore; options that are None are drawn at random for each schedule.
 
     :param factory: builds the simulated group; tests pass groups with injected bugs.
+    :param draw_options: draws the options of a schedule.
+    :param source: builds the generator of the steps; one that draws by the profile by default.
     """
 
     options: SimulatedGroupOptions | None = None
     profile: Profile | None = None
     factory: GroupFactory = SimulatedGroup
+    draw_options: Callable[[Random], SimulatedGroupOptions] = draw_options
+    source: StepSourceFactory | None = None
+    schedule_steps: int = SCHEDULE_STEPS
 
 
 #: Calls of leaders to a target without fencing. The delay of a new leader is that of the control
@@ -89,7 +121,7 @@
     report = Report()
     while report.steps < steps and report.failure is None:
         schedule_seed = seed * 1_000_000 + report.schedules
-        step_count = min(SCHEDULE_STEPS, steps - report.steps)
+        step_count = min(plan.schedule_steps, steps - report.steps)
         explore_schedule(report, schedule_seed, step_count, plan)
     return report
 
@@ -97,8 +129,8 @@
 def explore_schedule(report: Report, seed: int, step_count: int, plan: Plan = DEFAULT_PLAN) -> None:
     """Explore one schedule and add its results to the report."""
     random = Random(f'schedule/{seed}')
-    group = plan.factory(plan.options or draw_options(random), seed)
-    generator = StepGenerator(random, group, plan.profile or draw_profile(random))
+    group = plan.factory(plan.options or plan.draw_options(random), seed)
+    generator = _step_source(plan, random, group)
     performed: list[Step] = []
     report.schedules += 1
     try:
@@ -112,6 +144,13 @@
     report.steps += len(performed)
     report.commits += group.invariants.committed_index
     report.calls += group.calls.target.arrived_count
+    report.promotions += group.promotions
+
+
+def _step_source(plan: Plan, random: Random, group: SimulatedGroup) -> StepSource:
+    if plan.source is not None:
+        return plan.source(random, group)
+    return StepGenerator(random, group, plan.profile or draw_profile(random))
 
 
 def replay(
@@ -154,18 +193,3 @@
     ]
     if not is_linearizable(operations, compare_and_set_register, 0):
         raise InvariantViolation('history-linearizable', f'{operations}')
-
-
-def draw_options(random: Random) -> SimulatedGroupOptions:
-    """Return random group options with the longest lease that the clock margin allows."""
-    voters = random.choice((3, 3, 4, 5))
-    disks = random.choice((0, 1, 2, voters, voters))
-    witnesses = random.choice((0, 0, 1))
-    replica = ReplicaOptions(
-        election_max_s=random.choice((0.9, 1.6)),
-        lease_s=0.8,
-        clock_rate_margin=CLOCK_RATE_SPREAD,
-        max_batch_entries=random.choice((1, 2, 16)),
-        retained_entries=random.choice((0, 5)),
-    )
-    return SimulatedGroupOptions(replica, voters, disks, witnesses, CLOCK_RATE_SPREAD)
--- a/shallotmux/checking/_simulated_group.py
+++ b/shallotmux/checking/_simulated_group.py
@@ -10,6 +10,7 @@
 
 from shallotmux.checking._history import History
 from shallotmux.checking._invariants import Invariants
+from shallotmux.checking._managed_options import ManagedOptions
 from shallotmux.checking._node import COMPARE_AND_SET, ORDER, Node
 from shallotmux.checking._unfenced import LeaderCalls
 from shallotmux.errors import MembershipRefused, NotLeader
@@ -65,6 +66,12 @@
     COMPACT = 'compact'
     CALL = 'call'
     FREEZE_IN_CALL = 'freeze in call'
+    WIPE = 'wipe'
+    RETIRE = 'retire'
+    START = 'start'
+    ISOLATE = 'isolate'
+    SPLIT = 'split'
+    AWAIT_CHANGE = 'await change'
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +81,7 @@
     :param subject: node that performs the step, or sender of the link.
     :param peer: recipient of the link, or member that a leadership transfer or a membership change
         names.
-    :param elapsed_s: simulated time that passes before the step.
+    :param elapsed_s: simulated time that passes before the step; the longest wait for a change.
     :param choice: position of a message on its link, argument of a command, or for a cut link 1 if
         both directions are cut.
     """
@@ -95,6 +102,7 @@
     :param reads_use_lease: whether a valid lease answers reads; otherwise a majority confirms each.
     :param voters: number of voters; the first ``disks`` of them have a disk, and the last
         ``witnesses`` are witnesses.
+    :param managed: options of :class:`~shallotmux.checking.ManagedGroup`.
     """
 
     replica: ReplicaOptions
@@ -104,6 +112,7 @@
     clock_rate_spread: float = 0.02
     takeover_delay_s: float = 0
     reads_use_lease: bool = True
+    managed: ManagedOptions = ManagedOptions()
 
 
 class SimulatedGroup:
@@ -125,6 +134,8 @@
         self._reads: dict[tuple[str, int], tuple[int, int]] = {}
         self._node_summaries: dict[str, tuple[Any, ...]] = {}
         self._drops_messages = False
+        #: Number of learners that were promoted by the control plane's decisions.
+        self.promotions = 0
         self.calls = LeaderCalls(options.takeover_delay_s)
         self._start_group()
 
--- a/shallotmux/control/__init__.py
+++ b/shallotmux/control/__init__.py
@@ -12,8 +12,17 @@
 )
 from shallotmux.control._group_changes import ControlGroupView, next_group_change
 from shallotmux.control._group_health import GroupHealth, assess_group
+from shallotmux.control._join_requests import JoinRequests
 from shallotmux.control._knowledge import KnowledgeService, UsageTotals
-from shallotmux.control._member import CONTROL_GROUP, ControlMember, MemberSettings
+from shallotmux.control._member import (
+    CHECK_INTERVAL_S,
+    CONTROL_GROUP,
+    MEMBERSHIP_INTERVAL_S,
+    REJOIN_AFTER_S,
+    ControlMember,
+    MemberSettings,
+    replica_options,
+)
 from shallotmux.control._platform import (
     DutyHolder,
     DutyOutcome,
@@ -26,9 +35,11 @@
 from shallotmux.control._recovery import DataFolders
 from shallotmux.control._role_balancer import RoleBalancer
 from shallotmux.control._timeouts import MemberTimeouts, choose_timeouts, longest_replacement_s
+from shallotmux.control._voter_placement import MemberStability
 
 __all__ = (
     'CALL_FLIGHT_S',
+    'CHECK_INTERVAL_S',
     'CONTROL_GROUP',
     'ControlMember',
     'DataFolders',
@@ -37,6 +48,9 @@
     'DutyOutcome',
     'FleetOrder',
     'GroupHealth',
+    'JoinRequests',
+    'MEMBERSHIP_INTERVAL_S',
+    'REJOIN_AFTER_S',
     'KnowledgeService',
     'LeaderTerm',
     'LeaderDependencies',
@@ -46,6 +60,7 @@
     'PlatformApi',
     'QuorumWatch',
     'RoleBalancer',
+    'MemberStability',
     'MemberTimeouts',
     'choose_timeouts',
     'longest_replacement_s',
@@ -55,4 +70,5 @@
     'UsageReport',
     'assess_group',
     'next_group_change',
+    'replica_options',
 )
