Give every second election in a row a whole timeout

Cause: a candidate starts over after 0.4 to 0.8 s. An election takes two saves, one after the other, so the votes always came too late.

Change: after a short election without success, the next one has a whole timeout of 0.8 to 1.4 s. After a split vote, the first repetition is as soon as before.

--- a/shallotmux/replication/_state.py
+++ b/shallotmux/replication/_state.py
@@ -48,6 +48,7 @@
         self.messages: list[Envelope] = []
         self.reads: list[ReadReady] = []
         self._random = random
+        self._is_next_election_long = False
         self.election_deadline = now
         self.restart_election_timer()
 
@@ -93,6 +94,7 @@
         """Record a message of the current term's leader and restart the timers."""
         self.become_follower(self.term, leader)
         self.last_contact = self.now
+        self._is_next_election_long = False
         self.no_vote_until = self.now + self.options.election_min_s
         self.restart_election_timer()
 
@@ -105,8 +107,13 @@
         """Set the timeout of an election of this replica.
 
         If candidates split the votes, each of them waits for this time. No voter has a leader then, so
-        the time only needs to exceed that in which votes are stored and answered.
+        the time only needs to exceed that in which votes are stored and answered. On slow disks that
+        takes longer, so every second election in a row has a whole election timeout.
         """
+        self._is_next_election_long = not self._is_next_election_long
+        if not self._is_next_election_long:
+            self.restart_election_timer()
+            return
         longest = self.options.election_min_s
         self.election_deadline = self.now + self._random.uniform(longest / 2, longest)
 
--- a/tests/control/_instances.py
+++ b/tests/control/_instances.py
@@ -11,7 +11,13 @@
 
 import trio
 
-from shallotmux.authority import DocumentRead, PutDocument, ReadDocument, run_inline
+from shallotmux.authority import (
+    DocumentRead,
+    PutDocument,
+    ReadDocument,
+    RunBlocking,
+    run_inline,
+)
 from shallotmux.control import CONTROL_GROUP, ControlMember, MemberSettings
 from shallotmux.errors import ShallotmuxError
 from shallotmux.fleet import ANNOUNCEMENT_GROUP, JOIN_GROUP, LEAVE_GROUP
@@ -63,6 +69,7 @@
     #: Instances that were paused for good; they still have their files open.
     stood_still: dict[str, ControlInstance] = field(default_factory=dict)
     zones: Mapping[str, str] = field(default_factory=dict)
+    run_blocking: RunBlocking = run_inline
 
     def data(self, name: str) -> Path:
         """Return the data folder of an instance."""
@@ -84,7 +91,9 @@
         )
         random = Random(f'{name}/{trio.current_time()}')
         scope = trio.CancelScope()
-        instance = ControlInstance(ControlMember(settings, network, random, run_inline), scope)
+        instance = ControlInstance(
+            ControlMember(settings, network, random, self.run_blocking), scope
+        )
         self.running[name] = instance
 
         async def run() -> None:
