Let a new leader wait before it takes a surplus voter for silent

What callers saw: the group bore one loss less than it should for seconds. A leader that was elected between the promotion of a successor and the removal of the lost voter could remove a live voter, which had not answered it yet, and keep the lost one.

Cause: the voter with the longest silence is removed at once, and a new leader has no answer of some voters in its first moments.

Change: no silent voter is removed before the new leader has led for the time that live voters need to answer (observe_s).

--- a/shallotmux/control/_group_changes.py
+++ b/shallotmux/control/_group_changes.py
@@ -177,7 +177,8 @@
     """Remove one of too many voters.
 
     It is one that stops, otherwise the one that has been silent for the longest time, if one is silent,
-    and otherwise one of the most crowded zone.
+    and otherwise one of the most crowded zone. A new leader waits before it takes a voter for silent,
+    since live ones may not have answered it yet.
     """
     voters = view.configuration.voters
     if len(voters) <= view.target_voters:
@@ -187,6 +188,8 @@
     if leaving:
         return RemoveMember(leaving[0])
     silent = [each for each in removable if not view.is_live(each)]
+    if silent and view.now - view.led_since < view.timeouts.observe_s:
+        return None
     if silent:
         return RemoveMember(max(silent, key=view.silence_s))
     if removable:
--- a/tests/control/test_group_changes.py
+++ b/tests/control/test_group_changes.py
@@ -122,6 +122,18 @@
     assert next_group_change(make_view(names, ['x:1'], silent=others_silent)) is None
 
 
+def test_new_leader_completes_an_exchange_once_live_voters_had_time_to_answer() -> None:
+    """Guards against the removal of a live voter in place of the lost one after a change of leader.
+
+    A leader that is elected while there is one voter too many has no answer of either at first.
+    """
+    voters = ('a:1', 'b:1', 'c:1', 'd:1')
+    unanswered = make_view(voters, silent=['b:1', 'd:1'])
+    assert next_group_change(replace(unanswered, led_since=99.9)) is None
+    answered = make_view(voters, silent=['d:1'])
+    assert next_group_change(replace(answered, led_since=98.9)) == RemoveMember('d:1')
+
+
 def test_new_leader_waits_before_it_removes_voters() -> None:
     """Guards against a new leader that replaces voters which have not answered it yet."""
     view = make_view(VOTERS, ['d:1'], silent=['c:1'])
