Write appends without silent members as the previous build does

Builds ignore a field that they do not know, so nobody was harmed; the field is left out now when it is empty, which also saves its bytes on every append.

Result: tests/storage/test_previous_build.py passes.

--- a/shallotmux/replication/_messages.py
+++ b/shallotmux/replication/_messages.py
@@ -40,7 +40,7 @@
     silence_s: float
 
 
-class AppendRequest(msgspec.Struct, frozen=True, tag=True):
+class AppendRequest(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
     """Heartbeat, with the entries that follow the entry at the previous index, if any.
 
     :param round_number: heartbeat round of the leader, returned in the reply.
