Give the successor the time of its first heartbeat in the shutdown test

The test expected a leader in the moment in which the old one was gone. The old one exits once it has given its vote; the successor leads when another voter has answered its first heartbeat. It now waits for less than the shortest election timeout, so that an election in place of the transfer still fails it.

--- a/tests/daemon/test_groups.py
+++ b/tests/daemon/test_groups.py
@@ -13,6 +13,7 @@
 from shallotmux.daemon import FLEET_GROUP, ZONE_PREFIX, Addresses, DaemonInstance, InstanceGroups
 from shallotmux.errors import SettingsError
 from shallotmux.http import HttpcoreClient, HttpRequest, fetch
+from shallotmux.replication import ReplicaOptions
 from shallotmux.settings import (
     InstanceSettings,
     ListenerSettings,
@@ -172,7 +173,10 @@
             await fleet.wait_until(lambda: len(zone.table.members(trio.current_time())) == 2)
             fleet.daemons[leader].shut_down()
             await fleet.wait_until(lambda: leader not in fleet.daemons)
-            assert fleet.leader()
+            # The successor leads once a voter has answered its first heartbeat, which an election would
+            # not start within this time.
+            with trio.fail_after(ReplicaOptions().election_min_s):
+                await fleet.wait_until(fleet.leader)
             nursery.cancel_scope.cancel()
 
 
