Size fleets for the rate of the whole fleet and the loss of one zone

Cause: each entry instance reported the highest of two averaging windows, and the leader added these, so that the sum grew with the instances among which the same requests are divided. The mean speed followed single instances with few measurements (22 to 50 tokens a ms within seconds, seen in the fleet-order lines). When one zone was reclaimed, the reserve for the loss of another one was ordered at regular prices.

Change: the window is chosen for the sum, the speed is the weighted median, and while a zone is lost no second reserve is planned.

--- a/shallotmux/control/_sizing.py
+++ b/shallotmux/control/_sizing.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from shallotmux.control._platform import FleetOrder
@@ -12,9 +12,9 @@
 from shallotmux.placement import INITIAL_TOKENS_PER_MS
 from shallotmux.routes import FleetBounds
 
-#: Target for the mean utilisation of engines. It leaves room for bursts of twice the mean rate and
-#: for prompts that arrive together.
-TARGET_UTILISATION = 0.3
+#: Target for the mean utilisation of engines. It leaves room for bursts of twice the mean rate; prompts
+#: that arrive together wait for a part of the latency objective.
+TARGET_UTILISATION = 0.45
 
 #: Prefill speed of one engine until entry instances have measured it, in prompt tokens per second.
 INITIAL_PREFILL_TOKENS_PER_S = 1000 * INITIAL_TOKENS_PER_MS
@@ -43,7 +43,7 @@
 SENDS_PER_REQUEST = 2
 
 #: Target number of engines before any demand is measured, relative to the regular endpoints.
-INITIAL_SIZE_FACTOR = 1.5
+INITIAL_SIZE_FACTOR = 1.0
 
 #: Time for which demand must stay lower before the fleet is scaled down.
 SCALE_DOWN_DELAY_S = 20.0
@@ -109,23 +109,52 @@
 def sum_demands(demands: Iterable[ServiceDemand]) -> FleetDemand:
     """Return the sum of the demands at several instances.
 
-    The speed is the mean of those measured, weighted with the tokens that they were measured on.
+    The speed is the median of those measured, weighted with the tokens that they were measured on, so
+    that one instance with few measurements does not change the size of the fleet.
     """
     reported = tuple(demands)
-    measured = [each for each in reported if each.prefill_tokens_per_s and each.tokens_per_s]
-    weight = sum(each.tokens_per_s for each in measured)
-    speed = INITIAL_PREFILL_TOKENS_PER_S
-    if weight:
-        total = sum(each.tokens_per_s * each.prefill_tokens_per_s for each in measured)
-        speed = total / weight
     return FleetDemand(
-        sum(each.tokens_per_s for each in reported),
-        speed,
+        _sum_rates(reported),
+        _median_speed(reported),
         sum(each.in_flight for each in reported),
         sum(each.requests_per_s for each in reported),
     )
 
 
+def _sum_rates(demands: Sequence[ServiceDemand]) -> float:
+    """Return the tokens per second of all instances together.
+
+    The averaging window with the highest rate is chosen for the sum. If each instance chose its own, the
+    sum would grow with the number of instances among which the same requests are divided.
+    """
+    windows = max((len(each.window_rates) for each in demands), default=0)
+    if not windows:
+        return sum(each.tokens_per_s for each in demands)
+    return max(
+        sum(
+            each.window_rates[number] if len(each.window_rates) == windows else each.tokens_per_s
+            for each in demands
+        )
+        for number in range(windows)
+    )
+
+
+def _median_speed(demands: Iterable[ServiceDemand]) -> float:
+    """Return the median prefill speed of one engine, in prompt tokens per second."""
+    measured = sorted(
+        (each.prefill_tokens_per_s, each.tokens_per_s)
+        for each in demands
+        if each.prefill_tokens_per_s and each.tokens_per_s
+    )
+    half = sum(weight for _, weight in measured) / 2
+    below = 0.0
+    for speed, weight in measured:
+        below += weight
+        if below >= half:
+            return speed
+    return INITIAL_PREFILL_TOKENS_PER_S
+
+
 def count_missing_engines(demand: FleetDemand, engines: int, limits: Iterable[float]) -> int:
     """Return how many engines are missing since some take fewer requests than the others.
 
@@ -183,11 +212,14 @@
 
 
 def _target_cheap(view: SizingView, regular: Mapping[str, int]) -> dict[str, int]:
-    """Return the target number of cheap endpoints by zone; the present one where unavailable."""
+    """Return the target number of cheap endpoints by zone; the present one where unavailable.
+
+    The loss of one zone is planned for. While one is lost, the others need no further reserve.
+    """
     if not view.bounds.cheap_price:
         return {zone: fleet.cheap for zone, fleet in view.fleets.items()}
     zones = view.ordered_zones & view.fleets.keys()
-    surviving_zones = max(1, len(zones - view.unavailable) - 1)
+    surviving_zones = max(1, min(len(zones - view.unavailable), len(zones) - 1))
     per_zone = math.ceil(view.needed / surviving_zones)
     counts: dict[str, int] = {}
     for zone, fleet in view.fleets.items():
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -78,12 +78,13 @@
         return tuple(
             ServiceDemand(
                 service,
-                tokens_per_s,
+                max(rates),
                 self._speeds.of_service(service) * 1000 if self._speeds.is_known(service) else 0.0,
                 self._directory.in_flight(service),
                 request_rates.get(service, 0.0),
+                rates,
             )
-            for service, tokens_per_s in self._demand.rates().items()
+            for service, rates in self._demand.rates().items()
         )
 
     async def place(self, job: Job, usable: list[EndpointState]) -> Target | LoadShed | None:
