--- a/shallotmux/control/_sizing.py
+++ b/shallotmux/control/_sizing.py
@@ -12,9 +12,9 @@
 from shallotmux.placement import INITIAL_TOKENS_PER_MS
 from shallotmux.routes import FleetBounds
 
-#: Target for the mean utilisation of engines. It leaves room for bursts of twice the mean rate; prompts
-#: that arrive together wait for a part of the latency objective.
-TARGET_UTILISATION = 0.45
+#: Prefill engines beyond the mean load, relative to its square root. Random arrivals vary with the square
+#: root of the load (square-root staffing), so that a small fleet needs a larger part of it in reserve.
+RESERVE_FACTOR = 2.6
 
 #: Prefill speed of one engine until entry instances have measured it, in prompt tokens per second.
 INITIAL_PREFILL_TOKENS_PER_S = 1000 * INITIAL_TOKENS_PER_MS
@@ -42,8 +42,9 @@
 #: Engines that a request usually reaches: one for prefill and one that generates.
 SENDS_PER_REQUEST = 2
 
-#: Target number of engines before any demand is measured, relative to the regular endpoints.
-INITIAL_SIZE_FACTOR = 1.0
+#: Engines beyond the regular endpoints before any demand is measured, relative to the square root of their
+#: number. How well the operators' fleet fits is not known yet.
+INITIAL_RESERVE_FACTOR = 1.2
 
 #: Time for which demand must stay lower before the fleet is scaled down.
 SCALE_DOWN_DELAY_S = 20.0
@@ -171,13 +172,22 @@
     :param slots: requests that an engine runs at the same time; 0 if that is not known.
     """
     load = demand.tokens_per_s / demand.prefill_tokens_per_s
-    prefill_engines = max(MIN_PREFILL_ENGINES, math.ceil(load / TARGET_UTILISATION))
+    prefill_engines = max(MIN_PREFILL_ENGINES, math.ceil(load + RESERVE_FACTOR * math.sqrt(load)))
     decode_engines = math.ceil(DECODE_ENGINES_PER_PREFILL_ENGINE * prefill_engines)
     occupied = demand.in_flight / slots / TARGET_OCCUPANCY if slots else 0.0
     by_prefill = prefill_engines + max(MIN_DECODE_ENGINES, decode_engines)
     return max(by_prefill, math.ceil(occupied))
 
 
+def count_initial_engines(regular: int) -> int:
+    """Return the number of engines before any demand is measured.
+
+    :param regular: number of regular endpoints. Cheap ones do not count, so that those ordered do not
+        raise the number again.
+    """
+    return int(regular + INITIAL_RESERVE_FACTOR * math.sqrt(regular))
+
+
 def count_decode_engines(engines: int) -> int:
     """Return how many of a number of engines should run decode; the others run prefill."""
     target = math.ceil((engines - MIN_DECODE_ENGINES) / ENGINES_PER_DECODE_ENGINE)
--- a/tests/control/test_sizing.py
+++ b/tests/control/test_sizing.py
@@ -155,12 +155,11 @@
 @pytest.mark.parametrize('factor', [0.5, 6])
 def test_needed_engines_follow_the_measured_speed(factor: float) -> None:
     """Guards against a fleet that is sized for the engines of another deployment."""
-    usual = count_needed_engines(FleetDemand(6_000_000, 50_000), 64)
     measured = sum_demands(
-        ServiceDemand('llm', 2_000_000, factor * 50_000, in_flight) for in_flight in (1, 2, 3)
+        ServiceDemand('llm', 200_000, factor * 50_000, in_flight) for in_flight in (1, 2, 3)
     )
-    needed = count_needed_engines(measured, 64)
-    assert needed == pytest.approx(usual / factor, rel=0.15)
+    at_usual_speed = FleetDemand(600_000 / factor, 50_000)
+    assert count_needed_engines(measured, 64) == count_needed_engines(at_usual_speed, 64)
 
 
 def test_speed_is_assumed_only_until_it_is_measured() -> None:
@@ -170,6 +169,17 @@
     assert sum_demands(demands[:1]).prefill_tokens_per_s == INITIAL_PREFILL_TOKENS_PER_S
 
 
+def test_reserve_is_larger_for_small_fleets() -> None:
+    """Guards against queues in small fleets, and idle engines in large ones."""
+    utilisations = [
+        load / count_needed_engines(FleetDemand(load * 50_000, 50_000), 64)
+        for load in (1, 4, 16, 64)
+    ]
+    assert utilisations == sorted(utilisations)
+    assert utilisations[0] <= 0.25
+    assert utilisations[-1] >= 0.5
+
+
 def test_division_among_instances_does_not_raise_the_demand() -> None:
     """Guards against a fleet that grows with the entry instances that serve the same requests.
 
