--- a/shallotmux/control/_sizing.py
+++ b/shallotmux/control/_sizing.py
@@ -14,7 +14,7 @@
 
 #: Prefill engines beyond the mean load, relative to its square root. Random arrivals vary with the square
 #: root of the load (square-root staffing), so that a small fleet needs a larger part of it in reserve.
-RESERVE_FACTOR = 2.6
+RESERVE_FACTOR = 2.8
 
 #: Prefill speed of one engine until entry instances have measured it, in prompt tokens per second.
 INITIAL_PREFILL_TOKENS_PER_S = 1000 * INITIAL_TOKENS_PER_MS
