Follow one control instance by its changes, and report to the others

Each entry instance polled all control instances in turn, five times a second, and got the whole list of endpoints and all names each time. It now follows one control instance, of its own zone if possible, every 0.4 s by changes after the state that it has, and sends the others a report every 1.2 s, whose answers have neither list nor names. Usage counts and limits that the receiver has confirmed are omitted. The view has all live entry instances by zone, and neighbours without the limit of 16. Polls and answers of the earlier build work as before.

--- a/shallotmux/control/__init__.py
+++ b/shallotmux/control/__init__.py
@@ -13,7 +13,7 @@
 from shallotmux.control._group_changes import ControlGroupView, next_group_change
 from shallotmux.control._group_health import GroupHealth, assess_group
 from shallotmux.control._join_requests import JoinRequests
-from shallotmux.control._knowledge import KnowledgeService, UsageTotals
+from shallotmux.control._knowledge import KnowledgeService
 from shallotmux.control._member import (
     CHECK_INTERVAL_S,
     CONTROL_GROUP,
@@ -35,6 +35,7 @@
 from shallotmux.control._recovery import DataFolders
 from shallotmux.control._role_balancer import RoleBalancer
 from shallotmux.control._timeouts import MemberTimeouts, choose_timeouts, longest_replacement_s
+from shallotmux.control._usage_totals import UsageTotals
 from shallotmux.control._voter_placement import MemberStability
 
 __all__ = (
--- a/shallotmux/control/_entry_reach.py
+++ b/shallotmux/control/_entry_reach.py
@@ -33,14 +33,22 @@
         else:
             self._cut_off.pop(name, None)
 
-    def neighbours(self, zone: str, live: Sequence[str]) -> tuple[str, ...]:
-        """Return live entry instances of a zone, at most :data:`MAX_NEIGHBOURS`."""
+    def keep(self, live: Sequence[str]) -> None:
+        """Forget the zones of all other instances."""
         self._zones = {name: self._zones[name] for name in live if name in self._zones}
+
+    def neighbours(self, zone: str, live: Sequence[str]) -> tuple[str, ...]:
+        """Return live entry instances of a zone for earlier builds, at most :data:`MAX_NEIGHBOURS`."""
+        self.keep(live)
         found = [name for name, each in self._zones.items() if each == zone]
         if len(found) > MAX_NEIGHBOURS:
             found = self._random.sample(found, MAX_NEIGHBOURS)
         return tuple(found)
 
+    def zones_of(self, live: Sequence[str]) -> dict[str, str]:
+        """Return the zones of live entry instances by name; empty if unknown."""
+        return {name: self._zones.get(name, '') for name in live}
+
     def cut_off(self, live: Sequence[str]) -> tuple[CutOff, ...]:
         """Return which live entry instances reach no endpoint of a service."""
         if not self._cut_off:
--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -1,9 +1,11 @@
-"""Answer the polls of entry instances and aggregate the usage that they report."""
+"""Answer the polls of entry instances, and merge what they report."""
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Callable, Mapping
+from math import inf
+from random import SystemRandom
 
 import msgspec
 import trio
@@ -11,19 +13,24 @@
 
 from shallotmux.authority import GroupState
 from shallotmux.control._entry_reach import EntryReach
+from shallotmux.control._publications import FleetPublications
 from shallotmux.control._sizing import FleetDemand, sum_demands
+from shallotmux.control._usage_totals import UsageTotals
 from shallotmux.crashes import CrashRecords
 from shallotmux.fleet import (
-    CustomerCount,
+    FleetMembers,
     Knowledge,
     ListedEndpoint,
     Listing,
+    Poll,
     ServiceDemand,
     TrueClock,
     decode_poll,
     encode_fleet_message,
 )
+from shallotmux.fleetnews import StateMark
 from shallotmux.origins import (
+    NO_HISTORY,
     OriginAnswer,
     OriginStore,
     VersionHistory,
@@ -36,6 +43,12 @@
 #: Time after its last poll for which an entry instance counts as live.
 INSTANCE_TTL_S = 5.0
 
+#: Time after the first poll until all live entry instances have polled: two intervals of their reports.
+SETTLE_S = 2.5
+
+#: Random bits of an incarnation; messages can hold numbers of 64 bits.
+INCARNATION_BITS = 63
+
 #: Largest number in a reported demand, far beyond the whole fleet's.
 MAX_DEMAND = 1e12
 
@@ -43,59 +56,13 @@
 #: may have been committed. It exceeds an election; a group that elects no leader offers what it has.
 OUTDATED_OFFER_S = 5.0
 
-#: Number of the latest windows for which counts are kept.
-MAX_WINDOWS = 16
-
-#: Largest number of requests that is believed of one instance, customer and window. Sums of larger ones
-#: do not fit into a command.
-MAX_REQUESTS = 1_000_000_000
-
-
-class UsageTotals:
-    """Usage counts of all entry instances by window.
-
-    Senders report running totals, so a newer report replaces the sender's earlier one.
-    """
-
-    def __init__(self) -> None:
-        self._counts: dict[int, dict[str, dict[str, int]]] = defaultdict(dict)
-
-    def merge(
-        self, sender: str, counts: tuple[CustomerCount, ...], present: int | None = None
-    ) -> None:
-        """Merge the running totals of one sender.
-
-        :param present: number of the present window; windows far from it are ignored, as they would take
-            the place of the real ones. None if it is not known.
-        """
-        for each in counts:
-            if present is not None and abs(each.window - present) > MAX_WINDOWS:
-                continue
-            if not 0 <= each.requests <= MAX_REQUESTS:
-                continue
-            sender_counts = self._counts[each.window].setdefault(sender, {})
-            # Polls can arrive out of order; totals never decrease, so the maximum is the latest.
-            sender_counts[each.customer] = max(each.requests, sender_counts.get(each.customer, 0))
-        for window in sorted(self._counts)[:-MAX_WINDOWS]:
-            self._counts.pop(window)
-
-    def first_window(self) -> int | None:
-        """Return the oldest window with counts, or None."""
-        return min(self._counts, default=None)
-
-    def totals(self, window: int) -> Mapping[str, int]:
-        """Return the number of requests in a window, by customer."""
-        totals: Counter[str] = Counter()
-        for counts in self._counts.get(window, {}).values():
-            totals.update(counts)
-        return totals
-
 
 class KnowledgeService:
     """Answers the polls of entry instances from the local state of this control instance.
 
     :param peers: returns the names of the control instances.
     :param window_s: length of a usage window in seconds; 0 if no usage is reported.
+    :param zones: returns the known zones of the control instances by identity.
     """
 
     def __init__(
@@ -104,8 +71,14 @@
         clock: TrueClock,
         peers: Callable[[], tuple[str, ...]],
         window_s: float = 0,
+        zones: Callable[[], Mapping[str, str]] = dict,
     ) -> None:
         self._window_s = window_s
+        self._zones = zones
+        # Drawn from the system, so that two incarnations do not share an epoch.
+        self._publications = FleetPublications(SystemRandom().getrandbits(INCARNATION_BITS) | 1)
+        #: Time since when there has been a live entry instance at any time.
+        self._live_since = inf
         self._state = state
         self._clock = clock
         self._peers = peers
@@ -131,6 +104,7 @@
             self._summary = summary
             log_message(message_type='shallotmux:listing', endpoints=dict(sorted(summary.items())))
         self.listing = listing
+        self._publications.update_listing(listing)
         self._listed_at = listed_at
         self.history.observe(listing.versions(), listed_at)
 
@@ -172,32 +146,20 @@
         except msgspec.DecodeError as error:
             return ForwardAnswer(refusal=Refusal.INVALID, detail=str(error))
         now = trio.current_time()
+        if not self.entries():
+            self._live_since = now
         self._polled_at[poll.sender] = now
         present = int(self._clock.now() / self._window_s) if self._window_s else None
-        self.usage.merge(poll.sender, poll.counts, present)
+        took_counts = self.usage.merge(poll.sender, poll.counts, present)
         self._demands[poll.sender] = tuple(each for each in poll.demands if _is_plausible(each))
         self._entry_reach.record(poll)
-        entries = self.entries()
         self._crashes.merge(poll.crash_news)
         self.limits.merge(poll.limits)
-        document = self._state.zone.document
-        is_newer = (
-            document.version > poll.version and bool(document.content) and self._may_offer(now)
-        )
-        knowledge = Knowledge(
-            document.version,
-            document.content if is_newer else b'',
-            self._peers(),
-            self.listing,
-            max(0.0, now - self._listed_at) if self.listing else 0.0,
-            entries,
-            self._clock.local_estimate(),
-            self._crashes.build_news(poll.crashes_known),
-            self.limits.build_reports(),
-            self.history.build_report(now),
-            self._entry_reach.neighbours(poll.zone, entries),
-            self._entry_reach.cut_off(entries),
-        )
+        knowledge = self._build_report_answer(poll, now, took_counts=took_counts)
+        if poll.known_endpoints is not None and poll.known_members is not None:
+            knowledge = self._add_changes(knowledge, poll.known_endpoints, poll.known_members)
+        elif not poll.is_report:
+            knowledge = self._add_whole(knowledge, poll)
         return ForwardAnswer(encode_fleet_message(knowledge))
 
     def answer_origins(self, payload: bytes) -> ForwardAnswer:
@@ -210,6 +172,60 @@
         answer = OriginAnswer(self._origins.build_reports(call.wanted))
         return ForwardAnswer(encode_origin_message(answer))
 
+    def _build_report_answer(self, poll: Poll, now: float, *, took_counts: bool) -> Knowledge:
+        """Return the answer to an instance that follows another one, which needs no state."""
+        document = self._state.zone.document
+        is_newer = (
+            document.version > poll.version and bool(document.content) and self._may_offer(now)
+        )
+        return Knowledge(
+            document.version,
+            document.content if is_newer else b'',
+            (),
+            None,
+            max(0.0, now - self._listed_at) if self.listing else inf,
+            (),
+            self._clock.local_estimate(),
+            self._crashes.build_news(poll.crashes_known),
+            versions=self.history.build_report(now) if poll.wants_history else NO_HISTORY,
+            incarnation=self._publications.epoch,
+            is_settled=now - self._live_since >= SETTLE_S,
+            took_counts=took_counts,
+        )
+
+    def _add_changes(
+        self, answer: Knowledge, endpoints: StateMark, members: StateMark
+    ) -> Knowledge:
+        """Add what has changed since the states that the sender of a poll has."""
+        entries = self.entries()
+        self._entry_reach.keep(entries)
+        zones = {instance_name(identity): zone for identity, zone in self._zones().items()}
+        controls = {name: zones.get(name, '') for name in self._peers()}
+        self._publications.update_members(
+            FleetMembers(self._entry_reach.zones_of(entries), controls)
+        )
+        return msgspec.structs.replace(
+            answer,
+            limits=self.limits.build_reports(),
+            cut_off=self._entry_reach.cut_off(entries),
+            endpoints=self._publications.endpoints.encode_after(endpoints) if self.listing else b'',
+            members=self._publications.members.encode_after(members),
+        )
+
+    def _add_whole(self, answer: Knowledge, poll: Poll) -> Knowledge:
+        """Add the whole state for an instance of an earlier build."""
+        entries = self.entries()
+        return msgspec.structs.replace(
+            answer,
+            peers=self._peers(),
+            listing=self.listing,
+            listing_age_s=answer.listing_age_s if self.listing else 0.0,
+            entries=entries,
+            limits=self.limits.build_reports(),
+            neighbours=self._entry_reach.neighbours(poll.zone, entries),
+            cut_off=self._entry_reach.cut_off(entries),
+        )
+
     def _may_offer(self, now: float) -> bool:
         """Return whether the local document is offered to instances that have an older one or none."""
         since = self._state.outdated_since
--- a/shallotmux/fleet/__init__.py
+++ b/shallotmux/fleet/__init__.py
@@ -5,6 +5,7 @@
 from shallotmux.fleet._clock import TrueClock, read_boot_time
 from shallotmux.fleet._listing import EngineRole, ListedEndpoint, Listing
 from shallotmux.fleet._load_sharing import LoadSharing, PeerLoads
+from shallotmux.fleet._members import FleetMembers, encode_endpoints, encode_members
 from shallotmux.fleet._messages import (
     ANNOUNCEMENT_GROUP,
     JOIN_GROUP,
@@ -46,6 +47,7 @@
     'CutOff',
     'DecodeDocument',
     'EngineRole',
+    'FleetMembers',
     'FleetPoller',
     'FleetView',
     'Join',
@@ -68,6 +70,8 @@
     'decode_leave',
     'decode_leave_answer',
     'decode_poll',
+    'encode_endpoints',
     'encode_fleet_message',
+    'encode_members',
     'read_boot_time',
 )
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -9,6 +9,7 @@
 from shallotmux.crashes import CrashNews, Position
 from shallotmux.decoding import guard_decoder
 from shallotmux.fleet._listing import Listing
+from shallotmux.fleetnews import StateMark
 from shallotmux.origins import NO_HISTORY, HistoryReport
 from shallotmux.ratelimits import LimitReport
 
@@ -25,7 +26,7 @@
 ANNOUNCEMENT_GROUP = 'announcement'
 
 
-#: Maximum number of entry instances of its own zone that an instance is told of.
+#: Maximum number of entry instances of its own zone that an instance of an earlier build is told of.
 MAX_NEIGHBOURS = 16
 
 
@@ -61,13 +62,19 @@
 
     :param sender: name and incarnation of the instance.
     :param version: version of the sender's route document; 0 for none.
-    :param counts: totals of the sender for all windows that it still keeps.
+    :param counts: totals of the sender that the receiver has not confirmed; of earlier builds all for the
+        windows that they still keep.
     :param demands: demand at the sender, by service.
     :param crash_news: what the sender learned of crashes after its last poll of the receiver.
     :param crashes_known: position of the receiver's news of crashes that the sender has.
-    :param limits: limits of endpoints that the sender knows of.
+    :param limits: limits of endpoints that the sender knows of and the receiver has not confirmed.
     :param zone: availability zone of the sender.
     :param cut_off: services of which the sender reaches no endpoint.
+    :param known_endpoints: state of the list of endpoints that the sender has, if it follows the receiver.
+    :param known_members: the same for the members of the fleet.
+    :param is_report: whether the sender follows another instance and needs no state. Earlier builds name
+        neither, and get the whole state.
+    :param wants_history: whether the answer is to contain the software versions.
     """
 
     sender: str
@@ -79,6 +86,10 @@
     limits: tuple[LimitReport, ...] = ()
     zone: str = ''
     cut_off: tuple[str, ...] = ()
+    known_endpoints: StateMark | None = None
+    known_members: StateMark | None = None
+    is_report: bool = False
+    wants_history: bool = True
 
 
 class CutOff(msgspec.Struct, frozen=True):
@@ -91,11 +102,15 @@
 class Knowledge(msgspec.Struct, frozen=True):
     """Answer to a poll: the state of the fleet.
 
+    ``listing``, ``entries``, ``peers`` and ``neighbours`` are filled in for polls of earlier builds only;
+    others get the changes of the state that they name.
+
     :param version: version of the answering instance's route document; 0 for none.
     :param document: that document; empty if it is not newer than the poll sender's.
     :param peers: names of the control instances.
     :param listing: the platform's list of endpoints; None if it was never read.
-    :param listing_age_s: time since that list was read.
+    :param listing_age_s: time since the answering instance's list was read; infinite if it was never
+        read and the poll is not one of an earlier build.
     :param entries: names of the live entry instances.
     :param true_time_s: the answering instance's estimate of the time since 1970.
     :param crash_news: what the answering instance learned of crashes after the position in the poll.
@@ -104,6 +119,12 @@
     :param neighbours: live entry instances in the zone of the poll's sender, at most
         :data:`MAX_NEIGHBOURS`.
     :param cut_off: what entry instances reported a moment ago.
+    :param incarnation: random number of the answering instance's incarnation, also the epoch of its
+        states; 0 from earlier builds.
+    :param endpoints: encoded change of the list of endpoints, with positions; empty if there is none.
+    :param members: encoded change of the members of the fleet.
+    :param is_settled: whether all live entry instances have had the time to poll the answering instance.
+    :param took_counts: whether all counts of the poll were merged, and need not be sent again.
     """
 
     version: int
@@ -118,6 +139,11 @@
     versions: HistoryReport = NO_HISTORY
     neighbours: tuple[str, ...] = ()
     cut_off: tuple[CutOff, ...] = ()
+    incarnation: int = 0
+    endpoints: bytes = b''
+    members: bytes = b''
+    is_settled: bool = False
+    took_counts: bool = False
 
 
 class Join(msgspec.Struct, frozen=True):
--- a/shallotmux/fleet/_poller.py
+++ b/shallotmux/fleet/_poller.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
@@ -10,37 +10,44 @@
 from eliot import log_message
 
 from shallotmux.addresses import is_address
-from shallotmux.crashes import CrashExchange, CrashNews, CrashRecords
+from shallotmux.crashes import CrashRecords
 from shallotmux.errors import DocumentInvalid, ShallotmuxError
 from shallotmux.fleet._clock import TrueClock
-from shallotmux.fleet._listing import Listing
+from shallotmux.fleet._controls import ControlInstances
+from shallotmux.fleet._listing import ListedEndpoint, Listing
+from shallotmux.fleet._members import (
+    FleetMembers,
+    build_listing,
+    build_members,
+    decode_endpoint,
+    decode_zone,
+)
 from shallotmux.fleet._messages import (
     KNOWLEDGE_GROUP,
     CustomerCount,
     Knowledge,
-    Poll,
     ServiceDemand,
     decode_knowledge,
     encode_fleet_message,
 )
+from shallotmux.fleet._reports import Followed, Reports, ReportSources, SentPoll
+from shallotmux.fleetnews import Applied, Follower, decode_change
 from shallotmux.origins import VersionHistory
 from shallotmux.ratelimits import KnownLimits
 from shallotmux.repeats import RepeatLog
 from shallotmux.routes import RouteDocument, RouteTable
 from shallotmux.transport import PeerNetwork, Refusal, instance_name
 
-#: Interval between the polls of one polling task.
+#: Interval between the polls of the followed control instance.
 POLL_INTERVAL_S = 0.4
 
+#: Interval at which each other control instance gets a report. Usage counts wait 3 s for the reports of
+#: all instances.
+REPORT_INTERVAL_S = 1.2
+
 #: Timeout of a poll, after which another control instance is polled.
 POLL_TIMEOUT_S = 0.5
 
-#: Time for which a control instance that did not answer is skipped while others are available.
-RETRY_PEER_AFTER_S = 2.0
-
-#: Number of polling tasks, so that an unresponsive control instance does not delay other polls.
-POLL_TASKS = 2
-
 #: Parses a document in the operators' format.
 DecodeDocument = Callable[[bytes], RouteDocument]
 
@@ -59,8 +66,13 @@
     listed_at: float = float('-inf')
     #: Names of the live entry instances.
     entries: tuple[str, ...] = ()
-    #: Names of live entry instances in the zone of this one.
+    #: Names of the live entry instances by zone. Some zones are unknown, under the empty name, if control
+    #: instances are of an earlier build.
+    entries_by_zone: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
+    #: Names of all live entry instances in the zone of this one.
     neighbours: tuple[str, ...] = ()
+    #: Zones of entry and control instances by name, as far as known.
+    zones: Mapping[str, str] = field(default_factory=dict)
     #: Names of the entry instances that reach no endpoint of a service, by service.
     cut_off: dict[str, frozenset[str]] = field(default_factory=dict)
     #: Callbacks for each changed list.
@@ -88,12 +100,25 @@
         self.table = RouteTable(document)
         return True
 
+    def update_members(self, members: FleetMembers, zone: str) -> None:
+        """Store the live entry instances and the control instances.
+
+        :param zone: availability zone of this instance.
+        """
+        by_zone: dict[str, list[str]] = {}
+        for name, entry_zone in members.entries.items():
+            by_zone.setdefault(entry_zone, []).append(name)
+        self.entries = tuple(members.entries)
+        self.entries_by_zone = {each: tuple(names) for each, names in by_zone.items()}
+        self.neighbours = self.entries_by_zone.get(zone, ())
+        self.zones = {**members.controls, **members.entries}
+
     def update_listing(self, listing: Listing, listed_at: float) -> None:
         """Store a list if it is newer than the present one."""
         if listed_at <= self.listed_at:
             return
         self.listed_at = listed_at
-        is_changed = listing != self.listing
+        is_changed = listing is not self.listing and listing != self.listing
         self.listing = listing
         if is_changed:
             self._versions = listing.versions()
@@ -104,7 +129,7 @@
 
 
 class FleetPoller:
-    """Polls the control instances and updates the view of the fleet.
+    """Follows one control instance, reports to all, and updates the view of the fleet.
 
     :param seeds: names of the control instances in the settings.
     :param counts: returns the usage counts to report.
@@ -130,110 +155,157 @@
         cut_off: Callable[[], tuple[str, ...]] = tuple,
     ) -> None:
         self._zone = zone
-        self._cut_off = cut_off
         self._limits = limits or KnownLimits()
         self._history = history or VersionHistory()
         self.view = FleetView()
         self.crashes = CrashRecords(instance_name(name), lambda: self.view.entries)
-        self._crash_exchange = CrashExchange(self.crashes)
-        self._name = name
         self._network = network
         self._decode = decode
         self._clock = clock
-        self._counts = counts
-        self._demands = demands
-        self._seeds = tuple(seeds)
-        self._peers = list(self._seeds)
-        self._next_index = 0
-        self._retry_at: dict[str, float] = {}
+        self._controls = ControlInstances(seeds, zone, instance_name(name))
+        self._reports = Reports(
+            ReportSources(name, zone, counts, demands, self._limits, self.crashes, cut_off)
+        )
+        self._endpoints: Follower[ListedEndpoint] = Follower(decode_endpoint)
+        self._listing = Listing()
+        self._members: Follower[str] = Follower(decode_zone)
+        self._built_members = FleetMembers()
+        self._shown_members: FleetMembers | None = None
         self._unreadable_documents = RepeatLog('shallotmux:document-unreadable')
 
     @property
     def peers(self) -> tuple[str, ...]:
         """Return the names of the control instances."""
-        return tuple(self._peers)
+        return self._controls.names
 
     def update_seeds(self, seeds: Iterable[str]) -> None:
         """Set the seeds of changed settings and add them to the polled peers."""
-        self._seeds = tuple(seeds)
-        self._add_peers(self._seeds)
+        self._controls.update_seeds(seeds)
 
     async def run(self) -> None:
         """Poll until cancelled."""
         async with trio.open_nursery() as nursery:
-            for number in range(POLL_TASKS):
-                nursery.start_soon(self._poll_repeatedly, number * POLL_INTERVAL_S / POLL_TASKS)
+            nursery.start_soon(self._follow)
+            while True:
+                interval_s = REPORT_INTERVAL_S / max(1, self._controls.report_count())
+                await trio.sleep(interval_s)
+                peer = self._controls.next_for_report(trio.current_time())
+                if peer is not None:
+                    # A task of its own, so that an unresponsive peer does not delay the reports to others.
+                    nursery.start_soon(self._poll, peer, False)  # noqa: FBT003
 
-    async def _poll_repeatedly(self, delay_s: float) -> None:
-        await trio.sleep(delay_s)
+    async def _follow(self) -> None:
+        """Poll the followed control instance; the next one at once if there is no answer."""
+        unanswered = 0
         while True:
-            peer = self._choose_peer()
-            if peer is not None:
-                await self._poll(peer)
-            await trio.sleep(POLL_INTERVAL_S)
-
-    def _choose_peer(self) -> str | None:
-        """Return the next control instance in turn; an unresponsive one only if all are."""
-        now = trio.current_time()
-        for _ in self._peers:
-            self._next_index = (self._next_index + 1) % len(self._peers)
-            peer = self._peers[self._next_index]
-            if self._retry_at.get(peer, 0) <= now:
-                return peer
-        if not self._peers:
-            return None
-        return min(self._peers, key=lambda each: self._retry_at.get(each, 0))
-
-    async def _poll(self, peer: str) -> None:
-        crash_news, crashes_known = self._crash_exchange.build(peer)
-        poll = Poll(
-            self._name,
-            self.view.version,
-            self._counts(),
-            self._demands(),
-            crash_news,
-            crashes_known,
-            self._limits.build_reports(),
-            self._zone,
-            self._cut_off(),
-        )
+            peer = self._controls.choose_main()
+            is_answered = peer is not None and await self._poll(peer, is_main=True)
+            unanswered = 0 if is_answered else unanswered + 1
+            if is_answered or unanswered >= len(self._controls.names):
+                unanswered = 0
+                await trio.sleep(POLL_INTERVAL_S)
+
+    async def _poll(self, peer: str, is_main: bool) -> bool:  # noqa: FBT001
+        """Poll a control instance, and return whether it answered.
+
+        :param is_main: whether it is the one that is followed; others only get a report.
+        """
+        followed = Followed(self._endpoints.mark, self._members.mark) if is_main else None
+        sent = self._reports.build(peer, self.view.version, followed)
         sent_at = trio.current_time()
         try:
             answer = await self._network.forward(
-                peer, KNOWLEDGE_GROUP, encode_fleet_message(poll), POLL_TIMEOUT_S
+                peer, KNOWLEDGE_GROUP, encode_fleet_message(sent.poll), POLL_TIMEOUT_S
             )
             if answer.refusal is Refusal.NONE:
-                self._apply_knowledge(peer, decode_knowledge(answer.result), crash_news, sent_at)
-                return
+                self._apply_knowledge(peer, decode_knowledge(answer.result), sent, sent_at)
+                return True
             reason = answer.detail
         except (ShallotmuxError, msgspec.DecodeError) as error:
             reason = str(error)
-        if peer not in self._retry_at:
-            log_message(message_type='shallotmux:control-lost', peer=peer, reason=reason)
-        self._retry_at[peer] = trio.current_time() + RETRY_PEER_AFTER_S
+        self._controls.record_lost(peer, reason, trio.current_time())
+        return False
 
     def _apply_knowledge(
-        self, peer: str, knowledge: Knowledge, sent: CrashNews, sent_at: float
+        self, peer: str, knowledge: Knowledge, sent: SentPoll, sent_at: float
     ) -> None:
-        if self._retry_at.pop(peer, None) is not None:
-            log_message(message_type='shallotmux:control-regained', peer=peer)
+        is_main = not sent.poll.is_report
+        # Raises an error if the content is not valid.
+        has_endpoints = is_main and self._follow_endpoints(peer, knowledge)
+        if is_main:
+            self._follow_members(peer, knowledge)
+            self.view.cut_off = {
+                each.service: frozenset(each.entries) for each in knowledge.cut_off
+            }
+        is_earlier_build = not knowledge.incarnation
+        has_no_list = is_earlier_build and knowledge.listing is None
+        self._controls.record_answer(
+            peer,
+            float('inf') if has_no_list else knowledge.listing_age_s,
+            is_settled=knowledge.is_settled or is_earlier_build,
+        )
         self._clock.record_peer_estimate(peer, knowledge.true_time_s)
-        # Names come from whoever polls a control instance.
-        self.view.entries = tuple(filter(is_address, knowledge.entries))
-        self.view.neighbours = tuple(filter(is_address, knowledge.neighbours))
-        self.view.cut_off = {each.service: frozenset(each.entries) for each in knowledge.cut_off}
-        self._crash_exchange.apply(peer, sent, knowledge.crash_news)
+        self._reports.record(peer, sent, knowledge)
         self._limits.merge(knowledge.limits)
         self._history.merge(knowledge.versions, sent_at)
-        if knowledge.peers:
-            self._replace_peers(knowledge.peers)
         if knowledge.document:
             self._apply_document(peer, knowledge.document)
+        listing = self._listing if has_endpoints else knowledge.listing
         is_dated = 0 <= knowledge.listing_age_s < float('inf')
-        if knowledge.listing is not None and is_dated:
+        if listing is not None and is_dated:
             # The answer may have been delayed, also by a suspension of this machine. The list is at least
             # as new as its age at the time of the poll.
-            self.view.update_listing(knowledge.listing, sent_at - knowledge.listing_age_s)
+            self.view.update_listing(listing, sent_at - knowledge.listing_age_s)
+
+    def _follow_endpoints(self, peer: str, knowledge: Knowledge) -> bool:
+        """Apply the change of the list, and return whether the copy is now the list of the answer."""
+        if not knowledge.endpoints:
+            return False
+        change = decode_change(knowledge.endpoints)
+        applied = self._endpoints.apply(change)
+        if applied in {Applied.CHANGED, Applied.REPLACED}:
+            self._listing = build_listing(self._endpoints.items)
+        _log_applied(peer, 'endpoints', applied, len(change.changed))
+        return self._endpoints.has(change.mark)
+
+    def _follow_members(self, peer: str, knowledge: Knowledge) -> None:
+        if not knowledge.incarnation:
+            self._take_earlier_members(knowledge)
+            return
+        if not knowledge.members:
+            return
+        change = decode_change(knowledge.members)
+        applied = self._members.apply(change)
+        _log_applied(peer, 'members', applied, len(change.changed))
+        if applied in {Applied.CHANGED, Applied.REPLACED}:
+            self._built_members = build_members(self._members.items)
+            self._replace_controls(self._built_members.controls)
+        if self._built_members is self._shown_members or not self._members.has(change.mark):
+            return
+        # An instance that has just started knows only those that have polled it since.
+        if knowledge.is_settled or self._built_members.entries.keys() >= set(self.view.entries):
+            self._shown_members = self._built_members
+            self.view.update_members(self._built_members, self._zone)
+
+    def _take_earlier_members(self, knowledge: Knowledge) -> None:
+        """Take the members from an answer of an earlier build, which names few zones."""
+        neighbours = frozenset(knowledge.neighbours)
+        entries = {
+            name: self._zone if name in neighbours else ''
+            for name in filter(is_address, knowledge.entries)
+        }
+        self._shown_members = None
+        self.view.update_members(FleetMembers(entries, {}), self._zone)
+        if knowledge.peers:
+            self._replace_controls(dict.fromkeys(knowledge.peers, ''))
+
+    def _replace_controls(self, controls: Mapping[str, str]) -> None:
+        """Set the control instances to the named ones and the seeds; others have left the group."""
+        if not controls:
+            return
+        self._controls.replace(controls)
+        self._controls.update_zones(controls)
+        self._reports.keep(self._controls.names)
 
     def _apply_document(self, peer: str, content: bytes) -> None:
         try:
@@ -247,13 +319,12 @@
                 message_type='shallotmux:document-in-force', version=document.version, peer=peer
             )
 
-    def _replace_peers(self, named: tuple[str, ...]) -> None:
-        """Set the peers to the named instances and the seeds; others have left the group."""
-        wanted = set(named) | set(self._seeds)
-        self._peers = [each for each in self._peers if each in wanted]
-        self._crash_exchange.keep(wanted)
-        self._retry_at = {name: at for name, at in self._retry_at.items() if name in wanted}
-        self._add_peers(sorted(wanted))
 
-    def _add_peers(self, names: Iterable[str]) -> None:
-        self._peers.extend(each for each in names if each not in self._peers)
+def _log_applied(peer: str, state: str, applied: Applied, changed: int) -> None:
+    """Log a state that was replaced, which is rare, or that did not fit."""
+    if applied is Applied.REPLACED:
+        log_message(
+            message_type='shallotmux:fleet-state-whole', peer=peer, state=state, count=changed
+        )
+    elif applied is Applied.GAP:
+        log_message(message_type='shallotmux:fleet-state-gap', peer=peer, state=state)
--- a/shallotmux/fleetnews/_choice.py
+++ b/shallotmux/fleetnews/_choice.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from hashlib import blake2b
+
+from shallotmux.rendezvous import rank_owners
 
 #: Age of its list at a control instance's answer beyond which another one is preferred. The list is read
 #: every 0.8 s by default, and reading it takes up to some hundred ms.
@@ -38,21 +39,21 @@
     :param zone: zone of the entry instance.
     :param chooser: name of the entry instance.
     """
-    ranked = sorted(controls, key=lambda each: _rank(each, zone, chooser))
-    return ranked[0].name if ranked else None
+    known = tuple(controls)
+    owners = rank_owners(chooser.encode(), (each.name for each in known))
+    order = {name: index for index, name in enumerate(owners)}
+    chosen = min(known, key=lambda each: _rank(each, zone, order[each.name]), default=None)
+    return None if chosen is None else chosen.name
+
 
+def _rank(control: ControlInstance, zone: str, order: int) -> tuple[object, ...]:
+    """Return the key by which control instances are sorted, the preferred one first.
 
-def _rank(control: ControlInstance, zone: str, chooser: str) -> tuple[object, ...]:
-    """Return the key by which control instances are sorted, the preferred one first."""
+    :param order: place of the control instance in the order of the entry instance.
+    """
     is_own = bool(zone) and control.zone == zone
-    order = b'' if is_own else _draw(control.name, chooser)
     return (
         (control.retry_at is not None, control.retry_at or 0.0),
-        (not control.is_settled, control.list_age_s > MAX_LIST_AGE_S),
-        (not is_own, order, control.name),
+        (not control.is_settled, not 0 <= control.list_age_s <= MAX_LIST_AGE_S),
+        (not is_own, 0 if is_own else order, control.name),
     )
-
-
-def _draw(name: str, chooser: str) -> bytes:
-    """Return bytes that order control instances differently for each entry instance."""
-    return blake2b(f'{chooser} {name}'.encode(), digest_size=8).digest()
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -106,7 +106,11 @@
         )
         self._term = LeaderTerm(self.member, settings.name, settings.times.alternation_s)
         self._knowledge = KnowledgeService(
-            self.member.state, self._clock, self.member.peers, settings.times.usage_window_s
+            self.member.state,
+            self._clock,
+            self.member.peers,
+            settings.times.usage_window_s,
+            self.member.zones.known,
         )
         if self.member.is_first_start:
             self._knowledge.history.assume_complete()
