Count the bytes between instances by kind and by whether they cross zones

Bytes between zones are a cost of the deployment, and no metric showed them. shallotmux_peer_bytes_total counts payloads of polls, calls, replication and datagrams at both ends, with one dictionary access for the zone and one for the sum.

--- a/shallotmux/control/_entry_reach.py
+++ b/shallotmux/control/_entry_reach.py
@@ -45,6 +45,10 @@
             found = self._random.sample(found, MAX_NEIGHBOURS)
         return tuple(found)
 
+    def zone_of(self, name: str) -> str:
+        """Return the zone of an entry instance; empty if unknown."""
+        return self._zones.get(name, '')
+
     def zones_of(self, live: Sequence[str]) -> dict[str, str]:
         """Return the zones of live entry instances by name; empty if unknown."""
         return {name: self._zones.get(name, '') for name in live}
--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -124,6 +124,10 @@
         self._polled_at = {name: at for name, at in self._polled_at.items() if at >= oldest}
         return tuple(sorted({instance_name(name) for name in self._polled_at}))
 
+    def zone_of(self, peer: str) -> str:
+        """Return the zone of an entry or control instance by name; empty if unknown."""
+        return self._entry_reach.zone_of(peer) or self._control_zones().get(peer, '')
+
     def demand_of(self, service: str) -> FleetDemand:
         """Return the demand for a service at all entry instances."""
         oldest = trio.current_time() - INSTANCE_TTL_S
@@ -199,7 +203,7 @@
         """Add what has changed since the states that the sender of a poll has."""
         entries = self.entries()
         self._entry_reach.keep(entries)
-        zones = {instance_name(identity): zone for identity, zone in self._zones().items()}
+        zones = self._control_zones()
         controls = {name: zones.get(name, '') for name in self._peers()}
         self._publications.update_members(
             FleetMembers(self._entry_reach.zones_of(entries), controls)
@@ -226,6 +230,9 @@
             cut_off=self._entry_reach.cut_off(entries),
         )
 
+    def _control_zones(self) -> dict[str, str]:
+        return {instance_name(identity): zone for identity, zone in self._zones().items()}
+
     def _may_offer(self, now: float) -> bool:
         """Return whether the local document is offered to instances that have an older one or none."""
         since = self._state.outdated_since
--- a/shallotmux/fleet/_load_sharing.py
+++ b/shallotmux/fleet/_load_sharing.py
@@ -15,6 +15,7 @@
 
 from shallotmux.addresses import split_address
 from shallotmux.decoding import guard_decoder
+from shallotmux.transport import Direction, PeerTraffic, TrafficKind
 
 #: Minimum interval between two messages of an instance, and its increase per peer. With these, an
 #: instance receives at most 200 messages per second, however many peers there are.
@@ -144,6 +145,7 @@
     :param peers: returns the addresses of the entry instances.
     :param tokens: returns the queued prefill tokens of this instance by engine identity.
     :param receive_other: processes other messages to the same address; returns whether it knows one.
+    :param traffic: counts the bytes of all messages.
     """
 
     def __init__(
@@ -153,7 +155,9 @@
         peers: Callable[[], tuple[str, ...]],
         tokens: Callable[[], Mapping[str, float]],
         receive_other: Callable[[bytes], bool] | None = None,
+        traffic: PeerTraffic | None = None,
     ) -> None:
+        self._traffic = traffic or PeerTraffic()
         self._name = name
         self._address = address
         self._peers = peers
@@ -193,11 +197,13 @@
             # The address may come from a datagram of anybody.
             with suppress(OSError, ValueError):
                 await self._sock.sendto(content, split_address(peer))
+                self._count(Direction.SENT, peer, content)
 
     async def _receive(self, sock: trio.socket.SocketType) -> None:
         while True:
             with suppress(OSError):
-                content, _ = await sock.recvfrom(MAX_MESSAGE_BYTES)
+                content, source = await sock.recvfrom(MAX_MESSAGE_BYTES)
+                self._count(Direction.RECEIVED, f'{source[0]}:{source[1]}', content)
                 if self._receive_other is None or not self._receive_other(content):
                     self.loads.receive(content)
 
@@ -212,6 +218,10 @@
                 # The names of instances come from their polls.
                 with suppress(OSError, ValueError):
                     await sock.sendto(message, split_address(peer))
+                    self._count(Direction.SENT, peer, message)
+
+    def _count(self, direction: Direction, peer: str, content: bytes) -> None:
+        self._traffic.count(TrafficKind.DATAGRAM, direction, peer, len(content))
 
     def _next_message(self) -> bytes | None:
         """Return the next message, or None if nothing has changed."""
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -51,6 +51,7 @@
     ForwardAnswer,
     GrpcPeerNetwork,
     PeerEnvelope,
+    PeerTraffic,
     Refusal,
     SelfNamedAddresses,
 )
@@ -89,7 +90,12 @@
         self.settings = settings
         self._adapter = adapter
         peer_address = settings.listen.peers
-        self._network = GrpcPeerNetwork(peer_address, peer_address, SelfNamedAddresses(), None)
+        self._traffic = PeerTraffic(
+            settings.zone, lambda peer: self._knowledge.zone_of(peer), KNOWLEDGE_GROUP
+        )
+        self._network = GrpcPeerNetwork(
+            peer_address, peer_address, SelfNamedAddresses(), None, self._traffic
+        )
         self._clock = TrueClock()
         self.member = ControlMember(
             MemberSettings(
@@ -116,6 +122,7 @@
             self._knowledge.history.assume_complete()
         self._quorum = QuorumWatch(self.member)
         self._registry = CollectorRegistry()
+        self._traffic.register(self._registry)
         self._gauges = ControlGauges(self._registry)
         self._cached_table_version = 0
         self._cached_table: RouteTable | None = None
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -13,7 +13,14 @@
 from shallotmux.addresses import split_address
 from shallotmux.control import ListingPoller, PlatformApi
 from shallotmux.errors import ShallotmuxError
-from shallotmux.fleet import DecodeDocument, FleetPoller, LoadSharing, ServiceDemand, TrueClock
+from shallotmux.fleet import (
+    KNOWLEDGE_GROUP,
+    DecodeDocument,
+    FleetPoller,
+    LoadSharing,
+    ServiceDemand,
+    TrueClock,
+)
 from shallotmux.forwarding import (
     ConnectionPool,
     Dialect,
@@ -43,6 +50,7 @@
     ForwardAnswer,
     GrpcPeerNetwork,
     PeerEnvelope,
+    PeerTraffic,
     Refusal,
     SelfNamedAddresses,
     new_identity,
@@ -94,7 +102,12 @@
         self._counter = RequestCounter(self._clock, settings.times.usage_window_s)
         peer_address = settings.listen.peers
         self._identity = new_identity(peer_address, SystemRandom())
-        self._network = GrpcPeerNetwork(peer_address, peer_address, SelfNamedAddresses(), None)
+        self._traffic = PeerTraffic(
+            settings.zone, lambda peer: self.view.zones.get(peer, ''), KNOWLEDGE_GROUP
+        )
+        self._network = GrpcPeerNetwork(
+            peer_address, peer_address, SelfNamedAddresses(), None, self._traffic
+        )
         self._endpoint_limits = EndpointLimits(
             peer_address, self._identity, lambda: self._poller.view.entries
         )
@@ -127,6 +140,7 @@
         self.view.on_listing.append(self._directory.update_listing)
         self.view.on_versions.append(self._origins.observe)
         self.metrics = ForwardingMetrics()
+        self._traffic.register(self.metrics.registry)
         self.metrics.document_version.set_function(lambda: self.view.version)
         self.metrics.quarantines.set_function(lambda: len(self._poller.crashes.quarantines()))
         reach = self._directory.reach
@@ -141,6 +155,7 @@
             lambda: self.view.entries,
             self._directory.queued_prefill_tokens,
             self._endpoint_limits.receive,
+            self._traffic,
         )
         self._forwarder = build_forwarder(
             ForwarderParts(
--- a/shallotmux/transport/__init__.py
+++ b/shallotmux/transport/__init__.py
@@ -15,9 +15,11 @@
     new_identity,
 )
 from shallotmux.transport._tls import PeerTls
+from shallotmux.transport._traffic import Direction, PeerTraffic, TrafficKind
 
 __all__ = (
     'Channel',
+    'Direction',
     'ForwardAnswer',
     'GrpcPeerNetwork',
     'MemoryPeerFabric',
@@ -27,8 +29,10 @@
     'PeerHandler',
     'PeerNetwork',
     'PeerTls',
+    'PeerTraffic',
     'Refusal',
     'SelfNamedAddresses',
+    'TrafficKind',
     'instance_name',
     'new_identity',
 )
--- a/shallotmux/transport/_grpc.py
+++ b/shallotmux/transport/_grpc.py
@@ -31,6 +31,7 @@
 )
 from shallotmux.transport._peer_grpc import PeerBase, PeerStub
 from shallotmux.transport._tls import PeerTls, certified_names
+from shallotmux.transport._traffic import Direction, PeerTraffic, TrafficKind
 
 #: IP address and port of each instance, by name. The mapping is shared and read whenever a
 #: connection is opened, so that tests can add addresses once the system has assigned the ports.
@@ -72,9 +73,18 @@
     """Connects an instance to its peers over TCP, with TLS unless ``tls`` is None.
 
     :param bind: IP address and port to listen on; port 0 lets the system choose.
+    :param traffic: counts the bytes of all messages.
     """
 
-    def __init__(self, name: str, bind: str, addresses: PeerAddresses, tls: PeerTls | None) -> None:
+    def __init__(
+        self,
+        name: str,
+        bind: str,
+        addresses: PeerAddresses,
+        tls: PeerTls | None,
+        traffic: PeerTraffic | None = None,
+    ) -> None:
+        self._traffic = traffic or PeerTraffic()
         self._name = name
         self._bind = bind
         self._addresses = addresses
@@ -119,6 +129,9 @@
             return
         link = self.link(peer)
         link.queue.put(envelope)
+        self._traffic.count(
+            TrafficKind.REPLICATION, Direction.SENT, peer, len(envelope.payload)
+        )
         if link.needs_stream():
             self._nursery.start_soon(trio_asyncio.aio_as_trio(link.connect, loop=self._loop))
 
@@ -133,9 +146,11 @@
         if self._nursery is None or peer not in self._addresses:
             raise AuthorityUnavailable('peer is not known', step='forward', peer=peer)
         request = wire.ForwardRequest(group=group, command=command)
+        self._traffic.count_call(group, Direction.SENT, peer, len(command))
         answer = await trio_asyncio.aio_as_trio(self._call_forward, loop=self._loop)(
             peer, request, timeout_s
         )
+        self._traffic.count_answer(group, Direction.RECEIVED, peer, len(answer.result))
         if answer.refusal not in REFUSALS:
             detail = f'unknown refusal {answer.refusal}'
             raise OutcomeUnknown(detail, step='forward', peer=peer)
@@ -158,6 +173,9 @@
         if self._handler is None:
             return
         for each in batch.envelopes:
+            self._traffic.count(
+                TrafficKind.REPLICATION, Direction.RECEIVED, peer, len(each.payload)
+            )
             is_from_peer = instance_name(each.sender) == peer
             is_own = instance_name(each.recipient) == self._name
             if is_from_peer and is_own and each.channel in CHANNELS:
@@ -178,12 +196,14 @@
             raise GRPCError(Status.PERMISSION_DENIED, f'certificate does not name {name!r}')
         return name
 
-    async def answer_forward(self, request: Any) -> Any:
-        """Pass a forwarded command to the handler, and return its answer as a wire message."""
+    async def answer_forward(self, request: Any, peer: str) -> Any:
+        """Pass a peer's forwarded command to the handler, and return its answer as a wire message."""
+        self._traffic.count_call(request.group, Direction.RECEIVED, peer, len(request.command))
         if self._handler is None:
             return wire.ForwardAnswer(refusal=wire.NOT_COMMITTED, detail='not started')
         handle = trio_asyncio.trio_as_aio(self._handler.handle_forward)
         answer = await handle(request.group, request.command)
+        self._traffic.count_answer(request.group, Direction.SENT, peer, len(answer.result))
         return wire.ForwardAnswer(
             result=answer.result,
             refusal=int(answer.refusal),  # type: ignore[arg-type]
@@ -264,7 +284,7 @@
 
     async def Forward(self, stream: Any) -> None:  # noqa: N802
         """Answer a forwarded command."""
-        self._network.identify(stream)
+        name = self._network.identify(stream)
         request = await stream.recv_message()
         if request is not None:
-            await stream.send_message(await self._network.answer_forward(request))
+            await stream.send_message(await self._network.answer_forward(request, name))
