--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 WORKERS ?= 6
 
 .PHONY: guards soak bench bench-forwarder capacity clean control-cost demo env explore failure-matrix format help lint measure \
-	measure-cutoffs measure-origins measure-quarantine measure-ratelimits process-check proto test
+	measure-cutoffs measure-fleetnews measure-origins measure-quarantine measure-ratelimits process-check proto test
 
 help:
 	@echo "make demo     run three zones with stand-in back ends (ARGS=--serve keeps them running)"
@@ -17,6 +17,7 @@
 	@echo "make explore  explore the replication group under faults (ARGS='--seed 1 --steps 200000', or --replacements 2)"
 	@echo "make measure  measure the decisions on seeded traces (ARGS=--report=DIR draws plots)"
 	@echo "make measure-cutoffs  compare rules for instances that are cut off"
+	@echo "make measure-fleetnews  measure the bytes between zones of polls of the fleet state"
 	@echo "make measure-origins  compare rules for streams of several software versions"
 	@echo "make measure-quarantine  compare rules for requests that crash engines"
 	@echo "make measure-ratelimits  compare rules for endpoints that name a limit"
@@ -63,6 +64,9 @@
 measure-cutoffs: env
 	$(BIN)/python -m shallotmux.measure.cutoffs $(ARGS)
 
+measure-fleetnews: env
+	$(BIN)/python -m shallotmux.measure.fleetnews $(ARGS)
+
 measure-origins: env
 	$(BIN)/python -m shallotmux.measure.origins $(ARGS)
 
--- a/shallotmux/control/_entry_reach.py
+++ b/shallotmux/control/_entry_reach.py
@@ -20,9 +20,13 @@
         self._zones: dict[str, str] = {}
         self._cut_off: dict[str, tuple[str, ...]] = {}
 
-    def record(self, poll: Poll) -> None:
-        """Record the zone of an instance, and the services of which it reaches no endpoint."""
+    def record(self, poll: Poll) -> bool:
+        """Record the zone of an instance, and the services of which it reaches no endpoint.
+
+        :returns: whether its zone is another one than before.
+        """
         name = instance_name(poll.sender)
+        has_moved = self._zones.get(name) != poll.zone
         self._zones[name] = poll.zone
         if poll.cut_off != self._cut_off.get(name, ()):
             log_message(
@@ -32,6 +36,7 @@
             self._cut_off[name] = poll.cut_off
         else:
             self._cut_off.pop(name, None)
+        return has_moved
 
     def keep(self, live: Sequence[str]) -> None:
         """Forget the zones of all other instances."""
--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -46,6 +46,10 @@
 #: Time after the first poll until all live entry instances have polled: two intervals of their reports.
 SETTLE_S = 2.5
 
+#: Interval at which the live instances are counted anew for answers, unless another one has polled.
+#: Counting them for each of about 100 polls a second takes most of the time of an answer.
+MEMBERS_INTERVAL_S = 0.1
+
 #: Random bits of an incarnation; messages can hold numbers of 64 bits.
 INCARNATION_BITS = 63
 
@@ -79,6 +83,10 @@
         self._publications = FleetPublications(SystemRandom().getrandbits(INCARNATION_BITS) | 1)
         #: Time since when there has been a live entry instance at any time.
         self._live_since = inf
+        self._last_poll_at = -inf
+        #: Names of the live entry instances at a time.
+        self._live: tuple[str, ...] = ()
+        self._live_at = -inf
         self._state = state
         self._clock = clock
         self._peers = peers
@@ -150,13 +158,17 @@
         except msgspec.DecodeError as error:
             return ForwardAnswer(refusal=Refusal.INVALID, detail=str(error))
         now = trio.current_time()
-        if not self.entries():
+        if now - self._last_poll_at > INSTANCE_TTL_S:
             self._live_since = now
+        self._last_poll_at = now
+        is_new = poll.sender not in self._polled_at
         self._polled_at[poll.sender] = now
         present = int(self._clock.now() / self._window_s) if self._window_s else None
         took_counts = self.usage.merge(poll.sender, poll.counts, present)
         self._demands[poll.sender] = tuple(each for each in poll.demands if _is_plausible(each))
-        self._entry_reach.record(poll)
+        has_moved = self._entry_reach.record(poll)
+        if is_new or has_moved or now - self._live_at >= MEMBERS_INTERVAL_S:
+            self._update_members(now)
         self._crashes.merge(poll.crash_news)
         self.limits.merge(poll.limits)
         knowledge = self._build_report_answer(poll, now, took_counts=took_counts)
@@ -201,24 +213,17 @@
         self, answer: Knowledge, endpoints: StateMark, members: StateMark
     ) -> Knowledge:
         """Add what has changed since the states that the sender of a poll has."""
-        entries = self.entries()
-        self._entry_reach.keep(entries)
-        zones = self._control_zones()
-        controls = {name: zones.get(name, '') for name in self._peers()}
-        self._publications.update_members(
-            FleetMembers(self._entry_reach.zones_of(entries), controls)
-        )
         return msgspec.structs.replace(
             answer,
             limits=self.limits.build_reports(),
-            cut_off=self._entry_reach.cut_off(entries),
+            cut_off=self._entry_reach.cut_off(self._live),
             endpoints=self._publications.endpoints.encode_after(endpoints) if self.listing else b'',
             members=self._publications.members.encode_after(members),
         )
 
     def _add_whole(self, answer: Knowledge, poll: Poll) -> Knowledge:
         """Add the whole state for an instance of an earlier build."""
-        entries = self.entries()
+        entries = self._live
         return msgspec.structs.replace(
             answer,
             peers=self._peers(),
@@ -230,6 +235,16 @@
             cut_off=self._entry_reach.cut_off(entries),
         )
 
+    def _update_members(self, now: float) -> None:
+        self._live = self.entries()
+        self._live_at = now
+        self._entry_reach.keep(self._live)
+        zones = self._control_zones()
+        controls = {name: zones.get(name, '') for name in self._peers()}
+        self._publications.update_members(
+            FleetMembers(self._entry_reach.zones_of(self._live), controls)
+        )
+
     def _control_zones(self) -> dict[str, str]:
         return {instance_name(identity): zone for identity, zone in self._zones().items()}
 
--- a/shallotmux/ratelimits/_endpoint_limits.py
+++ b/shallotmux/ratelimits/_endpoint_limits.py
@@ -113,6 +113,8 @@
     async def run(self, send: SendMessage) -> None:
         """Ask for permits and grant them until cancelled."""
         while True:
+            # Most services name no limit; rounds without one would only cost processor time.
+            await self.known.wait_for_any()
             await trio.sleep(ROUND_INTERVAL_S)
             for instance, message in self.run_round():
                 await send(instance, message)
--- a/shallotmux/ratelimits/_known.py
+++ b/shallotmux/ratelimits/_known.py
@@ -56,12 +56,19 @@
 
     def __init__(self) -> None:
         self._observations: dict[int, _Observation] = {}
+        self._first_known: trio.Event | None = None
 
     @property
     def is_empty(self) -> bool:
         """Return whether nothing is known of any limit."""
         return not self._observations
 
+    async def wait_for_any(self) -> None:
+        """Wait until something is known of a limit."""
+        if self.is_empty:
+            self._first_known = self._first_known or trio.Event()
+            await self._first_known.wait()
+
     def limit_of(self, endpoint: int) -> float | None:
         """Return the limit of an endpoint in requests per second, or None."""
         known = self._observations.get(endpoint)
@@ -114,6 +121,9 @@
         )
 
     def _set(self, endpoint: int, limit: float, at: float) -> None:
+        if self._first_known is not None:
+            self._first_known.set()
+            self._first_known = None
         known = self._observations.pop(endpoint, None)
         self._observations[endpoint] = _Observation(limit, at)
         if len(self._observations) > MAX_LIMITS:
