Send polls over a kept stream

Polls now share one stream for each peer, numbered, once a first call was answered; peers of the earlier build get single calls.

--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -106,7 +106,13 @@
             settings.zone, lambda peer: self.view.zones.get(peer, ''), KNOWLEDGE_GROUP
         )
         self._network = GrpcPeerNetwork(
-            peer_address, peer_address, SelfNamedAddresses(), None, self._traffic
+            peer_address,
+            peer_address,
+            SelfNamedAddresses(),
+            None,
+            self._traffic,
+            # Polls are most of the calls, and their cost is most of that of an idle instance.
+            (KNOWLEDGE_GROUP,),
         )
         self._endpoint_limits = EndpointLimits(
             peer_address, self._identity, lambda: self._poller.view.entries
--- a/shallotmux/transport/_calls.py
+++ b/shallotmux/transport/_calls.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+from shallotmux.transport._call_stream import CallStream
 from shallotmux.transport._channel import CONNECT_TIMEOUT_S, PeerChannel
 
 
@@ -21,6 +22,8 @@
         self._opening: asyncio.Future[None] | None = None
         self._users = 0
         self._is_retired = False
+        self._stream: CallStream | None = None
+        self._streaming: asyncio.Future[None] | None = None
 
     @property
     def is_usable(self) -> bool:
@@ -29,6 +32,24 @@
             return False
         return self._opening is None or not self._opening.done() or self.channel.is_connected
 
+    @property
+    def stream(self) -> CallStream | None:
+        """Return the stream for calls if it is open."""
+        if self._stream is None or self._is_retired or not self._stream.is_open:
+            return None
+        return self._stream
+
+    @property
+    def knows_no_streams(self) -> bool:
+        """Return whether the peer has answered that it knows no streams of calls."""
+        return self._stream is not None and self._stream.is_unknown
+
+    def open_stream(self, own_headers: dict[str, str]) -> None:
+        """Begin to open a stream for further calls, once. Runs in asyncio."""
+        if self._stream is None and not self._is_retired:
+            self._stream = CallStream(own_headers)
+            self._streaming = asyncio.ensure_future(self._run_stream(self._stream))
+
     async def wait_open(self) -> None:
         """Wait until the connection is open; the first call opens it.
 
@@ -63,14 +84,20 @@
     def close(self) -> None:
         """Close the connection, and end the calls that use it."""
         self._is_retired = True
-        if self._opening is not None:
-            self._opening.cancel()
+        for task in (self._opening, self._streaming):
+            if task is not None:
+                task.cancel()
         self.channel.close()
 
     async def _open(self) -> None:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             await self.channel.__connect__()
 
+    async def _run_stream(self, stream: CallStream) -> None:
+        await stream.run(self.channel)
+        # A server closes the connection of a stream that has ended.
+        self.retire()
+
     def _close_if_unused(self) -> None:
         if self._is_retired and not self._users:
             self.close()
@@ -85,10 +112,25 @@
     def __init__(self, open_channel: Callable[[], PeerChannel]) -> None:
         self._open_channel = open_channel
         self._connection: CallConnection | None = None
+        self._knows_no_streams = False
+
+    def stream(self) -> tuple[CallConnection, CallStream] | None:
+        """Return the open stream for calls and its connection, or None."""
+        connection = self._connection
+        if connection is None or connection.stream is None:
+            return None
+        return connection, connection.stream
+
+    def open_stream(self, connection: CallConnection, own_headers: dict[str, str]) -> None:
+        """Begin to open a stream for further calls, unless the peer knows none. Runs in asyncio."""
+        if not self._knows_no_streams:
+            connection.open_stream(own_headers)
 
     def connection(self) -> CallConnection:
         """Return the connection for a call; a new one if the last one has failed."""
         if self._connection is None or not self._connection.is_usable:
+            if self._connection is not None and self._connection.knows_no_streams:
+                self._knows_no_streams = True
             self.retire()
             self._connection = CallConnection(self._open_channel())
         return self._connection
--- a/shallotmux/transport/_grpc.py
+++ b/shallotmux/transport/_grpc.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import socket
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
+from functools import partial
 from typing import Any
 
 import trio
@@ -18,6 +19,7 @@
 from shallotmux.binding import bind_when_free
 from shallotmux.errors import AuthorityUnavailable, OutcomeUnknown
 from shallotmux.transport import _peer_pb2 as wire
+from shallotmux.transport._call_stream import CALLS_HEADER, answer_calls
 from shallotmux.transport._calls import CallConnection
 from shallotmux.transport._channel import PeerChannel, make_channel, set_user_timeout
 from shallotmux.transport._link import FLUSH_INTERVAL_S, NAME_HEADER, PeerLink
@@ -74,6 +76,7 @@
 
     :param bind: IP address and port to listen on; port 0 lets the system choose.
     :param traffic: counts the bytes of all messages.
+    :param streamed: groups whose calls use a kept stream to peers that know such streams.
     """
 
     def __init__(
@@ -83,7 +86,9 @@
         addresses: PeerAddresses,
         tls: PeerTls | None,
         traffic: PeerTraffic | None = None,
+        streamed: Collection[str] = (),
     ) -> None:
+        self._streamed = frozenset(streamed)
         self._traffic = traffic or PeerTraffic()
         self._name = name
         self._bind = bind
@@ -145,11 +150,20 @@
         """
         if self._nursery is None or peer not in self._addresses:
             raise AuthorityUnavailable('peer is not known', step='forward', peer=peer)
-        request = wire.ForwardRequest(group=group, command=command)
         self._traffic.count_call(group, Direction.SENT, peer, len(command))
-        answer = await trio_asyncio.aio_as_trio(self._call_forward, loop=self._loop)(
-            peer, request, timeout_s
-        )
+        open_stream = self.link(peer).calls.stream() if group in self._streamed else None
+        if open_stream is None:
+            request = wire.ForwardRequest(group=group, command=command)
+            answer = await trio_asyncio.aio_as_trio(self._call_forward, loop=self._loop)(
+                peer, request, timeout_s
+            )
+        else:
+            connection, stream = open_stream
+            with connection.use():
+                answer = await stream.call(group, command, timeout_s)
+                if answer is None:
+                    connection.retire()
+                    raise OutcomeUnknown('no answer', step='forward', peer=peer)
         self._traffic.count_answer(group, Direction.RECEIVED, peer, len(answer.result))
         if answer.refusal not in REFUSALS:
             detail = f'unknown refusal {answer.refusal}'
@@ -236,12 +250,15 @@
         headers = {NAME_HEADER: self._name}
         stub = PeerStub(connection.channel)
         try:
-            return await stub.Forward(request, timeout=timeout_s, metadata=headers)
+            answer = await stub.Forward(request, timeout=timeout_s, metadata=headers)
         except Exception as error:
             # The connection may be dead, so further calls use another one. Those under way keep this
             # one: it may only be the answer to this call that takes long.
             connection.retire()
             raise OutcomeUnknown(f'no answer: {error!r}', step='forward', peer=peer) from error
+        if request.group in self._streamed:
+            self.link(peer).calls.open_stream(connection, headers)
+        return answer
 
 
 def _log_loop_error(_loop: Any, context: Mapping[str, Any]) -> None:
@@ -275,9 +292,13 @@
     async def Exchange(self, stream: Any) -> None:  # noqa: N802
         """Run a peer's stream in both directions until it ends."""
         name = self._network.identify(stream)
-        await stream.send_initial_metadata()
+        is_for_calls = CALLS_HEADER in stream.metadata
+        await stream.send_initial_metadata(metadata={CALLS_HEADER: '1'} if is_for_calls else None)
         try:
-            await self._network.link(name).run_stream(stream)
+            if is_for_calls:
+                await answer_calls(stream, partial(self._network.answer_forward, peer=name))
+            else:
+                await self._network.link(name).run_stream(stream)
         finally:
             # A cancelled handler sends no trailers, so close the connection to end the stream.
             stream.peer._transport.close()  # noqa: SLF001
