Announce role changes before they are ordered

Change: the balancer announces a change, and the order follows 1.5 s later, under the same term. Control instances exchange the plans and add them to their answers to polls. Announced changes that would not be planned any more are withdrawn. Log lines for each step, a counter of outcomes. Two tests of the balancer wait for the delay of the orders in addition; what they check is unchanged. Seen: tests/control/test_planned_roles.py and test_role_balancer.py pass.

--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -30,6 +30,7 @@
     decode_origin_call,
     encode_origin_message,
 )
+from shallotmux.plannedchanges import HeldPlans
 from shallotmux.ratelimits import KnownLimits
 from shallotmux.transport import ForwardAnswer, Refusal, instance_name
 
@@ -120,6 +121,8 @@
         self._polled_at: dict[str, float] = {}
         self._demands: dict[str, tuple[ServiceDemand, ...]] = {}
         self._entry_reach = EntryReach()
+        #: Planned changes, as the leader sent them.
+        self.plans = HeldPlans()
 
     def update_listing(self, listing: Listing, listed_at: float) -> None:
         """Store the platform's list of endpoints.
@@ -197,6 +200,7 @@
             self.history.build_report(now),
             self._entry_reach.neighbours(poll.zone, entries),
             self._entry_reach.cut_off(entries),
+            self.plans.report(now),
         )
         return ForwardAnswer(encode_fleet_message(knowledge))
 
--- a/shallotmux/control/_role_plan.py
+++ b/shallotmux/control/_role_plan.py
@@ -6,6 +6,8 @@
 from collections.abc import Sequence, Set
 from dataclasses import dataclass
 
+import msgspec
+
 from shallotmux.control._sizing import MIN_DECODE_ENGINES, count_decode_engines
 from shallotmux.fleet import EngineRole, ListedEndpoint
 
@@ -18,10 +20,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RoleChange:
-    """An engine and its new role."""
+    """An engine and its new role.
+
+    :param why: figures that the change follows from.
+    """
 
     endpoint: ListedEndpoint
     role: EngineRole
+    why: str = ''
 
 
 def plan_role_change(
@@ -38,13 +44,14 @@
     prefill_engines = [each for each in engines if each.role is EngineRole.PREFILL]
     decode_engines = [each for each in engines if each.role is EngineRole.DECODE]
     target = count_decode_engines(len(prefill_engines) + len(decode_engines))
+    why = f'{len(decode_engines)} decode engines, {target} wanted'
     if len(decode_engines) > target:
         engine = _pick_from_most_crowded_zone(decode_engines, passed_over)
-        return RoleChange(engine, EngineRole.PREFILL) if engine else None
+        return RoleChange(engine, EngineRole.PREFILL, why) if engine else None
     min_decode_engines = max(min(target, MIN_DECODE_ENGINES), target - DECODE_ENGINE_SLACK)
     if len(decode_engines) < min_decode_engines and len(prefill_engines) > 1:
         engine = _pick_from_least_crowded_zone(prefill_engines, decode_engines, passed_over)
-        return RoleChange(engine, EngineRole.DECODE) if engine else None
+        return RoleChange(engine, EngineRole.DECODE, why) if engine else None
     return None
 
 
@@ -71,3 +78,22 @@
         key=lambda each: (zone_counts[each.zone], each.is_cheap, each.identity),
         default=None,
     )
+
+
+def count_wanted_changes(
+    engines: Sequence[ListedEndpoint], passed_over: Set[str], limit: int
+) -> Counter[EngineRole]:
+    """Return how many of the next changes lead to each role.
+
+    :param limit: number of changes that are looked at.
+    """
+    wanted: Counter[EngineRole] = Counter()
+    remaining = list(engines)
+    for _ in range(limit):
+        change = plan_role_change(remaining, passed_over)
+        if change is None:
+            break
+        wanted[change.role] += 1
+        remaining.remove(change.endpoint)
+        remaining.append(msgspec.structs.replace(change.endpoint, role=change.role))
+    return wanted
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -10,6 +10,7 @@
 from shallotmux.decoding import guard_decoder
 from shallotmux.fleet._listing import Listing
 from shallotmux.origins import NO_HISTORY, HistoryReport
+from shallotmux.plannedchanges import PlannedChange
 from shallotmux.ratelimits import LimitReport
 
 #: Group name under which polls are forwarded to a control instance.
@@ -104,6 +105,7 @@
     :param neighbours: live entry instances in the zone of the poll's sender, at most
         :data:`MAX_NEIGHBOURS`.
     :param cut_off: what entry instances reported a moment ago.
+    :param plans: planned changes that the answering instance knows of.
     """
 
     version: int
@@ -118,6 +120,7 @@
     versions: HistoryReport = NO_HISTORY
     neighbours: tuple[str, ...] = ()
     cut_off: tuple[CutOff, ...] = ()
+    plans: tuple[PlannedChange, ...] = ()
 
 
 class Join(msgspec.Struct, frozen=True):
--- a/shallotmux/fleet/_poller.py
+++ b/shallotmux/fleet/_poller.py
@@ -24,6 +24,7 @@
     encode_fleet_message,
 )
 from shallotmux.origins import VersionHistory
+from shallotmux.plannedchanges import HeldPlans
 from shallotmux.ratelimits import KnownLimits
 from shallotmux.repeats import RepeatLog
 from shallotmux.routes import RouteDocument, RouteTable
@@ -70,6 +71,8 @@
         default_factory=list
     )
     _versions: frozenset[tuple[str, str]] = frozenset()
+    #: Planned changes of endpoints.
+    plans: HeldPlans = field(default_factory=HeldPlans)
 
     @property
     def version(self) -> int:
@@ -234,6 +237,8 @@
             # The answer may have been delayed, also by a suspension of this machine. The list is at least
             # as new as its age at the time of the poll.
             self.view.update_listing(knowledge.listing, sent_at - knowledge.listing_age_s)
+        # A delayed answer must not prolong a plan.
+        self.view.plans.merge(knowledge.plans, sent_at)
 
     def _apply_document(self, peer: str, content: bytes) -> None:
         try:
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -36,7 +36,13 @@
 )
 from shallotmux.forwarding import HttpListener
 from shallotmux.origins import ORIGIN_GROUP
-from shallotmux.programs._control_gauges import ControlGauges
+from shallotmux.plannedchanges import (
+    PLANS_GROUP,
+    PlanBook,
+    PlanPublisher,
+    answer_plan_report,
+)
+from shallotmux.programs._control_gauges import ControlGauges, PlanCounter
 from shallotmux.programs._disk import run_on_disk
 from shallotmux.programs._lifecycle import (
     ProgramLifecycle,
@@ -170,6 +176,8 @@
         match group:
             case _ if group == KNOWLEDGE_GROUP:
                 return self._knowledge.answer(command)
+            case _ if group == PLANS_GROUP:
+                return answer_plan_report(self._knowledge.plans, command)
             case _ if group == ORIGIN_GROUP:
                 return self._knowledge.answer_origins(command)
             case _ if group == JOIN_GROUP:
@@ -189,11 +197,22 @@
         poller = ListingPoller(platform, self._knowledge.update_listing, settings.times.listing_s)
         term = self._term
         dependencies = LeaderDependencies(self._knowledge, platform, term, self._route_table)
+        book = PlanBook()
+        book.on_step.append(PlanCounter(self._registry).count)
+        publisher = PlanPublisher(
+            settings.listen.peers,
+            self._network,
+            self.member.peers,
+            book,
+            term.may_act,
+            self._knowledge.plans,
+        )
         tasks: dict[str, Callable[[], Awaitable[None]]] = {
             'listing': poller.run,
             'gauges': self._set_gauges,
             'quorum': self._quorum.run,
-            'roles': RoleBalancer(dependencies).run,
+            'roles': RoleBalancer(dependencies, book).run,
+            'planned-changes': publisher.run,
         }
         if settings.reports_usage:
             window_s = settings.times.usage_window_s
--- a/shallotmux/programs/_control_gauges.py
+++ b/shallotmux/programs/_control_gauges.py
@@ -4,9 +4,10 @@
 
 import math
 
-from prometheus_client import CollectorRegistry, Gauge
+from prometheus_client import CollectorRegistry, Counter, Gauge
 
 from shallotmux.control import ControlMember, GroupHealth, QuorumWatch
+from shallotmux.plannedchanges import Plan
 
 
 class ControlGauges:
@@ -93,3 +94,23 @@
             self._borne_after_zone_loss,
         ):
             gauge.set(math.nan)
+
+
+class PlanCounter:
+    """Counter of the planned role changes that have ended while this instance led.
+
+    :param registry: registry to which it is added.
+    """
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self._ended = Counter(
+            'shallotmux_planned_changes',
+            'Planned role changes that have ended, by outcome.',
+            ('outcome',),
+            registry=registry,
+        )
+
+    def count(self, plan: Plan, reason: str) -> None:
+        """Count a plan that has entered its last state."""
+        if not plan.is_live:
+            self._ended.labels(plan.state.value).inc()
--- a/tests/control/test_role_balancer.py
+++ b/tests/control/test_role_balancer.py
@@ -19,6 +19,7 @@
     RoleBalancer,
 )
 from shallotmux.fleet import EngineRole, ListedEndpoint, Listing, TrueClock
+from shallotmux.plannedchanges import ORDER_DELAY_S
 from shallotmux.routes import CallerLimits, EngineProfile, RouteDocument, Service
 
 SERVICE = Service('llm', '/healthz', 8, EngineProfile(64, 400_000, 1000, 1e6, 5, 3))
@@ -64,7 +65,8 @@
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     """Guards against a burst that is prefilled by two engines while the others wait their turn."""
-    changed = await run_balancer(lambda _: DutyOutcome.ACCEPTED, 1.5 * CONTROL_LOOP_S)
+    seconds = 1.5 * CONTROL_LOOP_S + ORDER_DELAY_S
+    changed = await run_balancer(lambda _: DutyOutcome.ACCEPTED, seconds)
     assert len(changed) == MAX_CHANGES_PER_ROUND
     assert set(changed) <= {'e-5', 'e-6'}
 
@@ -73,7 +75,8 @@
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     """Guards against orders to one engine after the other while engines refuse them."""
-    assert len(await run_balancer(lambda _: DutyOutcome.UNAVAILABLE, 1.5 * CONTROL_LOOP_S)) == 1
+    seconds = 1.5 * CONTROL_LOOP_S + ORDER_DELAY_S
+    assert len(await run_balancer(lambda _: DutyOutcome.UNAVAILABLE, seconds)) == 1
 
 
 @pytest.mark.parametrize('outcome', (DutyOutcome.UNAVAILABLE, DutyOutcome.NOT_SENT))
