Back off for longer from engines that refuse for their role, or in a row

Cause: an instance forgot a refusal after 0.4 s and sent again to an engine that is away for 3 s. Change: a 421 of an engine with a role keeps new work off until the list shows another role, 3.8 s at most; refusals in a row double the time up to 1.6 s. Refusals of requests that were sent before the list showed another role do not count. Endpoints without a role keep 0.4 s.

--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -147,6 +147,7 @@
         state = target.state
         control = control or AttemptControl()
         path: AttemptPath = self._through_peer if target.peer else self._direct
+        sent_at = trio.current_time()
         with InFlightWork(state, target.uncached_tokens, control.reserve_retry) as work:
             attempt = _Attempt(job, target, control, work, path)
             result: AttemptResult | None = None
@@ -159,7 +160,7 @@
         elif result.outcome is Outcome.DONE:
             state.record_success()
         elif result.status:
-            state.record_refusal(trio.current_time())
+            path.record_refusal(target, result.status, sent_at)
         return result
 
     async def _exchange(self, attempt: _Attempt) -> AttemptResult:
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -284,6 +284,13 @@
             if state.listed.service == service and state.broken_at >= since - BROKEN_BEFORE_CUT_S:
                 self.crashes.record_alive(state.start_number)
 
+    def record_refusal(self, state: EndpointState, status: int, sent_at: float) -> None:
+        """Record that an endpoint refused a request without running it.
+
+        :param sent_at: local time at which the request was sent.
+        """
+        state.record_refusal(trio.current_time(), status, sent_at)
+
     def record_failure(self, state: EndpointState, reason: str) -> None:
         """Count a failure of an endpoint, and log when it becomes avoided."""
         avoided_s = state.record_failure(trio.current_time())
@@ -338,6 +345,8 @@
             return
         if state.listed.address != listed.address:
             self._forget(state.identity)
+        if state.listed.role is not listed.role:
+            state.record_new_role(trio.current_time())
         state.listed = listed
 
 
--- a/shallotmux/forwarding/_paths.py
+++ b/shallotmux/forwarding/_paths.py
@@ -71,6 +71,9 @@
     def record_failure(self, target: Target, reason: str) -> None:
         """Record an answer that is a failure."""
 
+    def record_refusal(self, target: Target, status: int, sent_at: float) -> None:
+        """Record an answer that proves that the request did not run."""
+
     def record_uncertain_end(self, job: Job, target: Target) -> None:
         """Record that only the end of the connection marked the end of a stream."""
 
@@ -124,6 +127,10 @@
         """Count a failure of the endpoint."""
         self._directory.record_failure(target.state, reason)
 
+    def record_refusal(self, target: Target, status: int, sent_at: float) -> None:
+        """Back off from the endpoint."""
+        self._directory.record_refusal(target.state, status, sent_at)
+
     def record_uncertain_end(self, job: Job, target: Target) -> None:
         """Record that the endpoint may have crashed."""
         self._directory.record_uncertain_end(target.state, job)
@@ -205,6 +212,9 @@
     def record_failure(self, target: Target, reason: str) -> None:
         """Record nothing; the peer records failures of endpoints."""
 
+    def record_refusal(self, target: Target, status: int, sent_at: float) -> None:
+        """Record nothing; the peer records refusals of endpoints."""
+
     def record_uncertain_end(self, job: Job, target: Target) -> None:
         """Record nothing; the peer records the ends of streams."""
 
--- a/shallotmux/forwarding/_prefill.py
+++ b/shallotmux/forwarding/_prefill.py
@@ -154,7 +154,7 @@
         state.record_load(head.header(self._dialect.names.load), trio.current_time())
         is_done = classify_answer(head, self._dialect.names) is Outcome.DONE
         if not is_done or head.status != ACCEPTED_STATUS or job.prompt is None:
-            state.record_refusal(trio.current_time())
+            self._directory.record_refusal(state, head.status, work.sent_at)
             self._budget.charge(job.service)
             log_message(
                 message_type='shallotmux:prefill-refused',
--- a/shallotmux/forwarding/_state.py
+++ b/shallotmux/forwarding/_state.py
@@ -12,6 +12,7 @@
 
 from shallotmux.fleet import EngineRole, ListedEndpoint
 from shallotmux.forwarding._headers import Headers, parse_count
+from shallotmux.forwarding._outcome import MISDIRECTED_STATUS
 from shallotmux.placement import Prompt
 from shallotmux.reachability import Reach
 from shallotmux.relaying import Peer
@@ -51,6 +52,14 @@
 #: full, or is changing its role.
 REFUSAL_BACKOFF_S = 0.4
 
+#: Longest such time of an engine that refuses again and again, which doubles from the first one. An
+#: engine that is full refuses in the same way as one that changes its role, and has room sooner.
+MAX_REFUSAL_BACKOFF_S = 1.6
+
+#: The same of an engine that says that it has another role than listed: the time of a role change (3 s)
+#: and of the list (0.8 s).
+ROLE_REFUSAL_BACKOFF_S = 3.8
+
 
 #: Requests of this instance at an endpoint from the end of its rest until it has served one.
 MAX_RETURNING_REQUESTS = 2
@@ -166,6 +175,10 @@
     #: newest last.
     prefixes: OrderedDict[bytes, float] = field(default_factory=OrderedDict)
     refused_until: float = float('-inf')
+    #: Next such time after a refusal; it doubles until an answer or another role.
+    refusal_s: float = REFUSAL_BACKOFF_S
+    #: Local time at which the list first showed another role.
+    role_since: float = float('-inf')
     #: Requests whose answer has not begun.
     unanswered: set[InFlightWork] = field(default_factory=set)
     in_progress: set[InFlightWork] = field(default_factory=set)
@@ -256,9 +269,28 @@
         is_failing = self.reach.failing_since is not None
         return not (is_avoided or is_failing or self.is_unresponsive(now))
 
-    def record_refusal(self, now: float) -> None:
-        """Record that it refused a request without running it."""
-        self.refused_until = now + REFUSAL_BACKOFF_S
+    def record_refusal(self, now: float, status: int, sent_at: float) -> None:
+        """Record that it refused a request without running it.
+
+        Refusals that arrive during a backoff are of requests that were sent before it.
+
+        :param sent_at: local time at which the request was sent; the role may have changed since.
+        """
+        if sent_at < self.role_since:
+            return
+        is_engine = self.listed.role is not EngineRole.MIXED
+        if is_engine and status == MISDIRECTED_STATUS:
+            self.refused_until = now + ROLE_REFUSAL_BACKOFF_S
+        elif now >= self.refused_until:
+            self.refused_until = now + self.refusal_s
+            if is_engine:
+                self.refusal_s = min(2 * self.refusal_s, MAX_REFUSAL_BACKOFF_S)
+
+    def record_new_role(self, now: float) -> None:
+        """Take requests again, as the list shows another role."""
+        self.role_since = now
+        self.refused_until = float('-inf')
+        self.refusal_s = REFUSAL_BACKOFF_S
 
     def mark_leaving(self) -> None:
         """Take the endpoint for leaving, whatever the list says."""
@@ -274,6 +306,7 @@
         self.is_returning = False
         self.failures = 0
         self.avoid_s = INITIAL_AVOID_S
+        self.refusal_s = REFUSAL_BACKOFF_S
 
     def record_failure(self, now: float) -> float:
         """Count a failure; returns the seconds for which the endpoint is avoided from now on."""
