Send no new work to engines that are about to change their role

Cause: entry instances sent to an engine until it refused, since they did not know of the order. Change: entry instances follow the plans in the answers to their polls. An engine under a plan is used only if no other one can answer; requests at it go on. Refusals of an engine within 6 s after the order, or while it is announced, are counted.

--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -14,12 +14,14 @@
 from shallotmux.forwarding._messages import AnswerHead
 from shallotmux.forwarding._names import HeaderNames
 from shallotmux.forwarding._notices import EndpointNotices
+from shallotmux.forwarding._planned import prefer_unplanned
 from shallotmux.forwarding._reach import ReachMonitor
 from shallotmux.forwarding._state import (
     FAILURE_THRESHOLD,
     UNRESPONSIVE_AFTER_S,
     EndpointState,
 )
+from shallotmux.plannedchanges import HeldPlans, PlanPhase
 from shallotmux.ratelimits import EndpointLimits, parse_limit
 
 #: Added to the load per slot of endpoints in other zones, so that they are chosen only if those of
@@ -46,6 +48,7 @@
         service.
     :param limits: limits of requests per second that endpoints name.
     :param names: names of the headers of answers.
+    :param plans: planned changes of endpoints.
     """
 
     def __init__(
@@ -55,8 +58,13 @@
         max_connections: Callable[[str], float] | None = None,
         limits: EndpointLimits | None = None,
         names: HeaderNames | None = None,
+        plans: HeldPlans | None = None,
     ) -> None:
+        #: Planned changes of endpoints.
+        self.plans = plans or HeldPlans()
         self._forget = forget
+        #: Called with the phase and status of each refusal that is put down to an order of the system.
+        self.on_blamed_refusal: list[Callable[[PlanPhase, int], None]] = []
         #: Called with the identity of each endpoint that is not listed any more.
         self.on_removed: list[Callable[[str], None]] = []
         self._max_connections = max_connections or (lambda _: float('inf'))
@@ -108,8 +116,8 @@
         :param software_version: version that the endpoints must have; None for any.
         :param max_idle_s: longest idle time of a connection that may be reused.
 
-        Endpoints that are avoided after failures or refusals are included only if no other endpoint
-        could answer, and those that accept no connection only if others do.
+        Endpoints that are avoided after failures or refusals, or about to change, are included only if
+        no other endpoint could answer, and those that accept no connection only if others do.
         """
         now = trio.current_time()
         skipped = frozenset(excluded)
@@ -126,6 +134,7 @@
             state for state in eligible if self.reach.may_send(state, cut_since, max_idle_s)
         ]
         available = [state for state in in_reach if state.is_available(now)]
+        available = prefer_unplanned(available, self.plans, now)
         if any(state.may_answer for state in available):
             return available
         others = [state for state in in_reach if state.may_answer]
@@ -289,7 +298,12 @@
 
         :param sent_at: local time at which the request was sent.
         """
-        state.record_refusal(trio.current_time(), status, sent_at)
+        now = trio.current_time()
+        state.record_refusal(now, status, sent_at)
+        phase = self.plans.blamed_phase(state.identity, state.start_number, now)
+        if phase is not None:
+            for notify in self.on_blamed_refusal:
+                notify(phase, status)
 
     def record_failure(self, state: EndpointState, reason: str) -> None:
         """Count a failure of an endpoint, and log when it becomes avoided."""
@@ -347,6 +361,7 @@
             self._forget(state.identity)
         if state.listed.role is not listed.role:
             state.record_new_role(trio.current_time())
+            self.plans.record_role(state.identity, listed.role.value, trio.current_time())
         state.listed = listed
 
 
--- a/shallotmux/forwarding/_metrics.py
+++ b/shallotmux/forwarding/_metrics.py
@@ -39,6 +39,8 @@
     permits: Gauge = field(init=False)
     #: Requests in progress.
     in_flight: Gauge = field(init=False)
+    #: Refusals by endpoints that are put down to an order of the system, by phase and status.
+    refused_after_own_order: Counter = field(init=False)
     #: Version of the configuration document in force.
     document_version: Gauge = field(init=False)
 
@@ -96,6 +98,12 @@
         self.in_flight = Gauge(
             'shallotmux_forwarding_in_flight', 'Requests in progress.', registry=registry
         )
+        self.refused_after_own_order = Counter(
+            'shallotmux_refused_after_own_order',
+            "Refusals by endpoints within 6 s after the system's own order, or while it is announced.",
+            ('phase', 'status'),
+            registry=registry,
+        )
         self.document_version = Gauge(
             'shallotmux_document_version', 'Version in force.', registry=registry
         )
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -120,6 +120,7 @@
             self._connection_limit,
             self._endpoint_limits,
             adapter.dialect.names,
+            self.view.plans,
         )
         self._pool = ConnectionPool(
             adapter.dialect.names.request_id, self._directory.connection_limit
