Let a new leader wait for the role changes of the former one

Cause: the plans of a former leader are not in the book of the new one, so that four engines of a service could change at a time, or the last one of a role, after an election. Change: a leader that holds an ordered plan of an older term makes none for the service until it has ended. Seen: without it the new test fails; with it tests/control/test_planned_roles.py passes.

--- a/shallotmux/control/_role_balancer.py
+++ b/shallotmux/control/_role_balancer.py
@@ -17,6 +17,7 @@
     MAX_PLANS_PER_SERVICE,
     Plan,
     PlanBook,
+    PlanPhase,
     PlanState,
     keeps_role_in_use,
 )
@@ -96,6 +97,8 @@
         """Announce the next role change; returns whether there was one."""
         if now < self._paused_until[service] or not self._book.has_room(service):
             return False
+        if self._may_former_change_run(engines, now):
+            return False
         plans = self._book.live(service)
         passed_over = {each for each, until in self._passed_over_until.items() if until > now}
         change = plan_role_change(
@@ -106,6 +109,23 @@
         self._book.announce(change.endpoint, change.role, change.why, now)
         return True
 
+    def _may_former_change_run(self, engines: Sequence[ListedEndpoint], now: float) -> bool:
+        """Return whether an engine may be changing by an order of a former leader.
+
+        Its plan is not in the book, so that the limits on changes at a time would not count it.
+        """
+        held = self._dependencies.knowledge.plans
+        ordered = {
+            each.identity
+            for each in held.report(now)
+            if each.term < self._book.term and each.phase == PlanPhase.ORDERED.value
+        }
+        return any(
+            each.identity in ordered
+            and held.find_phase(each.identity, each.start_number, each.role.value, now) is not None
+            for each in engines
+        )
+
     async def _order_repeatedly(self) -> None:
         """Send each order at its time."""
         while True:
--- a/tests/control/test_planned_roles.py
+++ b/tests/control/test_planned_roles.py
@@ -15,7 +15,7 @@
 from shallotmux.fleet import EngineRole, ListedEndpoint
 from shallotmux.plannedchanges import ORDER_DELAY_S, PlanState
 from tests.control._planning_leader import PlanningLeader
-from tests.plannedchanges._plans import CHANGE_S, make_engine
+from tests.plannedchanges._plans import CHANGE_S, make_change, make_engine
 from tests.support.log_lines import capture_lines
 
 #: Time from the start to the first announcement, and a moment more.
@@ -166,6 +166,20 @@
     assert len(done) >= 4
 
 
+async def test_new_leader_waits_for_the_changes_of_the_former_one(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against more than two changes at a time, or none left of a role, after a new election."""
+    leader = PlanningLeader(make_engines(6, 0))
+    leader.token = 2
+    running = make_change('ordered', term=1, remaining_s=3.8)
+    leader.knowledge.plans.merge((running,), trio.current_time())
+    await run_for(leader, 3.8)
+    assert not leader.steps
+    await run_for(leader, CONTROL_LOOP_S + ORDER_DELAY_S + 0.1)
+    assert len(leader.orders) == 2
+
+
 async def test_new_leader_plans_anew(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against a change that nobody makes, as its leader was lost before the order."""
     former = PlanningLeader(make_engines(3, 2))
--- a/tests/guards/planned.py
+++ b/tests/guards/planned.py
@@ -106,6 +106,13 @@
         'elif True:',
         (f'{ROLES}::test_last_working_engine_of_a_role_is_not_ordered',),
     ),
+    Guard(
+        'planned-change (two at a time, former leader)',
+        BALANCER,
+        'if self._may_former_change_run(engines, now):',
+        'if False:',
+        (f'{ROLES}::test_new_leader_waits_for_the_changes_of_the_former_one',),
+    ),
     Guard(
         'planned-change (two at a time)',
         BOOK,
