--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -37,6 +37,7 @@
     decode_origin_call,
     encode_origin_message,
 )
+from shallotmux.plannedchanges import HeldPlans
 from shallotmux.ratelimits import KnownLimits
 from shallotmux.transport import ForwardAnswer, Refusal, instance_name
 
@@ -101,6 +102,8 @@
         self._polled_at: dict[str, float] = {}
         self._demands: dict[str, tuple[ServiceDemand, ...]] = {}
         self._entry_reach = EntryReach()
+        #: Planned changes, as the leader sent them.
+        self.plans = HeldPlans()
 
     def update_listing(self, listing: Listing, listed_at: float) -> None:
         """Store the platform's list of endpoints.
@@ -207,6 +210,7 @@
             incarnation=self._publications.epoch,
             is_settled=now - self._live_since >= SETTLE_S,
             took_counts=took_counts,
+            plans=self.plans.report(now),
         )
 
     def _add_changes(
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -11,6 +11,7 @@
 from shallotmux.fleet._listing import Listing
 from shallotmux.fleetnews import StateMark
 from shallotmux.origins import NO_HISTORY, HistoryReport
+from shallotmux.plannedchanges import PlannedChange
 from shallotmux.ratelimits import LimitReport
 
 #: Group name under which polls are forwarded to a control instance.
@@ -128,6 +129,7 @@
     :param members: encoded change of the members of the fleet.
     :param is_settled: whether all live entry instances have had the time to poll the answering instance.
     :param took_counts: whether all counts of the poll were merged, and need not be sent again.
+    :param plans: planned changes that the answering instance knows of.
     """
 
     version: int
@@ -147,6 +149,7 @@
     members: bytes = b''
     is_settled: bool = False
     took_counts: bool = False
+    plans: tuple[PlannedChange, ...] = ()
 
 
 class Join(msgspec.Struct, frozen=True):
--- a/shallotmux/fleet/_poller.py
+++ b/shallotmux/fleet/_poller.py
@@ -33,6 +33,7 @@
 from shallotmux.fleet._reports import Followed, Reports, ReportSources, SentPoll
 from shallotmux.fleetnews import Applied, Follower, decode_change
 from shallotmux.origins import VersionHistory
+from shallotmux.plannedchanges import HeldPlans
 from shallotmux.ratelimits import KnownLimits
 from shallotmux.repeats import RepeatLog
 from shallotmux.routes import RouteDocument, RouteTable
@@ -82,6 +83,8 @@
         default_factory=list
     )
     _versions: frozenset[tuple[str, str]] = frozenset()
+    #: Planned changes of endpoints.
+    plans: HeldPlans = field(default_factory=HeldPlans)
 
     @property
     def version(self) -> int:
@@ -256,6 +259,8 @@
             # The answer may have been delayed, also by a suspension of this machine. The list is at least
             # as new as its age at the time of the poll.
             self.view.update_listing(listing, sent_at - knowledge.listing_age_s)
+        # A delayed answer must not prolong a plan.
+        self.view.plans.merge(knowledge.plans, sent_at)
 
     def _follow_endpoints(self, peer: str, knowledge: Knowledge) -> bool:
         """Apply the change of the list, and return whether the copy is now the list of the answer."""
