Estimate times from load reports, corrected by what was seen

The estimate of the time to the first token was too low by a factor of three to six, as the fixed time of an engine, its pace and the requests of unheard instances were not part of it.

Placements tell the times of their phases apart from the penalties by which engines are compared; decode engines of about the same delay are chosen by lot, as instances with the same reports would all choose the same one.

--- a/shallotmux/placement/__init__.py
+++ b/shallotmux/placement/__init__.py
@@ -9,12 +9,13 @@
     PrefillMeasurement,
     PrefillSpeeds,
 )
-from shallotmux.placement._views import EngineView, Placement, PlacementRequest
+from shallotmux.placement._views import EngineView, PhaseTime, Placement, PlacementRequest
 from shallotmux.rendezvous import rank_owners
 
 __all__ = (
     'INITIAL_TOKENS_PER_MS',
     'EngineView',
+    'PhaseTime',
     'Placement',
     'PlacementRequest',
     'PrefillMeasurement',
--- a/shallotmux/placement/_choice.py
+++ b/shallotmux/placement/_choice.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from functools import lru_cache
 
 from shallotmux.fleet import EngineRole
 from shallotmux.placement._sources import (
@@ -12,7 +13,13 @@
     find_expected_holders,
     find_known_holders,
 )
-from shallotmux.placement._views import EngineView, FetchSource, Placement, PlacementRequest
+from shallotmux.placement._views import (
+    EngineView,
+    FetchSource,
+    PhaseTime,
+    Placement,
+    PlacementRequest,
+)
 from shallotmux.rendezvous import rank_owners
 
 #: Number of engines that are compared for a prefix, in the order of :func:`rank_owners`. Each further
@@ -23,6 +30,9 @@
 #: the owner, but evict other prefixes to store them.
 NON_OWNER_PENALTY_MS = 20.0
 
+#: Rankings of engines that are kept for the prefixes of further prompts.
+MAX_CACHED_RANKINGS = 128
+
 #: Minimum number of shared tokens for which the owner of the prefix is preferred. Prefill of fewer
 #: tokens takes about one engine step.
 MIN_AFFINITY_TOKENS = 1024
@@ -30,21 +40,24 @@
 #: Added to the estimated time of engines in other zones, as traffic between zones is billed.
 CROSS_ZONE_PENALTY_MS = 12.0
 
-#: Delay that each running stream adds to a request on the same engine.
-DELAY_PER_STREAM_MS = 1.0
+#: Difference of the delays of two decode engines that decides between them. Below it, one is drawn:
+#: instances that have the same reports would otherwise all choose the same engine.
+DECODE_TIE_MS = 4.0
 
 
 @dataclass(frozen=True, slots=True)
 class _PrefillOption:
     """An engine that could prefill a prompt.
 
-    :param time_ms: estimated time until prefill is complete, penalties included.
+    :param time: estimated time until prefill is complete.
+    :param cost_ms: that time, with penalties.
     :param source: engine from which cached parts are fetched, if any.
     """
 
     engine: EngineView
     uncached_tokens: int
-    time_ms: float
+    time: PhaseTime
+    cost_ms: float
     source: FetchSource | None = None
 
     @property
@@ -78,7 +91,7 @@
         request, decode_engines, _choose_prefill_option(request, prefill_engines, known)
     )
     is_short = direct.uncached_tokens <= request.max_direct_tokens
-    return direct if is_short and direct.expected_ms < disaggregated.expected_ms else disaggregated
+    return direct if is_short and direct.cost_ms < disaggregated.cost_ms else disaggregated
 
 
 def _place_direct(option: _PrefillOption) -> Placement:
@@ -87,16 +100,18 @@
     The delay that prefill causes to each stream there counts like a delay of the request itself.
     """
     engine = option.engine
-    interference_ms = engine.running * option.uncached_tokens / engine.prefill_tokens_per_ms
+    interference_ms = engine.running * engine.prefill_ms(option.uncached_tokens)
     return Placement(
         engine.identity,
         None,
-        option.time_ms + interference_ms,
+        option.time.total_ms,
         'direct',
         option.uncached_tokens,
         option.fetch_from,
-        engine.wait_ms,
+        option.time.wait_ms,
         option.fetch_ms,
+        option.cost_ms + interference_ms,
+        option.time,
     )
 
 
@@ -109,10 +124,10 @@
     """
     prompt = request.prompt
     by_identity = {each.identity: each for each in engines}
-    ranked = [by_identity[each] for each in rank_owners(prompt.affinity_key, by_identity)]
-    candidates = (
-        ranked[:MAX_ENGINES_COMPARED] if prompt.shared_tokens >= MIN_AFFINITY_TOKENS else ranked
-    )
+    has_owner = prompt.shared_tokens >= MIN_AFFINITY_TOKENS
+    rank = _rank_owners if has_owner else rank_owners
+    ranked = [by_identity[each] for each in rank(prompt.affinity_key, tuple(by_identity))]
+    candidates = ranked[:MAX_ENGINES_COMPARED] if has_owner else ranked
     # Decode engines are not expected to have the shared parts in their cache. If that expectation
     # were wrong, a decode engine would have to prefill a long prompt.
     expected = [each for each in ranked if each.role is not EngineRole.DECODE]
@@ -123,21 +138,29 @@
         _estimate_prefill(request, engine, rank, sources.find(engine))
         for rank, engine in enumerate(candidates)
     )
-    return min(estimates, key=lambda each: each.time_ms)
+    return min(estimates, key=lambda each: each.cost_ms)
+
+
+@lru_cache(maxsize=MAX_CACHED_RANKINGS)
+def _rank_owners(key: bytes, identities: tuple[str, ...]) -> Sequence[str]:
+    """Return the owners of a prefix; many prompts share one, and the engines change seldom."""
+    return rank_owners(key, identities)
 
 
 def _estimate_prefill(
     request: PlacementRequest, engine: EngineView, rank: int, source: FetchSource | None
 ) -> _PrefillOption:
     uncached = engine.uncached_tokens(request.prompt, is_owner=not rank)
-    time_ms = engine.wait_ms + _zone_penalty_ms(request, engine)
+    fetch_ms = 0.0
     if source is not None and request.prompt.tokens - source.tokens < uncached:
         uncached = request.prompt.tokens - source.tokens
-        time_ms += source.time_ms
-    time_ms += uncached / engine.prefill_tokens_per_ms
+        fetch_ms = source.time_ms
+    service_ms = fetch_ms + engine.prefill_ms(uncached) + engine.stream_delay_ms
+    time = PhaseTime(engine.wait_ms, service_ms)
+    cost_ms = time.total_ms + _zone_penalty_ms(request, engine)
     if rank and request.prompt.shared_tokens >= MIN_AFFINITY_TOKENS:
-        time_ms += NON_OWNER_PENALTY_MS
-    return _PrefillOption(engine, uncached, time_ms + engine.running * DELAY_PER_STREAM_MS, source)
+        cost_ms += NON_OWNER_PENALTY_MS
+    return _PrefillOption(engine, uncached, time, cost_ms, source)
 
 
 def choose_decode_engine(request: PlacementRequest, engines: Iterable[EngineView]) -> str | None:
@@ -147,28 +170,32 @@
 
 
 def _least_delayed(request: PlacementRequest, decode_engines: Sequence[EngineView]) -> EngineView:
-    def delay_ms(engine: EngineView) -> float:
-        busy_ms = engine.wait_ms + engine.running * DELAY_PER_STREAM_MS
-        return busy_ms + _zone_penalty_ms(request, engine)
+    def rank(engine: EngineView) -> tuple[int, float]:
+        busy_ms = engine.wait_ms + engine.stream_delay_ms
+        delay_ms = busy_ms + _zone_penalty_ms(request, engine)
+        return round(delay_ms / DECODE_TIE_MS), request.draw()
 
-    return min(decode_engines, key=delay_ms)
+    return min(decode_engines, key=rank)
 
 
 def _place_disaggregated(
     request: PlacementRequest, decode_engines: Sequence[EngineView], option: _PrefillOption
 ) -> Placement:
     decode_engine = _least_delayed(request, decode_engines)
-    transfer_ms = request.prompt.tokens / request.transfer_tokens_per_ms
-    expected_ms = max(option.time_ms, decode_engine.wait_ms) + transfer_ms
+    wait_ms = decode_engine.wait_ms
+    transfer_ms = request.transfer_ms
     return Placement(
         decode_engine.identity,
         option.engine.identity,
-        expected_ms,
+        max(option.time.total_ms, wait_ms) + transfer_ms,
         'handed over',
         option.uncached_tokens,
         option.fetch_from,
-        max(option.engine.wait_ms, decode_engine.wait_ms),
+        max(option.time.wait_ms, wait_ms),
         option.fetch_ms,
+        max(option.cost_ms, wait_ms) + transfer_ms,
+        option.time,
+        PhaseTime(wait_ms, transfer_ms + decode_engine.stream_delay_ms),
     )
 
 
--- a/shallotmux/placement/_sources.py
+++ b/shallotmux/placement/_sources.py
@@ -65,7 +65,11 @@
 
     There are two because one of them may be the engine that fetches.
     """
-    holders = (CacheHolder(each, prompt.cached_tokens(each.cached_prefixes)) for each in engines)
+    holders = (
+        CacheHolder(each, prompt.cached_tokens(each.cached_prefixes))
+        for each in engines
+        if each.cached_prefixes
+    )
     return tuple(heapq.nlargest(2, holders, key=lambda holder: holder.tokens))
 
 
--- a/shallotmux/placement/_speeds.py
+++ b/shallotmux/placement/_speeds.py
@@ -55,6 +55,7 @@
     :param duration_ms: time from sending the prompt to the answer.
     :param at: local time of the answer, in seconds.
     :param fetch_ms: part of that time in which cached parts were expected to be fetched.
+    :param pace: factor on usual times that the engine reported.
     """
 
     service: str
@@ -64,6 +65,7 @@
     duration_ms: float
     at: float
     fetch_ms: float = 0.0
+    pace: float = 1.0
 
     @property
     def queued_tokens(self) -> float:
@@ -72,8 +74,8 @@
 
     @property
     def prefill_ms(self) -> float:
-        """Return the measured time without the fetching of cached parts."""
-        return max(0.1, self.duration_ms - self.fetch_ms)
+        """Return the time without the fetching of cached parts, at the usual pace."""
+        return max(0.1, (self.duration_ms - self.fetch_ms) / self.pace)
 
     @property
     def is_usable(self) -> bool:
@@ -201,7 +203,9 @@
 
     def of_engine(self, service: str, engine: str, now: float) -> float:
         """Return the speed of an engine when it only prefills, in tokens per ms."""
-        return self.of_service(service) * math.exp(self._logarithm(engine, now))
+        speed = self.of_service(service)
+        relative = self._relative.get(engine)
+        return speed if relative is None else speed * math.exp(relative.at_time(now))
 
     def forget(self, engine: str) -> None:
         """Drop what is known of an engine that was removed."""
