Share load reports of endpoints within a zone by datagram

With 79 instances, one hears from an engine about once in 30 s. The datagram of queued tokens gains reports at its end, which an earlier build ignores. It goes to peers of the own zone first; others get no reports, as bytes between zones are billed. Queued tokens of unheard peers are extrapolated apart for the own zone and the rest.

--- a/shallotmux/fleet/__init__.py
+++ b/shallotmux/fleet/__init__.py
@@ -4,7 +4,8 @@
 
 from shallotmux.fleet._clock import TrueClock, read_boot_time
 from shallotmux.fleet._listing import EngineRole, ListedEndpoint, Listing
-from shallotmux.fleet._load_sharing import LoadSharing, PeerLoads
+from shallotmux.fleet._load_messages import EndpointReport
+from shallotmux.fleet._load_sharing import LoadSharing
 from shallotmux.fleet._messages import (
     ANNOUNCEMENT_GROUP,
     JOIN_GROUP,
@@ -32,6 +33,7 @@
     decode_poll,
     encode_fleet_message,
 )
+from shallotmux.fleet._peer_loads import PeerLoads
 from shallotmux.fleet._poller import DecodeDocument, FleetPoller, FleetView
 
 __all__ = (
@@ -45,6 +47,7 @@
     'CustomerCount',
     'CutOff',
     'DecodeDocument',
+    'EndpointReport',
     'EngineRole',
     'FleetPoller',
     'FleetView',
--- a/shallotmux/fleet/_load_sharing.py
+++ b/shallotmux/fleet/_load_sharing.py
@@ -1,20 +1,22 @@
-"""Share queued prefill tokens by engine among entry instances, at a bounded message rate."""
+"""Share queued prefill tokens and load reports among entry instances, at a bounded message rate."""
 
 from __future__ import annotations
 
-import zlib
 from bisect import bisect
-from collections import Counter, OrderedDict
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from contextlib import suppress
-from dataclasses import dataclass
-from heapq import nlargest
 
-import msgspec
 import trio
 
 from shallotmux.addresses import split_address
-from shallotmux.decoding import guard_decoder
+from shallotmux.fleet._load_messages import (
+    MAX_MESSAGE_BYTES,
+    EndpointReport,
+    encode_load_message,
+    engine_checksum,
+)
+from shallotmux.fleet._peer_loads import PeerLoads
+from shallotmux.transport import instance_name
 
 #: Minimum interval between two messages of an instance, and its increase per peer. With these, an
 #: instance receives at most 200 messages per second, however many peers there are.
@@ -24,116 +26,48 @@
 #: Maximum number of peers to which an instance sends its load.
 MAX_PEERS = 32
 
-#: Age after which the load of a peer is ignored.
-LOAD_TTL_S = 1.0
+#: Largest factor on the load of peers beyond the own zone. Few of them are heard, and a single prompt of
+#: one must not count as a long queue.
+MAX_FAR_SCALE = 2.5
 
-#: Maximum number of senders whose load is remembered, far more than send to one instance. Datagrams may
-#: name any.
-MAX_SENDERS = 1024
+#: Difference of the times of two reports below which it may come from rounding their ages.
+AGE_ROUNDING_S = 0.002
 
-#: Largest number of queued tokens in a message, far beyond what an engine can hold.
-MAX_TOKENS = 1 << 40
 
-#: Maximum size of a message. If there is more to tell, the engines with the longest queues are named.
-MAX_MESSAGE_BYTES = 1400
+def choose_peers(
+    address: str, entries: Sequence[str], neighbours: Collection[str] = ()
+) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Return the peers to which an instance sends its load: those of its zone, and others.
 
-#: Largest sizes of an engine's entry in a message, and of the rest without the sender's name.
-MAX_ENTRY_BYTES = 5 + 9
-MAX_FRAME_BYTES = 1 + 5 + 9 + 5
+    Those of the own zone come first. In each group, they are the next ones in the sorted circle of all
+    instances, so that each instance hears from about as many peers as it sends to. Instances that are
+    not listed yet send to the first ones.
 
-
-class LoadMessage(msgspec.Struct, frozen=True, array_like=True):
-    """Queued prefill tokens of one instance.
-
-    :param sender: name and incarnation of the sender.
-    :param number: sequence number, by which out-of-order messages are detected.
-    :param tokens: queued prefill tokens by checksum of the engine's identity.
-    """
-
-    sender: str
-    number: int
-    tokens: dict[int, int]
-
-
-@dataclass(frozen=True, slots=True)
-class _PeerLoad:
-    number: int
-    at: float
-    tokens: dict[int, int]
-
-
-_decode = guard_decoder(msgspec.msgpack.Decoder(LoadMessage).decode)
-
-
-def engine_checksum(identity: str) -> int:
-    """Return the checksum that identifies an engine in messages."""
-    return zlib.crc32(identity.encode())
-
-
-class PeerLoads:
-    """Queued prefill tokens of the other instances.
-
-    The sum for each engine is kept up to date, since it is read for each engine of each choice.
+    :param entries: addresses of all entry instances.
+    :param neighbours: addresses of those of the own zone, as far as they are known.
     """
+    near = _next_in_circle(address, neighbours, MAX_PEERS)
+    known = frozenset(neighbours)
+    others = [each for each in entries if each not in known]
+    return near, _next_in_circle(address, others, MAX_PEERS - len(near))
 
-    def __init__(self) -> None:
-        #: Loads by sender, the one received last at the end.
-        self._loads: OrderedDict[str, _PeerLoad] = OrderedDict()
-        self._totals: Counter[int] = Counter()
 
-    def receive(self, content: bytes) -> None:
-        """Process a message; invalid and out-of-order ones are dropped.
+def _next_in_circle(address: str, addresses: Collection[str], most: int) -> tuple[str, ...]:
+    circle = sorted(each for each in addresses if each != address)
+    start = bisect(circle, address)
+    return tuple((circle[start:] + circle[:start])[:most])
 
-        Datagrams may come from anywhere, so an invalid one must not raise.
-        """
-        try:
-            message = _decode(content)
-        except msgspec.MsgspecError:
-            return
-        if any(not 0 <= tokens <= MAX_TOKENS for tokens in message.tokens.values()):
-            return
-        known = self._loads.get(message.sender)
-        if known is not None:
-            if message.number <= known.number:
-                return
-            self._remove(message.sender)
-        now = trio.current_time()
-        self._loads[message.sender] = _PeerLoad(message.number, now, message.tokens)
-        self._totals.update(message.tokens)
-        if len(self._loads) > MAX_SENDERS:
-            self._remove(next(iter(self._loads)))
 
-    def tokens_at(self, identity: str) -> float:
-        """Return the queued prefill tokens of other instances at an engine."""
-        self._remove_expired()
-        return float(self._totals.get(engine_checksum(identity), 0))
+def _share_none() -> Sequence[EndpointReport]:
+    return ()
 
-    def _remove_expired(self) -> None:
-        oldest = trio.current_time() - LOAD_TTL_S
-        while self._loads:
-            sender, load = next(iter(self._loads.items()))
-            if load.at >= oldest:
-                return
-            self._remove(sender)
 
-    def _remove(self, sender: str) -> None:
-        for engine, tokens in self._loads.pop(sender).tokens.items():
-            self._totals[engine] -= tokens
-            if not self._totals[engine]:
-                self._totals.pop(engine)
+def _ignore_reports(_: Sequence[EndpointReport]) -> None:
+    """Process no reports."""
 
 
-def choose_peers(address: str, entries: Sequence[str]) -> tuple[str, ...]:
-    """Return the peers to which an instance sends its load.
-
-    These are the next ones in the sorted circle of all instances, so that each instance hears from
-    as many peers as it sends to. Instances that are not listed yet send to the first ones.
-
-    :param entries: addresses of all entry instances.
-    """
-    circle = sorted(each for each in entries if each != address)
-    start = bisect(circle, address)
-    return tuple((circle[start:] + circle[:start])[:MAX_PEERS])
+def _know_none() -> tuple[str, ...]:
+    return ()
 
 
 class LoadSharing:
@@ -144,6 +78,8 @@
     :param peers: returns the addresses of the entry instances.
     :param tokens: returns the queued prefill tokens of this instance by engine identity.
     :param receive_other: processes other messages to the same address; returns whether it knows one.
+    :param neighbours: returns the addresses of the entry instances of the own zone. They also get
+        reports of endpoints.
     """
 
     def __init__(
@@ -153,6 +89,7 @@
         peers: Callable[[], tuple[str, ...]],
         tokens: Callable[[], Mapping[str, float]],
         receive_other: Callable[[bytes], bool] | None = None,
+        neighbours: Callable[[], tuple[str, ...]] = _know_none,
     ) -> None:
         self._name = name
         self._address = address
@@ -160,20 +97,30 @@
         self._tokens = tokens
         self._number = 0
         self._last_sent: dict[int, int] = {}
-        self.loads = PeerLoads()
+        self._last_starts: dict[int, float] = {}
+        self._neighbours = neighbours
+        self.loads = PeerLoads(lambda sender: instance_name(sender) in self._neighbours())
         self._receive_other = receive_other
         self._sock: trio.socket.SocketType | None = None
+        self._scale_key: tuple[tuple[str, ...], tuple[str, ...]] | None = None
+        self._scales = (1.0, 1.0)
+        #: Returns the reports to be sent, those that matter most first.
+        self.share_reports: Callable[[], Sequence[EndpointReport]] = _share_none
+        #: Called with the reports of each message.
+        self.receive_reports: Callable[[Sequence[EndpointReport]], None] = _ignore_reports
 
     def tokens_at(self, identity: str) -> float:
         """Return the estimated queued prefill tokens of all other instances at an engine.
 
         In a large fleet an instance hears from a part of its peers, and takes the others to be like
-        them.
+        them; those of its own zone apart from the rest, as each zone prefers its own engines.
         """
-        peers = self._peers()
-        others = len(peers) - (self._address in peers)
-        scale = max(1.0, others / MAX_PEERS)
-        return scale * self.loads.tokens_at(identity)
+        peers, neighbours = self._peers(), self._neighbours()
+        key = self._scale_key
+        if key is None or key[0] is not peers or key[1] is not neighbours:
+            self._scale_key = (peers, neighbours)
+            self._scales = _find_scales(self._address, peers, neighbours)
+        return self.loads.tokens_at(identity, *self._scales)
 
     async def run(self) -> None:
         """Send and receive until cancelled."""
@@ -194,40 +141,73 @@
             with suppress(OSError, ValueError):
                 await self._sock.sendto(content, split_address(peer))
 
-    async def _receive(self, sock: trio.socket.SocketType) -> None:
-        while True:
-            with suppress(OSError):
-                content, _ = await sock.recvfrom(MAX_MESSAGE_BYTES)
-                if self._receive_other is None or not self._receive_other(content):
-                    self.loads.receive(content)
+    def receive(self, content: bytes) -> None:
+        """Process a datagram, which may come from anywhere."""
+        if self._receive_other is not None and self._receive_other(content):
+            return
+        message = self.loads.receive(content)
+        if message is not None and message.reports and message.sender != self._name:
+            self.receive_reports(message.reports)
 
-    async def _send(self, sock: trio.socket.SocketType) -> None:
-        while True:
-            peers = choose_peers(self._address, self._peers())
-            await trio.sleep(max(MIN_INTERVAL_S, INTERVAL_PER_PEER_S * len(peers)))
-            message = self._next_message()
-            if message is None:
-                continue
-            for peer in peers:
-                # The names of instances come from their polls.
-                with suppress(OSError, ValueError):
-                    await sock.sendto(message, split_address(peer))
-
-    def _next_message(self) -> bytes | None:
-        """Return the next message, or None if nothing has changed."""
+    def next_messages(self) -> tuple[bytes, bytes]:
+        """Return the messages to peers of the own zone and to others; empty ones need not be sent.
+
+        Reports go to the own zone alone, since traffic between zones is billed.
+        """
         tokens = {
             engine_checksum(identity): int(queued)
             for identity, queued in self._tokens().items()
             if queued >= 1
         }
-        if tokens == self._last_sent:
-            return None
+        reports = self.share_reports()
+        now = trio.current_time()
+        written_at = {each.start: now - each.age_ms / 1000 for each in reports}
+        has_news = tokens != self._last_sent
+        if not has_news and not self._has_newer(written_at):
+            return b'', b''
         self._last_sent = tokens
+        self._last_starts = written_at
         self._number += 1
-        content = msgspec.msgpack.encode(LoadMessage(self._name, self._number, tokens))
-        if len(content) <= MAX_MESSAGE_BYTES:
-            return content
-        room = MAX_MESSAGE_BYTES - MAX_FRAME_BYTES - len(self._name.encode())
-        longest = nlargest(room // MAX_ENTRY_BYTES, tokens, key=tokens.__getitem__)
-        named = {engine: tokens[engine] for engine in longest}
-        return msgspec.msgpack.encode(LoadMessage(self._name, self._number, named))
+        near = encode_load_message(self._name, self._number, tokens, reports)
+        return near, encode_load_message(self._name, self._number, tokens) if has_news else b''
+
+    async def _receive(self, sock: trio.socket.SocketType) -> None:
+        while True:
+            with suppress(OSError):
+                content, _ = await sock.recvfrom(MAX_MESSAGE_BYTES)
+                self.receive(content)
+
+    async def _send(self, sock: trio.socket.SocketType) -> None:
+        while True:
+            near, others = choose_peers(self._address, self._peers(), self._neighbours())
+            count = len(near) + len(others)
+            await trio.sleep(max(MIN_INTERVAL_S, INTERVAL_PER_PEER_S * count))
+            to_near, to_others = self.next_messages()
+            await _send_to_all(sock, near, to_near)
+            await _send_to_all(sock, others, to_others)
+
+    def _has_newer(self, written_at: Mapping[int, float]) -> bool:
+        """Return whether a report is newer than the last one sent about the same endpoint."""
+        last = self._last_starts
+        return any(
+            at > last.get(start, float('-inf')) + AGE_ROUNDING_S for start, at in written_at.items()
+        )
+
+
+async def _send_to_all(sock: trio.socket.SocketType, peers: Sequence[str], message: bytes) -> None:
+    for peer in peers if message else ():
+        # The names of instances come from their polls.
+        with suppress(OSError, ValueError):
+            await sock.sendto(message, split_address(peer))
+
+
+def _find_scales(
+    address: str, entries: Sequence[str], neighbours: Collection[str]
+) -> tuple[float, float]:
+    """Return by how much there are more instances than are heard, in the own zone and beyond."""
+    near, others = choose_peers(address, entries, neighbours)
+    near_count = len(set(neighbours) - {address})
+    other_count = len(set(entries) - set(neighbours) - {address})
+    near_scale = max(1.0, near_count / max(1, len(near)))
+    other_scale = max(1.0, other_count / max(1, len(others)))
+    return near_scale, min(other_scale, MAX_FAR_SCALE) if near_count else other_scale
--- a/tests/fleet/test_load_sharing.py
+++ b/tests/fleet/test_load_sharing.py
@@ -11,14 +11,9 @@
 import trio.testing
 
 from shallotmux.fleet import LoadSharing, PeerLoads
-from shallotmux.fleet._load_sharing import (
-    LOAD_TTL_S,
-    MAX_PEERS,
-    MAX_SENDERS,
-    LoadMessage,
-    choose_peers,
-    engine_checksum,
-)
+from shallotmux.fleet._load_messages import LoadMessage, engine_checksum
+from shallotmux.fleet._load_sharing import MAX_PEERS, choose_peers
+from shallotmux.fleet._peer_loads import LOAD_TTL_S, MAX_SENDERS
 from tests.support.networks import private_network
 
 
@@ -82,10 +77,10 @@
 def test_each_instance_hears_from_as_many_peers_as_it_sends_to(count: int) -> None:
     """Guards against a large fleet in which some hear all others and the rest hear nobody."""
     entries = tuple(f'10.0.{number % 7}.{number}:1' for number in range(count))
-    heard = Counter(peer for each in entries for peer in choose_peers(each, entries))
+    heard = Counter(peer for each in entries for peer in choose_peers(each, entries)[1])
     expected = min(count - 1, MAX_PEERS)
     assert {heard[each] for each in entries} == {expected}
-    assert all(each not in choose_peers(each, entries) for each in entries)
+    assert all(each not in choose_peers(each, entries)[1] for each in entries)
 
 
 async def test_unheard_peers_are_taken_to_be_like_the_others(
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -13,6 +13,7 @@
 from shallotmux.fleet import (
     Announcement,
     Join,
+    PeerLoads,
     Poll,
     decode_announcement,
     decode_announcement_answer,
@@ -21,7 +22,7 @@
     decode_knowledge,
     decode_poll,
 )
-from shallotmux.fleet._load_sharing import MAX_MESSAGE_BYTES, PeerLoads
+from shallotmux.fleet._load_messages import MAX_MESSAGE_BYTES
 from shallotmux.origins import decode_origin_call
 from shallotmux.origins._messages import decode_origin_answer
 from shallotmux.platform import DIALECT
