Use load reports and estimates for all choices of endpoints

The load header was read with exactly three numbers, and a fourth made it count as missing, without a trace. It is read with three or four; what cannot be read is counted and logged. Attempts and prefills feed the estimator through one path, at the head of an answer. Plain endpoints are compared by pace, queue and load per slot. The attempt line names the expected time, the placement line the age of the report, and a histogram compares real and estimated times.

--- a/shallotmux/forwarding/_assembly.py
+++ b/shallotmux/forwarding/_assembly.py
@@ -50,6 +50,8 @@
     """Return a forwarder with its attempt runner and engine placer."""
     dialect, pool, directory, budget = parts.dialect, parts.pool, parts.directory, parts.budget
     directory.reach.watch(pool)
+    load_reports = parts.metrics.load_reports
+    directory.reports.count_result = lambda result: load_reports.labels(result).inc()
     directory.reach.can_relay = lambda service: parts.peers.choose(service, ()) is not None
     pool.observe_heads = directory.notices.observe_heads
     starts = StartVerifier(dialect, parts.origins, lambda: parts.view.listed_at)
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -11,6 +11,7 @@
 from shallotmux.crashes import CrashRecords
 from shallotmux.fleet import ListedEndpoint, Listing
 from shallotmux.forwarding._job import Job, SilentAttempt
+from shallotmux.forwarding._load_reports import LoadReports
 from shallotmux.forwarding._messages import AnswerHead
 from shallotmux.forwarding._names import HeaderNames
 from shallotmux.forwarding._notices import EndpointNotices
@@ -65,6 +66,8 @@
         self._states: dict[str, EndpointState] = {}
         #: What endpoints said of themselves.
         self.notices = EndpointNotices(self._states, names or HeaderNames())
+        #: What endpoints report of their load, to this instance and to others of its zone.
+        self.reports = LoadReports(self._states)
         #: Tells which services are out of reach.
         self.reach = ReachMonitor(self._states)
 
@@ -84,6 +87,7 @@
                 self._states[identity] = self._build_state(each)
             else:
                 self._update_entry(state, each)
+        self.reports.update_listing()
 
     def usable_for(self, job: Job) -> list[EndpointState]:
         """Return the endpoints that a job may be sent to, by its service and software version."""
@@ -217,7 +221,7 @@
         :param sent_at: local time at which the request was sent.
         """
         self.record_answer(state, sent_at, head.header(names.limit))
-        state.record_load(head.header(names.load), trio.current_time())
+        self.reports.record(state, head.header(names.load), trio.current_time())
 
     def record_uncertain_end(self, state: EndpointState, job: Job) -> None:
         """Record that a stream ended with its connection, after an event, as in a crash."""
@@ -349,18 +353,22 @@
 
 
 def choose_least_loaded(
-    candidates: list[EndpointState], zone: str, draw: Callable[[], float]
+    candidates: list[EndpointState],
+    zone: str,
+    draw: Callable[[], float],
+    rank_load: Callable[[EndpointState, float], float],
 ) -> EndpointState | None:
-    """Return the endpoint with the lowest load per slot, preferring the own zone.
+    """Return the endpoint with the lowest estimated load, preferring the own zone.
 
     :param draw: returns random numbers to break ties, so that instances that see equal loads choose
         different endpoints.
+    :param rank_load: returns the estimated load of an endpoint at a time, see
+        :meth:`~shallotmux.estimates.Estimator.rank_plain`.
     """
     now = trio.current_time()
 
     def rank(state: EndpointState) -> tuple[float, float]:
-        slots = max(1, state.listed.slots)
         zone_penalty = 0.0 if state.listed.zone == zone else CROSS_ZONE_LOAD_PENALTY
-        return state.expected_requests(now) / slots + zone_penalty, draw()
+        return rank_load(state, now) + zone_penalty, draw()
 
     return min(candidates, key=rank, default=None)
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from math import inf
 from random import Random
 
 import trio
 from eliot import log_message
 
-from shallotmux.fleet import EngineRole, ServiceDemand
+from shallotmux.estimates import DECODE_PREFILL_SPEED_RATIO, Estimator, Work
+from shallotmux.fleet import ServiceDemand
 from shallotmux.forwarding._admission import Dialect
 from shallotmux.forwarding._budget import PREFILL_FRACTION, SharedRetryBudget
 from shallotmux.forwarding._demand import PrefillDemandMeter
@@ -18,22 +20,19 @@
 from shallotmux.forwarding._load_shedding import LoadShed, choose_retry_after_s, find_wait_limit
 from shallotmux.forwarding._pool import ConnectionPool
 from shallotmux.forwarding._prefill import PrefillCall, PrefillClient
-from shallotmux.forwarding._state import EndpointState, Target
+from shallotmux.forwarding._state import EndpointState, Outlook, Target
 from shallotmux.placement import (
     EngineView,
     Placement,
     PlacementRequest,
     PrefillSpeeds,
+    Prompt,
     choose_decode_engine,
     direct_prefill_limit,
     place_request,
 )
 from shallotmux.routes import EngineProfile, RouteTable
 
-#: Prefill speed of an engine that also decodes, relative to a prefill engine, as the specification of
-#: the engines states it.
-DECODE_PREFILL_SPEED_RATIO = 0.5
-
 #: Prefill engines that are tried for one prompt. All but the first count as retries.
 MAX_PREFILL_ATTEMPTS = 2
 
@@ -48,6 +47,8 @@
     :param table: returns the routing table of the configuration in force.
     :param other_instances_tokens: returns the prompt tokens that other instances have queued at an
         engine.
+
+    Its estimator also serves requests without a prompt.
     """
 
     def __init__(
@@ -68,7 +69,9 @@
         self._directory = directory
         self._speeds = PrefillSpeeds()
         directory.on_removed.append(self._speeds.forget)
-        self._prefill_client = PrefillClient(dialect, pool, directory, budget, self._speeds)
+        self.estimator = Estimator(self._speeds, other_instances_tokens)
+        directory.reports.watch(self.estimator)
+        self._prefill_client = PrefillClient(dialect, pool, directory, budget, self.estimator)
         self._table = table
         self._demand = PrefillDemandMeter()
 
@@ -104,11 +107,13 @@
                 job.route.gap_objective_ms,
                 DECODE_PREFILL_SPEED_RATIO * self._speeds.of_service(job.service),
             ),
+            self._random.random,
         )
         if job.cache_source_uses >= MAX_CACHE_SOURCE_USES:
             job.cache_source = b''
         if not job.cache_source:
-            placement = place_request(request, [self._engine_view(each) for each in usable])
+            placed_at = trio.current_time()
+            placement = self._place(job, request, usable)
             if placement is None:
                 return None
             self._log_placement(job, placement)
@@ -123,12 +128,35 @@
             # A separate prefill would bring a request on trial to two engines.
             is_direct = placement.prefill is None or self._directory.is_on_trial(job)
             if is_direct or not self._has_retry_budget(job):
-                return self._build_target(
-                    job, placement.decode, placement.uncached_tokens, placement.fetch_from
-                )
+                return self._build_direct_target(job, placement)
+            job.placed_at = placed_at
+            job.expected_ms = placement.expected_ms
             await self._prefill_separately(job, request, placement)
         return self._choose_decode_target(job, request)
 
+    def views(
+        self, usable: Iterable[EndpointState], prompt: Prompt | None = None
+    ) -> list[EngineView]:
+        """Return engines as their choice sees them.
+
+        :param prompt: prompt whose cached prefixes matter; None if no engine needs to prefill.
+        """
+        now = trio.current_time()
+        view = self.estimator.view
+        if prompt is None:
+            return [view(each, now) for each in usable]
+        return [view(each, now, each.cached_prefixes(prompt, now)) for each in usable]
+
+    def _place(
+        self, job: Job, request: PlacementRequest, usable: list[EndpointState]
+    ) -> Placement | None:
+        """Return the placement of a request with its corrected times."""
+        placement = place_request(request, self.views(usable, request.prompt))
+        if placement is None:
+            return None
+        self.estimator.record_prompt(job.service, placement.uncached_tokens)
+        return self.estimator.correct(job.service, placement)
+
     def _has_retry_budget(self, job: Job) -> bool:
         """Return whether the budget allows a retry; a refused prefill counts as one."""
         allows_retry = self._budget.allows_retry(job.service, PREFILL_FRACTION)
@@ -159,6 +187,9 @@
                 self._fetch_headers(placement.fetch_from),
                 placement.uncached_tokens,
                 placement.expected_ms,
+                self.estimator.estimate_phase(
+                    state, Work.PREFILL, placement.first, trio.current_time()
+                ),
                 self._backlog_tokens(state),
                 placement.fetch_ms,
             )
@@ -173,28 +204,57 @@
                 return
             job.excluded.add(state.identity)
             usable = self._directory.usable_for(job)
-            placement = place_request(request, [self._engine_view(each) for each in usable])
+            placement = self._place(job, request, usable)
 
     def _choose_decode_target(self, job: Job, request: PlacementRequest) -> Target | None:
         """Return the engine that generates, by the load after prefill."""
-        usable = self._directory.usable_for(job)
-        decode_engine = choose_decode_engine(request, [self._engine_view(each) for each in usable])
-        if decode_engine is None:
+        usable = [each for each in self._directory.usable_for(job) if each.may_answer]
+        decode_engine = choose_decode_engine(request, self.views(usable))
+        state = self._directory.find(decode_engine or '')
+        if state is None:
+            return None
+        now = trio.current_time()
+        if not job.cache_source:
+            tokens = request.prompt.tokens
+            estimate = self.estimator.estimate_prompt(state, tokens, now)
+            return self._build_target(
+                job, state, tokens, Outlook(estimate, estimate.total_ms, now, now)
+            )
+        estimate = self.estimator.estimate_handover(state, request.transfer_ms, now)
+        if job.cache_source_uses or job.placed_at is None:
+            # The prefill belongs to the attempt before.
+            outlook = Outlook(estimate, estimate.total_ms, now, now)
+        else:
+            outlook = Outlook(estimate, job.expected_ms, job.placed_at, now)
+        return self._build_target(job, state, 0, outlook)
+
+    def _build_direct_target(self, job: Job, placement: Placement) -> Target | None:
+        """Return the engine that prefills a prompt and generates."""
+        state = self._directory.find(placement.decode)
+        if state is None:
             return None
+        now = trio.current_time()
+        estimate = self.estimator.estimate_phase(state, Work.DIRECT, placement.first, now)
+        outlook = Outlook(estimate, estimate.total_ms, now, now)
         return self._build_target(
-            job, decode_engine, 0 if job.cache_source else request.prompt.tokens
+            job, state, placement.uncached_tokens, outlook, placement.fetch_from
         )
 
     def _build_target(
-        self, job: Job, identity: str, uncached_tokens: float, fetch_from: str | None = None
-    ) -> Target | None:
-        state = self._directory.find(identity)
-        if state is None or job.prompt is None:
-            return None
-        state.record_prompt(job.prompt)
+        self,
+        job: Job,
+        state: EndpointState,
+        uncached_tokens: float,
+        outlook: Outlook,
+        fetch_from: str | None = None,
+    ) -> Target:
+        if job.prompt is not None:
+            state.record_prompt(job.prompt)
         if not job.cache_source:
-            return Target(state, self._fetch_headers(fetch_from), uncached_tokens)
-        return Target(state, ((self._dialect.names.cache_source, job.cache_source),))
+            extra = self._fetch_headers(fetch_from)
+            return Target(state, extra, uncached_tokens, outlook=outlook)
+        extra = ((self._dialect.names.cache_source, job.cache_source),)
+        return Target(state, extra, outlook=outlook)
 
     def _fetch_headers(self, source: str | None) -> Headers:
         """Return the headers that tell an engine to fetch cached prefixes from another one."""
@@ -207,23 +267,9 @@
         """Return the prompt tokens that all instances have queued at an engine."""
         return state.queued_prefill_tokens + self._other_instances_tokens(state.identity)
 
-    def _engine_view(self, state: EndpointState) -> EngineView:
-        now = trio.current_time()
-        speed = self._speeds.of_engine(state.listed.service, state.identity, now)
-        if state.listed.role is not EngineRole.PREFILL:
-            speed *= DECODE_PREFILL_SPEED_RATIO
-        return EngineView(
-            state.identity,
-            state.listed.zone,
-            state.listed.role,
-            speed,
-            self._backlog_tokens(state),
-            state.expected_requests(now),
-            max(1, state.listed.slots),
-            state.cached_prefixes(now),
-        )
-
     def _log_placement(self, job: Job, placement: Placement) -> None:
+        state = self._directory.find(placement.prefill or placement.decode)
+        age_s = state.model.age_s(trio.current_time()) if state else inf
         log_message(
             message_type='shallotmux:placement',
             request=job.request_id.decode('latin-1'),
@@ -233,6 +279,7 @@
             reason=placement.reason,
             fetch_from=placement.fetch_from,
             wait_ms=round(placement.wait_ms, 1),
+            age_ms=None if age_s == inf else round(age_s * 1000),
         )
 
 
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -22,6 +22,7 @@
 from shallotmux.forwarding._messages import CallerRequest, Reply
 from shallotmux.forwarding._metrics import ForwardingMetrics
 from shallotmux.forwarding._outcome import Outcome
+from shallotmux.forwarding._outlook import OutlookCheck
 from shallotmux.forwarding._refusals import Refusal, refuse_not_run, refuse_unknown
 from shallotmux.forwarding._relay import send_withheld
 from shallotmux.forwarding._retries import MAX_SENDS, RetryPolicy
@@ -65,6 +66,7 @@
     random: Random = field(default_factory=Random)
     _deadlines: RequestDeadlines = field(default_factory=RequestDeadlines)
     _targets: TargetChooser = field(init=False)
+    _outlooks: OutlookCheck = field(init=False)
     _retries: RetryPolicy = field(init=False)
     _supervisor: AttemptSupervisor = field(init=False)
 
@@ -73,6 +75,7 @@
         self._targets = TargetChooser(
             self.zone, self.directory, self.placer, self.peers, self.random
         )
+        self._outlooks = OutlookCheck(self.placer.estimator, self.metrics)
         self._retries = RetryPolicy(self.directory, self.budget)
         self._supervisor = AttemptSupervisor(
             self.directory, self.runner, self._targets, self._retries, self._log_attempt
@@ -277,6 +280,7 @@
         )
 
     def _log_attempt(self, job: Job, target: Target, result: AttemptResult) -> None:
+        self._outlooks.check(job, target, result)
         outcome = 'delivered' if result.is_delivered else result.outcome.value
         self.metrics.attempts.labels(job.route.name, outcome).inc()
         if target.peer is not None:
@@ -296,6 +300,7 @@
             after_event=job.after_event(self.dialect.names),
             resumes=job.request.text(self.dialect.names.resumed_request),
             relayed_for=job.relayed_for or None,
+            expected_ms=round(target.outlook.expected_ms, 1) if target.outlook else None,
             first_ms=int(job.first_part_s * 1000),
             gap_ms=int(job.longest_gap_s * 1000),
             left_ms=int(job.remaining_s * 1000),
--- a/shallotmux/forwarding/_job.py
+++ b/shallotmux/forwarding/_job.py
@@ -85,6 +85,10 @@
     #: Number of engines to which the handle was sent.
     cache_source_uses: int = 0
     prefills: int = 0
+    #: Local time at which the engines for a separate prefill were chosen, and the time to the first
+    #: token that was expected then.
+    placed_at: float | None = None
+    expected_ms: float = 0.0
     is_prefilled: bool = False
     #: Time from the head of the request to the first part of the answer body; 0 until then.
     first_part_s: float = 0.0
--- a/shallotmux/forwarding/_metrics.py
+++ b/shallotmux/forwarding/_metrics.py
@@ -9,6 +9,9 @@
 #: Bucket bounds in seconds.
 LATENCY_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.74, 1, 2, 4, 8)
 
+#: Bucket bounds of real to estimated time.
+RATIO_BUCKETS = (0.25, 0.5, 0.8, 1, 1.25, 1.6, 2, 2.5, 4, 8, 16)
+
 
 @dataclass(slots=True)
 class ForwardingMetrics:
@@ -39,6 +42,10 @@
     permits: Gauge = field(init=False)
     #: Requests in progress.
     in_flight: Gauge = field(init=False)
+    #: Real to estimated time of answers, by service.
+    estimate_ratio: Histogram = field(init=False)
+    #: Load reports of endpoints, by what became of them.
+    load_reports: Counter = field(init=False)
     #: Version of the configuration document in force.
     document_version: Gauge = field(init=False)
 
@@ -99,3 +106,16 @@
         self.document_version = Gauge(
             'shallotmux_document_version', 'Version in force.', registry=registry
         )
+        self.estimate_ratio = Histogram(
+            'shallotmux_estimate_ratio',
+            'Real to estimated time to the first part of the answer.',
+            ('service',),
+            buckets=RATIO_BUCKETS,
+            registry=registry,
+        )
+        self.load_reports = Counter(
+            'shallotmux_load_reports',
+            'Load reports of endpoints, by what became of them.',
+            ('result',),
+            registry=registry,
+        )
--- a/shallotmux/forwarding/_names.py
+++ b/shallotmux/forwarding/_names.py
@@ -19,7 +19,8 @@
     :param customer: customer for whom a request runs; set by the system alone.
     :param expected_endpoint: endpoint that a request is meant for.
     :param not_run: marks an answer as proof that the request did not run.
-    :param load: numbers of running requests, waiting requests and slots of an endpoint.
+    :param load: numbers of running requests, waiting requests and slots of an endpoint, and on some its
+        pace in percent.
     :param limit: requests per second that an endpoint takes from all instances together.
     :param leaving: in an answer, tells that the endpoint is about to stop and takes no new work.
     :param priority: urgency of a request at an engine.
--- a/shallotmux/forwarding/_prefill.py
+++ b/shallotmux/forwarding/_prefill.py
@@ -8,6 +8,7 @@
 from eliot import log_message
 
 from shallotmux.errors import EndpointError
+from shallotmux.estimates import EndpointEstimate, Estimator
 from shallotmux.forwarding._admission import Dialect
 from shallotmux.forwarding._budget import SharedRetryBudget
 from shallotmux.forwarding._directory import EndpointDirectory
@@ -22,7 +23,7 @@
 from shallotmux.forwarding._outcome import Outcome, classify_answer
 from shallotmux.forwarding._pool import ConnectionPool
 from shallotmux.forwarding._state import EndpointState, InFlightWork
-from shallotmux.placement import PrefillMeasurement, PrefillSpeeds
+from shallotmux.placement import PrefillMeasurement
 
 #: Timeout of a prefill: a multiple of the expected time, plus a margin.
 PREFILL_TIMEOUT_FACTOR = 2.5
@@ -38,7 +39,8 @@
 
     :param extra: further headers of the call.
     :param uncached_tokens: prompt tokens that the engine does not have in its cache.
-    :param expected_ms: expected duration.
+    :param expected_ms: expected time to the first token, of which the duration is a part.
+    :param estimate: expected duration.
     :param backlog_tokens: tokens that are queued at the engine before this prompt.
     :param fetch_ms: part of the duration in which cached parts are fetched.
     """
@@ -47,6 +49,7 @@
     extra: Headers
     uncached_tokens: float
     expected_ms: float
+    estimate: EndpointEstimate
     backlog_tokens: float = 0.0
     fetch_ms: float = 0.0
 
@@ -55,7 +58,7 @@
     """Sends prompts to engines for prefill only.
 
     :param budget: is charged for failed calls, which count as retries.
-    :param speeds: learns from the duration of each prefill.
+    :param estimator: learns from the duration of each prefill.
     """
 
     def __init__(
@@ -64,9 +67,9 @@
         pool: ConnectionPool,
         directory: EndpointDirectory,
         budget: SharedRetryBudget,
-        speeds: PrefillSpeeds,
+        estimator: Estimator,
     ) -> None:
-        self._speeds = speeds
+        self._estimator = estimator
         self._dialect = dialect
         self._pool = pool
         self._directory = directory
@@ -131,27 +134,28 @@
 
     def _measure(self, job: Job, call: PrefillCall, sent_at: float) -> None:
         now = trio.current_time()
-        self._speeds.record(
+        duration_ms = (now - sent_at) * 1000
+        self._estimator.speeds.record(
             PrefillMeasurement(
                 job.service,
                 call.state.identity,
                 call.uncached_tokens,
                 call.backlog_tokens,
-                (now - sent_at) * 1000,
+                duration_ms,
                 now,
                 call.fetch_ms,
+                call.estimate.pace,
             )
         )
+        self._estimator.record(call.state, call.estimate, duration_ms, now)
 
     async def _read_answer(
         self, job: Job, state: EndpointState, connection: EndpointConnection, work: InFlightWork
     ) -> str | None:
         head = await connection.receive_head()
         work.record_answer()
-        limit = head.header(self._dialect.names.limit)
-        self._directory.record_answer(state, work.sent_at, limit)
+        self._directory.record_head(state, work.sent_at, head, self._dialect.names)
         content = await connection.receive_body()
-        state.record_load(head.header(self._dialect.names.load), trio.current_time())
         is_done = classify_answer(head, self._dialect.names) is Outcome.DONE
         if not is_done or head.status != ACCEPTED_STATUS or job.prompt is None:
             state.record_refusal(trio.current_time())
--- a/shallotmux/forwarding/_state.py
+++ b/shallotmux/forwarding/_state.py
@@ -5,13 +5,15 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 from typing import TYPE_CHECKING
 
 import msgspec
 import trio
 
+from shallotmux.estimates import EndpointEstimate, EndpointModel
 from shallotmux.fleet import EngineRole, ListedEndpoint
-from shallotmux.forwarding._headers import Headers, parse_count
+from shallotmux.forwarding._headers import Headers
 from shallotmux.placement import Prompt
 from shallotmux.reachability import Reach
 from shallotmux.relaying import Peer
@@ -26,15 +28,6 @@
 INITIAL_AVOID_S = 1.0
 MAX_AVOID_S = 8.0
 
-#: Half-life of a reported load.
-LOAD_HALF_LIFE_S = 0.5
-
-#: Numbers in a reported load.
-LOAD_COUNTS = 3
-
-#: Largest number in a reported load that is believed.
-MAX_REPORTED_REQUESTS = 1_000_000
-
 #: Cached prefixes remembered per engine.
 MAX_REMEMBERED_PREFIXES = 512
 
@@ -56,18 +49,6 @@
 MAX_RETURNING_REQUESTS = 2
 
 
-@dataclass(frozen=True, slots=True)
-class ReportedLoad:
-    """Load that an endpoint reported in a header of an answer.
-
-    :param other_requests: running and waiting requests of other instances.
-    :param at: local time of the report.
-    """
-
-    other_requests: float
-    at: float
-
-
 def _stay() -> bool:
     """Return that a request is not given up."""
     return False
@@ -111,6 +92,7 @@
     def __enter__(self) -> InFlightWork:
         """Add the request to the load of the endpoint."""
         self._state.in_flight += 1
+        self._state.model.record_in_flight(self._state.in_flight, self.sent_at)
         self._state.queued_prefill_tokens += self._uncached_tokens
         self._state.unanswered.add(self)
         self._state.in_progress.add(self)
@@ -120,6 +102,7 @@
     def __exit__(self, *_: object) -> None:
         """Remove the request from the load of the endpoint."""
         self._state.in_flight -= 1
+        self._state.model.record_in_flight(self._state.in_flight, trio.current_time())
         self._state.in_progress.discard(self)
         if not self._state.in_progress:
             self._state.busy.discard(self._state.identity)
@@ -158,7 +141,8 @@
     in_flight: int = 0
     #: Prompt tokens of this instance's requests that wait for prefill there.
     queued_prefill_tokens: float = 0.0
-    load: ReportedLoad | None = None
+    #: What it reported and what was observed of it.
+    model: EndpointModel = field(default_factory=EndpointModel)
     failures: int = 0
     avoided_until: float = float('-inf')
     avoid_s: float = INITIAL_AVOID_S
@@ -196,26 +180,6 @@
         """Return a number that identifies this start of the endpoint in messages."""
         return self.listed.start_number
 
-    def expected_requests(self, now: float) -> float:
-        """Return the estimated number of requests there, including those of this instance."""
-        if self.load is None:
-            return float(self.in_flight)
-        age = max(0.0, now - self.load.at)
-        return self.in_flight + self.load.other_requests * 0.5 ** (age / LOAD_HALF_LIFE_S)
-
-    def record_load(self, text: bytes | None, now: float) -> None:
-        """Parse the load header: running requests, waiting requests, slots.
-
-        A missing or invalid header is ignored.
-        """
-        counts = [parse_count(each, MAX_REPORTED_REQUESTS) for each in (text or b'').split(b',')]
-        known = [each for each in counts if each is not None]
-        if len(counts) != LOAD_COUNTS or len(known) != LOAD_COUNTS:
-            return
-        running, waiting, _ = known
-        other_requests = max(0, running + waiting - self.in_flight)
-        self.load = ReportedLoad(other_requests, now)
-
     def record_prompt(self, prompt: Prompt) -> None:
         """Record that the prefixes of a prompt are now in its cache."""
         now = trio.current_time()
@@ -225,11 +189,16 @@
         while len(self.prefixes) > MAX_REMEMBERED_PREFIXES:
             self.prefixes.popitem(last=False)
 
-    def cached_prefixes(self, now: float) -> frozenset[bytes]:
-        """Return the prefixes that are assumed to be in its cache."""
+    def cached_prefixes(self, prompt: Prompt, now: float) -> frozenset[bytes]:
+        """Return the prefixes of a prompt that are assumed to be in its cache."""
+        if not self.prefixes:
+            return frozenset()
         does_prefill = self.listed.role is not EngineRole.DECODE
         oldest = now - (PREFILL_CACHE_TTL_S if does_prefill else DECODE_CACHE_TTL_S)
-        return frozenset(prefix for prefix, at in self.prefixes.items() if at >= oldest)
+        stored_at = self.prefixes.get
+        return frozenset(
+            part.prefix for part in prompt.parts if stored_at(part.prefix, -inf) >= oldest
+        )
 
     def is_unresponsive(self, now: float) -> bool:
         """Return whether no request was answered since the oldest unanswered one, for too long."""
@@ -259,6 +228,7 @@
     def record_refusal(self, now: float) -> None:
         """Record that it refused a request without running it."""
         self.refused_until = now + REFUSAL_BACKOFF_S
+        self.model.record_refusal(now)
 
     def mark_leaving(self) -> None:
         """Take the endpoint for leaving, whatever the list says."""
@@ -287,6 +257,22 @@
         return avoided_s
 
 
+@dataclass(frozen=True, slots=True)
+class Outlook:
+    """What is expected of an attempt when its endpoint is chosen.
+
+    :param estimate: time at the endpoint of the attempt, from its choice on.
+    :param expected_ms: whole time to the first part of the answer, a separate prefill included.
+    :param placed_at: local time from which the whole time counts.
+    :param chosen_at: local time at which the endpoint of the attempt was chosen.
+    """
+
+    estimate: EndpointEstimate
+    expected_ms: float
+    placed_at: float
+    chosen_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class Target:
     """Endpoint and parameters of an attempt.
@@ -294,9 +280,11 @@
     :param extra: further headers of the request.
     :param uncached_tokens: prompt tokens that need prefill before the answer begins.
     :param peer: instance that relays the request, if the attempt is not at an endpoint itself.
+    :param outlook: expected time, if it was estimated.
     """
 
     state: EndpointState
     extra: Headers = ()
     uncached_tokens: float = 0.0
     peer: Peer | None = None
+    outlook: Outlook | None = None
--- a/shallotmux/forwarding/_targets.py
+++ b/shallotmux/forwarding/_targets.py
@@ -13,7 +13,7 @@
 from shallotmux.forwarding._engines import EnginePlacer
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._load_shedding import LoadShed
-from shallotmux.forwarding._state import EndpointState, Target
+from shallotmux.forwarding._state import EndpointState, Outlook, Target
 from shallotmux.relaying import RelayPeers
 
 #: Endpoints that are tried for a request, unreachable ones included. Each of those may cost the
@@ -62,8 +62,7 @@
         """
         if len(job.excluded) >= MAX_ENDPOINTS_TRIED:
             return None
-        state = choose_least_loaded(self._available(job), self.zone, self.random.random)
-        return None if state is None else Target(state)
+        return self._choose_plain(self._available(job))
 
     def has_other(self, job: Job) -> bool:
         """Return whether an attempt that is given up can be followed by one elsewhere."""
@@ -90,8 +89,17 @@
             return None
         if job.prompt is not None:
             return await self.placer.place(job, usable)
-        state = choose_least_loaded(usable, self.zone, self.random.random)
-        return None if state is None else Target(state)
+        return self._choose_plain(usable)
+
+    def _choose_plain(self, candidates: list[EndpointState]) -> Target | None:
+        """Return the endpoint for a request without a prompt, with the time it is expected to take."""
+        estimator = self.placer.estimator
+        state = choose_least_loaded(candidates, self.zone, self.random.random, estimator.rank_plain)
+        if state is None:
+            return None
+        now = trio.current_time()
+        estimate = estimator.estimate_plain(state, now)
+        return Target(state, outlook=Outlook(estimate, estimate.total_ms, now, now))
 
     def _choose_peer(self, job: Job) -> Target | None:
         """Return a peer that relays a job whose service is out of reach; None if none may reach it."""
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -135,12 +135,18 @@
         self.metrics.limited_endpoints.set_function(lambda: len(limits.known.limited()))
         self.metrics.permits.labels('granted').set_function(lambda: limits.total_granted)
         self.metrics.permits.labels('received').set_function(lambda: limits.total_received)
+        reports = self._directory.reports
         self._load_sharing = LoadSharing(
             self._identity,
             peer_address,
             lambda: self.view.entries,
             self._directory.queued_prefill_tokens,
             self._endpoint_limits.receive,
+            lambda: self.view.neighbours,
+        )
+        self._load_sharing.share_reports = lambda: reports.shared(trio.current_time())
+        self._load_sharing.receive_reports = lambda shared: reports.receive(
+            shared, trio.current_time()
         )
         self._forwarder = build_forwarder(
             ForwarderParts(
--- a/tests/forwarding/test_odd_answers.py
+++ b/tests/forwarding/test_odd_answers.py
@@ -5,9 +5,11 @@
 import pytest
 import trio
 
+from shallotmux.estimates import LoadReport
 from shallotmux.fleet import ListedEndpoint
+from shallotmux.forwarding._load_reports import LoadReports
 from shallotmux.forwarding._refusals import MAX_REASON_CHARS, Refusal
-from shallotmux.forwarding._state import EndpointState, ReportedLoad
+from shallotmux.forwarding._state import EndpointState
 from shallotmux.relaying import RelayedAnswer, RelayResult, encode_relay_header
 from tests.forwarding._harness import ReceivedRequest, ScriptedEndpoint, answer, run_forwarder
 
@@ -46,12 +48,16 @@
 @pytest.mark.parametrize(
     'text', [b'-5,1,4', b'1,-5,4', b'1_0,1,4', b'1000001,1,4', b'1,1', b'', '٣,٣,٣'.encode()]
 )
-def test_load_that_is_no_count_is_ignored(text: bytes) -> None:
+async def test_load_that_is_no_count_is_ignored(text: bytes) -> None:
     """Guards against a load that no endpoint can have, which attracts or repels all requests."""
     state = EndpointState(LISTED)
-    state.record_load(b'3,2,4', 7.0)
-    state.record_load(text, 8.0)
-    assert state.load == ReportedLoad(5, 7.0)
+    reports = LoadReports({'e-0': state})
+    results: list[str] = []
+    reports.count_result = results.append
+    reports.record(state, b'3,2,4', 7.0)
+    reports.record(state, text, 8.0)
+    assert state.model.report == LoadReport(3, 2, 4, 100, 7.0)
+    assert results == ['own', 'unreadable']
 
 
 @pytest.mark.parametrize('seconds', [LONG, TOO_LONG_TO_PARSE, b'-1', b'1e9', b''])
