Add quotas of customers that all instances keep together

A customer may use a rate and a burst over all entry instances, and its use in any window must stay within a bound, whatever fails. The ranking of ratelimits is reused for the order of candidates.

--- a/shallotmux/ratelimits/__init__.py
+++ b/shallotmux/ratelimits/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from shallotmux.ratelimits._endpoint_limits import EndpointLimits, SendMessage
-from shallotmux.ratelimits._granting import PermitGranter, choose_granter
+from shallotmux.ratelimits._granting import PermitGranter, choose_granter, rank_granters
 from shallotmux.ratelimits._known import KnownLimits, parse_limit
 from shallotmux.ratelimits._messages import LimitReport, PermitGrant, PermitRequest
 from shallotmux.ratelimits._stock import PermitStock
@@ -19,4 +19,5 @@
     'SendMessage',
     'choose_granter',
     'parse_limit',
+    'rank_granters',
 )
--- a/shallotmux/ratelimits/_granting.py
+++ b/shallotmux/ratelimits/_granting.py
@@ -30,9 +30,16 @@
     All instances that know the same instances choose the same one, and few endpoints change theirs
     when an instance comes or goes.
     """
-    return max(
-        instances, key=lambda each: blake2b(f'{endpoint} {each}'.encode(), digest_size=8).digest()
-    )
+    return max(instances, key=lambda each: _weigh(endpoint, each))
+
+
+def rank_granters(subject: int, instances: Iterable[str]) -> tuple[str, ...]:
+    """Return instances in the order in which they are chosen for a subject, the first choice first."""
+    return tuple(sorted(instances, key=lambda each: _weigh(subject, each), reverse=True))
+
+
+def _weigh(subject: int, instance: str) -> bytes:
+    return blake2b(f'{subject} {instance}'.encode(), digest_size=8).digest()
 
 
 @dataclass(slots=True)
--- a/shallotmux/routes/__init__.py
+++ b/shallotmux/routes/__init__.py
@@ -5,10 +5,12 @@
 from shallotmux.routes._checks import check_document
 from shallotmux.routes._document import (
     CallerLimits,
+    CustomerQuota,
     DocumentCustomer,
     EngineProfile,
     FleetBounds,
     ForwardedRoute,
+    QuotaUnit,
     RouteDocument,
     RouteKind,
     Service,
@@ -18,10 +20,12 @@
 
 __all__ = (
     'CallerLimits',
+    'CustomerQuota',
     'EngineProfile',
     'FleetBounds',
     'ForwardedRoute',
     'DocumentCustomer',
+    'QuotaUnit',
     'RouteDocument',
     'RouteKind',
     'RouteTable',
--- a/shallotmux/routes/_document.py
+++ b/shallotmux/routes/_document.py
@@ -142,16 +142,49 @@
     idle_timeout_s: float = 15.0
 
 
+class QuotaUnit(enum.Enum):
+    """What a quota counts."""
+
+    TOKENS = 'tokens'
+    REQUESTS = 'requests'
+
+
+@dataclass(frozen=True, slots=True)
+class CustomerQuota:
+    """What a customer may use, over all instances together.
+
+    :param rate_per_s: tokens or requests per second; positive.
+    :param burst: tokens or requests beyond the rate.
+    :param uncounted_tokens: tokens of a request that names no token counts.
+    """
+
+    rate_per_s: float
+    burst: float
+    unit: QuotaUnit = QuotaUnit.REQUESTS
+    uncounted_tokens: float = 0.0
+
+    def amount_of(self, tokens: int | None) -> float:
+        """Return what a request counts as.
+
+        :param tokens: tokens that the request names; None if it names none.
+        """
+        if self.unit is QuotaUnit.REQUESTS:
+            return 1
+        return self.uncounted_tokens if tokens is None else tokens
+
+
 @dataclass(frozen=True, slots=True)
 class DocumentCustomer:
     """A customer and its keys.
 
     :param priority: overrides the priority of the route if it is set.
+    :param quota: what it may use; None without a limit.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
+    quota: CustomerQuota | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of customer quotas."""
