Decode quotas of customers and the terms of their bound

The fields rate-per-s, burst, unit and plain-tokens of a customer become a CustomerQuota; without a rate there is none. quota-window-s, quota-overage and quota-slack become QuotaTerms; without them the window is 8 s, the overage 0.1 and the slack 0. The dialect reads the tokens of a request.

--- a/shallotmux/forwarding/_admission.py
+++ b/shallotmux/forwarding/_admission.py
@@ -31,6 +31,7 @@
         endpoints do not tell.
     :param read_start: parses that answer; returns the start time in milliseconds, or None if it has
         none. Raises :exc:`ValueError` for an invalid answer.
+    :param read_tokens: returns the tokens that a request names, for quotas; None if it names none.
     """
 
     names: HeaderNames = field(default_factory=HeaderNames)
@@ -40,6 +41,7 @@
     prefill_headers: tuple[tuple[bytes, bytes], ...] = ()
     report_path: str = ''
     read_start: Callable[[bytes], int | None] = lambda _: None
+    read_tokens: Callable[[CallerRequest], int | None] = lambda _: None
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +110,7 @@
     priority = route.priority
     if customer is not None and customer.priority is not None:
         priority = customer.priority
+    quota = None if customer is None else customer.quota
     return Job(
         request,
         reply,
@@ -119,6 +122,7 @@
         priority=priority,
         prompt=dialect.read_prompt(request) if route.has_prompt else None,
         document_version=document_version,
+        quota_amount=quota.amount_of(dialect.read_tokens(request)) if quota else 0.0,
     )
 
 
--- a/shallotmux/platform/_configuration.py
+++ b/shallotmux/platform/_configuration.py
@@ -9,12 +9,15 @@
 
 from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import DocumentInvalid
+from shallotmux.platform._prompts import MAX_TOKENS
 from shallotmux.routes import (
     CallerLimits,
+    CustomerQuota,
     DocumentCustomer,
     EngineProfile,
     FleetBounds,
     ForwardedRoute,
+    QuotaUnit,
     RouteDocument,
     RouteKind,
     Service,
@@ -87,6 +90,12 @@
     name: str
     api_keys: list[str]
     priority: int | None = None
+    # Without a rate, there is no limit.
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    unit: str | None = None
+    # Tokens of a request without token counts.
+    plain_tokens: float = 0.0
 
 
 class _Configuration(msgspec.Struct, rename='kebab'):
@@ -107,6 +116,12 @@
 #: Smallest bandwidth of a link, since times of transfers are divided by it.
 MIN_LINK_MBPS = 1e-3
 
+#: Smallest rate of a quota, since times of waiting are divided by it.
+MIN_QUOTA_RATE = 1e-6
+
+#: Unit of quotas that count tokens; with any other one they count requests.
+TOKEN_UNIT = 'token_stream'
+
 #: Kinds of route by their name in the configuration.
 KINDS = {'safe': RouteKind.SAFE, 'unsafe': RouteKind.UNSAFE, 'streaming': RouteKind.STREAMING}
 
@@ -135,12 +150,24 @@
                 each.name,
                 tuple(each.api_keys),
                 None if each.priority is None else _bound(each.priority, MAX_COUNT),
+                _build_quota(each),
             )
             for each in parsed.tenants
         ),
     )
 
 
+def _build_quota(tenant: _Tenant) -> CustomerQuota | None:
+    if tenant.rate_per_s <= 0:
+        return None
+    return CustomerQuota(
+        _bound(tenant.rate_per_s, MAX_RATE, MIN_QUOTA_RATE),
+        _bound(tenant.burst, MAX_RATE),
+        QuotaUnit.TOKENS if tenant.unit == TOKEN_UNIT else QuotaUnit.REQUESTS,
+        _bound(tenant.plain_tokens, MAX_TOKENS),
+    )
+
+
 def _bound(number: _Number, most: _Number, least: _Number | None = None) -> _Number:
     """Return a number, or the nearest one in a range that begins with 0 unless ``least`` is given."""
     return min(max(number, type(number)(0) if least is None else least), most)
--- a/shallotmux/platform/_dialect.py
+++ b/shallotmux/platform/_dialect.py
@@ -4,7 +4,7 @@
 
 from shallotmux.forwarding import Dialect
 from shallotmux.platform._names import HEADERS
-from shallotmux.platform._prompts import read_handle, read_prompt
+from shallotmux.platform._prompts import read_handle, read_prompt, read_tokens
 from shallotmux.platform._worker_reports import REPORT_PATH, read_start
 
 DIALECT = Dialect(
@@ -15,4 +15,5 @@
     prefill_headers=((HEADERS.role, b'prefill'),),
     report_path=REPORT_PATH,
     read_start=read_start,
+    read_tokens=read_tokens,
 )
--- a/shallotmux/platform/_prompts.py
+++ b/shallotmux/platform/_prompts.py
@@ -35,6 +35,17 @@
     return build_prompt(request.text(HEADERS.model), parts, tokens, output)
 
 
+def read_tokens(request: CallerRequest) -> int | None:
+    """Return the tokens of prompt and answer that a request names; None if it names no valid counts."""
+    try:
+        prompt, output = (
+            _parse_count(each) for each in request.text(HEADERS.token_counts).split(',')
+        )
+    except ValueError:
+        return None
+    return prompt + output
+
+
 def read_handle(content: bytes) -> str | None:
     """Return the KV cache handle in a response to a prefill request, or None without one."""
     try:
--- a/shallotmux/platform/_settings.py
+++ b/shallotmux/platform/_settings.py
@@ -14,6 +14,7 @@
 from shallotmux.errors import SettingsError
 from shallotmux.forwarding import RetryBudgetLimits
 from shallotmux.programs import ListenAddresses, ProgramRole, ProgramSettings, ProgramTimes
+from shallotmux.quotas import QuotaTerms
 
 #: Environment variable with the path of the settings file.
 PATH_VARIABLE = 'SHALLOTMUX_SETTINGS'
@@ -34,6 +35,7 @@
 #: Lengths of windows that are not set, or set to 0, as they may be where nothing depends on them.
 DEFAULT_BUDGET_WINDOW_S = 10.0
 DEFAULT_REPORT_WINDOW_S = 5.0
+DEFAULT_QUOTA_WINDOW_S = 8.0
 
 #: Ranges of the numbers. None is near its end in any deployment; beyond, a calculation would overflow or
 #: divide by zero.
@@ -67,6 +69,10 @@
     lease_ms: _Milliseconds = 3000.0
     # Time for which a machine counts as lost after it is back; a successor of a lost one has it, too.
     catch_up_s: _Seconds = 6.0
+    quota_window_s: _Seconds = DEFAULT_QUOTA_WINDOW_S
+    quota_overage: _Number = 0.1
+    # Tokens that a customer's use may exceed its quota by, beside the overage.
+    quota_slack: _Number = 0.0
 
 
 class _Cloud(msgspec.Struct, rename='kebab'):
@@ -151,6 +157,11 @@
         ),
         'usage_report' in file.cloud.duties,
         'autoscale' in file.cloud.duties,
+        QuotaTerms(
+            bounds.quota_window_s or DEFAULT_QUOTA_WINDOW_S,
+            bounds.quota_overage,
+            bounds.quota_slack,
+        ),
     )
 
 
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -20,7 +20,8 @@
 )
 from shallotmux.platform._listing import parse_page
 from shallotmux.programs import ProgramRole, ProgramTimes
-from shallotmux.routes import RouteKind
+from shallotmux.quotas import QuotaTerms
+from shallotmux.routes import CustomerQuota, QuotaUnit, RouteKind
 
 #: Nesting far beyond what decoders follow.
 DEEP = 100_000
@@ -133,6 +134,9 @@
         ({'bounds': {'lease-ms': 1e300}}, 'lease-ms'),
         ({'bounds': {'catch-up-s': -1}}, 'catch-up-s'),
         ({'bounds': {'lease-ms': float('nan')}}, 'malformed'),
+        ({'bounds': {'quota-window-s': -1}}, 'quota-window-s'),
+        ({'bounds': {'quota-overage': 1e300}}, 'quota-overage'),
+        ({'bounds': {'quota-slack': -1}}, 'quota-slack'),
         ({'cloud': {'rate-per-s': -5}}, 'rate-per-s'),
         ({'tolerate': {'machines': 10**20}}, 'machines'),
     ],
@@ -148,10 +152,66 @@
 
 def test_windows_of_length_0_have_the_default(tmp_path: Path) -> None:
     """Guards against a division by zero where a deployment sets no window."""
-    bounds = {'report-window-s': 0, 'budget-window-s': 0}
+    bounds = {'report-window-s': 0, 'budget-window-s': 0, 'quota-window-s': 0}
     settings = build_settings(read_settings_file(write_settings(tmp_path, bounds=bounds)))
     assert settings.times.usage_window_s == ProgramTimes().usage_window_s
     assert settings.retry_budget.window_s == RetryBudgetLimits().window_s
+    assert settings.quota_terms == QuotaTerms()
+
+
+def test_quota_terms_are_translated(tmp_path: Path) -> None:
+    """Guards against a bound of another length or size than the deployment sets."""
+    bounds = {'quota-window-s': 6, 'quota-overage': 0.2, 'quota-slack': 190_000}
+    settings = build_settings(read_settings_file(write_settings(tmp_path, bounds=bounds)))
+    assert settings.quota_terms == QuotaTerms(6, 0.2, 190_000)
+
+
+def decode_quota(**fields: object) -> CustomerQuota | None:
+    """Return the quota of a customer with some fields."""
+    tenant = {**CONFIGURATION['tenants'][0], **fields}
+    content = json.dumps({**CONFIGURATION, 'tenants': [tenant]}).encode()
+    return decode_document(content).customers[0].quota
+
+
+def test_quotas_are_translated() -> None:
+    """Guards against quotas that count something else than the document says."""
+    fields = {'rate-per-s': 583_874, 'burst': 583_874, 'plain-tokens': 200}
+    tokens = decode_quota(unit='token_stream', **fields)
+    assert tokens == CustomerQuota(583_874, 583_874, QuotaUnit.TOKENS, 200)
+    assert (tokens.amount_of(17_032), tokens.amount_of(None)) == (17_032, 200)
+    requests = decode_quota(unit='request', **fields)
+    assert requests is not None
+    assert (requests.unit, requests.amount_of(17_032)) == (QuotaUnit.REQUESTS, 1)
+    assert decode_quota(**fields) == requests
+
+
+@pytest.mark.parametrize('rate', [0, -5, -(10**300)])
+def test_quota_without_a_rate_is_no_limit(rate: float) -> None:
+    """Guards against customers that are refused everything as they have no quota."""
+    assert decode_quota() is None
+    fields = {'rate-per-s': rate, 'burst': 10}
+    assert decode_quota(**fields) is None
+
+
+@pytest.mark.parametrize(
+    ('counts', 'tokens'),
+    [
+        (b'17020,12', 17_032),
+        (b' 1 , 2', 3),
+        (None, None),
+        (b'', None),
+        (b'5', None),
+        (b'1,2,3', None),
+        (b'-1,2', None),
+        (b'1,99999999999', None),
+        (b'x,1', None),
+    ],
+)
+def test_tokens_are_the_sum_of_both_counts(counts: bytes | None, tokens: int | None) -> None:
+    """Guards against requests that count as less than they name, or odd counts that raise."""
+    headers = () if counts is None else ((HEADERS.token_counts, counts),)
+    request = CallerRequest(b'POST', b'/a/', headers, b'', 0.0)
+    assert DIALECT.read_tokens(request) == tokens
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_odd_documents.py
+++ b/tests/platform/test_odd_documents.py
@@ -36,13 +36,14 @@
         ('limits', name)
         for name in ('max-header-bytes', 'max-body-bytes', 'header-timeout-ms', 'idle-timeout-ms')
     ),
-    ('tenants', 0, 'priority'),
+    *(('tenants', 0, name) for name in ('priority', 'rate-per-s', 'burst', 'plain-tokens')),
 )
 
 FLOATS = frozenset(
     (
         *('timeout-ms', 'target-latency-ms', 'target-gap-ms', 'link-mbps', 'handle-ttl-s'),
         *('role-switch-s', 'boot-s', 'spot-price', 'a', 'header-timeout-ms', 'idle-timeout-ms'),
+        *('rate-per-s', 'burst', 'plain-tokens'),
     )
 )
 
