Charge requests to the quotas of their customers

A request is charged once, at the instance that took it, before anything of it is sent; a peer that relays it does not charge it. Over the quota, it gets 429 with Retry-After. What certainly did not run is given back, unless an engine was asked for a prefill. A charge that is too old is renewed before the request is sent again, as late arrivals would exceed the bound.

--- a/shallotmux/forwarding/_assembly.py
+++ b/shallotmux/forwarding/_assembly.py
@@ -17,8 +17,10 @@
 from shallotmux.forwarding._metrics import ForwardingMetrics
 from shallotmux.forwarding._paths import DirectPath, PeerPath
 from shallotmux.forwarding._pool import ConnectionPool
+from shallotmux.forwarding._quota_gate import QuotaGate
 from shallotmux.forwarding._starts import StartVerifier
 from shallotmux.origins import StreamOrigins
+from shallotmux.quotas import CustomerQuotas
 from shallotmux.relaying import RelayPeers
 
 
@@ -28,6 +30,7 @@
 
     :param zone: availability zone of this instance.
     :param on_run_started: called once for each job, when an endpoint has started to run it.
+    :param quotas: quotas of customers; None to keep none.
     :param other_instances_tokens: returns the prompt tokens that other instances have queued at an
         engine.
     """
@@ -44,6 +47,7 @@
     random: Random = field(default_factory=Random)
     origins: StreamOrigins = field(default_factory=StreamOrigins)
     peers: RelayPeers = field(default_factory=RelayPeers)
+    quotas: CustomerQuotas | None = None
 
 
 def build_forwarder(parts: ForwarderParts) -> Forwarder:
@@ -78,4 +82,5 @@
         parts.origins,
         parts.peers,
         parts.random,
+        QuotaGate(parts.quotas),
     )
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -22,6 +22,7 @@
 from shallotmux.forwarding._messages import CallerRequest, Reply
 from shallotmux.forwarding._metrics import ForwardingMetrics
 from shallotmux.forwarding._outcome import Outcome
+from shallotmux.forwarding._quota_gate import QuotaGate
 from shallotmux.forwarding._refusals import Refusal, refuse_not_run, refuse_unknown
 from shallotmux.forwarding._relay import send_withheld
 from shallotmux.forwarding._retries import MAX_SENDS, RetryPolicy
@@ -63,6 +64,7 @@
     origins: StreamOrigins
     peers: RelayPeers = field(default_factory=RelayPeers)
     random: Random = field(default_factory=Random)
+    quota_gate: QuotaGate = field(default_factory=QuotaGate)
     _deadlines: RequestDeadlines = field(default_factory=RequestDeadlines)
     _targets: TargetChooser = field(init=False)
     _retries: RetryPolicy = field(init=False)
@@ -154,7 +156,7 @@
     async def _bind_and_try(self, job: Job) -> Refusal | None:
         refusal = await self._bind_resumed_stream(job)
         self.budget.record_request(job.service)
-        return refusal or await self._try_endpoints(job)
+        return refusal or await self.quota_gate.run(job, self._try_endpoints)
 
     async def _send_withheld(self, job: Job, refusal: Refusal) -> bool:
         """Send the answer of an endpoint that was withheld for a retry, instead of a refusal.
@@ -216,6 +218,9 @@
             target = await self._find_target(job, reason)
             if isinstance(target, Refusal):
                 return target
+            over_quota = await self.quota_gate.renew(job)
+            if over_quota is not None:
+                return over_quota
             result = await self._supervisor.run(job, target)
             if result.is_delivered:
                 self._record_delivered(job, result)
--- a/shallotmux/forwarding/_job.py
+++ b/shallotmux/forwarding/_job.py
@@ -14,6 +14,7 @@
 from shallotmux.forwarding._names import HeaderNames
 from shallotmux.origins import make_origin_key
 from shallotmux.placement import Prompt
+from shallotmux.quotas import Charge
 from shallotmux.relaying import RELAY_HEADER
 from shallotmux.routes import ForwardedRoute, RouteKind
 
@@ -80,6 +81,10 @@
     relayed_for: str = ''
     unreached: int = 0
     peers_tried: set[str] = field(default_factory=set)
+    #: Tokens or requests that it counts as under the quota of its customer; 0 without a quota.
+    quota_amount: float = 0.0
+    #: What was charged for it.
+    charge: Charge | None = None
     #: Address and handle from which the KV cache of the prompt is fetched; empty without a prefill.
     cache_source: bytes = b''
     #: Number of engines to which the handle was sent.
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -36,6 +36,7 @@
 from shallotmux.programs._pages import MetricsPage, ReadinessPage
 from shallotmux.programs._settings import ProgramSettings
 from shallotmux.programs._supervision import Supervisor
+from shallotmux.quotas import CustomerQuotas
 from shallotmux.ratelimits import EndpointLimits
 from shallotmux.relaying import RelayPeers
 from shallotmux.routes import CallerLimits
@@ -135,12 +136,20 @@
         self.metrics.limited_endpoints.set_function(lambda: len(limits.known.limited()))
         self.metrics.permits.labels('granted').set_function(lambda: limits.total_granted)
         self.metrics.permits.labels('received').set_function(lambda: limits.total_received)
+        self._quotas = CustomerQuotas(
+            peer_address,
+            self._identity,
+            lambda: self.view.entries,
+            lambda: self.view.table,
+            settings.quota_terms,
+            self.metrics.registry,
+        )
         self._load_sharing = LoadSharing(
             self._identity,
             peer_address,
             lambda: self.view.entries,
             self._directory.queued_prefill_tokens,
-            self._endpoint_limits.receive,
+            lambda content: self._endpoint_limits.receive(content) or self._quotas.receive(content),
         )
         self._forwarder = build_forwarder(
             ForwarderParts(
@@ -157,6 +166,7 @@
                 self.metrics,
                 origins=self._origins,
                 peers=self._build_peers(settings),
+                quotas=self._quotas,
             )
         )
         self._relayed = RelayedRequests(self._forwarder, lambda: self._is_draining)
@@ -231,6 +241,7 @@
             'reach': self._directory.reach.run,
             'stream-origins': self._origin_client.run,
             'endpoint-limits': partial(self._endpoint_limits.run, self._load_sharing.send_to),
+            'quotas': partial(self._quotas.run, self._load_sharing.send_to),
             'listing': self._refresh_stale_listing,
         }
 
--- /dev/null
+++ b/tests/forwarding/test_quotas.py
@@ -0,0 +1,130 @@
+"""Tests of requests over the quotas of their customers, through a forwarder."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+import pytest
+import trio
+
+from shallotmux.forwarding._quota_gate import QuotaGate
+from shallotmux.quotas import Charge, OverQuota
+from shallotmux.routes import CustomerQuota
+from tests.forwarding._harness import (
+    NAMES,
+    ForwarderHarness,
+    ReceivedRequest,
+    ScriptedEndpoint,
+    answer,
+    run_forwarder,
+)
+
+
+@dataclass(slots=True)
+class Quotas:
+    """Charges a number of requests."""
+
+    left: int
+    valid_s: float = 1.0
+    charged: list[tuple[str, float]] = field(default_factory=list)
+    returned: int = 0
+
+    async def charge(self, customer: str, amount: float) -> Charge | OverQuota:
+        """Charge a request."""
+        if not self.left:
+            return OverQuota(0.7)
+        self.left -= 1
+        self.charged.append((customer, amount))
+        return Charge(customer, amount, trio.current_time() + self.valid_s)
+
+    def give_back(self, charge: Charge) -> None:
+        """Count what comes back."""
+        self.returned += 1
+        self.left += 1
+
+
+def limit(harness: ForwarderHarness, quotas: Quotas) -> None:
+    """Give the customer a quota of requests."""
+    harness.forwarder.quota_gate = QuotaGate(quotas)  # type: ignore[arg-type]
+    view = harness.forwarder.view
+    assert view.table is not None
+    customer = replace(view.table.document.customers[0], quota=CustomerQuota(1, 1))
+    view.apply_document(replace(view.table.document, version=2, customers=(customer,)))
+
+
+async def serve(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
+    """Answer a request."""
+    await stream.send_all(answer(received))
+    return True
+
+
+async def refuse(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
+    """Refuse a request without running it."""
+    await stream.send_all(answer(received, status=503, extra=b'X-Not-Run: 1\r\n'))
+    return True
+
+
+async def hang_up(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
+    """Close the connection without an answer."""
+    return False
+
+
+async def test_request_over_the_quota_is_refused_before_it_is_sent() -> None:
+    """Guards against a request that runs although its customer is told that it did not."""
+    endpoint = ScriptedEndpoint(serve)
+    async with run_forwarder(endpoint) as harness:
+        quotas = Quotas(1)
+        limit(harness, quotas)
+        assert (await harness.make_request('/once/')).status == 200
+        refused = await harness.make_request('/once/')
+        assert (await harness.make_request('/open/', key='')).status == 200
+    assert refused.status == 429
+    assert float(refused.headers[NAMES.retry_after]) == pytest.approx(0.7)
+    assert len(endpoint.received) == 2
+    assert (quotas.charged, quotas.returned) == ([('tailors', 1)], 0)
+
+
+@pytest.mark.parametrize('path', ['/once/', '/safe/'])
+async def test_request_that_did_not_run_is_given_back_once(path: str) -> None:
+    """Guards against quota that is lost with each refusal of an endpoint, or returned twice."""
+    first, second = ScriptedEndpoint(refuse), ScriptedEndpoint(refuse)
+    async with run_forwarder(first, second) as harness:
+        quotas = Quotas(1)
+        limit(harness, quotas)
+        assert (await harness.make_request(path)).status == 503
+    assert len(first.received) + len(second.received) == 2
+    assert (quotas.returned, len(quotas.charged)) == (1, 1)
+
+
+async def test_request_that_may_have_run_is_not_given_back() -> None:
+    """Guards against a customer that runs more than its quota through broken connections."""
+    async with run_forwarder(ScriptedEndpoint(hang_up)) as harness:
+        quotas = Quotas(1)
+        limit(harness, quotas)
+        assert (await harness.make_request('/once/')).status == 502
+    assert quotas.returned == 0
+
+
+async def test_retries_are_charged_once() -> None:
+    """Guards against a request that costs its customer as much as its endpoints refuse it."""
+    async with run_forwarder(ScriptedEndpoint(refuse), ScriptedEndpoint(serve)) as harness:
+        quotas = Quotas(1)
+        limit(harness, quotas)
+        assert (await harness.make_request('/once/')).status == 200
+    assert (len(quotas.charged), quotas.returned) == (1, 0)
+
+
+async def test_old_charge_is_renewed_before_the_request_is_sent_again() -> None:
+    """Guards against requests that arrive long after they were charged, beside those of a later window."""
+
+    async def refuse_late(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
+        await trio.sleep(0.1)
+        return await refuse(stream, received)
+
+    second = ScriptedEndpoint(serve)
+    async with run_forwarder(ScriptedEndpoint(refuse_late), second) as harness:
+        quotas = Quotas(1, valid_s=0.05)
+        limit(harness, quotas)
+        assert (await harness.make_request('/once/')).status == 200
+    assert (len(quotas.charged), quotas.returned) == (2, 1)
+    assert len(second.received) == 1
