--- a/tests/guards/__main__.py
+++ b/tests/guards/__main__.py
@@ -18,6 +18,7 @@
 from tests.guards.disks import DISK_GUARDS
 from tests.guards.forwarded import FORWARDING_GUARDS
 from tests.guards.peers import PEER_GUARDS
+from tests.guards.quotas import QUOTA_GUARDS
 from tests.guards.ratelimits import LIMIT_GUARDS
 from tests.guards.reach import REACH_GUARDS
 from tests.guards.sizes import SIZE_GUARDS
@@ -36,6 +37,7 @@
     *DECODING_GUARDS,
     *DISK_GUARDS,
     *LIMIT_GUARDS,
+    *QUOTA_GUARDS,
     *PEER_GUARDS,
     *REACH_GUARDS,
     *SIZE_GUARDS,
