--- a/shallotmux/quotas/_node.py
+++ b/shallotmux/quotas/_node.py
@@ -41,7 +41,7 @@
 ADVANCE_PAUSE_S = 0.05
 
 #: Parts of grants in one message, so that it fits one datagram.
-MAX_PARTS = 20
+MAX_PARTS = 12
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/forwarding/test_quotas.py
+++ b/tests/forwarding/test_quotas.py
@@ -7,6 +7,8 @@
 import pytest
 import trio
 
+from shallotmux.forwarding import CallerRequest
+from shallotmux.forwarding._admission import Admitted
 from shallotmux.forwarding._quota_gate import QuotaGate
 from shallotmux.quotas import Charge, OverQuota
 from shallotmux.routes import CustomerQuota
@@ -18,6 +20,7 @@
     answer,
     run_forwarder,
 )
+from tests.forwarding._jobs import RecordingReply
 
 
 @dataclass(slots=True)
@@ -128,3 +131,23 @@
         assert (await harness.make_request('/once/')).status == 200
     assert (len(quotas.charged), quotas.returned) == (2, 1)
     assert len(second.received) == 1
+
+
+async def test_peer_that_relays_a_request_does_not_charge_it() -> None:
+    """Guards against a request that counts twice, at the instance that took it and at its peer."""
+    endpoint = ScriptedEndpoint(serve)
+    async with run_forwarder(endpoint) as harness:
+        quotas = Quotas(1)
+        limit(harness, quotas)
+        headers = (
+            (b'host', b'shop.example'),
+            (b'x-request-id', b'r-1'),
+            (b'authorization', b'Bearer k1'),
+        )
+        request = CallerRequest(b'POST', b'/once/', headers, b'work', trio.current_time())
+        admitted = harness.forwarder.admit(request, RecordingReply())
+        assert isinstance(admitted, Admitted)
+        assert admitted.job.quota_amount == 1
+        assert await harness.forwarder.run_relayed(admitted.job) is None
+    assert len(endpoint.received) == 1
+    assert not quotas.charged
--- a/tests/programs/_fleet.py
+++ b/tests/programs/_fleet.py
@@ -27,6 +27,7 @@
     ProgramTimes,
 )
 from shallotmux.routes import (
+    CustomerQuota,
     DocumentCustomer,
     ForwardedRoute,
     RouteDocument,
@@ -48,7 +49,7 @@
 def decode(content: bytes) -> RouteDocument:
     """Decode a test document: a version, and routes that all lead to one service.
 
-    Routes under ``/stream`` are streams that can be resumed, and those under ``/once`` must not run
+    ``quota`` sets the requests per second and the burst of the customer. Routes under ``/stream`` are streams that can be resumed, and those under ``/once`` must not run
     twice.
     """
     parsed = json.loads(content)
@@ -66,11 +67,12 @@
         )
         for prefix in parsed['routes']
     )
+    quota = CustomerQuota(*parsed['quota']) if 'quota' in parsed else None
     return RouteDocument(
         parsed['version'],
         routes,
         (Service('desk', '/healthz', 8),),
-        customers=(DocumentCustomer('tailors', ('k1',)),),
+        customers=(DocumentCustomer('tailors', ('k1',), quota=quota),),
     )
 
 
