--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -43,6 +43,7 @@
 from shallotmux.programs._pages import MetricsPage, ReadinessPage
 from shallotmux.programs._settings import ProgramSettings
 from shallotmux.programs._supervision import Supervisor
+from shallotmux.quotas import CustomerQuotas
 from shallotmux.ratelimits import EndpointLimits
 from shallotmux.relaying import RelayPeers
 from shallotmux.routes import CallerLimits
@@ -157,12 +158,20 @@
         self.metrics.permits.labels('granted').set_function(lambda: limits.total_granted)
         self.metrics.permits.labels('received').set_function(lambda: limits.total_received)
         reports = self._directory.reports
+        self._quotas = CustomerQuotas(
+            peer_address,
+            self._identity,
+            lambda: self.view.entries,
+            lambda: self.view.table,
+            settings.quota_terms,
+            self.metrics.registry,
+        )
         self._load_sharing = LoadSharing(
             self._identity,
             peer_address,
             lambda: self.view.entries,
             self._directory.queued_prefill_tokens,
-            self._endpoint_limits.receive,
+            lambda content: self._endpoint_limits.receive(content) or self._quotas.receive(content),
             self._traffic,
             lambda: self.view.neighbours,
         )
@@ -185,6 +194,7 @@
                 self.metrics,
                 origins=self._origins,
                 peers=self._build_peers(settings),
+                quotas=self._quotas,
             )
         )
         self._relayed = RelayedRequests(self._forwarder, lambda: self._is_draining)
@@ -259,6 +269,7 @@
             'reach': self._directory.reach.run,
             'stream-origins': self._origin_client.run,
             'endpoint-limits': partial(self._endpoint_limits.run, self._load_sharing.send_to),
+            'quotas': partial(self._quotas.run, self._load_sharing.send_to),
             'listing': self._refresh_stale_listing,
         }
 
