--- a/shallotmux/fleet/_load_sharing.py
+++ b/shallotmux/fleet/_load_sharing.py
@@ -78,9 +78,9 @@
     :param peers: returns the addresses of the entry instances.
     :param tokens: returns the queued prefill tokens of this instance by engine identity.
     :param receive_other: processes other messages to the same address; returns whether it knows one.
-    :param traffic: counts the bytes of all messages.
     :param neighbours: returns the addresses of the entry instances of the own zone. They also get
         reports of endpoints.
+    :param traffic: counts the bytes of all messages.
     """
 
     def __init__(
@@ -90,8 +90,8 @@
         peers: Callable[[], tuple[str, ...]],
         tokens: Callable[[], Mapping[str, float]],
         receive_other: Callable[[bytes], bool] | None = None,
-        traffic: PeerTraffic | None = None,
         neighbours: Callable[[], tuple[str, ...]] = _know_none,
+        traffic: PeerTraffic | None = None,
     ) -> None:
         self._traffic = traffic or PeerTraffic()
         self._name = name
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -172,8 +172,8 @@
             lambda: self.view.entries,
             self._directory.queued_prefill_tokens,
             lambda content: self._endpoint_limits.receive(content) or self._quotas.receive(content),
-            self._traffic,
             lambda: self.view.neighbours,
+            self._traffic,
         )
         self._load_sharing.share_reports = lambda: reports.shared(trio.current_time())
         self._load_sharing.receive_reports = lambda shared: reports.receive(
