Add tests for guards that no test noticed when they were removed

Of 19 guards removed one at a time, 15 were noticed. Tests are added for a lost poll that is followed by another one at once, reports to a restarted control instance of the earlier build, a control instance without a list, and the time at which a call ends with its stream. All 19 are noticed now.

--- a/tests/control/test_knowledge.py
+++ b/tests/control/test_knowledge.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 import trio
 import trio.testing
 
@@ -18,6 +20,7 @@
     decode_knowledge,
     encode_fleet_message,
 )
+from shallotmux.fleetnews import StateMark
 from shallotmux.ratelimits import LimitReport
 from shallotmux.transport import Refusal
 
@@ -122,3 +125,17 @@
     )
     assert service.usage.totals(present) == {'c': 7}
     assert service.usage.first_window() == present
+
+
+async def test_without_a_list_there_is_neither_a_state_nor_an_age(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a control instance that has just started and says that there are no endpoints."""
+    service = make_service()
+    marks = {'known_endpoints': StateMark(), 'known_members': StateMark()}
+    answer = poll(service, 'a~1', **marks)
+    assert answer.endpoints == b''  # type: ignore[attr-defined]
+    assert answer.listing_age_s == inf  # type: ignore[attr-defined]
+    assert answer.members  # type: ignore[attr-defined]
+    service.update_listing(Listing(), trio.current_time())
+    assert poll(service, 'a~1', **marks).endpoints  # type: ignore[attr-defined]
--- a/tests/fleet/_controls.py
+++ b/tests/fleet/_controls.py
@@ -90,6 +90,7 @@
     :param size: size of the answer.
     """
 
+    at: float
     control: str
     poll: Poll
     size: int
@@ -143,7 +144,9 @@
             answer = ForwardAnswer(answer_as_earlier_build(service, command))
         else:
             answer = service.answer(command)
-        self.polls.append(Arrival(peer, decode_poll(command), len(answer.result)))
+        self.polls.append(
+            Arrival(trio.current_time(), peer, decode_poll(command), len(answer.result))
+        )
         delay_s = self.delay_s(peer)
         await trio.sleep(min(delay_s, timeout_s))
         if delay_s >= timeout_s:
--- a/tests/fleet/test_builds_side_by_side.py
+++ b/tests/fleet/test_builds_side_by_side.py
@@ -95,6 +95,20 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_report_to_the_earlier_build_shortens_no_list_of_instances(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against the few instances that a restarted one of the earlier build knows."""
+    controls = Controls(earlier={SECOND})
+    async with trio.open_nursery() as nursery:
+        pollers = await start_deployment(nursery, controls)
+        controls.start(SECOND)
+        for _ in range(60):
+            await trio.sleep(0.05)
+            assert all(each.view.entries == ENTRIES for each in pollers)
+        nursery.cancel_scope.cancel()
+
+
 async def test_control_instance_of_the_earlier_build_gets_all_counts(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
--- a/tests/fleet/test_following.py
+++ b/tests/fleet/test_following.py
@@ -101,6 +101,25 @@
         assert controls.polled(as_main=True).keys() == {FIRST, THIRD}
 
 
+async def test_lost_poll_is_followed_by_another_one_at_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a further interval without news after each poll that had no answer."""
+    controls = Controls()
+    async with run_deployment(controls):
+        # Between two polls.
+        await trio.sleep(0.2)
+        controls.lost.add(FIRST)
+        lost_at = trio.current_time()
+        await trio.sleep(2)
+        first_at: dict[str, float] = {}
+        for each in controls.polls:
+            if each.control == SECOND and not each.poll.is_report:
+                first_at.setdefault(each.poll.sender, each.at)
+        assert len(first_at) == 2
+        assert max(first_at.values()) - lost_at < 0.4 + 0.5 + 0.01
+
+
 async def test_move_and_return_between_equal_states_send_no_list(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
--- a/tests/transport/test_call_stream.py
+++ b/tests/transport/test_call_stream.py
@@ -119,7 +119,9 @@
 
             nursery.start_soon(call)
             await trio.sleep(0.1)
+            began_at = trio.current_time()
             scope.cancel()
+        assert trio.current_time() - began_at < 10
         async with trio.open_nursery() as nursery:
             await nursery.start(run_server, handler)
             await open_stream(client)
