Keep the granter of quotas while lists name few instances

The list of a control instance that has just started names only the instances that it has heard. Beats went to, and answers counted from, the instances in the present list alone, so that a granter lost its majority with such lists for a second (a new test failed with no granter). Both now go by the instances that were seen within a minute.

--- a/shallotmux/quotas/_election.py
+++ b/shallotmux/quotas/_election.py
@@ -123,11 +123,12 @@
                 self._count(slot, now)
         granted = self.granted_slots(now)
         beat = QuotaBeat(self._identity, number, {each: each in granted for each in standing})
-        return [(each, beat) for each in self._entries if each != self._name]
+        # A list may lack instances for a moment, such as that of a control instance that has just started.
+        return [(each, beat) for each in self.seen.voter_names if each != self._name]
 
     def receive_beat(self, beat: QuotaBeat, now: float) -> QuotaSupport | None:
         """Return the answer to a candidate, or None."""
-        if instance_name(beat.sender) not in self._entries:
+        if instance_name(beat.sender) not in self.seen.voter_names:
             return None
         supported: list[int] = []
         for slot, is_granter in beat.slots.items():
@@ -144,7 +145,7 @@
 
     def receive_support(self, support: QuotaSupport, now: float) -> None:
         """Process the answer to a beat."""
-        if support.granter != self._identity or support.sender not in self._entries:
+        if support.granter != self._identity or support.sender not in self.seen.voter_names:
             return
         self.seen.record_told(support.seen, now)
         for slot in support.slots:
--- a/shallotmux/quotas/_seen.py
+++ b/shallotmux/quotas/_seen.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 #: Time after which an instance that is in no list any more does not count for the majority.
 VOTER_TTL_S = 60.0
@@ -37,6 +37,11 @@
         """Return the instances among which isolated shares are divided."""
         return frozenset(self._seen_at)
 
+    @property
+    def voter_names(self) -> Collection[str]:
+        """Return the instances that this one has seen of late."""
+        return self._voters.keys()
+
     @property
     def voters(self) -> int:
         """Return how many instances this one has seen of late."""
--- a/tests/quotas/test_failures.py
+++ b/tests/quotas/test_failures.py
@@ -195,3 +195,21 @@
     run.run(END_S)
     assert len(run.arrivals) >= 8
     assert run.most_in_window() <= run.bound()
+
+
+def test_granter_stays_while_some_lists_name_few_instances() -> None:
+    """Guards against a pause in granting after a restart of control instances, which have heard few polls."""
+    run = start(0.9)
+    granter = run.granters()
+
+    def shorten_lists() -> None:
+        for each in run.instances.values():
+            each.entries = NAMES[-2:]
+        run.at(run.now + 0.2, shorten_lists)
+
+    refused = len(run.refused)
+    run.at(FAILS_S + 0.01, shorten_lists)
+    for step in range(1, 30):
+        run.run(FAILS_S + step / 6)
+        assert run.granters() == granter
+    assert len(run.refused) == refused
