Log the followed control instance only once it answers

While no control instance answers, the choice goes round, and each poll would have written a line. Also bounds the answers that a publication keeps to 64, about 2 MB of whole states.

--- a/shallotmux/fleet/_controls.py
+++ b/shallotmux/fleet/_controls.py
@@ -29,6 +29,7 @@
         self._known = {each: ControlInstance(each) for each in self._seeds}
         self._last_reported = ''
         self._last_main: str | None = None
+        self._followed: str | None = None
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -55,15 +56,16 @@
 
     def choose_main(self) -> str | None:
         """Return the instance to follow; None if none is known."""
-        chosen = choose_main(self._known.values(), self._zone, self._name)
-        if chosen is not None and chosen != self._last_main:
-            self._last_main = chosen
+        self._last_main = choose_main(self._known.values(), self._zone, self._name)
+        return self._last_main
+
+    def record_followed(self, peer: str) -> None:
+        """Record that an instance answered as the followed one."""
+        if peer != self._followed and peer in self._known:
+            self._followed = peer
             log_message(
-                message_type='shallotmux:control-followed',
-                peer=chosen,
-                zone=self._known[chosen].zone,
+                message_type='shallotmux:control-followed', peer=peer, zone=self._known[peer].zone
             )
-        return chosen
 
     def next_for_report(self, now: float) -> str | None:
         """Return the next instance in turn that is due for a report; None if there is none.
--- a/shallotmux/fleet/_poller.py
+++ b/shallotmux/fleet/_poller.py
@@ -233,6 +233,7 @@
         # Raises an error if the content is not valid.
         has_endpoints = is_main and self._follow_endpoints(peer, knowledge)
         if is_main:
+            self._controls.record_followed(peer)
             self._follow_members(peer, knowledge)
             self.view.cut_off = {
                 each.service: frozenset(each.entries) for each in knowledge.cut_off
--- a/shallotmux/fleetnews/_publication.py
+++ b/shallotmux/fleetnews/_publication.py
@@ -13,8 +13,8 @@
 #: covers two minutes.
 MAX_POSITIONS = 256
 
-#: Number of encoded answers that are kept for the present position.
-MAX_CACHED = 256
+#: Number of encoded answers that are kept for the present position. Whole states take about 30 KB each.
+MAX_CACHED = 64
 
 DIGEST_BYTES = 8
 DIGEST_MODULUS = 1 << (8 * DIGEST_BYTES)
--- a/tests/fleet/test_following.py
+++ b/tests/fleet/test_following.py
@@ -23,6 +23,7 @@
     make_poller,
     start_deployment,
 )
+from tests.support.log_lines import capture_lines
 
 #: Bytes of an answer without the list of endpoints and without names.
 SMALL_ANSWER = 600
@@ -151,7 +152,9 @@
     controls = Controls()
     async with run_deployment(controls) as pollers:
         controls.lost |= set(ZONES)
-        await trio.sleep(20)
+        with capture_lines('shallotmux:control-followed') as lines:
+            await trio.sleep(20)
+        assert not lines
         controls.listing = listing('new')
         controls.lost.clear()
         await trio.sleep(4)
