Hold the test clock while a thread probes the disk

Two tests of tests/programs/test_disk.py failed in 2 of 3 runs of the file beside other load (TooSlowError): a probe on a thread that took longer than 50 ms of real time let the mock clock jump past the deadline of the test.

--- a/tests/programs/test_disk.py
+++ b/tests/programs/test_disk.py
@@ -4,8 +4,10 @@
 
 import errno
 import itertools
+import math
 import threading
 from pathlib import Path
+from typing import Any
 
 import pytest
 import trio
@@ -31,9 +33,18 @@
         return super().append(path)
 
 
-def wait_for_threads(clock: trio.testing.MockClock) -> None:
-    """Keep the clock from jumping while a thread probes the disk."""
-    clock.autojump_threshold = 0.05
+def wait_for_threads(clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Keep the clock from jumping while a thread probes the disk, however long that takes."""
+    run_sync = trio.to_thread.run_sync
+
+    async def run_without_jumps(*args: Any, **options: Any) -> Any:
+        clock.autojump_threshold = math.inf
+        try:
+            return await run_sync(*args, **options)
+        finally:
+            clock.autojump_threshold = 0
+
+    monkeypatch.setattr(trio.to_thread, 'run_sync', run_without_jumps)
 
 
 def refused_write(number: int, size: int = 0) -> StorageError:
@@ -84,10 +95,10 @@
 
 
 async def test_room_for_small_writes_does_not_count(
-    tmp_path: Path, autojump_clock: trio.testing.MockClock
+    tmp_path: Path, autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a member that leaves and returns with each document that is too large."""
-    wait_for_threads(autojump_clock)
+    wait_for_threads(autojump_clock, monkeypatch)
     files = RefusingFileSystem()
     files.state.fill('write', room=400_000)
     runs: list[float] = []
@@ -106,10 +117,10 @@
 
 
 async def test_writes_that_fail_after_each_probe_are_retried_less_often(
-    tmp_path: Path, autojump_clock: trio.testing.MockClock
+    tmp_path: Path, autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a member that is rebuilt without a pause while its own file refuses writes."""
-    wait_for_threads(autojump_clock)
+    wait_for_threads(autojump_clock, monkeypatch)
     runs: list[float] = []
     stop = trio.Event()
 
@@ -126,10 +137,10 @@
 
 
 async def test_short_refusals_far_apart_are_not_delayed(
-    tmp_path: Path, autojump_clock: trio.testing.MockClock
+    tmp_path: Path, autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a member that waits for long after many refusals in a day."""
-    wait_for_threads(autojump_clock)
+    wait_for_threads(autojump_clock, monkeypatch)
     refusals: list[float] = []
 
     async def run() -> None:
@@ -177,10 +188,10 @@
 
 
 async def test_folder_that_could_not_be_created_is_waited_for(
-    tmp_path: Path, autojump_clock: trio.testing.MockClock
+    tmp_path: Path, autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a first start that waits for ever for a folder that nobody creates."""
-    wait_for_threads(autojump_clock)
+    wait_for_threads(autojump_clock, monkeypatch)
     runs: list[float] = []
 
     async def run() -> None:
