Order a role change at once while too few engines can answer

Change: a change to decode is ordered without delay while fewer than two engines decode, whatever the former leader has ordered. Engines that may be changing by its orders are passed over.

--- a/shallotmux/control/_role_balancer.py
+++ b/shallotmux/control/_role_balancer.py
@@ -15,6 +15,7 @@
 from shallotmux.fleet import ListedEndpoint
 from shallotmux.plannedchanges import (
     MAX_PLANS_PER_SERVICE,
+    ORDER_DELAY_S,
     Plan,
     PlanBook,
     PlanPhase,
@@ -97,34 +98,35 @@
         """Announce the next role change; returns whether there was one."""
         if now < self._paused_until[service] or not self._book.has_room(service):
             return False
-        if self._may_former_change_run(engines, now):
-            return False
+        former = self._find_former_changes(engines, now)
         plans = self._book.live(service)
         passed_over = {each for each, until in self._passed_over_until.items() if until > now}
-        change = plan_role_change(
-            _with_planned_roles(engines, plans), passed_over | {each.identity for each in plans}
-        )
+        passed_over |= former | {each.identity for each in plans}
+        change = plan_role_change(_with_planned_roles(engines, plans), passed_over)
         if change is None or not keeps_role_in_use(engines, plans, change.endpoint):
             return False
-        self._book.announce(change.endpoint, change.role, change.why, now)
+        if former and not change.is_urgent:
+            # Plans of a former leader are not in the book, so that the limits on changes at a time would
+            # not count them.
+            return False
+        delay_s = 0.0 if change.is_urgent else ORDER_DELAY_S
+        self._book.announce(change.endpoint, change.role, change.why, now, delay_s)
         return True
 
-    def _may_former_change_run(self, engines: Sequence[ListedEndpoint], now: float) -> bool:
-        """Return whether an engine may be changing by an order of a former leader.
-
-        Its plan is not in the book, so that the limits on changes at a time would not count it.
-        """
+    def _find_former_changes(self, engines: Sequence[ListedEndpoint], now: float) -> set[str]:
+        """Return the engines that may be changing by an order of a former leader."""
         held = self._dependencies.knowledge.plans
         ordered = {
             each.identity
             for each in held.report(now)
             if each.term < self._book.term and each.phase == PlanPhase.ORDERED.value
         }
-        return any(
-            each.identity in ordered
-            and held.find_phase(each.identity, each.start_number, each.role.value, now) is not None
+        return {
+            each.identity
             for each in engines
-        )
+            if each.identity in ordered
+            and held.find_phase(each.identity, each.start_number, each.role.value, now) is not None
+        }
 
     async def _order_repeatedly(self) -> None:
         """Send each order at its time."""
--- a/shallotmux/control/_role_plan.py
+++ b/shallotmux/control/_role_plan.py
@@ -23,11 +23,14 @@
     """An engine and its new role.
 
     :param why: figures that the change follows from.
+    :param is_urgent: whether so few engines can answer that waiting costs more than refusals of the
+        engine that changes.
     """
 
     endpoint: ListedEndpoint
     role: EngineRole
     why: str = ''
+    is_urgent: bool = False
 
 
 def plan_role_change(
@@ -51,7 +54,8 @@
     min_decode_engines = max(min(target, MIN_DECODE_ENGINES), target - DECODE_ENGINE_SLACK)
     if len(decode_engines) < min_decode_engines and len(prefill_engines) > 1:
         engine = _pick_from_least_crowded_zone(prefill_engines, decode_engines, passed_over)
-        return RoleChange(engine, EngineRole.DECODE, why) if engine else None
+        is_urgent = len(decode_engines) < MIN_DECODE_ENGINES
+        return RoleChange(engine, EngineRole.DECODE, why, is_urgent) if engine else None
     return None
 
 
--- a/shallotmux/plannedchanges/_book.py
+++ b/shallotmux/plannedchanges/_book.py
@@ -124,8 +124,18 @@
         """Return whether another engine of a service may change."""
         return len(self.live(service)) < MAX_PLANS_PER_SERVICE
 
-    def announce(self, endpoint: ListedEndpoint, role: EngineRole, why: str, now: float) -> Plan:
-        """Add a plan in the present term."""
+    def announce(
+        self,
+        endpoint: ListedEndpoint,
+        role: EngineRole,
+        why: str,
+        now: float,
+        delay_s: float = ORDER_DELAY_S,
+    ) -> Plan:
+        """Add a plan in the present term.
+
+        :param delay_s: time until its order is sent.
+        """
         self._number += 1
         plan = Plan(
             endpoint.service,
@@ -137,7 +147,7 @@
             self._number,
             why,
             announced_at=now,
-            due_at=now + ORDER_DELAY_S,
+            due_at=now + delay_s,
             phase_at=now,
             until=now + ANNOUNCED_TTL_S,
         )
--- a/tests/control/test_planned_roles.py
+++ b/tests/control/test_planned_roles.py
@@ -11,7 +11,7 @@
 
 from shallotmux.control._duties import CONTROL_LOOP_S
 from shallotmux.control._platform import DutyOutcome
-from shallotmux.control._role_balancer import WITHDRAWAL_PAUSE_S
+from shallotmux.control._role_balancer import CHECK_INTERVAL_S, WITHDRAWAL_PAUSE_S
 from shallotmux.fleet import EngineRole, ListedEndpoint
 from shallotmux.plannedchanges import ORDER_DELAY_S, PlanState
 from tests.control._planning_leader import PlanningLeader
@@ -60,6 +60,18 @@
     assert {each['why'] for each in lines} == {'3 decode engines, 2 wanted'}
 
 
+async def test_order_is_sent_at_once_while_too_few_engines_can_answer(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a service without decode engines that waits for an announcement to spread."""
+    leader = PlanningLeader(make_engines(1, 4))
+    await run_for(leader, ANNOUNCED_S + CHECK_INTERVAL_S)
+    announced_at, identity, state = leader.steps[0]
+    assert state is PlanState.ANNOUNCED
+    assert [each for _, each, _ in leader.orders] == [identity]
+    assert leader.orders[0][0] - announced_at <= CHECK_INTERVAL_S
+
+
 @pytest.mark.parametrize(
     ('lost_s', 'token', 'end'),
     (
@@ -180,6 +192,19 @@
     assert len(leader.orders) == 2
 
 
+async def test_new_leader_replaces_lost_decode_engines_at_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a service without decode engines that waits for changes of the former leader."""
+    leader = PlanningLeader(make_engines(1, 4))
+    leader.token = 2
+    running = make_change('ordered', term=1, remaining_s=3.8)
+    leader.knowledge.plans.merge((running,), trio.current_time())
+    await run_for(leader, ANNOUNCED_S + CHECK_INTERVAL_S)
+    assert leader.orders
+    assert leader.orders[0][1] != running.identity
+
+
 async def test_new_leader_plans_anew(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against a change that nobody makes, as its leader was lost before the order."""
     former = PlanningLeader(make_engines(3, 2))
