--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -10,7 +10,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import trio
 
@@ -51,15 +51,16 @@
 
 @contextmanager
 def start_process(
-    *arguments: str, environment: Mapping[str, str] | None = None
+    *arguments: str, environment: Mapping[str, str] | None = None, output: IO[str] | None = None
 ) -> Iterator[Process]:
     """Start ``python -m`` with these arguments, and kill the process when the context exits.
 
     :param environment: variables to set in addition to those of this process.
+    :param output: file for its output, which then cannot be read line by line.
     """
     child = subprocess.Popen(
         [sys.executable, '-m', *arguments],
-        stdout=subprocess.PIPE,
+        stdout=output or subprocess.PIPE,
         text=True,
         cwd=Path(__file__).parents[2],
         env={**os.environ, **(environment or {})},
