Read nothing ahead, and bound what connections of callers hold

Cause: _watch_caller read up to 64 KiB ahead anew for each request. A caller who reads no answers gets some thousand of them into the socket buffers, and each added 64 KiB. Change: the end of a connection is noticed by POLLRDHUP, so that pipelined requests stay in the socket. Bodies, unparsed bytes, buffered answers and answers that wait for their caller are taken from a budget; reads are small while it is short. Bodies and long answers are not copied. A caller who acknowledges nothing for the idle time is reset. The mutations of three guards in the catalogue follow the moved code.

--- a/shallotmux/bench/forwarder.py
+++ b/shallotmux/bench/forwarder.py
@@ -13,7 +13,8 @@
 from shallotmux.bench._processes import Child, start_child
 from shallotmux.bench._results import MAX_ADDED_LATENCY_MS, MAX_REQUEST_CPU_MS, Latency, percentile
 from shallotmux.forwarding import Dialect, OutgoingRequest
-from shallotmux.forwarding._endpoint import EndpointConnection, connect_endpoint
+from shallotmux.forwarding._connecting import connect_endpoint
+from shallotmux.forwarding._endpoint import EndpointConnection
 
 CHILD = 'shallotmux.bench._forwarding_child'
 CONNECT_TIMEOUT_S = 5.0
--- a/shallotmux/forwarding/__init__.py
+++ b/shallotmux/forwarding/__init__.py
@@ -6,6 +6,7 @@
 from shallotmux.forwarding._assembly import ForwarderParts, build_forwarder
 from shallotmux.forwarding._attempt import AttemptResult, AttemptRunner
 from shallotmux.forwarding._budget import RetryBudgetLimits, SharedRetryBudget
+from shallotmux.forwarding._caller_connection import Handler
 from shallotmux.forwarding._counting import RequestCounter
 from shallotmux.forwarding._directory import EndpointDirectory
 from shallotmux.forwarding._engines import EnginePlacer
@@ -44,6 +45,7 @@
     'ForwardingMetrics',
     'HeaderNames',
     'Headers',
+    'Handler',
     'HttpListener',
     'Job',
     'OutgoingRequest',
--- a/shallotmux/forwarding/_assembly.py
+++ b/shallotmux/forwarding/_assembly.py
@@ -62,7 +62,7 @@
             parts.on_run_started,
             parts.origins,
             DirectPath(dialect.names, pool, directory, starts),
-            PeerPath(dialect.names, parts.peers, directory),
+            PeerPath(dialect.names, parts.peers, directory, pool),
         ),
         EnginePlacer(
             parts.zone,
--- a/shallotmux/forwarding/_caller_connection.py
+++ b/shallotmux/forwarding/_caller_connection.py
@@ -4,8 +4,6 @@
 
 import contextlib
 import select
-import socket
-import struct
 import traceback
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
@@ -16,17 +14,27 @@
 
 from shallotmux.errors import CallerDisconnected
 from shallotmux.forwarding._caller_reply import CallerReply
+from shallotmux.forwarding._caller_writes import CallerWriter
 from shallotmux.forwarding._headers import Headers, find_header
 from shallotmux.forwarding._messages import CallerRequest
+from shallotmux.membounds import (
+    Holding,
+    PeerWait,
+    count_unacknowledged,
+    reset_on_close,
+    wait_for_end,
+)
 from shallotmux.routes import CallerLimits
 
 if TYPE_CHECKING:
     from shallotmux.forwarding._listener import HttpListener
 
-MAX_READ_BYTES = 65_536
+#: Bytes of one read, except of a body with a known length. What follows a request is held while the
+#: request is answered.
+MAX_READ_BYTES = 16_384
 
-#: Bytes of pipelined requests that are read while an answer is in progress.
-MAX_READ_AHEAD_BYTES = 65_536
+#: Largest part of an answer that is joined with its framing before it is sent.
+MAX_JOINED_BYTES = 131_072
 
 #: Lines at the end of a traceback that are logged.
 TRACEBACK_LINES = 6
@@ -37,9 +45,6 @@
 #: Time for which input is discarded after an early answer.
 LINGER_S = 0.5
 
-#: Value of ``SO_LINGER`` with which closing a connection resets it.
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-
 #: Answers a request; an exception ends the connection.
 Handler = Callable[[CallerRequest, CallerReply], Awaitable[None]]
 
@@ -68,29 +73,44 @@
         self._header_bytes = listener.limits().header_bytes
         self.protocol = _new_protocol(self._header_bytes)
         self._is_idle = True
-        #: Bytes of the present request's body that were read.
+        #: Bytes of the present request's body that were read, and what it declares.
         self._body_bytes = 0
+        self._length = 0
         self._idle_scope: trio.CancelScope | None = None
+        self._scope = trio.CancelScope()
+        #: Bytes that were read and not parsed yet, and those of bodies and of answers being sent.
+        self._unparsed = Holding(listener.budget)
+        self._held = Holding(listener.budget)
+        self._wait = PeerWait()
+        self._writer = CallerWriter(
+            stream, lambda: listener.limits().idle_timeout_s, self._held, self._wait
+        )
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
-        with contextlib.suppress(
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-            CallerDisconnected,
-            h11.ProtocolError,
-            _CallerDisconnected,
+        with (
+            self._scope,
+            contextlib.suppress(
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+                CallerDisconnected,
+                h11.ProtocolError,
+                _CallerDisconnected,
+            ),
         ):
             while await self._serve_next():
                 self.protocol.start_next_cycle()
+        self._unparsed.release()
 
     async def send(self, event: Any) -> None:
-        """Send an event of the answer."""
+        """Send an event of the answer; a long part is not copied."""
+        parts = self.protocol.send_with_data_passthrough(event) or []
+        if sum(len(part) for part in parts) <= MAX_JOINED_BYTES:
+            parts = [b''.join(parts)]
         try:
-            content = self.protocol.send(event)
-            if content:
-                await self.stream.send_all(content)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            for part in parts:
+                await self._writer.send(part)
+        except (OSError, trio.ClosedResourceError) as error:
             raise CallerDisconnected(f'{error!r}', step='reply') from error
 
     def reset_unless_end_is_marked(self) -> None:
@@ -100,8 +120,19 @@
         """
         is_open = self.protocol.our_state in {h11.SEND_BODY, h11.ERROR}
         if is_open and self.protocol.their_http_version != b'1.1':
-            with contextlib.suppress(OSError):
-                self.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            reset_on_close(self.stream.socket)
+
+    def waited_s(self, now: float) -> float:
+        """Return how long the connection has waited for the caller."""
+        return self._wait.lasted_s(now, count_unacknowledged(self.stream.socket))
+
+    def evict(self) -> None:
+        """Close the connection for a new one; a request that has just arrived is still answered."""
+        if self._is_idle and self._idle_scope is not None:
+            self._idle_scope.cancel()
+            return
+        reset_on_close(self.stream.socket)
+        self._scope.cancel()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or answered."""
@@ -125,12 +156,17 @@
             return False
         finally:
             listener.open_requests -= 1
-            listener.buffered_body_bytes -= self._body_bytes
-            self._body_bytes = 0
+            self._give_back_body()
             self._is_idle = True
         states = (self.protocol.our_state, self.protocol.their_state)
         return states == (h11.DONE, h11.DONE)
 
+    def _give_back_body(self) -> None:
+        self.listener.buffered_body_bytes -= self._body_bytes
+        self._held.release()
+        self._body_bytes = 0
+        self._length = 0
+
     async def _wait_for_request(self) -> bool:
         """Wait for the first byte of a request; returns whether it arrived."""
         if self.protocol.trailing_data[0]:
@@ -143,9 +179,7 @@
         limits = self.listener.limits()
         self._idle_scope = trio.move_on_after(limits.idle_timeout_s)
         with self._idle_scope:
-            content = await self.stream.receive_some(MAX_READ_BYTES)
-            self._begin(content)
-            return bool(content)
+            return await self._begin()
         return await self._read_waiting()
 
     async def _read_waiting(self) -> bool:
@@ -157,15 +191,25 @@
         poll.register(self.stream.socket.fileno(), select.POLLIN)
         if not poll.poll(0):
             return False
-        content = await self.stream.receive_some(MAX_READ_BYTES)
-        self._begin(content)
-        return bool(content)
+        return await self._begin()
 
-    def _begin(self, content: bytes | bytearray) -> None:
-        """Take the first bytes of a request."""
+    async def _begin(self) -> bool:
+        """Read the first bytes of a request; returns whether there are any."""
+        content = await self._receive()
         self._is_idle = False
         self._adopt_limits()
-        self.protocol.receive_data(bytes(content))
+        self.protocol.receive_data(content)
+        return bool(content)
+
+    async def _receive(self) -> bytes:
+        """Read some bytes, few if the budget is short or the next request may follow."""
+        missing = self._length - self._body_bytes
+        size = min(self.listener.budget.read_bytes, max(MAX_READ_BYTES, missing))
+        self._wait.begin()
+        content = bytes(await self.stream.receive_some(size))
+        self._wait.end()
+        self._unparsed.add(len(content))
+        return content
 
     def _adopt_limits(self) -> None:
         """Replace the parser if the limit of a head has changed since the connection was opened."""
@@ -192,9 +236,10 @@
             # A successful answer would end HTTP on the connection.
             raise _RequestRejected(400)
         headers = tuple((bytes(name), bytes(text)) for name, text in head.headers)
-        length = _check_head(headers, limits)
-        self._check_room(length)
+        self._length = _check_head(headers, limits)
+        self._check_room(self._length)
         body = await self._read_body(limits.body_bytes)
+        self._unparsed.replace(len(self.protocol.trailing_data[0]))
         return CallerRequest(bytes(head.method), bytes(head.target), headers, body, received_at)
 
     async def _read_body(self, limit: int) -> bytes:
@@ -216,19 +261,22 @@
             self._check_room(len(event.data))
             self._body_bytes += len(event.data)
             self.listener.buffered_body_bytes += len(event.data)
+            self._held.add(len(event.data))
+            self._unparsed.add(-len(event.data))
             parts.append(bytes(event.data))
 
     def _check_room(self, added_bytes: int) -> None:
         """Reject a request whose body does not fit into memory beside those of others."""
         listener = self.listener
-        if listener.buffered_body_bytes + added_bytes > listener.max_buffered_bytes:
+        is_full = listener.buffered_body_bytes + added_bytes > listener.max_buffered_bytes
+        if is_full or not listener.budget.has_room(added_bytes):
             raise _RequestRejected(503)
 
     async def _next_event(self) -> object:
         try:
             event = self.protocol.next_event()
             while event is h11.NEED_DATA:
-                self.protocol.receive_data(await self.stream.receive_some(MAX_READ_BYTES))
+                self.protocol.receive_data(await self._receive())
                 event = self.protocol.next_event()
         except h11.RemoteProtocolError as error:
             if self.protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
@@ -263,19 +311,9 @@
                 await reply.send_fault()
 
     async def _watch_caller(self, scope: trio.CancelScope) -> None:
-        """Read pipelined requests ahead; cancel the handler when the connection ends."""
-        ahead = 0
-        try:
-            while ahead < MAX_READ_AHEAD_BYTES:
-                content = await self.stream.receive_some(MAX_READ_BYTES)
-                if not content:
-                    break
-                ahead += len(content)
-                self.protocol.receive_data(content)
-            else:
-                return
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
+        """Cancel the handler when the connection ends; pipelined requests stay unread."""
+        with contextlib.suppress(OSError, trio.ClosedResourceError):
+            await wait_for_end(self.stream.socket)
         scope.cancel()
 
     async def _linger(self) -> None:
--- a/shallotmux/forwarding/_endpoint.py
+++ b/shallotmux/forwarding/_endpoint.py
@@ -2,32 +2,24 @@
 
 from __future__ import annotations
 
-import errno
 import select
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import h11
 import trio
 
-from shallotmux.addresses import split_address
 from shallotmux.errors import EndpointError
 from shallotmux.forwarding._headers import drop_ignored_length, find_header, parse_count
 from shallotmux.forwarding._messages import AnswerHead, OutgoingRequest
+from shallotmux.membounds import Holding
 
 #: Largest answer head that is accepted from an endpoint.
 MAX_ANSWER_HEAD_BYTES = 65_536
-MAX_READ_BYTES = 65_536
 
-#: ``TCP_USER_TIMEOUT``: the kernel closes a connection whose sent data, or keep-alive probes, stay
-#: unacknowledged so long. Sound endpoints may be silent for up to two seconds.
-USER_TIMEOUT_MS = 3000
-
-#: Idle time of a connection before the first keep-alive probe, and interval between two. Without
-#: probes, a stream that only receives would not notice that its connection is dead. How many probes
-#: may be lost follows from :data:`USER_TIMEOUT_MS`.
-KEEP_ALIVE_PROBE_S = 1
+#: Longest body that is sent together with its head, in one packet where possible. Longer ones are not
+#: copied.
+MAX_JOINED_BODY_BYTES = 16_384
 
 #: Timeout for opening a connection. It is shorter than the 1 s after which TCP retransmits a lost SYN;
 #: trying another endpoint is faster.
@@ -67,12 +59,6 @@
     """
 
 
-#: Errors of the operating system for :exc:`LocalResourcesSpent`.
-LOCAL_ERRORS = frozenset(
-    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
-)
-
-
 @dataclass(slots=True)
 class _Progress:
     """Progress of an exchange.
@@ -105,7 +91,9 @@
         self._request_id_header = request_id_header
         self._request: OutgoingRequest | None = None
         #: Encoding of the present request until it is sent.
-        self._unsent = b''
+        self._unsent: tuple[bytes, ...] = ()
+        #: Bytes of the present answer that are kept until they are relayed.
+        self.held = Holding()
         self._protocol = _new_protocol()
         self._progress = _Progress()
         self.opened_at = trio.current_time()
@@ -156,6 +144,7 @@
         :raises EndpointError: if the request cannot be encoded, which shows nothing of the endpoint.
         """
         self._progress = _Progress()
+        self.held.release()
         try:
             if self._request is not None:
                 self._protocol.start_next_cycle()
@@ -174,11 +163,12 @@
         """
         # Nothing leaves this instance if the exchange was given up before this task ran.
         await trio.lowlevel.checkpoint_if_cancelled()
-        content = self._unsent
-        self._unsent = b''
+        parts = self._unsent
+        self._unsent = ()
         self._progress.was_sent = True
         try:
-            await self._stream.send_all(content)
+            for part in parts:
+                await self._stream.send_all(part)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise self._error('send', error) from error
         self._progress.is_request_complete = True
@@ -227,6 +217,8 @@
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             self._progress.is_answer_complete = True
+            # What the caller has not read yet is counted on its own connection.
+            self.held.release()
             return None
         raise EndpointError(f'unexpected {event!r} in a body', step='receive body', peer=self._peer)
 
@@ -263,18 +255,23 @@
 
     def close(self) -> None:
         """Close the connection at once, discarding unsent data."""
+        self.held.release()
         if isinstance(self._stream, trio.SocketStream):
             self._stream.socket.close()
 
-    def _encode(self, request: OutgoingRequest) -> bytes:
+    def _encode(self, request: OutgoingRequest) -> tuple[bytes, ...]:
         head = h11.Request(
             method=request.method, target=request.target, headers=list(request.headers)
         )
-        parts = [self._protocol.send(head)]
+        parts = [self._protocol.send(head) or b'']
         if request.body:
-            parts.append(self._protocol.send(h11.Data(data=request.body)))
-        parts.append(self._protocol.send(h11.EndOfMessage()))
-        return b''.join(part or b'' for part in parts)
+            parts.extend(
+                self._protocol.send_with_data_passthrough(h11.Data(data=request.body)) or ()
+            )
+        parts.append(self._protocol.send(h11.EndOfMessage()) or b'')
+        if len(request.body) <= MAX_JOINED_BODY_BYTES:
+            return (b''.join(parts),)
+        return tuple(part for part in parts if part)
 
     async def _receive_any_head(self) -> AnswerHead:
         event = await self._next_event()
@@ -323,7 +320,7 @@
     async def _receive_some(self) -> bytes:
         self.is_receiving = True
         try:
-            content = bytes(await self._stream.receive_some(MAX_READ_BYTES))
+            content = bytes(await self._stream.receive_some(self.held.budget.read_bytes))
         finally:
             self.is_receiving = False
         self.received_at = trio.current_time()
@@ -356,42 +353,5 @@
 _SKIP_HEADERS = ((b'host', b'skipped'),)
 
 
-async def connect_endpoint(
-    address: str, peer: str, request_id_header: bytes, timeout_s: float, source: str | None = None
-) -> EndpointConnection:
-    """Open a connection to an endpoint.
-
-    :param address: IP address and port.
-    :param source: IP address to connect from; None lets the system choose.
-    :raises LocalResourcesSpent: if this instance cannot open a further connection.
-    :raises ConnectionUnusable: if that fails or takes longer than ``timeout_s``.
-    """
-    try:
-        target = split_address(address)
-        with trio.fail_after(timeout_s):
-            stream = await trio.open_tcp_stream(
-                target.host, target.port, happy_eyeballs_delay=timeout_s, local_address=source
-            )
-    except (OSError, ValueError, trio.TooSlowError) as error:
-        kind = LocalResourcesSpent if _is_local(error) else ConnectionUnusable
-        raise kind(f'{address}: {error!r}', step='connect', peer=peer) from error
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_PROBE_S)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_PROBE_S)
-    return EndpointConnection(stream, peer, request_id_header)
-
-
-def _is_local(error: Exception) -> bool:
-    """Return whether a connect failed for want of resources of this instance.
-
-    :param error: error of the connect; the one of the operating system may be its cause.
-    """
-    causes = error.__cause__
-    found = causes.exceptions if isinstance(causes, BaseExceptionGroup) else (causes, error)
-    return any(isinstance(each, OSError) and each.errno in LOCAL_ERRORS for each in found)
-
-
 def _new_protocol() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES)
--- a/shallotmux/forwarding/_listener.py
+++ b/shallotmux/forwarding/_listener.py
@@ -13,13 +13,13 @@
 from shallotmux.binding import bind_when_free
 from shallotmux.forwarding._caller_connection import CallerConnection, Handler
 from shallotmux.forwarding._names import HeaderNames
+from shallotmux.membounds import BoundedListener, ConnectionSlots, MemoryBudget
 from shallotmux.routes import CallerLimits
 
 #: Listen backlog.
 BACKLOG = 1024
 
-#: Total bytes of request bodies that a listener keeps in memory, whole or in part. An attempt holds
-#: the body once more while the endpoint does not read it.
+#: Total bytes of request bodies that a listener keeps in memory, whole or in part.
 MAX_BUFFERED_BODY_BYTES = 48 << 20
 
 
@@ -33,6 +33,8 @@
     :param accepts: tells by the host of a connection's other end whether it is taken.
     :param is_draining: whether answers carry ``Connection: close``.
     :param is_closed: whether no further request is taken, on any connection.
+    :param budget: what the process holds; shared by its listeners.
+    :param slots: connections of this listener.
     :param request_id_header: name of the header by which faults are logged.
     """
 
@@ -44,6 +46,8 @@
     is_closed: bool = False
     max_buffered_bytes: int = MAX_BUFFERED_BODY_BYTES
     request_id_header: bytes = HeaderNames().request_id
+    budget: MemoryBudget = field(default_factory=MemoryBudget)
+    slots: ConnectionSlots = field(default_factory=ConnectionSlots)
     #: Requests being read or answered.
     open_requests: int = 0
     #: Bytes of request bodies that are being read or answered.
@@ -58,7 +62,8 @@
             with self._accepting:
                 name = listeners[0].socket.getsockname()
                 task_status.started(f'{name[0]}:{name[1]}')
-                await trio.serve_listeners(self._serve, listeners, handler_nursery=nursery)
+                bounded = [BoundedListener(each, self.slots) for each in listeners]
+                await trio.serve_listeners(self._serve, bounded, handler_nursery=nursery)
 
     def drain(self) -> None:
         """Close connections after their next answer; new ones are still accepted."""
@@ -87,6 +92,7 @@
                 message_type='shallotmux:connection-fault', level='error', error=repr(error)
             )
         finally:
+            self.slots.taken -= 1
             await trio.aclose_forcefully(stream)
 
     def _is_accepted(self, stream: trio.SocketStream) -> bool:
@@ -100,8 +106,10 @@
     async def _run_connection(self, stream: trio.SocketStream) -> None:
         connection = CallerConnection(self, stream)
         self._connections.add(connection)
+        self.slots.occupants.add(connection)
         try:
             await connection.run()
         finally:
             self._connections.discard(connection)
+            self.slots.occupants.discard(connection)
             connection.reset_unless_end_is_marked()
--- a/shallotmux/forwarding/_paths.py
+++ b/shallotmux/forwarding/_paths.py
@@ -129,13 +129,28 @@
         self._directory.record_uncertain_end(target.state, job)
 
 
+#: Connections to peers, relative to those to endpoints that the descriptors allow.
+PEER_CONNECTIONS_FRACTION = 0.25
+
+
 class PeerPath:
     """Attempts through a peer. What they show of endpoints is the peer's to record."""
 
-    def __init__(self, names: HeaderNames, peers: RelayPeers, directory: EndpointDirectory) -> None:
+    def __init__(
+        self,
+        names: HeaderNames,
+        peers: RelayPeers,
+        directory: EndpointDirectory,
+        endpoints: ConnectionPool,
+    ) -> None:
         self._directory = directory
         # Peers take connections only from the addresses that they know.
-        self.pool = ConnectionPool(names.request_id, source=peers.own_host)
+        self.pool = ConnectionPool(
+            names.request_id,
+            source=peers.own_host,
+            budget=endpoints.budget,
+            max_total=PEER_CONNECTIONS_FRACTION * endpoints.max_total,
+        )
         self._names = names
         self._peers = peers
 
--- a/shallotmux/forwarding/_pool.py
+++ b/shallotmux/forwarding/_pool.py
@@ -9,13 +9,14 @@
 import trio
 from eliot import log_message
 
+from shallotmux.forwarding._connecting import connect_endpoint
 from shallotmux.forwarding._endpoint import (
     ConnectionUnusable,
     EndpointConnection,
     LocalResourcesSpent,
-    connect_endpoint,
 )
 from shallotmux.forwarding._messages import AnswerHead
+from shallotmux.membounds import MemoryBudget
 
 #: Idle connections kept per endpoint.
 MAX_IDLE_CONNECTIONS = 16
@@ -30,6 +31,8 @@
     :param request_id_header: header by which answers are matched to requests.
     :param max_connections: returns the connection limit of this instance to an endpoint.
     :param source: IP address to connect from; None lets the system choose.
+    :param budget: what the process holds.
+    :param max_total: limit of the connections to all endpoints, in use and idle.
     """
 
     def __init__(
@@ -37,7 +40,11 @@
         request_id_header: bytes,
         max_connections: Callable[[str], float] | None = None,
         source: str | None = None,
+        budget: MemoryBudget | None = None,
+        max_total: float = inf,
     ) -> None:
+        self.budget = budget or MemoryBudget()
+        self.max_total = max_total
         self._source = source
         self._request_id_header = request_id_header
         self._max_connections = max_connections or (lambda _: float('inf'))
@@ -131,23 +138,34 @@
         self, endpoint: str, address: str, connect_timeout_s: float
     ) -> EndpointConnection:
         """Open a connection; idle ones are closed for it if descriptors have run out."""
-        try:
-            return await self._connect_once(endpoint, address, connect_timeout_s)
-        except LocalResourcesSpent:
-            closed = self._close_idle()
-            log_message(
-                message_type='shallotmux:connections-spent', endpoint=endpoint, closed=closed
-            )
-            if not closed:
-                raise
+        if self._total() < self.max_total:
+            try:
+                return await self._connect_once(endpoint, address, connect_timeout_s)
+            except LocalResourcesSpent:
+                if not self._make_room(endpoint):
+                    raise
+        elif not self._make_room(endpoint):
+            raise LocalResourcesSpent('too many connections', step='connect', peer=endpoint)
         return await self._connect_once(endpoint, address, connect_timeout_s)
 
     async def _connect_once(
         self, endpoint: str, address: str, connect_timeout_s: float
     ) -> EndpointConnection:
-        return await connect_endpoint(
+        connection = await connect_endpoint(
             address, endpoint, self._request_id_header, connect_timeout_s, self._source
         )
+        connection.held.budget = self.budget
+        return connection
+
+    def _total(self) -> int:
+        """Return the number of connections, in use and idle."""
+        return sum(self._in_use.values()) + sum(len(idle) for idle in self._idle.values())
+
+    def _make_room(self, endpoint: str) -> bool:
+        """Close idle connections for one to an endpoint; returns whether there were any."""
+        closed = self._close_idle()
+        log_message(message_type='shallotmux:connections-spent', endpoint=endpoint, closed=closed)
+        return closed > 0
 
     def _close_idle(self) -> int:
         """Close all idle connections, and return their number."""
--- a/shallotmux/forwarding/_relay.py
+++ b/shallotmux/forwarding/_relay.py
@@ -60,7 +60,7 @@
 
 
 async def buffer_start(connection: EndpointConnection) -> BufferedStart:
-    """Read an answer up to its end or :data:`MAX_BUFFERED_BYTES`."""
+    """Read an answer up to its end or :data:`MAX_BUFFERED_BYTES`, less if the budget is short."""
     parts: list[bytes] = []
     is_complete = await _fill(parts, connection)
     return BufferedStart(b''.join(parts), is_complete=is_complete)
@@ -92,6 +92,9 @@
             return True
         parts.append(part)
         size += len(part)
+        connection.held.add(len(part))
+        if connection.held.budget.is_short:
+            break
     return False
 
 
--- a/tests/forwarding/test_event_ids.py
+++ b/tests/forwarding/test_event_ids.py
@@ -6,7 +6,8 @@
 import trio
 
 from shallotmux.errors import EndpointError
-from shallotmux.forwarding._endpoint import ConnectionUnusable, connect_endpoint
+from shallotmux.forwarding._connecting import connect_endpoint
+from shallotmux.forwarding._endpoint import ConnectionUnusable
 from shallotmux.forwarding._events import EventSplitter
 from shallotmux.forwarding._messages import OutgoingRequest
 from tests.forwarding._harness import ReceivedRequest, ScriptedEndpoint, answer, run_forwarder
--- a/tests/forwarding/test_silence.py
+++ b/tests/forwarding/test_silence.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from shallotmux.forwarding._endpoint import USER_TIMEOUT_MS, connect_endpoint
+from shallotmux.forwarding._connecting import USER_TIMEOUT_MS, connect_endpoint
 from shallotmux.forwarding._reach import ABANDON_AFTER_S
 from tests.forwarding._harness import ReceivedRequest, ScriptedEndpoint, answer, build_request
 from tests.forwarding._relay_harness import RelayFleet, run_relay_fleet
--- a/tests/guards/__main__.py
+++ b/tests/guards/__main__.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from tests.guards.attempts import ATTEMPT_GUARDS
+from tests.guards.bounds import BOUND_GUARDS
 from tests.guards.catalogue import GUARDS, Guard
 from tests.guards.crashes import CRASH_GUARDS
 from tests.guards.decoding import DECODING_GUARDS
@@ -32,6 +33,7 @@
     *GUARDS,
     *FORWARDING_GUARDS,
     *ATTEMPT_GUARDS,
+    *BOUND_GUARDS,
     *CRASH_GUARDS,
     *DECODING_GUARDS,
     *DISK_GUARDS,
--- a/tests/guards/sizes.py
+++ b/tests/guards/sizes.py
@@ -97,8 +97,8 @@
     Guard(
         'drain (waiting bytes)',
         'shallotmux/forwarding/_caller_connection.py',
-        'return bool(content)\n        return await self._read_waiting()',
-        'return bool(content)\n        return False',
+        'return await self._begin()\n        return await self._read_waiting()',
+        'return await self._begin()\n        return False',
         (f'{SHUTDOWN}::test_request_that_waits_in_the_kernel_at_the_close_gets_an_answer',),
     ),
     Guard(
--- a/tests/guards/wire.py
+++ b/tests/guards/wire.py
@@ -120,8 +120,8 @@
     Guard(
         'descriptors (idle connections)',
         'shallotmux/forwarding/_pool.py',
-        'if not closed:',
-        'if True:',
+        'if not self._make_room(endpoint):\n                    raise',
+        'if True:\n                    raise',
         (f'{DESCRIPTORS}::test_idle_connections_make_room_for_a_request',),
     ),
     Guard(
@@ -134,8 +134,8 @@
     Guard(
         'idle-connection (waiting request)',
         'shallotmux/forwarding/_caller_connection.py',
-        'return bool(content)\n        return await self._read_waiting()',
-        'return bool(content)\n        return self.listener.is_closed and await self._read_waiting()',
+        'return await self._begin()\n        return await self._read_waiting()',
+        'return await self._begin()\n        return self.listener.is_closed and await self._read_waiting()',
         ('tests/forwarding/test_idle.py',),
     ),
 )
