Bound the connections and messages at the port for instances

Cause: any client can reach the port. A call that claims a message of 4 GB was gathered in memory, connections without a call were kept, and pings were answered without limit for a client that does not read. Eight connections are accepted at once, since asyncio accepts as many as its backlog before the bound applies.

--- a/shallotmux/transport/__init__.py
+++ b/shallotmux/transport/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from shallotmux.transport._bounded_server import PeerBounds
 from shallotmux.transport._grpc import GrpcPeerNetwork, PeerAddresses, SelfNamedAddresses
 from shallotmux.transport._memory import MemoryPeerFabric, MemoryPeerNetwork
 from shallotmux.transport._messages import (
@@ -23,6 +24,7 @@
     'MemoryPeerFabric',
     'MemoryPeerNetwork',
     'PeerAddresses',
+    'PeerBounds',
     'PeerEnvelope',
     'PeerHandler',
     'PeerNetwork',
--- a/shallotmux/transport/_grpc.py
+++ b/shallotmux/transport/_grpc.py
@@ -12,12 +12,12 @@
 from eliot import log_message
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
-from grpclib.server import Server
 
 from shallotmux.addresses import split_address
 from shallotmux.binding import bind_when_free
 from shallotmux.errors import AuthorityUnavailable, OutcomeUnknown
 from shallotmux.transport import _peer_pb2 as wire
+from shallotmux.transport._bounded_server import BoundedServer, PeerBounds
 from shallotmux.transport._calls import CallConnection
 from shallotmux.transport._channel import PeerChannel, make_channel, set_user_timeout
 from shallotmux.transport._link import FLUSH_INTERVAL_S, NAME_HEADER, PeerLink
@@ -64,6 +64,13 @@
 CHANNELS = frozenset(Channel)
 REFUSALS = frozenset(Refusal)
 
+#: Maximum number of peers. Each name in a call may bring a link, and names cannot be checked without TLS.
+MAX_LINKS = 1024
+
+#: Connections that are accepted before the bound on their number is applied, and listen backlog.
+ACCEPTED_AT_ONCE = 8
+BACKLOG = 1024
+
 #: Limit for closing the accepted streams at shutdown.
 CLOSE_TIMEOUT_S = 1.0
 
@@ -72,15 +79,24 @@
     """Connects an instance to its peers over TCP, with TLS unless ``tls`` is None.
 
     :param bind: IP address and port to listen on; port 0 lets the system choose.
+    :param bounds: bounds of what other instances may make this one hold.
     """
 
-    def __init__(self, name: str, bind: str, addresses: PeerAddresses, tls: PeerTls | None) -> None:
+    def __init__(
+        self,
+        name: str,
+        bind: str,
+        addresses: PeerAddresses,
+        tls: PeerTls | None,
+        bounds: PeerBounds | None = None,
+    ) -> None:
         self._name = name
         self._bind = bind
         self._addresses = addresses
         self._tls = tls
         self._client_context = tls.client_context() if tls else None
         self._links: dict[str, PeerLink] = {}
+        self._bounds = bounds or PeerBounds()
         self._nursery: trio.Nursery | None = None
         self._handler: PeerHandler | None = None
         self._loop: Any = None
@@ -95,8 +111,14 @@
         context = self._tls.server_context() if self._tls else None
         async with trio_asyncio.open_loop() as self._loop:
             self._loop.set_exception_handler(_log_loop_error)
-            server = Server([_PeerService(self)])
-            await trio_asyncio.aio_as_trio(server.start)(sock=sock, ssl=context)
+            service = _PeerService(self)
+            server = BoundedServer([service], self._bounds)
+            service.server = server
+            await trio_asyncio.aio_as_trio(server.start)(
+                sock=sock, ssl=context, backlog=ACCEPTED_AT_ONCE
+            )
+            # The loop has lowered the backlog to what it accepts at once.
+            sock.listen(BACKLOG)
             try:
                 async with trio.open_nursery() as nursery:
                     self._nursery = nursery
@@ -176,6 +198,8 @@
             raise GRPCError(Status.PERMISSION_DENIED, f'{name!r} is not an instance of the fleet')
         if self._tls and name not in certified_names(stream.peer.cert()):
             raise GRPCError(Status.PERMISSION_DENIED, f'certificate does not name {name!r}')
+        if name not in self._links and len(self._links) >= MAX_LINKS:
+            raise GRPCError(Status.RESOURCE_EXHAUSTED, 'too many peers')
         return name
 
     async def answer_forward(self, request: Any) -> Any:
@@ -238,7 +262,7 @@
     )
 
 
-async def _close_server(server: Server) -> None:
+async def _close_server(server: BoundedServer) -> None:
     """End the accepted streams, so that peers notice at once and need not wait for a timeout."""
     server.close()
     with trio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
@@ -251,13 +275,15 @@
 
     def __init__(self, network: GrpcPeerNetwork) -> None:
         self._network = network
+        self.server = BoundedServer([], PeerBounds())
 
     async def Exchange(self, stream: Any) -> None:  # noqa: N802
         """Run a peer's stream in both directions until it ends."""
         name = self._network.identify(stream)
         await stream.send_initial_metadata()
         try:
-            await self._network.link(name).run_stream(stream)
+            with self.server.call(stream):
+                await self._network.link(name).run_stream(stream)
         finally:
             # A cancelled handler sends no trailers, so close the connection to end the stream.
             stream.peer._transport.close()  # noqa: SLF001
@@ -265,6 +291,7 @@
     async def Forward(self, stream: Any) -> None:  # noqa: N802
         """Answer a forwarded command."""
         self._network.identify(stream)
-        request = await stream.recv_message()
-        if request is not None:
-            await stream.send_message(await self._network.answer_forward(request))
+        with self.server.call(stream):
+            request = await stream.recv_message()
+            if request is not None:
+                await stream.send_message(await self._network.answer_forward(request))
