Bound the connections of the daemon's listeners

Cause: with 160 descriptors, 240 connections that are only held kept all others out for the keep-alive time. Change: each listener has a part of the descriptors and closes the connections that have waited longest for their caller, idle or with an unread answer. A caller who takes nothing of a part within the keep-alive time is cut off; its connection was kept for ever before.

--- a/shallotmux/daemon/_listeners.py
+++ b/shallotmux/daemon/_listeners.py
@@ -9,6 +9,7 @@
 
 from shallotmux.errors import SettingsError
 from shallotmux.http import AsgiApp, Certificate, Listener, serve_app
+from shallotmux.membounds import MIN_CONNECTIONS, read_descriptor_limit
 from shallotmux.settings import CertificateSettings, Settings
 
 
@@ -33,6 +34,12 @@
     metrics: AsgiApp
 
 
+#: Parts of the descriptors for the connections of each listener; the rest is for engines, files and other
+#: instances. Most connections of callers have a stream in progress, which takes memory.
+CONNECTION_FRACTIONS = {'callers': 0.4, 'operators': 0.1, 'metrics': 0.05}
+MAX_CONNECTIONS = 16_384
+
+
 class Listeners:
     """Serves the applications of one instance.
 
@@ -102,6 +109,7 @@
             header_bytes=self._settings.limits.header_bytes,
             keep_alive_s=self._settings.timeouts.keep_alive_s,
             drain_s=self._settings.timeouts.drain_s,
+            connections=_count_connections(name),
         )
 
     async def _watch(self, name: str, certificate: Certificate) -> None:
@@ -132,3 +140,9 @@
         listener=name,
         problem=str(error) if error else '',
     )
+
+
+def _count_connections(listener: str) -> int:
+    """Return the number of connections that a listener may have."""
+    count = int(CONNECTION_FRACTIONS[listener] * read_descriptor_limit())
+    return min(max(MIN_CONNECTIONS, count), MAX_CONNECTIONS)
--- a/shallotmux/http/_connection.py
+++ b/shallotmux/http/_connection.py
@@ -9,10 +9,11 @@
 
 import trio
 from eliot import log_message
-from hypercorn.events import Event, Updated
+from hypercorn.events import Closed, Event, RawData, Updated
 from hypercorn.trio.tcp_server import TCPServer
 
 from shallotmux.http._asgi import WRITER_KEY, AsgiApp, Message, Receive, Scope, Send
+from shallotmux.membounds import ConnectionSlots, PeerWait, count_unacknowledged
 
 #: Connection that the current task serves.
 _current_connection: ContextVar[ServerConnection | None] = ContextVar('connection', default=None)
@@ -26,8 +27,15 @@
     time per part.
     """
 
-    def __init__(self, *parts: Any) -> None:
+    def __init__(self, slots: ConnectionSlots, *parts: Any) -> None:
         super().__init__(*parts)
+        self._slots = slots
+        self._scope = trio.CancelScope()
+        #: Scope of what is being sent, which a cancellation does not interrupt otherwise.
+        self._send_scope = trio.CancelScope()
+        #: Wait for a request, or for the caller to read.
+        self._wait = PeerWait()
+        self._wait.begin()
         #: Whether the caller has closed its sending side, so that nothing more is read.
         self._read_closed = False
         #: Framed bytes of :meth:`write_now` that the socket has not accepted yet.
@@ -50,9 +58,24 @@
         ``Updated`` controls the wait for a further request. It is ignored once the caller has closed
         its sending side; otherwise such connections would stay open until the keep-alive timeout.
         """
+        if isinstance(event, RawData):
+            await self._send_data(event.data)
+            return
+        if isinstance(event, Updated):
+            (self._wait.begin if event.idle else self._wait.end)()
         if not (self._read_closed and isinstance(event, Updated)):
             await super().protocol_send(event)
 
+    def waited_s(self, now: float) -> float:
+        """Return how long the connection has waited for the caller."""
+        plain = self.stream if self._is_unencrypted else self.stream.transport_stream
+        return self._wait.lasted_s(now, count_unacknowledged(plain.socket))
+
+    def evict(self) -> None:
+        """Close the connection for a new one."""
+        self._send_scope.cancel()
+        self._scope.cancel()
+
     async def write_part(self, part: bytes) -> bool:
         """Write a part of a chunked body.
 
@@ -93,15 +116,38 @@
         self._read_closed = True
         await self.idle_task.stop()
 
+    async def _send_data(self, content: bytes) -> None:
+        """Send what the server's protocol has encoded; a connection that takes nothing is closed."""
+        try:
+            self._send_scope = trio.CancelScope(shield=True)
+            with self._send_scope:
+                await self._send_all(content)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            await self.protocol.handle(Closed())
+            await trio.aclose_forcefully(self.stream)
+
     async def _send_all(self, frame: bytes) -> None:
+        """Send some bytes.
+
+        :raises BrokenResourceError: if the caller does not take them within the keep-alive time.
+        """
         async with self.send_lock:
-            await self.stream.send_all(frame)
+            self._wait.begin()
+            is_sent = False
+            with trio.move_on_after(self.config.keep_alive_timeout):
+                await self.stream.send_all(frame)
+                is_sent = True
+            self._wait.end()
+        if not is_sent:
+            raise trio.BrokenResourceError('the caller reads nothing')
 
     async def _run_logging_errors(self) -> None:
         """Log an error of this connection instead of raising it, as it would end the others."""
         _current_connection.set(self)
+        self._slots.occupants.add(self)
         try:
-            await self.run()
+            with self._scope:
+                await self.run()
         except Exception as error:
             # The message may quote data of the caller, so only the type of the error is logged.
             log_message(
@@ -109,6 +155,9 @@
                 level='error',
                 error=type(error).__name__,
             )
+        finally:
+            self._slots.occupants.discard(self)
+            self._slots.taken -= 1
 
 
 class DirectApp:
--- a/shallotmux/http/_server.py
+++ b/shallotmux/http/_server.py
@@ -15,11 +15,15 @@
 from shallotmux.http._asgi import AsgiApp, Receive, Scope, Send
 from shallotmux.http._connection import DirectApp, ServerConnection
 from shallotmux.http._tls import Certificate, ServerConfig
+from shallotmux.membounds import BoundedListener, ConnectionSlots
 
 #: Default timeout for the completion of open requests at shutdown.
 DRAIN_TIMEOUT_S = 600.0
 KEEP_ALIVE_TIMEOUT_S = 75.0
 
+#: Default limit of the connections of a listener.
+MAX_CONNECTIONS = 4096
+
 #: Default limit of the request line and the headers of a request.
 MAX_HEADER_BYTES = 32_768
 
@@ -37,6 +41,7 @@
     :param header_bytes: maximum size of the request line and headers.
     :param keep_alive_s: idle time in seconds after which a connection is closed.
     :param drain_s: timeout in seconds for the completion of open requests at shutdown.
+    :param connections: maximum number of connections.
     """
 
     bind: str
@@ -44,6 +49,7 @@
     header_bytes: int = MAX_HEADER_BYTES
     keep_alive_s: float = KEEP_ALIVE_TIMEOUT_S
     drain_s: float = DRAIN_TIMEOUT_S
+    connections: int = MAX_CONNECTIONS
 
     def config(self) -> ServerConfig:
         """Return the configuration of the hypercorn server.
@@ -81,8 +87,9 @@
     context = WorkerContext(None)
     in_flight = InFlightRequests(DirectApp(app))
     wrapped = ASGIWrapper(in_flight)  # type: ignore[arg-type]
-    handler: Any = partial(ServerConnection, wrapped, config, context, ConnectionState({}))
-    opened, address = _open_listeners(config)
+    slots = ConnectionSlots(listener.connections, listener.bind)
+    handler: Any = partial(ServerConnection, slots, wrapped, config, context, ConnectionState({}))
+    opened, address = _open_listeners(config, slots)
     async with trio.open_nursery() as connections:
         async with trio.open_nursery() as accepting:
             await accepting.start(
@@ -125,7 +132,9 @@
     scope.cancel()
 
 
-def _open_listeners(config: ServerConfig) -> tuple[list[trio.abc.Listener[Any]], str]:
+def _open_listeners(
+    config: ServerConfig, slots: ConnectionSlots
+) -> tuple[list[trio.abc.Listener[Any]], str]:
     """Open the sockets; return the listeners and the bound address."""
     sockets = config.create_sockets()
     context = config.create_ssl_context()
@@ -134,7 +143,7 @@
     for each in (*sockets.secure_sockets, *sockets.insecure_sockets):
         each.listen(config.backlog)
         address = _format_address(each.getsockname())
-        plain = trio.SocketListener(trio.socket.from_stdlib_socket(each))
+        plain = BoundedListener(trio.SocketListener(trio.socket.from_stdlib_socket(each)), slots)
         secure = (
             None if context is None else trio.SSLListener(plain, context, https_compatible=True)
         )
