Obey the memory and descriptors that the settings name

Change: the entry and the control program derive their bounds from them (200 MB and 4,096 without them) and share one budget among their listeners; metrics show it. Readers of a document share one copy of it. The load of 128 senders of datagrams is remembered, not 1,024, which took 34 MB.

--- a/shallotmux/fleet/_load_sharing.py
+++ b/shallotmux/fleet/_load_sharing.py
@@ -27,9 +27,9 @@
 #: Age after which the load of a peer is ignored.
 LOAD_TTL_S = 1.0
 
-#: Maximum number of senders whose load is remembered, far more than send to one instance. Datagrams may
-#: name any.
-MAX_SENDERS = 1024
+#: Maximum number of senders whose load is remembered, four times as many as send to one instance.
+#: Datagrams may name any, and each remembered one may take 35 KB.
+MAX_SENDERS = 128
 
 #: Largest number of queued tokens in a message, far beyond what an engine can hold.
 MAX_TOKENS = 1 << 40
--- a/shallotmux/platform/_settings.py
+++ b/shallotmux/platform/_settings.py
@@ -13,6 +13,7 @@
 from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import SettingsError
 from shallotmux.forwarding import RetryBudgetLimits
+from shallotmux.membounds import ProcessLimits
 from shallotmux.programs import ListenAddresses, ProgramRole, ProgramSettings, ProgramTimes
 
 #: Environment variable with the path of the settings file.
@@ -69,6 +70,12 @@
     catch_up_s: _Seconds = 6.0
 
 
+class _Limits(msgspec.Struct, rename='kebab'):
+    # 0 stands for a limit that is not set.
+    memory_mb: _Number = 0
+    max_fds: _Number = 0
+
+
 class _Cloud(msgspec.Struct, rename='kebab'):
     address: str = ''
     rate_per_s: _Number = 20.0
@@ -90,6 +97,7 @@
     data_dir: str | None = None
     tolerate: _Tolerate = msgspec.field(default_factory=_Tolerate)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
     def __post_init__(self) -> None:
         """Check the addresses.
@@ -151,6 +159,15 @@
         ),
         'usage_report' in file.cloud.duties,
         'autoscale' in file.cloud.duties,
+        _build_limits(file.limits),
+    )
+
+
+def _build_limits(limits: _Limits) -> ProcessLimits:
+    default = ProcessLimits()
+    return ProcessLimits(
+        int(limits.memory_mb * 1_000_000) or default.memory_bytes,
+        int(limits.max_fds) or default.descriptors,
     )
 
 
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -35,7 +35,9 @@
     TrueClock,
 )
 from shallotmux.forwarding import HttpListener
+from shallotmux.membounds import ConnectionSlots, MemoryBudget, derive_bounds
 from shallotmux.origins import ORIGIN_GROUP
+from shallotmux.programs._bounds_gauges import add_bounds_gauges
 from shallotmux.programs._control_gauges import ControlGauges
 from shallotmux.programs._disk import run_on_disk
 from shallotmux.programs._lifecycle import (
@@ -50,6 +52,7 @@
 from shallotmux.transport import (
     ForwardAnswer,
     GrpcPeerNetwork,
+    PeerBounds,
     PeerEnvelope,
     Refusal,
     SelfNamedAddresses,
@@ -89,7 +92,15 @@
         self.settings = settings
         self._adapter = adapter
         peer_address = settings.listen.peers
-        self._network = GrpcPeerNetwork(peer_address, peer_address, SelfNamedAddresses(), None)
+        self._bounds = derive_bounds(settings.limits)
+        self._budget = MemoryBudget(self._bounds.buffered_bytes)
+        self._network = GrpcPeerNetwork(
+            peer_address,
+            peer_address,
+            SelfNamedAddresses(),
+            None,
+            PeerBounds(self._bounds.control_peers, self._budget),
+        )
         self._clock = TrueClock()
         self.member = ControlMember(
             MemberSettings(
@@ -129,12 +140,22 @@
         page = DocumentPage(documents, self._adapter.put_path, self._adapter.get_path)
         listeners = [
             HttpListener(
-                settings.listen.operators, page.handle, max_buffered_bytes=MAX_DOCUMENT_BYTES
+                settings.listen.operators,
+                page.handle,
+                max_buffered_bytes=MAX_DOCUMENT_BYTES,
+                budget=self._budget,
+                slots=ConnectionSlots(self._bounds.operators, 'operators'),
             )
         ]
         if settings.listen.metrics:
             metrics = MetricsPage(self._registry)
-            listeners.append(HttpListener(settings.listen.metrics, metrics.handle))
+            slots = ConnectionSlots(self._bounds.page, 'metrics')
+            listeners.append(
+                HttpListener(
+                    settings.listen.metrics, metrics.handle, budget=self._budget, slots=slots
+                )
+            )
+        add_bounds_gauges(self._registry, self._budget, [each.slots for each in listeners])
         # Calls to peers must end before the network shuts down.
         async with run_with_network(self._network, self) as nursery:
             for each in listeners:
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -20,6 +20,7 @@
     EndpointDirectory,
     ForwarderParts,
     ForwardingMetrics,
+    Handler,
     HttpListener,
     Job,
     RelayedRequests,
@@ -27,7 +28,9 @@
     SharedRetryBudget,
     build_forwarder,
 )
+from shallotmux.membounds import ConnectionSlots, MemoryBudget, derive_bounds
 from shallotmux.origins import ORIGIN_GROUP, OriginClient, StreamOrigins
+from shallotmux.programs._bounds_gauges import add_bounds_gauges
 from shallotmux.programs._lifecycle import (
     ProgramLifecycle,
     SettingsWatcher,
@@ -42,6 +45,7 @@
 from shallotmux.transport import (
     ForwardAnswer,
     GrpcPeerNetwork,
+    PeerBounds,
     PeerEnvelope,
     Refusal,
     SelfNamedAddresses,
@@ -63,8 +67,9 @@
 #: Header bytes that an instance adds to a request that it relays.
 RELAY_HEADER_BYTES = 4096
 
-#: Total bytes of the bodies of relayed requests that are kept in memory, beside those of callers.
-MAX_RELAYED_BODY_BYTES = 16 << 20
+#: Parts of the budget for bodies of callers, and of relayed requests.
+CALLER_BODY_FRACTION = 0.75
+RELAYED_BODY_FRACTION = 0.25
 
 #: Part of the grace period that is reserved for the exit of the process.
 SHUTDOWN_MARGIN_S = 0.7
@@ -94,7 +99,15 @@
         self._counter = RequestCounter(self._clock, settings.times.usage_window_s)
         peer_address = settings.listen.peers
         self._identity = new_identity(peer_address, SystemRandom())
-        self._network = GrpcPeerNetwork(peer_address, peer_address, SelfNamedAddresses(), None)
+        self._bounds = derive_bounds(settings.limits)
+        self._budget = MemoryBudget(self._bounds.buffered_bytes)
+        self._network = GrpcPeerNetwork(
+            peer_address,
+            peer_address,
+            SelfNamedAddresses(),
+            None,
+            PeerBounds(self._bounds.entry_peers, self._budget),
+        )
         self._endpoint_limits = EndpointLimits(
             peer_address, self._identity, lambda: self._poller.view.entries
         )
@@ -122,7 +135,10 @@
             adapter.dialect.names,
         )
         self._pool = ConnectionPool(
-            adapter.dialect.names.request_id, self._directory.connection_limit
+            adapter.dialect.names.request_id,
+            self._directory.connection_limit,
+            budget=self._budget,
+            max_total=self._bounds.endpoints,
         )
         self.view.on_listing.append(self._directory.update_listing)
         self.view.on_versions.append(self._origins.observe)
@@ -165,14 +181,19 @@
             self._relayed.handle,
             self._relay_limits,
             self._forwarder.peers.accepts,
-            max_buffered_bytes=MAX_RELAYED_BODY_BYTES,
+            max_buffered_bytes=int(RELAYED_BODY_FRACTION * self._budget.limit),
             request_id_header=adapter.dialect.names.request_id,
+            budget=self._budget,
+            slots=ConnectionSlots(self._bounds.relayed, 'relayed'),
         )
         self._listener = HttpListener(
             settings.listen.callers,
             self._forwarder.handle,
             self._limits,
+            max_buffered_bytes=int(CALLER_BODY_FRACTION * self._budget.limit),
             request_id_header=adapter.dialect.names.request_id,
+            budget=self._budget,
+            slots=ConnectionSlots(self._bounds.callers, 'callers'),
         )
 
     def apply_settings(self, settings: ProgramSettings) -> None:
@@ -194,11 +215,13 @@
         lifecycle.on_reload = watcher.check
         listen = self.settings.listen
         readiness = ReadinessPage(self.unready_reasons)
-        listeners = [HttpListener(listen.readiness, readiness.handle)]
+        listeners = [self._open_page('readiness', listen.readiness, readiness.handle)]
         if listen.metrics:
-            listeners.append(
-                HttpListener(listen.metrics, MetricsPage(self.metrics.registry).handle)
-            )
+            metrics = MetricsPage(self.metrics.registry)
+            listeners.append(self._open_page('metrics', listen.metrics, metrics.handle))
+        pages = [each.slots for each in listeners]
+        slots = (self._listener.slots, self._relay_listener.slots, *pages)
+        add_bounds_gauges(self.metrics.registry, self._budget, slots)
         # Calls to peers must end before the network shuts down.
         async with run_with_network(self._network, self) as nursery:
             await nursery.start(self._listener.run)
@@ -221,6 +244,10 @@
         """Refuse a forwarded command."""
         return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail='an entry instance')
 
+    def _open_page(self, name: str, address: str, handle: Handler) -> HttpListener:
+        slots = ConnectionSlots(self._bounds.page, name)
+        return HttpListener(address, handle, budget=self._budget, slots=slots)
+
     def _background_tasks(self) -> dict[str, Callable[[], Awaitable[None]]]:
         """Return the tasks that are restarted when they fail, by name."""
         return {
--- a/shallotmux/programs/_pages.py
+++ b/shallotmux/programs/_pages.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+import trio
 from eliot import log_message
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
 
@@ -18,6 +19,9 @@
 #: Value of ``Retry-After`` in responses to operators while there is no leader.
 RETRY_AFTER_S = 0.3
 
+#: Reads of the document at a time. Each holds a copy of up to 4 MiB.
+MAX_DOCUMENT_READS = 4
+
 
 async def send_page(
     reply: Reply, status: int, content: bytes, content_type: str, extra: Headers = ()
@@ -65,6 +69,11 @@
     documents: DocumentService
     put_path: str
     get_path: str
+    _reads: trio.CapacityLimiter = field(
+        default_factory=lambda: trio.CapacityLimiter(MAX_DOCUMENT_READS)
+    )
+    #: The document that was read last, which responses in progress share.
+    _shared: list[bytes] = field(default_factory=lambda: [b''])
 
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
         """Handle one request of an operator."""
@@ -89,7 +98,7 @@
 
     async def _get(self, reply: Reply) -> None:
         try:
-            content = await self.documents.read()
+            content = await self._read()
         except ShallotmuxError as error:
             await _send_unavailable(reply, error)
             return
@@ -98,6 +107,14 @@
         else:
             await send_page(reply, 503, b'no document yet\n', TEXT_TYPE)
 
+    async def _read(self) -> bytes:
+        """Return the document; each read makes a copy, of which one is kept."""
+        async with self._reads:
+            content = await self.documents.read()
+            if content != self._shared[0]:
+                self._shared[0] = content
+            return self._shared[0]
+
 
 async def _send_unavailable(reply: Reply, error: ShallotmuxError) -> None:
     log_message(message_type='shallotmux:document-unavailable', reason=str(error))
--- a/shallotmux/programs/_settings.py
+++ b/shallotmux/programs/_settings.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from shallotmux.forwarding import RetryBudgetLimits
+from shallotmux.membounds import ProcessLimits
 
 
 class ProgramRole(enum.Enum):
@@ -69,6 +70,7 @@
     :param tolerated_disk_losses: number of disks that may be lost at once.
     :param reports_usage: whether usage is reported to the platform.
     :param orders_endpoints: whether endpoints are ordered from the platform.
+    :param limits: memory and descriptors of the machine.
     """
 
     role: ProgramRole
@@ -83,3 +85,4 @@
     times: ProgramTimes = ProgramTimes()
     reports_usage: bool = True
     orders_endpoints: bool = False
+    limits: ProcessLimits = ProcessLimits()
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -11,6 +11,7 @@
 from shallotmux.errors import DocumentInvalid, SettingsError, ShallotmuxError
 from shallotmux.fleet import EngineRole
 from shallotmux.forwarding import CallerRequest, RetryBudgetLimits
+from shallotmux.membounds import ProcessLimits
 from shallotmux.platform import (
     DIALECT,
     HEADERS,
@@ -135,6 +136,8 @@
         ({'bounds': {'lease-ms': float('nan')}}, 'malformed'),
         ({'cloud': {'rate-per-s': -5}}, 'rate-per-s'),
         ({'tolerate': {'machines': 10**20}}, 'machines'),
+        ({'limits': {'memory-mb': -1}}, 'memory-mb'),
+        ({'limits': {'max-fds': 10**20}}, 'max-fds'),
     ],
 )
 def test_invalid_settings_are_refused_by_name(
@@ -154,6 +157,22 @@
     assert settings.retry_budget.window_s == RetryBudgetLimits().window_s
 
 
+@pytest.mark.parametrize(
+    ('limits', 'expected'),
+    [
+        ({'memory-mb': 160, 'max-fds': 1638}, ProcessLimits(160_000_000, 1638)),
+        ({'memory-mb': 0, 'max-fds': 0}, ProcessLimits()),
+        ({}, ProcessLimits()),
+    ],
+)
+def test_limits_of_the_machine_are_translated(
+    tmp_path: Path, limits: dict[str, int], expected: ProcessLimits
+) -> None:
+    """Guards against a process that does not know the memory and descriptors of its machine."""
+    settings = build_settings(read_settings_file(write_settings(tmp_path, limits=limits)))
+    assert settings.limits == expected
+
+
 @pytest.mark.parametrize(
     'content', [b'', b'{"node-name": "co', b'\xff', b'{"more":%b' % (b'[' * DEEP), b'[' * DEEP]
 )
