--- a/tests/membounds/test_slots.py
+++ b/tests/membounds/test_slots.py
@@ -8,7 +8,13 @@
 import trio
 
 from shallotmux.forwarding import CallerRequest, HttpListener, Reply, send_response
-from shallotmux.membounds import ConnectionSlots, PeerWait, choose_evicted
+from shallotmux.membounds import (
+    ConnectionSlots,
+    PeerWait,
+    choose_evicted,
+    count_unacknowledged,
+    has_ended,
+)
 from shallotmux.routes import CallerLimits
 
 REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
@@ -162,3 +168,12 @@
             break
         part = await stream.receive_some(1 << 20)
     assert received > 16 << 20
+
+
+async def test_closed_socket_has_ended_and_waits_for_nothing() -> None:
+    """Guards against a process that ends while it looks at a connection that was just closed."""
+    sock = trio.socket.socket()
+    sock.close()
+    assert has_ended(sock)
+    assert count_unacknowledged(sock) == 0
+    await trio.lowlevel.checkpoint()
