Do not take a reset during an upload for the end of an answer

Cause: an error of a connection is reported once. If the task that sends the request gets it, the one that reads the answer finds an end of the connection that looks orderly, so that a part of an answer without a length was relayed as the whole. Change: where only the connection marks the end, it counts only if sending has not failed and the state of the connection shows that the endpoint closed it in order (TCP_INFO, CLOSE_WAIT). The state is needed, since the task that sends yields between the failed call and its exception. Attempts, relayed requests, calls and prefills share the check. Early answers that are closed in order are complete as before, with a length and without.

--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -291,6 +291,10 @@
 
 
 async def _send_ignoring_errors(connection: EndpointConnection) -> None:
-    """Send a request; a broken connection is reported when the answer is read."""
+    """Send a request; a broken connection is reported when the answer is read.
+
+    If only the end of the connection marks that of the answer, :meth:`EndpointConnection.receive_part`
+    tells whether the connection broke here.
+    """
     with suppress(EndpointError):
         await connection.send_request()
--- a/shallotmux/forwarding/_endpoint.py
+++ b/shallotmux/forwarding/_endpoint.py
@@ -12,7 +12,7 @@
 from shallotmux.errors import EndpointError
 from shallotmux.forwarding._headers import drop_ignored_length, find_header, parse_count
 from shallotmux.forwarding._messages import AnswerHead, OutgoingRequest
-from shallotmux.membounds import Holding
+from shallotmux.membounds import Holding, is_closed_in_order
 
 #: Largest answer head that is accepted from an endpoint.
 MAX_ANSWER_HEAD_BYTES = 65_536
@@ -44,6 +44,9 @@
 #: Time in which a body is discarded to keep a connection.
 DISCARD_TIMEOUT_S = 0.25
 
+#: Statuses of answers without a body.
+EMPTY_STATUSES = frozenset((204, 304))
+
 #: Answers with another request's id that are skipped before a connection counts as broken.
 MAX_MISMATCHED_ANSWERS = 2
 
@@ -64,11 +67,15 @@
     """Progress of an exchange.
 
     :param was_sent: whether any byte of the request may have left this instance.
+    :param has_send_failed: whether the connection broke while the request was sent.
+    :param ends_with_connection: whether only the end of the connection marks that of the answer.
     """
 
     was_sent: bool = False
     is_request_complete: bool = False
     is_answer_complete: bool = False
+    has_send_failed: bool = False
+    ends_with_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,6 +177,7 @@
             for part in parts:
                 await self._stream.send_all(part)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            self._progress.has_send_failed = True
             raise self._error('send', error) from error
         self._progress.is_request_complete = True
 
@@ -216,6 +224,7 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            self._check_end()
             self._progress.is_answer_complete = True
             # What the caller has not read yet is counted on its own connection.
             self.held.release()
@@ -259,6 +268,23 @@
         if isinstance(self._stream, trio.SocketStream):
             self._stream.socket.close()
 
+    def _check_end(self) -> None:
+        """Check that an end which only the connection marks is not the trace of a reset.
+
+        :raises EndpointError: if the request could not be sent whole, or the connection was reset.
+        """
+        if not self._progress.ends_with_connection:
+            return
+        is_broken = self._progress.has_send_failed
+        if isinstance(self._stream, trio.SocketStream):
+            is_broken = is_broken or not is_closed_in_order(self._stream.socket)
+        if is_broken:
+            raise EndpointError(
+                'the connection broke while the request was sent',
+                step='receive body',
+                peer=self._peer,
+            )
+
     def _encode(self, request: OutgoingRequest) -> tuple[bytes, ...]:
         head = h11.Request(
             method=request.method, target=request.target, headers=list(request.headers)
@@ -284,7 +310,12 @@
                 f'unexpected {event!r} instead of a head', step='receive head', peer=self._peer
             )
         headers = tuple((bytes(name), bytes(text)) for name, text in event.headers)
-        return AnswerHead(event.status_code, drop_ignored_length(headers))
+        head = AnswerHead(event.status_code, drop_ignored_length(headers))
+        is_empty = head.status in EMPTY_STATUSES or (
+            self._request is not None and self._request.method == b'HEAD'
+        )
+        self._progress.ends_with_connection = not (is_empty or head.has_length)
+        return head
 
     async def _skip_answer(self) -> None:
         """Read an answer to another request to its end, and prepare for the next head.
--- a/shallotmux/forwarding/_relay.py
+++ b/shallotmux/forwarding/_relay.py
@@ -8,7 +8,7 @@
 import trio
 
 from shallotmux.errors import EndpointError
-from shallotmux.forwarding._endpoint import DISCARD_TIMEOUT_S, EndpointConnection
+from shallotmux.forwarding._endpoint import DISCARD_TIMEOUT_S, EMPTY_STATUSES, EndpointConnection
 from shallotmux.forwarding._events import EventSplitter
 from shallotmux.forwarding._headers import drop_connection_headers, drop_named
 from shallotmux.forwarding._job import Job, WithheldAnswer
@@ -18,9 +18,6 @@
 #: Lowest status of an answer that does not show that the request was served.
 MIN_ERROR_STATUS = 400
 
-#: Statuses of answers without a body.
-EMPTY_STATUSES = frozenset((204, 304))
-
 EVENT_STREAM_TYPE = b'text/event-stream'
 
 #: Bytes of an answer that are buffered before it is relayed. While all of it is in the buffer, a
--- a/shallotmux/membounds/__init__.py
+++ b/shallotmux/membounds/__init__.py
@@ -14,6 +14,7 @@
 from shallotmux.membounds._sockets import (
     count_unacknowledged,
     has_ended,
+    is_closed_in_order,
     reset_on_close,
     wait_for_end,
 )
@@ -33,6 +34,7 @@
     'count_unacknowledged',
     'derive_bounds',
     'has_ended',
+    'is_closed_in_order',
     'read_descriptor_limit',
     'reset_on_close',
     'wait_for_end',
--- a/shallotmux/membounds/_sockets.py
+++ b/shallotmux/membounds/_sockets.py
@@ -17,6 +17,9 @@
 #: Value of ``SO_LINGER`` with which closing a connection resets it.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
+#: First byte of ``TCP_INFO`` of a connection whose other end has closed it in order (Linux, tcp_states.h).
+_TCP_CLOSE_WAIT = 8
+
 _ENDS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
@@ -59,6 +62,18 @@
     return int(struct.unpack('i', content)[0])
 
 
+def is_closed_in_order(sock: trio.socket.SocketType) -> bool:
+    """Return whether the other end has closed its sending side, and the connection was not reset.
+
+    An error of a connection is reported once. If the task that sends has got it, the one that receives
+    finds an end that looks orderly; the state of the connection still tells them apart.
+    """
+    if sock.fileno() < 0:
+        return False
+    state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    return bytes(state)[0] == _TCP_CLOSE_WAIT
+
+
 def reset_on_close(sock: trio.socket.SocketType) -> None:
     """Let closing a connection reset it and discard what was not sent."""
     try:
--- a/tests/guards/bounds.py
+++ b/tests/guards/bounds.py
@@ -5,6 +5,7 @@
 from tests.guards.catalogue import Guard
 
 SLOTS = 'tests/membounds/test_slots.py'
+UPLOADS = 'tests/forwarding/test_reset_uploads.py'
 PEERS = 'tests/transport/test_peer_bounds.py'
 CROWDS = 'tests/platform/test_memory_bounds.py'
 CONNECTION = 'shallotmux/forwarding/_caller_connection.py'
@@ -111,4 +112,25 @@
         'if False:',
         (f'{PEERS}::test_answers_that_are_not_read_are_bounded',),
     ),
+    Guard(
+        'reset-during-upload',
+        'shallotmux/forwarding/_endpoint.py',
+        'if is_broken:',
+        'if False:',
+        (f'{UPLOADS}::test_answer_that_is_reset_during_the_upload_is_not_complete',),
+    ),
+    Guard(
+        'reset-during-upload (at a peer)',
+        'shallotmux/forwarding/_endpoint.py',
+        'if is_broken:',
+        'if False:',
+        (f'{UPLOADS}::test_answer_that_is_reset_at_a_peer_is_not_complete',),
+    ),
+    Guard(
+        'reset-during-upload (early answers)',
+        'shallotmux/forwarding/_endpoint.py',
+        'if is_broken:',
+        'if not self._progress.is_request_complete:',
+        (f'{UPLOADS}::test_early_answer_that_is_closed_in_order_is_complete',),
+    ),
 )
