--- a/shallotmux/forwarding/_endpoint.py
+++ b/shallotmux/forwarding/_endpoint.py
@@ -2,32 +2,24 @@
 
 from __future__ import annotations
 
-import errno
 import select
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import h11
 import trio
 
-from shallotmux.addresses import split_address
 from shallotmux.errors import EndpointError
 from shallotmux.forwarding._headers import drop_ignored_length, find_header, parse_count
 from shallotmux.forwarding._messages import AnswerHead, OutgoingRequest
+from shallotmux.membounds import Holding, is_closed_in_order
 
 #: Largest answer head that is accepted from an endpoint.
 MAX_ANSWER_HEAD_BYTES = 65_536
-MAX_READ_BYTES = 65_536
 
-#: ``TCP_USER_TIMEOUT``: the kernel closes a connection whose sent data, or keep-alive probes, stay
-#: unacknowledged so long. Sound endpoints may be silent for up to two seconds.
-USER_TIMEOUT_MS = 3000
-
-#: Idle time of a connection before the first keep-alive probe, and interval between two. Without
-#: probes, a stream that only receives would not notice that its connection is dead. How many probes
-#: may be lost follows from :data:`USER_TIMEOUT_MS`.
-KEEP_ALIVE_PROBE_S = 1
+#: Longest body that is sent together with its head, in one packet where possible. Longer ones are not
+#: copied.
+MAX_JOINED_BODY_BYTES = 16_384
 
 #: Timeout for opening a connection. It is shorter than the 1 s after which TCP retransmits a lost SYN;
 #: trying another endpoint is faster.
@@ -52,6 +44,9 @@
 #: Time in which a body is discarded to keep a connection.
 DISCARD_TIMEOUT_S = 0.25
 
+#: Statuses of answers without a body.
+EMPTY_STATUSES = frozenset((204, 304))
+
 #: Answers with another request's id that are skipped before a connection counts as broken.
 MAX_MISMATCHED_ANSWERS = 2
 
@@ -67,22 +62,20 @@
     """
 
 
-#: Errors of the operating system for :exc:`LocalResourcesSpent`.
-LOCAL_ERRORS = frozenset(
-    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
-)
-
-
 @dataclass(slots=True)
 class _Progress:
     """Progress of an exchange.
 
     :param was_sent: whether any byte of the request may have left this instance.
+    :param has_send_failed: whether the connection broke while the request was sent.
+    :param ends_with_connection: whether only the end of the connection marks that of the answer.
     """
 
     was_sent: bool = False
     is_request_complete: bool = False
     is_answer_complete: bool = False
+    has_send_failed: bool = False
+    ends_with_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +98,9 @@
         self._request_id_header = request_id_header
         self._request: OutgoingRequest | None = None
         #: Encoding of the present request until it is sent.
-        self._unsent = b''
+        self._unsent: tuple[bytes, ...] = ()
+        #: Bytes of the present answer that are kept until they are relayed.
+        self.held = Holding()
         self._protocol = _new_protocol()
         self._progress = _Progress()
         self.opened_at = trio.current_time()
@@ -156,6 +151,7 @@
         :raises EndpointError: if the request cannot be encoded, which shows nothing of the endpoint.
         """
         self._progress = _Progress()
+        self.held.release()
         try:
             if self._request is not None:
                 self._protocol.start_next_cycle()
@@ -174,12 +170,14 @@
         """
         # Nothing leaves this instance if the exchange was given up before this task ran.
         await trio.lowlevel.checkpoint_if_cancelled()
-        content = self._unsent
-        self._unsent = b''
+        parts = self._unsent
+        self._unsent = ()
         self._progress.was_sent = True
         try:
-            await self._stream.send_all(content)
+            for part in parts:
+                await self._stream.send_all(part)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            self._progress.has_send_failed = True
             raise self._error('send', error) from error
         self._progress.is_request_complete = True
 
@@ -226,7 +224,10 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            self._check_end()
             self._progress.is_answer_complete = True
+            # What the caller has not read yet is counted on its own connection.
+            self.held.release()
             return None
         raise EndpointError(f'unexpected {event!r} in a body', step='receive body', peer=self._peer)
 
@@ -263,18 +264,40 @@
 
     def close(self) -> None:
         """Close the connection at once, discarding unsent data."""
+        self.held.release()
         if isinstance(self._stream, trio.SocketStream):
             self._stream.socket.close()
 
-    def _encode(self, request: OutgoingRequest) -> bytes:
+    def _check_end(self) -> None:
+        """Check that an end which only the connection marks is not the trace of a reset.
+
+        :raises EndpointError: if the request could not be sent whole, or the connection was reset.
+        """
+        if not self._progress.ends_with_connection:
+            return
+        is_broken = self._progress.has_send_failed
+        if isinstance(self._stream, trio.SocketStream):
+            is_broken = is_broken or not is_closed_in_order(self._stream.socket)
+        if is_broken:
+            raise EndpointError(
+                'the connection broke while the request was sent',
+                step='receive body',
+                peer=self._peer,
+            )
+
+    def _encode(self, request: OutgoingRequest) -> tuple[bytes, ...]:
         head = h11.Request(
             method=request.method, target=request.target, headers=list(request.headers)
         )
-        parts = [self._protocol.send(head)]
+        parts = [self._protocol.send(head) or b'']
         if request.body:
-            parts.append(self._protocol.send(h11.Data(data=request.body)))
-        parts.append(self._protocol.send(h11.EndOfMessage()))
-        return b''.join(part or b'' for part in parts)
+            parts.extend(
+                self._protocol.send_with_data_passthrough(h11.Data(data=request.body)) or ()
+            )
+        parts.append(self._protocol.send(h11.EndOfMessage()) or b'')
+        if len(request.body) <= MAX_JOINED_BODY_BYTES:
+            return (b''.join(parts),)
+        return tuple(part for part in parts if part)
 
     async def _receive_any_head(self) -> AnswerHead:
         event = await self._next_event()
@@ -287,7 +310,12 @@
                 f'unexpected {event!r} instead of a head', step='receive head', peer=self._peer
             )
         headers = tuple((bytes(name), bytes(text)) for name, text in event.headers)
-        return AnswerHead(event.status_code, drop_ignored_length(headers))
+        head = AnswerHead(event.status_code, drop_ignored_length(headers))
+        is_empty = head.status in EMPTY_STATUSES or (
+            self._request is not None and self._request.method == b'HEAD'
+        )
+        self._progress.ends_with_connection = not (is_empty or head.has_length)
+        return head
 
     async def _skip_answer(self) -> None:
         """Read an answer to another request to its end, and prepare for the next head.
@@ -323,7 +351,7 @@
     async def _receive_some(self) -> bytes:
         self.is_receiving = True
         try:
-            content = bytes(await self._stream.receive_some(MAX_READ_BYTES))
+            content = bytes(await self._stream.receive_some(self.held.budget.read_bytes))
         finally:
             self.is_receiving = False
         self.received_at = trio.current_time()
@@ -356,42 +384,5 @@
 _SKIP_HEADERS = ((b'host', b'skipped'),)
 
 
-async def connect_endpoint(
-    address: str, peer: str, request_id_header: bytes, timeout_s: float, source: str | None = None
-) -> EndpointConnection:
-    """Open a connection to an endpoint.
-
-    :param address: IP address and port.
-    :param source: IP address to connect from; None lets the system choose.
-    :raises LocalResourcesSpent: if this instance cannot open a further connection.
-    :raises ConnectionUnusable: if that fails or takes longer than ``timeout_s``.
-    """
-    try:
-        target = split_address(address)
-        with trio.fail_after(timeout_s):
-            stream = await trio.open_tcp_stream(
-                target.host, target.port, happy_eyeballs_delay=timeout_s, local_address=source
-            )
-    except (OSError, ValueError, trio.TooSlowError) as error:
-        kind = LocalResourcesSpent if _is_local(error) else ConnectionUnusable
-        raise kind(f'{address}: {error!r}', step='connect', peer=peer) from error
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_PROBE_S)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_PROBE_S)
-    return EndpointConnection(stream, peer, request_id_header)
-
-
-def _is_local(error: Exception) -> bool:
-    """Return whether a connect failed for want of resources of this instance.
-
-    :param error: error of the connect; the one of the operating system may be its cause.
-    """
-    causes = error.__cause__
-    found = causes.exceptions if isinstance(causes, BaseExceptionGroup) else (causes, error)
-    return any(isinstance(each, OSError) and each.errno in LOCAL_ERRORS for each in found)
-
-
 def _new_protocol() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES)
