Record an answer although its caller closes the connection at once

A caller that has the whole answer may close the connection before the handler has read the end of the answer from the endpoint. The handler was cancelled then, and the attempt was neither logged nor counted: seen in tests/forwarding/test_load_reports.py, where one of six lines was missing.

--- a/shallotmux/forwarding/_caller_connection.py
+++ b/shallotmux/forwarding/_caller_connection.py
@@ -42,6 +42,10 @@
 #: Timeout for the next bytes of a request body.
 BODY_READ_TIMEOUT_S = 5.0
 
+#: Time after the end of a connection in which the handler may record an answer that was sent. Work for a
+#: caller that has disconnected ends within 0.5 s.
+RECORD_GRACE_S = 0.1
+
 #: Time for which input is discarded after an early answer.
 LINGER_S = 0.5
 
@@ -287,7 +291,7 @@
     async def _answer(self, request: CallerRequest, reply: CallerReply) -> None:
         """Run the handler, and cancel it when the caller disconnects."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_caller, nursery.cancel_scope)
+            nursery.start_soon(self._watch_caller, nursery.cancel_scope, reply)
             await self._handle(request, reply)
             nursery.cancel_scope.cancel()
         if not reply.is_finished:
@@ -310,10 +314,16 @@
             with contextlib.suppress(CallerDisconnected, h11.ProtocolError):
                 await reply.send_fault()
 
-    async def _watch_caller(self, scope: trio.CancelScope) -> None:
-        """Cancel the handler when the connection ends; pipelined requests stay unread."""
+    async def _watch_caller(self, scope: trio.CancelScope, reply: CallerReply) -> None:
+        """Cancel the handler when the connection ends; pipelined requests stay unread.
+
+        A caller may close the connection as soon as it has the whole answer, while the handler still
+        reads its end from the endpoint and records it.
+        """
         with contextlib.suppress(OSError, trio.ClosedResourceError):
             await wait_for_end(self.stream.socket)
+        if reply.is_started:
+            await trio.sleep(RECORD_GRACE_S)
         scope.cancel()
 
     async def _linger(self) -> None:
