Drop quota messages of senders that are in no list

A granter answered an ask from any datagram, at the address that it named. Strangers could use up a quota, and a host name as sender made the only sending task wait for its resolution. Asks and returns now need a listed sender, as beats and support did. Times in a refusal are limited: an infinite one reached callers as Retry-After.

--- a/shallotmux/quotas/_election.py
+++ b/shallotmux/quotas/_election.py
@@ -80,6 +80,10 @@
         self._active_since = {slot: self._active_since.get(slot, now) for slot in slots}
         self.seen.update(listed, now)
 
+    def knows(self, identity: str) -> bool:
+        """Return whether an instance was listed of late. Datagrams may come from anywhere."""
+        return instance_name(identity) in self.seen.voter_names
+
     def may_grant(self, slot: int, now: float) -> bool:
         """Return whether a majority supports this instance."""
         return now < self._grants_until.get(slot, float('-inf'))
@@ -128,7 +132,7 @@
 
     def receive_beat(self, beat: QuotaBeat, now: float) -> QuotaSupport | None:
         """Return the answer to a candidate, or None."""
-        if instance_name(beat.sender) not in self.seen.voter_names:
+        if not self.knows(beat.sender):
             return None
         supported: list[int] = []
         for slot, is_granter in beat.slots.items():
@@ -145,7 +149,7 @@
 
     def receive_support(self, support: QuotaSupport, now: float) -> None:
         """Process the answer to a beat."""
-        if support.granter != self._identity or support.sender not in self.seen.voter_names:
+        if support.granter != self._identity or not self.knows(support.sender):
             return
         self.seen.record_told(support.seen, now)
         for slot in support.slots:
--- a/shallotmux/quotas/_node.py
+++ b/shallotmux/quotas/_node.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from shallotmux.quotas._bucket import MAX_LINE_S
 from shallotmux.quotas._election import Election, choose_slot, hash_customer
 from shallotmux.quotas._granter import Granter
 from shallotmux.quotas._isolated import IsolatedShares, IsolatedUse, divide_isolated
@@ -261,12 +262,12 @@
             case QuotaSupport():
                 self.election.receive_support(message, now)
                 self._send_beats(now)
-            case QuotaAsk():
+            case QuotaAsk() if self.election.knows(message.sender):
                 answer = self.granter.answer(message, now)
                 self._send(instance_name(message.sender), answer, now)
             case QuotaGrant():
                 self._receive_grant(message, now)
-            case QuotaReturn():
+            case QuotaReturn() if self.election.knows(message.sender):
                 self.granter.take_back(message, now)
 
     def _receive_grant(self, grant: QuotaGrant, now: float) -> None:
@@ -280,8 +281,9 @@
         if state is None or not grant.is_granter:
             pending.has_no_granter = True
         elif pending.ask.amount and not grant.amount:
-            state.refused_until = now + min(grant.wait_s, MAX_REFUSING_S)
-            state.line_end = now + max(grant.wait_s, grant.line_s)
+            wait_s = _limit_time(grant.wait_s)
+            state.refused_until = now + min(wait_s, MAX_REFUSING_S)
+            state.line_end = now + max(wait_s, _limit_time(grant.line_s))
             pending.verdict = self._refuse(state, now)
         else:
             part = GrantedPart(grant.granter, grant.number, pending.asked_at, grant.amount)
@@ -375,3 +377,8 @@
             self.receive(message, now)
         else:
             self.outbox.append((instance, message))
+
+
+def _limit_time(time_s: float) -> float:
+    """Return a received time within what a granter names; 0 if it is no number."""
+    return min(time_s, MAX_LINE_S) if time_s > 0 else 0.0
--- a/tests/quotas/test_parts.py
+++ b/tests/quotas/test_parts.py
@@ -22,6 +22,7 @@
     divide_isolated,
     plan_quota,
 )
+from shallotmux.quotas._bucket import MAX_LINE_S
 from shallotmux.quotas._election import Election
 from shallotmux.quotas._granter import Granter
 from shallotmux.quotas._messages import (
@@ -300,6 +301,39 @@
     assert granter.answer(QuotaAsk('a~1', 3, 'tailors', 1), 10.9).amount == 1
 
 
+def test_asks_and_returns_of_strangers_are_dropped() -> None:
+    """Guards against datagrams that use up a quota, fill memory, or have answers sent to any host."""
+    node = QuotaNode(NAMES[0], f'{NAMES[0]}~1', 0.0)
+    node.apply_plans({'tailors': PLAN})
+    node.run_round(NAMES[:1], 10.0)
+    node.run_round(NAMES[:1], 10.5)
+    assert node.granter.answer(QuotaAsk(f'{NAMES[0]}~1', 1, 'tailors', 100), 10.9).amount == 100
+    bucket = node.granter.buckets['tailors']
+    granted = bucket.total_granted
+    stranger = 'slow.example:53~1'
+    node.receive(QuotaAsk(stranger, 1, 'tailors', 10), 10.9)
+    node.receive(QuotaReturn(stranger, f'{NAMES[0]}~1', 2, ()), 10.9)
+    assert not node.outbox
+    assert bucket.total_granted == granted
+    node.run_round(NAMES, 11.0)
+    node.outbox.clear()
+    node.receive(QuotaAsk(f'{NAMES[1]}~1', 1, 'tailors', 10), 11.0)
+    assert [each for each, _ in node.outbox] == [NAMES[1]]
+
+
+@pytest.mark.parametrize('wait_s', [float('nan'), float('inf'), -1.0, 1e300])
+def test_odd_time_in_a_refusal_is_not_passed_on(wait_s: float) -> None:
+    """Guards against a Retry-After that is no number, and against one that is far too long."""
+    node = make_node()
+    number = ask(node, 50, 10.0)
+    node.receive(grant(number, 0.0, wait_s=wait_s, line_s=wait_s), 10.01)
+    refused = [node.settle(number, 10.01)]
+    refused += [node.charge('tailors', 50, 10.02) for _ in range(9)]
+    times = [each.retry_after_s for each in refused if isinstance(each, OverQuota)]
+    assert times
+    assert all(0 <= each <= MAX_LINE_S for each in times)
+
+
 def test_granter_without_support_stops() -> None:
     """Guards against a granter that goes on without a majority."""
     granter = make_granter()
