Charge each endpoint that may run a request, at the moment of sending

The age of a charge was checked before the connection was opened, which takes up to 0.4 s, and not at all for prefills, for the second of two prefills, or at a peer that relays. A request that ran at a second endpoint was charged once, although its use counts where it runs. Conversely a prefill that an engine refused cost the customer its charge. An attempt now takes the charge just before its first byte, and puts it back if the request did not run; further runs take another one. RelayedRequest tells how long the charge is valid, RelayedAnswer whether it was used.

--- a/shallotmux/forwarding/_assembly.py
+++ b/shallotmux/forwarding/_assembly.py
@@ -63,6 +63,7 @@
     directory.reports.count_result = lambda result: load_reports.labels(result).inc()
     directory.reach.can_relay = lambda service: parts.peers.choose(service, ()) is not None
     pool.observe_heads = directory.notices.observe_heads
+    quota_gate = QuotaGate(parts.quotas)
     starts = StartVerifier(dialect, parts.origins, lambda: parts.view.listed_at)
     return Forwarder(
         parts.zone,
@@ -74,6 +75,7 @@
             parts.origins,
             DirectPath(dialect.names, pool, directory, starts),
             PeerPath(dialect.names, parts.peers, directory),
+            quota_gate,
         ),
         EnginePlacer(
             parts.zone,
@@ -83,11 +85,12 @@
             lambda: parts.view.table,
             budget,
             parts.other_instances_tokens,
+            quota_gate,
         ),
         budget,
         parts.metrics,
         parts.origins,
         parts.peers,
         parts.random,
-        QuotaGate(parts.quotas),
+        quota_gate,
     )
--- a/shallotmux/forwarding/_attempt.py
+++ b/shallotmux/forwarding/_attempt.py
@@ -20,6 +20,7 @@
 from shallotmux.forwarding._outcome import Outcome, classify_missing_answer
 from shallotmux.forwarding._paths import AttemptPath, DirectPath, PeerPath
 from shallotmux.forwarding._pool import ConnectionPool
+from shallotmux.forwarding._quota_gate import OVER_QUOTA, QuotaGate
 from shallotmux.forwarding._relay import (
     MIN_ERROR_STATUS,
     AnswerRelay,
@@ -32,6 +33,7 @@
 )
 from shallotmux.forwarding._state import InFlightWork, Target
 from shallotmux.origins import StreamOrigins
+from shallotmux.quotas import Charge, OverQuota
 from shallotmux.routes import RouteKind
 
 #: Lowest status that counts as a failure of the endpoint.
@@ -111,6 +113,8 @@
     control: AttemptControl
     work: InFlightWork
     path: AttemptPath
+    #: What it has taken of the quota; None without a quota.
+    charge: Charge | None = None
 
 
 class AttemptRunner:
@@ -120,6 +124,7 @@
     :param origins: is told at which software version streams began.
     :param direct: is used for endpoints.
     :param through_peer: is used for peers.
+    :param quota_gate: charges what is sent.
     """
 
     def __init__(
@@ -128,7 +133,9 @@
         origins: StreamOrigins,
         direct: DirectPath,
         through_peer: PeerPath,
+        quota_gate: QuotaGate,
     ) -> None:
+        self._quota_gate = quota_gate
         self._on_run_started = on_run_started
         self._origins = origins
         self._direct = direct
@@ -180,7 +187,7 @@
             if target.state.is_resting(trio.current_time()):
                 # It asked for rest while the connection was opened.
                 return AttemptResult(Outcome.NOT_RUN, 'the endpoint rests')
-            return await self._send_and_receive(attempt, connection)
+            return await self._send_charged(attempt, connection)
         except ConnectionUnusable as error:
             path.record_unreachable(target, str(error))
             return AttemptResult(Outcome.NOT_RUN, str(error))
@@ -202,11 +209,28 @@
             listed.identity, listed.address, job.max_idle_s, timeout_s
         )
 
+    async def _send_charged(
+        self, attempt: _Attempt, connection: EndpointConnection
+    ) -> AttemptResult:
+        """Send a job if its customer's quota allows it now, and receive the answer."""
+        charge = await self._quota_gate.take(attempt.job)
+        if isinstance(charge, OverQuota):
+            return AttemptResult(Outcome.NOT_RUN, OVER_QUOTA, retry_after_s=charge.retry_after_s)
+        attempt.charge = charge
+        result: AttemptResult | None = None
+        try:
+            result = await self._send_and_receive(attempt, connection)
+        finally:
+            is_refused = result is not None and result.outcome is Outcome.NOT_RUN
+            if is_refused or not connection.was_sent:
+                self._quota_gate.put_back(attempt.job, attempt.charge)
+        return result
+
     async def _send_and_receive(
         self, attempt: _Attempt, connection: EndpointConnection
     ) -> AttemptResult:
         target = attempt.target
-        connection.begin(attempt.path.begin(attempt.job, target))
+        connection.begin(attempt.path.begin(attempt.job, target, attempt.charge))
         result: AttemptResult | None = None
         failure: ShallotmuxError | None = None
         async with trio.open_nursery() as nursery:
@@ -229,6 +253,8 @@
         attempt.work.record_answer()
         verdict = attempt.path.judge(job, attempt.target, attempt.work, head)
         outcome, head = verdict.outcome, verdict.head
+        if verdict.has_used_charge:
+            attempt.charge = None
         if outcome is not Outcome.DONE:
             await connection.discard_body()
             return AttemptResult(
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -20,6 +20,7 @@
 from shallotmux.forwarding._load_shedding import LoadShed, choose_retry_after_s, find_wait_limit
 from shallotmux.forwarding._pool import ConnectionPool
 from shallotmux.forwarding._prefill import PrefillCall, PrefillClient
+from shallotmux.forwarding._quota_gate import QuotaGate
 from shallotmux.forwarding._state import EndpointState, Outlook, Target
 from shallotmux.placement import (
     EngineView,
@@ -47,6 +48,7 @@
     :param table: returns the routing table of the configuration in force.
     :param other_instances_tokens: returns the prompt tokens that other instances have queued at an
         engine.
+    :param quota_gate: charges prefills.
 
     Its estimator also serves requests without a prompt.
     """
@@ -60,6 +62,7 @@
         table: Callable[[], RouteTable | None],
         budget: SharedRetryBudget,
         other_instances_tokens: Callable[[str], float],
+        quota_gate: QuotaGate,
     ) -> None:
         self._budget = budget
         self._random = Random()  # noqa: S311
@@ -71,7 +74,9 @@
         directory.on_removed.append(self._speeds.forget)
         self.estimator = Estimator(self._speeds, other_instances_tokens)
         directory.reports.watch(self.estimator)
-        self._prefill_client = PrefillClient(dialect, pool, directory, budget, self.estimator)
+        self._prefill_client = PrefillClient(
+            dialect, pool, directory, budget, self.estimator, quota_gate
+        )
         self._table = table
         self._demand = PrefillDemandMeter()
 
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -23,7 +23,7 @@
 from shallotmux.forwarding._metrics import ForwardingMetrics
 from shallotmux.forwarding._outcome import Outcome
 from shallotmux.forwarding._outlook import OutlookCheck
-from shallotmux.forwarding._quota_gate import QuotaGate
+from shallotmux.forwarding._quota_gate import OVER_QUOTA, OVER_QUOTA_STATUS, QuotaGate
 from shallotmux.forwarding._refusals import Refusal, refuse_not_run, refuse_unknown
 from shallotmux.forwarding._relay import send_withheld
 from shallotmux.forwarding._retries import MAX_SENDS, RetryPolicy
@@ -114,7 +114,9 @@
 
         The instance that took the request has counted it, and has bound a resumed stream.
         """
-        return await self._limit(job, self._try_endpoints)
+        return await self._limit(
+            job, lambda each: self.quota_gate.run_relayed(each, self._try_endpoints)
+        )
 
     async def _run(self, job: Job) -> None:
         refusal = await self._limit(job, self._bind_and_try)
@@ -221,9 +223,6 @@
             target = await self._find_target(job, reason)
             if isinstance(target, Refusal):
                 return target
-            over_quota = await self.quota_gate.renew(job)
-            if over_quota is not None:
-                return over_quota
             result = await self._supervisor.run(job, target)
             if result.is_delivered:
                 self._record_delivered(job, result)
@@ -340,6 +339,8 @@
     """Return the refusal for a job that is not retried."""
     if result.outcome is Outcome.NOT_RUN and not job.runs:
         retry_after_s = returns_in_s if result.retry_after_s is None else result.retry_after_s
+        if result.reason == OVER_QUOTA:
+            return Refusal(OVER_QUOTA_STATUS, OVER_QUOTA, retry_after_s)
         return refuse_not_run(result.reason, retry_after_s)
     return refuse_unknown(result.reason, is_late=False)
 
--- a/shallotmux/forwarding/_job.py
+++ b/shallotmux/forwarding/_job.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import inf
 
 import trio
 
@@ -83,8 +84,12 @@
     peers_tried: set[str] = field(default_factory=set)
     #: Tokens or requests that it counts as under the quota of its customer; 0 without a quota.
     quota_amount: float = 0.0
-    #: What was charged for it.
+    #: What was charged for it, and no attempt has used.
     charge: Charge | None = None
+    #: Whether a part of the job ran, or may have, so that its charge must not be given back.
+    has_used_charge: bool = False
+    #: Time for which the charge of the instance that took it is valid, if a peer relays it here.
+    charged_s: float = inf
     #: Address and handle from which the KV cache of the prompt is fetched; empty without a prefill.
     cache_source: bytes = b''
     #: Number of engines to which the handle was sent.
--- a/shallotmux/forwarding/_paths.py
+++ b/shallotmux/forwarding/_paths.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
+from math import isinf
 from typing import Protocol
 
+import trio
+
 from shallotmux.forwarding._directory import EndpointDirectory
 from shallotmux.forwarding._endpoint import EndpointConnection
 from shallotmux.forwarding._headers import Headers, drop_named
@@ -16,6 +19,7 @@
 from shallotmux.forwarding._starts import StartVerifier
 from shallotmux.forwarding._state import InFlightWork, Target
 from shallotmux.notices import says_leaving
+from shallotmux.quotas import Charge
 from shallotmux.relaying import (
     RELAY_HEADER,
     Peer,
@@ -34,6 +38,7 @@
 
     :param head: the head as the caller gets it.
     :param retry_after_s: time that a peer names in a refusal that is final; None otherwise.
+    :param has_used_charge: whether a part of the request ran at a peer that refused it.
     """
 
     outcome: Outcome
@@ -41,6 +46,7 @@
     reason: str = ''
     is_failure: bool = False
     retry_after_s: float | None = None
+    has_used_charge: bool = False
 
 
 class AttemptPath(Protocol):
@@ -56,8 +62,11 @@
     async def verify(self, job: Job, target: Target, connection: EndpointConnection) -> None:
         """Check the other end of a connection, where that matters."""
 
-    def begin(self, job: Job, target: Target) -> OutgoingRequest:
-        """Count a request as sent, and return it as it is sent."""
+    def begin(self, job: Job, target: Target, charge: Charge | None) -> OutgoingRequest:
+        """Count a request as sent, and return it as it is sent.
+
+        :param charge: what was charged for this attempt.
+        """
 
     def judge(self, job: Job, target: Target, work: InFlightWork, head: AnswerHead) -> Verdict:
         """Record the head of an answer, and return what it shows."""
@@ -101,7 +110,7 @@
         """Check that the connection leads to the start that is listed."""
         await self._starts.verify(job, target.state, connection)
 
-    def begin(self, job: Job, target: Target) -> OutgoingRequest:
+    def begin(self, job: Job, target: Target, charge: Charge | None) -> OutgoingRequest:
         """Count the request, and return it with the headers for the endpoint."""
         outgoing = job.build_outgoing(self._names, target.state.identity, target.extra)
         job.sends += 1
@@ -153,7 +162,7 @@
     async def verify(self, job: Job, target: Target, connection: EndpointConnection) -> None:
         """Check nothing; the peer verifies the starts of endpoints."""
 
-    def begin(self, job: Job, target: Target) -> OutgoingRequest:
+    def begin(self, job: Job, target: Target, charge: Charge | None) -> OutgoingRequest:
         """Return the request as the caller sent it, with the state of the job."""
         request = RelayedRequest(
             self._peers.own,
@@ -163,6 +172,7 @@
             job.runs,
             job.sends,
             job.has_run_started,
+            None if charge is None or isinf(charge.send_by) else _time_left(charge),
         )
         job.sends += 1
         headers: Headers = (
@@ -186,10 +196,18 @@
         match answer.result:
             case RelayResult.DECLINED:
                 self._peers.record_declined(peer, job.service)
-                return Verdict(Outcome.NOT_RUN, rest, reason)
+                return Verdict(
+                    Outcome.NOT_RUN, rest, reason, has_used_charge=answer.has_used_charge
+                )
             case RelayResult.REFUSED:
                 self._peers.record_served(peer, job.service, answer.load)
-                return Verdict(Outcome.NOT_RUN, rest, reason, retry_after_s=answer.retry_after_s)
+                return Verdict(
+                    Outcome.NOT_RUN,
+                    rest,
+                    reason,
+                    retry_after_s=answer.retry_after_s,
+                    has_used_charge=answer.has_used_charge,
+                )
         self._peers.record_served(peer, job.service, answer.load)
         # The run of this attempt is counted by the caller of the attempt.
         job.runs = max(job.runs, answer.runs - 1)
@@ -232,3 +250,7 @@
     if target.peer is None:
         raise ValueError(f'{target.state.identity} is no peer')
     return target.peer
+
+
+def _time_left(charge: Charge) -> float:
+    return max(0.0, charge.send_by - trio.current_time())
--- a/shallotmux/forwarding/_prefill.py
+++ b/shallotmux/forwarding/_prefill.py
@@ -22,8 +22,10 @@
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._outcome import Outcome, classify_answer
 from shallotmux.forwarding._pool import ConnectionPool
+from shallotmux.forwarding._quota_gate import QuotaGate
 from shallotmux.forwarding._state import EndpointState, InFlightWork
 from shallotmux.placement import PrefillMeasurement
+from shallotmux.quotas import Charge, OverQuota
 
 #: Timeout of a prefill: a multiple of the expected time, plus a margin.
 PREFILL_TIMEOUT_FACTOR = 2.5
@@ -59,6 +61,7 @@
 
     :param budget: is charged for failed calls, which count as retries.
     :param estimator: learns from the duration of each prefill.
+    :param quota_gate: charges what is sent.
     """
 
     def __init__(
@@ -68,7 +71,9 @@
         directory: EndpointDirectory,
         budget: SharedRetryBudget,
         estimator: Estimator,
+        quota_gate: QuotaGate,
     ) -> None:
+        self._quota_gate = quota_gate
         self._estimator = estimator
         self._dialect = dialect
         self._pool = pool
@@ -100,6 +105,8 @@
         outgoing = job.build_outgoing(self._dialect.names, state.identity, extra)
         connection: EndpointConnection | None = None
         sent_at = trio.current_time()
+        charge: Charge | OverQuota | None = None
+        is_begun = False
         work = InFlightWork(state, call.uncached_tokens, lambda: True)
         try:
             with work, work.scope:
@@ -109,11 +116,16 @@
                 work.connection = connection
                 if state.is_resting(trio.current_time()):
                     return None
+                charge = await self._quota_gate.take(job)
+                if isinstance(charge, OverQuota):
+                    return None
                 sent_at = trio.current_time()
                 connection.begin(outgoing)
+                is_begun = True
                 await connection.send_request()
-                handle = await self._read_answer(job, state, connection, work)
+                handle = await self._read_answer(job, state, connection, work, charge)
                 if handle is not None:
+                    self._quota_gate.cover_decode(job, charge)
                     self._measure(job, call, sent_at)
                 return handle
             if work.was_sent:
@@ -128,6 +140,8 @@
             self._budget.charge(job.service)
             self._directory.record_failure(state, str(error))
         finally:
+            if isinstance(charge, Charge) and not (is_begun and connection and connection.was_sent):
+                self._quota_gate.put_back(job, charge)
             if connection is not None:
                 self._pool.release(state.identity, connection)
         return None
@@ -150,14 +164,21 @@
         self._estimator.record(call.state, call.estimate, duration_ms, now)
 
     async def _read_answer(
-        self, job: Job, state: EndpointState, connection: EndpointConnection, work: InFlightWork
+        self,
+        job: Job,
+        state: EndpointState,
+        connection: EndpointConnection,
+        work: InFlightWork,
+        charge: Charge | None,
     ) -> str | None:
         head = await connection.receive_head()
         work.record_answer()
         self._directory.record_head(state, work.sent_at, head, self._dialect.names)
         content = await connection.receive_body()
-        is_done = classify_answer(head, self._dialect.names) is Outcome.DONE
-        if not is_done or head.status != ACCEPTED_STATUS or job.prompt is None:
+        outcome = classify_answer(head, self._dialect.names)
+        if outcome is Outcome.NOT_RUN:
+            self._quota_gate.put_back(job, charge)
+        if outcome is not Outcome.DONE or head.status != ACCEPTED_STATUS or job.prompt is None:
             self._directory.record_refusal(state, head.status, work.sent_at)
             self._budget.charge(job.service)
             log_message(
--- a/shallotmux/forwarding/_relayed.py
+++ b/shallotmux/forwarding/_relayed.py
@@ -12,6 +12,7 @@
 from shallotmux.forwarding._headers import Headers, drop_named
 from shallotmux.forwarding._job import Job
 from shallotmux.forwarding._messages import CallerRequest, Reply, send_response
+from shallotmux.forwarding._outcome import NOT_RUN_STATUSES
 from shallotmux.forwarding._refusals import NOT_RUN_STATUS, Refusal
 from shallotmux.relaying import (
     RELAY_HEADER,
@@ -149,6 +150,8 @@
         job.sends = message.sends
         job.has_run_started = message.is_counted
         job.relayed_for = message.sender
+        if message.charged_s is not None:
+            job.charged_s = message.charged_s
         usable = self._forwarder.directory.usable_for(job)
         if not any(each.may_answer for each in usable):
             return 'no endpoint is reached here either'
@@ -172,12 +175,13 @@
             load=self.in_progress,
             reason=refusal.short_reason,
             retry_after_s=refusal.retry_after_s,
+            has_used_charge=job.has_used_charge,
         )
         await reply.refuse(self._id_header(job.request), refusal.status, answer)
 
     def _classify(self, job: Job, refusal: Refusal, message: RelayedRequest) -> RelayResult:
         """Return what a refusal means to the other instance."""
-        if refusal.status != NOT_RUN_STATUS or job.runs > message.runs:
+        if refusal.status not in NOT_RUN_STATUSES or job.runs > message.runs:
             return RelayResult.UNKNOWN
         if self._forwarder.directory.is_out_of_reach(job):
             return RelayResult.DECLINED
--- a/shallotmux/quotas/_node.py
+++ b/shallotmux/quotas/_node.py
@@ -52,6 +52,7 @@
     :param send_by: local time until which it may be sent to an endpoint for the first time.
     :param parts: parts of grants; none if it was charged to the isolated share.
     :param charged_at: time of a charge to the isolated share.
+    :param is_prepaid: whether it was charged elsewhere, or used already, and must not be given back.
     """
 
     customer: str
@@ -59,6 +60,7 @@
     send_by: float
     parts: tuple[GrantedPart, ...] = ()
     charged_at: float = 0.0
+    is_prepaid: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/shallotmux/relaying/_messages.py
+++ b/shallotmux/relaying/_messages.py
@@ -37,6 +37,8 @@
     :param runs: endpoints that may have run the request.
     :param sends: times that it was sent to an endpoint.
     :param is_counted: whether its run was counted for the customer.
+    :param charged_s: time within which it must be sent to an endpoint, as it is charged to a quota; None
+        without one. An earlier build sends it whenever it can.
     """
 
     sender: str
@@ -46,6 +48,7 @@
     runs: int = 0
     sends: int = 0
     is_counted: bool = False
+    charged_s: float | None = None
 
 
 class RelayedAnswer(msgspec.Struct, frozen=True):
@@ -58,6 +61,7 @@
     :param load: relayed requests in progress at the peer.
     :param reason: why the request was not answered.
     :param retry_after_s: time after which the caller may try again; None if unknown.
+    :param has_used_charge: whether what was charged for it must not be given back, such as after a prefill.
     """
 
     result: RelayResult
@@ -68,6 +72,7 @@
     load: int = 0
     reason: str = ''
     retry_after_s: float | None = None
+    has_used_charge: bool = False
 
 
 _request_decoder = msgspec.json.Decoder(RelayedRequest)
--- a/tests/forwarding/test_quotas.py
+++ b/tests/forwarding/test_quotas.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 import pytest
 import trio
 
 from shallotmux.forwarding import CallerRequest
 from shallotmux.forwarding._admission import Admitted
-from shallotmux.forwarding._quota_gate import QuotaGate
+from shallotmux.forwarding._endpoint import EndpointConnection
+from shallotmux.forwarding._job import Job
+from shallotmux.forwarding._pool import ConnectionPool
 from shallotmux.quotas import Charge, OverQuota
 from shallotmux.routes import CustomerQuota
 from tests.forwarding._harness import (
@@ -31,6 +34,8 @@
     valid_s: float = 1.0
     charged: list[tuple[str, float]] = field(default_factory=list)
     returned: int = 0
+    #: Whether what comes back is used by others at once.
+    spend_next: bool = False
 
     async def charge(self, customer: str, amount: float) -> Charge | OverQuota:
         """Charge a request."""
@@ -43,18 +48,31 @@
     def give_back(self, charge: Charge) -> None:
         """Count what comes back."""
         self.returned += 1
-        self.left += 1
+        self.left += not self.spend_next
 
 
 def limit(harness: ForwarderHarness, quotas: Quotas) -> None:
     """Give the customer a quota of requests."""
-    harness.forwarder.quota_gate = QuotaGate(quotas)  # type: ignore[arg-type]
+    harness.forwarder.quota_gate.quotas = quotas  # type: ignore[assignment]
     view = harness.forwarder.view
     assert view.table is not None
     customer = replace(view.table.document.customers[0], quota=CustomerQuota(1, 1))
     view.apply_document(replace(view.table.document, version=2, customers=(customer,)))
 
 
+def admit(harness: ForwarderHarness) -> Job:
+    """Return the job for a request of the customer."""
+    headers = (
+        (b'host', b'shop.example'),
+        (b'x-request-id', b'r-1'),
+        (b'authorization', b'Bearer k1'),
+    )
+    request = CallerRequest(b'POST', b'/once/', headers, b'work', trio.current_time())
+    admitted = harness.forwarder.admit(request, RecordingReply())
+    assert isinstance(admitted, Admitted)
+    return admitted.job
+
+
 async def serve(stream: trio.SocketStream, received: ReceivedRequest) -> bool:
     """Answer a request."""
     await stream.send_all(answer(received))
@@ -133,21 +151,72 @@
     assert len(second.received) == 1
 
 
+async def test_request_that_runs_again_is_charged_again() -> None:
+    """Guards against use beyond the quota when endpoints break, since each of them counts what it runs."""
+    second = ScriptedEndpoint(serve)
+    async with run_forwarder(ScriptedEndpoint(hang_up), second) as harness:
+        quotas = Quotas(2)
+        limit(harness, quotas)
+        assert (await harness.make_request('/safe/')).status == 200
+        assert len(second.received) == 1
+        assert (len(quotas.charged), quotas.returned) == (2, 0)
+
+
+async def test_request_that_may_have_run_is_not_refused_as_over_the_quota() -> None:
+    """Guards against a 429 for a request that an endpoint may run, when its repetition finds no quota."""
+    first, second = ScriptedEndpoint(hang_up), ScriptedEndpoint(hang_up)
+    async with run_forwarder(first, second) as harness:
+        quotas = Quotas(1)
+        limit(harness, quotas)
+        assert (await harness.make_request('/safe/')).status == 502
+    assert len(first.received) + len(second.received) == 1
+    assert quotas.returned == 0
+
+
+async def test_charge_is_renewed_after_a_slow_connect(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against requests that arrive long after they were charged, as their connections are slow."""
+    acquire = ConnectionPool.acquire
+
+    async def acquire_late(*args: Any) -> EndpointConnection:
+        await trio.sleep(0.1)
+        return await acquire(*args)
+
+    monkeypatch.setattr(ConnectionPool, 'acquire', acquire_late)
+    endpoint = ScriptedEndpoint(serve)
+    async with run_forwarder(endpoint) as harness:
+        quotas = Quotas(1, valid_s=0.05)
+        limit(harness, quotas)
+        assert (await harness.make_request('/once/')).status == 200
+        assert (len(quotas.charged), quotas.returned) == (2, 1)
+        quotas.left = 1
+        quotas.spend_next = True
+        refused = await harness.make_request('/once/')
+    assert refused.status == 429
+    assert len(endpoint.received) == 1
+
+
+@pytest.mark.parametrize(('charged_s', 'charges'), [(0.0, 1), (9.0, 0)])
+async def test_peer_charges_what_arrives_too_late(charged_s: float, charges: int) -> None:
+    """Guards against a relayed request that runs long after the instance that took it has charged it."""
+    async with run_forwarder(ScriptedEndpoint(serve)) as harness:
+        quotas = Quotas(1)
+        limit(harness, quotas)
+        job = admit(harness)
+        job.charged_s = charged_s
+        await trio.sleep(0.01)
+        assert await harness.forwarder.run_relayed(job) is None
+    assert job.has_used_charge
+    assert (len(quotas.charged), quotas.returned) == (charges, 0)
+
+
 async def test_peer_that_relays_a_request_does_not_charge_it() -> None:
     """Guards against a request that counts twice, at the instance that took it and at its peer."""
     endpoint = ScriptedEndpoint(serve)
     async with run_forwarder(endpoint) as harness:
         quotas = Quotas(1)
         limit(harness, quotas)
-        headers = (
-            (b'host', b'shop.example'),
-            (b'x-request-id', b'r-1'),
-            (b'authorization', b'Bearer k1'),
-        )
-        request = CallerRequest(b'POST', b'/once/', headers, b'work', trio.current_time())
-        admitted = harness.forwarder.admit(request, RecordingReply())
-        assert isinstance(admitted, Admitted)
-        assert admitted.job.quota_amount == 1
-        assert await harness.forwarder.run_relayed(admitted.job) is None
+        job = admit(harness)
+        assert job.quota_amount == 1
+        assert await harness.forwarder.run_relayed(job) is None
     assert len(endpoint.received) == 1
     assert not quotas.charged
--- a/tests/guards/quotas.py
+++ b/tests/guards/quotas.py
@@ -7,6 +7,8 @@
 PACKAGE = 'shallotmux/quotas'
 PARTS = 'tests/quotas/test_parts.py'
 FORWARDED = 'tests/forwarding/test_quotas.py'
+ENGINES = 'tests/forwarding/test_engine_quotas.py'
+GATE = 'shallotmux/forwarding/_quota_gate.py'
 
 QUOTA_GUARDS = (
     Guard(
@@ -93,25 +95,46 @@
         'is_sure = True',
         (f'{PARTS}::test_lot_needs_a_complete_list',),
     ),
+    Guard(
+        'quotas-kept (strangers)',
+        f'{PACKAGE}/_node.py',
+        'case QuotaAsk() if self.election.knows(message.sender):',
+        'case QuotaAsk():',
+        (f'{PARTS}::test_asks_and_returns_of_strangers_are_dropped',),
+    ),
     Guard(
         'quotas-kept (charged before it is sent)',
-        'shallotmux/forwarding/_quota_gate.py',
-        '        refusal = await self._charge(job)\n        if refusal is not None:',
-        '        refusal = None\n        if refusal is not None:',
-        (f'{FORWARDED}::test_request_over_the_quota_is_refused_before_it_is_sent',),
+        'shallotmux/forwarding/_attempt.py',
+        'if isinstance(charge, OverQuota):',
+        'if False:',
+        (f'{FORWARDED}::test_charge_is_renewed_after_a_slow_connect',),
     ),
     Guard(
         'quotas-kept (what may have run is not returned)',
-        'shallotmux/forwarding/_quota_gate.py',
-        'if not may_have_run and not job.prefills:',
-        'if not job.prefills:',
+        'shallotmux/forwarding/_attempt.py',
+        'if is_refused or not connection.was_sent:',
+        'if True:',
         (f'{FORWARDED}::test_request_that_may_have_run_is_not_given_back',),
     ),
     Guard(
         'quotas-kept (old charges)',
-        'shallotmux/forwarding/_forwarder.py',
-        'over_quota = await self.quota_gate.renew(job)',
-        'over_quota = None',
+        GATE,
+        'if trio.current_time() <= charge.send_by:',
+        'if True:',
         (f'{FORWARDED}::test_old_charge_is_renewed_before_the_request_is_sent_again',),
     ),
+    Guard(
+        'quotas-kept (runs at further endpoints)',
+        GATE,
+        'return await self.quotas.charge(job.customer, job.quota_amount)',
+        'return None',
+        (f'{FORWARDED}::test_request_that_runs_again_is_charged_again',),
+    ),
+    Guard(
+        'quotas-kept (prefills)',
+        'shallotmux/forwarding/_prefill.py',
+        'charge = await self._quota_gate.take(job)',
+        'charge = None',
+        (f'{ENGINES}::test_prompt_that_may_have_been_prefilled_is_charged_again_elsewhere',),
+    ),
 )
