Replace a granter of quotas at once when it stops as planned

Promises to a granter last 1.6 s, and the next one stands only after 1.2 s of silence, also when the granter stops as planned at an upgrade. It now resigns when it begins to drain; promises to it end a hold later.

--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -328,6 +328,7 @@
         """Finish the open requests while the load balancer removes this instance."""
         started_at = trio.current_time()
         self._is_draining = True
+        self._quotas.resign()
         listeners = (self._listener, self._relay_listener)
         for listener in listeners:
             listener.drain()
--- a/shallotmux/quotas/_customer_quotas.py
+++ b/shallotmux/quotas/_customer_quotas.py
@@ -78,6 +78,11 @@
         granter, election = self.node.granter, self.node.election
         self.reports.record_round(election.granted_slots(now), granter.buckets, now)
 
+    def resign(self) -> None:
+        """Leave granting to others, as this instance is about to stop. It still charges requests."""
+        self.node.resign(trio.current_time())
+        self._flush()
+
     def receive(self, content: bytes) -> bool:
         """Process a message; returns whether it is about quotas.
 
--- a/shallotmux/quotas/_election.py
+++ b/shallotmux/quotas/_election.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import OrderedDict, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from shallotmux.quotas._messages import QuotaBeat, QuotaSupport
+from shallotmux.quotas._messages import QuotaBeat, QuotaResign, QuotaSupport
+from shallotmux.quotas._plan import MAX_HOLD_S
 from shallotmux.quotas._promises import Promises, Supporters
 from shallotmux.quotas._seen import SeenInstances
 from shallotmux.ratelimits import rank_granters
@@ -26,6 +27,16 @@
 #: Instances of the ranking that stand, one after the other.
 MAX_CANDIDATES = 4
 
+#: Rounds in which an instance that stops says so, as messages may be lost.
+RESIGN_ROUNDS = 3
+
+#: Time after the end of the grants of one that resigned at which others stand, so that their beats do not
+#: arrive before the promises to it have ended everywhere.
+RESIGN_MARGIN_S = 0.02
+
+#: Time for which lists still name an instance that resigned.
+RESIGNED_TTL_S = 10.0
+
 #: Most candidates for a slot whose beats are remembered.
 MAX_HEARD = 64
 
@@ -70,6 +81,10 @@
         #: Time at which this instance last became the granter, by slot.
         self._granter_since: dict[int, float] = {}
         self._next_beat = now
+        #: Instances that have resigned, with when others can replace them.
+        self._resigned: OrderedDict[str, float] = OrderedDict()
+        self._has_resigned = False
+        self._resign_rounds = 0
 
     def update(self, entries: Iterable[str], slots: Iterable[int], now: float) -> None:
         """Apply the present list of live entry instances, and the slots in use."""
@@ -86,7 +101,7 @@
 
     def may_grant(self, slot: int, now: float) -> bool:
         """Return whether a majority supports this instance."""
-        return now < self._grants_until.get(slot, float('-inf'))
+        return not self._has_resigned and now < self._grants_until.get(slot, float('-inf'))
 
     def granter_since(self, slot: int) -> float:
         """Return the time at which this instance last became the granter."""
@@ -111,9 +126,34 @@
         """Take note that an instance does not grant any more."""
         self._heard[slot].pop(identity, None)
 
-    def run_round(self, now: float) -> list[tuple[str, QuotaBeat]]:
-        """Return the beats to send now."""
-        if now < self._next_beat:
+    def resign(self, now: float) -> None:
+        """Grant nothing any more, as the process is about to stop."""
+        if not self._has_resigned:
+            self._has_resigned = True
+            self._resign_rounds = RESIGN_ROUNDS
+            self.receive_resign(QuotaResign(self._identity), now)
+
+    def receive_resign(self, message: QuotaResign, now: float) -> None:
+        """Take note that an instance has stopped granting; the next one need not wait for its silence."""
+        sender = message.sender
+        if not self.knows(sender) or sender in self._resigned:
+            return
+        self._resigned[sender] = now + MAX_HOLD_S + RESIGN_MARGIN_S
+        if len(self._resigned) > MAX_HEARD:
+            self._resigned.popitem(last=False)
+        self._promises.release(sender, now)
+        for slot, heard in self._heard.items():
+            known = heard.pop(sender, None)
+            if known is not None and known.is_granter:
+                self._heard_at.pop(slot, None)
+
+    def run_round(self, now: float) -> list[tuple[str, QuotaBeat | QuotaResign]]:
+        """Return the messages to send now."""
+        if self._resign_rounds:
+            self._resign_rounds -= 1
+            resign = QuotaResign(self._identity)
+            return [(each, resign) for each in self.seen.voter_names if each != self._name]
+        if now < self._next_beat and not self._is_replacement_due(now):
             return []
         standing = [slot for slot in self._active_since if self._stands(slot, now)]
         if not standing:
@@ -132,7 +172,7 @@
 
     def receive_beat(self, beat: QuotaBeat, now: float) -> QuotaSupport | None:
         """Return the answer to a candidate, or None."""
-        if not self.knows(beat.sender):
+        if not self.knows(beat.sender) or beat.sender in self._resigned:
             return None
         supported: list[int] = []
         for slot, is_granter in beat.slots.items():
@@ -167,13 +207,25 @@
             # The others ask as soon as they know.
             self._next_beat = now
 
+    def _is_replacement_due(self, now: float) -> bool:
+        """Return whether this instance can replace one that resigned since its last beat."""
+        return any(self._next_beat - BEAT_S < free_at <= now for free_at in self._resigned.values())
+
     def _stands(self, slot: int, now: float) -> bool:
+        if self._has_resigned:
+            return False
         self._count(slot, now)
         if self.may_grant(slot, now):
             return True
         ranking = self._rank(slot)
         if self._name not in ranking:
             return False
+        resigned = {
+            instance_name(each)
+            for each, free_at in self._resigned.items()
+            if now < free_at + RESIGNED_TTL_S
+        }
+        ranking = tuple(each for each in ranking if each not in resigned or each == self._name)
         rank = ranking.index(self._name)
         heard = self._heard_lately(slot, now)
         better = ranking[:rank]
--- a/shallotmux/quotas/_messages.py
+++ b/shallotmux/quotas/_messages.py
@@ -39,6 +39,15 @@
     seen: int
 
 
+class QuotaResign(msgspec.Struct, frozen=True, array_like=True, tag='quota-resign'):
+    """Statement that an instance, which is about to stop, grants nothing any more.
+
+    :param sender: name and incarnation of the instance.
+    """
+
+    sender: str
+
+
 class QuotaAsk(msgspec.Struct, frozen=True, array_like=True, tag='quota-ask'):
     """Request for a part of a customer's quota.
 
@@ -100,7 +109,9 @@
     parts: tuple[ReturnedPart, ...]
 
 
-QuotaMessage: TypeAlias = QuotaBeat | QuotaSupport | QuotaAsk | QuotaGrant | QuotaReturn
+QuotaMessage: TypeAlias = (
+    QuotaBeat | QuotaSupport | QuotaResign | QuotaAsk | QuotaGrant | QuotaReturn
+)
 
 #: Decodes a message; raises :class:`msgspec.DecodeError` if it is not valid.
 decode_quota_message = guard_decoder(msgspec.msgpack.Decoder(QuotaMessage).decode)
--- a/shallotmux/quotas/_node.py
+++ b/shallotmux/quotas/_node.py
@@ -16,6 +16,7 @@
     QuotaBeat,
     QuotaGrant,
     QuotaMessage,
+    QuotaResign,
     QuotaReturn,
     QuotaSupport,
     ReturnedPart,
@@ -199,6 +200,11 @@
                 message = QuotaReturn(self.identity, granter, self._number, named)
                 self._send(instance_name(granter), message, now)
 
+    def resign(self, now: float) -> None:
+        """Leave granting to others, as this instance is about to stop."""
+        self.election.resign(now)
+        self._send_beats(now)
+
     def charge(self, customer: str, amount: float, now: float) -> Charge | OverQuota | Asked | None:
         """Charge a request; returns None if the customer has no quota."""
         plan = self._plans.get(customer)
@@ -261,6 +267,8 @@
                 support = self.election.receive_beat(message, now)
                 if support is not None:
                     self._send(instance_name(message.sender), support, now)
+            case QuotaResign():
+                self.election.receive_resign(message, now)
             case QuotaSupport():
                 self.election.receive_support(message, now)
                 self._send_beats(now)
--- a/shallotmux/quotas/_promises.py
+++ b/shallotmux/quotas/_promises.py
@@ -41,6 +41,13 @@
         self._promises[slot] = _Promise(granter, now + PROMISE_S)
         return True
 
+    def release(self, granter: str, now: float) -> None:
+        """End the promises to a granter that grants no more, once what it granted has expired."""
+        for slot, promise in tuple(self._promises.items()):
+            if promise.granter == granter:
+                until = min(promise.until, now + MAX_HOLD_S)
+                self._promises[slot] = _Promise(granter, until)
+
 
 class Supporters:
     """Promises that other instances have given to this one.
--- a/tests/guards/quotas.py
+++ b/tests/guards/quotas.py
@@ -5,6 +5,7 @@
 from tests.guards.catalogue import Guard
 
 PACKAGE = 'shallotmux/quotas'
+RESIGNING = 'tests/quotas/test_resigning.py'
 PARTS = 'tests/quotas/test_parts.py'
 FORWARDED = 'tests/forwarding/test_quotas.py'
 ENGINES = 'tests/forwarding/test_engine_quotas.py'
@@ -95,6 +96,20 @@
         'is_sure = True',
         (f'{PARTS}::test_lot_needs_a_complete_list',),
     ),
+    Guard(
+        'quotas-kept (a granter that resigned)',
+        f'{PACKAGE}/_election.py',
+        'return not self._has_resigned and now <',
+        'return now <',
+        (f'{RESIGNING}::test_answer_to_an_earlier_beat_does_not_make_it_the_granter_again',),
+    ),
+    Guard(
+        'quotas-kept (promises to one that resigned)',
+        f'{PACKAGE}/_promises.py',
+        'until = min(promise.until, now + MAX_HOLD_S)',
+        'until = now',
+        (f'{RESIGNING}::test_promise_to_one_that_resigned_ends_when_its_grants_have_expired',),
+    ),
     Guard(
         'quotas-kept (strangers)',
         f'{PACKAGE}/_node.py',
--- a/tests/quotas/_simulation.py
+++ b/tests/quotas/_simulation.py
@@ -22,6 +22,9 @@
 LISTED_S = 5.0
 LIST_INTERVAL_S = 0.2
 
+#: Time for which a process that is stopped finishes its requests.
+DRAIN_S = 2.6
+
 #: Part of a hold that a request may be on its way to an endpoint.
 WAY_SHARE = 0.15
 
@@ -114,6 +117,11 @@
         """End a process; all that it knows is lost."""
         self.instances[name].node = None
 
+    def stop(self, name: str) -> None:
+        """Stop a process as planned; its requests go on for a while."""
+        self._do(name, lambda node: node.resign(self.now))
+        self.at(self.now + DRAIN_S, partial(self.kill, name))
+
     def restart(self, name: str) -> None:
         """Start a process anew."""
         self.kill(name)
--- a/tests/quotas/test_bound.py
+++ b/tests/quotas/test_bound.py
@@ -46,7 +46,7 @@
         Faults((0.001, 0.3), lost=0.3, doubled=0.3, late=0.3),
     )
 )
-KINDS = ('kill', 'restart', 'pause', 'separate', 'cut-pair', 'heal', 'restart-granter')
+KINDS = ('kill', 'restart', 'pause', 'separate', 'cut-pair', 'heal', 'restart-granter', 'stop')
 
 
 def disrupt(run: Simulation, kind: str, random: Random) -> None:
@@ -59,10 +59,10 @@
         case 'kill':
             run.kill(name)
             run.at(run.now + 3 * random.random(), partial(run.restart, name))
-        case 'restart':
-            run.restart(name)
-        case 'restart-granter':
-            [run.restart(each) for each in run.granters()]
+        case 'restart' | 'restart-granter':
+            [run.restart(each) for each in ((name,) if kind == 'restart' else run.granters())]
+        case 'stop':
+            [run.stop(each) for each in run.granters() or (name,)]
         case 'pause':
             [run.pause(each, run.now + 4 * random.random()) for each in (name, *run.granters())]
         case 'separate':
--- a/tests/quotas/test_failures.py
+++ b/tests/quotas/test_failures.py
@@ -27,6 +27,9 @@
 #: Time after which another granter must have replaced a lost one.
 REPLACED_S = 3.0
 
+#: Time after which another one must grant when one stops as planned: a hold, a round, and messages.
+HANDED_OVER_S = 0.7
+
 
 def start(share: float = 0.9, faults: Faults | None = None, end_s: float = END_S) -> Simulation:
     """Return a run up to the failure, with requests evenly over all instances."""
@@ -58,6 +61,21 @@
     assert run.most_in_window() <= run.bound()
 
 
+def test_stopped_granter_is_replaced_at_once() -> None:
+    """Guards against planned stops that cost as much as the loss of a granter, at each upgrade."""
+    run = start(0.9)
+    former = run.granters()[0]
+    run.stop(former)
+    run.run(FAILS_S + 0.4)
+    assert not run.granters()
+    run.run(FAILS_S + HANDED_OVER_S)
+    new = run.granters()
+    assert len(new) == 1
+    assert former not in new
+    run.run(END_S)
+    assert run.most_in_window() <= run.bound()
+
+
 def test_restarted_granter_waits_for_its_former_grants() -> None:
     """Guards against an instance that has forgotten what it granted, and grants it again at once."""
     run = start(6)
