Let a new leader wait for former role changes of all services

A new leader planned nothing for a service in which an engine was changing by its predecessor's order, but planned for others. The first plan of its term ends all plans of former terms on every instance, also its own copies: the changing engine got new work, and counted as one that works in its role.

--- a/shallotmux/control/_role_balancer.py
+++ b/shallotmux/control/_role_balancer.py
@@ -97,7 +97,7 @@
         """Announce the next role change; returns whether there was one."""
         if now < self._paused_until[service] or not self._book.has_room(service):
             return False
-        if self._may_former_change_run(engines, now):
+        if self._may_former_change_run(now):
             return False
         plans = self._book.live(service)
         passed_over = {each for each, until in self._passed_over_until.items() if until > now}
@@ -109,12 +109,14 @@
         self._book.announce(change.endpoint, change.role, change.why, now)
         return True
 
-    def _may_former_change_run(self, engines: Sequence[ListedEndpoint], now: float) -> bool:
-        """Return whether an engine may be changing by an order of a former leader.
+    def _may_former_change_run(self, now: float) -> bool:
+        """Return whether an engine of any service may be changing by an order of a former leader.
 
-        Its plan is not in the book, so that the limits on changes at a time would not count it.
+        Its plan is not in the book, so that the limits on changes at a time would not count it; and a plan
+        of this term, for whichever service, would end it on all instances.
         """
         held = self._dependencies.knowledge.plans
+        listing = self._dependencies.knowledge.listing
         ordered = {
             each.identity
             for each in held.report(now)
@@ -123,7 +125,7 @@
         return any(
             each.identity in ordered
             and held.find_phase(each.identity, each.start_number, each.role.value, now) is not None
-            for each in engines
+            for each in (listing.endpoints if listing else ())
         )
 
     async def _order_repeatedly(self) -> None:
--- a/tests/control/test_planned_roles.py
+++ b/tests/control/test_planned_roles.py
@@ -180,6 +180,26 @@
     assert len(leader.orders) == 2
 
 
+async def test_new_leader_waits_for_a_former_change_of_another_service(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a plan whose term ends the ordered one of another service on every instance.
+
+    That engine would get new work while it changes, and count as one that works in its role.
+    """
+    engines = make_engines(6, 0)
+    changing = msgspec.structs.replace(engines[0], service='other')
+    leader = PlanningLeader([changing, *engines[1:]])
+    leader.token = 2
+    running = make_change('ordered', term=1, remaining_s=3.8)
+    assert running.identity == changing.identity
+    leader.knowledge.plans.merge((running,), trio.current_time())
+    await run_for(leader, 3.8)
+    assert not leader.steps
+    await run_for(leader, CONTROL_LOOP_S + ORDER_DELAY_S + 0.1)
+    assert leader.orders
+
+
 async def test_new_leader_plans_anew(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against a change that nobody makes, as its leader was lost before the order."""
     former = PlanningLeader(make_engines(3, 2))
--- a/tests/guards/planned.py
+++ b/tests/guards/planned.py
@@ -109,7 +109,7 @@
     Guard(
         'planned-change (two at a time, former leader)',
         BALANCER,
-        'if self._may_former_change_run(engines, now):',
+        'if self._may_former_change_run(now):',
         'if False:',
         (f'{ROLES}::test_new_leader_waits_for_the_changes_of_the_former_one',),
     ),
