Forget engines that were passed over, and handovers of customers without a quota

Each engine that refused an order stayed in a table of the leader for ever, as did the name of each customer whose quota was removed at its granter. test_engine_that_was_passed_over_is_forgotten failed before.

--- a/shallotmux/control/_role_balancer.py
+++ b/shallotmux/control/_role_balancer.py
@@ -100,7 +100,10 @@
         if self._may_former_change_run(now):
             return False
         plans = self._book.live(service)
-        passed_over = {each for each, until in self._passed_over_until.items() if until > now}
+        self._passed_over_until = {
+            each: until for each, until in self._passed_over_until.items() if until > now
+        }
+        passed_over = self._passed_over_until.keys()
         change = plan_role_change(
             _with_planned_roles(engines, plans), passed_over | {each.identity for each in plans}
         )
--- a/shallotmux/quotas/_granter.py
+++ b/shallotmux/quotas/_granter.py
@@ -36,6 +36,7 @@
         """Apply the quotas of a document."""
         self._plans = plans
         self.buckets = {name: each for name, each in self.buckets.items() if name in plans}
+        self._since = {name: since for name, since in self._since.items() if name in plans}
 
     def answer(self, ask: QuotaAsk, now: float) -> QuotaGrant:
         """Return the answer to an ask."""
--- a/tests/control/test_planned_roles.py
+++ b/tests/control/test_planned_roles.py
@@ -11,7 +11,7 @@
 
 from shallotmux.control._duties import CONTROL_LOOP_S
 from shallotmux.control._platform import DutyOutcome
-from shallotmux.control._role_balancer import WITHDRAWAL_PAUSE_S
+from shallotmux.control._role_balancer import REFUSAL_BACKOFF_S, WITHDRAWAL_PAUSE_S
 from shallotmux.fleet import EngineRole, ListedEndpoint
 from shallotmux.plannedchanges import ORDER_DELAY_S, PlanState
 from tests.control._planning_leader import PlanningLeader
@@ -200,6 +200,20 @@
     assert leader.orders
 
 
+async def test_engine_that_was_passed_over_is_forgotten(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against memory that grows with each engine that refused an order and has gone since."""
+    leader = PlanningLeader(make_engines(3, 2))
+    leader.outcome = DutyOutcome.UNAVAILABLE
+    await run_for(leader, ANNOUNCED_S + ORDER_DELAY_S + 0.1)
+    refused = leader.orders[0][1]
+    assert refused in leader.balancer._passed_over_until  # noqa: SLF001
+    leader.list_engines([each for each in leader.engines if each.identity != refused])
+    await run_for(leader, REFUSAL_BACKOFF_S + CONTROL_LOOP_S)
+    assert refused not in leader.balancer._passed_over_until  # noqa: SLF001
+
+
 async def test_new_leader_plans_anew(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against a change that nobody makes, as its leader was lost before the order."""
     former = PlanningLeader(make_engines(3, 2))
