--- a/shallotmux/control/_role_balancer.py
+++ b/shallotmux/control/_role_balancer.py
@@ -98,10 +98,12 @@
         """Announce the next role change; returns whether there was one."""
         if now < self._paused_until[service] or not self._book.has_room(service):
             return False
-        former = self._find_former_changes(engines, now)
+        former = self._find_former_changes(now)
         plans = self._book.live(service)
-        passed_over = {each for each, until in self._passed_over_until.items() if until > now}
-        passed_over |= former | {each.identity for each in plans}
+        self._passed_over_until = {
+            each: until for each, until in self._passed_over_until.items() if until > now
+        }
+        passed_over = former | self._passed_over_until.keys() | {each.identity for each in plans}
         change = plan_role_change(_with_planned_roles(engines, plans), passed_over)
         if change is None or not keeps_role_in_use(engines, plans, change.endpoint):
             return False
@@ -113,9 +115,13 @@
         self._book.announce(change.endpoint, change.role, change.why, now, delay_s)
         return True
 
-    def _find_former_changes(self, engines: Sequence[ListedEndpoint], now: float) -> set[str]:
-        """Return the engines that may be changing by an order of a former leader."""
+    def _find_former_changes(self, now: float) -> set[str]:
+        """Return the engines of all services that may be changing by an order of a former leader.
+
+        A plan of this term, for whichever service, would end theirs on all instances.
+        """
         held = self._dependencies.knowledge.plans
+        listing = self._dependencies.knowledge.listing
         ordered = {
             each.identity
             for each in held.report(now)
@@ -123,7 +129,7 @@
         }
         return {
             each.identity
-            for each in engines
+            for each in (listing.endpoints if listing else ())
             if each.identity in ordered
             and held.find_phase(each.identity, each.start_number, each.role.value, now) is not None
         }
--- a/shallotmux/quotas/_messages.py
+++ b/shallotmux/quotas/_messages.py
@@ -39,6 +39,15 @@
     seen: int
 
 
+class QuotaResign(msgspec.Struct, frozen=True, array_like=True, tag='quota-resign'):
+    """Statement that an instance, which is about to stop, grants nothing any more.
+
+    :param sender: name and incarnation of the instance.
+    """
+
+    sender: str
+
+
 class QuotaAsk(msgspec.Struct, frozen=True, array_like=True, tag='quota-ask'):
     """Request for a part of a customer's quota.
 
@@ -100,12 +109,19 @@
     parts: tuple[ReturnedPart, ...]
 
 
-QuotaMessage: TypeAlias = QuotaBeat | QuotaSupport | QuotaAsk | QuotaGrant | QuotaReturn
+QuotaMessage: TypeAlias = (
+    QuotaBeat | QuotaSupport | QuotaResign | QuotaAsk | QuotaGrant | QuotaReturn
+)
 
 #: Decodes a message; raises :class:`msgspec.DecodeError` if it is not valid.
 decode_quota_message = guard_decoder(msgspec.msgpack.Decoder(QuotaMessage).decode)
 
 
+def shorten(value: float) -> float:
+    """Return an integral number as an int, which takes 1 to 5 bytes instead of 9 and decodes as a float."""
+    return int(value) if float(value).is_integer() else value
+
+
 def encode_quota_message(message: QuotaMessage) -> bytes:
     """Encode a message as MessagePack."""
     return msgspec.msgpack.encode(message)
--- a/shallotmux/quotas/_node.py
+++ b/shallotmux/quotas/_node.py
@@ -5,8 +5,10 @@
 from collections import OrderedDict, defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from math import floor
 from random import Random
 
+from shallotmux.quotas._bucket import MAX_LINE_S
 from shallotmux.quotas._election import Election, choose_slot, hash_customer
 from shallotmux.quotas._granter import Granter
 from shallotmux.quotas._isolated import IsolatedShares, IsolatedUse, divide_isolated
@@ -15,9 +17,11 @@
     QuotaBeat,
     QuotaGrant,
     QuotaMessage,
+    QuotaResign,
     QuotaReturn,
     QuotaSupport,
     ReturnedPart,
+    shorten,
 )
 from shallotmux.quotas._plan import MAX_HOLD_S, QuotaPlan
 from shallotmux.quotas._seen import VOTER_TTL_S
@@ -51,6 +55,7 @@
     :param send_by: local time until which it may be sent to an endpoint for the first time.
     :param parts: parts of grants; none if it was charged to the isolated share.
     :param charged_at: time of a charge to the isolated share.
+    :param is_prepaid: whether it was charged elsewhere, or used already, and must not be given back.
     """
 
     customer: str
@@ -58,6 +63,7 @@
     send_by: float
     parts: tuple[GrantedPart, ...] = ()
     charged_at: float = 0.0
+    is_prepaid: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,6 +202,11 @@
                 message = QuotaReturn(self.identity, granter, self._number, named)
                 self._send(instance_name(granter), message, now)
 
+    def resign(self, now: float) -> None:
+        """Leave granting to others, as this instance is about to stop."""
+        self.election.resign(now)
+        self._send_beats(now)
+
     def charge(self, customer: str, amount: float, now: float) -> Charge | OverQuota | Asked | None:
         """Charge a request; returns None if the customer has no quota."""
         plan = self._plans.get(customer)
@@ -258,15 +269,17 @@
                 support = self.election.receive_beat(message, now)
                 if support is not None:
                     self._send(instance_name(message.sender), support, now)
+            case QuotaResign():
+                self.election.receive_resign(message, now)
             case QuotaSupport():
                 self.election.receive_support(message, now)
                 self._send_beats(now)
-            case QuotaAsk():
+            case QuotaAsk() if self.election.knows(message.sender):
                 answer = self.granter.answer(message, now)
                 self._send(instance_name(message.sender), answer, now)
             case QuotaGrant():
                 self._receive_grant(message, now)
-            case QuotaReturn():
+            case QuotaReturn() if self.election.knows(message.sender):
                 self.granter.take_back(message, now)
 
     def _receive_grant(self, grant: QuotaGrant, now: float) -> None:
@@ -280,8 +293,9 @@
         if state is None or not grant.is_granter:
             pending.has_no_granter = True
         elif pending.ask.amount and not grant.amount:
-            state.refused_until = now + min(grant.wait_s, MAX_REFUSING_S)
-            state.line_end = now + max(grant.wait_s, grant.line_s)
+            wait_s = _limit_time(grant.wait_s)
+            state.refused_until = now + min(wait_s, MAX_REFUSING_S)
+            state.line_end = now + max(wait_s, _limit_time(grant.line_s))
             pending.verdict = self._refuse(state, now)
         else:
             part = GrantedPart(grant.granter, grant.number, pending.asked_at, grant.amount)
@@ -312,10 +326,11 @@
         state = self._customers[customer]
         self._number += 1
         number = self._number
-        extra = state.count_advance(now)
+        extra = float(floor(state.count_advance(now)))
         if extra:
             state.advance_at = now
-        ask = QuotaAsk(self.identity, number, customer, amount, extra, state.refused)
+        amounts = map(shorten, (amount, extra, state.refused))
+        ask = QuotaAsk(self.identity, number, customer, *amounts)
         state.refused = 0.0
         self._pending[number] = _Pending(ask, granter, now, amount > 0)
         self._send(instance_name(granter), ask, now)
@@ -375,3 +390,8 @@
             self.receive(message, now)
         else:
             self.outbox.append((instance, message))
+
+
+def _limit_time(time_s: float) -> float:
+    """Return a received time within what a granter names; 0 if it is no number."""
+    return min(time_s, MAX_LINE_S) if time_s > 0 else 0.0
--- a/tests/control/test_planned_roles.py
+++ b/tests/control/test_planned_roles.py
@@ -11,7 +11,11 @@
 
 from shallotmux.control._duties import CONTROL_LOOP_S
 from shallotmux.control._platform import DutyOutcome
-from shallotmux.control._role_balancer import CHECK_INTERVAL_S, WITHDRAWAL_PAUSE_S
+from shallotmux.control._role_balancer import (
+    CHECK_INTERVAL_S,
+    REFUSAL_BACKOFF_S,
+    WITHDRAWAL_PAUSE_S,
+)
 from shallotmux.fleet import EngineRole, ListedEndpoint
 from shallotmux.plannedchanges import ORDER_DELAY_S, PlanState
 from tests.control._planning_leader import PlanningLeader
@@ -205,6 +209,40 @@
     assert leader.orders[0][1] != running.identity
 
 
+async def test_new_leader_waits_for_a_former_change_of_another_service(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a plan whose term ends the ordered one of another service on every instance.
+
+    That engine would get new work while it changes, and count as one that works in its role.
+    """
+    engines = make_engines(6, 0)
+    changing = msgspec.structs.replace(engines[0], service='other')
+    leader = PlanningLeader([changing, *engines[1:]])
+    leader.token = 2
+    running = make_change('ordered', term=1, remaining_s=3.8)
+    assert running.identity == changing.identity
+    leader.knowledge.plans.merge((running,), trio.current_time())
+    await run_for(leader, 3.8)
+    assert not leader.steps
+    await run_for(leader, CONTROL_LOOP_S + ORDER_DELAY_S + 0.1)
+    assert leader.orders
+
+
+async def test_engine_that_was_passed_over_is_forgotten(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against memory that grows with each engine that refused an order and has gone since."""
+    leader = PlanningLeader(make_engines(3, 2))
+    leader.outcome = DutyOutcome.UNAVAILABLE
+    await run_for(leader, ANNOUNCED_S + ORDER_DELAY_S + 0.1)
+    refused = leader.orders[0][1]
+    assert refused in leader.balancer._passed_over_until  # noqa: SLF001
+    leader.list_engines([each for each in leader.engines if each.identity != refused])
+    await run_for(leader, REFUSAL_BACKOFF_S + CONTROL_LOOP_S)
+    assert refused not in leader.balancer._passed_over_until  # noqa: SLF001
+
+
 async def test_new_leader_plans_anew(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against a change that nobody makes, as its leader was lost before the order."""
     former = PlanningLeader(make_engines(3, 2))
