Refuse no prompt for its wait while another engine is idle

Placement compares the three owners of a prefix. If all had long queues, the request was refused although other engines were idle. Before a refusal, the engine with the shortest queue is considered as well, with its longer prefill. Without the second placement, the test of the hot prefix fails.

--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from math import inf
 from random import Random
 
@@ -114,15 +115,16 @@
             job.cache_source = b''
         if not job.cache_source:
             placed_at = trio.current_time()
-            placement = self._place(job, request, usable)
+            limit_ms = find_wait_limit(table.prompt_routes.get(job.service, ())).limit_ms(
+                job.priority
+            )
+            may_shed = not (job.sends or job.prefills)
+            placement = self._place(job, request, usable, limit_ms if may_shed else inf)
             if placement is None:
                 return None
             self._log_placement(job, placement)
             self._demand.record(job.service, placement.uncached_tokens)
-            limit_ms = find_wait_limit(table.prompt_routes.get(job.service, ())).limit_ms(
-                job.priority
-            )
-            if placement.wait_ms > limit_ms and not (job.sends or job.prefills):
+            if may_shed and placement.wait_ms > limit_ms:
                 return LoadShed(
                     choose_retry_after_s(placement.wait_ms, limit_ms, self._random.random())
                 )
@@ -149,14 +151,27 @@
         return [view(each, now, each.cached_prefixes(prompt, now)) for each in usable]
 
     def _place(
-        self, job: Job, request: PlacementRequest, usable: list[EndpointState]
+        self,
+        job: Job,
+        request: PlacementRequest,
+        usable: list[EndpointState],
+        limit_ms: float = inf,
     ) -> Placement | None:
-        """Return the placement of a request with its corrected times."""
-        placement = place_request(request, self.views(usable, request.prompt))
+        """Return the placement of a request with its corrected times.
+
+        :param limit_ms: wait beyond which engines with shorter queues are considered as well.
+        """
+        views = self.views(usable, request.prompt)
+        placement = place_request(request, views)
         if placement is None:
             return None
-        self.estimator.record_prompt(job.service, placement.uncached_tokens)
-        return self.estimator.correct(job.service, placement)
+        corrected = self.estimator.correct(job.service, placement)
+        if corrected.wait_ms > limit_ms:
+            relieved = place_request(replace(request, is_to_be_shed=True), views)
+            if relieved is not None:
+                corrected = self.estimator.correct(job.service, relieved)
+        self.estimator.record_prompt(job.service, corrected.uncached_tokens)
+        return corrected
 
     def _has_retry_budget(self, job: Job) -> bool:
         """Return whether the budget allows a retry; a refused prefill counts as one."""
--- a/shallotmux/placement/_choice.py
+++ b/shallotmux/placement/_choice.py
@@ -128,6 +128,9 @@
     rank = _rank_owners if has_owner else rank_owners
     ranked = [by_identity[each] for each in rank(prompt.affinity_key, tuple(by_identity))]
     candidates = ranked[:MAX_ENGINES_COMPARED] if has_owner else ranked
+    others = ranked[len(candidates) :]
+    if request.is_to_be_shed and others:
+        candidates = [*candidates, min(others, key=lambda each: each.wait_ms)]
     # Decode engines are not expected to have the shared parts in their cache. If that expectation
     # were wrong, a decode engine would have to prefill a long prompt.
     expected = [each for each in ranked if each.role is not EngineRole.DECODE]
--- a/shallotmux/placement/_views.py
+++ b/shallotmux/placement/_views.py
@@ -144,6 +144,8 @@
     :param max_direct_tokens: uncached tokens up to which a decode engine may prefill without delaying
         its streams too much.
     :param draw: returns random numbers that decide between decode engines of about the same delay.
+    :param is_to_be_shed: whether the request is refused unless an engine with a shorter queue is found
+        than those that own the prefix of the prompt.
     """
 
     prompt: Prompt
@@ -151,6 +153,7 @@
     transfer_tokens_per_ms: float
     max_direct_tokens: float
     draw: Callable[[], float] = _draw_first
+    is_to_be_shed: bool = False
 
     @property
     def transfer_ms(self) -> float:
--- a/tests/forwarding/test_engines.py
+++ b/tests/forwarding/test_engines.py
@@ -6,9 +6,10 @@
 
 import trio
 
+from shallotmux.estimates import Work
 from shallotmux.fleet import EngineRole, ListedEndpoint, Listing
 from shallotmux.forwarding import CallerRequest, Dialect, RetryBudgetLimits
-from shallotmux.placement import Prompt, build_prompt
+from shallotmux.placement import PhaseTime, Prompt, build_prompt
 from shallotmux.routes import (
     DocumentCustomer,
     EngineProfile,
@@ -283,6 +284,41 @@
     assert [received.headers[NAMES.request_id] for received in prefill_engine.received] == [b'r-2']
 
 
+async def test_hot_prefix_is_not_refused_while_another_engine_is_idle() -> None:
+    """Guards against refusals of a prefix whose owners are busy, beside idle engines."""
+    prefill_engines = [ScriptedEndpoint(answer_prefill) for _ in range(5)]
+    decode_engine = ScriptedEndpoint(generate)
+    async with run_forwarder(*prefill_engines, decode_engine, dialect=DIALECT) as harness:
+        configure_engines(harness, prefill_engines, [decode_engine])
+        states = [harness.forwarder.directory.find(f'p-{number}') for number in range(5)]
+        got = []
+        for number, idle in enumerate(states):
+            for state in states:
+                assert state is not None
+                state.queued_prefill_tokens = 0 if state is idle else 50 * 20_000
+            got.append(await harness.make_request('/ask/', request_id=f'r-{number}'))
+    assert {each.status for each in got} == {200}
+    assert {len(each.received) for each in prefill_engines} == {1}
+
+
+async def test_slow_answers_refuse_no_request_while_engines_are_idle() -> None:
+    """Guards against corrected waits that refuse requests although nothing waits."""
+    prefill_engine, decode_engine = ScriptedEndpoint(answer_prefill), ScriptedEndpoint(generate)
+    async with run_forwarder(prefill_engine, decode_engine, dialect=DIALECT) as harness:
+        configure_engines(harness, [prefill_engine], [decode_engine])
+        estimator = harness.forwarder.placer.estimator
+        for identity, work in (('p-0', Work.PREFILL), ('d-0', Work.HANDOVER)):
+            state = harness.forwarder.directory.find(identity)
+            assert state is not None
+            now = trio.current_time()
+            for number in range(30):
+                time = PhaseTime(service_ms=100.0 + 20 * number)
+                estimate = estimator.estimate_phase(state, work, time, now)
+                estimator.record(state, estimate, 40_000.0, now)
+        got = await harness.make_request('/ask/')
+    assert got.status == 200
+
+
 async def test_only_decode_engine_is_used_despite_recent_refusal() -> None:
     """Guards against "no endpoint" while the only decode engine is backing off after a refusal."""
     refusals = [True]
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 from random import Random
 
 from shallotmux.fleet import EngineRole
@@ -210,3 +211,18 @@
     chosen = Counter(choose_decode_engine(asked, (*engines, busy)) for _ in range(200))
     assert set(chosen) == {each.identity for each in engines}
     assert max(chosen.values()) < 100
+
+
+def test_request_to_be_shed_finds_an_engine_beyond_the_owners() -> None:
+    """Guards against a hot prefix whose requests are refused while other engines are idle."""
+    engines = tuple(EngineView(f'p-{each}', 'a', EngineRole.PREFILL, 50) for each in range(8))
+    asked = request(prompt('s'))
+    owners = rank_owners(asked.prompt.affinity_key, [each.identity for each in engines])[:3]
+    queued = [with_backlog(each, 200_000) if each.identity in owners else each for each in engines]
+    usual = place_request(asked, (*queued, *DECODE_ENGINES))
+    relieved = place_request(replace(asked, is_to_be_shed=True), (*queued, *DECODE_ENGINES))
+    assert usual is not None
+    assert usual.prefill in owners
+    assert relieved is not None
+    assert relieved.prefill not in owners
+    assert not relieved.wait_ms
