Fit the factor of a correction to thirds of three pairs at least

With 8 pairs the outer thirds had two, whose median is their mean: one answer of 20 s among 8 raised the factor to 1.59 (test with 6 to 23 pairs, failed with 8 only). The factor is fitted from 9 pairs on.

--- a/shallotmux/estimates/_corrections.py
+++ b/shallotmux/estimates/_corrections.py
@@ -16,8 +16,9 @@
 MIN_PAIRS = 3
 UNSURE_FIXED_MS = 100.0
 
-#: Pairs from which the factor is fitted. It is drawn towards 1 until there are :data:`MAX_PAIRS`.
-MIN_SLOPE_PAIRS = 8
+#: Pairs from which the factor is fitted. It is drawn towards 1 until there are :data:`MAX_PAIRS`. The
+#: outer thirds have three pairs then; the median of two is their mean, which one slow answer raises.
+MIN_SLOPE_PAIRS = 9
 
 #: Bounds on the factor.
 FACTOR_LIMITS = (0.25, 4.0)
--- a/tests/estimates/test_corrections.py
+++ b/tests/estimates/test_corrections.py
@@ -33,6 +33,17 @@
     assert correction.apply(100.0) == pytest.approx(190.0, rel=0.15)
 
 
+@pytest.mark.parametrize('count', range(6, 24))
+def test_one_slow_answer_has_no_effect_on_the_factor(count: int) -> None:
+    """Guards against waits, by which requests are refused, that one slow answer lengthens."""
+    correction = TimeCorrection()
+    bases = [100.0 + 40.0 * number for number in range(count)]
+    for base in bases[:-1]:
+        correction.record(base, 900.0 + base)
+    correction.record(bases[-1], 20_000.0)
+    assert correction.factor == pytest.approx(1.0, abs=0.15)
+
+
 def test_fixed_part_and_factor_are_told_apart() -> None:
     """Guards against a fixed time of an engine that is learned as a factor, or the reverse."""
     correction = TimeCorrection()
