Never shorten the timeout of a prefill by a correction

Corrections are learned from prefills that ended, so a timeout that follows them down would end the longer ones, which are then never learned from. The timeout is derived from the larger of the corrected and the uncorrected time.

--- a/shallotmux/forwarding/_prefill.py
+++ b/shallotmux/forwarding/_prefill.py
@@ -53,6 +53,15 @@
     backlog_tokens: float = 0.0
     fetch_ms: float = 0.0
 
+    @property
+    def timeout_s(self) -> float:
+        """Return the timeout, which a correction lengthens but never shortens.
+
+        Only prefills that have ended are learned from, so corrected times may be too short.
+        """
+        expected_ms = max(self.expected_ms, self.estimate.base)
+        return (PREFILL_TIMEOUT_FACTOR * expected_ms + PREFILL_TIMEOUT_MARGIN_MS) / 1000
+
 
 class PrefillClient:
     """Sends prompts to engines for prefill only.
@@ -83,9 +92,8 @@
         state = call.state
         if not self._directory.take_permit(state):
             return None
-        timeout_s = (PREFILL_TIMEOUT_FACTOR * call.expected_ms + PREFILL_TIMEOUT_MARGIN_MS) / 1000
         sent_at = trio.current_time()
-        with trio.move_on_after(timeout_s):
+        with trio.move_on_after(call.timeout_s):
             return await self._exchange(job, call)
         self._budget.charge(job.service)
         if state.answered_at < sent_at:
