Share the platform's list of endpoints among the control instances

Every control instance read the list every 0.8 s, and each call is billed. The leader alone reads it now; the others ask it every 0.2 s, with the marks and changes that entry instances get. They read it themselves, from random moments on, while the leader's list is more than 0.8 s older than the interval. A list that was read earlier than the present one is ignored; before, the last one to arrive was kept. Entry instances call the platform later, as all of them would otherwise call it when a leader is lost, and tolerate lists of 1.4 s instead of 1.3 s.

--- a/shallotmux/control/__init__.py
+++ b/shallotmux/control/__init__.py
@@ -34,6 +34,11 @@
 from shallotmux.control._quorum_watch import QuorumWatch
 from shallotmux.control._recovery import DataFolders
 from shallotmux.control._role_balancer import RoleBalancer
+from shallotmux.control._shared_listing import (
+    LISTING_GROUP,
+    SharedListing,
+    answer_listing_request,
+)
 from shallotmux.control._timeouts import MemberTimeouts, choose_timeouts, longest_replacement_s
 from shallotmux.control._usage_totals import UsageTotals
 from shallotmux.control._voter_placement import MemberStability
@@ -53,6 +58,7 @@
     'MEMBERSHIP_INTERVAL_S',
     'REJOIN_AFTER_S',
     'KnowledgeService',
+    'LISTING_GROUP',
     'LeaderTerm',
     'LeaderDependencies',
     'ListingPoller',
@@ -61,6 +67,7 @@
     'PlatformApi',
     'QuorumWatch',
     'RoleBalancer',
+    'SharedListing',
     'MemberStability',
     'MemberTimeouts',
     'choose_timeouts',
@@ -69,6 +76,7 @@
     'WindowReporter',
     'UsageTotals',
     'UsageReport',
+    'answer_listing_request',
     'assess_group',
     'next_group_change',
     'replica_options',
--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -98,6 +98,7 @@
         self._origins = OriginStore()
         self.listing: Listing | None = None
         self._summary: Counter[str] = Counter()
+        self._versions: frozenset[tuple[str, str]] = frozenset()
         self._listed_at = float('-inf')
         self._polled_at: dict[str, float] = {}
         self._demands: dict[str, tuple[ServiceDemand, ...]] = {}
@@ -106,18 +107,24 @@
         self.plans = HeldPlans()
 
     def update_listing(self, listing: Listing, listed_at: float) -> None:
-        """Store the platform's list of endpoints.
+        """Store the platform's list of endpoints, unless a newer one is known.
 
         :param listed_at: local time at which the list was read.
         """
-        summary = Counter(_describe_endpoint(each) for each in listing.endpoints)
-        if summary != self._summary:
-            self._summary = summary
-            log_message(message_type='shallotmux:listing', endpoints=dict(sorted(summary.items())))
-        self.listing = listing
-        self._publications.update_listing(listing)
+        if listed_at < self._listed_at:
+            return
         self._listed_at = listed_at
-        self.history.observe(listing.versions(), listed_at)
+        if listing is not self.listing:
+            self._replace_listing(listing)
+        self.history.observe(self._versions, listed_at)
+
+    def listing_age_s(self, now: float) -> float:
+        """Return the time since the list was read; infinite if it never was."""
+        return max(0.0, now - self._listed_at) if self.listing else inf
+
+    def endpoints_after(self, known: StateMark) -> bytes:
+        """Return the encoded change of the list from a known state; empty without a list."""
+        return self._publications.endpoints.encode_after(known) if self.listing else b''
 
     def endpoints_of(self, service: str) -> tuple[ListedEndpoint, ...]:
         """Return the listed endpoints of a service, including those that are leaving."""
@@ -191,6 +198,15 @@
         answer = OriginAnswer(self._origins.build_reports(call.wanted))
         return ForwardAnswer(encode_origin_message(answer))
 
+    def _replace_listing(self, listing: Listing) -> None:
+        summary = Counter(_describe_endpoint(each) for each in listing.endpoints)
+        if summary != self._summary:
+            self._summary = summary
+            log_message(message_type='shallotmux:listing', endpoints=dict(sorted(summary.items())))
+        self.listing = listing
+        self._publications.update_listing(listing)
+        self._versions = listing.versions()
+
     def _build_report_answer(self, poll: Poll, now: float, *, took_counts: bool) -> Knowledge:
         """Return the answer to an instance that follows another one, which needs no state."""
         document = self._state.zone.document
@@ -202,7 +218,7 @@
             document.content if is_newer else b'',
             (),
             None,
-            max(0.0, now - self._listed_at) if self.listing else inf,
+            self.listing_age_s(now),
             (),
             self._clock.local_estimate(),
             self._crashes.build_news(poll.crashes_known),
@@ -221,7 +237,7 @@
             answer,
             limits=self.limits.build_reports(),
             cut_off=self._entry_reach.cut_off(self._live),
-            endpoints=self._publications.endpoints.encode_after(endpoints) if self.listing else b'',
+            endpoints=self.endpoints_after(endpoints),
             members=self._publications.members.encode_after(members),
         )
 
--- a/shallotmux/fleet/__init__.py
+++ b/shallotmux/fleet/__init__.py
@@ -6,7 +6,13 @@
 from shallotmux.fleet._listing import EngineRole, ListedEndpoint, Listing
 from shallotmux.fleet._load_messages import EndpointReport
 from shallotmux.fleet._load_sharing import LoadSharing
-from shallotmux.fleet._members import FleetMembers, encode_endpoints, encode_members
+from shallotmux.fleet._members import (
+    FleetMembers,
+    build_listing,
+    decode_endpoint,
+    encode_endpoints,
+    encode_members,
+)
 from shallotmux.fleet._messages import (
     ANNOUNCEMENT_GROUP,
     JOIN_GROUP,
@@ -65,8 +71,10 @@
     'Poll',
     'ServiceDemand',
     'TrueClock',
+    'build_listing',
     'decode_announcement',
     'decode_announcement_answer',
+    'decode_endpoint',
     'decode_join',
     'decode_join_answer',
     'decode_knowledge',
--- a/shallotmux/fleetnews/_choice.py
+++ b/shallotmux/fleetnews/_choice.py
@@ -8,8 +8,8 @@
 from shallotmux.rendezvous import rank_owners
 
 #: Age of its list at a control instance's answer beyond which another one is preferred. The list is read
-#: every 0.8 s by default, and reading it takes up to some hundred ms.
-MAX_LIST_AGE_S = 1.3
+#: every 0.8 s by default, reading it takes up to some hundred ms, and it is taken from the leader every 0.2 s.
+MAX_LIST_AGE_S = 1.4
 
 
 @dataclass(frozen=True, slots=True)
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 from random import SystemRandom
 
 import trio
@@ -12,6 +13,7 @@
 
 from shallotmux.control import (
     CONTROL_GROUP,
+    LISTING_GROUP,
     Autoscaler,
     ControlMember,
     DocumentService,
@@ -23,7 +25,9 @@
     PlatformApi,
     QuorumWatch,
     RoleBalancer,
+    SharedListing,
     WindowReporter,
+    answer_listing_request,
 )
 from shallotmux.errors import SettingsError
 from shallotmux.fleet import (
@@ -60,6 +64,7 @@
     PeerTraffic,
     Refusal,
     SelfNamedAddresses,
+    instance_name,
 )
 
 #: Time for responses in flight at shutdown.
@@ -100,7 +105,7 @@
             settings.zone, lambda peer: self._knowledge.zone_of(peer), KNOWLEDGE_GROUP
         )
         self._network = GrpcPeerNetwork(
-            peer_address, peer_address, SelfNamedAddresses(), None, self._traffic
+            peer_address, peer_address, SelfNamedAddresses(), None, self._traffic, (LISTING_GROUP,)
         )
         self._clock = TrueClock()
         self.member = ControlMember(
@@ -127,6 +132,16 @@
         if self.member.is_first_start:
             self._knowledge.history.assume_complete()
         self._quorum = QuorumWatch(self.member)
+        #: Functions that answer the calls of other instances, by group.
+        self._answers: dict[str, Callable[[bytes], ForwardAnswer]] = {
+            KNOWLEDGE_GROUP: self._knowledge.answer,
+            LISTING_GROUP: self._answer_listing_request,
+            PLANS_GROUP: partial(answer_plan_report, self._knowledge.plans),
+            ORIGIN_GROUP: self._knowledge.answer_origins,
+            JOIN_GROUP: self.member.handle_join_request,
+            ANNOUNCEMENT_GROUP: self.member.zones.handle_announcement,
+            LEAVE_GROUP: self.member.handle_leave_notice,
+        }
         self._registry = CollectorRegistry()
         self._traffic.register(self._registry)
         self._gauges = ControlGauges(self._registry)
@@ -184,28 +199,28 @@
 
     async def handle_forward(self, group: str, command: bytes) -> ForwardAnswer:
         """Handle a request forwarded by another instance."""
-        match group:
-            case _ if group == KNOWLEDGE_GROUP:
-                return self._knowledge.answer(command)
-            case _ if group == PLANS_GROUP:
-                return answer_plan_report(self._knowledge.plans, command)
-            case _ if group == ORIGIN_GROUP:
-                return self._knowledge.answer_origins(command)
-            case _ if group == JOIN_GROUP:
-                return self.member.handle_join_request(command)
-            case _ if group == ANNOUNCEMENT_GROUP:
-                return self.member.zones.handle_announcement(command)
-            case _ if group == LEAVE_GROUP:
-                return self.member.handle_leave_notice(command)
-            case _ if group == CONTROL_GROUP:
-                return await self.member.driver.commit(command, FORWARDED_COMMIT_TIMEOUT_S)
-        return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail=f'no group {group!r}')
+        if group == CONTROL_GROUP:
+            return await self.member.driver.commit(command, FORWARDED_COMMIT_TIMEOUT_S)
+        answer = self._answers.get(group)
+        if answer is None:
+            return ForwardAnswer(refusal=Refusal.NOT_COMMITTED, detail=f'no group {group!r}')
+        return answer(command)
 
     def _background_tasks(self) -> dict[str, Callable[[], Awaitable[None]]]:
         """Return the tasks that are restarted when they fail, by name."""
         settings = self.settings
         platform = self._adapter.platform
-        poller = ListingPoller(platform, self._knowledge.update_listing, settings.times.listing_s)
+        interval_s = settings.times.listing_s
+        shared_listing = SharedListing(
+            settings.listen.peers,
+            self._network,
+            ListingPoller(platform, self._knowledge.update_listing, interval_s),
+            self._knowledge.update_listing,
+            lambda: instance_name(self.member.leader() or ''),
+            self.member.driver.is_leader,
+            interval_s,
+            SystemRandom(),
+        )
         term = self._term
         dependencies = LeaderDependencies(self._knowledge, platform, term, self._route_table)
         book = PlanBook()
@@ -219,7 +234,7 @@
             self._knowledge.plans,
         )
         tasks: dict[str, Callable[[], Awaitable[None]]] = {
-            'listing': poller.run,
+            'listing': shared_listing.run,
             'gauges': self._set_gauges,
             'quorum': self._quorum.run,
             'roles': RoleBalancer(dependencies, book).run,
@@ -235,6 +250,10 @@
             tasks['fleet-size'] = Autoscaler(dependencies).run
         return tasks
 
+    def _answer_listing_request(self, command: bytes) -> ForwardAnswer:
+        leads = self.member.driver.is_leader()
+        return answer_listing_request(self._knowledge, command, leads=leads)
+
     def _route_table(self) -> RouteTable | None:
         """Return the route table of the local document, which may lag behind the leader's."""
         document = self.member.state.zone.document
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -61,8 +61,10 @@
 #: instances that are not counted yet and for calls other than requests, such as health checks.
 USED_CONNECTION_FRACTION = 0.9
 
-#: Age of the endpoint list beyond which this instance polls the platform itself.
-STALE_LISTING_S = 1.8
+#: Age of the endpoint list, beyond the interval at which it is read, from which this instance polls the
+#: platform itself. Control instances that lose their leader read the list 0.8 to 1.1 s after that interval,
+#: and are polled every 0.4 s; if entry instances were earlier, all of them would call the platform.
+STALE_LISTING_MARGIN_S = 1.6
 
 #: Time for which connections are still accepted after SIGTERM. The load balancer checks readiness
 #: once a second and removes an instance after two failures; the rest is for network delay. What is
@@ -316,12 +318,11 @@
 
     async def _refresh_stale_listing(self) -> None:
         """Poll the platform's list while no control instance provides a recent one."""
-        poller = ListingPoller(
-            self._adapter.platform, self.view.update_listing, self.settings.times.listing_s
-        )
+        interval_s = self.settings.times.listing_s
+        poller = ListingPoller(self._adapter.platform, self.view.update_listing, interval_s)
         while True:
-            await trio.sleep(self.settings.times.listing_s)
-            if trio.current_time() - self.view.listed_at > STALE_LISTING_S:
+            await trio.sleep(interval_s)
+            if trio.current_time() - self.view.listed_at > interval_s + STALE_LISTING_MARGIN_S:
                 await poller.poll()
 
     async def _drain(self) -> None:
--- a/tests/programs/test_programs.py
+++ b/tests/programs/test_programs.py
@@ -13,6 +13,7 @@
 from tests.forwarding._harness import ReceivedRequest, ScriptedEndpoint, answer
 from tests.programs._fleet import (
     CALLER_PORT,
+    LISTING_INTERVAL_S,
     OPERATOR_PORT,
     PUT_PATH,
     READINESS_PORT,
@@ -138,6 +139,21 @@
         assert all(holder.token > 0 for holder in fleet.platform.holders)
 
 
+async def test_control_instances_share_the_list(tmp_path: Path) -> None:
+    """Guards against calls to the platform of every control instance, which are billed."""
+    async with start_fleet(private_network(86), tmp_path) as fleet:
+        await put_document(fleet, 1, make_document(1, '/a/'))
+        await wait_for_status(fleet, '/a/', 200)
+        # The instances have read the list themselves until there was a leader.
+        await trio.sleep(2)
+        calls_before = fleet.platform.list_calls
+        await trio.sleep(4)
+        calls = fleet.platform.list_calls - calls_before
+        assert calls <= 1.5 * 4 / LISTING_INTERVAL_S
+        now = trio.current_time()
+        assert now - fleet.entries[ENTRY].view.listed_at < 2
+
+
 async def test_entry_keeps_serving_without_control(tmp_path: Path) -> None:
     """Guards against an entry instance that stops serving without control instances."""
     async with start_fleet(private_network(85), tmp_path) as fleet:
