--- a/shallotmux/control/_shared_listing.py
+++ b/shallotmux/control/_shared_listing.py
@@ -15,8 +15,8 @@
 from shallotmux.control._poller import ListingPoller
 from shallotmux.decoding import guard_decoder
 from shallotmux.errors import ShallotmuxError
-from shallotmux.fleet import ListedEndpoint, Listing, build_listing, decode_endpoint
-from shallotmux.fleetnews import NO_STATE, Applied, Follower, StateMark, decode_change
+from shallotmux.fleet import Listing, ListingCopy
+from shallotmux.fleetnews import NO_STATE, StateMark, decode_change
 from shallotmux.transport import ForwardAnswer, PeerNetwork, Refusal
 
 #: Group name under which control instances ask the leader for its list.
@@ -150,8 +150,7 @@
         self._leader = leader
         self._leads = leads
         self._turn = PollTurn(interval_s, random.random)
-        self._copy: Follower[ListedEndpoint] = Follower(decode_endpoint)
-        self._listing = Listing()
+        self._copy = ListingCopy()
         self._was_own: bool | None = None
         self._failure = ''
 
@@ -198,15 +197,13 @@
         if not answer.endpoints or not 0 <= answer.age_s < inf:
             return
         change = decode_change(answer.endpoints)
-        applied = self._copy.apply(change)
-        if applied in {Applied.CHANGED, Applied.REPLACED}:
-            self._listing = build_listing(self._copy.items)
+        self._copy.apply(change)
         if not self._copy.has(change.mark):
             return
         # The answer may have been delayed, also by a suspension of this machine.
         listed_at = sent_at - answer.age_s
         self._turn.shared_at = max(self._turn.shared_at, listed_at)
-        self._update_listing(self._listing, listed_at)
+        self._update_listing(self._copy.listing, listed_at)
 
     def _log_source(self, now: float, *, is_own: bool) -> None:
         if is_own is self._was_own:
--- a/shallotmux/fleet/__init__.py
+++ b/shallotmux/fleet/__init__.py
@@ -4,12 +4,11 @@
 
 from shallotmux.fleet._clock import TrueClock, read_boot_time
 from shallotmux.fleet._listing import EngineRole, ListedEndpoint, Listing
+from shallotmux.fleet._listing_copy import ListingCopy
 from shallotmux.fleet._load_messages import EndpointReport
 from shallotmux.fleet._load_sharing import LoadSharing
 from shallotmux.fleet._members import (
     FleetMembers,
-    build_listing,
-    decode_endpoint,
     encode_endpoints,
     encode_members,
 )
@@ -66,15 +65,14 @@
     'LeaveAnswer',
     'ListedEndpoint',
     'Listing',
+    'ListingCopy',
     'LoadSharing',
     'PeerLoads',
     'Poll',
     'ServiceDemand',
     'TrueClock',
-    'build_listing',
     'decode_announcement',
     'decode_announcement_answer',
-    'decode_endpoint',
     'decode_join',
     'decode_join_answer',
     'decode_knowledge',
--- a/shallotmux/fleet/_poller.py
+++ b/shallotmux/fleet/_poller.py
@@ -14,12 +14,11 @@
 from shallotmux.errors import DocumentInvalid, ShallotmuxError
 from shallotmux.fleet._clock import TrueClock
 from shallotmux.fleet._controls import ControlInstances
-from shallotmux.fleet._listing import ListedEndpoint, Listing
+from shallotmux.fleet._listing import Listing
+from shallotmux.fleet._listing_copy import ListingCopy
 from shallotmux.fleet._members import (
     FleetMembers,
-    build_listing,
     build_members,
-    decode_endpoint,
     decode_zone,
 )
 from shallotmux.fleet._messages import (
@@ -169,8 +168,7 @@
         self._reports = Reports(
             ReportSources(name, zone, counts, demands, self._limits, self.crashes, cut_off)
         )
-        self._endpoints: Follower[ListedEndpoint] = Follower(decode_endpoint)
-        self._listing = Listing()
+        self._endpoints = ListingCopy()
         self._members: Follower[str] = Follower(decode_zone)
         self._built_members = FleetMembers()
         self._shown_members: FleetMembers | None = None
@@ -253,7 +251,7 @@
         self._history.merge(knowledge.versions, sent_at)
         if knowledge.document:
             self._apply_document(peer, knowledge.document)
-        listing = self._listing if has_endpoints else knowledge.listing
+        listing = self._endpoints.listing if has_endpoints else knowledge.listing
         is_dated = 0 <= knowledge.listing_age_s < float('inf')
         if listing is not None and is_dated:
             # The answer may have been delayed, also by a suspension of this machine. The list is at least
@@ -268,8 +266,6 @@
             return False
         change = decode_change(knowledge.endpoints)
         applied = self._endpoints.apply(change)
-        if applied in {Applied.CHANGED, Applied.REPLACED}:
-            self._listing = build_listing(self._endpoints.items)
         _log_applied(peer, 'endpoints', applied, len(change.changed))
         return self._endpoints.has(change.mark)
 
