--- a/shallotmux/fleet/__init__.py
+++ b/shallotmux/fleet/__init__.py
@@ -4,9 +4,14 @@
 
 from shallotmux.fleet._clock import TrueClock, read_boot_time
 from shallotmux.fleet._listing import EngineRole, ListedEndpoint, Listing
+from shallotmux.fleet._listing_copy import ListingCopy
 from shallotmux.fleet._load_messages import EndpointReport
 from shallotmux.fleet._load_sharing import LoadSharing
-from shallotmux.fleet._members import FleetMembers, encode_endpoints, encode_members
+from shallotmux.fleet._members import (
+    FleetMembers,
+    encode_endpoints,
+    encode_members,
+)
 from shallotmux.fleet._messages import (
     ANNOUNCEMENT_GROUP,
     JOIN_GROUP,
@@ -60,6 +65,7 @@
     'LeaveAnswer',
     'ListedEndpoint',
     'Listing',
+    'ListingCopy',
     'LoadSharing',
     'PeerLoads',
     'Poll',
