Let entry instances follow the shares of their zone's decider

Entry instances report the use of services with endpoints in several zones in their polls, control instances decide once a second and answer with the shares of their zone, and each request draws its zone once. Without shares, the expected time and the price decide: CROSS_ZONE_PENALTY_MS (12 ms) and CROSS_ZONE_LOAD_PENALTY (half of the slots) are gone. A prefill engine of another zone costs the longer transfer of the KV cache, from the estimates.

Deployments with one zone are as before.

--- a/shallotmux/control/__init__.py
+++ b/shallotmux/control/__init__.py
@@ -23,6 +23,7 @@
     MemberSettings,
     replica_options,
 )
+from shallotmux.control._overflow import OverflowTask, count_capacities
 from shallotmux.control._platform import (
     DutyHolder,
     DutyOutcome,
@@ -58,6 +59,7 @@
     'ListingPoller',
     'MemberSettings',
     'Autoscaler',
+    'OverflowTask',
     'PlatformApi',
     'QuorumWatch',
     'RoleBalancer',
@@ -70,6 +72,7 @@
     'UsageTotals',
     'UsageReport',
     'assess_group',
+    'count_capacities',
     'next_group_change',
     'replica_options',
 )
--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -37,6 +37,7 @@
     decode_origin_call,
     encode_origin_message,
 )
+from shallotmux.overflow import InstanceUse, OverflowDecider, OverflowShare
 from shallotmux.plannedchanges import HeldPlans
 from shallotmux.ratelimits import KnownLimits
 from shallotmux.transport import ForwardAnswer, Refusal, instance_name
@@ -104,6 +105,13 @@
         self._entry_reach = EntryReach()
         #: Planned changes, as the leader sent them.
         self.plans = HeldPlans()
+        #: Decides which requests of the own zone are sent to other zones; None to decide nothing.
+        self.overflow: OverflowDecider | None = None
+
+    @property
+    def listed_at(self) -> float:
+        """Return the local time at which the list was read."""
+        return self._listed_at
 
     def update_listing(self, listing: Listing, listed_at: float) -> None:
         """Store the platform's list of endpoints.
@@ -172,6 +180,7 @@
         has_moved = self._entry_reach.record(poll)
         if is_new or has_moved or now - self._live_at >= MEMBERS_INTERVAL_S:
             self._update_members(now)
+        self._record_uses(poll, now)
         self._crashes.merge(poll.crash_news)
         self.limits.merge(poll.limits)
         knowledge = self._build_report_answer(poll, now, took_counts=took_counts)
@@ -211,8 +220,22 @@
             is_settled=now - self._live_since >= SETTLE_S,
             took_counts=took_counts,
             plans=self.plans.report(now),
+            shares=self._shares_for(poll),
         )
 
+    def _record_uses(self, poll: Poll, now: float) -> None:
+        """Record the use of services in a poll, unless it is of an earlier build."""
+        if self.overflow is not None and poll.uses is not None:
+            self.overflow.record(
+                instance_name(poll.sender), InstanceUse(poll.zone, poll.uses, poll.cut_off, now)
+            )
+
+    def _shares_for(self, poll: Poll) -> tuple[OverflowShare, ...]:
+        """Return the shares that the sender of a poll follows; none for one of another zone."""
+        if self.overflow is None or poll.is_report or poll.zone != self.overflow.zone:
+            return ()
+        return self.overflow.own_shares
+
     def _add_changes(
         self, answer: Knowledge, endpoints: StateMark, members: StateMark
     ) -> Knowledge:
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -11,6 +11,7 @@
 from shallotmux.fleet._listing import Listing
 from shallotmux.fleetnews import StateMark
 from shallotmux.origins import NO_HISTORY, HistoryReport
+from shallotmux.overflow import OverflowShare, ServiceUse
 from shallotmux.plannedchanges import PlannedChange
 from shallotmux.ratelimits import LimitReport
 
@@ -79,6 +80,7 @@
     :param is_report: whether the sender follows another instance and needs no state. Earlier builds name
         neither, and get the whole state.
     :param wants_history: whether the answer is to contain the software versions.
+    :param uses: use of the services that have endpoints in several zones; None from earlier builds.
     """
 
     sender: str
@@ -94,6 +96,7 @@
     known_members: StateMark | None = None
     is_report: bool = False
     wants_history: bool = True
+    uses: tuple[ServiceUse, ...] | None = None
 
 
 class CutOff(msgspec.Struct, frozen=True):
@@ -130,6 +133,7 @@
     :param is_settled: whether all live entry instances have had the time to poll the answering instance.
     :param took_counts: whether all counts of the poll were merged, and need not be sent again.
     :param plans: planned changes that the answering instance knows of.
+    :param shares: shares of the zone of the poll's sender, if the answering instance decides for it.
     """
 
     version: int
@@ -150,6 +154,7 @@
     is_settled: bool = False
     took_counts: bool = False
     plans: tuple[PlannedChange, ...] = ()
+    shares: tuple[OverflowShare, ...] = ()
 
 
 class Join(msgspec.Struct, frozen=True):
--- a/shallotmux/fleet/_poller.py
+++ b/shallotmux/fleet/_poller.py
@@ -33,6 +33,7 @@
 from shallotmux.fleet._reports import Followed, Reports, ReportSources, SentPoll
 from shallotmux.fleetnews import Applied, Follower, decode_change
 from shallotmux.origins import VersionHistory
+from shallotmux.overflow import HeldShares, ServiceUse
 from shallotmux.plannedchanges import HeldPlans
 from shallotmux.ratelimits import KnownLimits
 from shallotmux.repeats import RepeatLog
@@ -85,6 +86,8 @@
     _versions: frozenset[tuple[str, str]] = frozenset()
     #: Planned changes of endpoints.
     plans: HeldPlans = field(default_factory=HeldPlans)
+    #: Shares of the requests that are sent to other zones.
+    shares: HeldShares = field(default_factory=HeldShares)
 
     @property
     def version(self) -> int:
@@ -141,6 +144,7 @@
     :param history: software versions in service, extended by what the control instances saw.
     :param zone: availability zone of this instance.
     :param cut_off: returns the services of which this instance reaches no endpoint.
+    :param uses: returns the use of the services that have endpoints in several zones.
     """
 
     def __init__(
@@ -156,6 +160,7 @@
         history: VersionHistory | None = None,
         zone: str = '',
         cut_off: Callable[[], tuple[str, ...]] = tuple,
+        uses: Callable[[], tuple[ServiceUse, ...]] = tuple,
     ) -> None:
         self._zone = zone
         self._limits = limits or KnownLimits()
@@ -167,7 +172,7 @@
         self._clock = clock
         self._controls = ControlInstances(seeds, zone, instance_name(name))
         self._reports = Reports(
-            ReportSources(name, zone, counts, demands, self._limits, self.crashes, cut_off)
+            ReportSources(name, zone, counts, demands, self._limits, self.crashes, cut_off, uses)
         )
         self._endpoints: Follower[ListedEndpoint] = Follower(decode_endpoint)
         self._listing = Listing()
@@ -237,6 +242,8 @@
         has_endpoints = is_main and self._follow_endpoints(peer, knowledge)
         if is_main:
             self._follow_members(peer, knowledge)
+            # Those of the followed instance alone count, so that two deciders of a zone do not mix.
+            self.view.shares.replace(knowledge.shares, self._zone, sent_at)
             self.view.cut_off = {
                 each.service: frozenset(each.entries) for each in knowledge.cut_off
             }
--- a/shallotmux/fleet/_reports.py
+++ b/shallotmux/fleet/_reports.py
@@ -10,6 +10,7 @@
 from shallotmux.crashes import CrashExchange, CrashNews, CrashRecords
 from shallotmux.fleet._messages import CustomerCount, Knowledge, Poll, ServiceDemand
 from shallotmux.fleetnews import Confirmations, StateMark
+from shallotmux.overflow import ServiceUse
 from shallotmux.ratelimits import KnownLimits
 
 #: Interval at which a limit is reported again while endpoints repeat it. It is far below the time after
@@ -43,6 +44,7 @@
     :param counts: totals of requests for all kept windows.
     :param demands: demand, by service.
     :param cut_off: services of which this instance reaches no endpoint.
+    :param uses: use of the services that have endpoints in several zones.
     """
 
     sender: str
@@ -52,6 +54,7 @@
     limits: KnownLimits
     crashes: CrashRecords
     cut_off: Callable[[], tuple[str, ...]]
+    uses: Callable[[], tuple[ServiceUse, ...]] = tuple
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +115,7 @@
             followed.members if followed else None,
             followed is None,
             followed is not None or self._is_history_due(peer, now),
+            sources.uses(),
         )
         return SentPoll(poll, counts, limits)
 
--- a/shallotmux/forwarding/_assembly.py
+++ b/shallotmux/forwarding/_assembly.py
@@ -19,7 +19,9 @@
 from shallotmux.forwarding._pool import ConnectionPool
 from shallotmux.forwarding._quota_gate import QuotaGate
 from shallotmux.forwarding._starts import StartVerifier
+from shallotmux.forwarding._zones import ZoneFollower
 from shallotmux.origins import StreamOrigins
+from shallotmux.overflow import DEFAULT_PRICE
 from shallotmux.quotas import CustomerQuotas
 from shallotmux.relaying import RelayPeers
 
@@ -31,6 +33,7 @@
     :param zone: availability zone of this instance.
     :param on_run_started: called once for each job, when an endpoint has started to run it.
     :param quotas: quotas of customers; None to keep none.
+    :param zone_traffic_ms_per_kb: time that sending one kilobyte to another zone must save.
     :param other_instances_tokens: returns the prompt tokens that other instances have queued at an
         engine.
     """
@@ -48,12 +51,18 @@
     origins: StreamOrigins = field(default_factory=StreamOrigins)
     peers: RelayPeers = field(default_factory=RelayPeers)
     quotas: CustomerQuotas | None = None
+    zone_traffic_ms_per_kb: float = DEFAULT_PRICE
 
 
 def build_forwarder(parts: ForwarderParts) -> Forwarder:
     """Return a forwarder with its attempt runner and engine placer."""
     dialect, pool, directory, budget = parts.dialect, parts.pool, parts.directory, parts.budget
     directory.reach.watch(pool)
+    zones = ZoneFollower(
+        parts.zone, parts.view.shares, parts.zone_traffic_ms_per_kb, parts.random.random
+    )
+    zones.count_sent = lambda service: parts.metrics.cross_zone_requests.labels(service).inc()
+    directory.follow_zones(zones)
     directory.on_blamed_refusal.append(
         lambda phase, status: parts.metrics.refused_after_own_order.labels(
             phase.value, status
--- a/shallotmux/forwarding/_directory.py
+++ b/shallotmux/forwarding/_directory.py
@@ -22,13 +22,10 @@
     UNRESPONSIVE_AFTER_S,
     EndpointState,
 )
+from shallotmux.forwarding._zones import ZoneFollower, find_zoned_services
 from shallotmux.plannedchanges import HeldPlans, PlanPhase
 from shallotmux.ratelimits import EndpointLimits, parse_limit
 
-#: Added to the load per slot of endpoints in other zones, so that they are chosen only if those of
-#: the own zone are busier by this fraction of their slots.
-CROSS_ZONE_LOAD_PENALTY = 0.5
-
 #: Difference of the estimated loads of two plain endpoints that decides between them. Below it, one is
 #: drawn, so that one that looks best by chance does not get the requests of all instances.
 LOAD_TIE = 0.1
@@ -82,6 +79,13 @@
         self.reports = LoadReports(self._states)
         #: Tells which services are out of reach.
         self.reach = ReachMonitor(self._states)
+        #: Draws the zones of requests.
+        self.zones = ZoneFollower()
+
+    def follow_zones(self, zones: ZoneFollower) -> None:
+        """Draw the zones of requests by the shares that an object follows."""
+        self.zones = zones
+        zones.services = find_zoned_services(self._states.values())
 
     def update_listing(self, listing: Listing) -> None:
         """Replace the list of endpoints, keeping the state of those still listed."""
@@ -100,10 +104,13 @@
             else:
                 self._update_entry(state, each)
         self.reports.update_listing()
+        self.zones.services = find_zoned_services(self._states.values())
 
     def usable_for(self, job: Job) -> list[EndpointState]:
-        """Return the endpoints that a job may be sent to, by its service and software version."""
-        usable = self.usable(job.service, job.excluded, job.stream_version, job.max_idle_s)
+        """Return the endpoints that a job may be sent to, by its service, version and zone."""
+        usable = self.zones.restrict(
+            job, self.usable(job.service, job.excluded, job.stream_version, job.max_idle_s)
+        )
         if job.stream_version is None or any(state.may_answer for state in usable):
             return usable
         return usable + self._leaving_for(job)
@@ -380,23 +387,32 @@
     return listed.service == service and not listed.is_leaving and is_of_version
 
 
+def _never_pays(*_: EndpointState) -> bool:
+    return False
+
+
 def choose_least_loaded(
     candidates: list[EndpointState],
     zone: str,
     draw: Callable[[], float],
     rank_load: Callable[[EndpointState, float], float],
+    pays: Callable[[EndpointState, EndpointState], bool] = _never_pays,
 ) -> EndpointState | None:
-    """Return the endpoint with the lowest estimated load, preferring the own zone.
+    """Return the endpoint with the lowest estimated load, in another zone only if that pays.
 
     :param draw: returns random numbers to break ties, so that instances that see equal loads choose
         different endpoints.
     :param rank_load: returns the estimated load of an endpoint at a time, see
         :meth:`~shallotmux.estimates.Estimator.rank_plain`.
+    :param pays: returns whether the second endpoint, of another zone, saves more than it costs.
     """
     now = trio.current_time()
 
     def rank(state: EndpointState) -> tuple[int, float]:
-        zone_penalty = 0.0 if state.listed.zone == zone else CROSS_ZONE_LOAD_PENALTY
-        return round((rank_load(state, now) + zone_penalty) / LOAD_TIE), draw()
+        return round(rank_load(state, now) / LOAD_TIE), draw()
 
-    return min(candidates, key=rank, default=None)
+    near = min((each for each in candidates if each.listed.zone == zone), key=rank, default=None)
+    far = min((each for each in candidates if each.listed.zone != zone), key=rank, default=None)
+    if near is None or far is None:
+        return near or far
+    return far if pays(near, far) else near
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -102,13 +102,14 @@
             return None
         request = PlacementRequest(
             job.prompt,
-            self._zone,
+            job.zone or self._zone,
             _transfer_speed(profile),
             direct_prefill_limit(
                 job.route.gap_objective_ms,
                 DECODE_PREFILL_SPEED_RATIO * self._speeds.of_service(job.service),
             ),
             self._random.random,
+            self._directory.zones.transit_ms(job),
         )
         if job.cache_source_uses >= MAX_CACHE_SOURCE_USES:
             job.cache_source = b''
--- a/shallotmux/forwarding/_forwarder.py
+++ b/shallotmux/forwarding/_forwarder.py
@@ -77,7 +77,7 @@
         self._targets = TargetChooser(
             self.zone, self.directory, self.placer, self.peers, self.random
         )
-        self._outlooks = OutlookCheck(self.placer.estimator, self.metrics)
+        self._outlooks = OutlookCheck(self.placer.estimator, self.metrics, self.directory.zones)
         self._retries = RetryPolicy(self.directory, self.budget)
         self._supervisor = AttemptSupervisor(
             self.directory, self.runner, self._targets, self._retries, self._log_attempt
--- a/shallotmux/forwarding/_job.py
+++ b/shallotmux/forwarding/_job.py
@@ -100,6 +100,10 @@
     #: Longest time between two consecutive parts of the answer body.
     longest_gap_s: float = 0.0
     last_part_at: float = 0.0
+    #: Bytes of the answer body that have arrived.
+    answer_bytes: int = 0
+    #: Zone whose endpoints come first; None before it was drawn, empty if no share is known.
+    zone: str | None = None
     #: Tracks the events of a resumable stream; None for other answers.
     events: EventSplitter | None = None
     #: Software version at which the stream goes on; None until its first event.
@@ -169,8 +173,12 @@
         self.attempt_version = listed.software_version
         self.attempt_start = listed.start_number
 
-    def record_part(self) -> None:
-        """Record the time at which a part of the answer body arrived."""
+    def record_part(self, size: int = 0) -> None:
+        """Record the time at which a part of the answer body arrived.
+
+        :param size: number of its bytes.
+        """
+        self.answer_bytes += size
         now = trio.current_time()
         if self.last_part_at:
             self.longest_gap_s = max(self.longest_gap_s, now - self.last_part_at)
--- a/shallotmux/forwarding/_metrics.py
+++ b/shallotmux/forwarding/_metrics.py
@@ -48,6 +48,8 @@
     estimate_ratio: Histogram = field(init=False)
     #: Load reports of endpoints, by what became of them.
     load_reports: Counter = field(init=False)
+    #: Attempts at endpoints of other zones, by service.
+    cross_zone_requests: Counter = field(init=False)
     #: Version of the configuration document in force.
     document_version: Gauge = field(init=False)
 
@@ -121,6 +123,12 @@
             buckets=RATIO_BUCKETS,
             registry=registry,
         )
+        self.cross_zone_requests = Counter(
+            'shallotmux_cross_zone_requests',
+            'Requests sent to endpoints of other zones.',
+            ('service',),
+            registry=registry,
+        )
         self.load_reports = Counter(
             'shallotmux_load_reports',
             'Load reports of endpoints, by what became of them.',
--- a/shallotmux/forwarding/_outlook.py
+++ b/shallotmux/forwarding/_outlook.py
@@ -12,6 +12,7 @@
 from shallotmux.forwarding._metrics import ForwardingMetrics
 from shallotmux.forwarding._relay import MIN_ERROR_STATUS
 from shallotmux.forwarding._state import Target
+from shallotmux.forwarding._zones import ZoneFollower
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +21,7 @@
 
     estimator: Estimator
     metrics: ForwardingMetrics
+    zones: ZoneFollower
 
     def check(self, job: Job, target: Target, result: AttemptResult) -> None:
         """Record an attempt that has ended, if its answer shows how long the work took."""
@@ -32,6 +34,7 @@
             return
         real_ms = 1000 * (first_part_at - outlook.placed_at)
         ratio = real_ms / max(0.1, outlook.expected_ms)
+        self.zones.record_answer(job, outlook.estimate.service_ms)
         self.metrics.estimate_ratio.labels(job.service).observe(ratio)
         self.estimator.record(
             target.state,
--- a/shallotmux/forwarding/_relay.py
+++ b/shallotmux/forwarding/_relay.py
@@ -126,7 +126,7 @@
             # The attempt may have been given up in the scheduler step in which the part arrived. An
             # event that is taken and not sent would be missing from the stream.
             await trio.lowlevel.checkpoint_if_cancelled()
-            job.record_part()
+            job.record_part(len(part))
             complete = splitter.feed(part) if is_stream else part
             await self._send(job, part if job.events is None else complete)
             part = None if start.is_complete else await connection.receive_part()
--- a/shallotmux/forwarding/_targets.py
+++ b/shallotmux/forwarding/_targets.py
@@ -43,17 +43,10 @@
 
     async def choose(self, job: Job) -> Target | LoadShed | None:
         """Return the endpoint or peer for the next attempt; None if there is none."""
-        may_relay = self.peers.has_peers and not job.relayed_for
-        if may_relay and job.unreached >= MAX_UNREACHED:
-            relay = self._choose_peer(job)
-            if relay is not None:
-                return relay
-        target = await self._choose_endpoint(job, self.directory.usable_for(job))
-        if target is not None or job.relayed_for or not self.directory.is_out_of_reach(job):
-            return target
-        if may_relay:
-            return self._choose_peer(job)
-        return await self._choose_endpoint(job, self.directory.untried(job))
+        target = await self._choose(job)
+        if isinstance(target, Target) and target.peer is None:
+            self.directory.zones.record_sent(job, target.state)
+        return target
 
     def choose_beside(self, job: Job) -> Target | None:
         """Return an endpoint for an attempt beside those in progress, if a sound one has room.
@@ -62,7 +55,10 @@
         """
         if len(job.excluded) >= MAX_ENDPOINTS_TRIED:
             return None
-        return self._choose_plain(self._available(job))
+        target = self._choose_plain(job, self._available(job))
+        if target is not None:
+            self.directory.zones.record_sent(job, target.state)
+        return target
 
     def has_other(self, job: Job) -> bool:
         """Return whether an attempt that is given up can be followed by one elsewhere."""
@@ -75,6 +71,19 @@
             return False
         return self.peers.choose(job.service, job.peers_tried) is not None
 
+    async def _choose(self, job: Job) -> Target | LoadShed | None:
+        may_relay = self.peers.has_peers and not job.relayed_for
+        if may_relay and job.unreached >= MAX_UNREACHED:
+            relay = self._choose_peer(job)
+            if relay is not None:
+                return relay
+        target = await self._choose_endpoint(job, self.directory.usable_for(job))
+        if target is not None or job.relayed_for or not self.directory.is_out_of_reach(job):
+            return target
+        if may_relay:
+            return self._choose_peer(job)
+        return await self._choose_endpoint(job, self.directory.untried(job))
+
     def _available(self, job: Job) -> list[EndpointState]:
         """Return the endpoints that may answer a job and are neither avoided nor out of reach."""
         now = trio.current_time()
@@ -89,15 +98,27 @@
             return None
         if job.prompt is not None:
             return await self.placer.place(job, usable)
-        return self._choose_plain(usable)
+        return self._choose_plain(job, usable)
 
-    def _choose_plain(self, candidates: list[EndpointState]) -> Target | None:
+    def _choose_plain(self, job: Job, candidates: list[EndpointState]) -> Target | None:
         """Return the endpoint for a request without a prompt, with the time it is expected to take."""
         estimator = self.placer.estimator
-        state = choose_least_loaded(candidates, self.zone, self.random.random, estimator.rank_plain)
+        zones = self.directory.zones
+        now = trio.current_time()
+
+        def pays(near: EndpointState, far: EndpointState) -> bool:
+            near_ms = estimator.estimate_plain(near, now).total_ms
+            return near_ms - estimator.estimate_plain(far, now).total_ms > zones.transit_ms(job)
+
+        state = choose_least_loaded(
+            candidates,
+            job.zone or self.zone,
+            self.random.random,
+            estimator.rank_plain,
+            pays,
+        )
         if state is None:
             return None
-        now = trio.current_time()
         estimate = estimator.estimate_plain(state, now)
         return Target(state, outlook=Outlook(estimate, estimate.total_ms, now, now))
 
--- a/shallotmux/placement/__init__.py
+++ b/shallotmux/placement/__init__.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from shallotmux.placement._choice import choose_decode_engine, direct_prefill_limit, place_request
+from shallotmux.placement._choice import (
+    MIN_AFFINITY_TOKENS,
+    choose_decode_engine,
+    direct_prefill_limit,
+    place_request,
+)
 from shallotmux.placement._prompt import Prompt, PromptPart, build_prompt
 from shallotmux.placement._speeds import (
     INITIAL_TOKENS_PER_MS,
@@ -14,6 +19,7 @@
 
 __all__ = (
     'INITIAL_TOKENS_PER_MS',
+    'MIN_AFFINITY_TOKENS',
     'EngineView',
     'PhaseTime',
     'Placement',
--- a/shallotmux/placement/_choice.py
+++ b/shallotmux/placement/_choice.py
@@ -8,6 +8,7 @@
 
 from shallotmux.fleet import EngineRole
 from shallotmux.placement._sources import (
+    CROSS_ZONE_TRANSFER_FACTOR,
     CacheHolder,
     FetchSources,
     find_expected_holders,
@@ -37,9 +38,6 @@
 #: tokens takes about one engine step.
 MIN_AFFINITY_TOKENS = 1024
 
-#: Added to the estimated time of engines in other zones, as traffic between zones is billed.
-CROSS_ZONE_PENALTY_MS = 12.0
-
 #: Difference of the delays of two decode engines that decides between them. Below it, one is drawn:
 #: instances that have the same reports would otherwise all choose the same engine.
 DECODE_TIE_MS = 4.0
@@ -158,6 +156,8 @@
     service_ms = fetch_ms + engine.prefill_ms(uncached) + engine.stream_delay_ms
     time = PhaseTime(engine.wait_ms, service_ms)
     cost_ms = time.total_ms + _zone_penalty_ms(request, engine)
+    if engine.role is EngineRole.PREFILL and engine.zone != request.zone:
+        cost_ms += (CROSS_ZONE_TRANSFER_FACTOR - 1) * request.transfer_ms
     if rank and request.prompt.shared_tokens >= MIN_AFFINITY_TOKENS:
         cost_ms += NON_OWNER_PENALTY_MS
     return _PrefillOption(engine, uncached, time, cost_ms, source)
@@ -170,10 +170,11 @@
 
 
 def _least_delayed(request: PlacementRequest, decode_engines: Sequence[EngineView]) -> EngineView:
-    def rank(engine: EngineView) -> tuple[int, float]:
+    def rank(engine: EngineView) -> tuple[int, bool, float]:
         busy_ms = engine.wait_ms + engine.stream_delay_ms
         delay_ms = busy_ms + _zone_penalty_ms(request, engine)
-        return round(delay_ms / DECODE_TIE_MS), request.draw()
+        is_far = engine.zone != request.zone
+        return round(delay_ms / DECODE_TIE_MS), is_far, request.draw()
 
     return min(decode_engines, key=rank)
 
@@ -200,7 +201,7 @@
 
 
 def _zone_penalty_ms(request: PlacementRequest, engine: EngineView) -> float:
-    return 0.0 if engine.zone == request.zone else CROSS_ZONE_PENALTY_MS
+    return 0.0 if engine.zone == request.zone else request.zone_cost_ms
 
 
 #: Fraction of the token gap objective by which prefill may delay the other streams of an engine.
--- a/shallotmux/placement/_views.py
+++ b/shallotmux/placement/_views.py
@@ -139,11 +139,12 @@
 class PlacementRequest:
     """A request to place on engines.
 
-    :param zone: availability zone from which it is sent.
+    :param zone: availability zone whose engines come first.
     :param transfer_tokens_per_ms: speed of KV cache transfers between engines.
     :param max_direct_tokens: uncached tokens up to which a decode engine may prefill without delaying
         its streams too much.
     :param draw: returns random numbers that decide between decode engines of about the same delay.
+    :param zone_cost_ms: time that an engine of another zone must save, beside longer transfers.
     """
 
     prompt: Prompt
@@ -151,6 +152,7 @@
     transfer_tokens_per_ms: float
     max_direct_tokens: float
     draw: Callable[[], float] = _draw_first
+    zone_cost_ms: float = 0.0
 
     @property
     def transfer_ms(self) -> float:
--- a/shallotmux/platform/_settings.py
+++ b/shallotmux/platform/_settings.py
@@ -13,6 +13,7 @@
 from shallotmux.decoding import DECODE_ERRORS
 from shallotmux.errors import SettingsError
 from shallotmux.forwarding import RetryBudgetLimits
+from shallotmux.overflow import DEFAULT_PRICE
 from shallotmux.programs import ListenAddresses, ProgramRole, ProgramSettings, ProgramTimes
 from shallotmux.quotas import QuotaTerms
 
@@ -96,6 +97,7 @@
     data_dir: str | None = None
     tolerate: _Tolerate = msgspec.field(default_factory=_Tolerate)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    zone_traffic_ms_per_kb: _Number = DEFAULT_PRICE
 
     def __post_init__(self) -> None:
         """Check the addresses.
@@ -162,6 +164,7 @@
             bounds.quota_overage,
             bounds.quota_slack,
         ),
+        file.zone_traffic_ms_per_kb,
     )
 
 
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -20,6 +20,7 @@
     LeaderTerm,
     ListingPoller,
     MemberSettings,
+    OverflowTask,
     PlatformApi,
     QuorumWatch,
     RoleBalancer,
@@ -36,13 +37,14 @@
 )
 from shallotmux.forwarding import HttpListener
 from shallotmux.origins import ORIGIN_GROUP
+from shallotmux.overflow import OverflowDecider
 from shallotmux.plannedchanges import (
     PLANS_GROUP,
     PlanBook,
     PlanPublisher,
     answer_plan_report,
 )
-from shallotmux.programs._control_gauges import ControlGauges, PlanCounter
+from shallotmux.programs._control_gauges import ControlGauges, OverflowGauge, PlanCounter
 from shallotmux.programs._disk import run_on_disk
 from shallotmux.programs._lifecycle import (
     ProgramLifecycle,
@@ -218,12 +220,15 @@
             term.may_act,
             self._knowledge.plans,
         )
+        decider = OverflowDecider(settings.zone, settings.zone_traffic_ms_per_kb)
+        decider.on_change = OverflowGauge(self._registry).update
         tasks: dict[str, Callable[[], Awaitable[None]]] = {
             'listing': poller.run,
             'gauges': self._set_gauges,
             'quorum': self._quorum.run,
             'roles': RoleBalancer(dependencies, book).run,
             'planned-changes': publisher.run,
+            'overflow': OverflowTask(self._knowledge, decider).run,
         }
         if settings.reports_usage:
             window_s = settings.times.usage_window_s
--- a/shallotmux/programs/_control_gauges.py
+++ b/shallotmux/programs/_control_gauges.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
 from shallotmux.control import ControlMember, GroupHealth, QuorumWatch
+from shallotmux.overflow import OverflowShare
 from shallotmux.plannedchanges import Plan
 
 
@@ -114,3 +115,22 @@
         """Count a plan that has entered its last state."""
         if not plan.is_live:
             self._ended.labels(plan.state.value).inc()
+
+
+class OverflowGauge:
+    """Gauge of the shares of requests that the own zone sends to other zones.
+
+    :param registry: registry to which it is added.
+    """
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self._share = Gauge(
+            'shallotmux_overflow_share',
+            'Share of the requests of the own zone that is sent to another zone.',
+            ('service', 'to_zone'),
+            registry=registry,
+        )
+
+    def update(self, share: OverflowShare) -> None:
+        """Show a share that has changed."""
+        self._share.labels(share.service, share.to_zone).set(share.share)
--- a/shallotmux/programs/_entry.py
+++ b/shallotmux/programs/_entry.py
@@ -132,6 +132,7 @@
             self._origins.history,
             settings.zone,
             lambda: self._directory.reach.cut_off_services,
+            lambda: self._directory.zones.uses(),
         )
         self.view = self._poller.view
         self._directory = EndpointDirectory(
@@ -195,6 +196,7 @@
                 origins=self._origins,
                 peers=self._build_peers(settings),
                 quotas=self._quotas,
+                zone_traffic_ms_per_kb=settings.zone_traffic_ms_per_kb,
             )
         )
         self._relayed = RelayedRequests(self._forwarder, lambda: self._is_draining)
--- a/shallotmux/programs/_settings.py
+++ b/shallotmux/programs/_settings.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from shallotmux.forwarding import RetryBudgetLimits
+from shallotmux.overflow import DEFAULT_PRICE
 from shallotmux.quotas import QuotaTerms
 
 
@@ -71,6 +72,7 @@
     :param reports_usage: whether usage is reported to the platform.
     :param orders_endpoints: whether endpoints are ordered from the platform.
     :param quota_terms: bound within which quotas are kept.
+    :param zone_traffic_ms_per_kb: time that sending one kilobyte to another zone must save.
     """
 
     role: ProgramRole
@@ -86,3 +88,4 @@
     reports_usage: bool = True
     orders_endpoints: bool = False
     quota_terms: QuotaTerms = QuotaTerms()
+    zone_traffic_ms_per_kb: float = DEFAULT_PRICE
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -210,3 +210,27 @@
     chosen = Counter(choose_decode_engine(asked, (*engines, busy)) for _ in range(200))
     assert set(chosen) == {each.identity for each in engines}
     assert max(chosen.values()) < 100
+
+
+def test_prefill_in_another_zone_must_save_the_longer_transfer() -> None:
+    """Guards against prompts whose KV cache crosses zones without a benefit, or that never may."""
+    # The transfer of 16,000 tokens takes 13.3 ms longer between zones.
+    own = build_prompt('m', (('own', 16_000),), 16_000, 20)
+    asked = PlacementRequest(own, 'a', 1200, 1500, zone_cost_ms=4.0)
+    for waits_ms, expected in ((15.0, 'p-a'), (20.0, 'p-b')):
+        engines = (
+            EngineView('p-a', 'a', EngineRole.PREFILL, 50, 50 * waits_ms),
+            EngineView('p-b', 'b', EngineRole.PREFILL, 50),
+        )
+        placed = place_request(asked, (*engines, *DECODE_ENGINES))
+        assert placed is not None
+        assert placed.prefill == expected
+
+
+def test_decode_engine_of_another_zone_must_save_the_price() -> None:
+    """Guards against streams that cross zones for less than the traffic costs."""
+    busy = EngineView('d-a', 'a', EngineRole.DECODE, 25, running=30, slots=64)
+    idle = EngineView('d-b', 'b', EngineRole.DECODE, 25, slots=64)
+    for price, expected in ((4.0, 'd-b'), (40.0, 'd-a')):
+        asked = PlacementRequest(prompt('s'), 'a', 1200, 1500, zone_cost_ms=price)
+        assert choose_decode_engine(asked, (busy, idle)) == expected
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -109,6 +109,9 @@
     assert (settings.reports_usage, settings.orders_endpoints) == (True, False)
     assert (settings.times.grace_s, settings.times.usage_window_s) == (7, 4)
     assert settings.times.replacement_s == 5
+    assert settings.zone_traffic_ms_per_kb == pytest.approx(1.0)
+    priced = write_settings(tmp_path, **{'zone-traffic-ms-per-kb': 2.5})
+    assert build_settings(read_settings_file(priced)).zone_traffic_ms_per_kb == pytest.approx(2.5)
 
 
 @pytest.mark.parametrize(
@@ -137,6 +140,7 @@
         ({'bounds': {'quota-window-s': -1}}, 'quota-window-s'),
         ({'bounds': {'quota-overage': 1e300}}, 'quota-overage'),
         ({'bounds': {'quota-slack': -1}}, 'quota-slack'),
+        ({'zone-traffic-ms-per-kb': -1}, 'zone-traffic-ms-per-kb'),
         ({'cloud': {'rate-per-s': -5}}, 'rate-per-s'),
         ({'tolerate': {'machines': 10**20}}, 'machines'),
     ],
