Let a restarted decider of overflow catch up at once

Instances follow a restarted control instance again 2.5 s after its start. Its shares began at 0 and grew by 0.1 a second, so that most requests of an overloaded zone came back to it for some seconds. The first three decisions are not bound to steps now.

--- a/shallotmux/overflow/_decider.py
+++ b/shallotmux/overflow/_decider.py
@@ -10,11 +10,15 @@
 from eliot import log_message
 
 from shallotmux.overflow._messages import OverflowShare, ServiceUse
-from shallotmux.overflow._plan import MAX_AGE_S, ZoneLoad, plan_overflow
+from shallotmux.overflow._plan import MAX_AGE_S, MAX_STEP, ZoneLoad, plan_overflow
 
 #: Time after which the report of an instance does not count any more; live ones report every 1.2 s.
 REPORT_TTL_S = MAX_AGE_S
 
+#: Decisions after a start whose steps are not bounded. Instances come back to a restarted decider after
+#: 2.5 s, and its shares would else begin at 0 again.
+FREE_DECISIONS = 3
+
 #: Part of the instances of a zone that reach no endpoint of a service, from which it is cut off.
 CUT_OFF_PART = 0.5
 
@@ -60,6 +64,7 @@
         self._price = price
         self._reports: dict[str, InstanceUse] = {}
         self._shares: tuple[OverflowShare, ...] = ()
+        self._decisions = 0
         #: Mean demand by service and zone.
         self._demands: dict[tuple[str, str], float] = {}
         #: Shares of the own zone, for the answers to polls.
@@ -86,7 +91,9 @@
             if now - each.received_at <= REPORT_TTL_S
         }
         loads = self._smooth(self._sum_loads(capacities, list_age_s, now))
-        self._shares = plan_overflow(loads, self._price, self._shares)
+        self._decisions += 1
+        max_step = 1.0 if self._decisions <= FREE_DECISIONS else MAX_STEP
+        self._shares = plan_overflow(loads, self._price, self._shares, max_step)
         own = tuple(each for each in self._shares if each.from_zone == self.zone)
         self._announce(own, loads)
         self.own_shares = own
--- a/shallotmux/overflow/_plan.py
+++ b/shallotmux/overflow/_plan.py
@@ -94,12 +94,16 @@
 
 
 def plan_overflow(
-    zones: Sequence[ZoneLoad], price: float, before: Iterable[OverflowShare] = ()
+    zones: Sequence[ZoneLoad],
+    price: float,
+    before: Iterable[OverflowShare] = (),
+    max_step: float = MAX_STEP,
 ) -> tuple[OverflowShare, ...]:
     """Return the shares of all zones with usable figures, the part that stays included.
 
     :param price: milliseconds that sending one kilobyte to another zone must save.
     :param before: shares of the decision before, which the new ones differ from by bounded steps.
+    :param max_step: largest change of a share.
     """
     loads: dict[str, list[ZoneLoad]] = defaultdict(list)
     for load in zones:
@@ -111,7 +115,17 @@
     shares: list[OverflowShare] = []
     for service, found in sorted(loads.items()):
         by_zone = {each.zone: each for each in sorted(found, key=_zone_of)}
-        pairs = _follow(by_zone, price, _fill(by_zone, price), known[service])
+        wanted = _limit_to_room(by_zone, _fill(by_zone, price))
+        pairs = {
+            pair: _step(
+                known[service].get(pair, 0.0),
+                wanted.get(pair, 0.0),
+                _margin(by_zone, price, pair),
+                max_step,
+            )
+            for pair in sorted(wanted.keys() | known[service].keys())
+            if pair[0] != pair[1] and by_zone.keys() >= set(pair)
+        }
         shares.extend(_build_shares(service, by_zone, _limit_to_room(by_zone, pairs, ROOM_SLACK)))
     return tuple(shares)
 
@@ -174,25 +188,6 @@
     return here - there - cost_ms(price, source.kilobytes)
 
 
-def _follow(
-    loads: Mapping[str, ZoneLoad],
-    price: float,
-    wanted: Mapping[Pair, float],
-    before: Mapping[Pair, float],
-) -> dict[Pair, float]:
-    """Return the shares of this decision, by bounded steps from those before."""
-    target = _limit_to_room(loads, wanted)
-    pairs: dict[Pair, float] = {}
-    for from_zone, to_zone in sorted(wanted.keys() | before.keys()):
-        if from_zone == to_zone or not {from_zone, to_zone} <= loads.keys():
-            continue
-        pair = from_zone, to_zone
-        share = _step(before.get(pair, 0.0), target.get(pair, 0.0), _margin(loads, price, pair))
-        if share > 0:
-            pairs[pair] = share
-    return pairs
-
-
 def _margin(loads: Mapping[str, ZoneLoad], price: float, pair: Pair) -> float:
     """Return what the first unit saves beyond its cost, relative to the cost."""
     source, target = loads[pair[0]], loads[pair[1]]
@@ -200,14 +195,14 @@
     return _gain_ms(source, target, price, no_load) / cost_ms(price, source.kilobytes)
 
 
-def _step(share: float, target: float, margin: float) -> float:
+def _step(share: float, target: float, margin: float, max_step: float) -> float:
     if not share and margin < BEGIN_MARGIN:
         return 0.0
     wanted = 0.0 if margin < BEGIN_MARGIN / 2 else target
     # A share of which nothing is wanted must not stay for being small.
     if abs(wanted - share) < MIN_CHANGE and (wanted or not share):
         return share
-    return min(max(wanted, share - MAX_STEP), share + MAX_STEP)
+    return min(max(wanted, share - max_step), share + max_step)
 
 
 def _limit_to_room(
--- a/tests/overflow/test_decider.py
+++ b/tests/overflow/test_decider.py
@@ -76,6 +76,19 @@
     assert first_sent == pytest.approx(again_sent, abs=0.06)
 
 
+def test_restarted_decider_does_not_begin_anew() -> None:
+    """Guards against an overloaded zone whose requests all come back when its decider restarts."""
+    first, restarted = OverflowDecider('a', 1.0), OverflowDecider('a', 1.0)
+    zones = Zones(first)
+    zones.run(20)
+    zones.deciders = (first, restarted)
+    zones.run(3)
+    assert sum(sent(restarted).values()) == pytest.approx(sum(sent(first).values()), abs=0.06)
+    zones.demands['a'] = 2.0
+    zones.run()
+    assert sent(restarted)
+
+
 def test_zone_that_is_silent_gets_nothing() -> None:
     """Guards against requests to a zone that was cut off, and against none when it is back."""
     decider = OverflowDecider('a', 1.0)
