--- a/shallotmux/control/__init__.py
+++ b/shallotmux/control/__init__.py
@@ -23,6 +23,7 @@
     MemberSettings,
     replica_options,
 )
+from shallotmux.control._overflow import OverflowTask, count_capacities
 from shallotmux.control._platform import (
     DutyHolder,
     DutyOutcome,
@@ -64,6 +65,7 @@
     'ListingPoller',
     'MemberSettings',
     'Autoscaler',
+    'OverflowTask',
     'PlatformApi',
     'QuorumWatch',
     'RoleBalancer',
@@ -78,6 +80,7 @@
     'UsageReport',
     'answer_listing_request',
     'assess_group',
+    'count_capacities',
     'next_group_change',
     'replica_options',
 )
--- a/shallotmux/placement/_views.py
+++ b/shallotmux/placement/_views.py
@@ -139,13 +139,14 @@
 class PlacementRequest:
     """A request to place on engines.
 
-    :param zone: availability zone from which it is sent.
+    :param zone: availability zone whose engines come first.
     :param transfer_tokens_per_ms: speed of KV cache transfers between engines.
     :param max_direct_tokens: uncached tokens up to which a decode engine may prefill without delaying
         its streams too much.
     :param draw: returns random numbers that decide between decode engines of about the same delay.
     :param is_to_be_shed: whether the request is refused unless an engine with a shorter queue is found
         than those that own the prefix of the prompt.
+    :param zone_cost_ms: time that an engine of another zone must save, beside longer transfers.
     """
 
     prompt: Prompt
@@ -154,6 +155,7 @@
     max_direct_tokens: float
     draw: Callable[[], float] = _draw_first
     is_to_be_shed: bool = False
+    zone_cost_ms: float = 0.0
 
     @property
     def transfer_ms(self) -> float:
--- a/shallotmux/platform/_settings.py
+++ b/shallotmux/platform/_settings.py
@@ -14,6 +14,7 @@
 from shallotmux.errors import SettingsError
 from shallotmux.forwarding import RetryBudgetLimits
 from shallotmux.membounds import ProcessLimits
+from shallotmux.overflow import DEFAULT_PRICE
 from shallotmux.programs import ListenAddresses, ProgramRole, ProgramSettings, ProgramTimes
 from shallotmux.quotas import QuotaTerms
 
@@ -104,6 +105,7 @@
     tolerate: _Tolerate = msgspec.field(default_factory=_Tolerate)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    zone_traffic_ms_per_kb: _Number = DEFAULT_PRICE
 
     def __post_init__(self) -> None:
         """Check the addresses.
@@ -171,6 +173,7 @@
             bounds.quota_slack,
         ),
         _build_limits(file.limits),
+        file.zone_traffic_ms_per_kb,
     )
 
 
--- a/shallotmux/programs/_control.py
+++ b/shallotmux/programs/_control.py
@@ -22,6 +22,7 @@
     LeaderTerm,
     ListingPoller,
     MemberSettings,
+    OverflowTask,
     PlatformApi,
     QuorumWatch,
     RoleBalancer,
@@ -41,6 +42,7 @@
 from shallotmux.forwarding import HttpListener
 from shallotmux.membounds import ConnectionSlots, MemoryBudget, derive_bounds
 from shallotmux.origins import ORIGIN_GROUP
+from shallotmux.overflow import OverflowDecider
 from shallotmux.plannedchanges import (
     PLANS_GROUP,
     PlanBook,
@@ -48,7 +50,7 @@
     answer_plan_report,
 )
 from shallotmux.programs._bounds_gauges import add_bounds_gauges
-from shallotmux.programs._control_gauges import ControlGauges, PlanCounter
+from shallotmux.programs._control_gauges import ControlGauges, OverflowGauge, PlanCounter
 from shallotmux.programs._disk import run_on_disk
 from shallotmux.programs._lifecycle import (
     ProgramLifecycle,
@@ -254,12 +256,15 @@
             term.may_act,
             self._knowledge.plans,
         )
+        decider = OverflowDecider(settings.zone, settings.zone_traffic_ms_per_kb)
+        decider.on_change = OverflowGauge(self._registry).update
         tasks: dict[str, Callable[[], Awaitable[None]]] = {
             'listing': shared_listing.run,
             'gauges': self._set_gauges,
             'quorum': self._quorum.run,
             'roles': RoleBalancer(dependencies, book).run,
             'planned-changes': publisher.run,
+            'overflow': OverflowTask(self._knowledge, decider).run,
         }
         if settings.reports_usage:
             window_s = settings.times.usage_window_s
--- a/shallotmux/programs/_settings.py
+++ b/shallotmux/programs/_settings.py
@@ -8,6 +8,7 @@
 
 from shallotmux.forwarding import RetryBudgetLimits
 from shallotmux.membounds import ProcessLimits
+from shallotmux.overflow import DEFAULT_PRICE
 from shallotmux.quotas import QuotaTerms
 
 
@@ -73,6 +74,7 @@
     :param orders_endpoints: whether endpoints are ordered from the platform.
     :param quota_terms: bound within which quotas are kept.
     :param limits: memory and descriptors of the machine.
+    :param zone_traffic_ms_per_kb: time that sending one kilobyte to another zone must save.
     """
 
     role: ProgramRole
@@ -89,3 +91,4 @@
     orders_endpoints: bool = False
     quota_terms: QuotaTerms = QuotaTerms()
     limits: ProcessLimits = ProcessLimits()
+    zone_traffic_ms_per_kb: float = DEFAULT_PRICE
