--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -115,7 +115,7 @@
                 DECODE_PREFILL_SPEED_RATIO * self._speeds.of_service(job.service),
             ),
             self._random.random,
-            self._directory.zones.transit_ms(job),
+            zone_cost_ms=self._directory.zones.transit_ms(job),
         )
         if job.cache_source_uses >= MAX_CACHE_SOURCE_USES:
             job.cache_source = b''
