--- a/shallotmux/control/_sizing.py
+++ b/shallotmux/control/_sizing.py
@@ -185,7 +185,7 @@
     :param regular: number of regular endpoints. Cheap ones do not count, so that those ordered do not
         raise the number again.
     """
-    return int(regular + INITIAL_RESERVE_FACTOR * math.sqrt(regular))
+    return math.ceil(regular + INITIAL_RESERVE_FACTOR * math.sqrt(regular))
 
 
 def count_decode_engines(engines: int) -> int:
