--- a/tests/forwarding/_harness.py
+++ b/tests/forwarding/_harness.py
@@ -257,10 +257,12 @@
     budget: RetryBudgetLimits | None = None,
     dialect: Dialect | None = None,
     versions: Sequence[str] = (),
+    zones: Sequence[str] = (),
 ) -> AsyncIterator[ForwarderHarness]:
     """Run endpoints ``e-0``, ``e-1`` ... and a forwarder in front of them.
 
     :param versions: software version of each endpoint; empty for the same one.
+    :param zones: zone of each endpoint; if empty, the first one is in the zone of the forwarder.
     """
     async with trio.open_nursery() as nursery:
         for endpoint in endpoints:
@@ -283,7 +285,7 @@
                 f'e-{number}',
                 'desk',
                 each.address,
-                'b' if number else 'a',
+                zones[number] if zones else 'ab'[number > 0],
                 4,
                 role=EngineRole.MIXED,
                 software_version=versions[number] if versions else 'v1',
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -175,7 +175,9 @@
 async def test_new_streams_are_served_by_all_versions() -> None:
     """Guards against endpoints of a version that get no new requests."""
     endpoints = tuple(serving(version) for version in ('v1', 'v2', 'v3'))
-    async with run_forwarder(*endpoints, versions=('v1', 'v2', 'v3')) as harness:
+    async with run_forwarder(
+        *endpoints, versions=('v1', 'v2', 'v3'), zones=('a', 'a', 'a')
+    ) as harness:
 
         async def make_request(number: int) -> None:
             await harness.make_request('/resume/', request_id=f'r-{number}')
--- a/tests/guards/planned.py
+++ b/tests/guards/planned.py
@@ -109,7 +109,7 @@
     Guard(
         'planned-change (two at a time, former leader)',
         BALANCER,
-        'if self._may_former_change_run(now):',
+        'if former and not change.is_urgent:',
         'if False:',
         (f'{ROLES}::test_new_leader_waits_for_the_changes_of_the_former_one',),
     ),
@@ -120,10 +120,17 @@
         'return True',
         (f'{ROLES}::test_two_engines_of_a_service_change_at_a_time',),
     ),
+    Guard(
+        'planned-change (too few engines that can answer)',
+        BALANCER,
+        'delay_s = 0.0 if change.is_urgent else ORDER_DELAY_S',
+        'delay_s = ORDER_DELAY_S',
+        (f'{ROLES}::test_order_is_sent_at_once_while_too_few_engines_can_answer',),
+    ),
     Guard(
         'planned-change (order after the announcement)',
         BOOK,
-        'due_at=now + ORDER_DELAY_S,',
+        'due_at=now + delay_s,',
         'due_at=now,',
         (f'{ROLES}::test_order_follows_its_announcement_after_a_fixed_time',),
     ),
--- a/tests/transport/test_peer_bounds.py
+++ b/tests/transport/test_peer_bounds.py
@@ -34,7 +34,9 @@
 
 
 async def start_network(nursery: trio.Nursery, bounds: PeerBounds) -> str:
-    network = GrpcPeerNetwork('127.0.0.1:0', '127.0.0.1:0', SelfNamedAddresses(), None, bounds)
+    network = GrpcPeerNetwork(
+        '127.0.0.1:0', '127.0.0.1:0', SelfNamedAddresses(), None, bounds=bounds
+    )
     return str(await nursery.start(network.run, Handler()))
 
 
