Test that small shares end, and that a restarted decider catches up

Removing either rule failed no test: the small share was hidden by the step, and three bounded steps reached the same share.

--- a/tests/overflow/test_decider.py
+++ b/tests/overflow/test_decider.py
@@ -82,7 +82,7 @@
     zones = Zones(first)
     zones.run(20)
     zones.deciders = (first, restarted)
-    zones.run(3)
+    zones.run(2)
     assert sum(sent(restarted).values()) == pytest.approx(sum(sent(first).values()), abs=0.06)
     zones.demands['a'] = 2.0
     zones.run()
--- a/tests/overflow/test_plan.py
+++ b/tests/overflow/test_plan.py
@@ -138,6 +138,20 @@
     assert ends < begins - 0.1
 
 
+def test_small_share_ends_where_little_is_saved() -> None:
+    """Guards against a small share that stays for good, as it differs little from the one calculated."""
+    before = (OverflowShare('desk', 'a', 'a', 0.94), OverflowShare('desk', 'a', 'b', 0.06))
+    gains = {
+        each / 100: load('a', each / 100).time_ms() - load('b', 1.0).time_ms()
+        for each in range(300, 1000)
+    }
+    # The price of 2 KB and the round trip are 3.8 ms.
+    pays_little = max(demand for demand, saved_ms in gains.items() if saved_ms < 1.3 * 3.8)
+    pays = min(demand for demand, saved_ms in gains.items() if saved_ms > 1.7 * 3.8)
+    assert not sent(plan_overflow((load('a', pays_little), load('b', 1.0)), 1.0, before))
+    assert sent(plan_overflow((load('a', pays), load('b', 1.0)), 1.0, before))
+
+
 def test_noisy_loads_do_not_flap() -> None:
     """Guards against shares that follow the noise of the measured demand."""
     random = Random(7)
