Move the choice of a plain endpoint out of the directory

No change of behaviour. tests/forwarding, tests/platform/test_adapter.py, tests/overflow, tests/guards passed.

--- a/shallotmux/forwarding/_targets.py
+++ b/shallotmux/forwarding/_targets.py
@@ -9,9 +9,10 @@
 from eliot import log_message
 
 from shallotmux.fleet import ListedEndpoint
-from shallotmux.forwarding._directory import EndpointDirectory, choose_least_loaded
+from shallotmux.forwarding._directory import EndpointDirectory
 from shallotmux.forwarding._engines import EnginePlacer
 from shallotmux.forwarding._job import Job
+from shallotmux.forwarding._least_loaded import choose_least_loaded
 from shallotmux.forwarding._load_shedding import LoadShed
 from shallotmux.forwarding._state import EndpointState, Outlook, Target
 from shallotmux.relaying import RelayPeers
--- a/tests/forwarding/test_load_reports.py
+++ b/tests/forwarding/test_load_reports.py
@@ -13,7 +13,7 @@
 from shallotmux.estimates import Estimator, LoadReport
 from shallotmux.fleet import EndpointReport, EngineRole, ListedEndpoint, Listing, LoadSharing
 from shallotmux.forwarding import EndpointDirectory
-from shallotmux.forwarding._directory import choose_least_loaded
+from shallotmux.forwarding._least_loaded import choose_least_loaded
 from shallotmux.forwarding._load_reports import MAX_REPORT_AGE_S, SHARED_FOR_S, parse_load
 from shallotmux.forwarding._state import EndpointState, InFlightWork
 from tests.forwarding._harness import ReceivedRequest, ScriptedEndpoint, answer, run_forwarder
--- a/tests/forwarding/test_zones.py
+++ b/tests/forwarding/test_zones.py
@@ -11,7 +11,7 @@
 from shallotmux.estimates import Estimator
 from shallotmux.fleet import EngineRole, ListedEndpoint, Listing
 from shallotmux.forwarding import EndpointDirectory, Job
-from shallotmux.forwarding._directory import choose_least_loaded
+from shallotmux.forwarding._least_loaded import choose_least_loaded
 from shallotmux.forwarding._state import EndpointState
 from shallotmux.forwarding._zones import ZoneFollower
 from shallotmux.overflow import SHARES_TTL_S, HeldShares, OverflowShare
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -110,7 +110,8 @@
     assert (settings.times.grace_s, settings.times.usage_window_s) == (7, 4)
     assert settings.times.replacement_s == 5
     assert settings.zone_traffic_ms_per_kb == pytest.approx(1.0)
-    priced = write_settings(tmp_path, **{'zone-traffic-ms-per-kb': 2.5})
+    price: dict[str, object] = {'zone-traffic-ms-per-kb': 2.5}
+    priced = write_settings(tmp_path, **price)
     assert build_settings(read_settings_file(priced)).zone_traffic_ms_per_kb == pytest.approx(2.5)
 
 
