--- a/shallotmux/fleet/_load_sharing.py
+++ b/shallotmux/fleet/_load_sharing.py
@@ -145,9 +145,6 @@
                 await self._sock.sendto(content, split_address(peer))
                 self._count(Direction.SENT, peer, content)
 
-    def _count(self, direction: Direction, peer: str, content: bytes) -> None:
-        self._traffic.count(TrafficKind.DATAGRAM, direction, peer, len(content))
-
     def receive(self, content: bytes) -> None:
         """Process a datagram, which may come from anywhere."""
         if self._receive_other is not None and self._receive_other(content):
@@ -203,6 +200,9 @@
                 await sock.sendto(message, split_address(peer))
                 self._count(Direction.SENT, peer, message)
 
+    def _count(self, direction: Direction, peer: str, content: bytes) -> None:
+        self._traffic.count(TrafficKind.DATAGRAM, direction, peer, len(content))
+
     def _has_newer(self, written_at: Mapping[int, float]) -> bool:
         """Return whether a report is newer than the last one sent about the same endpoint."""
         last = self._last_starts
--- a/tests/control/test_sizing.py
+++ b/tests/control/test_sizing.py
@@ -176,8 +176,7 @@
         for load in (1, 4, 16, 64)
     ]
     assert utilisations == sorted(utilisations)
-    assert utilisations[0] <= 0.25
-    assert utilisations[-1] >= 0.5
+    assert 4 * utilisations[0] <= 1 <= 2 * utilisations[-1]
 
 
 def test_division_among_instances_does_not_raise_the_demand() -> None:
