--- a/shallotmux/quotas/_election.py
+++ b/shallotmux/quotas/_election.py
@@ -231,12 +231,12 @@
         better = ranking[:rank]
         if any(each.is_granter or instance_name(key) in better for key, each in heard.items()):
             return False
-        patience = STAGGER_S * rank
+        silence_limit_s = STAGGER_S * rank
         if slot in self._heard_at:
-            patience += SILENCE_S
+            silence_limit_s += SILENCE_S
         silent_since = max(self._active_since[slot], self._heard_at.get(slot, 0.0))
         # The first in the ranking stands beside others that are no granters.
-        return now - silent_since >= patience or (rank == 0 and bool(heard))
+        return now - silent_since >= silence_limit_s or (rank == 0 and bool(heard))
 
     def _supports(self, slot: int, candidate: str, now: float) -> bool:
         """Give a promise to a granter, or if there is none to the best candidate."""
