--- a/shallotmux/control/_autoscaler.py
+++ b/shallotmux/control/_autoscaler.py
@@ -76,7 +76,7 @@
             if not self._is_due(order, view.bounds.boot_s, now):
                 continue
             if self._is_release(order, view):
-                if not self._claim_release(tracker, now):
+                if not self._claim_release(now):
                     continue
                 if order.is_cheap:
                     tracker.record_release(order.zone, now)
@@ -86,7 +86,6 @@
     def _needed_engines(self, service: Service, fleets: Mapping[str, ZoneFleet]) -> int:
         demand = self._dependencies.knowledge.demand_of(service.name)
         if demand.tokens_per_s:
-            self._trackers[service.name].had_demand = True
             needed = count_needed_engines(demand, service.engine.slots if service.engine else 0)
             present = sum(fleet.total for fleet in fleets.values())
             limits = self._dependencies.knowledge.limits_of(service.name)
@@ -97,14 +96,12 @@
         fleet = view.fleets[order.zone]
         return order.count < (fleet.cheap if order.is_cheap else fleet.regular)
 
-    def _claim_release(self, tracker: ServiceTracker, now: float) -> bool:
+    def _claim_release(self, now: float) -> bool:
         """Return whether endpoints may be released now, and start the next release interval.
 
         The KV cache of released engines is lost and must be recomputed on others, so releases are
-        spread over time. Before the first request there is none to lose.
+        spread over time.
         """
-        if not tracker.had_demand:
-            return True
         if now - self._released_at < RELEASE_INTERVAL_S:
             return False
         self._released_at = now
--- a/shallotmux/control/_service_watch.py
+++ b/shallotmux/control/_service_watch.py
@@ -29,8 +29,6 @@
 
     def __init__(self, began_at: float) -> None:
         self.peak = DemandPeak()
-        #: Whether any demand for the service was reported to this leader.
-        self.had_demand = False
         self._began_at = began_at
         self._previous_count = 0
         self._unavailable_until: dict[str, float] = {}
