Return to the former size of fleets

The estimated prompt tokens leave out parts that no engine has read yet, which the former, higher figures covered.

--- a/shallotmux/control/_autoscaler.py
+++ b/shallotmux/control/_autoscaler.py
@@ -12,10 +12,10 @@
 from shallotmux.control._platform import LISTING_DELAY_S, DutyOutcome, FleetOrder
 from shallotmux.control._service_watch import ServiceTracker
 from shallotmux.control._sizing import (
+    INITIAL_SIZE_FACTOR,
     SizingView,
     ZoneFleet,
     count_fleets,
-    count_initial_engines,
     count_missing_engines,
     count_needed_engines,
     plan_sizes,
@@ -90,7 +90,8 @@
             present = sum(fleet.total for fleet in fleets.values())
             limits = self._dependencies.knowledge.limits_of(service.name)
             return needed + count_missing_engines(demand, present, limits)
-        return count_initial_engines(sum(fleet.regular for fleet in fleets.values()))
+        # Only regular endpoints count, so that cheap ones ordered here do not raise the need again.
+        return int(INITIAL_SIZE_FACTOR * sum(fleet.regular for fleet in fleets.values()))
 
     def _is_release(self, order: FleetOrder, view: SizingView) -> bool:
         fleet = view.fleets[order.zone]
--- a/shallotmux/control/_knowledge.py
+++ b/shallotmux/control/_knowledge.py
@@ -304,7 +304,6 @@
         demand.prefill_tokens_per_s,
         demand.requests_per_s,
         demand.in_flight,
-        *demand.window_rates,
     )
     return all(0 <= each <= MAX_DEMAND for each in numbers)
 
--- a/shallotmux/control/_sizing.py
+++ b/shallotmux/control/_sizing.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from shallotmux.control._platform import FleetOrder
@@ -12,9 +12,9 @@
 from shallotmux.placement import INITIAL_TOKENS_PER_MS
 from shallotmux.routes import FleetBounds
 
-#: Prefill engines beyond the mean load, relative to its square root. Random arrivals vary with the square
-#: root of the load (square-root staffing), so that a small fleet needs a larger part of it in reserve.
-RESERVE_FACTOR = 2.8
+#: Target for the mean utilisation of engines. It leaves room for bursts of twice the mean rate and
+#: for prompts that arrive together.
+TARGET_UTILISATION = 0.3
 
 #: Prefill speed of one engine until entry instances have measured it, in prompt tokens per second.
 INITIAL_PREFILL_TOKENS_PER_S = 1000 * INITIAL_TOKENS_PER_MS
@@ -42,9 +42,8 @@
 #: Engines that a request usually reaches: one for prefill and one that generates.
 SENDS_PER_REQUEST = 2
 
-#: Engines beyond the regular endpoints before any demand is measured, relative to the square root of their
-#: number. How well the operators' fleet fits is not known yet.
-INITIAL_RESERVE_FACTOR = 1.2
+#: Target number of engines before any demand is measured, relative to the regular endpoints.
+INITIAL_SIZE_FACTOR = 1.5
 
 #: Time for which demand must stay lower before the fleet is scaled down.
 SCALE_DOWN_DELAY_S = 20.0
@@ -110,52 +109,23 @@
 def sum_demands(demands: Iterable[ServiceDemand]) -> FleetDemand:
     """Return the sum of the demands at several instances.
 
-    The speed is the median of those measured, weighted with the tokens that they were measured on, so
-    that one instance with few measurements does not change the size of the fleet.
+    The speed is the mean of those measured, weighted with the tokens that they were measured on.
     """
     reported = tuple(demands)
+    measured = [each for each in reported if each.prefill_tokens_per_s and each.tokens_per_s]
+    weight = sum(each.tokens_per_s for each in measured)
+    speed = INITIAL_PREFILL_TOKENS_PER_S
+    if weight:
+        total = sum(each.tokens_per_s * each.prefill_tokens_per_s for each in measured)
+        speed = total / weight
     return FleetDemand(
-        _sum_rates(reported),
-        _median_speed(reported),
+        sum(each.tokens_per_s for each in reported),
+        speed,
         sum(each.in_flight for each in reported),
         sum(each.requests_per_s for each in reported),
     )
 
 
-def _sum_rates(demands: Sequence[ServiceDemand]) -> float:
-    """Return the tokens per second of all instances together.
-
-    The averaging window with the highest rate is chosen for the sum. If each instance chose its own, the
-    sum would grow with the number of instances among which the same requests are divided.
-    """
-    windows = max((len(each.window_rates) for each in demands), default=0)
-    if not windows:
-        return sum(each.tokens_per_s for each in demands)
-    return max(
-        sum(
-            each.window_rates[number] if len(each.window_rates) == windows else each.tokens_per_s
-            for each in demands
-        )
-        for number in range(windows)
-    )
-
-
-def _median_speed(demands: Iterable[ServiceDemand]) -> float:
-    """Return the median prefill speed of one engine, in prompt tokens per second."""
-    measured = sorted(
-        (each.prefill_tokens_per_s, each.tokens_per_s)
-        for each in demands
-        if each.prefill_tokens_per_s and each.tokens_per_s
-    )
-    half = sum(weight for _, weight in measured) / 2
-    below = 0.0
-    for speed, weight in measured:
-        below += weight
-        if below >= half:
-            return speed
-    return INITIAL_PREFILL_TOKENS_PER_S
-
-
 def count_missing_engines(demand: FleetDemand, engines: int, limits: Iterable[float]) -> int:
     """Return how many engines are missing since some take fewer requests than the others.
 
@@ -172,22 +142,13 @@
     :param slots: requests that an engine runs at the same time; 0 if that is not known.
     """
     load = demand.tokens_per_s / demand.prefill_tokens_per_s
-    prefill_engines = max(MIN_PREFILL_ENGINES, math.ceil(load + RESERVE_FACTOR * math.sqrt(load)))
+    prefill_engines = max(MIN_PREFILL_ENGINES, math.ceil(load / TARGET_UTILISATION))
     decode_engines = math.ceil(DECODE_ENGINES_PER_PREFILL_ENGINE * prefill_engines)
     occupied = demand.in_flight / slots / TARGET_OCCUPANCY if slots else 0.0
     by_prefill = prefill_engines + max(MIN_DECODE_ENGINES, decode_engines)
     return max(by_prefill, math.ceil(occupied))
 
 
-def count_initial_engines(regular: int) -> int:
-    """Return the number of engines before any demand is measured.
-
-    :param regular: number of regular endpoints. Cheap ones do not count, so that those ordered do not
-        raise the number again.
-    """
-    return math.ceil(regular + INITIAL_RESERVE_FACTOR * math.sqrt(regular))
-
-
 def count_decode_engines(engines: int) -> int:
     """Return how many of a number of engines should run decode; the others run prefill."""
     target = math.ceil((engines - MIN_DECODE_ENGINES) / ENGINES_PER_DECODE_ENGINE)
@@ -222,14 +183,11 @@
 
 
 def _target_cheap(view: SizingView, regular: Mapping[str, int]) -> dict[str, int]:
-    """Return the target number of cheap endpoints by zone; the present one where unavailable.
-
-    The loss of one zone is planned for. While one is lost, the others need no further reserve.
-    """
+    """Return the target number of cheap endpoints by zone; the present one where unavailable."""
     if not view.bounds.cheap_price:
         return {zone: fleet.cheap for zone, fleet in view.fleets.items()}
     zones = view.ordered_zones & view.fleets.keys()
-    surviving_zones = max(1, min(len(zones - view.unavailable), len(zones) - 1))
+    surviving_zones = max(1, len(zones - view.unavailable) - 1)
     per_zone = math.ceil(view.needed / surviving_zones)
     counts: dict[str, int] = {}
     for zone, fleet in view.fleets.items():
--- a/shallotmux/fleet/_messages.py
+++ b/shallotmux/fleet/_messages.py
@@ -50,8 +50,6 @@
     :param prefill_tokens_per_s: measured prefill speed of one engine; 0 while it is not known.
     :param in_flight: requests of the instance that engines work on.
     :param requests_per_s: requests of the instance per second.
-    :param window_rates: tokens per second in each averaging window, the longest first, of which
-        ``tokens_per_s`` is the highest; empty from earlier builds.
     """
 
     service: str
@@ -59,7 +57,6 @@
     prefill_tokens_per_s: float = 0.0
     in_flight: int = 0
     requests_per_s: float = 0.0
-    window_rates: tuple[float, ...] = ()
 
 
 class Poll(msgspec.Struct, frozen=True):
--- a/shallotmux/forwarding/_demand.py
+++ b/shallotmux/forwarding/_demand.py
@@ -7,9 +7,9 @@
 
 import trio
 
-#: Lengths of the averaging windows; the one with the highest rate in the whole fleet counts. The long one
-#: spans a burst, so that a single long prompt does not change a decision; the short one shows the start
-#: of a burst while there is still time to boot engines for it.
+#: Lengths of the averaging windows; the one with the highest rate counts. The long one spans a burst,
+#: so that a single long prompt does not change a decision; the short one shows the start of a burst
+#: while there is still time to boot engines for it.
 WINDOWS_S = (4.0, 1.5)
 
 
@@ -31,14 +31,14 @@
             for service, recorded in self._samples.items()
         }
 
-    def rates(self) -> dict[str, tuple[float, ...]]:
-        """Return the tokens per second of each service, in each of the windows."""
+    def rates(self) -> dict[str, float]:
+        """Return the tokens per second of each service."""
         now = trio.current_time()
         for samples in self._samples.values():
             while samples and samples[0][0] < now - max(WINDOWS_S):
                 samples.popleft()
         return {
-            service: tuple(_mean_rate(recorded, now, window_s) for window_s in WINDOWS_S)
+            service: max(_mean_rate(recorded, now, window_s) for window_s in WINDOWS_S)
             for service, recorded in sorted(self._samples.items())
         }
 
--- a/shallotmux/forwarding/_engines.py
+++ b/shallotmux/forwarding/_engines.py
@@ -87,13 +87,12 @@
         return tuple(
             ServiceDemand(
                 service,
-                max(rates),
+                tokens_per_s,
                 self._speeds.of_service(service) * 1000 if self._speeds.is_known(service) else 0.0,
                 self._directory.in_flight(service),
                 request_rates.get(service, 0.0),
-                rates,
             )
-            for service, rates in self._demand.rates().items()
+            for service, tokens_per_s in self._demand.rates().items()
         )
 
     async def place(self, job: Job, usable: list[EndpointState]) -> Target | LoadShed | None:
